--- a/include/gentianreach/time.h
+++ b/include/gentianreach/time.h
@@ -7,6 +7,7 @@
 
 #include <chrono>
 #include <concepts>
+#include <cstdint>
 
 namespace gentianreach {
 
@@ -37,14 +38,12 @@
   { clock.Now() } -> std::same_as<TimePoint>;
 };
 
-// Reads the machine's monotonic clock.
+// Reads the machine's monotonic clock. Time during which the VM is suspended
+// counts, so that a deadline passes while its holder sleeps.
 class MonotonicClock {
  public:
   // Returns the current time.
-  [[nodiscard]] TimePoint Now() const {
-    return std::chrono::time_point_cast<Duration>(
-        std::chrono::steady_clock::now());
-  }
+  [[nodiscard]] TimePoint Now() const;
 };
 
 }  // namespace gentianreach
