--- /dev/null
+++ b/src/base/log.cc
@@ -0,0 +1,93 @@
+#include "base/log.h"
+
+#include <algorithm>
+#include <array>
+#include <iostream>
+
+#include <boost/date_time/posix_time/posix_time_types.hpp>
+#include <boost/log/attributes/clock.hpp>
+#include <boost/log/core.hpp>
+#include <boost/log/expressions.hpp>
+#include <boost/log/sources/record_ostream.hpp>
+#include <boost/log/sources/severity_logger.hpp>
+#include <boost/log/support/date_time.hpp>
+#include <boost/log/utility/setup/common_attributes.hpp>
+#include <boost/log/utility/setup/console.hpp>
+
+namespace gentianreach {
+namespace {
+
+constexpr std::array<std::string_view, 4> kLevelNames = {"debug", "info",
+                                                         "warning", "error"};
+
+bool NeedsQuotes(std::string_view value) {
+  return value.empty() || std::any_of(value.begin(), value.end(), [](char c) {
+           return c <= ' ' || c == '"' || c == '=' || c == '\x7f';
+         });
+}
+
+void AppendValue(std::string& line, std::string_view value) {
+  if (!NeedsQuotes(value)) {
+    line += value;
+    return;
+  }
+  line += '"';
+  for (const char it : value) {
+    if (it == '"' || it == '\\') {
+      line += '\\';
+      line += it;
+      continue;
+    }
+    // A control character would let a value forge a line of its own.
+    line += static_cast<unsigned char>(it) < ' ' ? ' ' : it;
+  }
+  line += '"';
+}
+
+}  // namespace
+
+void InitLogging(LogLevel threshold) {
+  namespace expr = boost::log::expressions;
+  boost::log::add_common_attributes();
+  boost::log::add_console_log(
+      std::clog, boost::log::keywords::auto_flush = true,
+      boost::log::keywords::format =
+          (expr::stream << "time="
+                        << expr::format_date_time<boost::posix_time::ptime>(
+                               "TimeStamp", "%Y-%m-%dT%H:%M:%S.%f")
+                        << " " << expr::smessage));
+  boost::log::core::get()->set_filter(expr::attr<int>("Severity") >=
+                                      static_cast<int>(threshold));
+}
+
+void Log(LogLevel level,
+         std::string_view event,
+         std::initializer_list<LogField> fields) {
+  thread_local boost::log::sources::severity_logger<int> logger;
+  BOOST_LOG_SEV(logger, static_cast<int>(level))
+      << "level=" << kLevelNames.at(static_cast<std::size_t>(level)) << " "
+      << FormatFields(event, fields);
+}
+
+std::optional<LogLevel> ParseLogLevel(std::string_view name) {
+  const auto* it = std::find(kLevelNames.begin(), kLevelNames.end(), name);
+  if (it == kLevelNames.end()) {
+    return std::nullopt;
+  }
+  return static_cast<LogLevel>(it - kLevelNames.begin());
+}
+
+std::string FormatFields(std::string_view event,
+                         std::initializer_list<LogField> fields) {
+  std::string line = "event=";
+  AppendValue(line, event);
+  for (const LogField& it : fields) {
+    line += ' ';
+    line += it.key();
+    line += '=';
+    AppendValue(line, it.value());
+  }
+  return line;
+}
+
+}  // namespace gentianreach
--- /dev/null
+++ b/src/base/log.h
@@ -0,0 +1,62 @@
+// Structured logs: one line of key=value pairs per event, on standard error.
+//
+//   InitLogging(LogLevel::kInfo);
+//   Log(LogLevel::kInfo, "lease_renewed", {{"server", id}, {"ms", 12}});
+//
+// writes  time=... level=info event=lease_renewed server=s1 ms=12
+#ifndef SRC_BASE_LOG_H_
+#define SRC_BASE_LOG_H_
+
+#include <concepts>
+#include <initializer_list>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace gentianreach {
+
+enum class LogLevel : std::uint8_t { kDebug, kInfo, kWarning, kError };
+
+// One key with its value. The value is quoted where it holds white space,
+// quotes, equals signs or control characters.
+class LogField {
+ public:
+  LogField(std::string_view key, std::string_view value)
+      : key_(key), value_(value) {}
+  LogField(std::string_view key, const char* value)
+      : key_(key), value_(value) {}
+  LogField(std::string_view key, const std::string& value)
+      : key_(key), value_(value) {}
+  LogField(std::string_view key, bool value)
+      : key_(key), value_(value ? "true" : "false") {}
+  template <typename N>
+  requires(std::integral<N> || std::floating_point<N>)
+      LogField(std::string_view key, N value)
+      : key_(key), value_(std::to_string(value)) {}
+
+  [[nodiscard]] std::string_view key() const { return key_; }
+  [[nodiscard]] std::string_view value() const { return value_; }
+
+ private:
+  std::string_view key_;
+  std::string value_;
+};
+
+// Starts logging of events at or above `threshold`. Called once by `main`.
+void InitLogging(LogLevel threshold);
+
+// Writes one event. Safe from any thread.
+void Log(LogLevel level,
+         std::string_view event,
+         std::initializer_list<LogField> fields);
+
+// Returns the level named "debug", "info", "warning" or "error".
+[[nodiscard]] std::optional<LogLevel> ParseLogLevel(std::string_view name);
+
+// Returns the fields as one line, without time and level.
+[[nodiscard]] std::string FormatFields(std::string_view event,
+                                       std::initializer_list<LogField> fields);
+
+}  // namespace gentianreach
+
+#endif  // SRC_BASE_LOG_H_
--- /dev/null
+++ b/src/platform/http_client.cc
@@ -0,0 +1,118 @@
+#include "platform/http_client.h"
+
+#include <memory>
+#include <optional>
+
+#include "base/timer.h"
+
+namespace gentianreach {
+namespace {
+
+constexpr int kMaxConnections = 4096;
+constexpr int kMaxConnectionsPerHost = 16;
+constexpr guint kIdleSeconds = 30;
+
+// One call under way. Owned by the libsoup operation that it started.
+struct PendingCall {
+  std::shared_ptr<bool> client_alive;
+  GObjectPtr<SoupMessage> message;
+  GObjectPtr<GCancellable> cancellable;
+  Timer timer;
+  HttpCallback done;
+};
+
+bool NeverConnected(const GError& error) {
+  return error.domain == G_RESOLVER_ERROR ||
+         g_error_matches(&error, G_IO_ERROR, G_IO_ERROR_CONNECTION_REFUSED) ||
+         g_error_matches(&error, G_IO_ERROR, G_IO_ERROR_HOST_UNREACHABLE) ||
+         g_error_matches(&error, G_IO_ERROR, G_IO_ERROR_NETWORK_UNREACHABLE);
+}
+
+HttpReply ReplyOf(SoupMessage* message, GBytes* bytes, const GError* error) {
+  HttpReply reply;
+  if (error != nullptr) {
+    reply.error = error->message;
+    reply.may_have_arrived = !NeverConnected(*error);
+    return reply;
+  }
+  reply.status = static_cast<int>(soup_message_get_status(message));
+  gsize size = 0;
+  const auto* data = static_cast<const char*>(g_bytes_get_data(bytes, &size));
+  reply.body.assign(data == nullptr ? "" : data, size);
+  const char* etag = soup_message_headers_get_one(
+      soup_message_get_response_headers(message), "ETag");
+  reply.etag = etag == nullptr ? "" : etag;
+  return reply;
+}
+
+void OnDone(GObject* session, GAsyncResult* result, gpointer data) {
+  const std::unique_ptr<PendingCall> call(static_cast<PendingCall*>(data));
+  GError* raw_error = nullptr;
+  const GBytesPtr bytes(soup_session_send_and_read_finish(SOUP_SESSION(session),
+                                                          result, &raw_error));
+  const GErrorPtr error(raw_error);
+  call->timer.Cancel();
+  if (!*call->client_alive) {
+    return;
+  }
+  call->done(ReplyOf(call->message.get(), bytes.get(), error.get()));
+}
+
+}  // namespace
+
+HttpClient::HttpClient()
+    : session_(GObjectPtr<SoupSession>::Adopt(
+          soup_session_new_with_options("max-conns",
+                                        kMaxConnections,
+                                        "max-conns-per-host",
+                                        kMaxConnectionsPerHost,
+                                        "idle-timeout",
+                                        kIdleSeconds,
+                                        nullptr))) {}
+
+HttpClient::~HttpClient() {
+  *alive_ = false;
+  soup_session_abort(session_.get());
+}
+
+void HttpClient::Send(HttpCall call, HttpCallback done) {
+  SoupMessage* message =
+      soup_message_new(call.method.c_str(), call.url.c_str());
+  if (message == nullptr) {
+    HttpReply reply;
+    reply.error = "not a URL: " + call.url;
+    reply.may_have_arrived = false;
+    done(std::move(reply));
+    return;
+  }
+  auto pending = std::make_unique<PendingCall>();
+  pending->client_alive = alive_;
+  pending->message = GObjectPtr<SoupMessage>::Adopt(message);
+  pending->cancellable = GObjectPtr<GCancellable>::Adopt(g_cancellable_new());
+  pending->done = std::move(done);
+  SoupMessageHeaders* headers = soup_message_get_request_headers(message);
+  for (const auto& [name, value] : call.headers) {
+    soup_message_headers_replace(headers, name.c_str(), value.c_str());
+  }
+  if (!call.body.empty()) {
+    const GBytesPtr body(g_bytes_new(call.body.data(), call.body.size()));
+    soup_message_set_request_body_from_bytes(
+        message, "application/octet-stream", body.get());
+  }
+  GCancellable* cancellable = pending->cancellable.get();
+  pending->timer.Set(call.deadline,
+                     [cancellable] { g_cancellable_cancel(cancellable); });
+  soup_session_send_and_read_async(session_.get(), message, G_PRIORITY_DEFAULT,
+                                   cancellable, &OnDone, pending.release());
+}
+
+HttpReply HttpClient::SendAndWait(HttpCall call) {
+  std::optional<HttpReply> reply;
+  Send(std::move(call), [&reply](HttpReply it) { reply = std::move(it); });
+  while (!reply.has_value()) {
+    g_main_context_iteration(g_main_context_get_thread_default(), TRUE);
+  }
+  return *std::move(reply);
+}
+
+}  // namespace gentianreach
--- /dev/null
+++ b/standins/soup_server.h
@@ -0,0 +1,161 @@
+// What the stand-ins share: a loopback HTTP server by libsoup.
+#ifndef STANDINS_SOUP_SERVER_H_
+#define STANDINS_SOUP_SERVER_H_
+
+#include <functional>
+#include <iostream>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include <glib-unix.h>
+#include <libsoup/soup.h>
+
+#include <nlohmann/json.hpp>
+
+#include "base/glib_ptr.h"
+
+namespace gentianreach::standins {
+
+using Json = nlohmann::json;
+
+// A received request, copied out of libsoup.
+struct Request {
+  std::string method;
+  std::string path;
+  std::string body;
+  std::map<std::string, std::string> query;
+  // Names in lower case.
+  std::map<std::string, std::string> headers;
+
+  // Returns the value of a header, or "".
+  [[nodiscard]] std::string Header(const std::string& name) const {
+    const std::string lower = ToLower(name);
+    const auto it = headers.find(lower);
+    return it == headers.end() ? "" : it->second;
+  }
+  // Returns the value of a query parameter, or "".
+  [[nodiscard]] std::string Query(const std::string& name) const {
+    const auto it = query.find(name);
+    return it == query.end() ? "" : it->second;
+  }
+  // Returns `text` in lower case.
+  static std::string ToLower(const std::string& text) {
+    char* lower = g_ascii_strdown(text.c_str(), -1);
+    std::string result(lower);
+    g_free(lower);
+    return result;
+  }
+};
+
+using Headers = std::vector<std::pair<std::string, std::string>>;
+using Handler = std::function<void(SoupServerMessage*, const Request&)>;
+
+// Sets the answer of `message`.
+inline void ReplyBytes(SoupServerMessage* message,
+                       guint status,
+                       const std::string& body,
+                       const Headers& headers,
+                       const char* type = "application/octet-stream") {
+  SoupMessageHeaders* out = soup_server_message_get_response_headers(message);
+  for (const auto& [name, value] : headers) {
+    soup_message_headers_replace(out, name.c_str(), value.c_str());
+  }
+  soup_server_message_set_response(message, type, SOUP_MEMORY_COPY, body.data(),
+                                   body.size());
+  soup_server_message_set_status(message, status, nullptr);
+}
+
+// Sets a JSON answer.
+inline void Reply(SoupServerMessage* message, guint status, const Json& json) {
+  ReplyBytes(message, status, json.dump(), {}, "application/json");
+}
+
+// Closes the connection of `message` without an answer.
+inline void DropConnection(SoupServerMessage* message) {
+  GSocket* socket = soup_server_message_get_socket(message);
+  g_socket_shutdown(socket, TRUE, TRUE, nullptr);
+  soup_server_message_set_status(message, SOUP_STATUS_INTERNAL_SERVER_ERROR,
+                                 nullptr);
+}
+
+namespace internal {
+
+inline Request CopyRequest(SoupServerMessage* message,
+                           const char* path,
+                           GHashTable* query) {
+  Request request;
+  request.method = soup_server_message_get_method(message);
+  request.path = path;
+  SoupMessageBody* body = soup_server_message_get_request_body(message);
+  if (body->data != nullptr) {
+    request.body.assign(body->data, static_cast<std::size_t>(body->length));
+  }
+  SoupMessageHeadersIter it;
+  const char* name = nullptr;
+  const char* value = nullptr;
+  soup_message_headers_iter_init(
+      &it, soup_server_message_get_request_headers(message));
+  while (soup_message_headers_iter_next(&it, &name, &value)) {
+    request.headers[Request::ToLower(name)] = value;
+  }
+  if (query == nullptr) {
+    return request;
+  }
+  GHashTableIter pairs;
+  gpointer key = nullptr;
+  gpointer text = nullptr;
+  g_hash_table_iter_init(&pairs, query);
+  while (g_hash_table_iter_next(&pairs, &key, &text)) {
+    request.query[static_cast<const char*>(key)] =
+        text == nullptr ? "" : static_cast<const char*>(text);
+  }
+  return request;
+}
+
+inline void OnRequest(SoupServer* /*server*/,
+                      SoupServerMessage* message,
+                      const char* path,
+                      GHashTable* query,
+                      gpointer handler) {
+  (*static_cast<Handler*>(handler))(message, CopyRequest(message, path, query));
+}
+
+inline gboolean OnTerminate(gpointer loop) {
+  g_main_loop_quit(static_cast<GMainLoop*>(loop));
+  return G_SOURCE_REMOVE;
+}
+
+}  // namespace internal
+
+// Listens on 127.0.0.1, prints "port=N" and serves until SIGTERM or SIGINT.
+// Returns the exit code.
+inline int RunServer(std::uint16_t port, Handler handler) {
+  const auto server = GObjectPtr<SoupServer>::Adopt(
+      soup_server_new("server-header", "stand-in", nullptr));
+  soup_server_add_handler(server.get(), nullptr, &internal::OnRequest, &handler,
+                          nullptr);
+  GError* raw_error = nullptr;
+  if (!soup_server_listen_local(server.get(), port,
+                                SOUP_SERVER_LISTEN_IPV4_ONLY, &raw_error)) {
+    const GErrorPtr error(raw_error);
+    std::cerr << "cannot listen on port " << port << ": " << error->message
+              << "\n";
+    return EXIT_FAILURE;
+  }
+  GSList* uris = soup_server_get_uris(server.get());
+  std::cout << "port=" << g_uri_get_port(static_cast<GUri*>(uris->data))
+            << std::endl;
+  g_slist_free_full(uris,
+                    [](gpointer it) { g_uri_unref(static_cast<GUri*>(it)); });
+  const GMainLoopPtr loop(g_main_loop_new(nullptr, FALSE));
+  g_unix_signal_add(SIGTERM, &internal::OnTerminate, loop.get());
+  g_unix_signal_add(SIGINT, &internal::OnTerminate, loop.get());
+  g_main_loop_run(loop.get());
+  return EXIT_SUCCESS;
+}
+
+}  // namespace gentianreach::standins
+
+#endif  // STANDINS_SOUP_SERVER_H_
