--- a/include/gentianreach/router.h
+++ b/include/gentianreach/router.h
@@ -3,6 +3,7 @@
 #define INCLUDE_GENTIANREACH_ROUTER_H_
 
 #include <concepts>
+#include <cstdint>
 #include <string>
 
 #include "gentianreach/ids.h"
@@ -28,6 +29,9 @@
   LeaseGeneration generation;
   Incarnation incarnation;
   HashRange range;
+  // A request sent on this route ends by then, answered or not. The maximum
+  // where the server itself stops serving when its lease ends.
+  TimePoint deadline = TimePoint::max();
 };
 
 // Answers which server owns a key. The data path asks once per attempt and
