--- /dev/null
+++ b/src/server/order_codec.cc
@@ -0,0 +1,149 @@
+#include "server/order_codec.h"
+
+#include <array>
+#include <charconv>
+
+#include <nlohmann/json.hpp>
+
+namespace gentianreach {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr std::array<const char*, 4> kKindNames = {"probe", "renew", "grant",
+                                                   "release"};
+
+std::int64_t Millis(ServerTime time) {
+  return time.time_since_epoch().count();
+}
+
+ServerTime ToServerTime(const Json& json, const char* key) {
+  return ServerTime(
+      std::chrono::milliseconds(json.value(key, std::int64_t{0})));
+}
+
+// Positions are strings, since a JSON number cannot hold 64 bits.
+KeyHash ToHash(const std::string& text) {
+  std::uint64_t value = 0;
+  const char* end = text.data() + text.size();
+  const auto result = std::from_chars(text.data(), end, value);
+  if (result.ec != std::errc{} || result.ptr != end) {
+    throw Json::other_error::create(0, "not a position: " + text, nullptr);
+  }
+  return KeyHash(value);
+}
+
+OrderKind ToKind(const std::string& name) {
+  for (std::size_t i = 0; i < kKindNames.size(); ++i) {
+    if (name == kKindNames.at(i)) {
+      return static_cast<OrderKind>(i);
+    }
+  }
+  throw Json::other_error::create(0, "not an order: " + name, nullptr);
+}
+
+Json ToJson(const GrantedRange& grant) {
+  return {{"first", std::to_string(grant.range.first.value())},
+          {"last", std::to_string(grant.range.last.value())},
+          {"token", grant.token.value()}};
+}
+
+ServerOrder ToOrder(const Json& json) {
+  ServerOrder order;
+  order.kind = ToKind(json.at("kind").get<std::string>());
+  order.giver = DaemonId(json.value("giver", ""));
+  order.epoch = Epoch(json.value("epoch", 0ULL));
+  order.incarnation = Incarnation(json.value("incarnation", 0ULL));
+  order.generation = LeaseGeneration(json.value("generation", 0ULL));
+  order.deadline = ToServerTime(json, "deadline_ms");
+  order.until = ToServerTime(json, "until_ms");
+  order.service = ServiceName(json.value("service", ""));
+  for (const Json& it : json.value("grants", Json::array())) {
+    order.grants.push_back({{ToHash(it.at("first").get<std::string>()),
+                             ToHash(it.at("last").get<std::string>())},
+                            Token(it.at("token").get<std::uint64_t>())});
+  }
+  return order;
+}
+
+ServerAnswer ToAnswer(const Json& json) {
+  ServerAnswer answer;
+  ServerReply& reply = answer.reply;
+  reply.ok = json.at("ok").get<bool>();
+  reply.reason = json.value("reason", "");
+  reply.server = ServerId(json.value("server", ""));
+  reply.incarnation = Incarnation(json.at("incarnation").get<std::uint64_t>());
+  reply.clock = ToServerTime(json, "clock_ms");
+  reply.generation = LeaseGeneration(json.value("generation", 0ULL));
+  reply.lease_until = ToServerTime(json, "lease_until_ms");
+  reply.grants = json.value("grants", std::uint64_t{0});
+  reply.released = json.value("released", false);
+  reply.draining = json.value("draining", false);
+  answer.load.slots = json.value("slots", 0U);
+  answer.load.in_flight = json.value("in_flight", 0U);
+  answer.load.queued = json.value("queued", 0U);
+  answer.load.connections = json.value("connections", 0U);
+  answer.load.service_time =
+      std::chrono::milliseconds(json.value("service_ms", 0));
+  return answer;
+}
+
+// Returns what `convert` makes of the text, or nothing where it does not fit.
+template <typename T>
+std::optional<T> Decode(const std::string& text, T (*convert)(const Json&)) {
+  try {
+    return convert(Json::parse(text));
+  } catch (const Json::exception&) {
+    return std::nullopt;
+  }
+}
+
+}  // namespace
+
+std::string EncodeOrder(const ServerOrder& order) {
+  Json grants = Json::array();
+  for (const GrantedRange& it : order.grants) {
+    grants.push_back(ToJson(it));
+  }
+  const Json json = {
+      {"kind", kKindNames.at(static_cast<std::size_t>(order.kind))},
+      {"giver", order.giver.value()},
+      {"epoch", order.epoch.value()},
+      {"incarnation", order.incarnation.value()},
+      {"generation", order.generation.value()},
+      {"deadline_ms", Millis(order.deadline)},
+      {"until_ms", Millis(order.until)},
+      {"service", order.service.value()},
+      {"grants", std::move(grants)}};
+  return json.dump();
+}
+
+std::optional<ServerOrder> DecodeOrder(const std::string& text) {
+  return Decode(text, &ToOrder);
+}
+
+std::string EncodeAnswer(const ServerAnswer& answer) {
+  const ServerReply& reply = answer.reply;
+  const Json json = {{"ok", reply.ok},
+                     {"reason", reply.reason},
+                     {"server", reply.server.value()},
+                     {"incarnation", reply.incarnation.value()},
+                     {"clock_ms", Millis(reply.clock)},
+                     {"generation", reply.generation.value()},
+                     {"lease_until_ms", Millis(reply.lease_until)},
+                     {"grants", reply.grants},
+                     {"released", reply.released},
+                     {"draining", reply.draining},
+                     {"slots", answer.load.slots},
+                     {"in_flight", answer.load.in_flight},
+                     {"queued", answer.load.queued},
+                     {"connections", answer.load.connections},
+                     {"service_ms", answer.load.service_time.count()}};
+  return json.dump();
+}
+
+std::optional<ServerAnswer> DecodeAnswer(const std::string& text) {
+  return Decode(text, &ToAnswer);
+}
+
+}  // namespace gentianreach
