Stand-in for a backend server

Cause: the path needs something to own keys. Change: fake_backend with grants, slots, queue, drain, shedding, crash, freeze.

--- /dev/null
+++ b/standins/fake_backend.cc
@@ -0,0 +1,280 @@
+// Stand-in for a backend server: takes fenced grants, has slots and a queue,
+// drains, sheds, cancels, and counts its runs (docs/PROTOCOLS.md).
+//
+// POST /control takes JSON: {"draining": bool, "shed": bool, "freeze_ms": N
+// (the whole process stops serving), "lie": bool (reports no load),
+// "service_ms": N, "crash": true}. A request whose target holds the text of
+// --crash-on ends the process; one whose target holds "silent=1" is never
+// answered. GET /control/runs gives {"runs": {REQUEST_ID: COUNT}} and the
+// count of requests seen by method.
+#include <chrono>
+#include <cstdlib>
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+
+#include <libsoup/soup.h>
+#include <unistd.h>
+
+#include <CLI/CLI.hpp>
+#include <nlohmann/json.hpp>
+
+#include "base/timer.h"
+#include "server/grant_table.h"
+#include "server/order_codec.h"
+#include "standins/soup_server.h"
+
+namespace gentianreach::standins {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr guint kOk = 200;
+constexpr guint kMisdirected = 421;
+constexpr guint kUnavailable = 503;
+constexpr int kCrashExitCode = 70;
+
+struct BackendOptions {
+  std::uint16_t port = 0;
+  std::string id = "server";
+  std::string service;
+  std::string crash_on;
+  std::uint32_t slots = 3;
+  std::uint32_t queue = 50;
+  int service_ms = 5;
+  bool keyed = false;
+  bool ignores_giver = false;
+  bool ignores_deadline = false;
+};
+
+// A request that waits for a slot or runs.
+struct Run {
+  GObjectPtr<SoupServerMessage> message;
+  Request request;
+  std::optional<KeyHash> hash;
+  Token token;
+  bool gone = false;  // The daemon closed the connection.
+  Timer timer;
+};
+
+class FakeBackend {
+ public:
+  explicit FakeBackend(BackendOptions options)
+      : options_(std::move(options)),
+        incarnation_(std::random_device{}() + 1ULL),
+        grants_(ServerId(options_.id),
+                Incarnation(incarnation_),
+                {.giver = !options_.ignores_giver,
+                 .deadline = !options_.ignores_deadline}) {}
+
+  void Handle(SoupServerMessage* message, const Request& request) {
+    if (request.path == "/.gentianreach/order") {
+      HandleOrder(message, request);
+    } else if (request.path == "/control") {
+      Control(message, request);
+    } else if (request.path == "/control/runs") {
+      Reply(message, kOk, {{"runs", runs_}, {"seen", seen_}});
+    } else {
+      HandleRequest(message, request);
+    }
+  }
+
+ private:
+  static ServerTime Now() {
+    return ServerTime(std::chrono::duration_cast<milliseconds>(
+        MonotonicClock().Now().time_since_epoch()));
+  }
+
+  void HandleOrder(SoupServerMessage* message, const Request& request) {
+    const auto order = DecodeOrder(request.body);
+    if (!order.has_value()) {
+      Reply(message, 400, {{"error", "not an order"}});
+      return;
+    }
+    ServerAnswer answer;
+    answer.reply = grants_.Handle(*order, Now());
+    answer.reply.draining = draining_;
+    answer.load.slots = options_.slots;
+    answer.load.in_flight = lies_ ? 0 : running_;
+    answer.load.queued =
+        lies_ ? 0 : static_cast<std::uint32_t>(waiting_.size());
+    answer.load.service_time = milliseconds(options_.service_ms);
+    ReplyBytes(message, answer.reply.ok ? kOk : 409, EncodeAnswer(answer), {},
+               "application/json");
+  }
+
+  void HandleRequest(SoupServerMessage* message, const Request& request) {
+    ++seen_[request.method];
+    const std::string target = request.path + "?" + request.Query("fault");
+    if (!options_.crash_on.empty() &&
+        target.find(options_.crash_on) != std::string::npos) {
+      _exit(kCrashExitCode);
+    }
+    if (target.find("silent=1") != std::string::npos) {
+      soup_server_message_pause(message);
+      return;
+    }
+    auto run = std::make_shared<Run>();
+    run->message = GObjectPtr<SoupServerMessage>::Share(message);
+    run->request = request;
+    if (!Admit(*run)) {
+      return;
+    }
+    soup_server_message_pause(message);
+    g_signal_connect_data(message, "disconnected", G_CALLBACK(&OnGone),
+                          new std::shared_ptr<Run>(run), &FreeRun,
+                          G_CONNECT_DEFAULT);
+    if (running_ < options_.slots) {
+      Start(run);
+    } else {
+      waiting_.push_back(run);
+    }
+  }
+
+  // Returns whether the request may wait or run; answers it where not.
+  bool Admit(Run& run) {
+    if (draining_ || sheds_ || waiting_.size() >= options_.queue) {
+      Refuse(run, kUnavailable);
+      return false;
+    }
+    if (!options_.keyed) {
+      return true;
+    }
+    const std::string hash = run.request.Header("gentianreach-key-hash");
+    const std::string token = run.request.Header("gentianreach-token");
+    run.hash = KeyHash(std::strtoull(hash.c_str(), nullptr, 10));
+    run.token = Token(std::strtoull(token.c_str(), nullptr, 10));
+    if (hash.empty() || !grants_.Holds(*run.hash, run.token, Now())) {
+      Refuse(run, kMisdirected);
+      return false;
+    }
+    return true;
+  }
+
+  static void Refuse(const Run& run, guint status) {
+    ReplyBytes(run.message.get(), status, "",
+               {{"gentianreach-verdict", "not-run"}});
+  }
+
+  void Start(const std::shared_ptr<Run>& run) {
+    ++running_;
+    if (run->hash.has_value()) {
+      grants_.Begin(*run->hash);
+    }
+    run->timer.Set(MonotonicClock().Now() + milliseconds(options_.service_ms),
+                   [this, run] { Finish(run); });
+  }
+
+  void Finish(const std::shared_ptr<Run>& run) {
+    --running_;
+    if (run->hash.has_value()) {
+      grants_.End(*run->hash);
+    }
+    // The effect is committed here, so ownership is checked here once more.
+    if (run->hash.has_value() &&
+        !grants_.Holds(*run->hash, run->token, Now())) {
+      Refuse(*run, kMisdirected);
+    } else {
+      Commit(*run);
+    }
+    soup_server_message_unpause(run->message.get());
+    StartWaiting();
+  }
+
+  void Commit(const Run& run) {
+    const std::string id = run.request.Header("gentianreach-request-id");
+    ++runs_[id];
+    Reply(run.message.get(), kOk,
+          {{"server", options_.id},
+           {"incarnation", incarnation_},
+           {"path", run.request.path},
+           {"request", id},
+           {"token", run.token.value()},
+           {"body_bytes", run.request.body.size()}});
+  }
+
+  void StartWaiting() {
+    while (running_ < options_.slots && !waiting_.empty()) {
+      const std::shared_ptr<Run> run = waiting_.front();
+      waiting_.pop_front();
+      if (run->gone) {
+        continue;
+      }
+      if (run->hash.has_value() &&
+          !grants_.Holds(*run->hash, run->token, Now())) {
+        Refuse(*run, kMisdirected);
+        soup_server_message_unpause(run->message.get());
+        continue;
+      }
+      Start(run);
+    }
+  }
+
+  void Control(SoupServerMessage* message, const Request& request) {
+    const Json json = Json::parse(request.body, nullptr, false);
+    if (!json.is_object()) {
+      Reply(message, 400, {{"error", "body is not a JSON object"}});
+      return;
+    }
+    if (json.value("crash", false)) {
+      _exit(kCrashExitCode);
+    }
+    draining_ = json.value("draining", draining_);
+    sheds_ = json.value("shed", sheds_);
+    lies_ = json.value("lie", lies_);
+    options_.service_ms = json.value("service_ms", options_.service_ms);
+    g_usleep(static_cast<gulong>(json.value("freeze_ms", 0)) * 1000);
+    Reply(message, kOk, {{"ok", true}});
+  }
+
+  static void OnGone(SoupServerMessage* /*message*/, gpointer run) {
+    (*static_cast<std::shared_ptr<Run>*>(run))->gone = true;
+  }
+
+  static void FreeRun(gpointer run, GClosure* /*closure*/) {
+    delete static_cast<std::shared_ptr<Run>*>(run);
+  }
+
+  BackendOptions options_;
+  std::uint64_t incarnation_;
+  GrantTable grants_;
+  std::deque<std::shared_ptr<Run>> waiting_;
+  std::map<std::string, int> runs_;
+  std::map<std::string, int> seen_;
+  std::uint32_t running_ = 0;
+  bool draining_ = false;
+  bool sheds_ = false;
+  bool lies_ = false;
+};
+
+}  // namespace
+}  // namespace gentianreach::standins
+
+int main(int argc, char** argv) {
+  CLI::App app{"Stand-in for a backend server"};
+  gentianreach::standins::BackendOptions options;
+  app.add_option("--port", options.port,
+                 "Port on 127.0.0.1; 0: chosen by the kernel");
+  app.add_option("--id", options.id, "Server id, as in the VM list");
+  app.add_option("--service", options.service, "Service");
+  app.add_option("--slots", options.slots, "Requests run at once");
+  app.add_option("--queue", options.queue, "Requests that wait at most");
+  app.add_option("--service-ms", options.service_ms, "Time of one request");
+  app.add_option("--crash-on", options.crash_on,
+                 "Requests whose target holds this text crash the server");
+  app.add_flag("--keyed", options.keyed, "Serves only keys that it holds");
+  app.add_flag("--ignores-giver", options.ignores_giver,
+               "Takes orders of any epoch");
+  app.add_flag("--ignores-deadline", options.ignores_deadline,
+               "Serves on after its lease has ended");
+  CLI11_PARSE(app, argc, argv);
+  gentianreach::standins::FakeBackend backend(options);
+  return gentianreach::standins::RunServer(
+      options.port, [&backend](SoupServerMessage* message,
+                               const gentianreach::standins::Request& request) {
+        backend.Handle(message, request);
+      });
+}
