--- /dev/null
+++ b/src/peer/peer_tls.cc
@@ -0,0 +1,57 @@
+#include "peer/peer_tls.h"
+
+namespace gentianreach {
+namespace {
+
+constexpr const char* kIdentity = "gentianreach";
+
+}  // namespace
+
+boost::leaf::result<PeerTls> PeerTls::Load(const TlsFiles& files) {
+  PeerTls tls;
+  GError* raw_error = nullptr;
+  tls.certificate_ =
+      GObjectPtr<GTlsCertificate>::Adopt(g_tls_certificate_new_from_files(
+          files.certificate.c_str(), files.key.c_str(), &raw_error));
+  if (raw_error != nullptr) {
+    const GErrorPtr error(raw_error);
+    return boost::leaf::new_error(
+        TlsError{files.certificate + ": " + error->message});
+  }
+  tls.authority_ = GObjectPtr<GTlsDatabase>::Adopt(
+      g_tls_file_database_new(files.authority.c_str(), &raw_error));
+  if (raw_error != nullptr) {
+    const GErrorPtr error(raw_error);
+    return boost::leaf::new_error(
+        TlsError{files.authority + ": " + error->message});
+  }
+  return tls;
+}
+
+GObjectPtr<GIOStream> PeerTls::WrapServer(GIOStream* base) const {
+  GIOStream* stream =
+      g_tls_server_connection_new(base, certificate_.get(), nullptr);
+  if (stream == nullptr) {
+    return {};
+  }
+  // A daemon without a certificate of the authority may not speak.
+  g_object_set(stream, "authentication-mode", G_TLS_AUTHENTICATION_REQUIRED,
+               "database", authority_.get(), nullptr);
+  return GObjectPtr<GIOStream>::Adopt(stream);
+}
+
+GObjectPtr<GIOStream> PeerTls::WrapClient(GIOStream* base) const {
+  const auto identity = GObjectPtr<GSocketConnectable>::Adopt(
+      g_network_address_new(kIdentity, 0));
+  GIOStream* stream =
+      g_tls_client_connection_new(base, identity.get(), nullptr);
+  if (stream == nullptr) {
+    return {};
+  }
+  GTlsConnection* connection = G_TLS_CONNECTION(stream);
+  g_tls_connection_set_certificate(connection, certificate_.get());
+  g_tls_connection_set_database(connection, authority_.get());
+  return GObjectPtr<GIOStream>::Adopt(stream);
+}
+
+}  // namespace gentianreach
