--- a/src/settings/schema.cc
+++ b/src/settings/schema.cc
@@ -276,6 +276,13 @@
                  it->named};
 }
 
+Section DaemonSection() {
+  return Section{
+      "daemon",
+      EmbeddedSchema()->objects()->LookupByKey("gentianreach.settings.Daemon"),
+      false};
+}
+
 std::vector<std::string> SectionNames() {
   std::vector<std::string> names;
   names.reserve(kRoots.size());
--- a/src/settings/schema.h
+++ b/src/settings/schema.h
@@ -68,6 +68,9 @@
 
 // Returns the section for the first step of a path, or nothing.
 [[nodiscard]] std::optional<Section> FindSection(std::string_view root);
+// Returns the section [daemon] of a daemon's own file, which is no part of the
+// tree.
+[[nodiscard]] Section DaemonSection();
 // Returns the names of all sections.
 [[nodiscard]] std::vector<std::string> SectionNames();
 // Returns the name among `known` that differs least from `name`, or nothing
