State machine of a cell's daemon: first version

Election, views with permits, leases on the servers' clocks, fences, takeover, planned moves, drain and leave. A planned move is decided by its first write, so release and grant go on without the store; the safety times are kept in the record so that all daemons go by the same.

--- a/include/gentianreach/cell_agent.h
+++ b/include/gentianreach/cell_agent.h
@@ -266,8 +266,9 @@
   // Returns when `OnTick` is due next.
   [[nodiscard]] TimePoint NextDeadline() const;
 
-  // Wishes. Each returns false where this daemon is not the assigner or the
-  // wish does not fit the record. They are acted upon when the record says so.
+  // Wishes. Each returns false where this daemon is not the assigner. One that
+  // does not fit the record when its turn comes is dropped with a log event;
+  // one that does is audited once it is written.
   bool ProposeMove(const ProposedMove& move, TimePoint now);
   bool ProposeSplit(const ProposedSplit& split, TimePoint now);
   bool ProposeMerge(const ProposedMerge& merge, TimePoint now);
@@ -287,7 +288,9 @@
   // `Status().left` tells when it is done.
   void Leave(TimePoint now);
 
-  // Replaces the timing or the services, for example when settings change.
+  // Replaces the timing or the services, for example when settings change. The
+  // times on which safety rests (lease, permit, hold-over, clock drift) are
+  // those of the record, set once when it was created.
   void SetTiming(const settings::CellTimingT& timing, TimePoint now);
   void SetServices(std::vector<CellService> services, TimePoint now);
 
--- /dev/null
+++ b/src/cell/agent_election.cc
@@ -0,0 +1,294 @@
+#include <algorithm>
+#include <utility>
+
+#include "cell/agent_impl.h"
+#include "cell/agent_times.h"
+
+namespace gentianreach {
+
+using cell::kBlindElectionWait;
+using cell::kElectionStagger;
+using cell::kFirstRangesWait;
+using cell::kHoldWait;
+using cell::kMassSilenceWait;
+using cell::kMaxHandOverWait;
+using cell::kOutsiderElectionJitter;
+using cell::kPlanInterval;
+using cell::kStoreFailing;
+
+bool CellAgent::Impl::InContact(const std::string& daemon,
+                                TimePoint now) const {
+  if (daemon == self_) {
+    return true;
+  }
+  const auto it = peers_.find(daemon);
+  if (it == peers_.end()) {
+    return false;
+  }
+  const TimePoint since =
+      std::max({it->second.two_way, it->second.first_seen, grace_from_});
+  return now - since <= suspicion_;
+}
+
+std::size_t CellAgent::Impl::MembersInContact(TimePoint now) const {
+  std::size_t n = 0;
+  for (const auto& it : record_->members) {
+    const auto peer = peers_.find(it->daemon);
+    const bool heard =
+        it->daemon == self_ ||
+        (peer != peers_.end() && now - peer->second.two_way <= suspicion_);
+    n += heard ? 1 : 0;
+  }
+  return n;
+}
+
+TimePoint CellAgent::Impl::AssignerContact(TimePoint now) const {
+  TimePoint contact = std::max(epoch_seen_at_, grace_from_);
+  const auto assigner = peers_.find(record_->assigner);
+  if (assigner != peers_.end()) {
+    contact = std::max(contact, IsMember() ? assigner->second.two_way
+                                           : assigner->second.heard);
+  }
+  for (const auto& [daemon, peer] : peers_) {
+    if (now - peer.two_way <= suspicion_) {
+      contact = std::max(contact, peer.assigner_contact);
+    }
+  }
+  return contact;
+}
+
+bool CellAgent::Impl::SpeaksForCell(TimePoint now) const {
+  if (IsMember()) {
+    const std::size_t n = 2 * MembersInContact(now);
+    const std::size_t all = record_->members.size();
+    if (n > all || (n == all && IsAssigner())) {
+      return true;
+    }
+  }
+  return LeasesRunOut(now);
+}
+
+bool CellAgent::Impl::LeasesRunOut(TimePoint now) const {
+  if (permit_.Valid(now)) {
+    return false;
+  }
+  bool heard = false;
+  for (const auto& [server, lease] : leases_) {
+    if (!lease.Known() || now - lease.answered() > suspicion_) {
+      continue;
+    }
+    if (lease.Live()) {
+      return false;
+    }
+    heard = true;
+  }
+  return heard || now - AssignerContact(now) > kBlindElectionWait;
+}
+
+void CellAgent::Impl::ElectIfDue(TimePoint now) {
+  if (!record_ || IsAssigner() || write_ || leaving_ || left_) {
+    return;
+  }
+  const bool vacant = cell::FindMember(*record_, record_->assigner) == nullptr;
+  const bool silent = now - AssignerContact(now) > suspicion_;
+  if (!vacant && (!silent || !SpeaksForCell(now))) {
+    elect_at_ = TimePoint::max();
+    return;
+  }
+  if (elect_at_ == TimePoint::max()) {
+    Duration wait = Jitter(kOutsiderElectionJitter);
+    if (IsMember()) {
+      const auto rank = std::count_if(
+          record_->members.begin(), record_->members.end(),
+          [&](const auto& it) {
+            return it->daemon < self_ && it->daemon != record_->assigner &&
+                   InContact(it->daemon, now);
+          });
+      wait = rank * kElectionStagger;
+    }
+    elect_at_ = now + wait;
+  }
+  if (now >= elect_at_ && now >= next_write_) {
+    elect_at_ = now + cell::kMaxStoreRetry;
+    ElectSelf(/*abdicated=*/false, now);
+  }
+}
+
+void CellAgent::Impl::ElectSelf(bool abdicated, TimePoint now) {
+  cell::PlanInput input = MakePlanInput(now);
+  const auto assigner = peers_.find(record_->assigner);
+  if (abdicated) {
+    input.gone_members.clear();
+    if (assigner != peers_.end() && assigner->second.leaving) {
+      input.gone_members.insert(record_->assigner);
+    }
+  } else {
+    input.gone_members.insert(record_->assigner);
+  }
+  input.may_reshape = true;
+  if (!IsMember()) {
+    input.joiners.push_back(SelfAsMember());
+  }
+  Log("candidate", {{"epoch", std::to_string(record_->epoch + 1)},
+                    {"abdicated", abdicated ? "true" : "false"}});
+  Write(cell::MakeElection(*record_, input), version_, 0, now);
+}
+
+// An assigner that leaves, or whose store calls alone may be failing, asks the
+// others to be elected in its place, one after the other.
+void CellAgent::Impl::HandOver(TimePoint now) {
+  if (!IsAssigner() || now < next_hand_over_) {
+    return;
+  }
+  const bool failing = failing_since_ != TimePoint::max() &&
+                       now - failing_since_ > kStoreFailing;
+  if (!leaving_ && !failing) {
+    return;
+  }
+  std::vector<const stored::MemberT*> candidates;
+  for (const auto& it : record_->members) {
+    const auto peer = peers_.find(it->daemon);
+    const bool fit = it->daemon != self_ && InContact(it->daemon, now) &&
+                     peer != peers_.end() && !peer->second.leaving;
+    if (fit) {
+      candidates.push_back(it.get());
+    }
+  }
+  next_hand_over_ = now + (leaving_ ? heartbeat_ : hand_over_wait_);
+  hand_over_wait_ = std::min(2 * hand_over_wait_, kMaxHandOverWait);
+  if (candidates.empty()) {
+    return;
+  }
+  peer::AbdicateT message;
+  message.epoch = record_->epoch;
+  SendTo(*candidates[hand_over_turn_++ % candidates.size()], message);
+}
+
+bool CellAgent::Impl::AddWish(cell::Wish wish, TimePoint now) {
+  if (!IsAssigner()) {
+    return false;
+  }
+  wishes_.push_back(std::move(wish));
+  plan_at_ = now;
+  Step(now);
+  return true;
+}
+
+bool CellAgent::Impl::ConfirmOldMembersGone(const std::string& actor,
+                                            TimePoint now) {
+  if (!IsAssigner()) {
+    return false;
+  }
+  settling_.ConfirmGone(*record_, now);
+  outbox_.audit.push_back(
+      {actor, "old_members_gone", object_, "", "", "operator", version_});
+  plan_at_ = now;
+  Step(now);
+  return true;
+}
+
+void CellAgent::Impl::PlanIfDue(TimePoint now) {
+  if (!IsAssigner() || write_ || now < next_write_ || now < plan_at_) {
+    return;
+  }
+  plan_at_ = now + kPlanInterval;
+  for (const auto& it : record_->servers) {
+    const TimePoint lapse = FenceLapse(it->id);
+    if (lapse > now) {
+      plan_at_ = std::min(plan_at_, lapse);
+    }
+  }
+  std::erase_if(joiners_, [&](const auto& it) {
+    return joiner_until_[it.first] < now ||
+           cell::FindMember(*record_, it.first) != nullptr;
+  });
+  const std::size_t wishes = wishes_.size();
+  auto plan = cell::MakePlan(*record_, MakePlanInput(now));
+  if (plan) {
+    Write(std::move(*plan), version_, wishes, now);
+    return;
+  }
+  if (!wishes_.empty()) {
+    Log("wishes_without_effect", {{"count", std::to_string(wishes)}});
+    wishes_.clear();
+  }
+}
+
+cell::PlanInput CellAgent::Impl::MakePlanInput(TimePoint now) const {
+  cell::PlanInput input;
+  input.self = self_;
+  input.may_reshape = SpeaksForCell(now);
+  input.may_fence = input.may_reshape && permit_.Valid(now);
+  for (const auto& it : record_->members) {
+    const auto peer = peers_.find(it->daemon);
+    const bool leaving = leavers_.contains(it->daemon) ||
+                         (peer != peers_.end() && peer->second.leaving);
+    if (it->daemon != self_ && (leaving || !InContact(it->daemon, now))) {
+      input.gone_members.insert(it->daemon);
+    }
+  }
+  for (const auto& [daemon, joiner] : joiners_) {
+    input.joiners.push_back(joiner);
+  }
+  for (const auto& it : record_->older_views) {
+    if (settling_.Droppable(*record_, *it, now)) {
+      input.droppable_views.insert(it->version);
+    }
+  }
+  const bool mass = MassSilence(now);
+  bool all_known = true;
+  for (const auto& it : record_->servers) {
+    const cell::ServerFacts facts = FactsOf(*it, mass, now);
+    all_known = all_known && it->generation != 0 && facts.reachable;
+    input.servers[it->id] = facts;
+  }
+  input.done_moves = done_moves_;
+  input.seen = seen_;
+  input.services = options_.services;
+  input.ranges_per_server = options_.ranges_per_server;
+  input.first_ranges = all_known || now - epoch_seen_at_ > kFirstRangesWait;
+  input.wishes = wishes_;
+  return input;
+}
+
+bool CellAgent::Impl::MassSilence(TimePoint now) const {
+  const auto silent = std::count_if(
+      record_->servers.begin(), record_->servers.end(), [&](const auto& it) {
+        return it->generation != 0 &&
+               it->state != stored::ServerState::Fenced &&
+               now - std::max(Contact(it->id), grace_from_) > suspicion_;
+      });
+  return 2 * static_cast<std::size_t>(silent) > record_->servers.size();
+}
+
+cell::ServerFacts CellAgent::Impl::FactsOf(const stored::ServerT& server,
+                                           bool mass_silence,
+                                           TimePoint now) const {
+  cell::ServerFacts facts;
+  const Duration limit =
+      suspicion_ + (mass_silence ? kMassSilenceWait : Duration::zero());
+  facts.silent = now - std::max(Contact(server.id), grace_from_) > limit;
+  const auto lease = leases_.find(server.id);
+  if (lease != leases_.end() && lease->second.Known()) {
+    facts.reachable = now - lease->second.answered() <= suspicion_;
+    facts.incarnation = lease->second.last().incarnation;
+    facts.draining = lease->second.last().draining;
+  }
+  for (const auto& it : seen_) {
+    facts.draining =
+        facts.draining || (it.leaving && it.id.value() == server.id);
+  }
+  facts.lapsed = FenceLapse(server.id) <= now;
+  return facts;
+}
+
+TimePoint CellAgent::Impl::FenceLapse(const std::string& server) const {
+  const auto members = fences_.MembersLapse(*record_, server);
+  const auto removed = settling_.RemovedLapse(*record_);
+  if (!members || !removed) {
+    return TimePoint::max();
+  }
+  return std::max(*members, *removed);
+}
+
+}  // namespace gentianreach
--- /dev/null
+++ b/src/cell/agent_impl.h
@@ -0,0 +1,360 @@
+// The parts of `CellAgent`. The member functions are spread over agent_*.cc by
+// concern: store, peers, election, servers and moves.
+#ifndef SRC_CELL_AGENT_IMPL_H_
+#define SRC_CELL_AGENT_IMPL_H_
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <tuple>
+#include <utility>
+#include <vector>
+
+#include "cell/fence.h"
+#include "cell/permit.h"
+#include "cell/planner.h"
+#include "cell/record.h"
+#include "cell/route_table.h"
+#include "cell/server_lease.h"
+#include "cell/settling.h"
+#include "gentianreach/cell_agent.h"
+
+namespace gentianreach {
+
+class CellAgent::Impl {
+ public:
+  Impl(CellOptions options, std::mt19937_64 random);
+
+  void Start(TimePoint now);
+  void OnStoreRead(std::uint64_t ticket,
+                   const StoreReadResult& result,
+                   TimePoint now);
+  void OnStoreWrite(std::uint64_t ticket,
+                    const StoreWriteResult& result,
+                    TimePoint now);
+  void OnPeer(const std::string& from,
+              const peer::MessageUnion& message,
+              TimePoint now);
+  void OnServerReply(std::uint64_t ticket,
+                     const ServerReply& reply,
+                     TimePoint sent,
+                     TimePoint now);
+  void OnServerList(std::vector<SeenServer> servers, TimePoint now);
+  void OnTick(TimePoint now);
+  [[nodiscard]] TimePoint NextDeadline() const;
+  bool AddWish(cell::Wish wish, TimePoint now);
+  void Drain(const cell::DrainWish& wish, TimePoint now);
+  bool ConfirmOldMembersGone(const std::string& actor, TimePoint now);
+  void Leave(TimePoint now);
+  void SetTiming(const settings::CellTimingT& timing);
+  void SetServices(std::vector<CellService> services, TimePoint now);
+  Outbox TakeOutbox() { return std::exchange(outbox_, {}); }
+  [[nodiscard]] KeyRoute Route(const ServiceName& service,
+                               KeyHash hash,
+                               TimePoint now) const;
+  [[nodiscard]] std::shared_ptr<const cell::Record> record() const {
+    return record_;
+  }
+  [[nodiscard]] ObjectVersion version() const { return version_; }
+  [[nodiscard]] bool IsAssigner() const;
+  [[nodiscard]] TimePoint PermitDeadline(TimePoint now) const {
+    return permit_.Deadline(now);
+  }
+  [[nodiscard]] CellStatus Status(TimePoint now) const;
+
+ private:
+  // What is known of another daemon.
+  struct Peer {
+    TimePoint first_seen = TimePoint::min();
+    // When the latest heartbeat that it acked was sent.
+    TimePoint two_way = TimePoint::min();
+    TimePoint heard = TimePoint::min();             // Any message.
+    TimePoint assigner_contact = TimePoint::min();  // As it says.
+    ObjectVersion record;
+    bool leaving = false;
+  };
+
+  // A conditional write whose result is not known yet.
+  struct PendingWrite {
+    std::uint64_t ticket = 0;
+    TimePoint began;
+    std::shared_ptr<const cell::Record> record;
+    std::vector<std::uint8_t> bytes;
+    std::vector<AuditEvent> audit;
+    std::size_t wishes = 0;  // Number of wishes that it settles.
+    // When the answer proved lost: a read begun later will tell.
+    std::optional<TimePoint> lost_at;
+  };
+
+  struct PendingRead {
+    std::uint64_t ticket = 0;
+    TimePoint began;
+  };
+
+  struct PendingOrder {
+    OrderKind kind = OrderKind::kProbe;
+    std::string server;
+    LeaseGeneration generation;
+    std::string service;
+    std::vector<GrantedRange> grants;
+    TimePoint sent;
+  };
+
+  using Grant =
+      std::tuple<std::string, std::uint64_t, std::uint64_t, std::uint64_t>;
+
+  // What the assigner knows of the grants that a server holds.
+  struct ServerGrants {
+    std::uint64_t generation = 0;
+    Incarnation incarnation;
+    std::set<Grant> held;
+    std::set<Grant> wanted;
+    bool missing = false;  // Whether anything wanted is not held.
+    TimePoint retry = TimePoint::min();
+    TimePoint acked_at = TimePoint::min();
+  };
+
+  // A planned move's release, by its token.
+  struct Release {
+    bool released = false;
+    ObjectVersion version;  // Of the record that first showed the move.
+    TimePoint hold_by;      // Members hold requests by then.
+    TimePoint retry = TimePoint::min();
+  };
+
+  // agent_core.cc
+  void Step(TimePoint now);
+  void NotePause(TimePoint now);
+  void ApplyRecordTiming();
+  void Log(std::string event,
+           std::vector<std::pair<std::string, std::string>> fields = {});
+  [[nodiscard]] std::uint64_t NextTicket() { return ++last_ticket_; }
+  [[nodiscard]] Duration Jitter(Duration up_to);
+
+  // agent_store.cc
+  void ReadRecord(TimePoint now);
+  void Write(cell::Plan plan,
+             std::optional<ObjectVersion> if_match,
+             std::size_t wishes,
+             TimePoint now);
+  void FinishWrite(ObjectVersion version, TimePoint now);
+  void ReadRecordUnlessReading(TimePoint now);
+  void OnAbsent(TimePoint now);
+  void OnFound(const StoreReadResult& result, TimePoint began, TimePoint now);
+  void OnStoreSuccess(TimePoint began);
+  void OnStoreFailure(TimePoint now);
+  [[nodiscard]] bool WantsRead(TimePoint now) const;
+  static bool HasNewFence(const cell::Record& before,
+                          const cell::Record& after);
+  void Adopt(std::shared_ptr<const cell::Record> record,
+             std::vector<std::uint8_t> bytes,
+             ObjectVersion version,
+             TimePoint now);
+  void CreateRecord(TimePoint now);
+  void ReadIfDue(TimePoint now);
+
+  // agent_peers.cc
+  void SendTo(const std::string& daemon,
+              const std::string& address,
+              peer::MessageUnion message);
+  template <typename Message>
+  void SendTo(const stored::MemberT& member, Message message) {
+    peer::MessageUnion u;
+    u.Set(std::move(message));
+    SendTo(member.daemon, member.peer_address, std::move(u));
+  }
+  void SendHeartbeats(TimePoint now, bool leaver = false);
+  void SendHeartbeat(const stored::MemberT& to,
+                     std::uint64_t seq,
+                     TimePoint now);
+  void PushRecord(TimePoint now);
+  void PushIfDue(TimePoint now);
+  void RequestRecord(const std::string& from, TimePoint now);
+  void Handle(const std::string& from,
+              const peer::HeartbeatT& message,
+              TimePoint now);
+  void Handle(const std::string& from,
+              const peer::HeartbeatAckT& message,
+              TimePoint now);
+  void Handle(const std::string& from,
+              const peer::RecordUpdateT& message,
+              TimePoint now);
+  void Handle(const std::string& from,
+              const peer::RecordRequestT& message,
+              TimePoint now);
+  void Handle(const std::string& from,
+              const peer::JoinRequestT& message,
+              TimePoint now);
+  void Handle(const std::string& from,
+              const peer::LeaveRequestT& message,
+              TimePoint now);
+  void Handle(const std::string& from,
+              const peer::AbdicateT& message,
+              TimePoint now);
+  void Handle(const std::string& from,
+              const peer::DrainRequestT& message,
+              TimePoint now);
+  void JoinIfDue(TimePoint now);
+  void LeaveIfDue(TimePoint now);
+  [[nodiscard]] bool IsMember() const;
+  [[nodiscard]] stored::MemberT SelfAsMember() const;
+  void NotePeers(TimePoint now);
+  void NoteContacts(const std::string& from,
+                    const peer::HeartbeatT& message,
+                    TimePoint now);
+  void NoteStoreAge(std::uint64_t age_ms, TimePoint at);
+  void AnnounceAdoption(bool was_member, bool new_view, TimePoint now);
+  void Acknowledge(const std::string& from,
+                   std::uint64_t seq,
+                   bool accepted,
+                   TimePoint now);
+
+  // agent_election.cc
+  [[nodiscard]] bool InContact(const std::string& daemon, TimePoint now) const;
+  [[nodiscard]] std::size_t MembersInContact(TimePoint now) const;
+  // Returns since when no daemon has reached the assigner, as far as known.
+  [[nodiscard]] TimePoint AssignerContact(TimePoint now) const;
+  // Returns whether this daemon may rightly speak for the cell: it is in
+  // contact with enough members, or the servers' leases have run out, which
+  // proves that nobody else looks after them.
+  [[nodiscard]] bool SpeaksForCell(TimePoint now) const;
+  [[nodiscard]] bool LeasesRunOut(TimePoint now) const;
+  void ElectIfDue(TimePoint now);
+  void ElectSelf(bool abdicated, TimePoint now);
+  void HandOver(TimePoint now);
+  void PlanIfDue(TimePoint now);
+  [[nodiscard]] cell::PlanInput MakePlanInput(TimePoint now) const;
+  [[nodiscard]] cell::ServerFacts FactsOf(const stored::ServerT& server,
+                                          bool mass_silence,
+                                          TimePoint now) const;
+  [[nodiscard]] bool MassSilence(TimePoint now) const;
+  [[nodiscard]] TimePoint FenceLapse(const std::string& server) const;
+
+  // agent_servers.cc
+  void SendOrders(TimePoint now);
+  void SendPeriodicOrder(const stored::ServerT& server, TimePoint now);
+  [[nodiscard]] ServerOrder NewOrder(const stored::ServerT& server,
+                                     OrderKind kind);
+  void Emit(ServerOrder order, TimePoint now);
+  [[nodiscard]] bool MayRenew(const stored::ServerT& server,
+                              TimePoint now) const;
+  [[nodiscard]] bool LooksAfter(const stored::ServerT& server,
+                                TimePoint now) const;
+  [[nodiscard]] TimePoint Contact(const std::string& server) const;
+  void ChooseResponsible();
+  [[nodiscard]] std::vector<std::unique_ptr<peer::ServerContactT>> Contacts(
+      TimePoint now) const;
+  void ReportOwnFences(TimePoint now);
+  void NoteServers(TimePoint now);
+  void RenewIfShort(const stored::ServerT& server, TimePoint now);
+
+  // agent_moves.cc
+  void ResetMoves();
+  void FindWantedGrants(TimePoint now);
+  void FindReleases(TimePoint now);
+  [[nodiscard]] bool NeededForMoves(const std::string& server) const;
+  void SendGrants(TimePoint now);
+  void SendGrant(const stored::ServerT& server,
+                 ServerGrants& grants,
+                 TimePoint now);
+  void SendReleases(TimePoint now);
+  void SendRelease(const stored::RangeT& range,
+                   Release& release,
+                   TimePoint now);
+  [[nodiscard]] bool EveryoneHolds(const Release& release, TimePoint now) const;
+  void OnGrantReply(const PendingOrder& order,
+                    const ServerReply& reply,
+                    TimePoint now);
+  void OnReleaseReply(const PendingOrder& order,
+                      const ServerReply& reply,
+                      TimePoint now);
+  void CheckHeld(const std::string& server,
+                 const ServerReply& reply,
+                 TimePoint sent);
+  void FindDoneMoves(TimePoint now);
+  [[nodiscard]] bool GrantsMissing() const;
+
+  CellOptions options_;
+  std::string self_;
+  std::string object_;  // Name of the record in the store.
+  Duration lease_{};
+  Duration heartbeat_{};
+  Duration renewal_{};
+  Duration suspicion_{};
+  double drift_ = 0;
+  std::mt19937_64 random_;
+  Outbox outbox_;
+  std::uint64_t last_ticket_ = 0;
+  bool started_ = false;
+
+  // The record and what follows from it.
+  std::shared_ptr<const cell::Record> record_;
+  std::vector<std::uint8_t> record_bytes_;
+  ObjectVersion version_;
+  TimePoint epoch_seen_at_ = TimePoint::min();
+  cell::RouteTable routes_;
+  cell::Permit permit_;
+  cell::Settling settling_;
+  cell::FenceTable fences_;
+  std::set<std::string> responsible_for_;
+
+  // The store.
+  std::optional<PendingRead> read_;
+  std::optional<PendingWrite> write_;
+  TimePoint next_read_ = TimePoint::min();
+  TimePoint next_write_ = TimePoint::min();
+  TimePoint create_at_ = TimePoint::max();
+  TimePoint failing_since_ = TimePoint::max();
+  std::uint32_t failures_ = 0;
+  std::uint32_t outsider_reads_ = 0;
+
+  // Other daemons.
+  std::map<std::string, Peer> peers_;
+  std::uint64_t heartbeat_seq_ = 0;
+  TimePoint next_heartbeat_ = TimePoint::min();
+  TimePoint next_record_request_ = TimePoint::min();
+  TimePoint push_at_ = TimePoint::max();
+  std::map<std::string, stored::MemberT> joiners_;
+  std::map<std::string, TimePoint> joiner_until_;
+  std::set<std::string> leavers_;
+
+  // Election and planning.
+  // Nothing is judged silent for a time that began before this: the daemon
+  // itself may have been paused or cut off.
+  TimePoint grace_from_ = TimePoint::min();
+  TimePoint last_step_ = TimePoint::min();
+  bool had_permit_ = false;
+  TimePoint last_contact_ = TimePoint::min();  // With any daemon.
+  TimePoint elect_at_ = TimePoint::max();
+  TimePoint next_hand_over_ = TimePoint::min();
+  Duration hand_over_wait_{};
+  std::size_t hand_over_turn_ = 0;
+  TimePoint plan_at_ = TimePoint::min();
+  std::vector<cell::Wish> wishes_;
+  bool leaving_ = false;
+  bool left_ = false;
+  TimePoint leave_by_ = TimePoint::max();
+  TimePoint next_join_ = TimePoint::min();  // Or request to leave.
+
+  // Servers.
+  std::vector<SeenServer> seen_;
+  std::map<std::string, cell::ServerLease> leases_;
+  // Latest contact of any daemon; one entry for each server of the record.
+  std::map<std::string, TimePoint> relayed_contact_;
+  // Servers that others saw in another state than the record's.
+  std::set<std::string> doubtful_;
+  std::map<std::uint64_t, PendingOrder> orders_;
+  TimePoint next_orders_ = TimePoint::min();
+
+  // The assigner's grants and planned moves.
+  std::map<std::string, ServerGrants> grants_;
+  std::map<std::uint64_t, Release> releases_;
+  std::set<std::uint64_t> done_moves_;
+};
+
+}  // namespace gentianreach
+
+#endif  // SRC_CELL_AGENT_IMPL_H_
--- /dev/null
+++ b/src/cell/agent_moves.cc
@@ -0,0 +1,265 @@
+#include <algorithm>
+#include <utility>
+
+#include "cell/agent_impl.h"
+#include "cell/agent_times.h"
+
+namespace gentianreach {
+
+using cell::kGrantRetry;
+using cell::kHoldWait;
+using cell::kMaxGrantsPerOrder;
+using cell::kReleaseRetry;
+
+// A new assigner cannot know what its predecessor's orders have done. All
+// orders are idempotent, so it gives them again.
+void CellAgent::Impl::ResetMoves() {
+  grants_.clear();
+  releases_.clear();
+  done_moves_.clear();
+  routes_.SetDoneMoves({});
+}
+
+void CellAgent::Impl::FindReleases(TimePoint now) {
+  std::map<std::uint64_t, Release> kept;
+  for (const auto& it : record_->ranges) {
+    if (it->moving_to.empty()) {
+      continue;
+    }
+    const auto known = releases_.find(it->moving_token);
+    kept[it->moving_token] =
+        known != releases_.end()
+            ? known->second
+            : Release{false, version_, now + kHoldWait, TimePoint::min()};
+  }
+  releases_ = std::move(kept);
+}
+
+void CellAgent::Impl::FindWantedGrants(TimePoint now) {
+  if (!IsAssigner()) {
+    grants_.clear();
+    releases_.clear();
+    done_moves_.clear();
+    return;
+  }
+  FindReleases(now);
+  std::map<std::string, ServerGrants> kept;
+  for (const auto& it : record_->servers) {
+    ServerGrants& grants = kept[it->id];
+    const auto known = grants_.find(it->id);
+    if (known != grants_.end() && known->second.generation == it->generation) {
+      grants = std::move(known->second);
+    }
+    grants.generation = it->generation;
+    grants.wanted.clear();
+  }
+  grants_ = std::move(kept);
+  for (const auto& it : record_->ranges) {
+    const bool moving = !it->moving_to.empty();
+    if (moving && !releases_[it->moving_token].released) {
+      continue;
+    }
+    const auto holder = grants_.find(moving ? it->moving_to : it->owner);
+    if (holder == grants_.end()) {
+      continue;
+    }
+    holder->second.wanted.emplace(it->service, it->first, it->last,
+                                  moving ? it->moving_token : it->token);
+  }
+  for (auto& [server, grants] : grants_) {
+    std::erase_if(grants.held, [&grants](const Grant& it) {
+      return !grants.wanted.contains(it);
+    });
+    const auto* const it = routes_.Server(server);
+    grants.missing = it->generation != 0 &&
+                     it->state != stored::ServerState::Fenced &&
+                     grants.held.size() != grants.wanted.size();
+  }
+  FindDoneMoves(now);
+}
+
+bool CellAgent::Impl::GrantsMissing() const {
+  return std::any_of(grants_.begin(), grants_.end(),
+                     [](const auto& it) { return it.second.missing; });
+}
+
+bool CellAgent::Impl::NeededForMoves(const std::string& server) const {
+  const auto grants = grants_.find(server);
+  if (grants != grants_.end() && grants->second.missing) {
+    return true;
+  }
+  return std::any_of(record_->ranges.begin(), record_->ranges.end(),
+                     [&server](const auto& it) {
+                       return !it->moving_to.empty() &&
+                              (it->owner == server || it->moving_to == server);
+                     });
+}
+
+void CellAgent::Impl::SendGrants(TimePoint now) {
+  if (!IsAssigner() || !permit_.Valid(now)) {
+    return;
+  }
+  for (auto& [server, grants] : grants_) {
+    if (grants.missing && now >= grants.retry) {
+      SendGrant(*routes_.Server(server), grants, now);
+    }
+  }
+}
+
+void CellAgent::Impl::SendGrant(const stored::ServerT& server,
+                                ServerGrants& grants,
+                                TimePoint now) {
+  grants.retry = now + kGrantRetry;
+  cell::ServerLease& lease = leases_[server.id];
+  const bool fresh = lease.Known() && now - lease.answered() < lease_ / 2 &&
+                     lease.last().incarnation.value() == server.incarnation;
+  if (!fresh) {
+    Emit(NewOrder(server, OrderKind::kProbe), now);
+    return;
+  }
+  ServerOrder order = NewOrder(server, OrderKind::kGrant);
+  for (const auto& [service, first, last, token] : grants.wanted) {
+    if (order.grants.size() == kMaxGrantsPerOrder) {
+      break;
+    }
+    if (!grants.held.contains({service, first, last, token})) {
+      order.grants.push_back({{KeyHash(first), KeyHash(last)}, Token(token)});
+    }
+  }
+  lease.Extend(order, lease_, permit_.Deadline(now), drift_);
+  Emit(std::move(order), now);
+}
+
+void CellAgent::Impl::OnGrantReply(const PendingOrder& order,
+                                   const ServerReply& reply,
+                                   TimePoint now) {
+  const auto it = grants_.find(order.server);
+  if (it == grants_.end() ||
+      it->second.generation != order.generation.value()) {
+    return;
+  }
+  ServerGrants& grants = it->second;
+  if (!reply.ok) {
+    Log("grant_refused", {{"server", order.server}, {"reason", reply.reason}});
+    return;
+  }
+  for (const auto& grant : order.grants) {
+    Grant held(order.service, grant.range.first.value(),
+               grant.range.last.value(), grant.token.value());
+    if (grants.wanted.contains(held)) {
+      grants.held.insert(std::move(held));
+    }
+  }
+  grants.missing = grants.held.size() != grants.wanted.size();
+  grants.retry = now;
+  grants.acked_at = now;
+  FindDoneMoves(now);
+}
+
+// A server that holds nothing, though it had acked grants, has lost them.
+void CellAgent::Impl::CheckHeld(const std::string& server,
+                                const ServerReply& reply,
+                                TimePoint sent) {
+  const auto it = grants_.find(server);
+  if (it == grants_.end() || it->second.held.empty() || reply.grants > 0 ||
+      sent <= it->second.acked_at) {
+    return;
+  }
+  Log("grants_lost", {{"server", server}});
+  it->second.held.clear();
+  it->second.missing = true;
+}
+
+void CellAgent::Impl::FindDoneMoves(TimePoint now) {
+  std::set<std::uint64_t> done;
+  for (const auto& it : record_->ranges) {
+    if (it->moving_to.empty() || !releases_[it->moving_token].released) {
+      continue;
+    }
+    const auto holder = grants_.find(it->moving_to);
+    if (holder != grants_.end() &&
+        holder->second.held.contains(
+            {it->service, it->first, it->last, it->moving_token})) {
+      done.insert(it->moving_token);
+    }
+  }
+  const bool news = !std::includes(done_moves_.begin(), done_moves_.end(),
+                                   done.begin(), done.end());
+  done_moves_ = std::move(done);
+  routes_.SetDoneMoves({done_moves_.begin(), done_moves_.end()});
+  if (news) {
+    // Members let the held requests go at once; the record follows.
+    next_heartbeat_ = now;
+    plan_at_ = now;
+  }
+}
+
+// Requests are held before the old owner refuses them, so that none is sent
+// in vain.
+bool CellAgent::Impl::EveryoneHolds(const Release& release,
+                                    TimePoint now) const {
+  return now >= release.hold_by ||
+         std::all_of(record_->members.begin(), record_->members.end(),
+                     [&](const auto& it) {
+                       const auto peer = peers_.find(it->daemon);
+                       return it->daemon == self_ ||
+                              (peer != peers_.end() &&
+                               peer->second.record >= release.version);
+                     });
+}
+
+void CellAgent::Impl::SendReleases(TimePoint now) {
+  if (!IsAssigner() || releases_.empty() || !permit_.Valid(now)) {
+    return;
+  }
+  for (const auto& it : record_->ranges) {
+    const auto release = releases_.find(it->moving_token);
+    if (it->moving_to.empty() || release == releases_.end() ||
+        release->second.released || now < release->second.retry ||
+        !EveryoneHolds(release->second, now)) {
+      continue;
+    }
+    SendRelease(*it, release->second, now);
+  }
+}
+
+void CellAgent::Impl::SendRelease(const stored::RangeT& range,
+                                  Release& release,
+                                  TimePoint now) {
+  release.retry = now + kReleaseRetry;
+  const auto* const owner = routes_.Server(range.owner);
+  if (owner == nullptr || owner->state == stored::ServerState::Fenced) {
+    return;
+  }
+  const cell::ServerLease& lease = leases_[owner->id];
+  if (!lease.Known() || now - lease.answered() > lease_ / 2 ||
+      lease.last().incarnation.value() != owner->incarnation) {
+    Emit(NewOrder(*owner, OrderKind::kProbe), now);
+    return;
+  }
+  ServerOrder order = NewOrder(*owner, OrderKind::kRelease);
+  lease.Limit(order, lease_, permit_.Deadline(now), drift_);
+  order.grants.push_back(
+      {{KeyHash(range.first), KeyHash(range.last)}, Token(range.moving_token)});
+  Emit(std::move(order), now);
+}
+
+void CellAgent::Impl::OnReleaseReply(const PendingOrder& order,
+                                     const ServerReply& reply,
+                                     TimePoint now) {
+  if (!reply.ok || !reply.released) {
+    return;
+  }
+  const auto* const owner = routes_.Server(order.server);
+  for (const auto& it : order.grants) {
+    const auto release = releases_.find(it.token.value());
+    if (release == releases_.end() ||
+        owner->generation != order.generation.value()) {
+      continue;
+    }
+    release->second.released = true;
+  }
+  FindWantedGrants(now);
+}
+
+}  // namespace gentianreach
--- /dev/null
+++ b/src/cell/range_plan.cc
@@ -0,0 +1,273 @@
+#include "cell/range_plan.h"
+
+#include <algorithm>
+#include <limits>
+#include <memory>
+#include <utility>
+
+namespace gentianreach::cell {
+
+namespace {
+
+// Draining moves this many ranges at a time, so that little is held at once.
+constexpr std::size_t kMaxMovesUnderWay = 32;
+
+double Share(const stored::RangeT& range) {
+  return HashRange{KeyHash(range.first), KeyHash(range.last)}.Share();
+}
+
+std::string RangeName(const stored::RangeT& range) {
+  return range.service + "/" + std::to_string(range.first) + "-" +
+         std::to_string(range.last);
+}
+
+}  // namespace
+
+RangePlanner::RangePlanner(Plan& plan, const PlanInput& input)
+    : plan_(plan), input_(input) {
+  for (const auto& it : plan_.record.ranges) {
+    share_[it->moving_to.empty() ? it->owner : it->moving_to] += Share(*it);
+    moves_under_way_ += it->moving_to.empty() ? 0 : 1;
+  }
+}
+
+bool RangePlanner::Run() {
+  for (const auto& it : input_.services) {
+    if (it.keyed && input_.first_ranges) {
+      FirstRanges(it);
+    }
+  }
+  for (const auto& wish : input_.wishes) {
+    std::visit([this](const auto& it) { Apply(it); }, wish);
+  }
+  for (const auto& it : plan_.record.ranges) {
+    if (it->moving_to.empty()) {
+      PlanOwned(*it);
+    } else {
+      PlanMoving(*it);
+    }
+  }
+  return changed_;
+}
+
+void RangePlanner::FirstRanges(const CellService& service) {
+  Record& record = plan_.record;
+  if (FindRange(record, service.name.value(), KeyHash(0)) != nullptr) {
+    return;
+  }
+  std::vector<std::string> owners;
+  for (const auto& it : record.servers) {
+    if (it->service == service.name.value() && Usable(*it)) {
+      owners.push_back(it->id);
+    }
+  }
+  if (owners.empty()) {
+    return;
+  }
+  const std::size_t n =
+      owners.size() * std::max<std::size_t>(input_.ranges_per_server, 1);
+  const std::uint64_t width = std::numeric_limits<std::uint64_t>::max() / n;
+  for (std::size_t i = 0; i < n; ++i) {
+    auto range = std::make_unique<stored::RangeT>();
+    range->service = service.name.value();
+    range->first = i * width;
+    range->last = i + 1 == n ? std::numeric_limits<std::uint64_t>::max()
+                             : (i + 1) * width - 1;
+    Assign(*range, owners[i % owners.size()], record.next_token++,
+           "first ranges");
+    record.ranges.push_back(std::move(range));
+  }
+  std::sort(record.ranges.begin(), record.ranges.end(),
+            [](const auto& a, const auto& b) {
+              return std::tie(a->service, a->first) <
+                     std::tie(b->service, b->first);
+            });
+}
+
+void RangePlanner::Apply(const ProposedMove& wish) {
+  stored::RangeT* const range = Exact(wish.service, wish.range);
+  const stored::ServerT* const to = FindServer(plan_.record, wish.to.value());
+  if (range == nullptr || to == nullptr || !range->moving_to.empty() ||
+      range->owner == to->id || to->service != range->service || !Usable(*to) ||
+      Lost(range->owner)) {
+    return;
+  }
+  StartMove(*range, to->id, wish.actor, wish.why);
+}
+
+void RangePlanner::Apply(const ProposedSplit& wish) {
+  stored::RangeT* const range = Exact(wish.service, wish.range);
+  if (range == nullptr || !range->moving_to.empty() ||
+      wish.at <= wish.range.first || !wish.range.Contains(wish.at)) {
+    return;
+  }
+  Note(*range, wish.actor, "split", "", std::to_string(wish.at.value()), "");
+  auto second = std::make_unique<stored::RangeT>(*range);
+  range->last = wish.at.value() - 1;
+  second->first = wish.at.value();
+  auto& ranges = plan_.record.ranges;
+  const auto place =
+      std::find_if(ranges.begin(), ranges.end(),
+                   [range](const auto& it) { return it.get() == range; });
+  ranges.insert(std::next(place), std::move(second));
+  changed_ = true;
+}
+
+void RangePlanner::Apply(const ProposedMerge& wish) {
+  stored::RangeT* const first = Exact(wish.service, wish.first);
+  stored::RangeT* const second = Exact(wish.service, wish.second);
+  if (first == nullptr || second == nullptr || !first->moving_to.empty() ||
+      !second->moving_to.empty() || first->owner != second->owner ||
+      second->first == 0 || first->last != second->first - 1 ||
+      Lost(first->owner)) {
+    return;
+  }
+  Note(*first, wish.actor, "merge", "", std::to_string(second->last), "");
+  first->last = second->last;
+  first->token = plan_.record.next_token++;
+  std::erase_if(plan_.record.ranges,
+                [second](const auto& it) { return it.get() == second; });
+  changed_ = true;
+}
+
+void RangePlanner::Apply(const DrainWish& wish) {
+  stored::ServerT* const server = FindServer(plan_.record, wish.server);
+  const auto from =
+      wish.drain ? stored::ServerState::Live : stored::ServerState::Draining;
+  if (server == nullptr || server->state != from) {
+    return;
+  }
+  server->state =
+      wish.drain ? stored::ServerState::Draining : stored::ServerState::Live;
+  plan_.audit.push_back({wish.actor, wish.drain ? "drain" : "undrain",
+                         server->id, "", "", "operator", ObjectVersion()});
+  changed_ = true;
+}
+
+void RangePlanner::PlanMoving(stored::RangeT& range) {
+  if (input_.done_moves.contains(range.moving_token)) {
+    Assign(range, range.moving_to, range.moving_token, "planned move");
+    return;
+  }
+  const bool from_lost = Lost(range.owner);
+  const bool to_lost = Lost(range.moving_to);
+  if (!from_lost && !to_lost) {
+    return;
+  }
+  // Either server may hold the range by now, so a lost one has to lapse.
+  if ((from_lost && !Facts(range.owner).lapsed) ||
+      (to_lost && !Facts(range.moving_to).lapsed)) {
+    return;
+  }
+  if (!to_lost) {
+    Assign(range, range.moving_to, range.moving_token, "old owner lost");
+    return;
+  }
+  const std::string to = from_lost ? LeastLoaded(range.service) : range.owner;
+  if (!to.empty()) {
+    Assign(range, to, plan_.record.next_token++, "new owner lost");
+  }
+}
+
+void RangePlanner::PlanOwned(stored::RangeT& range) {
+  const stored::ServerT* const owner = FindServer(plan_.record, range.owner);
+  if (owner == nullptr || Lost(range.owner)) {
+    const std::string to = LeastLoaded(range.service);
+    const bool may = owner == nullptr || Facts(range.owner).lapsed;
+    if (may && !to.empty()) {
+      Assign(range, to, plan_.record.next_token++, "takeover");
+    }
+    return;
+  }
+  if (owner->state != stored::ServerState::Draining ||
+      moves_under_way_ >= kMaxMovesUnderWay) {
+    return;
+  }
+  const std::string to = LeastLoaded(range.service);
+  if (!to.empty()) {
+    StartMove(range, to, input_.self, "drain");
+  }
+}
+
+void RangePlanner::StartMove(stored::RangeT& range,
+                             const std::string& to,
+                             const std::string& actor,
+                             const std::string& why) {
+  Note(range, actor, "move_started", range.owner, to, why);
+  share_[range.owner] -= Share(range);
+  share_[to] += Share(range);
+  range.moving_to = to;
+  range.moving_token = plan_.record.next_token++;
+  ++moves_under_way_;
+  changed_ = true;
+}
+
+void RangePlanner::Assign(stored::RangeT& range,
+                          const std::string& to,
+                          std::uint64_t token,
+                          const std::string& why) {
+  Note(range, input_.self, "owner", range.owner, to, why);
+  share_[range.moving_to.empty() ? range.owner : range.moving_to] -=
+      Share(range);
+  share_[to] += Share(range);
+  range.owner = to;
+  range.token = token;
+  range.moving_to.clear();
+  range.moving_token = 0;
+  changed_ = true;
+}
+
+stored::RangeT* RangePlanner::Exact(const ServiceName& service,
+                                    const HashRange& range) const {
+  stored::RangeT* const it =
+      FindRange(plan_.record, service.value(), range.first);
+  const bool exact = it != nullptr && it->first == range.first.value() &&
+                     it->last == range.last.value();
+  return exact ? it : nullptr;
+}
+
+ServerFacts RangePlanner::Facts(const std::string& server) const {
+  const auto it = input_.servers.find(server);
+  return it == input_.servers.end() ? ServerFacts{} : it->second;
+}
+
+bool RangePlanner::Lost(const std::string& server) const {
+  const stored::ServerT* const it = FindServer(plan_.record, server);
+  return it == nullptr || it->state == stored::ServerState::Fenced;
+}
+
+bool RangePlanner::Usable(const stored::ServerT& server) const {
+  const ServerFacts facts = Facts(server.id);
+  return server.state == stored::ServerState::Live && server.generation != 0 &&
+         !facts.silent && !facts.draining;
+}
+
+std::string RangePlanner::LeastLoaded(const std::string& service) const {
+  std::string best;
+  double least = std::numeric_limits<double>::max();
+  for (const auto& it : plan_.record.servers) {
+    if (it->service != service || !Usable(*it)) {
+      continue;
+    }
+    const auto share = share_.find(it->id);
+    const double n = share == share_.end() ? 0 : share->second;
+    if (n < least) {
+      least = n;
+      best = it->id;
+    }
+  }
+  return best;
+}
+
+void RangePlanner::Note(const stored::RangeT& range,
+                        std::string actor,
+                        std::string what,
+                        std::string from,
+                        std::string to,
+                        std::string why) {
+  plan_.audit.push_back({std::move(actor), std::move(what), RangeName(range),
+                         std::move(from), std::move(to), std::move(why),
+                         ObjectVersion()});
+}
+
+}  // namespace gentianreach::cell
