--- a/src/net/event_loop.h
+++ b/src/net/event_loop.h
@@ -64,6 +64,10 @@
   // Calls `fn` in a later turn of the loop. Any thread may call this.
   void Post(std::function<void()> fn);
 
+  // Calls `fn` at the end of this turn, outside of whatever runs now. Cheaper
+  // than Post(), for the loop's own thread only.
+  void Defer(std::function<void()> fn) { deferred_.push_back(std::move(fn)); }
+
   // Runs one turn; waits for an event only where `may_block`.
   void RunOnce(bool may_block);
   // Runs turns until `done` returns true.
@@ -82,6 +86,7 @@
   void DispatchReady();
   void DispatchTimers();
   void DispatchPosted();
+  void DispatchDeferred();
 
   MonotonicClock clock_;
   GMainContext* context_;
@@ -91,8 +96,9 @@
   std::unordered_map<WatchId, std::shared_ptr<std::function<void(ReadyEvents)>>>
       watches_;
   std::map<TimerId, std::function<void()>> timers_;
-  std::mutex posted_mutex_;
+  mutable std::mutex posted_mutex_;
   std::vector<std::function<void()>> posted_;
+  std::vector<std::function<void()>> deferred_;
   std::vector<char> scratch_;
 };
 
--- /dev/null
+++ b/src/net/tcp_socket.cc
@@ -0,0 +1,197 @@
+#include "net/tcp_socket.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <charconv>
+#include <utility>
+
+namespace gentianreach::net {
+namespace {
+
+namespace leaf = boost::leaf;
+
+constexpr gint kListenBacklog = 1024;
+
+struct UnrefObject {
+  void operator()(gpointer it) const { g_object_unref(it); }
+};
+using AddressPtr = std::unique_ptr<GSocketAddress, UnrefObject>;
+
+// Owns a GError that a GIO call may set.
+class ErrorSlot {
+ public:
+  ErrorSlot() = default;
+  ~ErrorSlot() { g_clear_error(&error_); }
+  ErrorSlot(const ErrorSlot&) = delete;
+  ErrorSlot& operator=(const ErrorSlot&) = delete;
+
+  GError** out() { return &error_; }
+  [[nodiscard]] bool Matches(GIOErrorEnum code) const {
+    return g_error_matches(error_, G_IO_ERROR, code) != 0;
+  }
+  [[nodiscard]] std::string message() const {
+    return error_ != nullptr ? error_->message : "unknown error";
+  }
+
+ private:
+  GError* error_ = nullptr;
+};
+
+// Returns the parsed form of "IP:port" ("[IP]:port" for IPv6), or null.
+AddressPtr ParseAddress(std::string_view address) {
+  const std::size_t colon = address.rfind(':');
+  if (colon == std::string_view::npos) {
+    return nullptr;
+  }
+  std::string_view ip = address.substr(0, colon);
+  if (ip.size() >= 2 && ip.front() == '[' && ip.back() == ']') {
+    ip = ip.substr(1, ip.size() - 2);
+  }
+  const std::string_view digits = address.substr(colon + 1);
+  std::uint16_t port = 0;
+  const auto [end, ec] =
+      std::from_chars(digits.data(), digits.data() + digits.size(), port);
+  if (ec != std::errc() || end != digits.data() + digits.size()) {
+    return nullptr;
+  }
+  return AddressPtr(
+      g_inet_socket_address_new_from_string(std::string(ip).c_str(), port));
+}
+
+IoResult ToResult(gssize n, const ErrorSlot& error) {
+  if (n > 0) {
+    return {IoStatus::kOk, static_cast<std::size_t>(n)};
+  }
+  if (n == 0) {
+    return {IoStatus::kClosed, 0};
+  }
+  if (error.Matches(G_IO_ERROR_WOULD_BLOCK)) {
+    return {IoStatus::kWouldBlock, 0};
+  }
+  return {IoStatus::kFailed, 0};
+}
+
+GSocket* NewSocket(GSocketAddress* address, ErrorSlot& error) {
+  GSocket* socket =
+      g_socket_new(g_socket_address_get_family(address), G_SOCKET_TYPE_STREAM,
+                   G_SOCKET_PROTOCOL_TCP, error.out());
+  if (socket != nullptr) {
+    g_socket_set_blocking(socket, FALSE);
+  }
+  return socket;
+}
+
+void SendWithoutDelay(GSocket* socket) {
+  g_socket_set_option(socket, IPPROTO_TCP, TCP_NODELAY, 1, nullptr);
+}
+
+}  // namespace
+
+leaf::result<TcpSocket> TcpSocket::Listen(const std::string& address,
+                                          bool reuse_port) {
+  const AddressPtr parsed = ParseAddress(address);
+  if (!parsed) {
+    return leaf::new_error(SocketError{address + ": not an IP:port"});
+  }
+  ErrorSlot error;
+  TcpSocket socket(NewSocket(parsed.get(), error));
+  if (!socket.is_open()) {
+    return leaf::new_error(SocketError{address + ": " + error.message()});
+  }
+  if (reuse_port) {
+    g_socket_set_option(socket.socket_.get(), SOL_SOCKET, SO_REUSEPORT, 1,
+                        nullptr);
+  }
+  g_socket_set_listen_backlog(socket.socket_.get(), kListenBacklog);
+  if (g_socket_bind(socket.socket_.get(), parsed.get(), TRUE, error.out()) ==
+          0 ||
+      g_socket_listen(socket.socket_.get(), error.out()) == 0) {
+    return leaf::new_error(SocketError{address + ": " + error.message()});
+  }
+  return socket;
+}
+
+leaf::result<TcpSocket> TcpSocket::Connect(const std::string& address) {
+  const AddressPtr parsed = ParseAddress(address);
+  if (!parsed) {
+    return leaf::new_error(SocketError{address + ": not an IP:port"});
+  }
+  ErrorSlot error;
+  TcpSocket socket(NewSocket(parsed.get(), error));
+  if (!socket.is_open()) {
+    return leaf::new_error(SocketError{address + ": " + error.message()});
+  }
+  SendWithoutDelay(socket.socket_.get());
+  if (g_socket_connect(socket.socket_.get(), parsed.get(), nullptr,
+                       error.out()) == 0 &&
+      !error.Matches(G_IO_ERROR_PENDING)) {
+    return leaf::new_error(SocketError{address + ": " + error.message()});
+  }
+  return socket;
+}
+
+std::optional<TcpSocket> TcpSocket::Accept() {
+  GSocket* socket = g_socket_accept(socket_.get(), nullptr, nullptr);
+  if (socket == nullptr) {
+    return std::nullopt;
+  }
+  g_socket_set_blocking(socket, FALSE);
+  SendWithoutDelay(socket);
+  return TcpSocket(socket);
+}
+
+bool TcpSocket::FinishConnect() {
+  return g_socket_check_connect_result(socket_.get(), nullptr) != 0;
+}
+
+IoResult TcpSocket::Receive(std::span<char> out) {
+  ErrorSlot error;
+  const gssize n = g_socket_receive(socket_.get(), out.data(), out.size(),
+                                    nullptr, error.out());
+  return ToResult(n, error);
+}
+
+IoResult TcpSocket::Send(std::string_view data) {
+  ErrorSlot error;
+  const gssize n = g_socket_send(socket_.get(), data.data(), data.size(),
+                                 nullptr, error.out());
+  return ToResult(n, error);
+}
+
+bool TcpSocket::Quiet() {
+  constexpr auto kCondition =
+      static_cast<GIOCondition>(G_IO_IN | G_IO_HUP | G_IO_ERR);
+  return g_socket_condition_check(socket_.get(), kCondition) == 0;
+}
+
+void TcpSocket::ShutdownSend() {
+  g_socket_shutdown(socket_.get(), FALSE, TRUE, nullptr);
+}
+
+void TcpSocket::Close() {
+  if (socket_) {
+    g_socket_close(socket_.get(), nullptr);
+  }
+  socket_.reset();
+}
+
+void TcpSocket::Abort() {
+  if (!socket_) {
+    return;
+  }
+  const linger reset{.l_onoff = 1, .l_linger = 0};
+  setsockopt(fd(), SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+  Close();
+}
+
+std::uint16_t TcpSocket::port() const {
+  const AddressPtr address(g_socket_get_local_address(socket_.get(), nullptr));
+  if (!address || !G_IS_INET_SOCKET_ADDRESS(address.get())) {
+    return 0;
+  }
+  return g_inet_socket_address_get_port(G_INET_SOCKET_ADDRESS(address.get()));
+}
+
+}  // namespace gentianreach::net
--- /dev/null
+++ b/src/proxy/caller_connection.cc
@@ -0,0 +1,344 @@
+#include "proxy/caller_connection.h"
+
+#include <chrono>
+#include <utility>
+
+namespace gentianreach::proxy {
+namespace {
+
+using namespace std::chrono_literals;
+
+// How long a connection may wait for its next request.
+constexpr Duration kIdleTimeout = 75s;
+// How long a caller may take to send a request's head.
+constexpr Duration kHeadTimeout = 10s;
+// How long a closing connection waits for the caller to close too, so that the
+// last answer is not lost to a reset.
+constexpr Duration kLingerTimeout = 1s;
+// Bytes that may wait to be sent before the next pipelined request is begun.
+constexpr std::size_t kMaxUnsentBytes = 64 * 1024;
+
+}  // namespace
+
+CallerConnection::CallerConnection(net::EventLoop& loop,
+                                   net::TcpSocket socket,
+                                   std::size_t max_header)
+    : loop_(loop),
+      socket_(std::move(socket)),
+      max_header_(max_header),
+      timer_(loop, [this] { OnTimer(); }) {}
+
+void CallerConnection::Start(Sink sink) {
+  sink_ = std::move(sink);
+  parser_.emplace(max_header_);
+  timer_.Set(loop_.Now() + kIdleTimeout);
+  watch_ = loop_.Watch(socket_.fd(),
+                       [self = shared_from_this()](net::ReadyEvents events) {
+                         self->OnReady(events);
+                       });
+}
+
+bool CallerConnection::busy() const {
+  return phase_ == Phase::kHead || phase_ == Phase::kBody ||
+         phase_ == Phase::kAnswering || phase_ == Phase::kFlushing;
+}
+
+void CallerConnection::ResumeReading() {
+  if (!paused_) {
+    return;
+  }
+  paused_ = false;
+  // The caller of this method may stand in the middle of the loop's scratch
+  // space.
+  loop_.Defer([self = shared_from_this()] {
+    self->ParseInput();
+    self->ReadAvailable();
+  });
+}
+
+void CallerConnection::Write(std::string data) {
+  if (!socket_.is_open()) {
+    return;
+  }
+  out_.Append(std::move(data));
+  Flush();
+}
+
+void CallerConnection::FinishAnswer(bool keep_alive) {
+  if (phase_ == Phase::kClosed) {
+    return;
+  }
+  if (keep_alive && phase_ == Phase::kAnswering) {
+    BeginNextRequest();
+    return;
+  }
+  phase_ = Phase::kFlushing;
+  timer_.Set(loop_.Now() + kIdleTimeout);
+  if (out_.size() == 0 && socket_.is_open()) {
+    Linger();
+  }
+}
+
+void CallerConnection::BeginNextRequest() {
+  phase_ = Phase::kIdle;
+  paused_ = false;
+  parser_.emplace(max_header_);
+  head_.Clear();
+  body_.clear();
+  timer_.Set(loop_.Now() + kIdleTimeout);
+  if (parsing_) {
+    return;
+  }
+  if (!pending_.empty() || readable_ || hung_up_) {
+    loop_.Defer([self = shared_from_this()] {
+      self->ParseInput();
+      self->ReadAvailable();
+    });
+  }
+}
+
+void CallerConnection::Abort() {
+  if (phase_ == Phase::kClosed) {
+    return;
+  }
+  const auto self = shared_from_this();
+  loop_.Unwatch(watch_, socket_.fd());
+  socket_.Abort();
+  OnEndOfStream();
+}
+
+void CallerConnection::CloseIfIdle() {
+  if (phase_ == Phase::kIdle && pending_.empty() && out_.size() == 0 &&
+      socket_.Quiet()) {
+    Close();
+  }
+}
+
+void CallerConnection::OnReady(net::ReadyEvents events) {
+  const auto self = shared_from_this();
+  readable_ = readable_ || events.readable || events.hung_up;
+  hung_up_ = hung_up_ || events.hung_up;
+  if (events.writable && blocked_) {
+    Flush();
+  }
+  if (hung_up_ && phase_ == Phase::kAnswering) {
+    OnEndOfStream();
+    return;
+  }
+  ReadAvailable();
+}
+
+void CallerConnection::OnTimer() {
+  const auto self = shared_from_this();
+  switch (phase_) {
+    case Phase::kHead:
+      Refuse({408, "the request's head took too long"});
+      return;
+    case Phase::kBody:
+    case Phase::kAnswering:
+      Emit(CallerEvent::kDeadline);
+      return;
+    default:
+      Close();
+  }
+}
+
+bool CallerConnection::WantsToRead() const {
+  switch (phase_) {
+    case Phase::kIdle:
+    case Phase::kHead:
+      return out_.size() <= kMaxUnsentBytes;
+    case Phase::kBody:
+      return !paused_;
+    case Phase::kLingering:
+      return true;
+    default:
+      return false;
+  }
+}
+
+void CallerConnection::ReadAvailable() {
+  while (readable_ && WantsToRead()) {
+    const auto space = loop_.scratch();
+    const net::IoResult result = socket_.Receive(space);
+    if (result.status == net::IoStatus::kWouldBlock) {
+      readable_ = false;
+      break;
+    }
+    if (result.status != net::IoStatus::kOk) {
+      OnEndOfStream();
+      return;
+    }
+    // A short read has emptied the socket; the next bytes bring a new event.
+    readable_ = hung_up_ || result.bytes == space.size();
+    OnReceived({space.data(), result.bytes});
+  }
+  if (hung_up_ && phase_ == Phase::kAnswering) {
+    OnEndOfStream();
+  }
+}
+
+void CallerConnection::OnReceived(std::string_view data) {
+  if (phase_ == Phase::kLingering) {
+    return;
+  }
+  pending_.append(data);
+  ParseInput();
+}
+
+void CallerConnection::OnEndOfStream() {
+  const bool in_request = phase_ == Phase::kBody || phase_ == Phase::kAnswering;
+  if (in_request) {
+    Emit(CallerEvent::kGone);
+  }
+  Close();
+}
+
+void CallerConnection::ParseInput() {
+  if (parsing_) {
+    return;
+  }
+  parsing_ = true;
+  while (!pending_.empty() && ParseStep()) {
+  }
+  parsing_ = false;
+  if (pending_.empty()) {
+    pending_ = std::string();
+  }
+}
+
+bool CallerConnection::ParseStep() {
+  switch (phase_) {
+    case Phase::kIdle:
+    case Phase::kHead:
+      return out_.size() <= kMaxUnsentBytes && ParseHead();
+    case Phase::kBody:
+      return !paused_ && ParseBody();
+    default:
+      return false;
+  }
+}
+
+bool CallerConnection::ParseHead() {
+  const auto result = parser_->Parse(pending_, head_, body_);
+  pending_.erase(0, result.consumed);
+  if (result.status == http::ParseStatus::kMalformed) {
+    Refuse({400, "malformed request head"});
+    return false;
+  }
+  if (result.status == http::ParseStatus::kHeaderTooLarge) {
+    Refuse({431, "the request's head is too large"});
+    return false;
+  }
+  if (result.status == http::ParseStatus::kNeedMore) {
+    if (phase_ == Phase::kIdle) {
+      phase_ = Phase::kHead;
+      timer_.Set(loop_.Now() + kHeadTimeout);
+    }
+    return false;
+  }
+  if (const auto refusal = http::CheckRequest(head_)) {
+    Refuse(*refusal);
+    return false;
+  }
+  const bool complete = parser_->done();
+  phase_ = complete ? Phase::kAnswering : Phase::kBody;
+  Emit(CallerEvent::kHead);
+  if (complete && phase_ == Phase::kAnswering) {
+    Emit(CallerEvent::kBodyEnd);
+  }
+  return true;
+}
+
+bool CallerConnection::ParseBody() {
+  const auto result = parser_->Parse(pending_, head_, body_);
+  pending_.erase(0, result.consumed);
+  if (!body_.empty()) {
+    Emit(CallerEvent::kBody);
+    body_.clear();
+  }
+  if (phase_ != Phase::kBody) {
+    return false;
+  }
+  if (result.status == http::ParseStatus::kMalformed ||
+      result.status == http::ParseStatus::kHeaderTooLarge) {
+    Refuse({400, "malformed request body"});
+    return false;
+  }
+  if (result.status != http::ParseStatus::kDone) {
+    return false;
+  }
+  phase_ = Phase::kAnswering;
+  Emit(CallerEvent::kBodyEnd);
+  return true;
+}
+
+void CallerConnection::Refuse(http::Refusal refusal) {
+  refusal_ = refusal;
+  // What follows cannot be trusted to be where a request begins.
+  pending_.clear();
+  if (phase_ != Phase::kBody) {
+    phase_ = Phase::kHead;
+  }
+  Emit(CallerEvent::kRefused);
+}
+
+void CallerConnection::Flush() {
+  const net::FlushStatus status = out_.Flush(socket_, any_sent_);
+  if (status == net::FlushStatus::kBlocked) {
+    blocked_ = true;
+    return;
+  }
+  if (status == net::FlushStatus::kFailed) {
+    // The writer stands above on the stack: report when it has left.
+    loop_.Defer([self = shared_from_this()] {
+      if (self->phase_ != Phase::kClosed) {
+        self->OnEndOfStream();
+      }
+    });
+    return;
+  }
+  if (!blocked_) {
+    return;
+  }
+  blocked_ = false;
+  if (phase_ == Phase::kFlushing) {
+    Linger();
+    return;
+  }
+  Emit(CallerEvent::kDrained);
+  ParseInput();
+  ReadAvailable();
+}
+
+void CallerConnection::Linger() {
+  phase_ = Phase::kLingering;
+  pending_.clear();
+  socket_.ShutdownSend();
+  timer_.Set(loop_.Now() + kLingerTimeout);
+  loop_.Defer([self = shared_from_this()] { self->ReadAvailable(); });
+}
+
+void CallerConnection::Close() {
+  if (phase_ == Phase::kClosed) {
+    return;
+  }
+  const auto self = shared_from_this();
+  phase_ = Phase::kClosed;
+  timer_.Clear();
+  if (socket_.is_open()) {
+    loop_.Unwatch(watch_, socket_.fd());
+    socket_.Close();
+  }
+  Emit(CallerEvent::kClosed);
+  // The sink may stand on the stack: let go of it when that has unwound.
+  loop_.Defer([self] { self->sink_ = nullptr; });
+}
+
+void CallerConnection::Emit(CallerEvent event) {
+  if (sink_) {
+    sink_(event);
+  }
+}
+
+}  // namespace gentianreach::proxy
--- /dev/null
+++ b/src/proxy/exchange.h
@@ -0,0 +1,681 @@
+// One request of a caller, from its head to its answer or verdict.
+//
+// The exchange finds the route and the owner, makes attempts until one is
+// answered or none is allowed any more, and passes the bodies on both ways
+// with bounded memory. It lives until Finish(), kept by its caller's session
+// and by whatever it waits for.
+#ifndef SRC_PROXY_EXCHANGE_H_
+#define SRC_PROXY_EXCHANGE_H_
+
+#include <algorithm>
+#include <charconv>
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "gentianreach/router.h"
+#include "http/serializer.h"
+#include "proxy/caller_connection.h"
+#include "proxy/message_builder.h"
+#include "proxy/proxy_state.h"
+#include "proxy/server_connection.h"
+#include "proxy/server_pool.h"
+
+namespace gentianreach::proxy {
+
+namespace internal {
+
+// Body bytes kept so that a request can be sent again. A request with a larger
+// body is sent once only.
+inline constexpr std::size_t kMaxReplayBytes = 64 * 1024;
+// Answers up to this size are held until they are whole, so that a broken one
+// still becomes a true verdict; larger ones are passed on as they arrive.
+inline constexpr std::uint64_t kMaxHeldAnswerBytes = 64 * 1024;
+// Bytes that may wait for one side before the other side is no longer read.
+inline constexpr std::size_t kMaxWaitingBytes = 64 * 1024;
+// Requests that may wait for an owner, and for a connection to one server.
+inline constexpr std::size_t kMaxHeldRequests = 10'000;
+inline constexpr std::size_t kMaxWaitingRequests = 1'000;
+// Servers of a plain service that one request tries.
+inline constexpr std::size_t kMaxPlainAttempts = 3;
+// Pause before an owner that could not serve is asked again; doubles up to the
+// greatest one.
+inline constexpr Duration kFirstPause = std::chrono::milliseconds(20);
+inline constexpr Duration kLongestPause = std::chrono::milliseconds(320);
+
+// Returns the caller's own timeout, where it states a valid one.
+std::optional<std::chrono::milliseconds> CallerTimeout(
+    const http::MessageHead& head);
+// Returns whether an answer proves that the server did not run the request.
+bool SaysNotRun(const http::MessageHead& answer);
+// Returns the verdict that such an answer means.
+Verdict RefusalVerdict(const http::MessageHead& answer);
+// Returns when a caller may try again, where that is worthwhile.
+std::optional<std::chrono::seconds> RetryAfter(Verdict verdict);
+
+}  // namespace internal
+
+template <typename State>
+class Exchange : public std::enable_shared_from_this<Exchange<State>> {
+ public:
+  Exchange(std::shared_ptr<State> state,
+           std::shared_ptr<CallerConnection> caller)
+      : state_(std::move(state)), caller_(std::move(caller)) {
+    ++state_->in_flight;
+  }
+  Exchange(const Exchange&) = delete;
+  Exchange& operator=(const Exchange&) = delete;
+
+  // Returns whether the request has its answer or verdict.
+  [[nodiscard]] bool done() const { return done_; }
+
+  // The caller's side; see CallerEvent.
+  void OnHead() {
+    Open();
+    const http::MessageHead& head = caller_->head();
+    record_.method = head.method;
+    record_.target = head.target;
+    routes_ = state_->routes;
+    rule_ = routes_
+                ? routes_->Match(head.method, *head.Get(http::FieldId::host),
+                                 head.target)
+                : nullptr;
+    if (rule_ == nullptr) {
+      GiveUp(Verdict::NotRun(Reason::kNoRoute));
+      return;
+    }
+    record_.route = rule_->name;
+    record_.service = rule_->service.name;
+    record_.deadline = record_.started + Timeout(head);
+    caller_->SetDeadline(record_.deadline);
+    if (!TakeKey(head)) {
+      GiveUp(Verdict::NotRun(Reason::kBadRequest), "the request has no key");
+      return;
+    }
+    if (head.content_length > rule_->max_body) {
+      GiveUp(Verdict::NotRun(Reason::kTooLarge));
+      return;
+    }
+    if (!caller_->request_complete() && head.Get(http::FieldId::expect)) {
+      caller_->Write("HTTP/1.1 100 Continue\r\n\r\n");
+    }
+  }
+
+  void OnBody() {
+    if (done_) {
+      return;
+    }
+    const std::string_view data = caller_->body();
+    received_ += data.size();
+    if (received_ > rule_->max_body) {
+      GiveUp(AttemptVerdict(Reason::kTooLarge));
+      return;
+    }
+    KeepForReplay(data);
+    if (connection_) {
+      PassBody(data);
+    } else if (replay_.size() >= internal::kMaxReplayBytes) {
+      caller_->PauseReading();
+      if (record_.attempts == 0 && !waiting()) {
+        Attempt();
+      }
+    }
+  }
+
+  void OnBodyEnd() {
+    if (done_) {
+      return;
+    }
+    body_complete_ = true;
+    if (connection_) {
+      std::string end;
+      http::AppendBodyEnd(end, request_framing_);
+      connection_->SendBody(std::move(end), true);
+    } else if (!waiting()) {
+      Attempt();
+    }
+  }
+
+  void OnRefused() {
+    if (record_.id.empty()) {
+      Open();
+    }
+    const http::Refusal& refusal = caller_->refusal();
+    refused_status_ = refusal.status;
+    GiveUp(AttemptVerdict(Reason::kBadRequest), refusal.reason);
+  }
+
+  void OnDeadline() { GiveUp(AttemptVerdict(Reason::kDeadline)); }
+
+  void OnCallerGone() {
+    caller_gone_ = true;
+    GiveUp(AttemptVerdict(Reason::kCallerGone));
+  }
+
+  void OnCallerDrained() {
+    if (connection_) {
+      connection_->ResumeReading();
+    }
+  }
+
+ private:
+  // Where one attempt goes.
+  struct Target {
+    ServerId server;
+    std::string address;
+    Token token;
+    HashRange range;
+  };
+
+  void Open() {
+    record_.id = state_->NextRequestId();
+    record_.started = state_->loop.Now();
+    record_.deadline = record_.started;
+  }
+
+  [[nodiscard]] Duration Timeout(const http::MessageHead& head) const {
+    const auto stated = internal::CallerTimeout(head);
+    if (!stated) {
+      return std::min(rule_->default_timeout, rule_->max_timeout);
+    }
+    return std::min<Duration>(*stated, rule_->max_timeout);
+  }
+
+  bool TakeKey(const http::MessageHead& head) {
+    if (!rule_->service.keyed) {
+      return true;
+    }
+    std::optional<std::string> key = KeyFromTarget(*rule_, head.target);
+    if (rule_->key_source == settings::KeySource::Header) {
+      const auto value = head.Get(std::string_view(rule_->key_name));
+      key = value ? std::optional<std::string>(*value) : std::nullopt;
+    }
+    if (!key || key->empty()) {
+      return false;
+    }
+    record_.key = HashKey(rule_->service.name, *key);
+    return true;
+  }
+
+  [[nodiscard]] bool waiting() const {
+    return hold_ != 0 || timer_.has_value() || in_line_.has_value();
+  }
+
+  void KeepForReplay(std::string_view data) {
+    if (!replayable_) {
+      return;
+    }
+    if (connection_ &&
+        replay_.size() + data.size() > internal::kMaxReplayBytes) {
+      replayable_ = false;
+      replay_ = std::string();
+      return;
+    }
+    replay_.append(data);
+  }
+
+  void PassBody(std::string_view data) {
+    std::string bytes;
+    http::AppendBody(bytes, request_framing_, data);
+    connection_->SendBody(std::move(bytes), false);
+    if (connection_ && connection_->unsent() > internal::kMaxWaitingBytes) {
+      caller_->PauseReading();
+    }
+  }
+
+  // Begins the next attempt, or waits until there can be one.
+  void Attempt() {
+    if (done_) {
+      return;
+    }
+    if (state_->loop.Now() >= record_.deadline) {
+      GiveUp(Verdict::NotRun(Reason::kDeadline));
+      return;
+    }
+    if (rule_->service.keyed) {
+      AttemptAtOwner();
+    } else {
+      AttemptAnywhere();
+    }
+  }
+
+  void AttemptAtOwner() {
+    const KeyRoute route = state_->router.Route(
+        rule_->service.name, *record_.key, state_->loop.Now());
+    switch (route.state) {
+      case RouteState::kServe:
+        Send({route.server, route.address, route.token, route.range});
+        return;
+      case RouteState::kHold:
+        Hold(internal::kLongestPause);
+        return;
+      case RouteState::kNone:
+        GiveUp(Verdict::NotRun(Reason::kNoOwner));
+        return;
+      case RouteState::kCutOff:
+        GiveUp(Verdict::NotRun(Reason::kCutOff));
+        return;
+    }
+  }
+
+  void AttemptAnywhere() {
+    const auto choice =
+        state_->picker.Pick(rule_->service.name, tried_, state_->loop.Now());
+    if (!choice) {
+      GiveUp(last_failure_.value_or(Verdict::NotRun(Reason::kNoServer)));
+      return;
+    }
+    picked_ = true;
+    Send({choice->server, choice->address, {}, {}});
+  }
+
+  // Waits for a change of owner, at most for `pause`.
+  void Hold(Duration pause) {
+    if (state_->held.size() >= internal::kMaxHeldRequests) {
+      GiveUp(Verdict::NotRun(Reason::kOverload));
+      return;
+    }
+    const auto self = this->shared_from_this();
+    const auto wake = [self] {
+      self->StopWaiting();
+      self->Attempt();
+    };
+    hold_ = state_->held.Add(wake);
+    timer_ = state_->loop.AddTimer(state_->loop.Now() + pause, wake);
+  }
+
+  // Leaves every line that the request stands in.
+  void StopWaiting() {
+    state_->held.Remove(std::exchange(hold_, 0));
+    if (timer_) {
+      state_->loop.CancelTimer(*timer_);
+    }
+    timer_.reset();
+    if (in_line_) {
+      pool_->RemoveWaiter(*in_line_);
+    }
+    in_line_.reset();
+  }
+
+  void Send(Target target) {
+    target_ = std::move(target);
+    pool_ = state_->pools.Get(target_.server, target_.address);
+    pool_->SetLimit(state_->ConnectionShare(rule_->service));
+    if (pool_->waiting() > 0) {
+      WaitForConnection();
+      return;
+    }
+    SendNow();
+  }
+
+  void WaitForConnection() {
+    if (pool_->waiting() >= internal::kMaxWaitingRequests) {
+      EndAttempt(Verdict::NotRun(Reason::kOverload));
+      GiveUp(Verdict::NotRun(Reason::kOverload));
+      return;
+    }
+    in_line_ = pool_->AddWaiter([self = this->shared_from_this()] {
+      self->in_line_.reset();
+      // The owner may have changed meanwhile.
+      if (self->rule_->service.keyed) {
+        self->AttemptFromLine();
+      } else {
+        self->SendNow();
+      }
+    });
+  }
+
+  void AttemptFromLine() {
+    const KeyRoute route = state_->router.Route(
+        rule_->service.name, *record_.key, state_->loop.Now());
+    if (route.state == RouteState::kServe && route.address == target_.address) {
+      target_ = {route.server, route.address, route.token, route.range};
+      SendNow();
+      return;
+    }
+    Attempt();
+  }
+
+  void SendNow() {
+    connection_ = pool_->Acquire();
+    if (!connection_) {
+      WaitForConnection();
+      return;
+    }
+    const TimePoint now = state_->loop.Now();
+    ++record_.attempts;
+    record_.server = target_.server;
+    record_.token = target_.token;
+    record_.range = target_.range;
+    attempt_started_ = now;
+    const std::uint32_t attempt = record_.attempts;
+    connection_->Start(
+        RequestBytes(now), record_.method == "HEAD", body_complete_,
+        [self = this->shared_from_this(), attempt](ServerEvent event) {
+          if (!self->done_ && self->connection_ &&
+              self->record_.attempts == attempt) {
+            self->OnServerEvent(event);
+          }
+        });
+    caller_->ResumeReading();
+  }
+
+  std::string RequestBytes(TimePoint now) {
+    const http::MessageHead& head = caller_->head();
+    request_framing_ = head.framing;
+    std::uint64_t length = head.content_length;
+    if (body_complete_ && request_framing_ == http::BodyFraming::kChunked) {
+      request_framing_ = http::BodyFraming::kLength;
+      length = replay_.size();
+    }
+    const auto left =
+        std::chrono::floor<std::chrono::milliseconds>(record_.deadline - now);
+    std::string bytes = BuildRequestHead(
+        head, {.id = record_.id,
+               .key = record_.key,
+               .token = target_.token,
+               .timeout = std::max(left, std::chrono::milliseconds(1)),
+               .framing = request_framing_,
+               .content_length = length});
+    http::AppendBody(bytes, request_framing_, replay_);
+    return bytes;
+  }
+
+  void OnServerEvent(ServerEvent event) {
+    switch (event) {
+      case ServerEvent::kHead:
+        OnAnswerHead();
+        return;
+      case ServerEvent::kBody:
+        OnAnswerBody();
+        return;
+      case ServerEvent::kEnd:
+        OnAnswerEnd();
+        return;
+      case ServerEvent::kDrained:
+        caller_->ResumeReading();
+        return;
+      case ServerEvent::kFailed:
+        OnFailed();
+        return;
+    }
+  }
+
+  void OnAnswerHead() {
+    const http::MessageHead& head = connection_->head();
+    if (internal::SaysNotRun(head)) {
+      OnServerRefused(internal::RefusalVerdict(head));
+      return;
+    }
+    record_.status = head.status;
+    answer_framing_ = head.framing;
+    hold_answer_ = head.framing == http::BodyFraming::kNone ||
+                   (head.framing == http::BodyFraming::kLength &&
+                    head.content_length <= internal::kMaxHeldAnswerBytes);
+    keep_alive_ = KeepsAlive();
+    answer_ = BuildAnswerHead(head, record_.id, keep_alive_);
+  }
+
+  void OnServerRefused(Verdict verdict) {
+    const auto connection = std::move(connection_);
+    connection_.reset();
+    connection->Discard(
+        [pool = pool_, connection] { pool->Release(connection); });
+    ++record_.sent;
+    EndAttempt(verdict);
+    RetryOrGiveUp(verdict, true);
+  }
+
+  void OnAnswerBody() {
+    http::AppendBody(answer_, answer_framing_, connection_->body());
+    if (hold_answer_) {
+      return;
+    }
+    committed_ = true;
+    caller_->Write(std::exchange(answer_, std::string()));
+    if (connection_ && caller_->unsent() > internal::kMaxWaitingBytes) {
+      connection_->PauseReading();
+    }
+  }
+
+  void OnAnswerEnd() {
+    ++record_.sent;
+    http::AppendBodyEnd(answer_, answer_framing_);
+    const auto connection = std::move(connection_);
+    connection_.reset();
+    pool_->Release(connection);
+    EndAttempt(Verdict::Answered());
+    caller_->Write(std::exchange(answer_, std::string()));
+    Finish(Verdict::Answered());
+    caller_->FinishAnswer(keep_alive_ && caller_->request_complete());
+  }
+
+  void OnFailed() {
+    const auto connection = std::move(connection_);
+    connection_.reset();
+    const bool written = connection->written();
+    record_.sent += written ? 1 : 0;
+    const Verdict verdict = FailureVerdict(connection->failure(), written);
+    EndAttempt(verdict);
+    if (committed_) {
+      Break(verdict);
+      return;
+    }
+    RetryOrGiveUp(verdict, written);
+  }
+
+  static Verdict FailureVerdict(ServerFailure failure, bool written) {
+    if (failure == ServerFailure::kTruncated) {
+      return Verdict::MayHaveRun(Reason::kTruncated);
+    }
+    if (written) {
+      return Verdict::MayHaveRun(Reason::kConnectionLost);
+    }
+    return Verdict::NotRun(failure == ServerFailure::kConnect
+                               ? Reason::kConnectFailed
+                               : Reason::kConnectionLost);
+  }
+
+  // Tells the picker and the daemon how an attempt went.
+  void EndAttempt(Verdict verdict) {
+    const TimePoint now = state_->loop.Now();
+    if (std::exchange(picked_, false)) {
+      tried_.push_back(target_.server);
+      state_->picker.Finished(rule_->service.name, target_.server, verdict,
+                              now - attempt_started_, now);
+    }
+    if (!state_->hooks.on_contact) {
+      return;
+    }
+    if (const auto kind = KindOf(verdict)) {
+      state_->hooks.on_contact(
+          {target_.server, rule_->service.name, *kind, now});
+    }
+  }
+
+  static std::optional<ContactKind> KindOf(Verdict verdict) {
+    if (verdict.answered()) {
+      return ContactKind::kAnswered;
+    }
+    switch (verdict.reason()) {
+      case Reason::kNotOwner:
+      case Reason::kDraining:
+        return ContactKind::kRefused;
+      case Reason::kConnectFailed:
+        return ContactKind::kConnectFailed;
+      case Reason::kConnectionLost:
+      case Reason::kTruncated:
+        return ContactKind::kLost;
+      case Reason::kSilent:
+        return ContactKind::kSilent;
+      default:
+        return std::nullopt;
+    }
+  }
+
+  // Decides what follows on a failed attempt.
+  void RetryOrGiveUp(Verdict verdict, bool sent) {
+    answer_.clear();
+    last_failure_ = verdict;
+    if (verdict.outcome() == Outcome::kMayHaveRun) {
+      may_have_run_ = verdict;
+    }
+    if (!verdict.SafeToRetry(rule_->idempotent) || !replayable_) {
+      GiveUp(verdict);
+      return;
+    }
+    if (sent && !state_->TryRetry(rule_->service)) {
+      GiveUp(verdict);
+      return;
+    }
+    if (rule_->service.keyed) {
+      RetryAtOwner();
+    } else if (tried_.size() < internal::kMaxPlainAttempts) {
+      Attempt();
+    } else {
+      GiveUp(verdict);
+    }
+  }
+
+  // Asks for the owner again: at once where it has changed, else after a
+  // pause, since the same owner would most likely fail again.
+  void RetryAtOwner() {
+    const KeyRoute route = state_->router.Route(
+        rule_->service.name, *record_.key, state_->loop.Now());
+    if (route.state == RouteState::kServe &&
+        (route.server != target_.server || route.token != target_.token)) {
+      Attempt();
+      return;
+    }
+    Hold(pause_);
+    pause_ = std::min(pause_ * 2, internal::kLongestPause);
+  }
+
+  // Returns what can be said of the request when it ends now for `reason`.
+  [[nodiscard]] Verdict AttemptVerdict(Reason reason) const {
+    if (connection_ && connection_->written()) {
+      return Verdict::MayHaveRun(reason);
+    }
+    return Verdict::NotRun(reason);
+  }
+
+  // Ends the request without an answer of a server.
+  void GiveUp(Verdict verdict, std::string_view detail = {}) {
+    if (done_) {
+      return;
+    }
+    StopWaiting();
+    AbandonAttempt(verdict);
+    if (may_have_run_ && verdict.outcome() == Outcome::kNotRun) {
+      verdict = *may_have_run_;
+    }
+    if (committed_) {
+      Break(verdict);
+      return;
+    }
+    if (caller_gone_) {
+      Finish(verdict);
+      return;
+    }
+    record_.status = verdict.outcome() == Outcome::kNotRun
+                         ? refused_status_.value_or(verdict.HttpStatus())
+                         : verdict.HttpStatus();
+    const bool keep_alive = KeepsAlive();
+    caller_->Write(BuildOwnAnswer({.id = record_.id,
+                                   .verdict = verdict,
+                                   .status = record_.status,
+                                   .detail = detail,
+                                   .retry_after = internal::RetryAfter(verdict),
+                                   .keep_alive = keep_alive,
+                                   .head_only = record_.method == "HEAD"}));
+    Finish(verdict);
+    caller_->FinishAnswer(keep_alive);
+  }
+
+  void AbandonAttempt(Verdict verdict) {
+    if (!connection_) {
+      if (picked_) {
+        EndAttempt(verdict);
+      }
+      return;
+    }
+    const auto connection = std::move(connection_);
+    connection_.reset();
+    record_.sent += connection->written() ? 1 : 0;
+    connection->Abandon();
+    EndAttempt(verdict);
+  }
+
+  // Ends a request of which the caller has a part of the answer already.
+  void Break(Verdict verdict) {
+    Finish(verdict);
+    caller_->Abort();
+  }
+
+  [[nodiscard]] bool KeepsAlive() const {
+    return caller_->head().keep_alive && caller_->request_complete() &&
+           !refused_status_ && !state_->stopping;
+  }
+
+  void Finish(Verdict verdict) {
+    done_ = true;
+    --state_->in_flight;
+    record_.verdict = verdict;
+    record_.finished = state_->loop.Now();
+    replay_ = std::string();
+    if (state_->hooks.on_finished) {
+      state_->hooks.on_finished(record_);
+    }
+  }
+
+  std::shared_ptr<State> state_;
+  std::shared_ptr<CallerConnection> caller_;
+  RequestRecord record_;
+  std::shared_ptr<const RouteTable> routes_;
+  const RouteRule* rule_ = nullptr;
+  bool done_ = false;
+  bool caller_gone_ = false;
+  std::optional<int> refused_status_;
+
+  // The request's body.
+  std::uint64_t received_ = 0;
+  bool body_complete_ = false;
+  bool replayable_ = true;
+  std::string replay_;
+  http::BodyFraming request_framing_ = http::BodyFraming::kNone;
+
+  // The current attempt.
+  Target target_;
+  std::shared_ptr<ServerPool> pool_;
+  std::shared_ptr<ServerConnection> connection_;
+  TimePoint attempt_started_;
+  bool picked_ = false;
+
+  // Earlier attempts.
+  std::vector<ServerId> tried_;
+  std::optional<Verdict> last_failure_;
+  std::optional<Verdict> may_have_run_;
+  Duration pause_ = internal::kFirstPause;
+
+  // What the request waits for.
+  std::uint64_t hold_ = 0;
+  std::optional<net::EventLoop::TimerId> timer_;
+  std::optional<ServerPool::WaiterId> in_line_;
+
+  // The answer.
+  http::BodyFraming answer_framing_ = http::BodyFraming::kNone;
+  bool hold_answer_ = false;
+  bool committed_ = false;
+  bool keep_alive_ = true;
+  std::string answer_;
+};
+
+}  // namespace gentianreach::proxy
+
+#endif  // SRC_PROXY_EXCHANGE_H_
--- /dev/null
+++ b/src/proxy/proxy_options.h
@@ -0,0 +1,24 @@
+// What holds for one ProxyServer.
+#ifndef SRC_PROXY_PROXY_OPTIONS_H_
+#define SRC_PROXY_PROXY_OPTIONS_H_
+
+#include <cstdint>
+#include <string>
+
+#include "settings_generated.h"
+
+namespace gentianreach::proxy {
+
+struct ProxyOptions {
+  // Starts every request id. Unique per life of a daemon and per loop.
+  std::string id_prefix;
+  settings::LimitsT limits;
+  // Lets several loops of this process listen on the same address.
+  bool reuse_port = false;
+  // Daemons that share the servers' connections; each opens its part.
+  std::uint32_t entry_count = 1;
+};
+
+}  // namespace gentianreach::proxy
+
+#endif  // SRC_PROXY_PROXY_OPTIONS_H_
--- a/src/proxy/proxy_server.h
+++ b/src/proxy/proxy_server.h
@@ -13,35 +13,33 @@
 #ifndef SRC_PROXY_PROXY_SERVER_H_
 #define SRC_PROXY_PROXY_SERVER_H_
 
+#include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
+#include <unordered_map>
 #include <utility>
+#include <vector>
 
 #include <boost/leaf/result.hpp>
 
 #include "gentianreach/router.h"
 #include "gentianreach/time.h"
 #include "net/event_loop.h"
+#include "net/tcp_socket.h"
+#include "proxy/caller_connection.h"
+#include "proxy/caller_session.h"
 #include "proxy/plain_servers.h"
+#include "proxy/proxy_options.h"
+#include "proxy/proxy_state.h"
 #include "proxy/request_record.h"
 #include "proxy/route_table.h"
 #include "settings_generated.h"
 
 namespace gentianreach::proxy {
 
-// What holds for one ProxyServer.
-struct ProxyOptions {
-  // Starts every request id. Unique per life of a daemon and per loop.
-  std::string id_prefix;
-  settings::LimitsT limits;
-  // Lets several loops of this process listen on the same address.
-  bool reuse_port = false;
-  // Daemons that share the servers' connections; each opens its part.
-  std::uint32_t entry_count = 1;
-};
-
 template <KeyRouter Router, PlainPicker Picker>
 class ProxyServer {
  public:
@@ -79,15 +77,168 @@
   void Stop(TimePoint deadline, std::function<void()> done);
 
   // Returns the number of requests in flight.
-  [[nodiscard]] std::size_t in_flight() const;
+  [[nodiscard]] std::size_t in_flight() const { return state_->in_flight; }
   // Returns the number of callers' connections.
-  [[nodiscard]] std::size_t caller_connections() const;
+  [[nodiscard]] std::size_t caller_connections() const {
+    return callers_->size();
+  }
 
  private:
-  struct State;
+  using State = ProxyState<Router, Picker>;
+  using Callers =
+      std::unordered_map<CallerConnection*, std::shared_ptr<CallerConnection>>;
+
+  // While stopping, idle connections are closed after this pause, so that a
+  // request already on its way is still answered.
+  static constexpr Duration kStopGrace = std::chrono::milliseconds(200);
+
+  void AcceptCallers();
+  void CloseListener();
+  void CheckStopped();
+  void BreakOff();
+
   std::shared_ptr<State> state_;
+  // Shared with the callbacks of connections that outlive the proxy.
+  std::shared_ptr<Callers> callers_ = std::make_shared<Callers>();
+  net::TcpSocket listener_;
+  net::EventLoop::WatchId listener_watch_ = 0;
+  std::optional<net::EventLoop::TimerId> stop_timer_;
+  TimePoint stop_deadline_;
+  std::function<void()> stop_done_;
 };
 
+template <KeyRouter Router, PlainPicker Picker>
+ProxyServer<Router, Picker>::ProxyServer(net::EventLoop& loop,
+                                         Router& router,
+                                         Picker& picker,
+                                         ProxyHooks hooks,
+                                         ProxyOptions options)
+    : state_(std::make_shared<State>(loop,
+                                     router,
+                                     picker,
+                                     std::move(hooks),
+                                     std::move(options))) {}
+
+template <KeyRouter Router, PlainPicker Picker>
+ProxyServer<Router, Picker>::~ProxyServer() {
+  if (stop_timer_) {
+    state_->loop.CancelTimer(*stop_timer_);
+  }
+  CloseListener();
+  state_->hooks = {};
+  BreakOff();
+}
+
+template <KeyRouter Router, PlainPicker Picker>
+boost::leaf::result<void> ProxyServer<Router, Picker>::Listen(
+    const std::string& address) {
+  BOOST_LEAF_AUTO(listener,
+                  net::TcpSocket::Listen(address, state_->options.reuse_port));
+  listener_ = std::move(listener);
+  listener_watch_ = state_->loop.Watch(
+      listener_.fd(), [this](net::ReadyEvents) { AcceptCallers(); });
+  return {};
+}
+
+template <KeyRouter Router, PlainPicker Picker>
+std::uint16_t ProxyServer<Router, Picker>::port() const {
+  return listener_.is_open() ? listener_.port() : 0;
+}
+
+template <KeyRouter Router, PlainPicker Picker>
+void ProxyServer<Router, Picker>::SetRoutes(
+    std::shared_ptr<const RouteTable> routes) {
+  state_->routes = std::move(routes);
+}
+
+template <KeyRouter Router, PlainPicker Picker>
+void ProxyServer<Router, Picker>::SetLimits(const settings::LimitsT& limits) {
+  state_->options.limits = limits;
+}
+
+template <KeyRouter Router, PlainPicker Picker>
+void ProxyServer<Router, Picker>::SetEntryCount(std::uint32_t entry_count) {
+  state_->options.entry_count = entry_count;
+}
+
+template <KeyRouter Router, PlainPicker Picker>
+void ProxyServer<Router, Picker>::OwnersChanged() {
+  state_->held.WakeAll();
+}
+
+template <KeyRouter Router, PlainPicker Picker>
+void ProxyServer<Router, Picker>::ForgetServer(const ServerId& server) {
+  state_->pools.Forget(server);
+}
+
+template <KeyRouter Router, PlainPicker Picker>
+void ProxyServer<Router, Picker>::Stop(TimePoint deadline,
+                                       std::function<void()> done) {
+  state_->stopping = true;
+  stop_deadline_ = deadline;
+  stop_done_ = std::move(done);
+  CloseListener();
+  CheckStopped();
+}
+
+template <KeyRouter Router, PlainPicker Picker>
+void ProxyServer<Router, Picker>::AcceptCallers() {
+  while (auto socket = listener_.Accept()) {
+    if (callers_->size() >= state_->options.limits.max_caller_connections) {
+      socket->Close();
+      continue;
+    }
+    auto connection = std::make_shared<CallerConnection>(
+        state_->loop, std::move(*socket), state_->options.limits.max_header);
+    callers_->emplace(connection.get(), connection);
+    std::make_shared<CallerSession<State>>(state_, connection)
+        ->Start(
+            [callers = callers_](CallerConnection* it) { callers->erase(it); });
+  }
+}
+
+template <KeyRouter Router, PlainPicker Picker>
+void ProxyServer<Router, Picker>::CloseListener() {
+  if (!listener_.is_open()) {
+    return;
+  }
+  state_->loop.Unwatch(listener_watch_, listener_.fd());
+  listener_.Close();
+}
+
+template <KeyRouter Router, PlainPicker Picker>
+void ProxyServer<Router, Picker>::CheckStopped() {
+  const TimePoint now = state_->loop.Now();
+  if (now >= stop_deadline_) {
+    BreakOff();
+  }
+  if (callers_->empty()) {
+    state_->pools.CloseIdle();
+    const auto done = std::exchange(stop_done_, nullptr);
+    if (done) {
+      done();
+    }
+    return;
+  }
+  stop_timer_ =
+      state_->loop.AddTimer(std::min(now + kStopGrace, stop_deadline_), [this] {
+        stop_timer_.reset();
+        const Callers callers = *callers_;
+        for (const auto& [key, it] : callers) {
+          it->CloseIfIdle();
+        }
+        CheckStopped();
+      });
+}
+
+template <KeyRouter Router, PlainPicker Picker>
+void ProxyServer<Router, Picker>::BreakOff() {
+  const Callers callers = *callers_;
+  for (const auto& [key, it] : callers) {
+    it->Abort();
+  }
+}
+
 }  // namespace gentianreach::proxy
 
 #endif  // SRC_PROXY_PROXY_SERVER_H_
--- /dev/null
+++ b/src/proxy/proxy_server_test.cc
@@ -0,0 +1,208 @@
+#include "proxy/proxy_server.h"
+
+#include <string>
+
+#include <doctest/doctest.h>
+
+#include "proxy/proxy_test_support.h"
+
+namespace gentianreach::proxy {
+namespace {
+
+using testing::Answer;
+using testing::Behaviour;
+using testing::Bench;
+using testing::TestCaller;
+using namespace std::chrono_literals;
+
+TEST_CASE("a keyed request reaches its owner with its token and key") {
+  Bench bench;
+  bench.server.answer = "a boat";
+  TestCaller caller(bench.loop, bench.proxy.port());
+  const Answer answer = caller.Ask(Bench::Request("GET", "/keyed/7", "a"));
+  CHECK(answer.status == 200);
+  CHECK(answer.verdict == "answered");
+  CHECK(answer.body == "a boat");
+  CHECK(bench.server.runs("a") == 1);
+  const auto& seen = bench.server.last_head();
+  CHECK(seen.Get("gentianreach-token") == "1");
+  CHECK(seen.Get("gentianreach-key-hash") ==
+        std::to_string(HashKey(ServiceName("boats"), "7").value()));
+  CHECK(seen.Get("gentianreach-request-id") == answer.id);
+  REQUIRE(bench.records.size() == 1);
+  CHECK(bench.records[0].verdict.answered());
+  CHECK(bench.records[0].server == ServerId("s1"));
+}
+
+TEST_CASE("every method runs exactly once over kept connections") {
+  Bench bench;
+  TestCaller caller(bench.loop, bench.proxy.port());
+  for (const std::string method :
+       {"GET", "HEAD", "POST", "PUT", "DELETE", "PATCH", "OPTIONS"}) {
+    for (int i = 0; i < 3; ++i) {
+      const std::string id = method + std::to_string(i);
+      const std::string body = method == "POST" ? "data" : "";
+      const Answer answer =
+          caller.Ask(Bench::Request(method, "/plain/x", id, body));
+      CHECK(answer.verdict == "answered");
+      CHECK(answer.body == body);
+      CHECK(bench.server.runs(id) == 1);
+    }
+  }
+  CHECK(bench.server.accepted() == 1);
+}
+
+TEST_CASE("pipelined requests are answered in their order") {
+  Bench bench;
+  TestCaller caller(bench.loop, bench.proxy.port());
+  caller.Send(Bench::Request("POST", "/plain", "a", "first") +
+              Bench::Request("GET", "/nowhere", "b") +
+              Bench::Request("POST", "/plain", "c", "third"));
+  CHECK(caller.Receive().body == "first");
+  CHECK(caller.Receive().status == 404);
+  CHECK(caller.Receive().body == "third");
+}
+
+TEST_CASE("a large body passes in both directions") {
+  Bench bench;
+  const std::string body(1'000'000, 'x');
+  TestCaller caller(bench.loop, bench.proxy.port());
+  const Answer answer =
+      caller.Ask(Bench::Request("POST", "/keyed/1", "a", body));
+  CHECK(answer.verdict == "answered");
+  CHECK(bench.server.last_body() == body);
+}
+
+TEST_CASE("a chunked body reaches the server as it was") {
+  Bench bench;
+  TestCaller caller(bench.loop, bench.proxy.port());
+  const Answer answer = caller.Ask(
+      "POST /plain HTTP/1.1\r\nHost: test\r\nTransfer-Encoding: chunked\r\n"
+      "\r\n4\r\nabcd\r\n2\r\nef\r\n0\r\n\r\n");
+  CHECK(answer.body == "abcdef");
+}
+
+TEST_CASE("a chunked answer reaches the caller whole") {
+  Bench bench;
+  bench.server.otherwise = Behaviour::kChunked;
+  TestCaller caller(bench.loop, bench.proxy.port());
+  CHECK(caller.Ask(Bench::Request("GET", "/plain", "a")).body == "whole");
+  CHECK(caller.Ask(Bench::Request("GET", "/plain", "b")).body == "whole");
+}
+
+TEST_CASE("a caller that expects 100-continue is told to go on") {
+  Bench bench;
+  TestCaller caller(bench.loop, bench.proxy.port());
+  const Answer answer = caller.Ask(Bench::Request("POST", "/plain", "a", "body",
+                                                  "Expect: 100-continue\r\n"));
+  CHECK(answer.body == "body");
+  CHECK_FALSE(bench.server.last_head().Get("expect"));
+}
+
+TEST_CASE("hop-by-hop fields and the product's own are not passed on") {
+  Bench bench;
+  TestCaller caller(bench.loop, bench.proxy.port());
+  caller.Ask(Bench::Request("GET", "/plain", "a", "",
+                            "Connection: keep-alive, x-hop\r\nx-hop: 1\r\n"
+                            "gentianreach-token: 99\r\nTE: trailers\r\n"
+                            "x-end: 2\r\n"));
+  const auto& seen = bench.server.last_head();
+  CHECK_FALSE(seen.Get("x-hop"));
+  CHECK_FALSE(seen.Get("te"));
+  CHECK_FALSE(seen.Get("gentianreach-token"));
+  CHECK(seen.Get("x-end") == "2");
+  CHECK(seen.Get("host") == "test");
+}
+
+TEST_CASE("what could be read in two ways is refused and closes") {
+  const std::string host = "Host: test\r\n";
+  const std::string post = "POST /plain HTTP/1.1\r\n";
+  const std::string chunked = "Transfer-Encoding: chunked\r\n";
+  const std::vector<std::string> bad = {
+      post + host + "Content-Length: 3\r\n" + chunked + "\r\n0\r\n\r\n",
+      post + host + chunked + "Content-Length: 3\r\n\r\n0\r\n\r\n",
+      post + host + "Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd",
+      post + host + "Content-Length: +3\r\n\r\nabc",
+      post + host + "Transfer-Encoding: chunked, gzip\r\n\r\n",
+      post + host + "Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+      post + host + "Transfer-Encoding: xchunked\r\n\r\n",
+      post + host + "x: a\nb: c\r\n\r\n",
+      post + host + "x: a\rb\r\n\r\n",
+      post + host + "x : a\r\n\r\n",
+      post + "\r\n",
+      post + host + host + "\r\n",
+      "GET http://test/plain HTTP/1.1\r\n" + host + "\r\n",
+      "CONNECT test:80 HTTP/1.1\r\n" + host + "\r\n",
+      "GET /plain HTTP/1.0\r\n" + host + "\r\n",
+      "\x16\x03\x01 nonsense\r\n\r\n",
+  };
+  Bench bench;
+  for (const auto& it : bad) {
+    CAPTURE(it);
+    TestCaller caller(bench.loop, bench.proxy.port());
+    const Answer answer = caller.Ask(it);
+    CHECK(answer.status >= 400);
+    CHECK(answer.verdict == "not-run");
+    CHECK(answer.reason == "bad-request");
+    testing::RunUntil(bench.loop, [&] { return caller.closed(); });
+  }
+  CHECK(bench.server.heads() == 0);
+}
+
+TEST_CASE("a head over the limit is refused with 431") {
+  Bench bench;
+  TestCaller caller(bench.loop, bench.proxy.port());
+  const Answer answer = caller.Ask(
+      Bench::Request("GET", "/plain", "a", "",
+                     "x-long: " + std::string(20'000, 'y') + "\r\n"));
+  CHECK(answer.status == 431);
+}
+
+TEST_CASE("a body over the route's limit is refused with 413") {
+  Bench bench;
+  TestCaller caller(bench.loop, bench.proxy.port());
+  caller.Send(
+      "POST /plain HTTP/1.1\r\nHost: test\r\nContent-Length: 2000000\r\n\r\n");
+  const Answer answer = caller.Receive();
+  CHECK(answer.status == 413);
+  CHECK(answer.verdict == "not-run");
+}
+
+TEST_CASE("a keyed request without a key is refused") {
+  Bench bench;
+  TestCaller caller(bench.loop, bench.proxy.port());
+  CHECK(caller.Ask(Bench::Request("GET", "/keyed", "a")).status == 400);
+}
+
+TEST_CASE("a held request is sent once the owner is known") {
+  Bench bench;
+  bench.router.route.state = RouteState::kHold;
+  TestCaller caller(bench.loop, bench.proxy.port());
+  caller.Send(Bench::Request("GET", "/keyed/1", "a"));
+  testing::RunUntil(bench.loop, [&] { return bench.router.asked > 0; });
+  CHECK(bench.server.heads() == 0);
+  bench.Own(bench.server, 2);
+  bench.proxy.OwnersChanged();
+  CHECK(caller.Receive().verdict == "answered");
+  CHECK(bench.server.last_head().Get("gentianreach-token") == "2");
+}
+
+TEST_CASE("a graceful stop finishes what is in flight") {
+  Bench bench;
+  bench.server.otherwise = Behaviour::kSilent;
+  TestCaller caller(bench.loop, bench.proxy.port());
+  TestCaller idle(bench.loop, bench.proxy.port());
+  caller.Send(Bench::Request("GET", "/keyed/1", "a"));
+  testing::RunUntil(bench.loop, [&] { return bench.server.heads() == 1; });
+  bool done = false;
+  bench.proxy.Stop(bench.loop.Now() + 10s, [&] { done = true; });
+  testing::RunUntil(bench.loop, [&] { return idle.closed(); });
+  CHECK_FALSE(done);
+  bench.server.AnswerLate();
+  CHECK(caller.Receive().body == "late");
+  testing::RunUntil(bench.loop, [&] { return done; });
+  CHECK(caller.closed());
+}
+
+}  // namespace
+}  // namespace gentianreach::proxy
--- /dev/null
+++ b/src/proxy/proxy_state.h
@@ -0,0 +1,90 @@
+// What the sessions of one ProxyServer share. Owned by one loop.
+#ifndef SRC_PROXY_PROXY_STATE_H_
+#define SRC_PROXY_PROXY_STATE_H_
+
+#include <algorithm>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <utility>
+
+#include "gentianreach/time.h"
+#include "net/event_loop.h"
+#include "proxy/proxy_options.h"
+#include "proxy/request_record.h"
+#include "proxy/route_table.h"
+#include "proxy/server_pool.h"
+
+namespace gentianreach::proxy {
+
+// Requests that wait for a change of owner.
+class HoldLine {
+ public:
+  // Adds a waiter and returns its number.
+  std::uint64_t Add(std::function<void()> wake) {
+    waiters_.emplace(++last_, std::move(wake));
+    return last_;
+  }
+  // Takes a waiter out; no effect where it is gone.
+  void Remove(std::uint64_t id) { waiters_.erase(id); }
+  [[nodiscard]] std::size_t size() const { return waiters_.size(); }
+  // Calls and forgets all that wait now.
+  void WakeAll() {
+    const auto waiters = std::exchange(waiters_, {});
+    for (const auto& [id, wake] : waiters) {
+      wake();
+    }
+  }
+
+ private:
+  std::map<std::uint64_t, std::function<void()>> waiters_;
+  std::uint64_t last_ = 0;
+};
+
+template <typename RouterT, typename PickerT>
+struct ProxyState {
+  ProxyState(net::EventLoop& loop,
+             RouterT& router,
+             PickerT& picker,
+             ProxyHooks hooks,
+             ProxyOptions options)
+      : loop(loop),
+        router(router),
+        picker(picker),
+        hooks(std::move(hooks)),
+        options(std::move(options)),
+        pools(loop) {}
+
+  // Returns an id that no other request has.
+  std::string NextRequestId() {
+    return options.id_prefix + "-" + std::to_string(++last_request);
+  }
+  // Returns this daemon's part of the connections of one server.
+  [[nodiscard]] std::size_t ConnectionShare(const ServiceInfo& service) const {
+    const std::uint32_t daemons = std::max(1U, options.entry_count);
+    return std::max(1U, service.connections / daemons);
+  }
+
+  // Returns whether a request of `service` may be sent once more.
+  bool TryRetry(const ServiceInfo& service) { return service.retry_budget > 0; }
+
+  net::EventLoop& loop;
+  RouterT& router;
+  PickerT& picker;
+  ProxyHooks hooks;
+  ProxyOptions options;
+  std::shared_ptr<const RouteTable> routes;
+  ServerPools pools;
+  HoldLine held;
+  std::uint64_t last_request = 0;
+  std::size_t in_flight = 0;
+  bool stopping = false;
+};
+
+}  // namespace gentianreach::proxy
+
+#endif  // SRC_PROXY_PROXY_STATE_H_
--- /dev/null
+++ b/src/proxy/server_connection.cc
@@ -0,0 +1,346 @@
+#include "proxy/server_connection.h"
+
+#include <chrono>
+#include <utility>
+
+#include "gentianreach/check.h"
+
+namespace gentianreach::proxy {
+namespace {
+
+using namespace std::chrono_literals;
+
+// A connection opens in about a millisecond; past this the server or the way
+// to it is gone.
+constexpr Duration kConnectTimeout = 1s;
+// How long an unused connection is kept.
+constexpr Duration kIdleTimeout = 60s;
+// What may be spent on an answer that nobody wants, to save its connection.
+constexpr Duration kDiscardTimeout = 1s;
+constexpr std::size_t kMaxDiscardBytes = 64 * 1024;
+// Greatest head of an answer.
+constexpr std::size_t kMaxHeaderBytes = 64 * 1024;
+
+}  // namespace
+
+ServerConnection::ServerConnection(net::EventLoop& loop,
+                                   ClosedCallback on_closed)
+    : loop_(loop),
+      on_closed_(std::move(on_closed)),
+      timer_(loop, [this] { OnTimer(); }) {}
+
+void ServerConnection::Connect(const std::string& address) {
+  auto socket = net::TcpSocket::Connect(address);
+  if (!socket) {
+    loop_.Defer(
+        [self = shared_from_this()] { self->Fail(ServerFailure::kConnect); });
+    return;
+  }
+  socket_ = std::move(*socket);
+  timer_.Set(loop_.Now() + kConnectTimeout);
+  watch_ = loop_.Watch(socket_.fd(),
+                       [self = shared_from_this()](net::ReadyEvents events) {
+                         self->OnReady(events);
+                       });
+}
+
+void ServerConnection::Start(std::string bytes,
+                             bool head_only,
+                             bool complete,
+                             Sink sink) {
+  GENTIANREACH_CHECK(!sink_);
+  sink_ = std::move(sink);
+  head_only_ = head_only;
+  complete_ = complete;
+  written_ = false;
+  answer_begun_ = false;
+  paused_ = false;
+  failure_ = ServerFailure::kNone;
+  head_.Clear();
+  body_.clear();
+  parser_.emplace(kMaxHeaderBytes);
+  if (head_only_) {
+    parser_->SkipBody();
+  }
+  last_progress_ = loop_.Now();
+  out_.Append(std::move(bytes));
+  if (phase_ == Phase::kIdle) {
+    phase_ = Phase::kBusy;
+    timer_.Clear();
+    Flush();
+  }
+}
+
+void ServerConnection::SendBody(std::string bytes, bool complete) {
+  complete_ = complete;
+  out_.Append(std::move(bytes));
+  if (phase_ == Phase::kBusy) {
+    Flush();
+  }
+}
+
+void ServerConnection::Abandon() {
+  Close();
+}
+
+void ServerConnection::Discard(std::function<void()> on_end) {
+  const auto self = shared_from_this();
+  if (phase_ != Phase::kBusy || !complete_ || out_.size() != 0) {
+    Close();
+    return;
+  }
+  timer_.Set(loop_.Now() + kDiscardTimeout);
+  auto sink = [self, on_end = std::move(on_end),
+               size = std::size_t{0}](ServerEvent event) mutable {
+    size += self->body_.size();
+    if (event == ServerEvent::kEnd) {
+      on_end();
+    } else if (size > kMaxDiscardBytes) {
+      self->Close();
+    }
+  };
+  // The old sink may stand on the stack: let go of it when that has unwound.
+  loop_.Defer([old = std::move(sink_)] {});
+  sink_ = std::move(sink);
+  ResumeReading();
+}
+
+void ServerConnection::ResumeReading() {
+  if (!paused_) {
+    return;
+  }
+  paused_ = false;
+  // The caller of this method may stand in the middle of the loop's scratch
+  // space.
+  loop_.Defer([self = shared_from_this()] {
+    self->OnReceived({});
+    self->ReadAvailable();
+  });
+}
+
+bool ServerConnection::Reusable() {
+  return phase_ == Phase::kIdle && reusable_ && socket_.Quiet();
+}
+
+void ServerConnection::OnReady(net::ReadyEvents events) {
+  const auto self = shared_from_this();
+  if (phase_ == Phase::kConnecting) {
+    if (events.writable || events.hung_up) {
+      OnConnected();
+    }
+    return;
+  }
+  readable_ = readable_ || events.readable || events.hung_up;
+  hung_up_ = hung_up_ || events.hung_up;
+  if (events.writable && blocked_) {
+    Flush();
+  }
+  ReadAvailable();
+}
+
+void ServerConnection::OnConnected() {
+  if (!socket_.FinishConnect()) {
+    Fail(ServerFailure::kConnect);
+    return;
+  }
+  timer_.Clear();
+  phase_ = sink_ ? Phase::kBusy : Phase::kIdle;
+  last_progress_ = loop_.Now();
+  // Whoever was held back by the bytes collected until now may go on.
+  blocked_ = true;
+  Flush();
+}
+
+void ServerConnection::OnTimer() {
+  const auto self = shared_from_this();
+  if (phase_ == Phase::kConnecting) {
+    Fail(ServerFailure::kConnect);
+    return;
+  }
+  Close();
+}
+
+void ServerConnection::ReadAvailable() {
+  while (readable_ && !paused_ && phase_ != Phase::kClosed) {
+    const auto space = loop_.scratch();
+    const net::IoResult result = socket_.Receive(space);
+    if (result.status == net::IoStatus::kWouldBlock) {
+      readable_ = false;
+      return;
+    }
+    if (result.status != net::IoStatus::kOk) {
+      OnEndOfStream();
+      return;
+    }
+    // A short read has emptied the socket; the next bytes bring a new event.
+    readable_ = hung_up_ || result.bytes == space.size();
+    OnReceived({space.data(), result.bytes});
+  }
+}
+
+void ServerConnection::OnReceived(std::string_view data) {
+  if (phase_ == Phase::kIdle && !data.empty()) {
+    // Bytes that answer nothing: what would follow could be taken for the
+    // answer to the next request.
+    Close();
+    return;
+  }
+  if (phase_ != Phase::kBusy) {
+    return;
+  }
+  last_progress_ = loop_.Now();
+  pending_.append(data);
+  while (!paused_ && phase_ == Phase::kBusy && ParseStep()) {
+  }
+}
+
+bool ServerConnection::ParseStep() {
+  if (pending_.empty()) {
+    return false;
+  }
+  const auto result = parser_->Parse(pending_, head_, body_);
+  pending_.erase(0, result.consumed);
+  if (result.status == http::ParseStatus::kMalformed ||
+      result.status == http::ParseStatus::kHeaderTooLarge) {
+    Fail(ServerFailure::kTruncated);
+    return false;
+  }
+  if (result.status == http::ParseStatus::kHead) {
+    return OnAnswerHead();
+  }
+  if (!body_.empty()) {
+    Emit(ServerEvent::kBody);
+    body_.clear();
+  }
+  if (phase_ == Phase::kBusy && parser_->done()) {
+    OnAnswerEnd();
+    return false;
+  }
+  return !pending_.empty() && result.consumed > 0;
+}
+
+bool ServerConnection::OnAnswerHead() {
+  if (head_.status / 100 == 1 && head_.status != 101) {
+    // An interim answer; the final one follows.
+    head_.Clear();
+    parser_.emplace(kMaxHeaderBytes);
+    if (head_only_) {
+      parser_->SkipBody();
+    }
+    return true;
+  }
+  if (head_.status == 101 || head_.framing == http::BodyFraming::kUntilEnd) {
+    // Whether an answer that ends with its connection is whole cannot be told.
+    Fail(ServerFailure::kTruncated);
+    return false;
+  }
+  answer_begun_ = true;
+  Emit(ServerEvent::kHead);
+  if (phase_ == Phase::kBusy && parser_->done()) {
+    OnAnswerEnd();
+    return false;
+  }
+  return phase_ == Phase::kBusy;
+}
+
+void ServerConnection::OnAnswerEnd() {
+  const auto self = shared_from_this();
+  reusable_ = head_.keep_alive && complete_ && out_.size() == 0 &&
+              pending_.empty() && !hung_up_;
+  phase_ = Phase::kIdle;
+  pending_ = std::string();
+  timer_.Set(loop_.Now() + kIdleTimeout);
+  const Sink sink = std::move(sink_);
+  sink_ = nullptr;
+  sink(ServerEvent::kEnd);
+  if (!reusable_) {
+    Close();
+  }
+}
+
+void ServerConnection::OnEndOfStream() {
+  if (phase_ == Phase::kBusy) {
+    Fail(answer_begun_ || (parser_ && parser_->started()) || !pending_.empty()
+             ? ServerFailure::kTruncated
+             : ServerFailure::kLost);
+    return;
+  }
+  Close();
+}
+
+void ServerConnection::Flush() {
+  bool any_sent = false;
+  const net::FlushStatus status = out_.Flush(socket_, any_sent);
+  if (any_sent) {
+    written_ = true;
+    last_progress_ = loop_.Now();
+  }
+  if (status == net::FlushStatus::kBlocked) {
+    blocked_ = true;
+    return;
+  }
+  if (status == net::FlushStatus::kFailed) {
+    // An answer may have arrived before the connection broke: read it first.
+    readable_ = true;
+    hung_up_ = true;
+    loop_.Defer([self = shared_from_this()] {
+      self->ReadAvailable();
+      if (self->phase_ == Phase::kBusy && !self->paused_) {
+        self->OnEndOfStream();
+      }
+    });
+    return;
+  }
+  if (!blocked_) {
+    return;
+  }
+  blocked_ = false;
+  if (phase_ == Phase::kBusy) {
+    Emit(ServerEvent::kDrained);
+  }
+}
+
+void ServerConnection::Fail(ServerFailure failure) {
+  if (phase_ == Phase::kClosed) {
+    return;
+  }
+  const auto self = shared_from_this();
+  failure_ = failure;
+  const Sink sink = std::move(sink_);
+  sink_ = nullptr;
+  Close();
+  if (sink) {
+    sink(ServerEvent::kFailed);
+  }
+}
+
+void ServerConnection::Close() {
+  if (phase_ == Phase::kClosed) {
+    return;
+  }
+  const auto self = shared_from_this();
+  const bool was_busy = phase_ == Phase::kBusy;
+  phase_ = Phase::kClosed;
+  timer_.Clear();
+  if (socket_.is_open()) {
+    loop_.Unwatch(watch_, socket_.fd());
+    if (was_busy) {
+      // A reset: the server shall notice that its answer is not waited for.
+      socket_.Abort();
+    } else {
+      socket_.Close();
+    }
+  }
+  on_closed_(this);
+  // The sink may stand on the stack: let go of it when that has unwound.
+  loop_.Defer([self, sink = std::move(sink_)] {});
+  sink_ = nullptr;
+}
+
+void ServerConnection::Emit(ServerEvent event) {
+  if (sink_) {
+    sink_(event);
+  }
+}
+
+}  // namespace gentianreach::proxy
--- /dev/null
+++ b/src/proxy/server_connection.h
@@ -0,0 +1,132 @@
+// One connection to a backend server. Carries one request at a time.
+//
+// Start() hands over a request and a sink for what becomes of it; the sink is
+// released after kEnd or kFailed. A connection whose request was given up
+// (Abandon()) is closed and never carries another.
+#ifndef SRC_PROXY_SERVER_CONNECTION_H_
+#define SRC_PROXY_SERVER_CONNECTION_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "gentianreach/time.h"
+#include "http/message_head.h"
+#include "http/message_parser.h"
+#include "net/deadline_timer.h"
+#include "net/event_loop.h"
+#include "net/output_buffer.h"
+#include "net/tcp_socket.h"
+
+namespace gentianreach::proxy {
+
+enum class ServerEvent : std::uint8_t {
+  kHead,     // The answer's head is complete; see head().
+  kBody,     // Body bytes have arrived; take them from body().
+  kEnd,      // The answer is complete.
+  kDrained,  // All request bytes have gone out, after some had to wait.
+  kFailed,   // The request failed on this connection; see failure().
+};
+
+// How a request failed on a connection.
+enum class ServerFailure : std::uint8_t {
+  kNone,
+  kConnect,    // The connection was not established.
+  kLost,       // Closed or broken before an answer began.
+  kTruncated,  // Closed or broken inside of the answer, or malformed.
+};
+
+class ServerConnection : public std::enable_shared_from_this<ServerConnection> {
+ public:
+  using Sink = std::function<void(ServerEvent)>;
+  using ClosedCallback = std::function<void(ServerConnection*)>;
+
+  // `on_closed` is called once, when the connection has been closed.
+  ServerConnection(net::EventLoop& loop, ClosedCallback on_closed);
+  ServerConnection(const ServerConnection&) = delete;
+  ServerConnection& operator=(const ServerConnection&) = delete;
+
+  // Begins to connect to `address` ("IP:port"). A failure is reported to the
+  // request that Start() hands over.
+  void Connect(const std::string& address);
+
+  // Sends a request of which `bytes` are the head and the body known so far.
+  // `head_only` says that the answer has no body (HEAD).
+  void Start(std::string bytes, bool head_only, bool complete, Sink sink);
+  // Sends more of the request's body; `complete` with the last part.
+  void SendBody(std::string bytes, bool complete);
+  // Gives the request up and closes the connection.
+  void Abandon();
+  // Reads the rest of an answer that nobody wants any more, so that the
+  // connection can be used again; closes it where that takes too much.
+  void Discard(std::function<void()> on_end);
+  void PauseReading() { paused_ = true; }
+  void ResumeReading();
+
+  [[nodiscard]] const http::MessageHead& head() const { return head_; }
+  [[nodiscard]] std::string& body() { return body_; }
+  [[nodiscard]] ServerFailure failure() const { return failure_; }
+  // Returns whether any byte of the current request was handed to the socket.
+  [[nodiscard]] bool written() const { return written_; }
+  // Returns the number of request bytes that wait to be sent.
+  [[nodiscard]] std::size_t unsent() const { return out_.size(); }
+  // Returns when bytes of the current request last moved in either direction.
+  [[nodiscard]] TimePoint last_progress() const { return last_progress_; }
+  // Returns whether the connection stands and may carry another request.
+  [[nodiscard]] bool Reusable();
+
+ private:
+  enum class Phase : std::uint8_t {
+    kConnecting,
+    kIdle,
+    kBusy,
+    kClosed,
+  };
+
+  void OnReady(net::ReadyEvents events);
+  void OnTimer();
+  void OnConnected();
+  void ReadAvailable();
+  void OnReceived(std::string_view data);
+  void OnEndOfStream();
+  // Parses one part of the answer; returns whether there may be another.
+  bool ParseStep();
+  bool OnAnswerHead();
+  void OnAnswerEnd();
+  void Flush();
+  void Fail(ServerFailure failure);
+  void Close();
+  void Emit(ServerEvent event);
+
+  net::EventLoop& loop_;
+  net::TcpSocket socket_;
+  net::EventLoop::WatchId watch_ = 0;
+  ClosedCallback on_closed_;
+  Sink sink_;
+  net::DeadlineTimer timer_;
+  Phase phase_ = Phase::kConnecting;
+  bool readable_ = false;
+  bool hung_up_ = false;
+  bool paused_ = false;
+  bool blocked_ = false;
+  bool written_ = false;
+  bool complete_ = false;
+  bool head_only_ = false;
+  bool answer_begun_ = false;
+  bool reusable_ = true;
+  TimePoint last_progress_;
+  ServerFailure failure_ = ServerFailure::kNone;
+  std::optional<http::ResponseParser> parser_;
+  http::MessageHead head_;
+  std::string body_;
+  std::string pending_;
+  net::OutputBuffer out_;
+};
+
+}  // namespace gentianreach::proxy
+
+#endif  // SRC_PROXY_SERVER_CONNECTION_H_
--- /dev/null
+++ b/src/proxy/server_pool.cc
@@ -0,0 +1,97 @@
+#include "proxy/server_pool.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace gentianreach::proxy {
+
+std::shared_ptr<ServerConnection> ServerPool::Acquire() {
+  while (!idle_.empty()) {
+    auto connection = std::move(idle_.back());
+    idle_.pop_back();
+    if (connection->Reusable()) {
+      return connection;
+    }
+    connection->Abandon();
+  }
+  if (open_ >= limit_) {
+    return nullptr;
+  }
+  ++open_;
+  auto connection = std::make_shared<ServerConnection>(
+      loop_, [pool = weak_from_this()](ServerConnection* closed) {
+        if (const auto self = pool.lock()) {
+          self->OnClosed(closed);
+        }
+      });
+  connection->Connect(address_);
+  return connection;
+}
+
+void ServerPool::Release(const std::shared_ptr<ServerConnection>& connection) {
+  if (!connection->Reusable() || open_ > limit_) {
+    connection->Abandon();
+    return;
+  }
+  idle_.push_back(connection);
+  WakeNext();
+}
+
+void ServerPool::CloseIdle() {
+  const auto idle = std::move(idle_);
+  idle_.clear();
+  for (const auto& it : idle) {
+    it->Abandon();
+  }
+}
+
+void ServerPool::OnClosed(ServerConnection* connection) {
+  --open_;
+  std::erase_if(idle_, [&](const auto& it) { return it.get() == connection; });
+  WakeNext();
+}
+
+void ServerPool::WakeNext() {
+  if (waiters_.empty()) {
+    return;
+  }
+  loop_.Defer([self = shared_from_this()] {
+    if (self->waiters_.empty()) {
+      return;
+    }
+    const Waiter wake = std::move(self->waiters_.front());
+    self->waiters_.pop_front();
+    wake();
+  });
+}
+
+std::shared_ptr<ServerPool> ServerPools::Get(const ServerId& server,
+                                             const std::string& address) {
+  Entry& entry = entries_[server];
+  if (entry.pool && entry.address == address) {
+    return entry.pool;
+  }
+  if (entry.pool) {
+    entry.pool->CloseIdle();
+  }
+  entry.address = address;
+  entry.pool = std::make_shared<ServerPool>(loop_, address);
+  return entry.pool;
+}
+
+void ServerPools::Forget(const ServerId& server) {
+  const auto it = entries_.find(server);
+  if (it == entries_.end()) {
+    return;
+  }
+  it->second.pool->CloseIdle();
+  entries_.erase(it);
+}
+
+void ServerPools::CloseIdle() {
+  for (auto& [server, entry] : entries_) {
+    entry.pool->CloseIdle();
+  }
+}
+
+}  // namespace gentianreach::proxy
