--- /dev/null
+++ b/src/policy/quarantine.cc
@@ -0,0 +1,362 @@
+#include "policy/quarantine.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <memory>
+#include <string>
+
+#include "gentianreach/check.h"
+
+namespace gentianreach {
+namespace {
+
+// Servers whose loss makes a request refused.
+constexpr std::ptrdiff_t kRefusedAt = 2;
+
+std::uint64_t ToMilliseconds(Duration duration) {
+  const auto ms =
+      std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+  return static_cast<std::uint64_t>(std::max<std::int64_t>(ms, 0));
+}
+
+// Appends a field with its length, so that no two lists of fields make the
+// same text.
+void AppendField(std::string& text, std::string_view field) {
+  text += std::to_string(field.size());
+  text += ':';
+  text += field;
+}
+
+}  // namespace
+
+std::uint64_t DigestBody(std::string_view body) {
+  return XXH3_64bits(body.data(), body.size());
+}
+
+Fingerprint MakeFingerprint(const ServiceName& service,
+                            std::string_view method,
+                            std::string_view target,
+                            std::uint64_t body_digest) {
+  std::string text;
+  AppendField(text, service.value());
+  AppendField(text, method);
+  AppendField(text, target);
+  return Fingerprint{
+      XXH3_64bits_withSeed(text.data(), text.size(), body_digest)};
+}
+
+Quarantine::Quarantine(QuarantineOptions options) : options_(options) {}
+
+QuarantineState Quarantine::Check(Fingerprint fingerprint,
+                                  const ServerId& server,
+                                  TimePoint now) {
+  Expire(now);
+  const auto it = records_.find(fingerprint);
+  if (it == records_.end())
+    return QuarantineState::kAllowed;
+  const Record& record = it->second;
+  const auto confirmed =
+      std::count_if(record.charges.begin(), record.charges.end(),
+                    [](const auto& charge) { return charge.second.confirmed; });
+  if (confirmed >= kRefusedAt)
+    return QuarantineState::kRefused;
+  // With a suspicion beside a strike, one more run could be the third.
+  if (std::ssize(record.charges) >= kRefusedAt)
+    return QuarantineState::kWait;
+  return TrialRuns(record, server, now) ? QuarantineState::kWait
+                                        : QuarantineState::kAllowed;
+}
+
+void Quarantine::OnSent(std::uint64_t attempt,
+                        Fingerprint fingerprint,
+                        const ServerId& server,
+                        Incarnation incarnation,
+                        TimePoint now) {
+  const bool added =
+      attempts_.emplace(attempt, Attempt{fingerprint, {server, incarnation}})
+          .second;
+  GENTIANREACH_CHECK(added);
+  const auto it = records_.find(fingerprint);
+  if (it == records_.end())
+    return;
+  it->second.trial = attempt;
+  trials_[server] = Trial{attempt, now + options_.trial};
+}
+
+void Quarantine::OnAnswered(std::uint64_t attempt, TimePoint now) {
+  const std::optional<Attempt> ended = TakeAttempt(attempt);
+  if (ended && Clear(ended->fingerprint, now))
+    update_.lifted.push_back(ended->fingerprint.value);
+}
+
+void Quarantine::OnAborted(std::uint64_t attempt) {
+  static_cast<void>(TakeAttempt(attempt));
+}
+
+void Quarantine::OnConnectionLost(std::uint64_t attempt, TimePoint now) {
+  const std::optional<Attempt> ended = TakeAttempt(attempt);
+  if (!ended)
+    return;
+  Expire(now);
+  const bool gone = gone_.contains(ended->life);
+  const Duration kept = gone ? options_.expiry : options_.confirmation;
+  AddCharge(ended->fingerprint, ended->life,
+            Charge{now, now + kept, gone, /*own=*/true});
+  Announce(ended->fingerprint, ended->life,
+           gone ? peer::StrikeState::Confirmed : peer::StrikeState::Suspected,
+           {});
+}
+
+void Quarantine::OnServerGone(const ServerId& server,
+                              Incarnation incarnation,
+                              TimePoint now) {
+  Expire(now);
+  const Life life{server, incarnation};
+  gone_[life] = now + options_.confirmation;
+  Confirm(life, now);
+}
+
+void Quarantine::OnServerAlive(const ServerId& server,
+                               Incarnation incarnation,
+                               TimePoint asked_at,
+                               TimePoint now) {
+  Expire(now);
+  const Life alive{server, incarnation};
+  if (gone_.contains(alive))
+    return;
+  std::set<Life> over;
+  for (const auto& [fingerprint, record] : records_) {
+    for (const auto& [life, charge] : record.charges) {
+      if (life.first != server || life == alive || charge.confirmed)
+        continue;
+      over.insert(life);
+    }
+  }
+  for (const Life& it : over)
+    OnServerGone(it.first, it.second, now);
+  Withdraw(alive, asked_at, now);
+}
+
+void Quarantine::Merge(const peer::QuarantineUpdateT& update, TimePoint now) {
+  Expire(now);
+  for (const auto& it : update.strikes) {
+    const Fingerprint fingerprint{it->fingerprint};
+    const Life life{ServerId(it->server), Incarnation(it->incarnation)};
+    if (it->state == peer::StrikeState::Withdrawn) {
+      const auto record = records_.find(fingerprint);
+      if (record == records_.end())
+        continue;
+      const auto charge = record->second.charges.find(life);
+      if (charge == record->second.charges.end())
+        continue;
+      if (!charge->second.confirmed)
+        record->second.charges.erase(charge);
+      continue;
+    }
+    const bool confirmed =
+        it->state == peer::StrikeState::Confirmed || gone_.contains(life);
+    const Duration kept = confirmed ? options_.expiry : options_.confirmation;
+    // An age beyond the expiry is as good as the expiry.
+    const Duration age = std::chrono::milliseconds(
+        std::min(it->age_ms, ToMilliseconds(options_.expiry)));
+    const TimePoint lost_at = now - age;
+    if (lost_at + kept <= now)
+      continue;
+    AddCharge(fingerprint, life,
+              Charge{lost_at, lost_at + kept, confirmed, /*own=*/false});
+  }
+  for (const std::uint64_t it : update.lifted)
+    Clear(Fingerprint{it}, now);
+  Expire(now);
+}
+
+std::optional<peer::QuarantineUpdateT> Quarantine::TakeUpdate() {
+  if (update_.strikes.empty() && update_.lifted.empty())
+    return std::nullopt;
+  peer::QuarantineUpdateT update = std::move(update_);
+  update_ = {};
+  return update;
+}
+
+peer::QuarantineUpdateT Quarantine::Snapshot(TimePoint now) const {
+  peer::QuarantineUpdateT update;
+  for (const auto& [fingerprint, record] : records_) {
+    for (const auto& [life, charge] : record.charges) {
+      if (!charge.confirmed || charge.expires_at <= now)
+        continue;
+      auto strike = std::make_unique<peer::StrikeT>();
+      strike->fingerprint = fingerprint.value;
+      strike->server = life.first.value();
+      strike->incarnation = life.second.value();
+      strike->age_ms = ToMilliseconds(now - charge.lost_at);
+      update.strikes.push_back(std::move(strike));
+    }
+  }
+  return update;
+}
+
+std::vector<QuarantineEntry> Quarantine::List(TimePoint now) const {
+  std::vector<QuarantineEntry> entries;
+  for (const auto& [fingerprint, record] : records_) {
+    QuarantineEntry entry{fingerprint};
+    for (const auto& [life, charge] : record.charges) {
+      if (!charge.confirmed || charge.expires_at <= now)
+        continue;
+      entry.servers.push_back(life);
+      entry.expires_at = std::max(entry.expires_at, charge.expires_at);
+    }
+    if (entry.servers.empty())
+      continue;
+    entry.refused = std::ssize(entry.servers) >= kRefusedAt;
+    entries.push_back(std::move(entry));
+  }
+  return entries;
+}
+
+bool Quarantine::Lift(Fingerprint fingerprint, TimePoint now) {
+  if (!Clear(fingerprint, now))
+    return false;
+  update_.lifted.push_back(fingerprint.value);
+  return true;
+}
+
+// Adds a charge, or confirms the one there.
+void Quarantine::AddCharge(Fingerprint fingerprint,
+                           const Life& life,
+                           Charge charge) {
+  if (cleared_.contains({fingerprint, life}))
+    return;
+  if (!records_.contains(fingerprint))
+    MakeRoom();
+  const auto [it, added] = records_[fingerprint].charges.emplace(life, charge);
+  if (added)
+    return;
+  it->second.own |= charge.own;
+  if (it->second.confirmed || !charge.confirmed)
+    return;
+  it->second.confirmed = true;
+  it->second.expires_at = charge.expires_at;
+}
+
+// Turns the suspicions for that life into strikes.
+void Quarantine::Confirm(const Life& life, TimePoint now) {
+  for (auto& [fingerprint, record] : records_) {
+    const auto it = record.charges.find(life);
+    if (it == record.charges.end() || it->second.confirmed)
+      continue;
+    it->second.confirmed = true;
+    it->second.expires_at = it->second.lost_at + options_.expiry;
+    if (!it->second.own)
+      continue;
+    Announce(fingerprint, life, peer::StrikeState::Confirmed,
+             now - it->second.lost_at);
+  }
+}
+
+void Quarantine::Withdraw(const Life& life, TimePoint asked_at, TimePoint now) {
+  for (auto& [fingerprint, record] : records_) {
+    const auto it = record.charges.find(life);
+    if (it == record.charges.end() || it->second.confirmed)
+      continue;
+    if (asked_at <= it->second.lost_at)
+      continue;
+    if (it->second.own)
+      Announce(fingerprint, life, peer::StrikeState::Withdrawn, {});
+    record.charges.erase(it);
+  }
+  Expire(now);
+}
+
+// Forgets all that is held against the fingerprint. Returns whether anything
+// was.
+bool Quarantine::Clear(Fingerprint fingerprint, TimePoint now) {
+  const auto it = records_.find(fingerprint);
+  if (it == records_.end())
+    return false;
+  for (const auto& [life, charge] : it->second.charges)
+    cleared_[{fingerprint, life}] = now + options_.expiry;
+  records_.erase(it);
+  return true;
+}
+
+void Quarantine::Expire(TimePoint now) {
+  const auto is_over = [now](const auto& it) { return it.second <= now; };
+  std::erase_if(gone_, is_over);
+  std::erase_if(cleared_, is_over);
+  std::erase_if(trials_,
+                [now](const auto& it) { return it.second.ends_at <= now; });
+  for (auto& [fingerprint, record] : records_) {
+    std::erase_if(record.charges, [now](const auto& it) {
+      return it.second.expires_at <= now;
+    });
+  }
+  std::erase_if(records_,
+                [](const auto& it) { return it.second.charges.empty(); });
+}
+
+// Drops the record that expires first where there is no room for another.
+void Quarantine::MakeRoom() {
+  if (records_.size() < options_.capacity)
+    return;
+  const auto expiry = [](const Record& record) {
+    TimePoint last{};
+    for (const auto& [life, charge] : record.charges)
+      last = std::max(last, charge.expires_at);
+    return last;
+  };
+  records_.erase(std::min_element(records_.begin(), records_.end(),
+                                  [&](const auto& a, const auto& b) {
+                                    return expiry(a.second) < expiry(b.second);
+                                  }));
+}
+
+bool Quarantine::TrialRuns(const Record& record,
+                           const ServerId& server,
+                           TimePoint now) const {
+  const auto on_server = trials_.find(server);
+  if (on_server != trials_.end() && now < on_server->second.ends_at)
+    return true;
+  if (!record.trial)
+    return false;
+  return std::any_of(trials_.begin(), trials_.end(), [&](const auto& it) {
+    return it.second.attempt == *record.trial && now < it.second.ends_at;
+  });
+}
+
+std::optional<Quarantine::Attempt> Quarantine::TakeAttempt(
+    std::uint64_t attempt) {
+  const auto it = attempts_.find(attempt);
+  if (it == attempts_.end())
+    return std::nullopt;
+  Attempt ended = std::move(it->second);
+  attempts_.erase(it);
+  EndTrial(attempt, ended.fingerprint);
+  return ended;
+}
+
+void Quarantine::EndTrial(std::uint64_t attempt, Fingerprint fingerprint) {
+  std::erase_if(trials_, [attempt](const auto& it) {
+    return it.second.attempt == attempt;
+  });
+  const auto it = records_.find(fingerprint);
+  if (it == records_.end())
+    return;
+  if (it->second.trial == attempt)
+    it->second.trial.reset();
+}
+
+void Quarantine::Announce(Fingerprint fingerprint,
+                          const Life& life,
+                          peer::StrikeState state,
+                          Duration age) {
+  auto strike = std::make_unique<peer::StrikeT>();
+  strike->fingerprint = fingerprint.value;
+  strike->server = life.first.value();
+  strike->incarnation = life.second.value();
+  strike->state = state;
+  strike->age_ms = ToMilliseconds(age);
+  update_.strikes.push_back(std::move(strike));
+}
+
+}  // namespace gentianreach
--- /dev/null
+++ b/src/policy/retry_budget.cc
@@ -0,0 +1,38 @@
+#include "policy/retry_budget.h"
+
+#include <algorithm>
+
+namespace gentianreach {
+
+RetryBudget::RetryBudget(RetryBudgetOptions options, TimePoint now)
+    : options_(options), balance_(options.floor), refilled_at_(now) {}
+
+void RetryBudget::OnRequest(TimePoint now) {
+  Refill(now);
+  ++requests_;
+  balance_ = std::min(balance_ + options_.share, options_.limit);
+}
+
+bool RetryBudget::TryRetry(TimePoint now) {
+  Refill(now);
+  if (options_.share <= 0 || balance_ < 1)
+    return false;
+  balance_ -= 1;
+  ++retries_;
+  return true;
+}
+
+// Time alone fills the bucket up to the floor only, so that an idle service
+// does not save up a burst.
+void RetryBudget::Refill(TimePoint now) {
+  if (now <= refilled_at_)
+    return;
+  const double earned = std::chrono::duration<double>(now - refilled_at_) /
+                        std::chrono::duration<double>(options_.floor_refill);
+  refilled_at_ = now;
+  if (balance_ >= options_.floor)
+    return;
+  balance_ = std::min(balance_ + earned, options_.floor);
+}
+
+}  // namespace gentianreach
