The whole path, thin: a daemon wired to store, peers, servers and callers

Cause: one request must travel caller, daemon, owner and back with real programs. Change: gentianreachd with its settings file, CellDriver, operators' HTTP (/healthz /status /metrics /owners /servers /explain /settings /drain), the proxy on the caller's address, graceful stop; servers of plain services stand in the cell record too, so that every daemon learns of them. Ruled out: readiness by the record alone: a daemon was ready before it knew the servers and refused with no-server (seen in the integration test's first run); the VM list is now read as soon as a daemon becomes assigner. Left: settings are polled by each daemon; one loop for control and data.

--- a/src/base/log.cc
+++ b/src/base/log.cc
@@ -44,6 +44,13 @@
   line += '"';
 }
 
+void Write(LogLevel level, const std::string& line) {
+  thread_local boost::log::sources::severity_logger<int> logger;
+  BOOST_LOG_SEV(logger, static_cast<int>(level))
+      << "level=" << kLevelNames.at(static_cast<std::size_t>(level)) << " "
+      << line;
+}
+
 }  // namespace
 
 void InitLogging(LogLevel threshold) {
@@ -63,10 +70,18 @@
 void Log(LogLevel level,
          std::string_view event,
          std::initializer_list<LogField> fields) {
-  thread_local boost::log::sources::severity_logger<int> logger;
-  BOOST_LOG_SEV(logger, static_cast<int>(level))
-      << "level=" << kLevelNames.at(static_cast<std::size_t>(level)) << " "
-      << FormatFields(event, fields);
+  Write(level, FormatFields(event, {fields.begin(), fields.size()}));
+}
+
+void LogPairs(LogLevel level,
+              std::string_view event,
+              const std::vector<std::pair<std::string, std::string>>& fields) {
+  std::vector<LogField> list;
+  list.reserve(fields.size());
+  for (const auto& [key, value] : fields) {
+    list.emplace_back(key, value);
+  }
+  Write(level, FormatFields(event, list));
 }
 
 std::optional<LogLevel> ParseLogLevel(std::string_view name) {
@@ -78,7 +93,7 @@
 }
 
 std::string FormatFields(std::string_view event,
-                         std::initializer_list<LogField> fields) {
+                         std::span<const LogField> fields) {
   std::string line = "event=";
   AppendValue(line, event);
   for (const LogField& it : fields) {
--- a/src/base/log.h
+++ b/src/base/log.h
@@ -10,8 +10,11 @@
 #include <concepts>
 #include <initializer_list>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
+#include <utility>
+#include <vector>
 
 namespace gentianreach {
 
@@ -50,12 +53,17 @@
          std::string_view event,
          std::initializer_list<LogField> fields);
 
+// Writes one event whose fields are not known when the program is built.
+void LogPairs(LogLevel level,
+              std::string_view event,
+              const std::vector<std::pair<std::string, std::string>>& fields);
+
 // Returns the level named "debug", "info", "warning" or "error".
 [[nodiscard]] std::optional<LogLevel> ParseLogLevel(std::string_view name);
 
 // Returns the fields as one line, without time and level.
 [[nodiscard]] std::string FormatFields(std::string_view event,
-                                       std::initializer_list<LogField> fields);
+                                       std::span<const LogField> fields);
 
 }  // namespace gentianreach
 
--- a/src/cell/agent_moves.cc
+++ b/src/cell/agent_moves.cc
@@ -67,8 +67,8 @@
                                   moving ? it->moving_token : it->token);
   }
   for (auto& [server, grants] : grants_) {
-    std::erase_if(grants.held, [&grants](const Grant& it) {
-      return !grants.wanted.contains(it);
+    std::erase_if(grants.held, [&wanted = grants.wanted](const Grant& it) {
+      return !wanted.contains(it);
     });
     const auto* const it = routes_.Server(server);
     grants.missing = it->generation != 0 &&
--- a/src/cell/planner.cc
+++ b/src/cell/planner.cc
@@ -113,7 +113,7 @@
   void AddServers() {
     for (const auto& it : input_.seen) {
       const CellService* const service = Service(it.service.value());
-      if (service == nullptr || !service->keyed || it.leaving) {
+      if (service == nullptr || it.leaving) {
         continue;
       }
       stored::ServerT* const known = FindServer(plan_.record, it.id.value());
--- /dev/null
+++ b/src/daemon/cell_driver.cc
@@ -0,0 +1,178 @@
+#include "daemon/cell_driver.h"
+
+#include <utility>
+
+#include "base/log.h"
+
+namespace gentianreach {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds kStoreTimeout{2000};
+constexpr milliseconds kOrderTimeout{300};
+constexpr milliseconds kVmPollInterval{2000};
+
+StoreReadResult ToResult(const ObjectRead& read) {
+  StoreReadResult result;
+  result.version = read.version;
+  result.bytes.assign(read.bytes.begin(), read.bytes.end());
+  if (read.status == StoreStatus::kOk) {
+    result.status = ReadStatus::kFound;
+  } else if (read.status == StoreStatus::kAbsent) {
+    result.status = ReadStatus::kAbsent;
+  }
+  return result;
+}
+
+StoreWriteResult ToResult(const ObjectWritten& written) {
+  StoreWriteResult result;
+  result.version = written.version;
+  switch (written.status) {
+    case StoreStatus::kOk:
+      result.status = WriteStatus::kOk;
+      break;
+    case StoreStatus::kConflict:
+      // libsoup may have sent the write twice, so that a conflict does not
+      // prove that the first sending had no effect.
+      result.status = WriteStatus::kUnknown;
+      break;
+    case StoreStatus::kUnavailable:
+      result.status = WriteStatus::kFailed;
+      break;
+    default:
+      result.status = WriteStatus::kUnknown;
+  }
+  return result;
+}
+
+std::vector<SeenServer> BackendsOf(const VmList& list) {
+  std::vector<SeenServer> servers;
+  for (const Vm& it : list.vms) {
+    if (it.role != VmRole::kBackend) {
+      continue;
+    }
+    servers.push_back({ServerId(it.id), it.address, ZoneName(it.zone),
+                       ServiceName(it.service), it.leaving});
+  }
+  return servers;
+}
+
+}  // namespace
+
+CellDriver::CellDriver(CellOptions options,
+                       std::mt19937_64 random,
+                       StoreClient& store,
+                       PeerNet& net,
+                       CellHooks hooks)
+    : store_(store),
+      net_(net),
+      hooks_(std::move(hooks)),
+      agent_(std::move(options), random) {}
+
+void CellDriver::Start() {
+  agent_.Start(clock_.Now());
+  PollVms();
+  Pump();
+}
+
+void CellDriver::OnPeer(const ReceivedFrame& frame) {
+  agent_.OnPeer(frame.sender.daemon, frame.message, clock_.Now());
+  Pump();
+}
+
+void CellDriver::Pump() {
+  const Outbox outbox = agent_.TakeOutbox();
+  for (const StoreRead& it : outbox.reads) {
+    Do(it);
+  }
+  for (const StoreWrite& it : outbox.writes) {
+    Do(it);
+  }
+  for (const PeerSend& it : outbox.sends) {
+    net_.Send(it.address, it.message);
+  }
+  for (const ServerOrder& it : outbox.orders) {
+    Do(it);
+  }
+  for (const AuditEvent& it : outbox.audit) {
+    hooks_.on_audit(it);
+  }
+  for (const LogEvent& it : outbox.log) {
+    LogPairs(LogLevel::kInfo, it.event, it.fields);
+  }
+  if (agent_.IsAssigner() && !was_assigner_) {
+    PollVms();
+  }
+  was_assigner_ = agent_.IsAssigner();
+  hooks_.on_change();
+  tick_.Set(agent_.NextDeadline(), [this] { Tick(); });
+}
+
+void CellDriver::Tick() {
+  agent_.OnTick(clock_.Now());
+  Pump();
+}
+
+void CellDriver::Do(const StoreRead& read) {
+  store_.Read(read.object, clock_.Now() + kStoreTimeout,
+              [this, ticket = read.ticket](const ObjectRead& result) {
+                agent_.OnStoreRead(ticket, ToResult(result), clock_.Now());
+                Pump();
+              });
+}
+
+void CellDriver::Do(const StoreWrite& write) {
+  store_.Write(write.object, write.if_match,
+               std::string(write.bytes.begin(), write.bytes.end()),
+               clock_.Now() + kStoreTimeout,
+               [this, ticket = write.ticket](const ObjectWritten& result) {
+                 agent_.OnStoreWrite(ticket, ToResult(result), clock_.Now());
+                 Pump();
+               });
+}
+
+void CellDriver::Do(const ServerOrder& order) {
+  const TimePoint sent = clock_.Now();
+  HttpCall call{"POST",
+                "http://" + order.address + "/.gentianreach/order",
+                {},
+                EncodeOrder(order),
+                sent + kOrderTimeout};
+  servers_.Send(std::move(call), [this, order, sent](const HttpReply& reply) {
+    OnOrderReply(order, sent, reply);
+  });
+}
+
+void CellDriver::OnOrderReply(const ServerOrder& order,
+                              TimePoint sent,
+                              const HttpReply& reply) {
+  const std::optional<ServerAnswer> answer = DecodeAnswer(reply.body);
+  if (!answer.has_value()) {
+    Log(LogLevel::kDebug, "order_unanswered",
+        {{"server", order.server.value()}, {"error", reply.error}});
+    return;
+  }
+  hooks_.on_load(order.server, answer->load);
+  agent_.OnServerReply(order.ticket, answer->reply, sent, clock_.Now());
+  Pump();
+}
+
+void CellDriver::PollVms() {
+  vm_poll_.Set(clock_.Now() + kVmPollInterval, [this] { PollVms(); });
+  // Only the assigner acts on the list; the others learn its servers from the
+  // record.
+  if (!agent_.IsAssigner()) {
+    return;
+  }
+  store_.ListVms(clock_.Now() + kStoreTimeout, [this](const VmList& list) {
+    if (list.status != StoreStatus::kOk) {
+      Log(LogLevel::kWarning, "vm_list_unavailable", {{"error", list.error}});
+      return;
+    }
+    agent_.OnServerList(BackendsOf(list), clock_.Now());
+    Pump();
+  });
+}
+
+}  // namespace gentianreach
--- /dev/null
+++ b/src/daemon/cell_driver.h
@@ -0,0 +1,73 @@
+// Does what a CellAgent asks for: store calls, messages, orders and timers.
+#ifndef SRC_DAEMON_CELL_DRIVER_H_
+#define SRC_DAEMON_CELL_DRIVER_H_
+
+#include <functional>
+#include <memory>
+#include <random>
+#include <unordered_map>
+
+#include "base/timer.h"
+#include "gentianreach/cell_agent.h"
+#include "gentianreach/time.h"
+#include "peer/peer_net.h"
+#include "platform/http_client.h"
+#include "platform/store_client.h"
+#include "server/order_codec.h"
+
+namespace gentianreach {
+
+// What the driver tells the rest of the daemon.
+struct CellHooks {
+  // The record or a move has changed: routes may differ.
+  std::function<void()> on_change;
+  std::function<void(const AuditEvent&)> on_audit;
+  // A server answered an order; comes with its load report.
+  std::function<void(const ServerId&, const ServerLoad&)> on_load;
+};
+
+// Runs one agent on the thread's main context. `store` and `net` must outlive
+// it. After any direct call of the agent, call Pump().
+class CellDriver {
+ public:
+  CellDriver(CellOptions options,
+             std::mt19937_64 random,
+             StoreClient& store,
+             PeerNet& net,
+             CellHooks hooks);
+  CellDriver(const CellDriver&) = delete;
+  CellDriver& operator=(const CellDriver&) = delete;
+
+  void Start();
+  // Hands a message of another daemon to the agent.
+  void OnPeer(const ReceivedFrame& frame);
+  // Does what the agent's outbox holds and sets the timer.
+  void Pump();
+
+  [[nodiscard]] CellAgent& agent() { return agent_; }
+  [[nodiscard]] const CellAgent& agent() const { return agent_; }
+
+ private:
+  void Do(const StoreRead& read);
+  void Do(const StoreWrite& write);
+  void Do(const ServerOrder& order);
+  void OnOrderReply(const ServerOrder& order,
+                    TimePoint sent,
+                    const HttpReply& reply);
+  void PollVms();
+  void Tick();
+
+  StoreClient& store_;
+  PeerNet& net_;
+  CellHooks hooks_;
+  CellAgent agent_;
+  MonotonicClock clock_;
+  HttpClient servers_;
+  Timer tick_;
+  Timer vm_poll_;
+  bool was_assigner_ = false;
+};
+
+}  // namespace gentianreach
+
+#endif  // SRC_DAEMON_CELL_DRIVER_H_
--- /dev/null
+++ b/src/daemon/operator_api.h
@@ -0,0 +1,75 @@
+// What operators may ask a daemon, as JSON and metrics.
+#ifndef SRC_DAEMON_OPERATOR_API_H_
+#define SRC_DAEMON_OPERATOR_API_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include <boost/histogram.hpp>
+
+#include "cell_generated.h"
+#include "daemon/operator_server.h"
+#include "daemon/request_log.h"
+#include "gentianreach/cell_agent.h"
+#include "peer/peer_net.h"
+
+namespace gentianreach {
+
+// Counts and times of the requests that a daemon has finished.
+class RequestMetrics {
+ public:
+  RequestMetrics();
+
+  void Add(const proxy::RequestRecord& record);
+  // Returns the counts in the text format that scrapers read.
+  [[nodiscard]] std::string ToText() const;
+
+ private:
+  using Axis =
+      boost::histogram::axis::regular<double,
+                                      boost::histogram::axis::transform::log>;
+
+  boost::histogram::histogram<std::tuple<Axis>> milliseconds_;
+  // By service, outcome and reason.
+  std::map<std::tuple<std::string, std::string, std::string>, std::uint64_t>
+      finished_;
+  std::uint64_t attempts_ = 0;
+};
+
+// A look at the daemon's state, valid during one request.
+struct OperatorView {
+  std::string daemon;
+  std::string zone;
+  std::string cell;
+  // Whether callers can be served; latched, so that the loss of one service's
+  // servers does not take the daemon from the balancer.
+  bool ready = false;
+  bool stopping = false;
+  std::uint64_t settings_version = 0;
+  std::string settings_text;
+  CellStatus status;
+  Duration permit_left{};
+  std::shared_ptr<const stored::CellT> record;
+  PeerNetCounters peers;
+  std::size_t in_flight = 0;
+  std::size_t caller_connections = 0;
+  const RequestLog* requests = nullptr;
+  const RequestMetrics* metrics = nullptr;
+  std::function<KeyRoute(const ServiceName&, KeyHash)> route;
+};
+
+// Adds the read-only paths: /healthz, /status, /metrics, /owners, /servers,
+// /explain and /settings.
+void ServeOperators(OperatorServer& server,
+                    const std::function<OperatorView()>& view);
+
+// Answers POST /drain with {"server": S, "drain": bool}.
+[[nodiscard]] OperatorReply DrainByRequest(
+    const OperatorRequest& request,
+    const std::function<void(const std::string&, bool)>& drain);
+
+}  // namespace gentianreach
+
+#endif  // SRC_DAEMON_OPERATOR_API_H_
--- /dev/null
+++ b/src/daemon/operator_server.cc
@@ -0,0 +1,108 @@
+#include "daemon/operator_server.h"
+
+#include <utility>
+
+namespace gentianreach {
+namespace {
+
+OperatorRequest CopyRequest(SoupServerMessage* message, GHashTable* query) {
+  OperatorRequest request;
+  request.method = soup_server_message_get_method(message);
+  SoupMessageBody* body = soup_server_message_get_request_body(message);
+  if (body->data != nullptr) {
+    request.body.assign(body->data, static_cast<std::size_t>(body->length));
+  }
+  if (query == nullptr) {
+    return request;
+  }
+  GHashTableIter it;
+  gpointer key = nullptr;
+  gpointer value = nullptr;
+  g_hash_table_iter_init(&it, query);
+  while (g_hash_table_iter_next(&it, &key, &value)) {
+    request.query[static_cast<const char*>(key)] =
+        value == nullptr ? "" : static_cast<const char*>(value);
+  }
+  return request;
+}
+
+GObjectPtr<GSocketAddress> ParseAddress(const std::string& address) {
+  const std::size_t colon = address.rfind(':');
+  if (colon == std::string::npos) {
+    return {};
+  }
+  const auto port = g_ascii_strtoull(address.c_str() + colon + 1, nullptr, 10);
+  return GObjectPtr<GSocketAddress>::Adopt(
+      g_inet_socket_address_new_from_string(address.substr(0, colon).c_str(),
+                                            static_cast<guint>(port)));
+}
+
+}  // namespace
+
+std::string OperatorRequest::Query(const std::string& name) const {
+  const auto it = query.find(name);
+  return it == query.end() ? "" : it->second;
+}
+
+OperatorServer::OperatorServer()
+    : server_(GObjectPtr<SoupServer>::Adopt(
+          soup_server_new("server-header", "gentianreach", nullptr))) {
+  soup_server_add_handler(server_.get(), nullptr, &OperatorServer::OnRequest,
+                          this, nullptr);
+}
+
+void OperatorServer::Handle(const std::string& method,
+                            const std::string& path,
+                            Handler handler) {
+  handlers_[path][method] = std::move(handler);
+}
+
+boost::leaf::result<std::uint16_t> OperatorServer::Listen(
+    const std::string& address) {
+  const GObjectPtr<GSocketAddress> parsed = ParseAddress(address);
+  if (!parsed) {
+    return boost::leaf::new_error(ListenError{address + ": not an address"});
+  }
+  GError* raw_error = nullptr;
+  soup_server_listen(server_.get(), parsed.get(),
+                     static_cast<SoupServerListenOptions>(0), &raw_error);
+  if (raw_error != nullptr) {
+    const GErrorPtr error(raw_error);
+    return boost::leaf::new_error(ListenError{address + ": " + error->message});
+  }
+  GSList* uris = soup_server_get_uris(server_.get());
+  const int port = g_uri_get_port(static_cast<GUri*>(uris->data));
+  g_slist_free_full(uris,
+                    [](gpointer it) { g_uri_unref(static_cast<GUri*>(it)); });
+  return static_cast<std::uint16_t>(port);
+}
+
+void OperatorServer::OnRequest(SoupServer* /*server*/,
+                               SoupServerMessage* message,
+                               const char* path,
+                               GHashTable* query,
+                               gpointer self) {
+  const OperatorReply reply = static_cast<OperatorServer*>(self)->Answer(
+      path, CopyRequest(message, query));
+  soup_server_message_set_response(message, reply.type.c_str(),
+                                   SOUP_MEMORY_COPY, reply.body.data(),
+                                   reply.body.size());
+  soup_server_message_set_status(message, reply.status, nullptr);
+}
+
+OperatorReply OperatorServer::Answer(const std::string& path,
+                                     const OperatorRequest& request) const {
+  const auto it = handlers_.find(path);
+  if (it == handlers_.end()) {
+    return {SOUP_STATUS_NOT_FOUND, "application/json",
+            R"({"error":"no such path"})"};
+  }
+  const auto handler = it->second.find(request.method);
+  if (handler == it->second.end()) {
+    return {SOUP_STATUS_METHOD_NOT_ALLOWED, "application/json",
+            R"({"error":"method not allowed"})"};
+  }
+  return handler->second(request);
+}
+
+}  // namespace gentianreach
--- a/src/policy/picker.h
+++ b/src/policy/picker.h
@@ -12,17 +12,10 @@
 #include "gentianreach/ids.h"
 #include "gentianreach/time.h"
 #include "policy/attempt.h"
+#include "server/server_load.h"
 
 namespace gentianreach {
 
-// What a backend server says of itself in its answers to orders.
-struct ServerLoad {
-  std::uint32_t slots = 1;
-  std::uint32_t in_flight = 0;
-  std::uint32_t queued = 0;
-  Duration service_time{};  // Median of recent requests; zero: not known.
-};
-
 struct PickerOptions {
   Duration warm_up = std::chrono::seconds(10);  // Settings warm_up.
   double eject_share = 0.1;                     // Settings eject_share.
--- a/src/server/order_codec.cc
+++ b/src/server/order_codec.cc
@@ -79,10 +79,9 @@
   reply.grants = json.value("grants", std::uint64_t{0});
   reply.released = json.value("released", false);
   reply.draining = json.value("draining", false);
-  answer.load.slots = json.value("slots", 0U);
+  answer.load.slots = json.value("slots", 1U);
   answer.load.in_flight = json.value("in_flight", 0U);
   answer.load.queued = json.value("queued", 0U);
-  answer.load.connections = json.value("connections", 0U);
   answer.load.service_time =
       std::chrono::milliseconds(json.value("service_ms", 0));
   return answer;
@@ -124,21 +123,23 @@
 
 std::string EncodeAnswer(const ServerAnswer& answer) {
   const ServerReply& reply = answer.reply;
-  const Json json = {{"ok", reply.ok},
-                     {"reason", reply.reason},
-                     {"server", reply.server.value()},
-                     {"incarnation", reply.incarnation.value()},
-                     {"clock_ms", Millis(reply.clock)},
-                     {"generation", reply.generation.value()},
-                     {"lease_until_ms", Millis(reply.lease_until)},
-                     {"grants", reply.grants},
-                     {"released", reply.released},
-                     {"draining", reply.draining},
-                     {"slots", answer.load.slots},
-                     {"in_flight", answer.load.in_flight},
-                     {"queued", answer.load.queued},
-                     {"connections", answer.load.connections},
-                     {"service_ms", answer.load.service_time.count()}};
+  const Json json = {
+      {"ok", reply.ok},
+      {"reason", reply.reason},
+      {"server", reply.server.value()},
+      {"incarnation", reply.incarnation.value()},
+      {"clock_ms", Millis(reply.clock)},
+      {"generation", reply.generation.value()},
+      {"lease_until_ms", Millis(reply.lease_until)},
+      {"grants", reply.grants},
+      {"released", reply.released},
+      {"draining", reply.draining},
+      {"slots", answer.load.slots},
+      {"in_flight", answer.load.in_flight},
+      {"queued", answer.load.queued},
+      {"service_ms", std::chrono::duration_cast<std::chrono::milliseconds>(
+                         answer.load.service_time)
+                         .count()}};
   return json.dump();
 }
 
--- a/src/server/order_codec.h
+++ b/src/server/order_codec.h
@@ -6,18 +6,10 @@
 #include <string>
 
 #include "gentianreach/cell_agent.h"
+#include "server/server_load.h"
 
 namespace gentianreach {
 
-// Load that a server reports of itself with each answer. It lags and may lie.
-struct ServerLoad {
-  std::uint32_t slots = 0;
-  std::uint32_t in_flight = 0;
-  std::uint32_t queued = 0;
-  std::uint32_t connections = 0;
-  std::chrono::milliseconds service_time{0};  // Median of recent requests.
-};
-
 // An answer with the load report that came along.
 struct ServerAnswer {
   ServerReply reply;
