Data path: admission, retry budget, quarantine and the policy picker

Requests went to servers unbounded but for the pool's size. Each attempt now asks the server's gate (priority, deadline, fairness between callers), a second sending spends the service's retry budget, and the daemon's quarantine is asked and told of every attempt. Retry-After says when the gate expects room.

--- a/src/net/tcp_socket.cc
+++ b/src/net/tcp_socket.cc
@@ -142,8 +142,13 @@
   return TcpSocket(socket);
 }
 
-bool TcpSocket::FinishConnect() {
-  return g_socket_check_connect_result(socket_.get(), nullptr) != 0;
+ConnectStatus TcpSocket::FinishConnect() {
+  ErrorSlot error;
+  if (g_socket_check_connect_result(socket_.get(), error.out()) != 0) {
+    return ConnectStatus::kConnected;
+  }
+  return error.Matches(G_IO_ERROR_CONNECTION_REFUSED) ? ConnectStatus::kRefused
+                                                      : ConnectStatus::kFailed;
 }
 
 IoResult TcpSocket::Receive(std::span<char> out) {
@@ -186,6 +191,18 @@
   Close();
 }
 
+std::string TcpSocket::PeerAddress() const {
+  const AddressPtr address(g_socket_get_remote_address(socket_.get(), nullptr));
+  if (!address || !G_IS_INET_SOCKET_ADDRESS(address.get())) {
+    return {};
+  }
+  GInetAddress* inet =
+      g_inet_socket_address_get_address(G_INET_SOCKET_ADDRESS(address.get()));
+  const std::unique_ptr<gchar, decltype(&g_free)> text(
+      g_inet_address_to_string(inet), g_free);
+  return text.get();
+}
+
 std::uint16_t TcpSocket::port() const {
   const AddressPtr address(g_socket_get_local_address(socket_.get(), nullptr));
   if (!address || !G_IS_INET_SOCKET_ADDRESS(address.get())) {
--- a/src/net/tcp_socket.h
+++ b/src/net/tcp_socket.h
@@ -34,6 +34,13 @@
   std::size_t bytes = 0;
 };
 
+// How an attempt to connect ended.
+enum class ConnectStatus : std::uint8_t {
+  kConnected,
+  kRefused,  // The machine answered that nobody listens there.
+  kFailed,
+};
+
 // Owns one socket. Movable; closes on destruction.
 class TcpSocket {
  public:
@@ -48,8 +55,8 @@
 
   // Returns a caller's connection, or nothing where none waits.
   [[nodiscard]] std::optional<TcpSocket> Accept();
-  // Returns whether the connection stands.
-  [[nodiscard]] bool FinishConnect();
+  // Returns how the attempt to connect ended.
+  [[nodiscard]] ConnectStatus FinishConnect();
 
   // Receives up to `out.size()` bytes.
   IoResult Receive(std::span<char> out);
@@ -68,6 +75,8 @@
   [[nodiscard]] bool is_open() const { return socket_ != nullptr; }
   // Returns the descriptor, for EventLoop::Watch().
   [[nodiscard]] int fd() const { return g_socket_get_fd(socket_.get()); }
+  // Returns the IP address of the other side; empty where it is not known.
+  [[nodiscard]] std::string PeerAddress() const;
   // Returns the local port.
   [[nodiscard]] std::uint16_t port() const;
 
--- a/src/proxy/caller_connection.cc
+++ b/src/proxy/caller_connection.cc
@@ -26,6 +26,7 @@
     : loop_(loop),
       socket_(std::move(socket)),
       max_header_(max_header),
+      peer_hash_(std::hash<std::string>()(socket_.PeerAddress())),
       timer_(loop, [this] { OnTimer(); }) {}
 
 void CallerConnection::Start(Sink sink) {
@@ -38,11 +39,6 @@
                        });
 }
 
-bool CallerConnection::busy() const {
-  return phase_ == Phase::kHead || phase_ == Phase::kBody ||
-         phase_ == Phase::kAnswering || phase_ == Phase::kFlushing;
-}
-
 void CallerConnection::ResumeReading() {
   if (!paused_) {
     return;
--- a/src/proxy/caller_connection.h
+++ b/src/proxy/caller_connection.h
@@ -59,8 +59,8 @@
   [[nodiscard]] const http::Refusal& refusal() const { return refusal_; }
   // Returns whether the whole request has been read.
   [[nodiscard]] bool request_complete() const { return parser_->done(); }
-  // Returns whether a request is being read or answered.
-  [[nodiscard]] bool busy() const;
+  // Returns a number that stands for the caller's address.
+  [[nodiscard]] std::uint64_t peer_hash() const { return peer_hash_; }
 
   // Sets the point at which kDeadline is reported for the current request.
   void SetDeadline(TimePoint deadline) { timer_.Set(deadline); }
@@ -114,6 +114,7 @@
   net::TcpSocket socket_;
   net::EventLoop::WatchId watch_ = 0;
   const std::size_t max_header_;
+  const std::uint64_t peer_hash_;
   Sink sink_;
   net::DeadlineTimer timer_;
   Phase phase_ = Phase::kIdle;
--- a/src/proxy/exchange.h
+++ b/src/proxy/exchange.h
@@ -94,6 +94,7 @@
     record_.service = rule_->service.name;
     record_.deadline = record_.started + Timeout(head);
     caller_->SetDeadline(record_.deadline);
+    state_->policies.Budget(rule_->service).OnRequest(record_.started);
     if (!TakeKey(head)) {
       GiveUp(Verdict::NotRun(Reason::kBadRequest), "the request has no key");
       return;
@@ -169,6 +170,7 @@
   struct Target {
     ServerId server;
     std::string address;
+    Incarnation incarnation;
     Token token;
     HashRange range;
   };
@@ -204,7 +206,7 @@
   }
 
   [[nodiscard]] bool waiting() const {
-    return hold_ != 0 || timer_.has_value() || in_line_.has_value();
+    return queued_ || hold_ != 0 || timer_ || in_line_;
   }
 
   void KeepForReplay(std::string_view data) {
@@ -250,7 +252,7 @@
         rule_->service.name, *record_.key, state_->loop.Now());
     switch (route.state) {
       case RouteState::kServe:
-        Send({route.server, route.address, route.token, route.range});
+        Send(TargetOf(route));
         return;
       case RouteState::kHold:
         Hold(internal::kLongestPause);
@@ -264,6 +266,11 @@
     }
   }
 
+  static Target TargetOf(const KeyRoute& route) {
+    return {route.server, route.address, route.incarnation, route.token,
+            route.range};
+  }
+
   void AttemptAnywhere() {
     const auto choice =
         state_->picker.Pick(rule_->service.name, tried_, state_->loop.Now());
@@ -272,7 +279,7 @@
       return;
     }
     picked_ = true;
-    Send({choice->server, choice->address, {}, {}});
+    Send({choice->server, choice->address, choice->incarnation, {}, {}});
   }
 
   // Waits for a change of owner, at most for `pause`.
@@ -301,10 +308,39 @@
       pool_->RemoveWaiter(*in_line_);
     }
     in_line_.reset();
+    queued_ = false;
   }
 
   void Send(Target target) {
     target_ = std::move(target);
+    if (!PassesQuarantine()) {
+      return;
+    }
+    ticket_.emplace(state_->policies);
+    const auto decision = ticket_->Offer(
+        state_->Gate(target_.server, rule_->service),
+        {.caller = caller_->peer_hash(),
+         .priority = rule_->priority,
+         .deadline = record_.deadline},
+        [self = this->shared_from_this()](const AdmissionDecision& it) {
+          self->OnAdmission(it);
+        });
+    queued_ = decision.state == AdmissionState::kQueued;
+    if (!queued_) {
+      OnAdmission(decision);
+    }
+  }
+
+  void OnAdmission(const AdmissionDecision& decision) {
+    if (done_) {
+      return;
+    }
+    queued_ = false;
+    if (decision.state == AdmissionState::kRefused) {
+      retry_at_ = decision.retry_at;
+      GiveUp(Verdict::NotRun(decision.reason));
+      return;
+    }
     pool_ = state_->pools.Get(target_.server, target_.address);
     pool_->SetLimit(state_->ConnectionShare(rule_->service));
     if (pool_->waiting() > 0) {
@@ -314,9 +350,32 @@
     SendNow();
   }
 
+  // Returns whether the request may be sent to the target now; otherwise it
+  // has been refused or waits.
+  bool PassesQuarantine() {
+    Quarantine* quarantine = state_->policies.quarantine();
+    if (quarantine == nullptr) {
+      return true;
+    }
+    fingerprint_ = MakeFingerprint(rule_->service.name, record_.method,
+                                   record_.target, DigestBody(replay_));
+    switch (
+        quarantine->Check(fingerprint_, target_.server, state_->loop.Now())) {
+      case QuarantineState::kAllowed:
+        return true;
+      case QuarantineState::kWait:
+        EndAttempt(Verdict::NotRun(Reason::kNone));
+        Hold(internal::kFirstPause);
+        return false;
+      case QuarantineState::kRefused:
+        GiveUp(Verdict::NotRun(Reason::kQuarantined));
+        return false;
+    }
+    return false;
+  }
+
   void WaitForConnection() {
     if (pool_->waiting() >= internal::kMaxWaitingRequests) {
-      EndAttempt(Verdict::NotRun(Reason::kOverload));
       GiveUp(Verdict::NotRun(Reason::kOverload));
       return;
     }
@@ -335,10 +394,11 @@
     const KeyRoute route = state_->router.Route(
         rule_->service.name, *record_.key, state_->loop.Now());
     if (route.state == RouteState::kServe && route.address == target_.address) {
-      target_ = {route.server, route.address, route.token, route.range};
+      target_ = TargetOf(route);
       SendNow();
       return;
     }
+    EndAttempt(Verdict::NotRun(Reason::kNotOwner));
     Attempt();
   }
 
@@ -354,6 +414,7 @@
     record_.token = target_.token;
     record_.range = target_.range;
     attempt_started_ = now;
+    ticket_->Sent(fingerprint_, target_.server, target_.incarnation, now);
     const std::uint32_t attempt = record_.attempts;
     connection_->Start(
         RequestBytes(now), record_.method == "HEAD", body_complete_,
@@ -462,7 +523,7 @@
     const bool written = connection->written();
     record_.sent += written ? 1 : 0;
     const Verdict verdict = FailureVerdict(connection->failure(), written);
-    EndAttempt(verdict);
+    EndAttempt(verdict, connection->failure());
     if (committed_) {
       Break(verdict);
       return;
@@ -477,14 +538,19 @@
     if (written) {
       return Verdict::MayHaveRun(Reason::kConnectionLost);
     }
-    return Verdict::NotRun(failure == ServerFailure::kConnect
-                               ? Reason::kConnectFailed
-                               : Reason::kConnectionLost);
+    return Verdict::NotRun(failure == ServerFailure::kLost
+                               ? Reason::kConnectionLost
+                               : Reason::kConnectFailed);
   }
 
   // Tells the picker and the daemon how an attempt went.
-  void EndAttempt(Verdict verdict) {
+  void EndAttempt(Verdict verdict,
+                  ServerFailure failure = ServerFailure::kNone) {
     const TimePoint now = state_->loop.Now();
+    if (ticket_) {
+      ticket_->End(verdict, failure, now);
+      ticket_.reset();
+    }
     if (std::exchange(picked_, false)) {
       tried_.push_back(target_.server);
       state_->picker.Finished(rule_->service.name, target_.server, verdict,
@@ -530,8 +596,11 @@
       GiveUp(verdict);
       return;
     }
-    if (sent && !state_->TryRetry(rule_->service)) {
-      GiveUp(verdict);
+    if (sent &&
+        !state_->policies.Budget(rule_->service).TryRetry(state_->loop.Now())) {
+      GiveUp(verdict.outcome() == Outcome::kNotRun
+                 ? Verdict::NotRun(Reason::kRetryBudget)
+                 : verdict);
       return;
     }
     if (rule_->service.keyed) {
@@ -591,16 +660,27 @@
                                    .verdict = verdict,
                                    .status = record_.status,
                                    .detail = detail,
-                                   .retry_after = internal::RetryAfter(verdict),
+                                   .retry_after = RetryAfter(verdict),
                                    .keep_alive = keep_alive,
                                    .head_only = record_.method == "HEAD"}));
     Finish(verdict);
     caller_->FinishAnswer(keep_alive);
   }
 
+  // Returns the value of Retry-After.
+  [[nodiscard]] std::optional<std::chrono::seconds> RetryAfter(
+      Verdict verdict) const {
+    if (retry_at_ && verdict.outcome() == Outcome::kNotRun) {
+      return std::max(std::chrono::ceil<std::chrono::seconds>(
+                          *retry_at_ - state_->loop.Now()),
+                      std::chrono::seconds(1));
+    }
+    return internal::RetryAfter(verdict);
+  }
+
   void AbandonAttempt(Verdict verdict) {
     if (!connection_) {
-      if (picked_) {
+      if (picked_ || ticket_) {
         EndAttempt(verdict);
       }
       return;
@@ -655,7 +735,11 @@
   std::shared_ptr<ServerPool> pool_;
   std::shared_ptr<ServerConnection> connection_;
   TimePoint attempt_started_;
+  Fingerprint fingerprint_;
+  std::optional<AttemptTicket> ticket_;
+  std::optional<TimePoint> retry_at_;
   bool picked_ = false;
+  bool queued_ = false;
 
   // Earlier attempts.
   std::vector<ServerId> tried_;
--- a/src/proxy/plain_servers.h
+++ b/src/proxy/plain_servers.h
@@ -20,6 +20,7 @@
 struct ServerChoice {
   ServerId server;
   std::string address;  // "IP:port"
+  Incarnation incarnation;
 };
 
 // Chooses a server for each attempt of a request to a plain service. Pick()
--- a/src/proxy/proxy_faults_test.cc
+++ b/src/proxy/proxy_faults_test.cc
@@ -316,5 +316,49 @@
   }
 }
 
+TEST_CASE("a request that took two servers down is refused, not its like") {
+  Bench bench;
+  Quarantine quarantine{QuarantineOptions{}};
+  bench.proxy.SetQuarantine(&quarantine);
+  const auto ask = [&](const std::string& path, const std::string& body) {
+    TestCaller caller(bench.loop, bench.proxy.port());
+    return caller.Ask(Bench::Request("POST", path, body, body));
+  };
+  for (int life = 1; life <= 2; ++life) {
+    bench.router.route.incarnation = Incarnation(life);
+    bench.server.script = {Behaviour::kResetAfterRun};
+    CHECK(ask("/keyed/1", "killer").verdict == "may-have-run");
+    quarantine.OnServerGone(ServerId("s1"), Incarnation(life),
+                            bench.loop.Now());
+  }
+  bench.router.route.incarnation = Incarnation(3);
+  const int heads = bench.server.heads();
+  const Answer refused = ask("/keyed/1", "killer");
+  CHECK(refused.status == 500);
+  CHECK(refused.verdict == "not-run");
+  CHECK(refused.reason == "quarantined");
+  CHECK(bench.server.heads() == heads);
+  CHECK(ask("/keyed/1", "harmless").verdict == "answered");
+}
+
+TEST_CASE("more requests than the server takes wait and all get verdicts") {
+  Bench bench;
+  std::vector<std::unique_ptr<TestCaller>> callers;
+  for (int i = 0; i < 200; ++i) {
+    callers.push_back(
+        std::make_unique<TestCaller>(bench.loop, bench.proxy.port()));
+    callers.back()->Send(
+        Bench::Request("POST", "/plain", std::to_string(i), "x"));
+  }
+  for (int i = 0; i < 200; ++i) {
+    const Answer answer = callers[i]->Receive();
+    CheckPromises(answer, bench.server.runs(std::to_string(i)), false);
+    if (answer.verdict != "answered") {
+      CHECK(answer.verdict == "not-run");
+    }
+  }
+  CHECK(bench.proxy.in_flight() == 0);
+}
+
 }  // namespace
 }  // namespace gentianreach::proxy
--- a/src/proxy/proxy_server.h
+++ b/src/proxy/proxy_server.h
@@ -68,6 +68,12 @@
   // Wakes the requests that wait for an owner. Call it after every change of
   // the router's table.
   void OwnersChanged();
+  // Sets the daemon's quarantine, which must outlive the proxy. The caller of
+  // this method tells it which servers live (OnServerAlive) and exchanges its
+  // updates with the other daemons; the proxy does the rest.
+  void SetQuarantine(Quarantine* quarantine) {
+    state_->policies.SetQuarantine(quarantine);
+  }
   // Closes the idle connections to a server that has gone.
   void ForgetServer(const ServerId& server);
 
@@ -169,6 +175,7 @@
 template <KeyRouter Router, PlainPicker Picker>
 void ProxyServer<Router, Picker>::ForgetServer(const ServerId& server) {
   state_->pools.Forget(server);
+  state_->policies.Forget(server);
 }
 
 template <KeyRouter Router, PlainPicker Picker>
--- a/src/proxy/proxy_state.h
+++ b/src/proxy/proxy_state.h
@@ -15,6 +15,7 @@
 #include "gentianreach/time.h"
 #include "net/event_loop.h"
 #include "proxy/proxy_options.h"
+#include "proxy/request_policies.h"
 #include "proxy/request_record.h"
 #include "proxy/route_table.h"
 #include "proxy/server_pool.h"
@@ -57,7 +58,8 @@
         picker(picker),
         hooks(std::move(hooks)),
         options(std::move(options)),
-        pools(loop) {}
+        pools(loop),
+        policies(loop) {}
 
   // Returns an id that no other request has.
   std::string NextRequestId() {
@@ -69,8 +71,11 @@
     return std::max(1U, service.connections / daemons);
   }
 
-  // Returns whether a request of `service` may be sent once more.
-  bool TryRetry(const ServiceInfo& service) { return service.retry_budget > 0; }
+  // Returns the gate of `server`.
+  std::shared_ptr<ServerGate> Gate(const ServerId& server,
+                                   const ServiceInfo& service) {
+    return policies.Gate(server, service, options.entry_count);
+  }
 
   net::EventLoop& loop;
   RouterT& router;
@@ -79,6 +84,7 @@
   ProxyOptions options;
   std::shared_ptr<const RouteTable> routes;
   ServerPools pools;
+  RequestPolicies policies;
   HoldLine held;
   std::uint64_t last_request = 0;
   std::size_t in_flight = 0;
--- /dev/null
+++ b/src/proxy/request_policies.h
@@ -0,0 +1,91 @@
+// The policies that the requests of one ProxyServer share.
+#ifndef SRC_PROXY_REQUEST_POLICIES_H_
+#define SRC_PROXY_REQUEST_POLICIES_H_
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <unordered_map>
+
+#include "gentianreach/ids.h"
+#include "gentianreach/verdict.h"
+#include "net/event_loop.h"
+#include "policy/attempt.h"
+#include "policy/quarantine.h"
+#include "policy/retry_budget.h"
+#include "proxy/route_table.h"
+#include "proxy/server_connection.h"
+#include "proxy/server_gate.h"
+
+namespace gentianreach::proxy {
+
+// Retry budgets by service, gates by server, and the daemon's quarantine.
+class RequestPolicies {
+ public:
+  explicit RequestPolicies(net::EventLoop& loop) : loop_(loop) {}
+
+  // Sets the quarantine, which must outlive the proxy; null: none.
+  void SetQuarantine(Quarantine* quarantine) { quarantine_ = quarantine; }
+  [[nodiscard]] Quarantine* quarantine() const { return quarantine_; }
+
+  // Returns the retry budget of `service`.
+  RetryBudget& Budget(const ServiceInfo& service);
+  // Returns the gate of `server`.
+  std::shared_ptr<ServerGate> Gate(const ServerId& server,
+                                   const ServiceInfo& service,
+                                   std::uint32_t daemons);
+  // Forgets a server that has gone.
+  void Forget(const ServerId& server) { gates_.erase(server); }
+  // Returns a number for an attempt that no other one has.
+  std::uint64_t NextAttempt() { return ++last_attempt_; }
+
+ private:
+  net::EventLoop& loop_;
+  Quarantine* quarantine_ = nullptr;
+  std::unordered_map<ServiceName, RetryBudget> budgets_;
+  std::unordered_map<ServerId, std::shared_ptr<ServerGate>> gates_;
+  std::uint64_t last_attempt_ = 0;
+};
+
+// Returns how an attempt ended as the limiters count it.
+[[nodiscard]] AttemptEnd ToAttemptEnd(Verdict verdict);
+
+// What the policies are told of one attempt. End() it once; the destructor
+// ends one that was forgotten as cancelled.
+class AttemptTicket {
+ public:
+  explicit AttemptTicket(RequestPolicies& policies)
+      : policies_(policies), id_(policies.NextAttempt()) {}
+  ~AttemptTicket() {
+    End(Verdict::NotRun(Reason::kNone), ServerFailure::kNone);
+  }
+  AttemptTicket(const AttemptTicket&) = delete;
+  AttemptTicket& operator=(const AttemptTicket&) = delete;
+
+  // Asks `gate` for admission; see ServerGate::Offer().
+  AdmissionDecision Offer(std::shared_ptr<ServerGate> gate,
+                          QueuedRequest request,
+                          ServerGate::Decided decided);
+  // Tells that the attempt is about to be written.
+  void Sent(Fingerprint fingerprint,
+            const ServerId& server,
+            Incarnation incarnation,
+            TimePoint now);
+  // Ends the attempt.
+  void End(Verdict verdict, ServerFailure failure, TimePoint now = {});
+
+ private:
+  void EndQuarantine(Verdict verdict, ServerFailure failure, TimePoint now);
+
+  RequestPolicies& policies_;
+  const std::uint64_t id_;
+  std::shared_ptr<ServerGate> gate_;
+  bool admitted_ = false;
+  bool sent_ = false;
+  ServerId server_;
+  Incarnation incarnation_;
+};
+
+}  // namespace gentianreach::proxy
+
+#endif  // SRC_PROXY_REQUEST_POLICIES_H_
--- a/src/proxy/server_connection.cc
+++ b/src/proxy/server_connection.cc
@@ -139,8 +139,10 @@
 }
 
 void ServerConnection::OnConnected() {
-  if (!socket_.FinishConnect()) {
-    Fail(ServerFailure::kConnect);
+  const net::ConnectStatus status = socket_.FinishConnect();
+  if (status != net::ConnectStatus::kConnected) {
+    Fail(status == net::ConnectStatus::kRefused ? ServerFailure::kRefused
+                                                : ServerFailure::kConnect);
     return;
   }
   timer_.Clear();
--- a/src/proxy/server_connection.h
+++ b/src/proxy/server_connection.h
@@ -36,6 +36,7 @@
 enum class ServerFailure : std::uint8_t {
   kNone,
   kConnect,    // The connection was not established.
+  kRefused,    // Nobody listens at the server's address.
   kLost,       // Closed or broken before an answer began.
   kTruncated,  // Closed or broken inside of the answer, or malformed.
 };
--- /dev/null
+++ b/src/proxy/server_gate.cc
@@ -0,0 +1,66 @@
+#include "proxy/server_gate.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace gentianreach::proxy {
+
+ServerGate::ServerGate(net::EventLoop& loop,
+                       const ServiceInfo& service,
+                       std::uint32_t daemons)
+    : loop_(loop),
+      admission_(AdmissionOptions{},
+                 ReactiveLimiter({.slots = service.slots,
+                                  .connections = service.connections,
+                                  .daemons = std::max(1U, daemons)})),
+      timer_(loop, [this] { Review(); }) {}
+
+AdmissionDecision ServerGate::Offer(const QueuedRequest& request,
+                                    Decided decided) {
+  const auto decision = admission_.Offer(request, loop_.Now());
+  if (decision.state == AdmissionState::kQueued) {
+    waiting_.emplace(request.id, std::move(decided));
+    SetTimer();
+  }
+  return decision;
+}
+
+void ServerGate::Finish(std::uint64_t attempt, AttemptEnd end) {
+  admission_.Finish(attempt, end, loop_.Now());
+  if (admission_.queued() > 0) {
+    Review();
+  }
+}
+
+void ServerGate::Cancel(std::uint64_t attempt) {
+  waiting_.erase(attempt);
+  if (!admission_.Cancel(attempt)) {
+    // Let through meanwhile; no effect where it was not.
+    admission_.Finish(attempt, AttemptEnd::kCancelled, loop_.Now());
+  }
+}
+
+void ServerGate::Review() {
+  for (const auto& it : admission_.Poll(loop_.Now())) {
+    const auto waiting = waiting_.find(it.request);
+    if (waiting == waiting_.end()) {
+      continue;
+    }
+    // Whoever ended an attempt stands above on the stack.
+    loop_.Defer([self = shared_from_this(), it] {
+      const auto found = self->waiting_.extract(it.request);
+      if (!found.empty()) {
+        found.mapped()(it);
+      }
+    });
+  }
+  SetTimer();
+}
+
+void ServerGate::SetTimer() {
+  if (const auto wake = admission_.NextWake(loop_.Now())) {
+    timer_.Set(*wake);
+  }
+}
+
+}  // namespace gentianreach::proxy
--- /dev/null
+++ b/src/proxy/server_gate.h
@@ -0,0 +1,50 @@
+// Admission to one backend server, on a loop.
+#ifndef SRC_PROXY_SERVER_GATE_H_
+#define SRC_PROXY_SERVER_GATE_H_
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <unordered_map>
+
+#include "net/deadline_timer.h"
+#include "net/event_loop.h"
+#include "policy/admission.h"
+#include "policy/attempt.h"
+#include "proxy/route_table.h"
+
+namespace gentianreach::proxy {
+
+// Drives the admission policy of one server: calls it when its time has come
+// and tells the attempts that wait what became of them.
+//
+// Offer() each attempt. Where the decision is kQueued, `decided` is called
+// once, from the loop, unless Cancel() comes first. Finish() each attempt that
+// was let through.
+class ServerGate : public std::enable_shared_from_this<ServerGate> {
+ public:
+  using Decided = std::function<void(const AdmissionDecision&)>;
+
+  ServerGate(net::EventLoop& loop,
+             const ServiceInfo& service,
+             std::uint32_t daemons);
+  ServerGate(const ServerGate&) = delete;
+  ServerGate& operator=(const ServerGate&) = delete;
+
+  AdmissionDecision Offer(const QueuedRequest& request, Decided decided);
+  void Finish(std::uint64_t attempt, AttemptEnd end);
+  void Cancel(std::uint64_t attempt);
+
+ private:
+  void Review();
+  void SetTimer();
+
+  net::EventLoop& loop_;
+  ServerAdmission admission_;
+  net::DeadlineTimer timer_;
+  std::unordered_map<std::uint64_t, Decided> waiting_;
+};
+
+}  // namespace gentianreach::proxy
+
+#endif  // SRC_PROXY_SERVER_GATE_H_
