--- /dev/null
+++ b/bench/proxy_bench.cc
@@ -0,0 +1,320 @@
+// Measures the data path on loopback: throughput per core, added latency and
+// memory per connection, against libsoup on both sides in the same run.
+//
+// Backend server, proxy and load run on a thread each. "Per core" is the number
+// of requests divided by the processor time of the proxy's thread.
+#include <malloc.h>
+#include <netinet/in.h>
+#include <pthread.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <atomic>
+#include <chrono>
+#include <cstdio>
+#include <ctime>
+#include <functional>
+#include <future>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include <CLI/CLI.hpp>
+
+#include "bench/bench_backend.h"
+#include "bench/load_generator.h"
+#include "bench/soup_proxy.h"
+#include "proxy/proxy_server.h"
+
+namespace gentianreach::bench {
+namespace {
+
+using namespace std::chrono_literals;
+
+struct BenchOptions {
+  double seconds = 3;
+  std::size_t connections = 32;
+  std::size_t body_bytes = 1024;
+  std::size_t servers = 10;
+  double rate = 0;
+  std::string only;
+  bool memory = true;
+};
+
+// Says that one of several servers at one address owns the key.
+struct BenchRouter {
+  std::string address;
+  std::size_t servers = 1;
+  KeyRoute Route(const ServiceName&, KeyHash hash, TimePoint) {
+    return {.state = RouteState::kServe,
+            .server = ServerId("s" + std::to_string(hash.value() % servers)),
+            .address = address,
+            .token = Token(1)};
+  }
+};
+
+settings::TreeT Tree() {
+  settings::TreeT tree;
+  auto service = std::make_unique<settings::NamedServiceT>();
+  service->name = "catalogue";
+  service->settings = std::make_unique<settings::ServiceT>();
+  service->settings->kind = settings::ServiceKind::Keyed;
+  tree.services.push_back(std::move(service));
+  auto route = std::make_unique<settings::NamedRouteT>();
+  route->name = "catalogue";
+  route->settings = std::make_unique<settings::RouteT>();
+  route->settings->service = "catalogue";
+  route->settings->path_prefix = "/c";
+  route->settings->key_source = settings::KeySource::PathSegment;
+  route->settings->key_segment = 1;
+  tree.routes.push_back(std::move(route));
+  return tree;
+}
+
+// The proxy with what it needs, on the thread that makes it.
+struct OwnProxy {
+  OwnProxy(net::EventLoop& loop, std::string address, std::size_t servers)
+      : router{std::move(address), servers},
+        proxy(loop, router, picker, {}, {.id_prefix = "bench", .limits = {}}) {
+    proxy.SetRoutes(std::make_shared<RouteTable>(Tree()));
+    proxy.Listen("127.0.0.1:0");
+  }
+
+  using RouteTable = proxy::RouteTable;
+  BenchRouter router;
+  proxy::LeastOutstandingPicker picker;
+  proxy::ProxyServer<BenchRouter, proxy::LeastOutstandingPicker> proxy;
+};
+
+// Runs a loop on a thread of its own until destroyed. `setup` makes what lives
+// on the loop and returns its port.
+template <typename T>
+class LoopThread {
+ public:
+  using Setup = std::function<std::unique_ptr<T>(net::EventLoop&)>;
+  explicit LoopThread(Setup setup, std::function<std::uint16_t(T&)> port) {
+    std::promise<std::uint16_t> ready;
+    auto bound = ready.get_future();
+    thread_ = std::thread([this, setup, port, &ready] {
+      GMainContext* context = g_main_context_new();
+      g_main_context_push_thread_default(context);
+      {
+        net::EventLoop loop(context);
+        const auto held = setup(loop);
+        ready.set_value(port(*held));
+        while (!stop_) {
+          loop.RunOnce(true);
+        }
+      }
+      g_main_context_pop_thread_default(context);
+      g_main_context_unref(context);
+    });
+    port_ = bound.get();
+  }
+  ~LoopThread() {
+    stop_ = true;
+    // A connection wakes the loop.
+    auto wake = net::TcpSocket::Connect("127.0.0.1:" + std::to_string(port_));
+    thread_.join();
+  }
+  LoopThread(const LoopThread&) = delete;
+  LoopThread& operator=(const LoopThread&) = delete;
+
+  [[nodiscard]] std::string address() const {
+    return "127.0.0.1:" + std::to_string(port_);
+  }
+  // Returns the processor time that the thread has used.
+  [[nodiscard]] Duration ProcessorTime() {
+    clockid_t clock = 0;
+    pthread_getcpuclockid(thread_.native_handle(), &clock);
+    timespec ts{};
+    clock_gettime(clock, &ts);
+    return std::chrono::seconds(ts.tv_sec) +
+           std::chrono::nanoseconds(ts.tv_nsec);
+  }
+
+ private:
+  std::atomic<bool> stop_ = false;
+  std::uint16_t port_ = 0;
+  std::thread thread_;
+};
+
+LoadResult Load(const BenchOptions& options,
+                const std::string& address,
+                double rate) {
+  net::EventLoop loop;
+  LoadOptions load;
+  load.address = address;
+  load.request =
+      "GET /c/praline-7 HTTP/1.1\r\nHost: bench\r\nAccept: */*\r\n"
+      "User-Agent: load\r\nAccept-Language: eu\r\n\r\n";
+  load.connections = options.connections;
+  load.rate = rate;
+  load.run_time = std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(options.seconds));
+  return LoadGenerator(loop, load).Run();
+}
+
+void Print(const std::string& name,
+           const char* kind,
+           const LoadResult& result,
+           Duration used) {
+  const auto us = [&](double share) {
+    return std::chrono::duration<double, std::micro>(
+               result.latency.Percentile(share))
+        .count();
+  };
+  const double cpu = std::chrono::duration<double>(used).count();
+  std::printf(
+      "path=%s load=%s per_second=%.0f per_core=%.0f broken=%llu "
+      "p50_us=%.0f p99_us=%.0f p999_us=%.0f",
+      name.c_str(), kind, result.PerSecond(),
+      cpu > 0 ? static_cast<double>(result.latency.count()) / cpu : 0,
+      static_cast<unsigned long long>(result.broken), us(0.5), us(0.99),
+      us(0.999));
+  for (const auto& [verdict, n] : result.verdicts) {
+    std::printf(" %s=%llu", verdict.c_str(),
+                static_cast<unsigned long long>(n));
+  }
+  std::printf("\n");
+  std::fflush(stdout);
+}
+
+template <typename T>
+void Measure(const BenchOptions& options,
+             const std::string& name,
+             LoopThread<T>& proxy) {
+  Duration before = proxy.ProcessorTime();
+  const auto closed = Load(options, proxy.address(), 0);
+  Print(name, "closed", closed, proxy.ProcessorTime() - before);
+  if (options.rate > 0) {
+    before = proxy.ProcessorTime();
+    const auto open = Load(options, proxy.address(), options.rate);
+    Print(name, "open", open, proxy.ProcessorTime() - before);
+  }
+}
+
+// Connects `n` plain sockets to `port`; they take no memory of the heap.
+std::vector<int> RawSockets(std::uint16_t port, std::size_t n) {
+  std::vector<int> out;
+  out.reserve(n);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(port);
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  for (std::size_t i = 0; i < n; ++i) {
+    const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    if (connect(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address)) !=
+        0) {
+      std::perror("connect");
+    }
+    out.push_back(fd);
+  }
+  return out;
+}
+
+std::size_t HeapBytes() {
+  return mallinfo2().uordblks;
+}
+
+// Heap bytes of the proxy per connection: idle, and with a request in flight at
+// a server that does not answer, each request at a server of its own.
+void MeasureMemory(std::size_t n) {
+  net::EventLoop loop;
+  // Never accepts: the kernel completes the connections.
+  auto silent = std::move(*net::TcpSocket::Listen("127.0.0.1:0", false));
+  OwnProxy own(loop, "127.0.0.1:" + std::to_string(silent.port()), 1'000'000);
+  const auto turn = [&] {
+    const TimePoint end = loop.Now() + 300ms;
+    while (loop.Now() < end) {
+      loop.RunOnce(false);
+    }
+  };
+  turn();
+  const std::size_t start = HeapBytes();
+  std::vector<int> sockets;
+  constexpr std::size_t kStep = 100;
+  for (std::size_t i = 0; i < n; i += kStep) {
+    const auto more = RawSockets(own.proxy.port(), kStep);
+    sockets.insert(sockets.end(), more.begin(), more.end());
+    turn();
+  }
+  const std::size_t idle = HeapBytes() - start;
+  for (std::size_t i = 0; i < sockets.size(); ++i) {
+    const std::string request =
+        "GET /c/" + std::to_string(i) + " HTTP/1.1\r\nHost: bench\r\n\r\n";
+    if (send(sockets[i], request.data(), request.size(), 0) < 0) {
+      std::perror("send");
+    }
+  }
+  turn();
+  std::printf(
+      "memory connections=%zu in_flight=%zu idle_bytes_each=%zu "
+      "busy_bytes_each=%zu\n",
+      own.proxy.caller_connections(), own.proxy.in_flight(), idle / n,
+      (HeapBytes() - start) / n);
+  for (const int fd : sockets) {
+    close(fd);
+  }
+  turn();
+}
+
+void Run(const BenchOptions& options) {
+  LoopThread<BenchBackend> backend(
+      [&](net::EventLoop& loop) {
+        return std::make_unique<BenchBackend>(loop, options.body_bytes);
+      },
+      [](BenchBackend& it) { return it.port(); });
+  const auto wanted = [&](const std::string& name) {
+    return options.only.empty() || options.only == name;
+  };
+  if (wanted("direct")) {
+    Measure(options, "direct", backend);
+  }
+  if (wanted("soup")) {
+    LoopThread<SoupProxy> soup(
+        [&](net::EventLoop&) {
+          return std::make_unique<SoupProxy>(backend.address());
+        },
+        [](SoupProxy& it) { return it.port(); });
+    Measure(options, "soup", soup);
+  }
+  if (wanted("gentianreach")) {
+    LoopThread<OwnProxy> own(
+        [&](net::EventLoop& loop) {
+          return std::make_unique<OwnProxy>(loop, backend.address(),
+                                            options.servers);
+        },
+        [](OwnProxy& it) { return it.proxy.port(); });
+    Measure(options, "gentianreach", own);
+  }
+}
+
+}  // namespace
+}  // namespace gentianreach::bench
+
+int main(int argc, char** argv) {
+  using namespace gentianreach::bench;
+  BenchOptions options;
+  CLI::App app("Measures the data path on loopback");
+  app.add_option("--seconds", options.seconds, "length of each measurement")
+      ->check(CLI::Range(0.1, 60.0));
+  app.add_option("--connections", options.connections, "callers' connections")
+      ->check(CLI::Range(1, 5000));
+  app.add_option("--body", options.body_bytes, "bytes of an answer's body")
+      ->check(CLI::Range(0, 1 << 20));
+  app.add_option("--rate", options.rate,
+                 "also measure at this many requests per second (open loop)")
+      ->check(CLI::Range(0.0, 1e6));
+  app.add_option("--only", options.only, "direct, soup or gentianreach")
+      ->check(CLI::IsMember({"direct", "soup", "gentianreach"}));
+  app.add_flag("!--no-memory", options.memory, "leave the memory out");
+  CLI11_PARSE(app, argc, argv);
+  if (options.memory) {
+    constexpr std::size_t kConnections = 1000;
+    MeasureMemory(kConnections);
+  }
+  Run(options);
+  return 0;
+}
--- a/src/proxy/proxy_faults_test.cc
+++ b/src/proxy/proxy_faults_test.cc
@@ -344,6 +344,7 @@
 TEST_CASE("more requests than the server takes wait and all get verdicts") {
   Bench bench;
   std::vector<std::unique_ptr<TestCaller>> callers;
+  callers.reserve(200);
   for (int i = 0; i < 200; ++i) {
     callers.push_back(
         std::make_unique<TestCaller>(bench.loop, bench.proxy.port()));
