--- /dev/null
+++ b/src/settings/settings_store_random_test.cc
@@ -0,0 +1,180 @@
+// Racing operators against a store that fails, loses answers and lets writes
+// take effect late.
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <deque>
+#include <map>
+#include <random>
+
+#include "settings/document.h"
+#include "settings/settings_store.h"
+#include "store/fake_store.h"
+
+namespace gentianreach::settings {
+namespace {
+
+using Fault = store::FakeStore::Fault;
+
+constexpr int kOperators = 4;
+constexpr int kTurns = 3000;
+constexpr TimePoint kStart{std::chrono::hours(1)};
+
+struct Operator {
+  ChangeRequest request;
+  SettingsChange change;
+};
+
+// Several operators, each making one change after another.
+class Race {
+ public:
+  explicit Race(unsigned seed) : random_(seed) {}
+
+  void Run() {
+    for (int i = 0; i < kOperators; ++i) {
+      operators_.push_back(Begin(i));
+    }
+    for (int turn = 0; turn < kTurns; ++turn) {
+      now_ += std::chrono::milliseconds(Pick(40));
+      LandLateWrite(false);
+      Step(Pick(kOperators));
+    }
+    while (!late_.empty()) {
+      LandLateWrite(true);
+    }
+    CheckOutcomes();
+  }
+
+  int accepted = 0;
+  int conflicts = 0;
+  int unknown = 0;
+
+ private:
+  int Pick(int bound) {
+    return std::uniform_int_distribution<int>(0, bound - 1)(random_);
+  }
+
+  Operator Begin(int who) {
+    ChangeRequest request;
+    // Two branches, so that some races are of one branch and some are not.
+    request.path = who % 2 == 0 ? "limits/max_header" : "services/a/slots";
+    request.value = std::to_string(2 + Pick(8)) + (who % 2 == 0 ? "KiB" : "");
+    request.merge = Pick(2) == 0;
+    request.write_id = std::to_string(++last_id_);
+    return {request, SettingsChange(request, now_ + std::chrono::seconds(3))};
+  }
+
+  void Step(int who) {
+    Operator& it = operators_[who];
+    if (it.change.result()) {
+      outcomes_[it.request.write_id] = *it.change.result();
+      it = Begin(who);
+    }
+    const auto call = it.change.Poll(now_);
+    if (!call) {
+      return;
+    }
+    it.change.OnReply(Make(*call), now_);
+  }
+
+  store::Reply Make(const store::Call& call) {
+    const bool write = call.kind == store::CallKind::kWrite;
+    if (write && Pick(10) == 0) {
+      late_.push_back(call);
+      return {store::Status::kUnknown};
+    }
+    const int dice = Pick(12);
+    const Fault fault = dice == 0   ? Fault::kDown
+                        : dice == 1 ? Fault::kLostBefore
+                        : dice == 2 ? Fault::kLostAfterwards
+                                    : Fault::kNone;
+    return Record(call, fault);
+  }
+
+  // Makes the call and keeps every version of the settings that takes effect.
+  store::Reply Record(const store::Call& call, Fault fault) {
+    const std::uint64_t before = store_.revision();
+    store::Reply reply = store_.Make(call, fault);
+    if (store_.revision() != before && call.name == kCurrentName) {
+      versions_.push_back(*Decode(call.bytes));
+    }
+    return reply;
+  }
+
+  void LandLateWrite(bool always) {
+    if (late_.empty() || (!always && Pick(8) != 0)) {
+      return;
+    }
+    const store::Call call = late_.front();
+    late_.pop_front();
+    Record(call, Fault::kNone);
+  }
+
+  void CheckOutcomes() {
+    std::map<std::string, int> times;
+    for (std::size_t i = 0; i < versions_.size(); ++i) {
+      REQUIRE(versions_[i].number == i + 1);
+      ++times[versions_[i].write_id];
+    }
+    for (const auto& [id, result] : outcomes_) {
+      const int count = times.contains(id) ? times[id] : 0;
+      CHECK(count <= 1);
+      switch (result.outcome) {
+        case ChangeOutcome::kAccepted:
+          ++accepted;
+          CHECK(count == 1);
+          CHECK(versions_[result.version - 1].write_id == id);
+          break;
+        case ChangeOutcome::kUnknown:
+          ++unknown;
+          break;
+        case ChangeOutcome::kConflict:
+          ++conflicts;
+          [[fallthrough]];
+        default:
+          CHECK(count == 0);
+      }
+    }
+    CheckNothingLost();
+  }
+
+  // A version alters nothing but what its own change asked for.
+  void CheckNothingLost() {
+    for (std::size_t i = 1; i < versions_.size(); ++i) {
+      const auto changes = Compare(versions_[i - 1].text, versions_[i].text);
+      const auto keys = std::ranges::count_if(
+          changes, [](const Difference& it) { return it.path[0] != '['; });
+      CHECK(keys <= 1);
+    }
+  }
+
+  std::mt19937 random_;
+  TimePoint now_ = kStart;
+  store::FakeStore store_;
+  std::vector<Operator> operators_;
+  std::deque<store::Call> late_;
+  std::vector<stored::SettingsVersionT> versions_;
+  std::map<std::string, ChangeResult> outcomes_;
+  int last_id_ = 0;
+};
+
+TEST_CASE("what operators are told is what the store holds") {
+  int accepted = 0;
+  int conflicts = 0;
+  int unknown = 0;
+  for (unsigned seed = 1; seed <= 60; ++seed) {
+    CAPTURE(seed);
+    Race race(seed);
+    race.Run();
+    accepted += race.accepted;
+    conflicts += race.conflicts;
+    unknown += race.unknown;
+  }
+  // The runs must have met what they are for.
+  CHECK(accepted > 100);
+  CHECK(conflicts > 10);
+  CHECK(unknown > 0);
+}
+
+}  // namespace
+}  // namespace gentianreach::settings
