Settings in force: relay between daemons

One watcher per cell reads the store, others pull changes from neighbours. A version is put in force once enough members hold it that a daemon which starts without the store must meet one of them, so versions never fall.

--- /dev/null
+++ b/src/settings/settings_relay.cc
@@ -0,0 +1,538 @@
+#include "settings/settings_relay.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "gentianreach/check.h"
+#include "settings/stored_version.h"
+#include "settings/text_delta.h"
+
+namespace gentianreach::settings {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// A daemon that starts waits longer than any answer of its earlier life can
+// count, drift of clocks included, before it trusts its neighbours' answers.
+constexpr Duration kSyncDelay = SettingsRelay::kAnswerLife + milliseconds(200);
+constexpr Duration kAskInterval = milliseconds(400);
+constexpr Duration kPullTimeout = milliseconds(500);
+constexpr Duration kCellGossipInterval = seconds(1);
+constexpr Duration kOthersGossipInterval = seconds(3);
+// Daemons outside the cell that are told of a new version.
+constexpr std::size_t kFanOut = 3;
+constexpr std::size_t kSpareAsks = 1;
+constexpr Duration kBroadcastInterval = seconds(1);
+constexpr Duration kWatcherSilence = seconds(2);
+constexpr Duration kRankStep = milliseconds(400);
+constexpr Duration kWatchWait = seconds(5);
+constexpr Duration kReadTimeout = seconds(2);
+constexpr Duration kStoreRetry = milliseconds(300);
+constexpr Duration kStoreFailureBound = seconds(2);
+constexpr Duration kWatchPenalty = seconds(4);
+constexpr Duration kContactLife = seconds(30);
+// Store calls that all cells together make, and the bounds of one cell's.
+constexpr Duration kSpacingPerCell = milliseconds(20);
+constexpr Duration kLeastSpacing = seconds(1);
+constexpr Duration kLongestSpacing = seconds(10);
+// Spreads the first reads of a fleet that starts all at once.
+constexpr Duration kFirstReadPerDaemon = milliseconds(1);
+constexpr std::size_t kRecentKept = 8;
+
+template <typename T>
+peer::MessageUnion ToUnion(T message) {
+  peer::MessageUnion result;
+  result.Set(std::move(message));
+  return result;
+}
+
+}  // namespace
+
+bool MayServe(Standing standing, bool idempotent) {
+  switch (standing) {
+    case Standing::kNone:
+      return false;
+    case Standing::kCurrent:
+    case Standing::kStoreSilent:
+      return true;
+    case Standing::kCutOff:
+      return idempotent;
+  }
+  return false;
+}
+
+std::string_view ToString(Standing standing) {
+  switch (standing) {
+    case Standing::kNone:
+      return "none";
+    case Standing::kCurrent:
+      return "current";
+    case Standing::kStoreSilent:
+      return "store-silent";
+    case Standing::kCutOff:
+      return "cut-off";
+  }
+  return "unknown";
+}
+
+SettingsRelay::SettingsRelay(DaemonId self, std::uint64_t seed, TimePoint now)
+    : self_(std::move(self)),
+      random_(seed),
+      born_at_(now),
+      ask_at_(now),
+      gossip_cell_at_(now),
+      gossip_others_at_(now),
+      pull_until_(now),
+      watcher_heard_at_(now),
+      may_watch_at_(now),
+      broadcast_at_(now),
+      call_began_(now),
+      next_call_at_(now) {}
+
+void SettingsRelay::SetMembers(std::vector<DaemonId> cell,
+                               std::vector<DaemonId> others) {
+  std::ranges::sort(cell);
+  std::erase(cell, self_);
+  std::erase(others, self_);
+  const bool first = !std::exchange(members_known_, true);
+  cell_ = std::move(cell);
+  others_ = std::move(others);
+  std::erase_if(peers_, [&](const auto& it) {
+    return !std::ranges::binary_search(cell_, it.first);
+  });
+  if (!first || others_.empty()) {
+    return;
+  }
+  const auto spread = kFirstReadPerDaemon * others_.size();
+  next_call_at_ += Duration(PickIndex(spread.count() + 1));
+}
+
+std::size_t SettingsRelay::PickIndex(std::size_t bound) {
+  return std::uniform_int_distribution<std::size_t>(0, bound - 1)(random_);
+}
+
+std::size_t SettingsRelay::Rank() const {
+  return static_cast<std::size_t>(std::ranges::lower_bound(cell_, self_) -
+                                  cell_.begin());
+}
+
+std::size_t SettingsRelay::HoldersNeeded() const {
+  if (cell_.empty()) {
+    return 0;
+  }
+  // A third of the members may be lost without stopping changes.
+  const std::size_t spare = (cell_.size() + 1) / 3;
+  return std::max<std::size_t>(1, std::min(spare + 1, cell_.size() - spare));
+}
+
+std::size_t SettingsRelay::AnswersNeeded() const {
+  // Any so many members and any holders of a version have one in common.
+  return cell_.size() + 1 - HoldersNeeded();
+}
+
+Duration SettingsRelay::WatchSpacing() const {
+  const std::size_t cells = 1 + others_.size() / (cell_.size() + 1);
+  return std::clamp<Duration>(kSpacingPerCell * cells, kLeastSpacing,
+                              kLongestSpacing);
+}
+
+void SettingsRelay::OnMessage(const DaemonId& from,
+                              const peer::MessageUnion& message,
+                              TimePoint now) {
+  if (const auto* notice = message.AsSettingsNotice()) {
+    OnNotice(from, *notice, now);
+  }
+  if (const auto* request = message.AsSettingsRequest()) {
+    OnRequest(from, *request);
+  }
+  if (const auto* update = message.AsSettingsUpdate()) {
+    OnUpdate(from, *update, now);
+  }
+  Advance(now);
+}
+
+void SettingsRelay::OnNotice(const DaemonId& from,
+                             const peer::SettingsNoticeT& notice,
+                             TimePoint now) {
+  const bool in_cell = std::ranges::binary_search(cell_, from);
+  if (in_cell) {
+    Peer& it = peers_[from];
+    it.in_force = notice.in_force;
+    it.heard_at = now;
+    if (const auto asked = asked_.find(notice.echo); asked != asked_.end()) {
+      it.held = notice.version;
+      it.synced = notice.synced;
+      it.asked_at = asked->second;
+    }
+  }
+  if (notice.watching && in_cell && (!watching_ || from < self_)) {
+    watcher_heard_at_ = now;
+    watching_ = false;
+  }
+  const bool same = held_ && notice.version == held_->number;
+  if (same && notice.digest != held_->digest) {
+    ++counters_.digest_conflicts;
+  }
+  // A neighbour's proof covers this daemon's version too where that is no
+  // older.
+  const TimePoint proof = now - milliseconds(std::min<std::uint64_t>(
+                                    notice.proof_age_ms, 1'000'000'000));
+  if (notice.version != 0 && notice.version <= HeldNumber() &&
+      (!proof_at_ || *proof_at_ < proof)) {
+    proof_at_ = proof;
+  }
+  const bool behind =
+      notice.version > HeldNumber() && notice.version != rejected_;
+  if (behind) {
+    Pull(from, HeldNumber(), now);
+  }
+  if (notice.seq == 0) {
+    // News for the sender, which is behind.
+    if (notice.version < HeldNumber() && notice.echo == 0) {
+      SendNotice(from, 0, 0, now);
+    }
+    return;
+  }
+  if (behind && in_cell) {
+    peers_[from].owed_echo = notice.seq;
+    peers_[from].owed_version = notice.version;
+    return;
+  }
+  SendNotice(from, 0, notice.seq, now);
+}
+
+void SettingsRelay::Pull(const DaemonId& from,
+                         std::uint64_t have,
+                         TimePoint now) {
+  if (now < pull_until_) {
+    return;
+  }
+  pull_until_ = now + kPullTimeout;
+  peer::SettingsRequestT request;
+  request.have = have;
+  outgoing_.push_back({from, ToUnion(request)});
+}
+
+void SettingsRelay::OnRequest(const DaemonId& from,
+                              const peer::SettingsRequestT& request) {
+  if (!held_ || request.have >= held_->number) {
+    return;
+  }
+  peer::SettingsUpdateT update;
+  update.version = held_->number;
+  update.digest = held_->digest;
+  const auto base = std::ranges::find(
+      recent_, request.have, [](const auto& it) { return it->number; });
+  if (base == recent_.end()) {
+    update.text = held_->text;
+  } else {
+    TextDelta delta = MakeDelta((*base)->text, held_->text);
+    update.base = request.have;
+    update.offset = delta.offset;
+    update.removed = delta.removed;
+    update.text = std::move(delta.inserted);
+  }
+  outgoing_.push_back({from, ToUnion(std::move(update))});
+}
+
+void SettingsRelay::OnUpdate(const DaemonId& from,
+                             const peer::SettingsUpdateT& update,
+                             TimePoint now) {
+  if (update.version <= HeldNumber() || update.version == rejected_) {
+    return;
+  }
+  pull_until_ = now;
+  std::optional<std::string> text = update.text;
+  if (update.base != 0) {
+    text.reset();
+    if (update.base == HeldNumber()) {
+      text =
+          ApplyDelta(held_->text, {update.offset, update.removed, update.text});
+    }
+  }
+  if (!text || DigestOf(*text) != update.digest) {
+    ++counters_.bad_updates;
+    Pull(from, 0, now);
+    return;
+  }
+  if (Hold(update.version, *std::move(text), now) && update.base != 0) {
+    ++counters_.deltas;
+  }
+}
+
+bool SettingsRelay::Hold(std::uint64_t number,
+                         std::string text,
+                         TimePoint now) {
+  LoadResult loaded = LoadSettings(text, "settings/current");
+  if (!loaded.ok()) {
+    ++counters_.rejected;
+    rejected_ = number;
+    rejection_ = std::move(loaded.errors);
+    return false;
+  }
+  loaded.tree->version = number;
+  auto version = std::make_shared<VersionText>();
+  version->number = number;
+  version->digest = DigestOf(text);
+  version->text = std::move(text);
+  version->tree = std::move(loaded.tree);
+  held_ = std::move(version);
+  recent_.push_back(held_);
+  if (recent_.size() > kRecentKept) {
+    recent_.pop_front();
+  }
+  ++counters_.updates;
+  ask_at_ = now;
+  for (std::size_t i = 0; i < std::min(kFanOut, others_.size()); ++i) {
+    SendNotice(others_[PickIndex(others_.size())], 0, 0, now);
+  }
+  PayOwedEchoes(now);
+  return true;
+}
+
+void SettingsRelay::PayOwedEchoes(TimePoint now) {
+  for (auto& [id, it] : peers_) {
+    if (it.owed_echo == 0 || it.owed_version > HeldNumber()) {
+      continue;
+    }
+    SendNotice(id, 0, std::exchange(it.owed_echo, 0), now);
+  }
+}
+
+void SettingsRelay::SendNotice(const DaemonId& to,
+                               std::uint64_t seq,
+                               std::uint64_t echo,
+                               TimePoint now) {
+  peer::SettingsNoticeT notice;
+  notice.version = HeldNumber();
+  notice.digest = held_ ? held_->digest : 0;
+  notice.in_force = in_force_ ? in_force_->number : 0;
+  notice.synced = synced_;
+  const auto age = proof_at_ ? now - *proof_at_ : Duration(seconds(1'000'000));
+  notice.proof_age_ms = static_cast<std::uint64_t>(
+      std::chrono::duration_cast<milliseconds>(age).count());
+  notice.seq = seq;
+  notice.echo = echo;
+  notice.watching = watching_;
+  outgoing_.push_back({to, ToUnion(notice)});
+}
+
+void SettingsRelay::Tick(TimePoint now) {
+  Advance(now);
+  AskForAnswers(now);
+  UpdateWatcher(now);
+  Gossip(now);
+}
+
+void SettingsRelay::Advance(TimePoint now) {
+  TryToSync(now);
+  TryToPutInForce(now);
+}
+
+void SettingsRelay::AskForAnswers(TimePoint now) {
+  const bool settled = synced_ && (!held_ || in_force_ == held_);
+  if (settled || cell_.empty() || now < ask_at_) {
+    return;
+  }
+  ask_at_ = now + kAskInterval;
+  const TimePoint oldest = now - kAnswerLife;
+  std::erase_if(asked_, [&](const auto& it) { return it.second < oldest; });
+  const std::uint64_t seq = ++last_seq_;
+  asked_[seq] = now;
+  const std::size_t wanted =
+      synced_ ? HoldersNeeded() + kSpareAsks : cell_.size();
+  // Each round goes on where the last one ended, so that silent members are
+  // passed by.
+  for (std::size_t i = 0; i < std::min(wanted, cell_.size()); ++i) {
+    SendNotice(cell_[ask_next_++ % cell_.size()], seq, 0, now);
+  }
+}
+
+void SettingsRelay::TryToSync(TimePoint now) {
+  if (synced_ || cell_.empty() || now < born_at_ + kSyncDelay) {
+    return;
+  }
+  std::size_t answers = 0;
+  for (const auto& [id, it] : peers_) {
+    const bool counts = it.synced && it.asked_at && *it.asked_at >= born_at_;
+    if (!counts) {
+      continue;
+    }
+    if (it.held > HeldNumber()) {
+      return;
+    }
+    ++answers;
+  }
+  synced_ = HeldNumber() != 0 && answers >= AnswersNeeded();
+}
+
+void SettingsRelay::TryToPutInForce(TimePoint now) {
+  if (!members_known_ || !synced_ || !held_ || in_force_ == held_) {
+    return;
+  }
+  std::size_t holders = 0;
+  for (const auto& [id, it] : peers_) {
+    const bool counts = it.held >= held_->number && it.asked_at &&
+                        now - *it.asked_at < kAnswerLife;
+    holders += counts ? 1 : 0;
+  }
+  if (holders < HoldersNeeded()) {
+    return;
+  }
+  GENTIANREACH_CHECK(!in_force_ || in_force_->number < held_->number);
+  in_force_ = held_;
+}
+
+void SettingsRelay::UpdateWatcher(TimePoint now) {
+  const TimePoint silent_until =
+      watcher_heard_at_ + kWatcherSilence + kRankStep * Rank();
+  // Alone in its cell, a daemon need not wait for others to speak.
+  const bool vacant = cell_.empty() || now >= silent_until;
+  if (!watching_ && vacant && now >= may_watch_at_) {
+    watching_ = true;
+    broadcast_at_ = now;
+  }
+  if (!watching_ || now < broadcast_at_) {
+    return;
+  }
+  broadcast_at_ = now + kBroadcastInterval;
+  for (const DaemonId& it : cell_) {
+    SendNotice(it, 0, 0, now);
+  }
+}
+
+void SettingsRelay::Gossip(TimePoint now) {
+  if (now >= gossip_cell_at_ && !cell_.empty()) {
+    gossip_cell_at_ = now + kCellGossipInterval;
+    SendNotice(cell_[PickIndex(cell_.size())], 0, 0, now);
+  }
+  if (now >= gossip_others_at_ && !others_.empty()) {
+    gossip_others_at_ = now + kOthersGossipInterval;
+    SendNotice(others_[PickIndex(others_.size())], 0, 0, now);
+  }
+}
+
+std::vector<RelayMessage> SettingsRelay::TakeOutgoing() {
+  return std::exchange(outgoing_, {});
+}
+
+std::optional<store::Call> SettingsRelay::PollStore(TimePoint now) {
+  // A daemon that starts reads for itself; later the watcher alone reads.
+  const bool reads = watching_ || !synced_;
+  if (call_running_ || !reads || now < next_call_at_) {
+    return std::nullopt;
+  }
+  if (!synced_) {
+    store_step_ = StoreStep::kRead;
+  }
+  call_running_ = true;
+  call_began_ = now;
+  store::Call call;
+  call.name = std::string(kCurrentName);
+  call.kind = store_step_ == StoreStep::kRead ? store::CallKind::kRead
+                                              : store::CallKind::kWatch;
+  call.revision = revision_;
+  call.deadline =
+      now + (store_step_ == StoreStep::kRead ? kReadTimeout : kWatchWait);
+  return call;
+}
+
+void SettingsRelay::OnStoreReply(const store::Reply& reply, TimePoint now) {
+  call_running_ = false;
+  if (store_step_ == StoreStep::kRead) {
+    OnRead(reply, now);
+  } else {
+    OnWatched(reply, now);
+  }
+  Advance(now);
+}
+
+void SettingsRelay::OnWatched(const store::Reply& reply, TimePoint now) {
+  if (reply.status != store::Status::kOk) {
+    OnStoreFailure(now);
+    return;
+  }
+  store_failing_since_.reset();
+  revision_ = reply.revision;
+  if (!reply.names.empty()) {
+    store_step_ = StoreStep::kRead;
+    return;
+  }
+  proof_at_ = std::max(proof_at_.value_or(call_began_), call_began_);
+  next_call_at_ = std::max(now, call_began_ + WatchSpacing());
+}
+
+void SettingsRelay::OnRead(const store::Reply& reply, TimePoint now) {
+  const bool answered = reply.status == store::Status::kOk ||
+                        reply.status == store::Status::kAbsent;
+  const auto version = Decode(reply.bytes);
+  const bool readable = reply.status == store::Status::kAbsent || version;
+  if (!answered || !readable) {
+    OnStoreFailure(now);
+    return;
+  }
+  store_failing_since_.reset();
+  store_step_ = StoreStep::kWatch;
+  next_call_at_ = now + WatchSpacing();
+  if (reply.status == store::Status::kAbsent) {
+    // Nothing was ever accepted, so nothing can be behind.
+    synced_ = true;
+    return;
+  }
+  const bool newer =
+      version->number > HeldNumber() && version->number != rejected_;
+  if (newer && !Hold(version->number, version->text, now)) {
+    return;
+  }
+  if (version->number <= HeldNumber()) {
+    synced_ = true;
+    proof_at_ = std::max(proof_at_.value_or(call_began_), call_began_);
+  }
+}
+
+void SettingsRelay::OnStoreFailure(TimePoint now) {
+  next_call_at_ = now + kStoreRetry;
+  if (!store_failing_since_) {
+    store_failing_since_ = now;
+  }
+  // Another member may reach the store where this one does not.
+  if (watching_ && now - *store_failing_since_ >= kStoreFailureBound) {
+    watching_ = false;
+    store_failing_since_.reset();
+    watcher_heard_at_ = now;
+    may_watch_at_ = now + kWatchPenalty;
+    store_step_ = StoreStep::kWatch;
+    revision_ = 0;
+  }
+}
+
+Standing SettingsRelay::StandingAt(TimePoint now) const {
+  if (!in_force_) {
+    return Standing::kNone;
+  }
+  const bool proven =
+      proof_at_ && now - *proof_at_ < kProofLife && in_force_ == held_;
+  if (proven) {
+    return Standing::kCurrent;
+  }
+  const auto in_contact = static_cast<std::size_t>(
+      std::ranges::count_if(peers_, [&](const auto& it) {
+        return it.second.heard_at && now - *it.second.heard_at < kContactLife;
+      }));
+  // With no other member there is nobody to vouch for this one.
+  return !cell_.empty() && in_contact >= AnswersNeeded()
+             ? Standing::kStoreSilent
+             : Standing::kCutOff;
+}
+
+std::map<DaemonId, std::uint64_t> SettingsRelay::MembersInForce() const {
+  std::map<DaemonId, std::uint64_t> versions;
+  for (const DaemonId& it : cell_) {
+    const auto peer = peers_.find(it);
+    versions[it] = peer == peers_.end() ? 0 : peer->second.in_force;
+  }
+  return versions;
+}
+
+}  // namespace gentianreach::settings
--- /dev/null
+++ b/src/settings/settings_relay_faults_test.cc
@@ -0,0 +1,181 @@
+// Each fault that the settings must outlive, one by one.
+#include <doctest/doctest.h>
+
+#include "settings/relay_sim.h"
+#include "settings/text_delta.h"
+
+namespace gentianreach::settings {
+namespace {
+
+using std::chrono::seconds;
+
+constexpr std::size_t kDaemons = 12;
+// Every daemon runs an accepted version this long after the last fault.
+constexpr Duration kBound = seconds(17);
+
+// A cell that runs version 2.
+class SettledSim : public RelaySim {
+ public:
+  SettledSim() : RelaySim(kDaemons, 1) {
+    Accept();
+    Accept();
+    RunFor(kBound);
+    REQUIRE(AllCurrent());
+  }
+};
+
+TEST_CASE("an accepted version comes in force on every daemon") {
+  for (const std::size_t daemons : {1, 2, 3, 12, 48}) {
+    CAPTURE(daemons);
+    RelaySim sim(daemons, 7);
+    sim.Accept();
+    sim.RunFor(kBound);
+    CHECK(sim.AllCurrent());
+    sim.Accept();
+    sim.RunFor(kBound);
+    CHECK(sim.AllCurrent());
+  }
+}
+
+TEST_CASE("the role of the watcher falls to the next") {
+  SettledSim sim;
+  for (auto& it : sim.daemons()) {
+    if (it.relay->watching()) {
+      it.paused_until = sim.now() + seconds(60);
+    }
+  }
+  sim.Accept();
+  sim.RunFor(kBound);
+  std::size_t current = 0;
+  for (std::size_t i = 0; i < kDaemons; ++i) {
+    current += sim.InForce(i) == 3 ? 1 : 0;
+  }
+  CHECK(current == kDaemons - 1);
+  sim.RunFor(seconds(60));
+  CHECK(sim.AllCurrent());
+}
+
+TEST_CASE("a watcher that alone is cut off from the store hands over") {
+  SettledSim sim;
+  for (auto& it : sim.daemons()) {
+    it.reaches_store = !it.relay->watching();
+  }
+  sim.Accept();
+  sim.RunFor(kBound);
+  CHECK(sim.AllCurrent());
+}
+
+TEST_CASE("a replaced VM gets its settings from neighbours in an outage") {
+  SettledSim sim;
+  sim.set_store_down(true);
+  sim.Restart(3);
+  sim.RunFor(kBound);
+  CHECK(sim.InForce(3) == 2);
+  sim.RunFor(kBound);
+  CHECK(sim.daemons()[3].relay->StandingAt(sim.now()) ==
+        Standing::kStoreSilent);
+}
+
+TEST_CASE("a replaced VM with a lagging neighbour only serves nothing") {
+  SettledSim sim;
+  // Daemon 5 misses version 3, which daemon 3 runs.
+  sim.daemons()[5].group = 1;
+  sim.daemons()[5].reaches_store = false;
+  sim.Accept();
+  sim.RunFor(kBound);
+  REQUIRE(sim.InForce(3) == 3);
+  REQUIRE(sim.InForce(5) == 2);
+  sim.set_store_down(true);
+  sim.daemons()[3].group = 1;
+  sim.Restart(3);
+  sim.RunFor(seconds(120));
+  CHECK(sim.InForce(3) == 0);
+  CHECK(sim.daemons()[3].relay->StandingAt(sim.now()) == Standing::kNone);
+  // It recovers as soon as the others are there again, store or not.
+  sim.daemons()[3].group = 0;
+  sim.daemons()[5].group = 0;
+  sim.RunFor(kBound);
+  CHECK(sim.AllCurrent());
+}
+
+TEST_CASE("replaced VMs do not vouch for each other") {
+  SettledSim sim;
+  sim.daemons()[0].group = 1;
+  sim.daemons()[0].reaches_store = false;
+  sim.Accept();
+  sim.RunFor(kBound);
+  REQUIRE(sim.InForce(1) == 3);
+  // Seven that ran version 3 meet only the one that lags.
+  sim.set_store_down(true);
+  for (std::size_t i = 1; i <= 7; ++i) {
+    sim.daemons()[i].group = 1;
+    sim.Restart(i);
+  }
+  sim.RunFor(seconds(120));
+  CHECK(sim.InForce(1) == 0);
+  CHECK(sim.daemons()[1].relay->held()->number == 2);
+}
+
+TEST_CASE("a fleet that is replaced in an outage waits for the store") {
+  SettledSim sim;
+  sim.set_store_down(true);
+  for (std::size_t i = 0; i < kDaemons; ++i) {
+    sim.Restart(i);
+  }
+  sim.RunFor(seconds(60));
+  CHECK(sim.InForce(0) == 0);
+  sim.set_store_down(false);
+  sim.RunFor(kBound);
+  CHECK(sim.AllCurrent());
+}
+
+TEST_CASE(
+    "a daemon that is cut off says so and refuses what may not be stale") {
+  SettledSim sim;
+  sim.daemons()[4].group = 1;
+  sim.daemons()[4].reaches_store = false;
+  sim.RunFor(seconds(60));
+  const Standing standing = sim.daemons()[4].relay->StandingAt(sim.now());
+  CHECK(standing == Standing::kCutOff);
+  CHECK(MayServe(standing, true));
+  CHECK_FALSE(MayServe(standing, false));
+  CHECK(sim.InForce(4) == 2);
+}
+
+TEST_CASE("a slow store and lost messages only delay") {
+  SettledSim sim;
+  sim.set_store_delay(seconds(1));
+  sim.set_loss(5);
+  sim.Accept();
+  sim.RunFor(kBound);
+  CHECK(sim.AllCurrent());
+}
+
+TEST_CASE("a text that this program finds wrong is not taken over") {
+  SettingsRelay relay(DaemonId("a"), 1, TimePoint{});
+  relay.SetMembers({DaemonId("a")}, {});
+  stored::SettingsVersionT version;
+  version.number = 1;
+  version.text = "[limits]\nfrom_the_future = 1\n";
+  version.digest = DigestOf(version.text);
+  relay.Tick(TimePoint{});
+  REQUIRE(relay.PollStore(TimePoint{}));
+  relay.OnStoreReply({store::Status::kOk, ObjectVersion(1), Encode(version)},
+                     TimePoint{});
+  CHECK(relay.in_force() == nullptr);
+  CHECK(relay.counters().rejected == 1);
+  CHECK(relay.rejection().size() == 1);
+}
+
+TEST_CASE("a change of a text is one replaced span") {
+  const TextDelta delta = MakeDelta("slots = 3\nx", "slots = 45\nx");
+  CHECK(delta.offset == 8);
+  CHECK(delta.removed == 1);
+  CHECK(delta.inserted == "45");
+  CHECK(ApplyDelta("slots = 3\nx", delta) == "slots = 45\nx");
+  CHECK(ApplyDelta("aa", MakeDelta("aa", "aaa")) == "aaa");
+  CHECK_FALSE(ApplyDelta("short", delta));
+}
+
+}  // namespace
+}  // namespace gentianreach::settings
