--- /dev/null
+++ b/src/audit/audit_log.cc
@@ -0,0 +1,312 @@
+#include "audit/audit_log.h"
+
+#include <glib.h>
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <cstdio>
+#include <memory>
+#include <utility>
+
+#include "base/log.h"
+
+namespace gentianreach::audit {
+namespace {
+
+constexpr Duration kCallTimeout = std::chrono::seconds(2);
+
+struct ChecksumDeleter {
+  void operator()(GChecksum* it) const { g_checksum_free(it); }
+};
+
+// Feeds a field with its length, so that no two entries feed the same bytes.
+void Feed(GChecksum* sum, std::string_view field) {
+  const std::string length = std::to_string(field.size()) + ":";
+  g_checksum_update(sum, reinterpret_cast<const guchar*>(length.data()),
+                    static_cast<gssize>(length.size()));
+  g_checksum_update(sum, reinterpret_cast<const guchar*>(field.data()),
+                    static_cast<gssize>(field.size()));
+}
+
+std::string_view LastChain(const Segment& segment) {
+  return segment.entries.empty() ? segment.previous_chain
+                                 : segment.entries.back()->chain;
+}
+
+std::uint64_t NumberOf(std::string_view name) {
+  std::uint64_t number = 0;
+  name.remove_prefix(std::min(kPrefix.size(), name.size()));
+  std::from_chars(name.data(), name.data() + name.size(), number);
+  return number;
+}
+
+std::size_t SizeOf(const Entry& entry) {
+  // Table, offsets, numbers and the chain, besides the texts.
+  constexpr std::size_t kFixedBytes = 256;
+  return kFixedBytes + entry.actor.size() + entry.service.size() +
+         entry.key.size() + entry.from.size() + entry.to.size() +
+         entry.reason.size() + entry.id.size() + entry.kind.size();
+}
+
+// Returns whether no further entry may be added.
+bool IsFull(const Segment& segment) {
+  constexpr std::size_t kMaxEntryBytes = 8 * kMaxFieldBytes;
+  std::size_t bytes = kMaxEntryBytes;
+  for (const auto& it : segment.entries) {
+    bytes += SizeOf(*it);
+  }
+  return segment.entries.size() >= kMaxEntries || bytes > kMaxSegmentBytes;
+}
+
+void CutTexts(Entry* entry) {
+  for (std::string* it : {&entry->actor, &entry->service, &entry->key,
+                          &entry->from, &entry->to, &entry->reason}) {
+    it->resize(std::min(it->size(), kMaxFieldBytes));
+  }
+}
+
+}  // namespace
+
+std::string SegmentName(std::uint64_t number) {
+  std::array<char, 32> buf{};
+  // Fixed width keeps the store's order of names the order of numbers.
+  std::snprintf(buf.data(), buf.size(), "%08llu",
+                static_cast<unsigned long long>(number));
+  return std::string(kPrefix) + buf.data();
+}
+
+std::string Encode(const Segment& segment) {
+  flatbuffers::FlatBufferBuilder fbb;
+  fbb.Finish(stored::AuditSegment::Pack(fbb, &segment));
+  return {reinterpret_cast<const char*>(fbb.GetBufferPointer()), fbb.GetSize()};
+}
+
+std::optional<Segment> Decode(std::string_view bytes) {
+  const auto* data = reinterpret_cast<const std::uint8_t*>(bytes.data());
+  flatbuffers::Verifier verifier(data, bytes.size());
+  if (!verifier.VerifyBuffer<stored::AuditSegment>(nullptr)) {
+    return std::nullopt;
+  }
+  Segment segment;
+  flatbuffers::GetRoot<stored::AuditSegment>(data)->UnPackTo(&segment);
+  return segment;
+}
+
+std::string ChainOf(std::string_view previous, const Entry& entry) {
+  const std::unique_ptr<GChecksum, ChecksumDeleter> sum(
+      g_checksum_new(G_CHECKSUM_SHA256));
+  Feed(sum.get(), previous);
+  for (const std::uint64_t it :
+       {entry.number, static_cast<std::uint64_t>(entry.time_ms),
+        entry.version}) {
+    Feed(sum.get(), std::to_string(it));
+  }
+  for (const std::string* it :
+       {&entry.id, &entry.actor, &entry.kind, &entry.service, &entry.key,
+        &entry.from, &entry.to, &entry.reason}) {
+    Feed(sum.get(), *it);
+  }
+  return g_checksum_get_string(sum.get());
+}
+
+std::vector<Gap> Verify(const std::vector<Segment>& segments) {
+  std::vector<Gap> gaps;
+  const Segment* before = nullptr;
+  std::uint64_t last_number = 0;
+  for (const Segment& it : segments) {
+    if (before != nullptr && it.number != before->number + 1) {
+      gaps.push_back({it.number, 0, "a segment is missing before this one"});
+    } else if (before != nullptr && it.previous_chain != LastChain(*before)) {
+      gaps.push_back({it.number, 0, "does not continue the segment before"});
+    }
+    std::string chain = it.previous_chain;
+    for (const auto& entry : it.entries) {
+      if (last_number != 0 && entry->number != last_number + 1) {
+        gaps.push_back({it.number, entry->number, "entries are missing"});
+      }
+      chain = ChainOf(chain, *entry);
+      if (chain != entry->chain) {
+        gaps.push_back({it.number, entry->number, "the chain is broken"});
+        chain = entry->chain;
+      }
+      last_number = entry->number;
+    }
+    before = &it;
+  }
+  return gaps;
+}
+
+bool Matches(const Filter& filter, const Entry& entry) {
+  const WallTime time{std::chrono::milliseconds(entry.time_ms)};
+  const auto fits = [](const std::string& wanted, const std::string& value) {
+    return wanted.empty() || wanted == value;
+  };
+  return (!filter.since || time >= *filter.since) &&
+         (!filter.until || time <= *filter.until) &&
+         fits(filter.service, entry.service) && fits(filter.key, entry.key) &&
+         fits(filter.actor, entry.actor);
+}
+
+std::string LogLine(const Entry& entry) {
+  return FormatFields("audit", {{"kind", entry.kind},
+                                {"actor", entry.actor},
+                                {"service", entry.service},
+                                {"key", entry.key},
+                                {"from", entry.from},
+                                {"to", entry.to},
+                                {"reason", entry.reason},
+                                {"version", entry.version}});
+}
+
+void AuditAppender::Add(Entry entry) {
+  CutTexts(&entry);
+  entry.id = writer_ + "-" + std::to_string(++last_id_);
+  pending_.push_back(std::move(entry));
+  if (pending_.size() > kMaxPending) {
+    pending_.pop_front();
+    ++dropped_;
+  }
+}
+
+std::optional<store::Call> AuditAppender::Poll(TimePoint now) {
+  if (reply_due_ || pending_.empty() || now < backoff_.until()) {
+    return std::nullopt;
+  }
+  store::Call call;
+  call.deadline = now + kCallTimeout;
+  switch (step_) {
+    case Step::kList:
+      call.kind = store::CallKind::kList;
+      call.name = std::string(kPrefix);
+      break;
+    case Step::kRead:
+      call.kind = store::CallKind::kRead;
+      call.name = SegmentName(segment_number_);
+      break;
+    case Step::kWrite:
+      PrepareWrite();
+      call.kind = store::CallKind::kWrite;
+      call.name = SegmentName(segment_number_);
+      call.expected = object_;
+      call.bytes = Encode(next_);
+      break;
+  }
+  reply_due_ = true;
+  return call;
+}
+
+void AuditAppender::OnReply(const store::Reply& reply, TimePoint now) {
+  reply_due_ = false;
+  const bool failed = reply.status == store::Status::kUnavailable ||
+                      reply.status == store::Status::kUnknown;
+  if (failed) {
+    backoff_.Fail(now);
+  } else {
+    backoff_.Reset();
+  }
+  switch (step_) {
+    case Step::kList:
+      return OnList(reply);
+    case Step::kRead:
+      return OnRead(reply, now);
+    case Step::kWrite:
+      return OnWritten(reply);
+  }
+}
+
+void AuditAppender::OnList(const store::Reply& reply) {
+  if (reply.status != store::Status::kOk) {
+    return;
+  }
+  segment_number_ = reply.names.empty() ? 0 : NumberOf(reply.names.back());
+  step_ = Step::kRead;
+}
+
+void AuditAppender::OnRead(const store::Reply& reply, TimePoint now) {
+  if (reply.status == store::Status::kAbsent) {
+    if (last_.number + 1 != segment_number_ && segment_number_ != 0) {
+      // The trail changed under this writer: find its end again.
+      step_ = Step::kList;
+      return;
+    }
+    object_.reset();
+    step_ = Step::kWrite;
+    return;
+  }
+  if (reply.status != store::Status::kOk) {
+    return;
+  }
+  auto segment = Decode(reply.bytes);
+  if (!segment) {
+    // A damaged segment ends its chain; the gap shows when verified.
+    Segment damaged;
+    damaged.number = segment_number_;
+    last_ = std::move(damaged);
+    StartNextSegment();
+    backoff_.Fail(now);
+    return;
+  }
+  object_ = reply.version;
+  last_ = *std::move(segment);
+  DropWritten(last_);
+  step_ = Step::kWrite;
+  if (IsFull(last_)) {
+    StartNextSegment();
+  }
+}
+
+void AuditAppender::StartNextSegment() {
+  // Others may have begun it already.
+  ++segment_number_;
+  object_.reset();
+  step_ = Step::kRead;
+}
+
+void AuditAppender::DropWritten(const Segment& segment) {
+  std::erase_if(pending_, [&](const Entry& waiting) {
+    return std::ranges::any_of(
+        segment.entries, [&](const auto& it) { return it->id == waiting.id; });
+  });
+}
+
+void AuditAppender::PrepareWrite() {
+  next_ = Segment();
+  next_.number = segment_number_;
+  if (object_) {
+    next_ = last_;
+  } else if (segment_number_ != 0) {
+    next_.previous_chain = LastChain(last_);
+  }
+  std::string chain(LastChain(next_));
+  std::uint64_t number =
+      last_.entries.empty() ? 0 : last_.entries.back()->number;
+  for (const Entry& it : pending_) {
+    if (IsFull(next_)) {
+      break;
+    }
+    auto entry = std::make_unique<Entry>(it);
+    entry->number = ++number;
+    entry->chain = ChainOf(chain, *entry);
+    chain = entry->chain;
+    next_.entries.push_back(std::move(entry));
+  }
+}
+
+void AuditAppender::OnWritten(const store::Reply& reply) {
+  if (reply.status == store::Status::kOk) {
+    object_ = reply.version;
+    last_ = std::exchange(next_, {});
+    DropWritten(last_);
+    if (IsFull(last_)) {
+      StartNextSegment();
+    }
+    return;
+  }
+  if (reply.status != store::Status::kUnavailable) {
+    // Another writer was first, or this write's own answer was lost.
+    step_ = Step::kRead;
+  }
+}
+
+}  // namespace gentianreach::audit
