--- a/include/gentianreach/placement.h
+++ b/include/gentianreach/placement.h
@@ -112,6 +112,11 @@
 // Returns the two or three ranges that a split leaves, in order.
 [[nodiscard]] std::vector<HashRange> PartsOf(const SplitRange& split);
 
+// Returns `count` ranges of equal size that cover the whole space, in order.
+// A new service begins well with kRangesPerServer for each server.
+[[nodiscard]] std::vector<HashRange> InitialRanges(std::size_t count);
+inline constexpr std::size_t kRangesPerServer = 8;
+
 // Returns the name of the cause as written in logs, for example "no-owner".
 [[nodiscard]] const char* ToString(MoveCause cause);
 
--- a/src/placement/hot_keys.cc
+++ b/src/placement/hot_keys.cc
@@ -37,19 +37,16 @@
   Increment(full ? ReplaceLowest(hash) : AppendCounter(hash));
 }
 
-std::vector<HotKeyCount> HotKeyTracker::Take(std::size_t limit,
-                                             std::uint64_t least) {
+std::vector<HotKeyCount> HotKeyTracker::Take(std::size_t limit) {
   std::vector<HotKeyCount> keys;
   for (Counter& it : counters_) {
-    if (it.requests > 0 && it.requests >= least) {
+    const bool repeated = blocks_[it.block].count > 1;
+    if (keys.size() < limit && repeated && it.requests > 0) {
       keys.push_back({KeyHash(it.hash), it.requests});
     }
     it.requests = 0;
   }
   std::sort(keys.begin(), keys.end(), Hotter);
-  if (keys.size() > limit) {
-    keys.resize(limit);
-  }
   Halve();
   return keys;
 }
--- a/src/placement/hot_keys.h
+++ b/src/placement/hot_keys.h
@@ -36,10 +36,11 @@
   // Counts one request.
   void Count(KeyHash hash);
 
-  // Returns at most `limit` keys, the most requested first, with the requests
-  // surely counted for each since the last call, none below `least`. Halves
-  // all counts, so that keys that have cooled give up their counters.
-  std::vector<HotKeyCount> Take(std::size_t limit, std::uint64_t least);
+  // Returns at most `limit` keys with the requests surely counted for each
+  // since the last call. The keys are those of the highest counts that were
+  // requested more than once, the most requested first. Halves all counts, so
+  // that keys that have cooled give up their counters.
+  std::vector<HotKeyCount> Take(std::size_t limit);
 
   // Returns the number of keys that have a counter.
   [[nodiscard]] std::size_t size() const { return counters_.size(); }
--- a/src/placement/load_counter.cc
+++ b/src/placement/load_counter.cc
@@ -1,9 +1,6 @@
 #include "placement/load_counter.h"
 
-#include <algorithm>
-#include <cmath>
 #include <memory>
-#include <utility>
 
 namespace gentianreach {
 
@@ -14,7 +11,6 @@
   RangeCount& count = load.ranges[range.first.value()];
   count.last = range.last.value();
   ++count.requests;
-  ++load.requests;
   load.keys.Count(hash);
 }
 
@@ -34,9 +30,7 @@
       range.requests = count.requests;
       report.ranges.push_back(std::make_unique<peer::RangeLoadT>(range));
     }
-    const double least = std::ceil(kLeastShare * load.requests);
-    for (const HotKeyCount& it :
-         load.keys.Take(kReportedKeys, static_cast<std::uint64_t>(least))) {
+    for (const HotKeyCount& it : load.keys.Take(kReportedKeys)) {
       peer::HotKeyT key;
       key.service = service.value();
       key.hash = it.hash.value();
@@ -44,7 +38,6 @@
       report.hot_keys.push_back(std::make_unique<peer::HotKeyT>(key));
     }
     load.ranges.clear();
-    load.requests = 0;
   }
   return report;
 }
--- a/src/placement/load_counter.h
+++ b/src/placement/load_counter.h
@@ -18,8 +18,8 @@
 
 // Counts requests by range and by hot key. The data path calls Count() for
 // each request to a keyed service, in constant time; the daemon calls Take()
-// when a load report is due. Memory is bounded by the ranges in use and the
-// fixed number of counters of each service.
+// when a load report is due, every kReportInterval. Memory is bounded by the
+// ranges in use and the fixed number of counters of each service.
 class LoadCounter {
  public:
   // `start` begins the first report's window.
@@ -28,16 +28,15 @@
   // Counts one request for the key at `hash`, routed by `range`.
   void Count(const ServiceName& service, const HashRange& range, KeyHash hash);
 
-  // Returns the report of the time since the last call and begins anew. Keys
-  // with less than kLeastShare of their service's requests are left out.
+  // Returns the report of the time since the last call and begins anew.
   [[nodiscard]] peer::LoadReportT Take(TimePoint now);
 
+  // Time from one report to the next.
+  static constexpr Duration kReportInterval = std::chrono::seconds(5);
   // Counters of each service's tracker.
   static constexpr std::size_t kCounters = 1024;
   // Greatest number of hot keys of a service in one report.
-  static constexpr std::size_t kReportedKeys = 512;
-  // Least share of a service's requests for a key to be reported.
-  static constexpr double kLeastShare = 0.002;
+  static constexpr std::size_t kReportedKeys = 128;
 
  private:
   struct RangeCount {
@@ -49,7 +48,6 @@
     // is counted as its latest shape.
     boost::unordered_flat_map<std::uint64_t, RangeCount> ranges;
     HotKeyTracker keys{kCounters};
-    std::uint64_t requests = 0;
   };
 
   TimePoint window_start_;
