--- a/src/placement/relief.cc
+++ b/src/placement/relief.cc
@@ -10,6 +10,8 @@
 constexpr double kSplitCost = 0.01;
 constexpr double kWaitCost = 0.05;
 constexpr double kKeysCost = 1.0;
+// Least share of a server's even part of the keys that halving leaves.
+constexpr double kLeastPiece = 0.025;
 // Share of the space below which a range is as good as one key.
 constexpr double kSingleKeyShare = 1e-15;
 
@@ -64,10 +66,11 @@
       (it.hash < at ? lower : upper) += it.rate;
     }
     const double spread = std::max(0.0, range.load - lower - upper) / 2;
-    if (spread < kLeastHotLoad * mean_load_) {
+    const double keys = range.keys / 2;
+    if (spread < kLeastHotLoad * mean_load_ ||
+        keys < kLeastPiece * even_keys_) {
       return;
     }
-    const double keys = range.keys / 2;
     Offer({ReliefKind::kHalve, index, at, lower + spread, keys});
     Offer({ReliefKind::kHalve, index, at, upper + spread, keys});
   }
--- a/src/placement/relief.h
+++ b/src/placement/relief.h
@@ -55,7 +55,7 @@
 
 // Load below which a single key is not worth moving, as a share of the mean
 // load of a server.
-inline constexpr double kLeastHotLoad = 0.01;
+inline constexpr double kLeastHotLoad = 0.005;
 // Share of its even part of the keys that balancing leaves with a server.
 inline constexpr double kLeastKeysKept = 0.25;
 // Greatest number of ranges for each server.
--- a/src/placement/service_planner.h
+++ b/src/placement/service_planner.h
@@ -50,7 +50,7 @@
   // Time for which an absent service is remembered.
   static constexpr Duration kMemory = std::chrono::minutes(10);
   // Share of the keys that balancing may move in a minute, in kKeyUnits.
-  static constexpr std::uint32_t kKeysPerMinute = 250;
+  static constexpr std::uint32_t kKeysPerMinute = 290;
   static constexpr double kKeyUnits = 10000;
 
  private:
