--- a/src/placement/compaction.cc
+++ b/src/placement/compaction.cc
@@ -91,7 +91,7 @@
     const bool at_home = to == it.owner || ranges[i + 1].owner == it.owner;
     // A server keeps its last range, also where that is a cool key.
     if (at_home || !table.servers()[to].receives ||
-        table.servers()[it.owner].held.size() < 2) {
+        table.Settled(it.owner) < 2) {
       continue;
     }
     moves.push_back({it.range->service, it.range->range, it.range->owner,
--- a/src/placement/load_model.cc
+++ b/src/placement/load_model.cc
@@ -88,6 +88,7 @@
     ready_ = now + kSettling;
   }
   const double keep = ShareKept(now);
+  inverse_window_ = MeanInverseWindow();
   updated_ = daemons_.empty() ? updated_ : now;
 
   std::vector<double> spread = Project(spread_, ranges);
@@ -143,8 +144,8 @@
   return now >= ready_ && !daemons_.empty();
 }
 
-double LoadModel::Deviation(double rate) {
-  return std::sqrt(rate / (2 * Seconds(kSmoothing)));
+double LoadModel::Deviation(double rate) const {
+  return std::sqrt(rate * inverse_window_);
 }
 
 void LoadModel::DropExpired(TimePoint now) {
@@ -165,6 +166,15 @@
   return std::exp(-passed / Seconds(kSmoothing));
 }
 
+double LoadModel::MeanInverseWindow() const {
+  double sum = 0;
+  for (const auto& [id, daemon] : daemons_) {
+    sum += 1 / daemon.load.seconds;
+  }
+  return daemons_.empty() ? inverse_window_
+                          : sum / static_cast<double>(daemons_.size());
+}
+
 // Returns the greatest total that a daemon may claim. With fewer than three
 // daemons there is no majority to compare with.
 double LoadModel::GreatestTotal() const {
--- a/src/placement/load_model.h
+++ b/src/placement/load_model.h
@@ -31,6 +31,7 @@
 struct ReportedLoad {
   std::vector<RangeRate> ranges;
   std::vector<KeyRate> keys;
+  double seconds = 1;  // That the report covers.
 
   // Returns the sum of all rates.
   [[nodiscard]] double Total() const;
@@ -61,8 +62,8 @@
   // Returns whether the estimate covers enough time to act upon.
   [[nodiscard]] bool Ready(TimePoint now) const;
   // Returns the standard deviation of an estimated rate, taking arrivals as a
-  // Poisson process.
-  [[nodiscard]] static double Deviation(double rate);
+  // Poisson process that was observed for the windows of the last reports.
+  [[nodiscard]] double Deviation(double rate) const;
 
   // Time constant of the smoothing.
   static constexpr Duration kSmoothing = std::chrono::seconds(5);
@@ -79,6 +80,7 @@
 
   void DropExpired(TimePoint now);
   [[nodiscard]] double GreatestTotal() const;
+  [[nodiscard]] double MeanInverseWindow() const;
   [[nodiscard]] double ShareKept(TimePoint now) const;
   void AddKeysToRates();
 
@@ -87,6 +89,7 @@
   std::vector<KeyRate> keys_;
   std::vector<double> rates_;
   std::vector<double> recent_;
+  double inverse_window_ = 0;  // Per second.
   TimePoint updated_ = TimePoint::min();
   TimePoint ready_ = TimePoint::max();
 };
--- a/src/placement/placement.cc
+++ b/src/placement/placement.cc
@@ -67,6 +67,7 @@
     }
   }
   for (auto& [service, load] : services) {
+    load.seconds = seconds;
     std::sort(load.ranges.begin(), load.ranges.end(),
               [](const RangeRate& a, const RangeRate& b) {
                 return a.range < b.range;
--- a/src/placement/relief.cc
+++ b/src/placement/relief.cc
@@ -29,6 +29,7 @@
         to_(table.servers()[to]),
         mean_load_(table.MeanLoad()),
         even_keys_(1.0 / static_cast<double>(table.servers().size())),
+        may_move_(table.Settled(from) > 1),
         may_split_(table.ranges().size() <
                    kGreatestRangesPerServer * table.servers().size()) {}
 
@@ -36,7 +37,7 @@
     if (range.busy || range.resting || range.load <= 0) {
       return;
     }
-    if (from_.held.size() > 1) {
+    if (may_move_) {
       const double load = std::min(range.load, range.recent);
       Offer({ReliefKind::kMove, index, {}, load, range.keys});
     }
@@ -127,6 +128,7 @@
   const WorkServer& to_;
   double mean_load_;
   double even_keys_;
+  bool may_move_;  // A server keeps its last range.
   bool may_split_;
   std::optional<Relief> best_;
   double best_score_ = 0;
--- a/src/placement/service_planner.cc
+++ b/src/placement/service_planner.cc
@@ -256,7 +256,7 @@
   const double mean = step.table.MeanUtilisation();
   const double bound = step.table.LowerBound();
   const double noise =
-      kNoise * LoadModel::Deviation(std::max(top.load, 0.0)) / top.weight;
+      kNoise * model_.Deviation(std::max(top.load, 0.0)) / top.weight;
   const double start = StartLevel(step.snapshot.settings);
   const double least = LeastUtilisation(step.table);
   if (balancing_) {
@@ -295,9 +295,25 @@
   return limits;
 }
 
+// Returns the utilisation above which servers are relieved. While some are
+// above the level at which balancing begins, the budget is theirs.
+double ServicePlanner::LeastToRelieve(const Step& step) const {
+  const double level = Limits(step).key_level;
+  const double bound = step.table.LowerBound();
+  const double start = StartLevel(step.snapshot.settings) * bound;
+  if (level < bound) {
+    return level;
+  }
+  double greatest = 0;
+  for (const WorkServer& it : step.table.servers()) {
+    greatest = std::max(greatest, it.Utilisation());
+  }
+  return greatest > start ? start : kStopLevel * bound;
+}
+
 // Relieves the most loaded server that can be; returns whether there is one.
 bool ServicePlanner::RelieveAny(Step& step) {
-  const double level = Limits(step).key_level;
+  const double level = LeastToRelieve(step);
   for (const std::size_t it : ByUtilisation(step.table)) {
     if (step.table.servers()[it].Utilisation() <= level) {
       return false;
--- a/src/placement/service_planner.h
+++ b/src/placement/service_planner.h
@@ -73,6 +73,7 @@
                     MoveCause cause);
   [[nodiscard]] bool NeedsBalance(const Step& step) const;
   [[nodiscard]] ReliefLimits Limits(const Step& step) const;
+  [[nodiscard]] double LeastToRelieve(const Step& step) const;
   [[nodiscard]] bool RelieveAny(Step& step);
   [[nodiscard]] bool Relieve(Step& step, std::size_t from);
   void SpendMove(const Step& step, double keys);
--- a/src/placement/work_table.cc
+++ b/src/placement/work_table.cc
@@ -108,6 +108,13 @@
   return best;
 }
 
+std::size_t WorkTable::Settled(std::size_t server) const {
+  const std::vector<std::size_t>& held = servers_[server].held;
+  return static_cast<std::size_t>(
+      std::count_if(held.begin(), held.end(),
+                    [this](std::size_t it) { return !ranges_[it].busy; }));
+}
+
 std::size_t WorkTable::Find(const ServerId& id) const {
   if (id.empty()) {
     return kNoServer;
--- a/src/placement/work_table.h
+++ b/src/placement/work_table.h
@@ -65,6 +65,9 @@
   [[nodiscard]] std::optional<std::size_t> PickReceiver(
       double load,
       std::size_t except = kNoServer) const;
+  // Returns the number of ranges that a server holds and that no move, split or
+  // merge is planned or under way for.
+  [[nodiscard]] std::size_t Settled(std::size_t server) const;
   // Returns the index of a server by its id, or kNoServer.
   [[nodiscard]] std::size_t Find(const ServerId& id) const;
 
