--- /dev/null
+++ b/src/placement/change_detector.h
@@ -0,0 +1,77 @@
+// Detects that the mean of a stream of observations has risen.
+#ifndef SRC_PLACEMENT_CHANGE_DETECTOR_H_
+#define SRC_PLACEMENT_CHANGE_DETECTOR_H_
+
+#include <algorithm>
+#include <concepts>
+#include <cstddef>
+#include <vector>
+
+namespace gentianreach {
+
+// Something that takes one observation after another and says how far the
+// evidence of a rise has grown; the caller compares that with a threshold.
+template <typename D>
+concept ChangeDetector = requires(D detector, double value) {
+  { detector.Add(value) } -> std::same_as<double>;
+};
+
+// Cumulative sum with an offset, for a change whose size is not known before:
+// the offset lies between the means before and after the change, so that the
+// sum falls back to zero before the change and grows after it.
+class OffsetCusum {
+ public:
+  explicit OffsetCusum(double offset) : offset_(offset) {}
+
+  // Takes an observation and returns the sum.
+  double Add(double value) {
+    sum_ = std::max(0.0, sum_ + value - offset_);
+    return sum_;
+  }
+
+ private:
+  double offset_;
+  double sum_ = 0;
+};
+
+// Exponentially weighted moving average.
+class MovingAverage {
+ public:
+  // `share` is the weight of the newest observation; `start` the mean before.
+  MovingAverage(double share, double start) : share_(share), average_(start) {}
+
+  // Takes an observation and returns the average.
+  double Add(double value) {
+    average_ += share_ * (value - average_);
+    return average_;
+  }
+
+ private:
+  double share_;
+  double average_;
+};
+
+// Mean of the last observations.
+class WindowAverage {
+ public:
+  // `size` is the number of observations; all begin as `start`.
+  WindowAverage(std::size_t size, double start)
+      : values_(size, start), sum_(start * static_cast<double>(size)) {}
+
+  // Takes an observation and returns the mean.
+  double Add(double value) {
+    sum_ += value - values_[next_];
+    values_[next_] = value;
+    next_ = (next_ + 1) % values_.size();
+    return sum_ / static_cast<double>(values_.size());
+  }
+
+ private:
+  std::vector<double> values_;
+  std::size_t next_ = 0;
+  double sum_;
+};
+
+}  // namespace gentianreach
+
+#endif  // SRC_PLACEMENT_CHANGE_DETECTOR_H_
--- a/src/placement/hot_keys.cc
+++ b/src/placement/hot_keys.cc
@@ -47,7 +47,7 @@
     it.requests = 0;
   }
   std::sort(keys.begin(), keys.end(), Hotter);
-  Halve();
+  Decay();
   return keys;
 }
 
@@ -144,13 +144,13 @@
   return place;
 }
 
-// Halves every count, drops the counters that reach zero and builds the blocks
-// anew; the order of the counters stands.
-void HotKeyTracker::Halve() {
+// Takes a quarter off every count, drops the counters that reach zero and
+// builds the blocks anew; the order of the counters stands.
+void HotKeyTracker::Decay() {
   std::vector<std::uint64_t> counts;
   counts.reserve(counters_.size());
   for (const Counter& it : counters_) {
-    counts.push_back(blocks_[it.block].count / 2);
+    counts.push_back(blocks_[it.block].count * 3 / 4);
   }
   while (!counts.empty() && counts.back() == 0) {
     counts.pop_back();
--- a/src/placement/hot_keys.h
+++ b/src/placement/hot_keys.h
@@ -38,8 +38,8 @@
 
   // Returns at most `limit` keys with the requests surely counted for each
   // since the last call. The keys are those of the highest counts that were
-  // requested more than once, the most requested first. Halves all counts, so
-  // that keys that have cooled give up their counters.
+  // requested more than once, the most requested first. Takes a quarter off all
+  // counts, so that keys that have cooled give up their counters.
   std::vector<HotKeyCount> Take(std::size_t limit);
 
   // Returns the number of keys that have a counter.
@@ -70,7 +70,7 @@
   void Exchange(std::uint32_t a, std::uint32_t b);
   std::uint32_t AppendCounter(KeyHash hash);
   std::uint32_t ReplaceLowest(KeyHash hash);
-  void Halve();
+  void Decay();
 
   std::size_t capacity_;
   std::vector<Counter> counters_;  // In order of count, the highest first.
--- a/src/placement/relief.cc
+++ b/src/placement/relief.cc
@@ -9,7 +9,7 @@
 constexpr double kMoveCost = 0.02;
 constexpr double kSplitCost = 0.01;
 constexpr double kWaitCost = 0.05;
-constexpr double kKeysCost = 1.0;
+constexpr double kKeysCost = 4.0;
 // Least share of a server's even part of the keys that halving leaves.
 constexpr double kLeastPiece = 0.025;
 // Share of the space below which a range is as good as one key.
--- a/src/placement/service_planner.h
+++ b/src/placement/service_planner.h
@@ -55,7 +55,7 @@
 
  private:
   // What may go at once, of the moves and of the keys of a minute.
-  static constexpr std::uint32_t kMoveBurstDivisor = 4;
+  static constexpr std::uint32_t kMoveBurstDivisor = 2;
   static constexpr std::uint32_t kKeysBurstDivisor = 2;
 
   struct Step;
