Fakes for a cell in virtual time, and its first tests

A store, a network, servers with drifting clocks and daemons that run real agents. An agent that was not started asked to be woken at once for ever; it now asks for nothing.

--- a/src/cell/agent_core.cc
+++ b/src/cell/agent_core.cc
@@ -98,6 +98,9 @@
 }
 
 TimePoint CellAgent::Impl::NextDeadline() const {
+  if (!started_) {
+    return TimePoint::max();
+  }
   TimePoint due = std::min(
       {next_heartbeat_, create_at_, elect_at_, push_at_, next_orders_});
   if (IsAssigner() && !write_) {
--- /dev/null
+++ b/src/cell/testing/fake_world.h
@@ -0,0 +1,208 @@
+// Fakes at the interfaces of `CellAgent`, in virtual time: a store, a network,
+// backend servers with their own clocks, and daemons that run real agents.
+//
+// The world checks the main invariant itself: at no moment do two servers
+// serve one position, judged by true time and by each server's own state.
+#ifndef SRC_CELL_TESTING_FAKE_WORLD_H_
+#define SRC_CELL_TESTING_FAKE_WORLD_H_
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <queue>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "gentianreach/cell_agent.h"
+
+namespace gentianreach::testing {
+
+using std::chrono_literals::operator""us;
+using std::chrono_literals::operator""ms;
+using std::chrono_literals::operator""s;
+
+struct WorldOptions {
+  std::uint64_t seed = 1;
+  std::size_t daemons = 3;
+  std::size_t servers = 3;
+  std::size_t zones = 3;
+  std::uint32_t ranges_per_server = 2;
+  bool checks_giver = true;
+  bool watches_deadline = true;
+  // Relative clock rates are drawn from [-drift, +drift].
+  double drift = 0.004;
+  Duration link = 500us;         // One way, between machines.
+  Duration store_latency = 3ms;  // Whole call.
+  // Time a request runs on a server; releases wait for it.
+  Duration running = 2ms;
+  Duration cold_start = 50ms;
+  settings::CellTimingT timing;
+};
+
+// A backend server that takes fenced grants as in docs/PROTOCOLS.md.
+struct FakeServer {
+  std::string id;
+  std::string zone;
+  bool up = true;
+  bool frozen = false;
+  bool leaving = false;
+  TimePoint ready_at = TimePoint::min();
+  double rate = 1;
+  TimePoint born = TimePoint::min();
+  Incarnation incarnation{1};
+  LeaseGeneration generation;
+  std::int64_t lease_until_ms = 0;
+  std::uint64_t highest_epoch = 0;
+  struct Held {
+    HashRange range;
+    Token token;
+    TimePoint ending = TimePoint::min();  // Of what ran when it was released.
+  };
+  std::vector<Held> held;
+  std::map<std::uint64_t, std::pair<HashRange, std::uint64_t>> least;
+  std::deque<std::function<void()>> queue;  // Orders that came while frozen.
+};
+
+struct FakeDaemon {
+  std::string id;
+  std::string zone;
+  std::unique_ptr<CellAgent> agent;
+  bool up = true;
+  bool paused = false;
+  bool store_cut = false;
+  double rate = 1;
+  Duration offset{};
+  std::deque<std::function<void()>> queue;  // Events that came while paused.
+  std::uint64_t wake = 0;
+};
+
+class FakeWorld {
+ public:
+  explicit FakeWorld(WorldOptions options);
+  ~FakeWorld();
+
+  // Runs until `span` has passed, or until `done` holds where given; returns
+  // whether it came to hold.
+  void Run(Duration span);
+  bool RunUntil(const std::function<bool()>& done, Duration limit);
+
+  // Faults.
+  void CrashServer(std::size_t server);
+  void RestartServer(std::size_t server);
+  void FreezeServer(std::size_t server, bool frozen);
+  void CrashDaemon(std::size_t daemon);
+  // Starts a new life of the daemon.
+  void RestartDaemon(std::size_t daemon);
+  void PauseDaemon(std::size_t daemon, bool paused);
+  // Cuts, or mends, the link between two machines in one direction.
+  void Cut(const std::string& from, const std::string& to, bool cut);
+  void CutBoth(const std::string& a, const std::string& b, bool cut);
+  void HealAll();
+
+  enum class StoreState { kUp, kDown, kLosesAnswers, kSlow };
+  StoreState store = StoreState::kUp;
+  double loss = 0;  // Share of messages lost.
+
+  // Publishes the list of VMs to every daemon.
+  void PublishServers();
+
+  // Whether any daemon that is up would be answered by the rightful owner at
+  // `hash` now.
+  bool Served(KeyHash hash);
+  bool AllServed();
+  // Number of positions, one for each range, that are not served.
+  std::size_t Unserved();
+  bool Settled();
+
+  std::optional<std::size_t> Assigner();
+  std::size_t OwnerOf(KeyHash hash);
+  TimePoint now() const { return now_; }
+  std::mt19937_64& random() { return random_; }
+  std::vector<FakeServer>& servers() { return servers_; }
+  std::vector<FakeDaemon>& daemons() { return daemons_; }
+  TimePoint Local(const FakeDaemon& daemon) const;
+  std::shared_ptr<const stored::CellT> StoredRecord() const;
+  // Takes what the agent wants done; call after using an agent directly.
+  void Flush(std::size_t daemon) { Collect(daemon); }
+  // Notes an event in the trace that is printed on failure.
+  void Trace(const std::string& event);
+  std::string TraceText() const;
+
+  std::uint64_t peer_bytes = 0;
+  std::uint64_t peer_messages = 0;
+  std::uint64_t server_orders = 0;
+  std::uint64_t store_reads = 0;
+  std::uint64_t store_writes = 0;
+  std::vector<AuditEvent> audit;
+  std::uint64_t violations = 0;
+  bool count_bytes = false;
+  // Called after each event.
+  std::function<void()> on_event;
+  // Called for each write that takes effect.
+  std::function<void(const stored::CellT&)> on_write;
+
+ private:
+  struct Event {
+    TimePoint at;
+    std::uint64_t order;
+    std::function<void()> run;
+    bool operator>(const Event& other) const {
+      return std::tie(at, order) > std::tie(other.at, other.order);
+    }
+  };
+
+  void At(TimePoint at, std::function<void()> run);
+  void StartAgent(std::size_t daemon);
+  void Deliver(std::size_t daemon,
+               std::uint64_t life,
+               std::function<void(FakeDaemon&)> run);
+  void Collect(std::size_t daemon);
+  void Wake(std::size_t daemon);
+  void Read(std::size_t daemon, const StoreRead& call);
+  void Write(std::size_t daemon, const StoreWrite& call);
+  void Send(std::size_t daemon, PeerSend send);
+  void Order(std::size_t daemon, ServerOrder order);
+  ServerReply Obey(FakeServer& server, const ServerOrder& order);
+  bool Take(FakeServer& server, const ServerOrder& order, ServerReply& reply);
+  void Grant(FakeServer& server, const ServerOrder& order);
+  bool Release(FakeServer& server, const ServerOrder& order);
+  static void Carve(FakeServer& server, const HashRange& range);
+  [[nodiscard]] static Token LeastToken(const FakeServer& server,
+                                        const HashRange& range);
+  [[nodiscard]] std::int64_t ClockMs(const FakeServer& server) const;
+  [[nodiscard]] bool Serves(const FakeServer& server,
+                            const FakeServer::Held& held) const;
+  void CheckOwners();
+  void SampleRoutes();
+  [[nodiscard]] Duration Latency(Duration base);
+  [[nodiscard]] bool Lost(const std::string& from, const std::string& to);
+  std::optional<std::size_t> Find(const std::string& id) const;
+
+  WorldOptions options_;
+  std::mt19937_64 random_;
+  TimePoint now_;
+  std::uint64_t order_ = 0;
+  std::priority_queue<Event, std::vector<Event>, std::greater<>> events_;
+  std::vector<FakeServer> servers_;
+  std::vector<FakeDaemon> daemons_;
+  std::set<std::pair<std::string, std::string>> cuts_;
+  std::uint64_t lives_ = 0;
+  TimePoint next_sample_;
+  // The store's one object.
+  std::uint64_t version_ = 0;
+  std::vector<std::uint8_t> object_;
+  std::deque<std::string> trace_;
+  // Until when a server that watches no deadline may act on what was sent to
+  // it, by server, range and token.
+  std::map<std::tuple<std::size_t, std::uint64_t, std::uint64_t>, TimePoint>
+      sent_until_;
+};
+
+}  // namespace gentianreach::testing
+
+#endif  // SRC_CELL_TESTING_FAKE_WORLD_H_
