--- a/src/cell/testing/fake_world.cc
+++ b/src/cell/testing/fake_world.cc
@@ -12,6 +12,7 @@
 
 constexpr Duration kStoreTimeout = 300ms;
 constexpr Duration kSlowStore = 250ms;
+constexpr Duration kRestartTime = 500ms;
 constexpr std::size_t kTraceLength = 60;
 const std::string kService = "boats";
 
@@ -96,6 +97,7 @@
   daemon.id = "d" + std::to_string(i) + "." + std::to_string(++lives_);
   daemon.up = true;
   daemon.paused = false;
+  daemon.leaving = false;
   daemon.queue.clear();
   CellOptions options;
   options.cell = "cell";
@@ -201,9 +203,29 @@
   for (auto& it : out.orders) {
     Order(i, std::move(it));
   }
+  if (daemon.leaving && daemon.up && daemon.agent->Status(Local(daemon)).left) {
+    CrashDaemon(i);
+    At(now_ + kRestartTime, [this, i, id = daemon.id] {
+      if (daemons_[i].id == id) {
+        RestartDaemon(i);
+      }
+    });
+    return;
+  }
   Wake(i);
 }
 
+void FakeWorld::LeaveDaemon(std::size_t i) {
+  FakeDaemon& daemon = daemons_[i];
+  if (!daemon.up || daemon.paused || daemon.leaving) {
+    return;
+  }
+  Trace("leave " + daemon.id);
+  daemon.leaving = true;
+  daemon.agent->Leave(Local(daemon));
+  Collect(i);
+}
+
 void FakeWorld::Wake(std::size_t i) {
   FakeDaemon& daemon = daemons_[i];
   const std::uint64_t wake = ++daemon.wake;
@@ -267,7 +289,7 @@
       result.status = WriteStatus::kOk;
       result.version = ObjectVersion(version_);
       if (on_write) {
-        on_write(*StoredRecord());
+        on_write(*StoredRecord(), version_);
       }
     }
     const bool lost = store == StoreState::kLosesAnswers;
@@ -676,7 +698,7 @@
   for (std::size_t i = 0; i < daemons_.size(); ++i) {
     daemons_[i].store_cut = false;
     PauseDaemon(i, false);
-    if (!daemons_[i].up || daemons_[i].agent->Status(Local(daemons_[i])).left) {
+    if (!daemons_[i].up) {
       RestartDaemon(i);
     }
   }
--- a/src/cell/testing/fake_world.h
+++ b/src/cell/testing/fake_world.h
@@ -75,6 +75,7 @@
   bool up = true;
   bool paused = false;
   bool store_cut = false;
+  bool leaving = false;
   double rate = 1;
   Duration offset{};
   std::deque<std::function<void()>> queue;  // Events that came while paused.
@@ -98,6 +99,8 @@
   void CrashDaemon(std::size_t daemon);
   // Starts a new life of the daemon.
   void RestartDaemon(std::size_t daemon);
+  // Has the daemon leave; a new life starts once it has.
+  void LeaveDaemon(std::size_t daemon);
   void PauseDaemon(std::size_t daemon, bool paused);
   // Cuts, or mends, the link between two machines in one direction.
   void Cut(const std::string& from, const std::string& to, bool cut);
@@ -144,7 +147,7 @@
   // Called after each event.
   std::function<void()> on_event;
   // Called for each write that takes effect.
-  std::function<void(const stored::CellT&)> on_write;
+  std::function<void(const stored::CellT&, std::uint64_t version)> on_write;
 
  private:
   struct Event {
--- /dev/null
+++ b/src/cell/testing/history.cc
@@ -0,0 +1,71 @@
+#include "cell/testing/history.h"
+
+#include <utility>
+
+#include "cell/record.h"
+
+namespace gentianreach::testing {
+
+History::History(FakeWorld& world) : world_(world) {
+  world.on_write = [this](const stored::CellT& record, std::uint64_t version) {
+    OnWrite(record, version);
+  };
+}
+
+bool History::good() const {
+  return problem_.empty() && world_.violations == 0;
+}
+
+std::string History::problem() const {
+  return world_.violations > 0 ? "two owners" : problem_;
+}
+
+void History::OnWrite(const stored::CellT& record, std::uint64_t version) {
+  const auto [it, fresh] =
+      assigner_of_epoch_.emplace(record.epoch, record.assigner);
+  if (!fresh && it->second != record.assigner) {
+    problem_ = "epoch reused";
+  }
+  if (!written_.empty()) {
+    const stored::CellT& before = written_.rbegin()->second;
+    for (const auto& range : record.ranges) {
+      const auto* const old =
+          cell::FindRange(before, range->service, KeyHash(range->first));
+      if (old == nullptr) {
+        continue;
+      }
+      if (range->token < old->token) {
+        problem_ = "token fell";
+      }
+      if (range->owner != old->owner && range->token == old->token) {
+        problem_ = "owner changed under one token";
+      }
+    }
+    if (record.epoch < before.epoch) {
+      problem_ = "epoch fell";
+    }
+  }
+  written_[version] = record;
+}
+
+void History::CheckAudit() {
+  for (const auto& it : world_.audit) {
+    const auto written = written_.find(it.version.value());
+    if (written == written_.end()) {
+      problem_ = "audited but not written: " + it.what + " " + it.object;
+      return;
+    }
+    if (it.what != "owner") {
+      continue;
+    }
+    const auto slash = it.object.find('/');
+    const auto* const range =
+        cell::FindRange(written->second, it.object.substr(0, slash),
+                        KeyHash(std::stoull(it.object.substr(slash + 1))));
+    if (range == nullptr || range->owner != it.to) {
+      problem_ = "audited owner is not the written one: " + it.object;
+    }
+  }
+}
+
+}  // namespace gentianreach::testing
--- /dev/null
+++ b/src/cell/testing/history.h
@@ -0,0 +1,37 @@
+// Watches a world's store and audit trail for broken promises.
+#ifndef SRC_CELL_TESTING_HISTORY_H_
+#define SRC_CELL_TESTING_HISTORY_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+#include "cell/testing/fake_world.h"
+
+namespace gentianreach::testing {
+
+class History {
+ public:
+  // Attaches to the world, which must live as long.
+  explicit History(FakeWorld& world);
+  History(const History&) = delete;
+  History& operator=(const History&) = delete;
+
+  // Checks that what was audited as done was in the store by then.
+  void CheckAudit();
+
+  [[nodiscard]] bool good() const;
+  [[nodiscard]] std::string problem() const;
+
+ private:
+  void OnWrite(const stored::CellT& record, std::uint64_t version);
+
+  FakeWorld& world_;
+  std::map<std::uint64_t, std::string> assigner_of_epoch_;
+  std::map<std::uint64_t, stored::CellT> written_;  // By version.
+  std::string problem_;
+};
+
+}  // namespace gentianreach::testing
+
+#endif  // SRC_CELL_TESTING_HISTORY_H_
