Placement: a server counts as idle below 0.35 of the mean

A very hot key raises the mean, so that ordinary servers counted as idle and were filled with whole ranges at the cost of the share of keys.

--- a/src/placement/service_planner.cc
+++ b/src/placement/service_planner.cc
@@ -19,7 +19,7 @@
 constexpr double kChurnPatience = 0.08;
 // It begins too where a server has less than the first and goes on until all
 // have more than the second share of the mean.
-constexpr double kIdleLevel = 0.5;
+constexpr double kIdleLevel = 0.35;
 constexpr double kFilledLevel = 0.8;
 // Deviations of an estimate that count as noise.
 constexpr double kNoise = 3.0;
