Leases of servers without their renewers; short holds; takeover bench

A member that stepped in for lost renewers got its first answer and then no longer felt responsible, since the answer itself was fresh contact: with the store down a lease ran out for up to 200 ms. It now renews at once from any answer to an order that did not extend the lease fully.

--- /dev/null
+++ b/bench/takeover_bench.cc
@@ -0,0 +1,341 @@
+// Measures in virtual time how long keys go unserved after a loss, and how
+// long a planned move holds requests; with --slopes, what control costs one
+// agent against servers, ranges and members.
+//
+// The state machines are the real ones; store, network and servers are fakes
+// with a store call of 3 to 4.5 ms and links of 0.5 to 0.75 ms one way.
+#include <malloc.h>
+#include <CLI/CLI.hpp>
+
+#include <algorithm>
+#include <chrono>
+#include <cstdio>
+#include <ctime>
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "cell/record.h"
+#include "cell/testing/fake_world.h"
+
+namespace {
+
+using gentianreach::Duration;
+using gentianreach::KeyHash;
+using gentianreach::ServerId;
+using gentianreach::ServiceName;
+using gentianreach::TimePoint;
+using gentianreach::testing::FakeWorld;
+using gentianreach::testing::WorldOptions;
+using std::chrono_literals::operator""ms;
+using std::chrono_literals::operator""s;
+
+constexpr Duration kGiveUp = 12s;
+// For how long the store is away after the loss where it comes back.
+constexpr Duration kStoreAway = 5s;
+constexpr double kTargetMs = 3000;
+
+double Ms(Duration span) {
+  return std::chrono::duration<double, std::milli>(span).count();
+}
+
+struct Size {
+  std::string name;
+  std::size_t servers;
+  std::size_t daemons;
+};
+
+struct Loss {
+  std::string name;
+  std::function<void(FakeWorld&)> strike;
+};
+
+std::size_t AssignerOr0(FakeWorld& world) {
+  return world.Assigner().value_or(0);
+}
+
+// Cuts a server off from every daemon.
+void CutServer(FakeWorld& world, std::size_t server) {
+  for (std::size_t i = 0; i < world.daemons().size(); ++i) {
+    world.CutBoth("d" + std::to_string(i), "s" + std::to_string(server), true);
+  }
+}
+
+void LoseZone(FakeWorld& world, const std::string& zone) {
+  for (std::size_t i = 0; i < world.servers().size(); ++i) {
+    if (world.servers()[i].zone == zone) {
+      world.CrashServer(i);
+    }
+  }
+  for (std::size_t i = 0; i < world.daemons().size(); ++i) {
+    if (world.daemons()[i].zone == zone) {
+      world.CrashDaemon(i);
+    }
+  }
+}
+
+// Loses a zone without the assigner.
+void LoseOtherZone(FakeWorld& world) {
+  const std::string zone = world.daemons()[AssignerOr0(world)].zone;
+  LoseZone(world, zone == "z0" ? "z1" : "z0");
+}
+
+const std::vector<Loss>& Losses() {
+  static const std::vector<Loss> losses = {
+      {"server crash", [](FakeWorld& w) { w.CrashServer(0); }},
+      {"server freeze", [](FakeWorld& w) { w.FreezeServer(0, true); }},
+      {"server cut off", [](FakeWorld& w) { CutServer(w, 0); }},
+      {"server restart",
+       [](FakeWorld& w) {
+         w.CrashServer(0);
+         w.RestartServer(0);
+       }},
+      {"zone without assigner", LoseOtherZone},
+      {"zone with assigner",
+       [](FakeWorld& w) { LoseZone(w, w.daemons()[AssignerOr0(w)].zone); }},
+      {"assigner", [](FakeWorld& w) { w.CrashDaemon(AssignerOr0(w)); }},
+      {"assigner and owner",
+       [](FakeWorld& w) {
+         w.CrashDaemon(AssignerOr0(w));
+         w.CrashServer(0);
+       }},
+      {"server's two renewers",
+       [](FakeWorld& w) {
+         // Any two daemons: over the seeds these are a server's renewers.
+         const std::size_t n = w.daemons().size();
+         const std::size_t first = w.random()() % n;
+         w.CrashDaemon(first);
+         w.CrashDaemon((first + 1 + w.random()() % (n - 1)) % n);
+       }},
+      {"all daemons replaced at once",
+       [](FakeWorld& w) {
+         for (std::size_t i = 0; i < w.daemons().size(); ++i) {
+           w.CrashDaemon(i);
+           w.RestartDaemon(i);
+         }
+       }},
+  };
+  return losses;
+}
+
+// Brings the cell up and lets it run to a moment that differs by seed.
+bool Prepare(FakeWorld& world) {
+  const bool up = world.RunUntil([&] { return world.Settled(); }, 10s);
+  world.Run(4s + std::chrono::milliseconds(world.random()() % 500));
+  return up;
+}
+
+struct Result {
+  std::vector<double> ms;
+  std::size_t unserved = 0;  // Runs that gave up.
+};
+
+enum class StoreMode { kUp, kDown, kComesBack };
+
+const char* ToString(StoreMode mode) {
+  if (mode == StoreMode::kUp) {
+    return "up";
+  }
+  return mode == StoreMode::kDown ? "down" : "back";
+}
+
+// Returns how long some key goes unserved after the loss or, where the store
+// comes back, after its return; zero where none does.
+Result Measure(const Size& size,
+               const Loss& loss,
+               StoreMode mode,
+               std::uint64_t seeds) {
+  Result result;
+  for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+    WorldOptions options;
+    options.seed = seed;
+    options.daemons = size.daemons;
+    options.servers = size.servers;
+    FakeWorld world(options);
+    if (!Prepare(world)) {
+      ++result.unserved;
+      continue;
+    }
+    if (mode != StoreMode::kUp) {
+      world.store = FakeWorld::StoreState::kDown;
+      world.Run(1s);
+    }
+    loss.strike(world);
+    if (mode == StoreMode::kComesBack) {
+      world.Run(kStoreAway);
+      world.store = FakeWorld::StoreState::kUp;
+    }
+    const TimePoint start = world.now();
+    TimePoint last_unserved = start;
+    const TimePoint end = start + kGiveUp;
+    while (world.now() < end) {
+      world.Run(5ms);
+      if (!world.AllServed()) {
+        last_unserved = world.now();
+      } else if (world.now() - last_unserved > 4s) {
+        break;
+      }
+    }
+    if (world.AllServed()) {
+      result.ms.push_back(Ms(last_unserved - start));
+    } else {
+      ++result.unserved;
+    }
+  }
+  return result;
+}
+
+// Returns how long a planned move leaves its range without an owner to send
+// to.
+Result MeasureMove(const Size& size, std::uint64_t seeds) {
+  Result result;
+  for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+    WorldOptions options;
+    options.seed = seed;
+    options.daemons = size.daemons;
+    options.servers = size.servers;
+    FakeWorld world(options);
+    if (!Prepare(world)) {
+      ++result.unserved;
+      continue;
+    }
+    const auto record = world.StoredRecord();
+    const auto& range = *record->ranges[0];
+    const std::size_t assigner = AssignerOr0(world);
+    const std::string to = range.owner == "s1" ? "s2" : "s1";
+    auto& daemon = world.daemons()[assigner];
+    daemon.agent->ProposeMove({ServiceName(range.service),
+                               {KeyHash(range.first), KeyHash(range.last)},
+                               ServerId(to),
+                               "bench",
+                               "bench"},
+                              world.Local(daemon));
+    world.Flush(assigner);
+    const TimePoint limit = world.now() + 2s;
+    Duration held{};
+    while (world.now() < limit) {
+      world.Run(1ms);
+      held += world.Served(KeyHash(range.first)) ? 0ms : 1ms;
+    }
+    result.ms.push_back(Ms(held));
+  }
+  return result;
+}
+
+void Print(bool csv,
+           const Size& size,
+           const std::string& what,
+           const std::string& store,
+           Result result) {
+  std::sort(result.ms.begin(), result.ms.end());
+  const double worst = result.ms.empty() ? 0 : result.ms.back();
+  const double median = result.ms.empty() ? 0 : result.ms[result.ms.size() / 2];
+  const bool misses = result.unserved > 0 || worst > kTargetMs;
+  std::printf(csv ? "%s,%s,%s,%.0f,%.0f,%zu,%zu,%s\n"
+                  : "%-14s %-30s %-5s %7.0f %7.0f %5zu %9zu  %s\n",
+              size.name.c_str(), what.c_str(), store.c_str(), median, worst,
+              result.ms.size(), result.unserved, misses ? "misses" : "meets");
+  std::fflush(stdout);
+}
+
+void Takeovers(bool csv, std::uint64_t seeds) {
+  const std::vector<Size> sizes = {{"Muestradulce", 10, 9},
+                                   {"Rabljena Barka", 30, 9}};
+  std::printf(csv ? "%s,%s,%s,%s,%s,%s,%s,%s\n"
+                  : "%-14s %-30s %-5s %7s %7s %5s %9s  %s\n",
+              "cell", "loss", "store", "median", "worst", "runs", "unserved",
+              "target 3000 ms");
+  for (const auto& size : sizes) {
+    for (const StoreMode mode :
+         {StoreMode::kUp, StoreMode::kDown, StoreMode::kComesBack}) {
+      for (const auto& loss : Losses()) {
+        Print(csv, size, loss.name, ToString(mode),
+              Measure(size, loss, mode, seeds));
+      }
+    }
+    Print(csv, size, "planned move (held)", "up", MeasureMove(size, seeds));
+  }
+}
+
+double CpuSeconds() {
+  timespec ts{};
+  clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &ts);
+  return static_cast<double>(ts.tv_sec) + static_cast<double>(ts.tv_nsec) / 1e9;
+}
+
+// Prints the cost of one agent, the fakes' own cost included in CPU time.
+void Slope(const char* varied,
+           std::size_t daemons,
+           std::size_t servers,
+           std::uint32_t ranges_per_server) {
+  const std::size_t heap_before = mallinfo2().uordblks;
+  WorldOptions options;
+  options.daemons = daemons;
+  options.servers = servers;
+  options.ranges_per_server = ranges_per_server;
+  FakeWorld world(options);
+  const bool up = world.RunUntil([&] { return world.Settled(); }, 20s);
+  world.Run(3s);
+  const double heap = static_cast<double>(mallinfo2().uordblks - heap_before) /
+                      static_cast<double>(daemons);
+  const std::uint64_t messages = world.peer_messages;
+  const std::uint64_t orders = world.server_orders;
+  const std::uint64_t reads = world.store_reads;
+  const std::uint64_t writes = world.store_writes;
+  constexpr double kSeconds = 10;
+  const double cpu = CpuSeconds();
+  world.Run(10s);
+  const double used = CpuSeconds() - cpu;
+  // Bytes are counted apart, since packing them costs time.
+  world.count_bytes = true;
+  world.Run(10s);
+  const double agent_seconds = kSeconds * static_cast<double>(daemons);
+  const double all = 2 * agent_seconds;
+  std::printf(
+      "%s,%zu,%zu,%zu,%s,%.3f,%.1f,%.0f,%.1f,%.2f,%zu,%.0f,%zu\n", varied,
+      daemons, servers, servers * ranges_per_server, up ? "yes" : "no",
+      1000 * used / agent_seconds,
+      static_cast<double>(world.peer_messages - messages) / all,
+      static_cast<double>(world.peer_bytes) / agent_seconds,
+      static_cast<double>(world.server_orders - orders) / all,
+      static_cast<double>(world.store_reads - reads) / (2 * kSeconds),
+      static_cast<std::size_t>(world.store_writes - writes), heap / 1024,
+      gentianreach::cell::SerializeRecord(*world.StoredRecord()).size());
+  std::fflush(stdout);
+}
+
+void Slopes() {
+  std::printf(
+      "varied,daemons,servers,ranges,settled,cpu_ms_per_agent_second,"
+      "peer_messages_per_agent_second,peer_bytes_per_agent_second,"
+      "orders_per_agent_second,store_reads_per_cell_second,store_writes,"
+      "heap_kib_per_agent,record_bytes\n");
+  for (const std::size_t n : {3, 5, 7, 9, 12}) {
+    Slope("daemons", n, 30, 8);
+  }
+  for (const std::size_t n : {10, 20, 30, 60, 100}) {
+    Slope("servers", 9, n, 8);
+  }
+  for (const std::uint32_t n : {4, 8, 16, 32, 64}) {
+    Slope("ranges", 9, 30, n);
+  }
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  CLI::App app("Time until keys are served again, and the cost of control");
+  bool csv = false;
+  bool slopes = false;
+  std::uint64_t seeds = 30;
+  app.add_flag("--csv", csv, "print comma-separated values");
+  app.add_flag("--slopes", slopes, "measure the cost of control instead");
+  app.add_option("--seeds", seeds, "runs of each case");
+  CLI11_PARSE(app, argc, argv);
+  if (slopes) {
+    Slopes();
+  } else {
+    Takeovers(csv, seeds);
+  }
+  return 0;
+}
--- a/src/cell/agent_election.cc
+++ b/src/cell/agent_election.cc
@@ -9,7 +9,6 @@
 using cell::kBlindElectionWait;
 using cell::kElectionStagger;
 using cell::kFirstRangesWait;
-using cell::kHoldWait;
 using cell::kMassSilenceWait;
 using cell::kMaxHandOverWait;
 using cell::kOutsiderElectionJitter;
--- a/src/cell/agent_impl.h
+++ b/src/cell/agent_impl.h
@@ -13,6 +13,7 @@
 #include <utility>
 #include <vector>
 
+#include "cell/agent_times.h"
 #include "cell/fence.h"
 #include "cell/permit.h"
 #include "cell/planner.h"
@@ -101,6 +102,7 @@
     std::string service;
     std::vector<GrantedRange> grants;
     TimePoint sent;
+    bool extends_fully = false;  // Extends the lease from a recent answer.
   };
 
   using Grant =
@@ -123,6 +125,7 @@
     ObjectVersion version;  // Of the record that first showed the move.
     TimePoint hold_by;      // Members hold requests by then.
     TimePoint retry = TimePoint::min();
+    Duration wait = cell::kFirstReleaseRetry;  // Until the next try.
   };
 
   // agent_core.cc
@@ -249,7 +252,9 @@
       TimePoint now) const;
   void ReportOwnFences(TimePoint now);
   void NoteServers(TimePoint now);
-  void RenewIfShort(const stored::ServerT& server, TimePoint now);
+  void RenewAtOnce(const stored::ServerT& server,
+                   const PendingOrder& order,
+                   TimePoint now);
 
   // agent_moves.cc
   void ResetMoves();
@@ -268,6 +273,7 @@
   void OnGrantReply(const PendingOrder& order,
                     const ServerReply& reply,
                     TimePoint now);
+  void RetryMoves(const std::string& server, TimePoint now);
   void OnReleaseReply(const PendingOrder& order,
                       const ServerReply& reply,
                       TimePoint now);
--- a/src/cell/agent_moves.cc
+++ b/src/cell/agent_moves.cc
@@ -9,7 +9,7 @@
 using cell::kGrantRetry;
 using cell::kHoldWait;
 using cell::kMaxGrantsPerOrder;
-using cell::kReleaseRetry;
+using cell::kMaxReleaseRetry;
 
 // A new assigner cannot know what its predecessor's orders have done. All
 // orders are idempotent, so it gives them again.
@@ -27,10 +27,9 @@
       continue;
     }
     const auto known = releases_.find(it->moving_token);
-    kept[it->moving_token] =
-        known != releases_.end()
-            ? known->second
-            : Release{false, version_, now + kHoldWait, TimePoint::min()};
+    kept[it->moving_token] = known != releases_.end()
+                                 ? known->second
+                                 : Release{false, version_, now + kHoldWait};
   }
   releases_ = std::move(kept);
 }
@@ -226,7 +225,8 @@
 void CellAgent::Impl::SendRelease(const stored::RangeT& range,
                                   Release& release,
                                   TimePoint now) {
-  release.retry = now + kReleaseRetry;
+  release.retry = now + release.wait;
+  release.wait = std::min(2 * release.wait, kMaxReleaseRetry);
   const auto* const owner = routes_.Server(range.owner);
   if (owner == nullptr || owner->state == stored::ServerState::Fenced) {
     return;
@@ -244,6 +244,20 @@
   Emit(std::move(order), now);
 }
 
+// Orders that waited for the server's clock go out now that it is known.
+void CellAgent::Impl::RetryMoves(const std::string& server, TimePoint now) {
+  const auto grants = grants_.find(server);
+  if (grants != grants_.end()) {
+    grants->second.retry = now;
+  }
+  for (const auto& it : record_->ranges) {
+    const auto release = releases_.find(it->moving_token);
+    if (it->owner == server && release != releases_.end()) {
+      release->second.retry = now;
+    }
+  }
+}
+
 void CellAgent::Impl::OnReleaseReply(const PendingOrder& order,
                                      const ServerReply& reply,
                                      TimePoint now) {
--- a/src/cell/agent_servers.cc
+++ b/src/cell/agent_servers.cc
@@ -134,16 +134,16 @@
   Emit(std::move(order), now);
 }
 
-// A lease that has run down, for example while the server was out of reach,
-// is renewed from the answer that has just come.
-void CellAgent::Impl::RenewIfShort(const stored::ServerT& server,
-                                   TimePoint now) {
-  cell::ServerLease& lease = leases_[server.id];
-  if (lease.Remaining() >= lease_ / 2 || !MayRenew(server, now) ||
-      !LooksAfter(server, now)) {
-    return;
+// Renews from the answer that has just come, where the order answered did not
+// extend the lease as far as it should.
+void CellAgent::Impl::RenewAtOnce(const stored::ServerT& server,
+                                  const PendingOrder& order,
+                                  TimePoint now) {
+  const bool extended =
+      order.extends_fully && leases_[server.id].Remaining() >= lease_ / 2;
+  if (!extended && MayRenew(server, now)) {
+    SendPeriodicOrder(server, now);
   }
-  SendPeriodicOrder(server, now);
 }
 
 ServerOrder CellAgent::Impl::NewOrder(const stored::ServerT& server,
@@ -162,9 +162,14 @@
 
 void CellAgent::Impl::Emit(ServerOrder order, TimePoint now) {
   order.ticket = NextTicket();
+  const bool extends =
+      order.kind == OrderKind::kRenew || order.kind == OrderKind::kGrant;
+  const bool fresh =
+      now - leases_[order.server.value()].answered() < 2 * renewal_;
   orders_[order.ticket] = {order.kind,       order.server.value(),
                            order.generation, order.service.value(),
-                           order.grants,     now};
+                           order.grants,     now,
+                           extends && fresh};
   outbox_.orders.push_back(std::move(order));
 }
 
@@ -200,10 +205,10 @@
       OnReleaseReply(order, reply, now);
     }
   }
-  if (order.kind != OrderKind::kRenew || !reply.ok ||
-      lease.Remaining() <= Duration::zero()) {
-    RenewIfShort(*server, now);
+  if (order.kind == OrderKind::kProbe) {
+    RetryMoves(order.server, now);
   }
+  RenewAtOnce(*server, order, now);
   Step(now);
 }
 
--- a/src/cell/agent_times.h
+++ b/src/cell/agent_times.h
@@ -42,7 +42,8 @@
 inline constexpr Duration kPushDelay = 20ms;
 // A release waits for the members to hold requests, but no longer than this.
 inline constexpr Duration kHoldWait = 50ms;
-inline constexpr Duration kReleaseRetry = 20ms;
+inline constexpr Duration kFirstReleaseRetry = 2ms;
+inline constexpr Duration kMaxReleaseRetry = 20ms;
 inline constexpr Duration kGrantRetry = 50ms;
 inline constexpr Duration kRecordRequestInterval = 20ms;
 // Orders without an answer are forgotten after this.
--- a/src/cell/cell_agent_test.cc
+++ b/src/cell/cell_agent_test.cc
@@ -21,12 +21,15 @@
   CHECK(world.StoredRecord()->members.size() == 3);
 }
 
-TEST_CASE("an idle cell writes nothing") {
+TEST_CASE("an idle cell writes nothing and renews at its period only") {
   FakeWorld world(WorldOptions{});
   REQUIRE(world.RunUntil([&] { return world.Settled(); }, 3s));
   world.Run(5s);
   const auto writes = world.store_writes;
+  const auto orders = world.server_orders;
   world.Run(60s);
+  // Three servers, two renewers each, four renewals a second.
+  CHECK(world.server_orders - orders <= 60 * 3 * 2 * 4 + 60);
   INFO(world.TraceText());
   CHECK(world.store_writes == writes);
   CHECK(world.AllServed());
@@ -44,5 +47,55 @@
   CHECK(world.violations == 0);
 }
 
+TEST_CASE("a server whose two renewers are lost keeps its lease, store or no") {
+  // Any two of nine daemons: over the seeds they are some server's renewers.
+  for (std::uint64_t seed = 1; seed <= 12; ++seed) {
+    CAPTURE(seed);
+    WorldOptions options;
+    options.seed = seed;
+    options.daemons = 9;
+    options.servers = 10;
+    FakeWorld world(options);
+    REQUIRE(world.RunUntil([&] { return world.Settled(); }, 5s));
+    world.Run(1s);
+    world.store = FakeWorld::StoreState::kDown;
+    world.Run(500ms);
+    const std::size_t first = world.random()() % 9;
+    world.CrashDaemon(first);
+    world.CrashDaemon((first + 1 + world.random()() % 8) % 9);
+    std::size_t unserved = 0;
+    for (int i = 0; i < 150; ++i) {
+      world.Run(20ms);
+      unserved += world.Unserved();
+    }
+    CHECK(unserved == 0);
+  }
+}
+
+TEST_CASE("a planned move holds its range for a few milliseconds") {
+  FakeWorld world(WorldOptions{});
+  REQUIRE(world.RunUntil([&] { return world.Settled(); }, 3s));
+  world.Run(1s);
+  const auto record = world.StoredRecord();
+  const auto& range = *record->ranges[0];
+  const std::size_t n = *world.Assigner();
+  world.daemons()[n].agent->ProposeMove(
+      {ServiceName(range.service),
+       {KeyHash(range.first), KeyHash(range.last)},
+       ServerId(range.owner == "s1" ? "s2" : "s1"),
+       "test",
+       "test"},
+      world.Local(world.daemons()[n]));
+  world.Flush(n);
+  int held = 0;
+  for (int i = 0; i < 500; ++i) {
+    world.Run(1ms);
+    held += world.Served(KeyHash(range.first)) ? 0 : 1;
+  }
+  CHECK(held > 0);
+  CHECK(held <= 15);
+  CHECK(world.OwnerOf(KeyHash(range.first)) == (range.owner == "s1" ? 2U : 1U));
+}
+
 }  // namespace
 }  // namespace gentianreach
