--- a/src/cell/agent_impl.h
+++ b/src/cell/agent_impl.h
@@ -273,7 +273,10 @@
   void OnGrantReply(const PendingOrder& order,
                     const ServerReply& reply,
                     TimePoint now);
-  void RetryMoves(const std::string& server, TimePoint now);
+  void RetryMoves(const stored::ServerT& server, TimePoint now);
+  // Returns whether an order can name points on the server's clock.
+  [[nodiscard]] bool ClockUsable(const stored::ServerT& server,
+                                 TimePoint now) const;
   void OnReleaseReply(const PendingOrder& order,
                       const ServerReply& reply,
                       TimePoint now);
--- a/src/cell/agent_moves.cc
+++ b/src/cell/agent_moves.cc
@@ -105,14 +105,20 @@
   }
 }
 
+bool CellAgent::Impl::ClockUsable(const stored::ServerT& server,
+                                  TimePoint now) const {
+  const auto it = leases_.find(server.id);
+  return it != leases_.end() && it->second.Known() &&
+         now - it->second.answered() < lease_ / 2 &&
+         it->second.last().incarnation.value() == server.incarnation;
+}
+
 void CellAgent::Impl::SendGrant(const stored::ServerT& server,
                                 ServerGrants& grants,
                                 TimePoint now) {
   grants.retry = now + kGrantRetry;
   cell::ServerLease& lease = leases_[server.id];
-  const bool fresh = lease.Known() && now - lease.answered() < lease_ / 2 &&
-                     lease.last().incarnation.value() == server.incarnation;
-  if (!fresh) {
+  if (!ClockUsable(server, now)) {
     Emit(NewOrder(server, OrderKind::kProbe), now);
     return;
   }
@@ -232,8 +238,7 @@
     return;
   }
   const cell::ServerLease& lease = leases_[owner->id];
-  if (!lease.Known() || now - lease.answered() > lease_ / 2 ||
-      lease.last().incarnation.value() != owner->incarnation) {
+  if (!ClockUsable(*owner, now)) {
     Emit(NewOrder(*owner, OrderKind::kProbe), now);
     return;
   }
@@ -245,14 +250,17 @@
 }
 
 // Orders that waited for the server's clock go out now that it is known.
-void CellAgent::Impl::RetryMoves(const std::string& server, TimePoint now) {
-  const auto grants = grants_.find(server);
+void CellAgent::Impl::RetryMoves(const stored::ServerT& server, TimePoint now) {
+  if (!ClockUsable(server, now)) {
+    return;
+  }
+  const auto grants = grants_.find(server.id);
   if (grants != grants_.end()) {
     grants->second.retry = now;
   }
   for (const auto& it : record_->ranges) {
     const auto release = releases_.find(it->moving_token);
-    if (it->owner == server && release != releases_.end()) {
+    if (it->owner == server.id && release != releases_.end()) {
       release->second.retry = now;
     }
   }
--- a/src/cell/agent_servers.cc
+++ b/src/cell/agent_servers.cc
@@ -206,7 +206,7 @@
     }
   }
   if (order.kind == OrderKind::kProbe) {
-    RetryMoves(order.server, now);
+    RetryMoves(*server, now);
   }
   RenewAtOnce(*server, order, now);
   Step(now);
--- a/src/cell/ownership_faults_test.cc
+++ b/src/cell/ownership_faults_test.cc
@@ -92,6 +92,7 @@
       {"new owner lost", [](FakeWorld& w) { w.CrashServer(1); }},
       {"new owner frozen", [](FakeWorld& w) { w.FreezeServer(1, true); }},
       {"messages lost", [](FakeWorld& w) { w.loss = 0.2; }},
+      {"messages late", [](FakeWorld& w) { w.late = 0.2; }},
   };
   return faults;
 }
--- a/src/cell/ownership_random_test.cc
+++ b/src/cell/ownership_random_test.cc
@@ -136,6 +136,7 @@
       return;
     case 15:
       world.loss = random() % 3 == 0 ? 0.1 : 0;
+      world.late = random() % 3 == 0 ? 0.1 : 0;
       return;
     case 16:
       world.daemons()[d].store_cut = random() % 2 == 0;
--- a/src/cell/server_lease.h
+++ b/src/cell/server_lease.h
@@ -56,6 +56,8 @@
 
   // When the next periodic order is due.
   TimePoint next_order = TimePoint::min();
+  // Until when no order beyond the periodic ones is sent.
+  TimePoint next_at_once = TimePoint::min();
 
  private:
   ServerReply last_;
--- /dev/null
+++ b/src/cell/settling_test.cc
@@ -0,0 +1,59 @@
+#include "cell/settling.h"
+
+#include <doctest/doctest.h>
+
+namespace gentianreach::cell {
+namespace {
+
+using std::chrono_literals::operator""ms;
+using std::chrono_literals::operator""s;
+
+const TimePoint kStart{std::chrono::hours(1)};
+
+// A cell of view 2 without e, after view 1 of a to e.
+Record MakeRecord() {
+  Record record;
+  record.view = 2;
+  for (const char* const it : {"a", "b", "c", "d"}) {
+    record.members.push_back(std::make_unique<stored::MemberT>());
+    record.members.back()->daemon = it;
+  }
+  record.older_views.push_back(std::make_unique<stored::ViewT>());
+  record.older_views.back()->version = 1;
+  record.older_views.back()->members = {"a", "b", "c", "d", "e"};
+  return record;
+}
+
+TEST_CASE("an older view dies when more than f of its members have left it") {
+  const Record record = MakeRecord();
+  Settling settling;
+  settling.SetTiming(800ms, 1200ms, 60s, 0);
+  settling.OnRecord(record, "a", kStart);
+  // Of five members one may be lost: with b, c, d and e still in view 1, e
+  // can gather four acceptances, itself counted.
+  CHECK(settling.RemovedLapse(record) > kStart + 60s);
+  CHECK_FALSE(settling.Settled(record, kStart + 1s));
+  settling.OnDaemonView(record, "b", 1, kStart + 5ms);
+  CHECK_FALSE(settling.Settled(record, kStart + 1s));
+  settling.OnDaemonView(record, "b", 2, kStart + 10ms);
+  CHECK(settling.Settled(record, kStart + 10ms));
+  // A permit got just before lasts 800 ms and a lease renewed then 1200 ms.
+  CHECK(*settling.RemovedLapse(record) >= kStart + 2010ms);
+  CHECK(*settling.RemovedLapse(record) < kStart + 2011ms);
+}
+
+TEST_CASE("time stands in for daemons that cannot be heard") {
+  Record record = MakeRecord();
+  record.older_views.back()->members = {"x", "y", "z"};
+  Settling settling;
+  settling.SetTiming(800ms, 1200ms, 60s, 0.01);
+  settling.OnRecord(record, "a", kStart);
+  CHECK(*settling.RemovedLapse(record) >= kStart + 60600ms + 2020ms);
+  CHECK_FALSE(settling.Settled(record, kStart + 60s));
+  settling.ConfirmGone(record, kStart + 1s);
+  CHECK(settling.Settled(record, kStart + 1s));
+  CHECK(*settling.RemovedLapse(record) < kStart + 3100ms);
+}
+
+}  // namespace
+}  // namespace gentianreach::cell
--- a/src/cell/testing/fake_world.cc
+++ b/src/cell/testing/fake_world.cc
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr Duration kStoreTimeout = 300ms;
+constexpr Duration kLateness = 2s;
 constexpr Duration kSlowStore = 250ms;
 // How often a condition that is waited for is looked at.
 constexpr Duration kLookInterval = 1ms;
@@ -141,6 +142,12 @@
   return base + Duration(extra(random_));
 }
 
+Duration FakeWorld::LinkLatency() {
+  const bool delayed =
+      late > 0 && std::uniform_real_distribution<double>(0, 1)(random_) < late;
+  return Latency(options_.link) + (delayed ? Latency(kLateness) : 0ms);
+}
+
 bool FakeWorld::Lost(const std::string& from, const std::string& to) {
   const auto name = [](const std::string& id) {
     return id.substr(0, id.find('.'));
@@ -318,7 +325,7 @@
   if (!to || Lost(daemons_[i].id, send.to.value())) {
     return;
   }
-  At(now_ + Latency(options_.link),
+  At(now_ + LinkLatency(),
      [this, to = *to, id = send.to.value(), from = daemons_[i].id,
       message = std::move(send.message)] {
        if (daemons_[to].id != id || Lost(from, id)) {
@@ -344,7 +351,7 @@
     if (Lost(to, from)) {
       return;
     }
-    At(now_ + Latency(options_.link), [=, this, ticket = order.ticket] {
+    At(now_ + LinkLatency(), [=, this, ticket = order.ticket] {
       if (daemons_[i].id != from) {
         return;
       }
@@ -353,7 +360,7 @@
       });
     });
   };
-  At(now_ + Latency(options_.link), [=, this] {
+  At(now_ + LinkLatency(), [=, this] {
     FakeServer& server = servers_[index];
     if (!server.up || now_ < server.ready_at) {
       return;
@@ -695,6 +702,7 @@
   Trace("heal");
   cuts_.clear();
   loss = 0;
+  late = 0;
   store = StoreState::kUp;
   for (std::size_t i = 0; i < servers_.size(); ++i) {
     FreezeServer(i, false);
--- a/src/cell/testing/fake_world.h
+++ b/src/cell/testing/fake_world.h
@@ -110,6 +110,7 @@
   enum class StoreState { kUp, kDown, kLosesAnswers, kSlow };
   StoreState store = StoreState::kUp;
   double loss = 0;  // Share of messages lost.
+  double late = 0;  // Share of messages that take up to three seconds.
 
   // Publishes the list of VMs to every daemon.
   void PublishServers();
@@ -183,6 +184,7 @@
   void CheckOwners();
   void SampleRoutes();
   [[nodiscard]] Duration Latency(Duration base);
+  [[nodiscard]] Duration LinkLatency();
   [[nodiscard]] bool Lost(const std::string& from, const std::string& to);
   std::optional<std::size_t> Find(const std::string& id) const;
 
