--- a/src/cell/agent_moves.cc
+++ b/src/cell/agent_moves.cc
@@ -9,7 +9,7 @@
 using cell::kGrantRetry;
 using cell::kHoldWait;
 using cell::kMaxGrantsPerOrder;
-using cell::kReleaseRetry;
+using cell::kMaxReleaseRetry;
 
 // A new assigner cannot know what its predecessor's orders have done. All
 // orders are idempotent, so it gives them again.
@@ -27,10 +27,9 @@
       continue;
     }
     const auto known = releases_.find(it->moving_token);
-    kept[it->moving_token] =
-        known != releases_.end()
-            ? known->second
-            : Release{false, version_, now + kHoldWait, TimePoint::min()};
+    kept[it->moving_token] = known != releases_.end()
+                                 ? known->second
+                                 : Release{false, version_, now + kHoldWait};
   }
   releases_ = std::move(kept);
 }
@@ -106,14 +105,20 @@
   }
 }
 
+bool CellAgent::Impl::ClockUsable(const stored::ServerT& server,
+                                  TimePoint now) const {
+  const auto it = leases_.find(server.id);
+  return it != leases_.end() && it->second.Known() &&
+         now - it->second.answered() < lease_ / 2 &&
+         it->second.last().incarnation.value() == server.incarnation;
+}
+
 void CellAgent::Impl::SendGrant(const stored::ServerT& server,
                                 ServerGrants& grants,
                                 TimePoint now) {
   grants.retry = now + kGrantRetry;
   cell::ServerLease& lease = leases_[server.id];
-  const bool fresh = lease.Known() && now - lease.answered() < lease_ / 2 &&
-                     lease.last().incarnation.value() == server.incarnation;
-  if (!fresh) {
+  if (!ClockUsable(server, now)) {
     Emit(NewOrder(server, OrderKind::kProbe), now);
     return;
   }
@@ -226,14 +231,14 @@
 void CellAgent::Impl::SendRelease(const stored::RangeT& range,
                                   Release& release,
                                   TimePoint now) {
-  release.retry = now + kReleaseRetry;
+  release.retry = now + release.wait;
+  release.wait = std::min(2 * release.wait, kMaxReleaseRetry);
   const auto* const owner = routes_.Server(range.owner);
   if (owner == nullptr || owner->state == stored::ServerState::Fenced) {
     return;
   }
   const cell::ServerLease& lease = leases_[owner->id];
-  if (!lease.Known() || now - lease.answered() > lease_ / 2 ||
-      lease.last().incarnation.value() != owner->incarnation) {
+  if (!ClockUsable(*owner, now)) {
     Emit(NewOrder(*owner, OrderKind::kProbe), now);
     return;
   }
@@ -244,6 +249,23 @@
   Emit(std::move(order), now);
 }
 
+// Orders that waited for the server's clock go out now that it is known.
+void CellAgent::Impl::RetryMoves(const stored::ServerT& server, TimePoint now) {
+  if (!ClockUsable(server, now)) {
+    return;
+  }
+  const auto grants = grants_.find(server.id);
+  if (grants != grants_.end()) {
+    grants->second.retry = now;
+  }
+  for (const auto& it : record_->ranges) {
+    const auto release = releases_.find(it->moving_token);
+    if (it->owner == server.id && release != releases_.end()) {
+      release->second.retry = now;
+    }
+  }
+}
+
 void CellAgent::Impl::OnReleaseReply(const PendingOrder& order,
                                      const ServerReply& reply,
                                      TimePoint now) {
