Silent connections are noticed from progress

A connection that a middle box had forgotten kept its request until the deadline. The progress watch now sees every connection to a server, asks the kernel whether the other machine acknowledges, probes the server over a new connection and ends the request with its true verdict.

--- a/src/net/tcp_socket.cc
+++ b/src/net/tcp_socket.cc
@@ -171,6 +171,23 @@
   return g_socket_condition_check(socket_.get(), kCondition) == 0;
 }
 
+PathState TcpSocket::AskPath() {
+  constexpr gint kProbeSeconds = 1;
+  g_socket_set_option(socket_.get(), IPPROTO_TCP, TCP_KEEPIDLE, kProbeSeconds,
+                      nullptr);
+  g_socket_set_option(socket_.get(), IPPROTO_TCP, TCP_KEEPINTVL, kProbeSeconds,
+                      nullptr);
+  g_socket_set_keepalive(socket_.get(), TRUE);
+  tcp_info info{};
+  socklen_t size = sizeof(info);
+  if (getsockopt(fd(), IPPROTO_TCP, TCP_INFO, &info, &size) != 0) {
+    return PathState::kUnknown;
+  }
+  return info.tcpi_unacked == 0 && info.tcpi_probes == 0
+             ? PathState::kAcknowledged
+             : PathState::kUnacknowledged;
+}
+
 void TcpSocket::ShutdownSend() {
   g_socket_shutdown(socket_.get(), FALSE, TRUE, nullptr);
 }
--- a/src/net/tcp_socket.h
+++ b/src/net/tcp_socket.h
@@ -41,6 +41,13 @@
   kFailed,
 };
 
+// What the kernel knows of the way to the other machine.
+enum class PathState : std::uint8_t {
+  kUnknown,
+  kAcknowledged,    // All that was sent has been acknowledged.
+  kUnacknowledged,  // Data or keep-alive probes remain without an answer.
+};
+
 // Owns one socket. Movable; closes on destruction.
 class TcpSocket {
  public:
@@ -65,6 +72,11 @@
   // Returns whether neither bytes nor an end of the stream wait to be read.
   [[nodiscard]] bool Quiet();
 
+  // Returns whether the other machine acknowledges. Asks it to answer
+  // keep-alive probes from now on, since it has nothing else to acknowledge
+  // while it computes an answer.
+  [[nodiscard]] PathState AskPath();
+
   // Ends the sending side: the peer reads the end of the stream.
   void ShutdownSend();
   // Closes in order.
--- a/src/proxy/exchange.h
+++ b/src/proxy/exchange.h
@@ -414,6 +414,7 @@
     record_.token = target_.token;
     record_.range = target_.range;
     attempt_started_ = now;
+    pool_->OnStart(connection_.get());
     ticket_->Sent(fingerprint_, target_.server, target_.incarnation, now);
     const std::uint32_t attempt = record_.attempts;
     connection_->Start(
@@ -536,7 +537,9 @@
       return Verdict::MayHaveRun(Reason::kTruncated);
     }
     if (written) {
-      return Verdict::MayHaveRun(Reason::kConnectionLost);
+      return Verdict::MayHaveRun(failure == ServerFailure::kSilent
+                                     ? Reason::kSilent
+                                     : Reason::kConnectionLost);
     }
     return Verdict::NotRun(failure == ServerFailure::kLost
                                ? Reason::kConnectionLost
--- a/src/proxy/proxy_faults_test.cc
+++ b/src/proxy/proxy_faults_test.cc
@@ -341,6 +341,38 @@
   CHECK(ask("/keyed/1", "harmless").verdict == "answered");
 }
 
+TEST_CASE("a connection forgotten on the way is noticed before the deadline") {
+  ForEachRequest([&](const Way& way, const std::string& method) {
+    Bench bench;
+    TestCaller caller(bench.loop, bench.proxy.port());
+    CHECK(caller.Ask(Bench::Request("GET", way.path, "first")).verdict ==
+          "answered");
+    bench.server.ForgetConnections();
+    const Answer answer =
+        caller.Ask(Bench::Request(method, way.path, "a", Body(method)));
+    if (way.idempotent) {
+      CHECK(answer.verdict == "answered");
+    } else {
+      CHECK(answer.verdict == "may-have-run");
+      CHECK(answer.reason == "silent");
+      CHECK(answer.status == 504);
+    }
+    CHECK(bench.server.runs("a") == (way.idempotent ? 1 : 0));
+    CHECK(caller.Ask(Bench::Request("GET", way.path, "b")).verdict ==
+          "answered");
+  });
+}
+
+TEST_CASE("a slow request on a sound connection is left to its deadline") {
+  Bench bench;
+  bench.server.script = {Behaviour::kSilent};
+  TestCaller caller(bench.loop, bench.proxy.port());
+  const Answer answer = caller.Ask(Bench::Request(
+      "GET", "/keyed/1", "a", "", "gentianreach-timeout-ms: 900\r\n"));
+  CHECK(answer.verdict == "may-have-run");
+  CHECK(answer.reason == "deadline");
+}
+
 TEST_CASE("more requests than the server takes wait and all get verdicts") {
   Bench bench;
   std::vector<std::unique_ptr<TestCaller>> callers;
--- a/src/proxy/proxy_server.h
+++ b/src/proxy/proxy_server.h
@@ -159,7 +159,7 @@
 
 template <KeyRouter Router, PlainPicker Picker>
 void ProxyServer<Router, Picker>::SetLimits(const settings::LimitsT& limits) {
-  state_->options.limits = limits;
+  state_->SetLimits(limits);
 }
 
 template <KeyRouter Router, PlainPicker Picker>
--- a/src/proxy/proxy_state.h
+++ b/src/proxy/proxy_state.h
@@ -3,6 +3,7 @@
 #define SRC_PROXY_PROXY_STATE_H_
 
 #include <algorithm>
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -59,7 +60,16 @@
         hooks(std::move(hooks)),
         options(std::move(options)),
         pools(loop),
-        policies(loop) {}
+        policies(loop) {
+    SetLimits(this->options.limits);
+  }
+
+  // Replaces the limits.
+  void SetLimits(const settings::LimitsT& limits) {
+    options.limits = limits;
+    pools.SetProgressTimeout(
+        std::chrono::milliseconds(limits.progress_timeout));
+  }
 
   // Returns an id that no other request has.
   std::string NextRequestId() {
--- a/src/proxy/proxy_test_support.h
+++ b/src/proxy/proxy_test_support.h
@@ -3,6 +3,9 @@
 #ifndef SRC_PROXY_PROXY_TEST_SUPPORT_H_
 #define SRC_PROXY_PROXY_TEST_SUPPORT_H_
 
+#include <linux/filter.h>
+#include <sys/socket.h>
+
 #include <chrono>
 #include <cstdint>
 #include <functional>
@@ -97,6 +100,16 @@
       Drop(it, true);
     }
   }
+  // Drops all that arrives on the open connections from now on, unread and
+  // unacknowledged, as a middle box does that has forgotten them.
+  void ForgetConnections() {
+    sock_filter drop = {.code = BPF_RET | BPF_K, .jt = 0, .jf = 0, .k = 0};
+    const sock_fprog program = {.len = 1, .filter = &drop};
+    for (const auto& it : sessions_) {
+      REQUIRE(setsockopt(it->socket.fd(), SOL_SOCKET, SO_ATTACH_FILTER,
+                         &program, sizeof(program)) == 0);
+    }
+  }
   // Answers what was left without an answer.
   void AnswerLate() {
     const auto sessions = sessions_;
@@ -514,7 +527,14 @@
             .on_contact =
                 [this](const ServerContact& it) { contacts.push_back(it); }};
   }
-  static ProxyOptions Options() { return {.id_prefix = "t", .limits = {}}; }
+  static ProxyOptions Options() {
+    return {.id_prefix = "t", .limits = Limits()};
+  }
+  static settings::LimitsT Limits() {
+    settings::LimitsT limits;
+    limits.progress_timeout = 200;
+    return limits;
+  }
   static void AddService(settings::TreeT& tree,
                          const std::string& name,
                          settings::ServiceKind kind) {
--- a/src/proxy/server_connection.cc
+++ b/src/proxy/server_connection.cc
@@ -118,6 +118,10 @@
   });
 }
 
+net::PathState ServerConnection::AskPath() {
+  return phase_ == Phase::kBusy ? socket_.AskPath() : net::PathState::kUnknown;
+}
+
 bool ServerConnection::Reusable() {
   return phase_ == Phase::kIdle && reusable_ && socket_.Quiet();
 }
--- a/src/proxy/server_connection.h
+++ b/src/proxy/server_connection.h
@@ -38,6 +38,7 @@
   kConnect,    // The connection was not established.
   kRefused,    // Nobody listens at the server's address.
   kLost,       // Closed or broken before an answer began.
+  kSilent,     // The connection went silent; see DeclareSilent().
   kTruncated,  // Closed or broken inside of the answer, or malformed.
 };
 
@@ -62,6 +63,11 @@
   void SendBody(std::string bytes, bool complete);
   // Gives the request up and closes the connection.
   void Abandon();
+  // Closes a connection that was found to be dead; a request on it fails with
+  // kSilent.
+  void DeclareSilent() { Fail(ServerFailure::kSilent); }
+  // Returns what the kernel knows of the way to the server.
+  [[nodiscard]] net::PathState AskPath();
   // Reads the rest of an answer that nobody wants any more, so that the
   // connection can be used again; closes it where that takes too much.
   void Discard(std::function<void()> on_end);
--- a/src/proxy/server_pool.cc
+++ b/src/proxy/server_pool.cc
@@ -6,9 +6,15 @@
 namespace gentianreach::proxy {
 
 std::shared_ptr<ServerConnection> ServerPool::Acquire() {
-  while (!idle_.empty()) {
-    auto connection = std::move(idle_.back());
-    idle_.pop_back();
+  // Connections that are being verified stay where they are.
+  const auto usable = [&](const auto& it) { return watch_->MayUse(it.get()); };
+  while (true) {
+    const auto it = std::find_if(idle_.rbegin(), idle_.rend(), usable);
+    if (it == idle_.rend()) {
+      break;
+    }
+    auto connection = *it;
+    idle_.erase(std::next(it).base());
     if (connection->Reusable()) {
       return connection;
     }
@@ -24,11 +30,13 @@
           self->OnClosed(closed);
         }
       });
+  watch_->Add(connection);
   connection->Connect(address_);
   return connection;
 }
 
 void ServerPool::Release(const std::shared_ptr<ServerConnection>& connection) {
+  watch_->OnIdle(connection.get());
   if (!connection->Reusable() || open_ > limit_) {
     connection->Abandon();
     return;
@@ -47,6 +55,7 @@
 
 void ServerPool::OnClosed(ServerConnection* connection) {
   --open_;
+  watch_->Remove(connection);
   std::erase_if(idle_, [&](const auto& it) { return it.get() == connection; });
   WakeNext();
 }
@@ -75,7 +84,7 @@
     entry.pool->CloseIdle();
   }
   entry.address = address;
-  entry.pool = std::make_shared<ServerPool>(loop_, address);
+  entry.pool = std::make_shared<ServerPool>(loop_, address, progress_timeout_);
   return entry.pool;
 }
 
--- a/src/proxy/server_pool.h
+++ b/src/proxy/server_pool.h
@@ -2,6 +2,7 @@
 #ifndef SRC_PROXY_SERVER_POOL_H_
 #define SRC_PROXY_SERVER_POOL_H_
 
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -12,8 +13,10 @@
 #include <vector>
 
 #include "gentianreach/ids.h"
+#include "gentianreach/time.h"
 #include "net/event_loop.h"
 #include "proxy/server_connection.h"
+#include "proxy/server_watch.h"
 
 namespace gentianreach::proxy {
 
@@ -24,8 +27,15 @@
   using Waiter = std::function<void()>;
   using WaiterId = std::list<Waiter>::iterator;
 
-  ServerPool(net::EventLoop& loop, std::string address)
-      : loop_(loop), address_(std::move(address)) {}
+  // `progress_timeout` is how long a connection may be silent; see
+  // ServerWatch.
+  ServerPool(net::EventLoop& loop,
+             std::string address,
+             Duration progress_timeout)
+      : loop_(loop),
+        address_(std::move(address)),
+        watch_(
+            std::make_shared<ServerWatch>(loop, address_, progress_timeout)) {}
   ServerPool(const ServerPool&) = delete;
   ServerPool& operator=(const ServerPool&) = delete;
 
@@ -35,6 +45,8 @@
   // connection may still be opening. Return it by Release() when the answer
   // is complete; a failed or abandoned one returns by itself.
   [[nodiscard]] std::shared_ptr<ServerConnection> Acquire();
+  // Tells that a request is about to be written on a connection.
+  void OnStart(ServerConnection* connection) { watch_->OnBusy(connection); }
   // Takes a connection back.
   void Release(const std::shared_ptr<ServerConnection>& connection);
 
@@ -58,6 +70,7 @@
 
   net::EventLoop& loop_;
   const std::string address_;
+  std::shared_ptr<ServerWatch> watch_;
   std::size_t limit_ = 1;
   std::size_t open_ = 0;
   // The most recently used one is last and is used first, so that surplus
@@ -72,6 +85,9 @@
  public:
   explicit ServerPools(net::EventLoop& loop) : loop_(loop) {}
 
+  // Sets how long a connection of the pools made from now on may be silent.
+  void SetProgressTimeout(Duration timeout) { progress_timeout_ = timeout; }
+
   // Returns the pool of the server at `address`.
   std::shared_ptr<ServerPool> Get(const ServerId& server,
                                   const std::string& address);
@@ -87,6 +103,7 @@
   };
 
   net::EventLoop& loop_;
+  Duration progress_timeout_ = std::chrono::seconds(1);
   std::unordered_map<ServerId, Entry> entries_;
 };
 
