--- a/bench/load.cc
+++ b/bench/load.cc
@@ -8,8 +8,7 @@
 #include "bench/load_generator.h"
 
 int main(int argc, char** argv) {
-  using namespace gentianreach;
-  bench::LoadOptions options;
+  gentianreach::bench::LoadOptions options;
   std::string method = "GET";
   std::string path = "/";
   std::string host = "localhost";
@@ -30,7 +29,7 @@
   app.add_option("--body", body, "request body");
   CLI11_PARSE(app, argc, argv);
 
-  options.run_time = std::chrono::duration_cast<Duration>(
+  options.run_time = std::chrono::duration_cast<gentianreach::Duration>(
       std::chrono::duration<double>(seconds));
   options.request = method + " " + path + " HTTP/1.1\r\nHost: " + host + "\r\n";
   if (!body.empty()) {
@@ -39,8 +38,8 @@
   }
   options.request += "\r\n" + body;
 
-  net::EventLoop loop;
-  const auto result = bench::LoadGenerator(loop, options).Run();
+  gentianreach::net::EventLoop loop;
+  const auto result = gentianreach::bench::LoadGenerator(loop, options).Run();
   const auto us = [&](double share) {
     return std::chrono::duration<double, std::micro>(
                result.latency.Percentile(share))
--- a/bench/proxy_bench.cc
+++ b/bench/proxy_bench.cc
@@ -295,8 +295,7 @@
 }  // namespace gentianreach::bench
 
 int main(int argc, char** argv) {
-  using namespace gentianreach::bench;
-  BenchOptions options;
+  gentianreach::bench::BenchOptions options;
   CLI::App app("Measures the data path on loopback");
   app.add_option("--seconds", options.seconds, "length of each measurement")
       ->check(CLI::Range(0.1, 60.0));
@@ -313,8 +312,8 @@
   CLI11_PARSE(app, argc, argv);
   if (options.memory) {
     constexpr std::size_t kConnections = 1000;
-    MeasureMemory(kConnections);
+    gentianreach::bench::MeasureMemory(kConnections);
   }
-  Run(options);
+  gentianreach::bench::Run(options);
   return 0;
 }
--- a/src/net/event_loop.cc
+++ b/src/net/event_loop.cc
@@ -61,6 +61,10 @@
 }
 
 EventLoop::~EventLoop() {
+  // What was put off is mostly the release of closed connections.
+  while (!deferred_.empty()) {
+    DispatchDeferred();
+  }
   auto* source = reinterpret_cast<GSource*>(source_);
   g_source_destroy(source);
   g_source_unref(source);
--- a/src/proxy/proxy_faults_test.cc
+++ b/src/proxy/proxy_faults_test.cc
@@ -277,6 +277,7 @@
 TEST_CASE("answers that cross keep to their own requests") {
   Bench bench;
   std::vector<std::unique_ptr<TestCaller>> callers;
+  callers.reserve(20);
   for (int i = 0; i < 20; ++i) {
     callers.push_back(
         std::make_unique<TestCaller>(bench.loop, bench.proxy.port()));
--- a/src/proxy/proxy_server.h
+++ b/src/proxy/proxy_server.h
@@ -133,6 +133,8 @@
   CloseListener();
   state_->hooks = {};
   BreakOff();
+  state_->held.WakeAll();
+  state_->pools.CloseIdle();
 }
 
 template <KeyRouter Router, PlainPicker Picker>
