--- a/src/proxy/proxy_server.h
+++ b/src/proxy/proxy_server.h
@@ -133,6 +133,8 @@
   CloseListener();
   state_->hooks = {};
   BreakOff();
+  state_->held.WakeAll();
+  state_->pools.CloseIdle();
 }
 
 template <KeyRouter Router, PlainPicker Picker>
@@ -159,7 +161,7 @@
 
 template <KeyRouter Router, PlainPicker Picker>
 void ProxyServer<Router, Picker>::SetLimits(const settings::LimitsT& limits) {
-  state_->options.limits = limits;
+  state_->SetLimits(limits);
 }
 
 template <KeyRouter Router, PlainPicker Picker>
