--- /dev/null
+++ b/src/ctl/daemon_commands.cc
@@ -0,0 +1,97 @@
+#include "ctl/daemon_commands.h"
+
+#include <cstdio>
+
+namespace gentianreach::ctl {
+namespace {
+
+// Prints the objects of a list as a table of the named fields.
+void PrintFields(const Json& list, const std::vector<std::string>& fields) {
+  std::vector<std::vector<std::string>> rows;
+  for (const Json& it : list) {
+    std::vector<std::string> row;
+    row.reserve(fields.size());
+    for (const std::string& field : fields) {
+      row.push_back(TextOf(it, field.c_str()));
+    }
+    rows.push_back(std::move(row));
+  }
+  PrintTable(fields, rows);
+}
+
+}  // namespace
+
+int ShowOwner(Context& context,
+              const std::string& service,
+              const std::string& key) {
+  const auto json = context.AskAnyDaemon(
+      "/owners?service=" + EscapeQuery(service) + "&key=" + EscapeQuery(key));
+  if (!json) {
+    return kExitFailure;
+  }
+  if (context.options().json) {
+    PrintJson(*json);
+  } else {
+    PrintFields(Json::array({*json}),
+                {"key", "service", "state", "server", "address", "token"});
+  }
+  return TextOf(*json, "server").empty() ? kExitNotFound : kExitOk;
+}
+
+int ShowServers(Context& context) {
+  const auto json = context.AskAnyDaemon("/servers");
+  if (!json) {
+    return kExitFailure;
+  }
+  if (context.options().json) {
+    PrintJson(*json);
+    return kExitOk;
+  }
+  PrintFields(json->value("servers", Json::array()),
+              {"server", "service", "zone", "address", "state", "generation",
+               "ranges", "share"});
+  return kExitOk;
+}
+
+int Drain(Context& context, const std::string& server, bool undo) {
+  const Json body = {
+      {"server", server}, {"drain", !undo}, {"actor", context.options().actor}};
+  const auto json = context.AskAnyDaemon("/drain", body);
+  if (!json) {
+    return kExitFailure;
+  }
+  if (context.options().json) {
+    PrintJson(*json);
+  } else {
+    std::printf("%s: %s asked for\n", server.c_str(),
+                undo ? "end of draining" : "draining");
+  }
+  return kExitOk;
+}
+
+int Explain(Context& context,
+            const std::string& request_or_key,
+            const std::string& service) {
+  std::string path = "/explain?id=" + EscapeQuery(request_or_key);
+  if (!service.empty()) {
+    path += "&service=" + EscapeQuery(service);
+  }
+  const auto json = context.AskAnyDaemon(path);
+  if (!json) {
+    return kExitFailure;
+  }
+  const Json requests = json->value("requests", Json::array());
+  if (context.options().json) {
+    PrintJson(*json);
+  } else if (!requests.empty()) {
+    PrintFields(requests, {"id", "method", "target", "route", "service",
+                           "server", "attempts", "verdict", "reason", "ms"});
+  }
+  if (requests.empty()) {
+    PrintError("no such request in the daemon's memory: " + request_or_key);
+    return kExitNotFound;
+  }
+  return kExitOk;
+}
+
+}  // namespace gentianreach::ctl
--- /dev/null
+++ b/src/platform/store_caller.h
@@ -0,0 +1,23 @@
+// Makes the store calls of state machines (store/store_call.h) by StoreClient.
+#ifndef SRC_PLATFORM_STORE_CALLER_H_
+#define SRC_PLATFORM_STORE_CALLER_H_
+
+#include <functional>
+
+#include "platform/store_client.h"
+#include "store/store_call.h"
+
+namespace gentianreach {
+
+// Starts `call`; `done` gets the reply once, on the client's thread.
+void MakeStoreCall(StoreClient& client,
+                   const store::Call& call,
+                   std::function<void(const store::Reply&)> done);
+
+// Makes `call` and runs the thread's main context until the reply is there.
+[[nodiscard]] store::Reply MakeStoreCallAndWait(StoreClient& client,
+                                                const store::Call& call);
+
+}  // namespace gentianreach
+
+#endif  // SRC_PLATFORM_STORE_CALLER_H_
--- a/src/settings/schema.cc
+++ b/src/settings/schema.cc
@@ -177,6 +177,19 @@
   return WithUnit(value, Attribute("unit"));
 }
 
+std::string Key::RangeText() const {
+  const auto bound = [this](const char* name) {
+    const std::string_view text = Attribute(name);
+    const auto value = IntegerAttribute(text);
+    return Attribute("unit").empty() || !value
+               ? std::string(text)
+               : WithUnit(*value, Attribute("unit"));
+  };
+  const std::string low = bound("low");
+  const std::string high = bound("high");
+  return low.empty() && high.empty() ? "" : low + " to " + high;
+}
+
 ParsedValue Key::Parse(std::string_view text) const {
   switch (field_->type()->base_type()) {
     case reflection::BaseType::String:
@@ -235,8 +248,21 @@
   const auto low = ParseNumber<double>(Attribute("low"), &rest);
   const auto high = ParseNumber<double>(Attribute("high"), &rest);
   if ((low && *value < *low) || (high && *value > *high)) {
-    return {std::nullopt, "out of range " + std::string(Attribute("low")) +
-                              " to " + std::string(Attribute("high"))};
+    return {std::nullopt, "out of range " + RangeText()};
+  }
+  return {value, ""};
+}
+
+ParsedValue Key::ParseReal(std::string_view text) const {
+  std::string_view rest;
+  const auto value = ParseNumber<double>(text, &rest);
+  if (!value || !rest.empty() || !std::isfinite(*value)) {
+    return {std::nullopt, "expected a number"};
+  }
+  const auto low = ParseNumber<double>(Attribute("low"), &rest);
+  const auto high = ParseNumber<double>(Attribute("high"), &rest);
+  if ((low && *value < *low) || (high && *value > *high)) {
+    return {std::nullopt, "out of range " + RangeText()};
   }
   return {*value, ""};
 }
--- a/src/settings/schema.h
+++ b/src/settings/schema.h
@@ -40,6 +40,8 @@
   [[nodiscard]] std::string TypeName() const;
   // Returns the default as an operator would write it.
   [[nodiscard]] std::string DefaultText() const;
+  // Returns "LOW to HIGH" as an operator would write it, or an empty text.
+  [[nodiscard]] std::string RangeText() const;
   // Parses `text` and checks type, unit and range.
   [[nodiscard]] ParsedValue Parse(std::string_view text) const;
 
