--- a/src/settings/schema.cc
+++ b/src/settings/schema.cc
@@ -231,23 +231,6 @@
   const auto low = IntegerAttribute(Attribute("low"));
   const auto high = IntegerAttribute(Attribute("high"));
   if ((low && value < *low) || (high && value > *high)) {
-    return {std::nullopt,
-            "out of range " + WithUnit(low.value_or(0), Attribute("unit")) +
-                " to " +
-                WithUnit(high.value_or(UINT64_MAX), Attribute("unit"))};
-  }
-  return {value, ""};
-}
-
-ParsedValue Key::ParseReal(std::string_view text) const {
-  std::string_view rest;
-  const auto value = ParseNumber<double>(text, &rest);
-  if (!value || !rest.empty() || !std::isfinite(*value)) {
-    return {std::nullopt, "expected a number"};
-  }
-  const auto low = ParseNumber<double>(Attribute("low"), &rest);
-  const auto high = ParseNumber<double>(Attribute("high"), &rest);
-  if ((low && *value < *low) || (high && *value > *high)) {
     return {std::nullopt, "out of range " + RangeText()};
   }
   return {value, ""};
--- a/src/settings/settings.cc
+++ b/src/settings/settings.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "gentianreach/check.h"
 #include "settings/builder.h"
 #include "settings/checks.h"
 #include "settings/document.h"
