--- a/src/settings/settings_corpus_test.cc
+++ b/src/settings/settings_corpus_test.cc
@@ -58,7 +58,7 @@
     steps += "/a";
   }
   const std::string texts[] = {
-      std::string("\0\n[\0]\n\0=\0", 10),
+      std::string("\0\n[\0]\n\0=\0", 9),
       "[",
       "]",
       "[]",
