--- a/src/audit/audit_log.cc
+++ b/src/audit/audit_log.cc
@@ -149,14 +149,12 @@
 }
 
 std::string LogLine(const Entry& entry) {
-  return FormatFields("audit", {{"kind", entry.kind},
-                                {"actor", entry.actor},
-                                {"service", entry.service},
-                                {"key", entry.key},
-                                {"from", entry.from},
-                                {"to", entry.to},
-                                {"reason", entry.reason},
-                                {"version", entry.version}});
+  const std::array fields = {
+      LogField("kind", entry.kind),       LogField("actor", entry.actor),
+      LogField("service", entry.service), LogField("key", entry.key),
+      LogField("from", entry.from),       LogField("to", entry.to),
+      LogField("reason", entry.reason),   LogField("version", entry.version)};
+  return FormatFields("audit", fields);
 }
 
 void AuditAppender::Add(Entry entry) {
