--- a/src/policy/admission.h
+++ b/src/policy/admission.h
@@ -77,6 +77,7 @@
     if (queue_.size() >= options_.max_queued && !MakeRoom(request, now))
       return Refuse(request.id, Reason::kOverload, now);
     queue_.Push(request);
+    limiter_.OnDemand(queue_.size());
     return {request.id, AdmissionState::kQueued};
   }
 
@@ -94,7 +95,11 @@
 
   // Removes a queued attempt. Returns false where it is not queued: it has
   // been sent, refused, or is among the decisions of the next Poll().
-  bool Cancel(std::uint64_t request) { return queue_.Remove(request); }
+  bool Cancel(std::uint64_t request) {
+    const bool removed = queue_.Remove(request);
+    limiter_.OnDemand(queue_.size());
+    return removed;
+  }
 
   // Returns what has been decided on queued attempts: sent or refused.
   [[nodiscard]] std::vector<AdmissionDecision> Poll(TimePoint now) {
@@ -104,6 +109,7 @@
       decisions.push_back(Refuse(it, Reason::kDeadline, now));
     while (!queue_.empty() && limiter_.MaySend(now))
       decisions.push_back(Send(queue_.Pop().id, now));
+    limiter_.OnDemand(queue_.size());
     return decisions;
   }
 
--- /dev/null
+++ b/src/policy/progress_watch_test.cc
@@ -0,0 +1,130 @@
+#include "policy/progress_watch.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+
+namespace gentianreach {
+namespace {
+
+using Kind = ProgressActionKind;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr TimePoint kStart{std::chrono::hours(1)};
+
+bool Has(const std::vector<ProgressAction>& actions,
+         Kind kind,
+         std::uint64_t connection = 0) {
+  return std::any_of(actions.begin(), actions.end(), [&](const auto& it) {
+    return it.kind == kind && it.connection == connection;
+  });
+}
+
+TimePoint After(std::int64_t ms) {
+  return kStart + milliseconds(ms);
+}
+
+TEST_CASE(
+    "a silent connection is dead about a second after its last progress") {
+  ProgressWatch watch({});
+  watch.OnOpened(1, kStart);
+  watch.OnBusy(1, kStart);
+  CHECK(watch.NextWake() == After(500));
+  CHECK(Has(watch.Poll(After(500)), Kind::kProbeServer));
+  watch.OnServerAnswered(After(502));
+  CHECK(watch.Poll(After(502)).empty());
+  CHECK(watch.NextWake() == After(1'000));
+  CHECK(Has(watch.Poll(After(1'000)), Kind::kDead, 1));
+}
+
+TEST_CASE("progress of another connection stands in for a probe") {
+  ProgressWatch watch({});
+  watch.OnOpened(1, kStart);
+  watch.OnOpened(2, kStart);
+  watch.OnBusy(1, kStart);
+  watch.OnProgress(2, After(600));
+  CHECK_FALSE(Has(watch.Poll(After(600)), Kind::kProbeServer));
+  CHECK(Has(watch.Poll(After(1'000)), Kind::kDead, 1));
+}
+
+TEST_CASE("a server that is silent as a whole condemns no connection") {
+  ProgressWatch watch({});
+  for (std::uint64_t id = 1; id <= 3; ++id) {
+    watch.OnOpened(id, kStart);
+    watch.OnBusy(id, kStart);
+  }
+  watch.OnProgress(3, After(1));
+  for (int ms = 2; ms < 20'000; ms += 50) {
+    const auto actions = watch.Poll(After(ms));
+    CHECK(std::none_of(actions.begin(), actions.end(),
+                       [](const auto& it) { return it.kind == Kind::kDead; }));
+  }
+}
+
+TEST_CASE(
+    "a request that the server's machine acknowledges is slow, not dead") {
+  ProgressWatch watch({});
+  watch.OnOpened(1, kStart);
+  watch.OnBusy(1, kStart);
+  for (int ms = 100; ms < 10'000; ms += 100) {
+    watch.OnAcknowledged(1, After(ms));
+    watch.OnServerAnswered(After(ms));
+    REQUIRE(watch.Poll(After(ms)).empty());
+  }
+  // The machine falls silent.
+  watch.OnUnacknowledged(1, After(10'000));
+  watch.OnServerAnswered(After(11'000));
+  CHECK(Has(watch.Poll(After(11'000)), Kind::kDead, 1));
+}
+
+TEST_CASE("a server known to take long is given longer") {
+  ProgressWatch watch({});
+  watch.OnOpened(1, kStart);
+  for (int n = 0; n < 100; ++n) {
+    watch.OnBusy(1, kStart);
+    watch.OnIdle(1, milliseconds(800), kStart);
+  }
+  watch.OnBusy(1, kStart);
+  watch.OnServerAnswered(After(1'500));
+  CHECK(watch.Poll(After(1'500)).empty());
+  watch.OnServerAnswered(After(4'000));
+  CHECK(Has(watch.Poll(After(4'000)), Kind::kDead, 1));
+}
+
+TEST_CASE("with one dead, connections idle since before are verified at once") {
+  ProgressWatch watch({});
+  for (std::uint64_t id = 1; id <= 10; ++id)
+    watch.OnOpened(id, kStart);
+  watch.OnOpened(11, After(900));
+  watch.OnBusy(1, After(1));
+  watch.OnServerAnswered(After(990));
+  const auto actions = watch.Poll(After(1'001));
+  REQUIRE(Has(actions, Kind::kDead, 1));
+  for (std::uint64_t id = 2; id <= 10; ++id) {
+    CHECK(Has(actions, Kind::kVerify, id));
+    CHECK_FALSE(watch.MayUse(id));
+  }
+  CHECK_FALSE(Has(actions, Kind::kVerify, 11));
+  CHECK(watch.MayUse(11));
+  watch.OnVerified(2, true, After(1'003));
+  CHECK(watch.MayUse(2));
+  const auto late = watch.Poll(After(1'251));
+  for (std::uint64_t id = 3; id <= 10; ++id)
+    CHECK(Has(late, Kind::kDead, id));
+  CHECK_FALSE(Has(late, Kind::kDead, 2));
+  CHECK(watch.MayUse(2));
+}
+
+TEST_CASE("progress puts an end to doubt") {
+  ProgressWatch watch({});
+  watch.OnOpened(1, kStart);
+  watch.OnBusy(1, kStart);
+  for (int ms = 400; ms < 5'000; ms += 400) {
+    watch.OnProgress(1, After(ms));
+    CHECK(watch.Poll(After(ms + 1)).empty());
+  }
+}
+
+}  // namespace
+}  // namespace gentianreach
