--- a/src/policy/picker.cc
+++ b/src/policy/picker.cc
@@ -22,6 +22,9 @@
 constexpr double kLeastSlownessSeconds = 0.002;
 constexpr std::uint32_t kEnoughSamples = 10;
 constexpr std::uint32_t kFailuresInRow = 5;
+// Answers after each of which a server must be the slow one. When a service
+// turns slow as a whole, the server that answers first is slow only once.
+constexpr std::uint32_t kSlowInRow = 5;
 constexpr double kFailureShare = 0.5;
 // Ejection times of the daemons differ by up to this share, so that they do
 // not all try the server again at the same moment.
@@ -115,7 +118,8 @@
   if (end == AttemptEnd::kAnswered)
     Sample(server, latency, now);
   CountFailure(server, end == AttemptEnd::kFailed);
-  if (!IsFailing(server) && !IsSlow(id, server))
+  server.slow_in_row = IsSlow(id, server) ? server.slow_in_row + 1 : 0;
+  if (!IsFailing(server) && server.slow_in_row < kSlowInRow)
     return;
   if (MayEject(now))
     Eject(server, now);
@@ -320,6 +324,7 @@
   server.latency_s = 0;
   server.attempts = 0;
   server.failures_in_row = 0;
+  server.slow_in_row = 0;
   server.failure_share = 0;
 }
 
--- a/src/policy/picker.h
+++ b/src/policy/picker.h
@@ -102,6 +102,8 @@
     double failure_share = 0;
     std::uint32_t attempts = 0;
     std::uint32_t failures_in_row = 0;
+    // Answers in a row after which it was much slower than the others.
+    std::uint32_t slow_in_row = 0;
     // Ejections since the last time without any.
     std::uint32_t ejections = 0;
     TimePoint ejected_until{};
