A daemon off the list is answered on its own connection

Cause: one stop in 8 of an assigner ended as left=false after 3 s. The record that takes it off the list no longer names its address, so the members' answer went to an empty address; the fake network delivers by name and hid it. Ruled out: a lost hand-over (the successor was elected 1 ms after Abdicate and removed it 2 ms later, by the log). Change: PeerNet::Reply answers over the connection on which a daemon spoke last. Conclusion: no address is needed to tell a leaver that it has left.

--- a/src/daemon/cell_driver.cc
+++ b/src/daemon/cell_driver.cc
@@ -90,7 +90,12 @@
     Do(it);
   }
   for (const PeerSend& it : outbox.sends) {
-    net_.Send(it.address, it.message);
+    // A daemon that is off the list has no address there.
+    if (it.address.empty()) {
+      net_.Reply(it.to, it.message);
+    } else {
+      net_.Send(it.address, it.message);
+    }
   }
   for (const ServerOrder& it : outbox.orders) {
     Do(it);
--- a/src/peer/peer_net.cc
+++ b/src/peer/peer_net.cc
@@ -38,6 +38,7 @@
 
   boost::leaf::result<std::uint16_t> Listen(const std::string& address);
   void Send(const std::string& address, const peer::MessageUnion& message);
+  void Reply(const DaemonId& daemon, const peer::MessageUnion& message);
   void Stop();
   [[nodiscard]] const PeerNetCounters& counters() const { return counters_; }
 
@@ -58,7 +59,10 @@
   void OnConnected(const std::string& address, GSocketConnection* connection);
   void Accept(GSocketConnection* connection);
   void Receive(ReceivedFrame frame);
-  PeerLink::Callbacks CallbacksFor(std::function<void(Impl&)> on_closed);
+  std::vector<std::uint8_t> Encode(const peer::MessageUnion& message);
+  PeerLink::Callbacks CallbacksFor(
+      std::function<void(Impl&, const ReceivedFrame&)> on_frame,
+      std::function<void(Impl&)> on_closed);
   static void OnConnectDone(GObject* client,
                             GAsyncResult* result,
                             gpointer data);
@@ -75,6 +79,8 @@
   GObjectPtr<GSocketService> service_;
   std::map<std::string, Target> targets_;
   std::set<std::shared_ptr<PeerLink>> accepted_;
+  // The accepted connection over which a daemon spoke last.
+  std::map<DaemonId, std::weak_ptr<PeerLink>> speakers_;
   PeerNetCounters counters_;
   MonotonicClock clock_;
 };
@@ -114,9 +120,7 @@
 
 void PeerNet::Impl::Send(const std::string& address,
                          const peer::MessageUnion& message) {
-  std::vector<std::uint8_t> frame = EncodeFrame(self_, message);
-  ++counters_.frames_out;
-  counters_.bytes_out += frame.size();
+  std::vector<std::uint8_t> frame = Encode(message);
   Target& target = targets_[address];
   if (target.link != nullptr) {
     target.link->Send(std::move(frame));
@@ -134,6 +138,25 @@
   Connect(address, target);
 }
 
+void PeerNet::Impl::Reply(const DaemonId& daemon,
+                          const peer::MessageUnion& message) {
+  const auto it = speakers_.find(daemon);
+  const auto link = it == speakers_.end() ? nullptr : it->second.lock();
+  if (link == nullptr) {
+    ++counters_.dropped_out;
+    return;
+  }
+  link->Send(Encode(message));
+}
+
+std::vector<std::uint8_t> PeerNet::Impl::Encode(
+    const peer::MessageUnion& message) {
+  std::vector<std::uint8_t> frame = EncodeFrame(self_, message);
+  ++counters_.frames_out;
+  counters_.bytes_out += frame.size();
+  return frame;
+}
+
 void PeerNet::Impl::Connect(const std::string& address, Target& target) {
   target.connecting = true;
   auto connecting = std::make_unique<Connecting>();
@@ -178,10 +201,13 @@
     return;
   }
   target.link = std::make_shared<PeerLink>(
-      std::move(stream), CallbacksFor([address](Impl& net) {
-        net.targets_[address].link = nullptr;
-        net.targets_[address].retry_at = net.clock_.Now() + kReconnectPause;
-      }));
+      std::move(stream), CallbacksFor([](Impl&, const ReceivedFrame&) {},
+                                      [address](Impl& net) {
+                                        Target& closed = net.targets_[address];
+                                        closed.link = nullptr;
+                                        closed.retry_at =
+                                            net.clock_.Now() + kReconnectPause;
+                                      }));
   const std::shared_ptr<PeerLink> link = target.link;
   link->Start();
   for (std::vector<std::uint8_t>& it : waiting) {
@@ -207,19 +233,29 @@
   }
   auto weak_link = std::make_shared<std::weak_ptr<PeerLink>>();
   auto link = std::make_shared<PeerLink>(
-      std::move(stream), CallbacksFor([weak_link](Impl& net) {
-        net.accepted_.erase(weak_link->lock());
-      }));
+      std::move(stream),
+      CallbacksFor(
+          [weak_link](Impl& net, const ReceivedFrame& frame) {
+            net.speakers_[frame.sender.daemon] = *weak_link;
+          },
+          [weak_link](Impl& net) {
+            net.accepted_.erase(weak_link->lock());
+            std::erase_if(net.speakers_, [&weak_link](const auto& it) {
+              return it.second.lock() == weak_link->lock();
+            });
+          }));
   *weak_link = link;
   accepted_.insert(link);
   link->Start();
 }
 
 PeerLink::Callbacks PeerNet::Impl::CallbacksFor(
+    std::function<void(Impl&, const ReceivedFrame&)> on_frame,
     std::function<void(Impl&)> on_closed) {
   const std::weak_ptr<Impl> weak = weak_from_this();
-  return {[weak](ReceivedFrame frame) {
+  return {[weak, on_frame = std::move(on_frame)](ReceivedFrame frame) {
             if (const auto net = weak.lock()) {
+              on_frame(*net, frame);
               net->Receive(std::move(frame));
             }
           },
@@ -281,6 +317,10 @@
   impl_->Send(address, message);
 }
 
+void PeerNet::Reply(const DaemonId& daemon, const peer::MessageUnion& message) {
+  impl_->Reply(daemon, message);
+}
+
 const PeerNetCounters& PeerNet::counters() const {
   return impl_->counters();
 }
--- a/src/peer/peer_net.h
+++ b/src/peer/peer_net.h
@@ -56,6 +56,9 @@
 
   // Sends a message to the daemon at "IP:port".
   void Send(const std::string& address, const peer::MessageUnion& message);
+  // Answers a daemon whose address is not known, on the connection over which
+  // it spoke last.
+  void Reply(const DaemonId& daemon, const peer::MessageUnion& message);
 
   [[nodiscard]] const PeerNetCounters& counters() const;
 
--- a/src/peer/peer_net_test.cc
+++ b/src/peer/peer_net_test.cc
@@ -66,6 +66,17 @@
   CHECK(b.received.empty());
 }
 
+TEST_CASE("a daemon of unknown address is answered on its own connection") {
+  Daemon a("main", "a");
+  Daemon b("main", "b");
+  a.net.Send(b.Address(), MakeMessage(1));
+  REQUIRE(RunUntil([&] { return b.received.size() == 1; }));
+  b.net.Reply(DaemonId("a"), MakeMessage(2));
+  CHECK(RunUntil([&] { return a.received.size() == 1; }));
+  b.net.Reply(DaemonId("nobody"), MakeMessage(3));
+  CHECK(b.net.counters().dropped_out == 1);
+}
+
 TEST_CASE("a daemon that has been replaced is reached again") {
   Daemon a("main", "a");
   auto b = std::make_unique<Daemon>("main", "b");
