Never ask Beast's parser about a short final chunk twice

The fuzz target found an assertion in Beast's chunk parser: with the last chunk cut after its first line, the next call had fewer than the five bytes that it asserts. Release builds define NDEBUG and go on correctly; a debug build ended, which any caller could cause. The parser now waits for five bytes.

--- a/src/http/message_parser.h
+++ b/src/http/message_parser.h
@@ -118,6 +118,10 @@
     std::size_t consumed = 0;
     boost::beast::error_code ec;
     while (!collector_.is_done() && consumed < data.size()) {
+      if (had_head && collector_.chunked() &&
+          data.size() - consumed < kLeastFinalChunkBytes) {
+        break;
+      }
       consumed +=
           collector_.put({data.data() + consumed, data.size() - consumed}, ec);
       if (ec) {
@@ -139,6 +143,11 @@
   [[nodiscard]] bool started() const { return collector_.got_some(); }
 
  private:
+  // The shortest end of a chunked body, "0\r\n\r\n". Beast's parser asserts
+  // that it is never asked again about the end with fewer bytes than that;
+  // waiting for them delays no message, since at least as many must follow.
+  static constexpr std::size_t kLeastFinalChunkBytes = 5;
+
   void ReadFraming(MessageHead& head) const {
     head.keep_alive = collector_.keep_alive();
     if (collector_.is_done()) {
