Daemon reads the settings as gentianreachctl writes them

settings/current holds a SettingsVersion, not bare INI. The integration tests apply their settings by gentianreachctl, as operators do; whole_path_test passes.

--- a/integration/fleet.sh
+++ b/integration/fleet.sh
@@ -60,7 +60,7 @@
 }
 
 apply_settings() {
-  curl -s -m 5 -X PUT -H 'If-None-Match: *' --data-binary "@$1" "http://$platform/v1/objects/settings/current"
+  "$build/gentianreachctl" --store "$platform" settings apply "$1" > /dev/null
 }
 
 # start_daemon NAME ZONE
--- a/src/daemon/settings_driver.cc
+++ b/src/daemon/settings_driver.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "base/log.h"
+#include "settings/stored_version.h"
 
 namespace gentianreach {
 namespace {
@@ -31,18 +32,26 @@
 }
 
 void SettingsDriver::Take(const ObjectRead& read) {
-  if (read.status != StoreStatus::kOk || read.version.value() <= version_) {
+  if (read.status != StoreStatus::kOk) {
     return;
   }
-  settings::LoadResult loaded = settings::LoadSettings(read.bytes, kObject);
+  const auto stored = settings::Decode(read.bytes);
+  if (!stored) {
+    Log(LogLevel::kError, "settings_damaged", {{"object", kObject}});
+    return;
+  }
+  if (stored->number <= version_) {
+    return;
+  }
+  settings::LoadResult loaded = settings::LoadSettings(stored->text, kObject);
   if (!loaded.ok()) {
     for (const settings::SettingsError& it : loaded.errors) {
       Log(LogLevel::kError, "settings_refused", {{"error", ToString(it)}});
     }
     return;
   }
-  version_ = read.version.value();
-  text_ = read.bytes;
+  version_ = stored->number;
+  text_ = stored->text;
   loaded.tree->version = version_;
   Log(LogLevel::kInfo, "settings_in_force", {{"version", version_}});
   taker_(*loaded.tree);
