--- a/src/proxy/exchange.h
+++ b/src/proxy/exchange.h
@@ -414,6 +414,7 @@
     record_.token = target_.token;
     record_.range = target_.range;
     attempt_started_ = now;
+    pool_->OnStart(connection_.get());
     ticket_->Sent(fingerprint_, target_.server, target_.incarnation, now);
     const std::uint32_t attempt = record_.attempts;
     connection_->Start(
@@ -536,7 +537,9 @@
       return Verdict::MayHaveRun(Reason::kTruncated);
     }
     if (written) {
-      return Verdict::MayHaveRun(Reason::kConnectionLost);
+      return Verdict::MayHaveRun(failure == ServerFailure::kSilent
+                                     ? Reason::kSilent
+                                     : Reason::kConnectionLost);
     }
     return Verdict::NotRun(failure == ServerFailure::kLost
                                ? Reason::kConnectionLost
@@ -596,7 +599,11 @@
       GiveUp(verdict);
       return;
     }
-    if (sent &&
+    // A server that does not hold the key has done no work, and asking the
+    // owner again is paced by pauses, so it takes nothing from the budget.
+    // Otherwise a table that is a little old would use it up.
+    const bool takes_budget = sent && verdict.reason() != Reason::kNotOwner;
+    if (takes_budget &&
         !state_->policies.Budget(rule_->service).TryRetry(state_->loop.Now())) {
       GiveUp(verdict.outcome() == Outcome::kNotRun
                  ? Verdict::NotRun(Reason::kRetryBudget)
