Settings relay, placement, audit trail and quarantine wired into the daemon

Cause: the parts stood beside the daemon: settings were polled by each daemon, audit went to the log only, nobody planned moves, strikes stayed local, and a daemon cut off served what may not run twice. Change: drivers for each; PolicyPicker for plain services; the proxy refuses what the settings' standing does not allow (not run, cut-off).

--- a/src/daemon/cell_driver.cc
+++ b/src/daemon/cell_driver.cc
@@ -68,6 +68,7 @@
     : store_(store),
       net_(net),
       hooks_(std::move(hooks)),
+      self_(options.self),
       agent_(std::move(options), random) {}
 
 void CellDriver::Start() {
@@ -81,6 +82,40 @@
   Pump();
 }
 
+void CellDriver::SendTo(const DaemonId& member,
+                        const peer::MessageUnion& message) {
+  const auto record = agent_.Record();
+  if (record == nullptr) {
+    return;
+  }
+  for (const auto& it : record->members) {
+    if (it->daemon == member.value()) {
+      net_.Send(it->peer_address, message);
+      return;
+    }
+  }
+}
+
+void CellDriver::SendToAll(const peer::MessageUnion& message) {
+  for (const DaemonId& it : Others()) {
+    SendTo(it, message);
+  }
+}
+
+std::vector<DaemonId> CellDriver::Others() const {
+  std::vector<DaemonId> others;
+  const auto record = agent_.Record();
+  if (record == nullptr) {
+    return others;
+  }
+  for (const auto& it : record->members) {
+    if (it->daemon != self_.value()) {
+      others.emplace_back(it->daemon);
+    }
+  }
+  return others;
+}
+
 void CellDriver::Pump() {
   const Outbox outbox = agent_.TakeOutbox();
   for (const StoreRead& it : outbox.reads) {
@@ -154,11 +189,14 @@
                               const HttpReply& reply) {
   const std::optional<ServerAnswer> answer = DecodeAnswer(reply.body);
   if (!answer.has_value()) {
+    if (!reply.may_have_arrived) {
+      hooks_.on_refused(order);
+    }
     Log(LogLevel::kDebug, "order_unanswered",
         {{"server", order.server.value()}, {"error", reply.error}});
     return;
   }
-  hooks_.on_load(order.server, answer->load);
+  hooks_.on_answer(*answer, order, sent);
   agent_.OnServerReply(order.ticket, answer->reply, sent, clock_.Now());
   Pump();
 }
--- a/src/daemon/cell_driver.h
+++ b/src/daemon/cell_driver.h
@@ -22,8 +22,11 @@
   // The record or a move has changed: routes may differ.
   std::function<void()> on_change;
   std::function<void(const AuditEvent&)> on_audit;
-  // A server answered an order; comes with its load report.
-  std::function<void(const ServerId&, const ServerLoad&)> on_load;
+  // A server answered an order that was sent at the given time.
+  std::function<void(const ServerAnswer&, const ServerOrder&, TimePoint)>
+      on_answer;
+  // Nobody listens at a server's address.
+  std::function<void(const ServerOrder&)> on_refused;
 };
 
 // Runs one agent on the thread's main context. `store` and `net` must outlive
@@ -39,6 +42,11 @@
   CellDriver& operator=(const CellDriver&) = delete;
 
   void Start();
+  // Sends a message to a member, or to all others.
+  void SendTo(const DaemonId& member, const peer::MessageUnion& message);
+  void SendToAll(const peer::MessageUnion& message);
+  // Returns the other members of the record adopted last.
+  [[nodiscard]] std::vector<DaemonId> Others() const;
   // Hands a message of another daemon to the agent.
   void OnPeer(const ReceivedFrame& frame);
   // Does what the agent's outbox holds and sets the timer.
@@ -60,6 +68,7 @@
   StoreClient& store_;
   PeerNet& net_;
   CellHooks hooks_;
+  DaemonId self_;
   CellAgent agent_;
   MonotonicClock clock_;
   HttpClient servers_;
--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -10,15 +10,18 @@
 
 #include "base/log.h"
 #include "base/timer.h"
+#include "daemon/audit_driver.h"
 #include "daemon/cell_driver.h"
 #include "daemon/operator_api.h"
 #include "daemon/operator_server.h"
+#include "daemon/placement_driver.h"
+#include "daemon/quarantine_driver.h"
 #include "daemon/request_log.h"
 #include "daemon/settings_driver.h"
 #include "net/event_loop.h"
 #include "peer/peer_net.h"
 #include "platform/store_client.h"
-#include "proxy/plain_servers.h"
+#include "proxy/policy_picker.h"
 #include "proxy/proxy_server.h"
 
 namespace gentianreach {
@@ -33,6 +36,7 @@
 constexpr milliseconds kReadyTimeout{10000};
 constexpr milliseconds kLeaveTimeout{3000};
 constexpr milliseconds kLeavePoll{20};
+constexpr milliseconds kServingInterval{100};
 
 // Routes by the cell's agent, on the agent's own thread.
 class AgentRouter {
@@ -47,7 +51,7 @@
   const CellDriver& driver_;
 };
 
-using Proxy = proxy::ProxyServer<AgentRouter, proxy::LeastOutstandingPicker>;
+using Proxy = proxy::ProxyServer<AgentRouter, proxy::PolicyPicker>;
 
 // A name that no earlier life of the daemon had.
 DaemonId LifeOf(const std::string& name, std::uint64_t incarnation) {
@@ -86,6 +90,9 @@
         incarnation_(NewIncarnation()),
         self_(LifeOf(settings.name, incarnation_)),
         store_(settings.store),
+        audit_(self_.value(), store_),
+        quarantine_(Links()),
+        picker_(incarnation_),
         requests_(kRequestsKept) {}
 
   boost::leaf::result<void> Start();
@@ -96,7 +103,16 @@
   boost::leaf::result<void> OpenOperators();
   void MakeCell();
   boost::leaf::result<void> OpenCallers();
+  void OnPeer(const ReceivedFrame& frame);
   void OnSettings(const settings::TreeT& tree);
+  void OnServerAnswer(const ServerAnswer& answer,
+                      const ServerOrder& order,
+                      TimePoint sent);
+  void OnServerRefused(const ServerOrder& order);
+  void ShowServers(const stored::CellT& record);
+  void UpdateServing();
+  [[nodiscard]] CellLinks Links();
+  void AddOperatorActions();
   void OnOwnersChanged();
   [[nodiscard]] bool IsReady() const;
   void OnFinished(const proxy::RequestRecord& record);
@@ -111,14 +127,18 @@
   StoreClient store_;
   std::unique_ptr<PeerNet> peers_;
   std::unique_ptr<CellDriver> cell_;
+  AuditDriver audit_;
+  QuarantineDriver quarantine_;
+  std::unique_ptr<PlacementDriver> placement_;
   std::unique_ptr<SettingsDriver> tree_;
   std::unique_ptr<AgentRouter> router_;
-  proxy::LeastOutstandingPicker picker_;
+  proxy::PolicyPicker picker_;
   std::unique_ptr<Proxy> proxy_;
   OperatorServer operators_;
   RequestLog requests_;
   RequestMetrics metrics_;
   Timer leave_timer_;
+  Timer serving_timer_;
   std::string peer_address_;
   ObjectVersion shown_record_;
   std::vector<CellService> services_;
@@ -132,10 +152,11 @@
   MakeCell();
   BOOST_LEAF_CHECK(OpenOperators());
   BOOST_LEAF_CHECK(OpenCallers());
-  tree_ = std::make_unique<SettingsDriver>(
-      store_, [this](const settings::TreeT& tree) { OnSettings(tree); });
   tree_->Start();
   cell_->Start();
+  placement_->Start();
+  quarantine_.Start();
+  UpdateServing();
   return {};
 }
 
@@ -148,7 +169,7 @@
   }
   peers_ = std::make_unique<PeerNet>(
       FrameSender{settings_.cell, self_, incarnation_}, std::move(tls),
-      [this](const ReceivedFrame& frame) { cell_->OnPeer(frame); });
+      [this](const ReceivedFrame& frame) { OnPeer(frame); });
   BOOST_LEAF_AUTO(port, peers_->Listen(settings_.peer_address));
   peer_address_ = WithPort(settings_.peer_address, port);
   Log(LogLevel::kInfo, "listening",
@@ -164,25 +185,87 @@
   options.zone = ZoneName(settings_.zone);
   CellHooks hooks;
   hooks.on_change = [this] { OnOwnersChanged(); };
-  hooks.on_audit = [](const AuditEvent& it) {
-    Log(LogLevel::kInfo, "audit",
-        {{"actor", it.actor},
-         {"what", it.what},
-         {"object", it.object},
-         {"from", it.from},
-         {"to", it.to},
-         {"why", it.why},
-         {"version", it.version.value()}});
+  hooks.on_audit = [this](const AuditEvent& it) { audit_.Add(it); };
+  hooks.on_answer = [this](const ServerAnswer& answer, const ServerOrder& order,
+                           TimePoint sent) {
+    OnServerAnswer(answer, order, sent);
   };
-  hooks.on_load = [](const ServerId&, const ServerLoad&) {};
+  hooks.on_refused = [this](const ServerOrder& it) { OnServerRefused(it); };
   cell_ = std::make_unique<CellDriver>(std::move(options),
                                        std::mt19937_64(std::random_device{}()),
                                        store_, *peers_, std::move(hooks));
   router_ = std::make_unique<AgentRouter>(*cell_);
+  placement_ = std::make_unique<PlacementDriver>(self_, *cell_, Links());
+  tree_ = std::make_unique<SettingsDriver>(
+      self_, incarnation_, store_, Links(),
+      [this](const settings::TreeT& tree) { OnSettings(tree); });
+}
+
+CellLinks Daemon::Impl::Links() {
+  return {
+      [this](const DaemonId& to, const peer::MessageUnion& message) {
+        cell_->SendTo(to, message);
+      },
+      [this](const peer::MessageUnion& message) { cell_->SendToAll(message); },
+      [this] { return cell_->Others(); }};
+}
+
+void Daemon::Impl::OnPeer(const ReceivedFrame& frame) {
+  const DaemonId& from = frame.sender.daemon;
+  switch (frame.message.type) {
+    case peer::Message::SettingsNotice:
+    case peer::Message::SettingsRequest:
+    case peer::Message::SettingsUpdate:
+      tree_->OnPeer(from, frame.message);
+      return;
+    case peer::Message::LoadReport:
+      placement_->OnReport(from, *frame.message.AsLoadReport());
+      return;
+    case peer::Message::QuarantineUpdate:
+      quarantine_.OnUpdate(*frame.message.AsQuarantineUpdate());
+      return;
+    default:
+      cell_->OnPeer(frame);
+  }
+}
+
+void Daemon::Impl::OnServerAnswer(const ServerAnswer& answer,
+                                  const ServerOrder& order,
+                                  TimePoint sent) {
+  quarantine_.OnServerAnswered(order.server, answer.reply.incarnation, sent);
+  Picker* const picker = picker_.Find(order.service);
+  if (picker != nullptr) {
+    picker->OnReport(order.server, answer.load, clock_.Now());
+  }
+}
+
+void Daemon::Impl::OnServerRefused(const ServerOrder& order) {
+  if (order.incarnation.value() != 0) {
+    quarantine_.OnServerRefused(order.server, order.incarnation);
+  }
+}
+
+// A daemon that cannot know whether its rules are current serves only what may
+// run twice.
+void Daemon::Impl::UpdateServing() {
+  serving_timer_.Set(clock_.Now() + kServingInterval,
+                     [this] { UpdateServing(); });
+  const settings::Standing standing = tree_->relay().StandingAt(clock_.Now());
+  proxy_->SetServing({settings::MayServe(standing, true),
+                      settings::MayServe(standing, false)});
 }
 
 boost::leaf::result<void> Daemon::Impl::OpenOperators() {
   ServeOperators(operators_, [this] { return View(); });
+  AddOperatorActions();
+  BOOST_LEAF_AUTO(port, operators_.Listen(settings_.operator_address));
+  Log(LogLevel::kInfo, "listening",
+      {{"for", "operators"},
+       {"address", WithPort(settings_.operator_address, port)}});
+  return {};
+}
+
+void Daemon::Impl::AddOperatorActions() {
   operators_.Handle("POST", "/drain", [this](const OperatorRequest& request) {
     return DrainByRequest(request, [this](const std::string& server,
                                           bool drain) {
@@ -190,11 +273,18 @@
       cell_->Pump();
     });
   });
-  BOOST_LEAF_AUTO(port, operators_.Listen(settings_.operator_address));
-  Log(LogLevel::kInfo, "listening",
-      {{"for", "operators"},
-       {"address", WithPort(settings_.operator_address, port)}});
-  return {};
+  operators_.Handle(
+      "POST", "/quarantine/lift", [this](const OperatorRequest& request) {
+        return LiftByRequest(request, [this](Fingerprint fingerprint) {
+          audit::Entry entry;
+          entry.actor = "operator";
+          entry.kind = "quarantine";
+          entry.key = std::to_string(fingerprint.value);
+          entry.to = "lifted";
+          audit_.Add(std::move(entry));
+          return quarantine_.quarantine().Lift(fingerprint, clock_.Now());
+        });
+      });
 }
 
 boost::leaf::result<void> Daemon::Impl::OpenCallers() {
@@ -203,9 +293,13 @@
     OnFinished(it);
   };
   proxy::ProxyOptions options;
-  options.id_prefix = self_.value() + "-";
+  hooks.on_contact = [this](const proxy::ServerContact&) {
+    quarantine_.Flush();
+  };
+  options.id_prefix = self_.value();
   proxy_ = std::make_unique<Proxy>(loop_, *router_, picker_, std::move(hooks),
                                    std::move(options));
+  proxy_->SetQuarantine(&quarantine_.quarantine());
   BOOST_LEAF_CHECK(proxy_->Listen(settings_.caller_address));
   Log(LogLevel::kInfo, "listening",
       {{"for", "callers"},
@@ -216,6 +310,12 @@
 void Daemon::Impl::OnSettings(const settings::TreeT& tree) {
   proxy_->SetRoutes(std::make_shared<proxy::RouteTable>(tree));
   proxy_->SetLimits(*tree.limits);
+  for (const auto& it : tree.services) {
+    picker_.SetOptions(
+        ServiceName(it->name),
+        {milliseconds(it->settings->warm_up), it->settings->eject_share});
+  }
+  placement_->OnSettings(tree);
   cell_->agent().SetTiming(*tree.cell, clock_.Now());
   services_ = CellServicesOf(tree);
   cell_->agent().SetServices(services_, clock_.Now());
@@ -238,19 +338,26 @@
     return;
   }
   shown_record_ = cell_->agent().RecordVersion();
-  std::map<std::string, std::vector<proxy::ServerChoice>> by_service;
-  for (const auto& it : record->servers) {
-    by_service[it->service];
-    if (it->state != stored::ServerState::Live) {
-      continue;
+  ShowServers(*record);
+}
+
+void Daemon::Impl::ShowServers(const stored::CellT& record) {
+  std::map<ServiceName, std::vector<proxy::ServerChoice>> by_service;
+  for (const auto& it : record.servers) {
+    std::vector<proxy::ServerChoice>& servers =
+        by_service[ServiceName(it->service)];
+    if (it->state == stored::ServerState::Live) {
+      servers.push_back(
+          {ServerId(it->id), it->address, Incarnation(it->incarnation)});
     }
-    by_service[it->service].push_back({ServerId(it->id), it->address});
   }
-  for (auto& [service, servers] : by_service) {
-    picker_.Replace(ServiceName(service), std::move(servers));
+  // The servers that a daemon finds at its start have been running before.
+  const bool cold = ready_;
+  for (const auto& [service, servers] : by_service) {
+    picker_.Replace(service, servers, cold, clock_.Now());
   }
-  proxy_->SetEntryCount(std::max<std::uint32_t>(
-      1, static_cast<std::uint32_t>(record->members.size())));
+  proxy_->SetEntryCount(static_cast<std::uint32_t>(
+      std::max<std::size_t>(1, record.members.size())));
 }
 
 bool Daemon::Impl::IsReady() const {
@@ -272,6 +379,7 @@
 
 void Daemon::Impl::OnFinished(const proxy::RequestRecord& record) {
   metrics_.Add(record);
+  placement_->Count(record);
   requests_.Add(record);
   Log(LogLevel::kDebug, "request",
       {{"id", record.id},
@@ -295,6 +403,10 @@
   view.stopping = stopping_;
   view.settings_version = tree_->version();
   view.settings_text = tree_->text();
+  view.settings_standing =
+      std::string(ToString(tree_->relay().StandingAt(clock_.Now())));
+  view.settings_members = tree_->relay().MembersInForce();
+  view.quarantine = quarantine_.quarantine().List(clock_.Now());
   view.status = cell_->agent().Status(clock_.Now());
   view.permit_left = cell_->agent().PermitDeadline(clock_.Now()) - clock_.Now();
   view.record = cell_->agent().Record();
--- a/src/daemon/operator_api.cc
+++ b/src/daemon/operator_api.cc
@@ -37,11 +37,17 @@
 
 OperatorReply Status(const OperatorView& view) {
   const CellStatus& status = view.status;
+  Json members = Json::object();
+  for (const auto& [member, version] : view.settings_members) {
+    members[member.value()] = version;
+  }
   return Answer({{"daemon", view.daemon},
                  {"zone", view.zone},
                  {"cell", view.cell},
                  {"stopping", view.stopping},
                  {"settings_version", view.settings_version},
+                 {"settings_standing", view.settings_standing},
+                 {"settings_members", members},
                  {"record_version", status.record.value()},
                  {"epoch", status.epoch.value()},
                  {"view", status.view.value()},
@@ -153,6 +159,21 @@
   return Answer({{"requests", list}});
 }
 
+OperatorReply ListQuarantine(const OperatorView& view) {
+  Json list = Json::array();
+  for (const QuarantineEntry& it : view.quarantine) {
+    Json servers = Json::array();
+    for (const auto& [server, incarnation] : it.servers) {
+      servers.push_back(
+          {{"server", server.value()}, {"incarnation", incarnation.value()}});
+    }
+    list.push_back({{"fingerprint", std::to_string(it.fingerprint.value)},
+                    {"refused", it.refused},
+                    {"servers", servers}});
+  }
+  return Answer({{"quarantine", list}});
+}
+
 std::string DaemonMetrics(const OperatorView& view) {
   const auto line = [](const char* name, auto value) {
     return std::string("gentianreach_") + name + " " + std::to_string(value) +
@@ -237,6 +258,9 @@
   server.Handle("GET", "/explain", [view](const OperatorRequest& request) {
     return Explain(view(), request);
   });
+  server.Handle("GET", "/quarantine", [view](const OperatorRequest&) {
+    return ListQuarantine(view());
+  });
   server.Handle("GET", "/settings", [view](const OperatorRequest&) {
     const OperatorView now = view();
     return Answer(
@@ -249,6 +273,22 @@
   });
 }
 
+OperatorReply LiftByRequest(const OperatorRequest& request,
+                            const std::function<bool(Fingerprint)>& lift) {
+  const Json json = Json::parse(request.body, nullptr, false);
+  if (!json.is_object() || !json.contains("fingerprint") ||
+      !json["fingerprint"].is_string()) {
+    return Complain(SOUP_STATUS_BAD_REQUEST,
+                    "expected {\"fingerprint\": \"NUMBER\"}");
+  }
+  const std::string text = json["fingerprint"];
+  const Fingerprint fingerprint{g_ascii_strtoull(text.c_str(), nullptr, 10)};
+  if (!lift(fingerprint)) {
+    return Complain(SOUP_STATUS_NOT_FOUND, "no such fingerprint: " + text);
+  }
+  return Answer({{"ok", true}});
+}
+
 OperatorReply DrainByRequest(
     const OperatorRequest& request,
     const std::function<void(const std::string&, bool)>& drain) {
--- a/src/daemon/operator_api.h
+++ b/src/daemon/operator_api.h
@@ -14,6 +14,7 @@
 #include "daemon/request_log.h"
 #include "gentianreach/cell_agent.h"
 #include "peer/peer_net.h"
+#include "policy/quarantine.h"
 
 namespace gentianreach {
 
@@ -48,7 +49,11 @@
   bool ready = false;
   bool stopping = false;
   std::uint64_t settings_version = 0;
+  std::string settings_standing;
+  // The versions that the other members last said they run.
+  std::map<DaemonId, std::uint64_t> settings_members;
   std::string settings_text;
+  std::vector<QuarantineEntry> quarantine;
   CellStatus status;
   Duration permit_left{};
   std::shared_ptr<const stored::CellT> record;
@@ -61,10 +66,15 @@
 };
 
 // Adds the read-only paths: /healthz, /status, /metrics, /owners, /servers,
-// /explain and /settings.
+// /explain, /settings and /quarantine.
 void ServeOperators(OperatorServer& server,
                     const std::function<OperatorView()>& view);
 
+// Answers POST /quarantine/lift with {"fingerprint": "N"}.
+[[nodiscard]] OperatorReply LiftByRequest(
+    const OperatorRequest& request,
+    const std::function<bool(Fingerprint)>& lift);
+
 // Answers POST /drain with {"server": S, "drain": bool}.
 [[nodiscard]] OperatorReply DrainByRequest(
     const OperatorRequest& request,
--- a/src/daemon/settings_driver.cc
+++ b/src/daemon/settings_driver.cc
@@ -3,58 +3,75 @@
 #include <utility>
 
 #include "base/log.h"
-#include "settings/stored_version.h"
+#include "platform/store_caller.h"
 
 namespace gentianreach {
-namespace {
 
-using std::chrono::milliseconds;
+using settings::SettingsRelay;
 
-constexpr const char* kObject = "settings/current";
-constexpr milliseconds kPollInterval{1000};
-constexpr milliseconds kStoreTimeout{2000};
+SettingsDriver::SettingsDriver(DaemonId self,
+                               std::uint64_t seed,
+                               StoreClient& store,
+                               CellLinks links,
+                               Taker taker)
+    : self_(std::move(self)),
+      store_(store),
+      links_(std::move(links)),
+      taker_(std::move(taker)),
+      relay_(self_, seed, clock_.Now()) {}
 
-}  // namespace
+void SettingsDriver::Start() {
+  Tick();
+}
 
-SettingsDriver::SettingsDriver(StoreClient& store, Taker taker)
-    : store_(store), taker_(std::move(taker)) {}
+void SettingsDriver::OnPeer(const DaemonId& from,
+                            const peer::MessageUnion& message) {
+  relay_.OnMessage(from, message, clock_.Now());
+  Pump();
+}
 
-void SettingsDriver::Start() {
-  Poll();
+std::string SettingsDriver::text() const {
+  return relay_.in_force() == nullptr ? "" : relay_.in_force()->text;
 }
 
-void SettingsDriver::Poll() {
-  store_.Read(kObject, clock_.Now() + kStoreTimeout,
-              [this](const ObjectRead& read) {
-                Take(read);
-                poll_.Set(clock_.Now() + kPollInterval, [this] { Poll(); });
-              });
+void SettingsDriver::Tick() {
+  std::vector<DaemonId> others = links_.others();
+  std::vector<DaemonId> cell = others;
+  cell.push_back(self_);
+  relay_.SetMembers(std::move(cell), std::move(others));
+  relay_.Tick(clock_.Now());
+  Pump();
+  tick_.Set(clock_.Now() + SettingsRelay::kTickInterval, [this] { Tick(); });
 }
 
-void SettingsDriver::Take(const ObjectRead& read) {
-  if (read.status != StoreStatus::kOk) {
-    return;
+void SettingsDriver::Pump() {
+  for (const settings::RelayMessage& it : relay_.TakeOutgoing()) {
+    links_.send(it.to, it.message);
   }
-  const auto stored = settings::Decode(read.bytes);
-  if (!stored) {
-    Log(LogLevel::kError, "settings_damaged", {{"object", kObject}});
-    return;
+  const auto call = relay_.PollStore(clock_.Now());
+  if (call.has_value()) {
+    MakeStoreCall(store_, *call, [this](const store::Reply& reply) {
+      relay_.OnStoreReply(reply, clock_.Now());
+      Pump();
+    });
   }
-  if (stored->number <= version_) {
-    return;
-  }
-  settings::LoadResult loaded = settings::LoadSettings(stored->text, kObject);
-  if (!loaded.ok()) {
-    for (const settings::SettingsError& it : loaded.errors) {
+  Take();
+}
+
+void SettingsDriver::Take() {
+  if (relay_.counters().rejected != rejections_shown_) {
+    rejections_shown_ = relay_.counters().rejected;
+    for (const settings::SettingsError& it : relay_.rejection()) {
       Log(LogLevel::kError, "settings_refused", {{"error", ToString(it)}});
     }
+  }
+  const auto version = relay_.in_force();
+  if (version == nullptr || version->number <= version_) {
     return;
   }
-  version_ = stored->number;
-  text_ = stored->text;
-  loaded.tree->version = version_;
+  version_ = version->number;
   Log(LogLevel::kInfo, "settings_in_force", {{"version", version_}});
-  taker_(*loaded.tree);
+  taker_(*version->tree);
 }
 
 }  // namespace gentianreach
--- a/src/daemon/settings_driver.h
+++ b/src/daemon/settings_driver.h
@@ -1,4 +1,5 @@
-// Brings the settings tree of the store in force on this daemon.
+// Brings the settings tree in force on this daemon: does what the relay asks
+// for (settings/settings_relay.h).
 #ifndef SRC_DAEMON_SETTINGS_DRIVER_H_
 #define SRC_DAEMON_SETTINGS_DRIVER_H_
 
@@ -7,38 +8,51 @@
 #include <string>
 
 #include "base/timer.h"
+#include "daemon/cell_links.h"
 #include "gentianreach/settings.h"
 #include "platform/store_client.h"
+#include "settings/settings_relay.h"
 
 namespace gentianreach {
 
-// Reads `settings/current` and hands over each newer tree, whole. A tree that
-// does not pass the checks is logged and not taken.
+// Hands over each newer tree, whole, once it is in force. `store` must outlive
+// the driver.
 class SettingsDriver {
  public:
   using Taker = std::function<void(const settings::TreeT&)>;
 
-  SettingsDriver(StoreClient& store, Taker taker);
+  SettingsDriver(DaemonId self,
+                 std::uint64_t seed,
+                 StoreClient& store,
+                 CellLinks links,
+                 Taker taker);
   SettingsDriver(const SettingsDriver&) = delete;
   SettingsDriver& operator=(const SettingsDriver&) = delete;
 
   void Start();
+  // Hands a message of another daemon to the relay.
+  void OnPeer(const DaemonId& from, const peer::MessageUnion& message);
 
   // Returns the version in force; zero before the first.
   [[nodiscard]] std::uint64_t version() const { return version_; }
   // Returns the text in force.
-  [[nodiscard]] const std::string& text() const { return text_; }
+  [[nodiscard]] std::string text() const;
+  [[nodiscard]] const settings::SettingsRelay& relay() const { return relay_; }
 
  private:
-  void Poll();
-  void Take(const ObjectRead& read);
+  void Tick();
+  void Pump();
+  void Take();
 
+  DaemonId self_;
   StoreClient& store_;
+  CellLinks links_;
   Taker taker_;
   MonotonicClock clock_;
-  Timer poll_;
+  settings::SettingsRelay relay_;
+  Timer tick_;
   std::uint64_t version_ = 0;
-  std::string text_;
+  std::uint64_t rejections_shown_ = 0;
 };
 
 }  // namespace gentianreach
--- a/src/proxy/exchange.h
+++ b/src/proxy/exchange.h
@@ -95,6 +95,10 @@
     record_.deadline = record_.started + Timeout(head);
     caller_->SetDeadline(record_.deadline);
     state_->policies.Budget(rule_->service).OnRequest(record_.started);
+    if (!state_->MayServe(rule_->idempotent)) {
+      GiveUp(Verdict::NotRun(Reason::kCutOff));
+      return;
+    }
     if (!TakeKey(head)) {
       GiveUp(Verdict::NotRun(Reason::kBadRequest), "the request has no key");
       return;
--- a/src/proxy/proxy_options.h
+++ b/src/proxy/proxy_options.h
@@ -9,6 +9,12 @@
 
 namespace gentianreach::proxy {
 
+// Which requests this daemon may route by the settings it has.
+struct ServingRule {
+  bool idempotent = true;
+  bool other = true;
+};
+
 struct ProxyOptions {
   // Starts every request id. Unique per life of a daemon and per loop.
   std::string id_prefix;
--- a/src/proxy/proxy_server.h
+++ b/src/proxy/proxy_server.h
@@ -63,6 +63,8 @@
   void SetRoutes(std::shared_ptr<const RouteTable> routes);
   // Replaces the limits. They hold for what starts from now on.
   void SetLimits(const settings::LimitsT& limits);
+  // Says which requests may be routed from now on.
+  void SetServing(const ServingRule& serving) { state_->serving = serving; }
   // Replaces the number of daemons that share the servers' connections.
   void SetEntryCount(std::uint32_t entry_count);
   // Wakes the requests that wait for an owner. Call it after every change of
--- a/src/proxy/proxy_state.h
+++ b/src/proxy/proxy_state.h
@@ -71,6 +71,11 @@
         std::chrono::milliseconds(limits.progress_timeout));
   }
 
+  // Returns whether a request of a route may be served at all.
+  [[nodiscard]] bool MayServe(bool idempotent) const {
+    return idempotent ? serving.idempotent : serving.other;
+  }
+
   // Returns an id that no other request has.
   std::string NextRequestId() {
     return options.id_prefix + "-" + std::to_string(++last_request);
@@ -92,6 +97,7 @@
   PickerT& picker;
   ProxyHooks hooks;
   ProxyOptions options;
+  ServingRule serving;
   std::shared_ptr<const RouteTable> routes;
   ServerPools pools;
   RequestPolicies policies;
