--- a/bench/takeover_bench.cc
+++ b/bench/takeover_bench.cc
@@ -27,8 +27,7 @@
 using gentianreach::TimePoint;
 using gentianreach::testing::FakeWorld;
 using gentianreach::testing::WorldOptions;
-using std::chrono_literals::operator""ms;
-using std::chrono_literals::operator""s;
+using namespace std::chrono_literals;
 
 constexpr Duration kGiveUp = 12s;
 // For how long the store is away after the loss where it comes back.
--- a/samples/own_a_key.cc
+++ b/samples/own_a_key.cc
@@ -30,7 +30,7 @@
 using gentianreach::TimePoint;
 using gentianreach::WriteStatus;
 using gentianreach::ZoneName;
-using std::chrono_literals::operator""ms;
+using namespace std::chrono_literals;
 
 // Answers each store call and each order at once.
 class Surroundings {
--- a/src/cell/agent_moves.cc
+++ b/src/cell/agent_moves.cc
@@ -66,9 +66,9 @@
                                   moving ? it->moving_token : it->token);
   }
   for (auto& [server, grants] : grants_) {
-    std::erase_if(grants.held, [&grants](const Grant& it) {
-      return !grants.wanted.contains(it);
-    });
+    const std::set<Grant>& wanted = grants.wanted;
+    std::erase_if(grants.held,
+                  [&wanted](const Grant& it) { return !wanted.contains(it); });
     const auto* const it = routes_.Server(server);
     grants.missing = it->generation != 0 &&
                      it->state != stored::ServerState::Fenced &&
--- a/src/cell/cell_agent_test.cc
+++ b/src/cell/cell_agent_test.cc
@@ -9,8 +9,7 @@
 
 using testing::FakeWorld;
 using testing::WorldOptions;
-using std::chrono_literals::operator""ms;
-using std::chrono_literals::operator""s;
+using namespace std::chrono_literals;
 
 TEST_CASE("daemons create the record, join and have every key served") {
   FakeWorld world(WorldOptions{});
@@ -97,5 +96,25 @@
   CHECK(world.OwnerOf(KeyHash(range.first)) == (range.owner == "s1" ? 2U : 1U));
 }
 
+TEST_CASE("daemons do not keep each other's permits alive past the hold-over") {
+  WorldOptions options;
+  options.link = 60ms;
+  options.timing.hold_over = 12000;
+  FakeWorld world(options);
+  REQUIRE(world.RunUntil([&] { return world.Settled(); }, 8s));
+  world.store = FakeWorld::StoreState::kDown;
+  world.Run(1s);
+  for (const auto& it : world.daemons()) {
+    CHECK(it.agent->Status(world.Local(it)).permit_valid);
+  }
+  world.Run(11500ms);
+  for (const auto& it : world.daemons()) {
+    CHECK_FALSE(it.agent->Status(world.Local(it)).permit_valid);
+  }
+  CHECK_FALSE(world.AllServed());
+  world.store = FakeWorld::StoreState::kUp;
+  CHECK(world.RunUntil([&] { return world.AllServed(); }, 8s));
+}
+
 }  // namespace
 }  // namespace gentianreach
--- a/src/cell/ownership_faults_test.cc
+++ b/src/cell/ownership_faults_test.cc
@@ -20,8 +20,7 @@
 using testing::FakeWorld;
 using testing::History;
 using testing::WorldOptions;
-using std::chrono_literals::operator""ms;
-using std::chrono_literals::operator""s;
+using namespace std::chrono_literals;
 
 constexpr Duration kFaultLasts = 2500ms;
 constexpr Duration kRecovery = 20s;
--- a/src/cell/ownership_random_test.cc
+++ b/src/cell/ownership_random_test.cc
@@ -15,8 +15,7 @@
 using testing::FakeWorld;
 using testing::History;
 using testing::WorldOptions;
-using std::chrono_literals::operator""ms;
-using std::chrono_literals::operator""s;
+using namespace std::chrono_literals;
 
 constexpr std::uint64_t kSeeds = 150;
 constexpr Duration kFaultyTime = 40s;
--- a/src/cell/permit_test.cc
+++ b/src/cell/permit_test.cc
@@ -5,13 +5,12 @@
 namespace gentianreach::cell {
 namespace {
 
-using std::chrono_literals::operator""ms;
-using std::chrono_literals::operator""s;
+using namespace std::chrono_literals;
 
 const TimePoint kStart{std::chrono::hours(1)};
 constexpr ViewVersion kView{4};
 
-Permit PermitOf(std::vector<std::string> members) {
+Permit PermitOf(const std::vector<std::string>& members) {
   Permit permit;
   permit.SetTiming(800ms, 10s);
   permit.SetView(kView, members, "a");
--- a/src/cell/server_lease_test.cc
+++ b/src/cell/server_lease_test.cc
@@ -5,7 +5,7 @@
 namespace gentianreach::cell {
 namespace {
 
-using std::chrono_literals::operator""ms;
+using namespace std::chrono_literals;
 
 const TimePoint kStart{std::chrono::hours(1)};
 
--- a/src/cell/settling.cc
+++ b/src/cell/settling.cc
@@ -23,10 +23,26 @@
     kept[it->version] = known != older_.end() ? known->second : OlderView{now};
   }
   older_ = std::move(kept);
+  ForgetStrangers(record);
   running_[self] = std::max(running_[self], record.view);
   Count(record, now);
 }
 
+// Only daemons of a list still in the record matter.
+void Settling::ForgetStrangers(const Record& record) {
+  std::erase_if(running_, [&record](const auto& it) {
+    const bool listed =
+        FindMember(record, it.first) != nullptr ||
+        std::any_of(record.older_views.begin(), record.older_views.end(),
+                    [&it](const auto& view) {
+                      return std::find(view->members.begin(),
+                                       view->members.end(),
+                                       it.first) != view->members.end();
+                    });
+    return !listed;
+  });
+}
+
 void Settling::OnDaemonView(const Record& record,
                             const std::string& daemon,
                             std::uint64_t view,
--- a/src/cell/settling.h
+++ b/src/cell/settling.h
@@ -60,6 +60,7 @@
   };
 
   void Count(const Record& record, TimePoint now);
+  void ForgetStrangers(const Record& record);
   [[nodiscard]] TimePoint DeadAt(const stored::ViewT& view) const;
   [[nodiscard]] std::optional<TimePoint> Lapse(const Record& record,
                                                const stored::ViewT& view) const;
--- a/src/cell/settling_test.cc
+++ b/src/cell/settling_test.cc
@@ -5,8 +5,7 @@
 namespace gentianreach::cell {
 namespace {
 
-using std::chrono_literals::operator""ms;
-using std::chrono_literals::operator""s;
+using namespace std::chrono_literals;
 
 const TimePoint kStart{std::chrono::hours(1)};
 
--- a/src/cell/testing/fake_world.cc
+++ b/src/cell/testing/fake_world.cc
@@ -35,8 +35,8 @@
 
 }  // namespace
 
-FakeWorld::FakeWorld(WorldOptions options)
-    : options_(std::move(options)), random_(options_.seed) {
+FakeWorld::FakeWorld(const WorldOptions& options)
+    : options_(options), random_(options_.seed) {
   now_ = TimePoint(std::chrono::hours(1));
   std::uniform_real_distribution<double> rate(1 - options_.drift,
                                               1 + options_.drift);
@@ -196,7 +196,7 @@
   for (const auto& it : out.log) {
     std::string text = daemon.id + " " + it.event;
     for (const auto& [key, value] : it.fields) {
-      text += " " + key + "=" + value;
+      text.append(" ").append(key).append("=").append(value);
     }
     Trace(text);
   }
--- a/src/cell/testing/fake_world.h
+++ b/src/cell/testing/fake_world.h
@@ -84,7 +84,7 @@
 
 class FakeWorld {
  public:
-  explicit FakeWorld(WorldOptions options);
+  explicit FakeWorld(const WorldOptions& options);
   ~FakeWorld();
 
   // Runs until `span` has passed, or until `done` holds where given; returns
