--- a/src/cell/cell_agent_test.cc
+++ b/src/cell/cell_agent_test.cc
@@ -111,6 +111,8 @@
   for (const auto& it : world.daemons()) {
     CHECK_FALSE(it.agent->Status(world.Local(it)).permit_valid);
   }
+  // The last leases end one lease's length after the last permits.
+  world.Run(1500ms);
   CHECK_FALSE(world.AllServed());
   world.store = FakeWorld::StoreState::kUp;
   CHECK(world.RunUntil([&] { return world.AllServed(); }, 8s));
