Daemons taken off the list are told at once

A leaving assigner learnt of its removal by heartbeats only, up to 200 ms later and longer with losses; a test that it ends within 200 ms failed. The writer now sends the record to those it took off as well. Tests for leaving without a gap, draining within a second, and an assigner that is itself cut off and fences nobody.

--- a/src/cell/agent_impl.h
+++ b/src/cell/agent_impl.h
@@ -143,6 +143,7 @@
              std::optional<ObjectVersion> if_match,
              std::size_t wishes,
              TimePoint now);
+  void NoteDeparted(const cell::Record& after);
   void FinishWrite(ObjectVersion version, TimePoint now);
   void ReadRecordUnlessReading(TimePoint now);
   void OnAbsent(TimePoint now);
@@ -173,7 +174,8 @@
   void SendHeartbeat(const stored::MemberT& to,
                      std::uint64_t seq,
                      TimePoint now);
-  void PushRecord(TimePoint now);
+  void PushRecord();
+  void SendRecord(const stored::MemberT& to);
   void PushIfDue(TimePoint now);
   void RequestRecord(const std::string& from, TimePoint now);
   void Handle(const std::string& from,
@@ -329,6 +331,7 @@
   std::map<std::string, stored::MemberT> joiners_;
   std::map<std::string, TimePoint> joiner_until_;
   std::set<std::string> leavers_;
+  std::vector<stored::MemberT> departed_;  // By the latest write.
 
   // Election and planning.
   // Nothing is judged silent for a time that began before this: the daemon
--- a/src/cell/agent_peers.cc
+++ b/src/cell/agent_peers.cc
@@ -156,19 +156,26 @@
     return;
   }
   push_at_ = TimePoint::max();
-  PushRecord(now);
+  PushRecord();
 }
 
-void CellAgent::Impl::PushRecord(TimePoint /*now*/) {
+void CellAgent::Impl::PushRecord() {
   for (const auto& it : record_->members) {
-    if (it->daemon == self_) {
-      continue;
+    if (it->daemon != self_) {
+      SendRecord(*it);
     }
-    peer::RecordUpdateT message;
-    message.version = version_.value();
-    message.record = record_bytes_;
-    SendTo(*it, std::move(message));
   }
+  for (const auto& it : departed_) {
+    SendRecord(it);
+  }
+  departed_.clear();
+}
+
+void CellAgent::Impl::SendRecord(const stored::MemberT& to) {
+  peer::RecordUpdateT message;
+  message.version = version_.value();
+  message.record = record_bytes_;
+  SendTo(to, std::move(message));
 }
 
 void CellAgent::Impl::RequestRecord(const std::string& from, TimePoint now) {
--- a/src/cell/agent_store.cc
+++ b/src/cell/agent_store.cc
@@ -218,6 +218,7 @@
   wishes_.erase(wishes_.begin(),
                 wishes_.begin() + static_cast<std::ptrdiff_t>(
                                       std::min(write.wishes, wishes_.size())));
+  NoteDeparted(*write.record);
   const bool urgent = !record_ || record_->view != write.record->view ||
                       HasNewFence(*record_, *write.record);
   Adopt(std::move(write.record), std::move(write.bytes), version, now);
@@ -226,6 +227,20 @@
   push_at_ = !urgent && GrantsMissing() ? now + kPushDelay : now;
 }
 
+// Daemons that the write takes off the list are told too: one that leaves may
+// end, and each that says so brings the older view nearer to its death.
+void CellAgent::Impl::NoteDeparted(const cell::Record& after) {
+  departed_.clear();
+  if (!record_) {
+    return;
+  }
+  for (const auto& it : record_->members) {
+    if (cell::FindMember(after, it->daemon) == nullptr) {
+      departed_.push_back(*it);
+    }
+  }
+}
+
 bool CellAgent::Impl::HasNewFence(const cell::Record& before,
                                   const cell::Record& after) {
   return std::any_of(after.servers.begin(), after.servers.end(),
--- a/src/cell/cell_agent_test.cc
+++ b/src/cell/cell_agent_test.cc
@@ -118,5 +118,67 @@
   CHECK(world.RunUntil([&] { return world.AllServed(); }, 8s));
 }
 
+TEST_CASE("an assigner that leaves hands over at once and leaves no gap") {
+  FakeWorld world(WorldOptions{});
+  REQUIRE(world.RunUntil([&] { return world.Settled(); }, 3s));
+  world.Run(1s);
+  const std::size_t n = *world.Assigner();
+  const std::string old = world.daemons()[n].id;
+  world.LeaveDaemon(n);
+  CHECK(world.RunUntil([&] { return !world.daemons()[n].up; }, 200ms));
+  const auto record = world.StoredRecord();
+  CHECK(record->assigner != old);
+  CHECK(record->members.size() == 2);
+  for (int i = 0; i < 100; ++i) {
+    world.Run(20ms);
+    CHECK(world.AllServed());
+  }
+}
+
+TEST_CASE("a leaving server is drained within seconds by planned moves") {
+  FakeWorld world(WorldOptions{});
+  REQUIRE(world.RunUntil([&] { return world.Settled(); }, 3s));
+  world.Run(1s);
+  world.servers()[1].leaving = true;
+  world.PublishServers();
+  const auto owns_nothing = [&] {
+    for (std::uint64_t i = 0; i < 64; ++i) {
+      if (world.OwnerOf(KeyHash(i << 58U)) == 1) {
+        return false;
+      }
+    }
+    return true;
+  };
+  CHECK(world.RunUntil(owns_nothing, 1s));
+  CHECK(world.AllServed());
+  CHECK(world.violations == 0);
+}
+
+TEST_CASE("an assigner that is itself cut off fences nobody") {
+  WorldOptions options;
+  options.daemons = 4;
+  FakeWorld world(options);
+  REQUIRE(world.RunUntil([&] { return world.Settled(); }, 3s));
+  world.Run(1s);
+  bool fenced = false;
+  world.on_write = [&](const stored::CellT& record, std::uint64_t) {
+    for (const auto& it : record.servers) {
+      fenced = fenced || it->state == stored::ServerState::Fenced;
+    }
+  };
+  // Only the store is left to it.
+  const std::string assigner = "d" + std::to_string(*world.Assigner());
+  for (std::size_t i = 0; i < 4; ++i) {
+    world.CutBoth(assigner, "d" + std::to_string(i), true);
+    world.CutBoth(assigner, "s" + std::to_string(i), true);
+  }
+  for (int i = 0; i < 250; ++i) {
+    world.Run(20ms);
+    CHECK(world.AllServed());
+  }
+  CHECK_FALSE(fenced);
+  CHECK(world.StoredRecord()->members.size() == 3);
+}
+
 }  // namespace
 }  // namespace gentianreach
