--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -133,7 +133,8 @@
   BOOST_LEAF_CHECK(OpenOperators());
   BOOST_LEAF_CHECK(OpenCallers());
   tree_ = std::make_unique<SettingsDriver>(
-      store_, [this](const settings::TreeT& tree) { OnSettings(tree); });
+      self_, incarnation_, settings_.store, *peers_,
+      [this](const settings::TreeT& tree) { OnSettings(tree); });
   tree_->Start();
   cell_->Start();
   return {};
@@ -148,7 +149,10 @@
   }
   peers_ = std::make_unique<PeerNet>(
       FrameSender{settings_.cell, self_, incarnation_}, std::move(tls),
-      [this](const ReceivedFrame& frame) { cell_->OnPeer(frame); });
+      [this](const ReceivedFrame& frame) {
+        cell_->OnPeer(frame);
+        tree_->OnPeer(frame);
+      });
   BOOST_LEAF_AUTO(port, peers_->Listen(settings_.peer_address));
   peer_address_ = WithPort(settings_.peer_address, port);
   Log(LogLevel::kInfo, "listening",
@@ -238,6 +242,9 @@
     return;
   }
   shown_record_ = cell_->agent().RecordVersion();
+  if (tree_ != nullptr) {
+    tree_->SetMembers(*record);
+  }
   std::map<std::string, std::vector<proxy::ServerChoice>> by_service;
   for (const auto& it : record->servers) {
     by_service[it->service];
@@ -295,6 +302,10 @@
   view.stopping = stopping_;
   view.settings_version = tree_->version();
   view.settings_text = tree_->text();
+  view.settings_standing = ToString(tree_->relay().StandingAt(clock_.Now()));
+  for (const auto& [id, version] : tree_->relay().MembersInForce()) {
+    view.settings_members[id.value()] = version;
+  }
   view.status = cell_->agent().Status(clock_.Now());
   view.permit_left = cell_->agent().PermitDeadline(clock_.Now()) - clock_.Now();
   view.record = cell_->agent().Record();
--- a/src/daemon/operator_api.cc
+++ b/src/daemon/operator_api.cc
@@ -42,6 +42,8 @@
                  {"cell", view.cell},
                  {"stopping", view.stopping},
                  {"settings_version", view.settings_version},
+                 {"settings_standing", view.settings_standing},
+                 {"settings_members", view.settings_members},
                  {"record_version", status.record.value()},
                  {"epoch", status.epoch.value()},
                  {"view", status.view.value()},
--- a/src/daemon/operator_api.h
+++ b/src/daemon/operator_api.h
@@ -49,6 +49,9 @@
   bool stopping = false;
   std::uint64_t settings_version = 0;
   std::string settings_text;
+  std::string settings_standing;
+  // The versions that the other members of the cell last said they run.
+  std::map<std::string, std::uint64_t> settings_members;
   CellStatus status;
   Duration permit_left{};
   std::shared_ptr<const stored::CellT> record;
--- a/src/daemon/settings_driver.cc
+++ b/src/daemon/settings_driver.cc
@@ -1,60 +1,89 @@
 #include "daemon/settings_driver.h"
 
 #include <utility>
+#include <vector>
 
 #include "base/log.h"
-#include "settings/stored_version.h"
+#include "platform/store_caller.h"
 
 namespace gentianreach {
-namespace {
 
-using std::chrono::milliseconds;
+SettingsDriver::SettingsDriver(const DaemonId& self,
+                               std::uint64_t seed,
+                               const std::string& store,
+                               PeerNet& net,
+                               Taker taker)
+    : self_(self),
+      store_(store),
+      net_(net),
+      taker_(std::move(taker)),
+      relay_(self, seed, clock_.Now()) {}
 
-constexpr const char* kObject = "settings/current";
-constexpr milliseconds kPollInterval{1000};
-constexpr milliseconds kStoreTimeout{2000};
-
-}  // namespace
+void SettingsDriver::Start() {
+  Tick();
+}
 
-SettingsDriver::SettingsDriver(StoreClient& store, Taker taker)
-    : store_(store), taker_(std::move(taker)) {}
+void SettingsDriver::Tick() {
+  relay_.Tick(clock_.Now());
+  Pump();
+  tick_.Set(clock_.Now() + settings::SettingsRelay::kTickInterval,
+            [this] { Tick(); });
+}
 
-void SettingsDriver::Start() {
-  Poll();
+void SettingsDriver::SetMembers(const stored::CellT& record) {
+  addresses_.clear();
+  std::vector<DaemonId> members;
+  for (const auto& it : record.members) {
+    members.emplace_back(it->daemon);
+    addresses_[members.back()] = it->peer_address;
+  }
+  relay_.SetMembers(std::move(members), {});
+  Pump();
 }
 
-void SettingsDriver::Poll() {
-  store_.Read(kObject, clock_.Now() + kStoreTimeout,
-              [this](const ObjectRead& read) {
-                Take(read);
-                poll_.Set(clock_.Now() + kPollInterval, [this] { Poll(); });
-              });
+void SettingsDriver::OnPeer(const ReceivedFrame& frame) {
+  relay_.OnMessage(frame.sender.daemon, frame.message, clock_.Now());
+  Pump();
 }
 
-void SettingsDriver::Take(const ObjectRead& read) {
-  if (read.status != StoreStatus::kOk) {
-    return;
+void SettingsDriver::Pump() {
+  for (const settings::RelayMessage& it : relay_.TakeOutgoing()) {
+    const auto address = addresses_.find(it.to);
+    if (address != addresses_.end()) {
+      net_.Send(address->second, it.message);
+    }
   }
-  const auto stored = settings::Decode(read.bytes);
-  if (!stored) {
-    Log(LogLevel::kError, "settings_damaged", {{"object", kObject}});
-    return;
+  if (const auto call = relay_.PollStore(clock_.Now())) {
+    MakeStoreCall(store_, *call, [this](const store::Reply& reply) {
+      relay_.OnStoreReply(reply, clock_.Now());
+      Pump();
+    });
   }
-  if (stored->number <= version_) {
+  LogRejection();
+  if (version() == taken_) {
     return;
   }
-  settings::LoadResult loaded = settings::LoadSettings(stored->text, kObject);
-  if (!loaded.ok()) {
-    for (const settings::SettingsError& it : loaded.errors) {
-      Log(LogLevel::kError, "settings_refused", {{"error", ToString(it)}});
-    }
+  taken_ = version();
+  Log(LogLevel::kInfo, "settings_in_force", {{"version", taken_}});
+  taker_(*relay_.in_force()->tree);
+}
+
+void SettingsDriver::LogRejection() {
+  if (relay_.counters().rejected == rejections_logged_) {
     return;
   }
-  version_ = stored->number;
-  text_ = stored->text;
-  loaded.tree->version = version_;
-  Log(LogLevel::kInfo, "settings_in_force", {{"version", version_}});
-  taker_(*loaded.tree);
+  rejections_logged_ = relay_.counters().rejected;
+  for (const settings::SettingsError& it : relay_.rejection()) {
+    Log(LogLevel::kError, "settings_refused", {{"error", ToString(it)}});
+  }
+}
+
+std::uint64_t SettingsDriver::version() const {
+  return relay_.in_force() ? relay_.in_force()->number : 0;
+}
+
+std::string SettingsDriver::text() const {
+  return relay_.in_force() ? relay_.in_force()->text : "";
 }
 
 }  // namespace gentianreach
--- a/src/daemon/settings_driver.h
+++ b/src/daemon/settings_driver.h
@@ -4,41 +4,64 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <string>
 
 #include "base/timer.h"
+#include "cell_generated.h"
 #include "gentianreach/settings.h"
+#include "peer/peer_net.h"
 #include "platform/store_client.h"
+#include "settings/settings_relay.h"
 
 namespace gentianreach {
 
-// Reads `settings/current` and hands over each newer tree, whole. A tree that
-// does not pass the checks is logged and not taken.
+// Runs one SettingsRelay on the thread's main context and hands over each tree
+// that comes in force, whole. `net` must outlive it. Nothing comes in force
+// before SetMembers() was called.
 class SettingsDriver {
  public:
   using Taker = std::function<void(const settings::TreeT&)>;
 
-  SettingsDriver(StoreClient& store, Taker taker);
+  // `store` is the store's address. The driver has its own connections to it,
+  // since a watch holds one for seconds.
+  SettingsDriver(const DaemonId& self,
+                 std::uint64_t seed,
+                 const std::string& store,
+                 PeerNet& net,
+                 Taker taker);
   SettingsDriver(const SettingsDriver&) = delete;
   SettingsDriver& operator=(const SettingsDriver&) = delete;
 
   void Start();
+  // Takes the members of the cell from its record.
+  void SetMembers(const stored::CellT& record);
+  // Hands over a message of another daemon; others than the relay's are
+  // ignored.
+  void OnPeer(const ReceivedFrame& frame);
 
   // Returns the version in force; zero before the first.
-  [[nodiscard]] std::uint64_t version() const { return version_; }
+  [[nodiscard]] std::uint64_t version() const;
   // Returns the text in force.
-  [[nodiscard]] const std::string& text() const { return text_; }
+  [[nodiscard]] std::string text() const;
+  [[nodiscard]] const settings::SettingsRelay& relay() const { return relay_; }
 
  private:
-  void Poll();
-  void Take(const ObjectRead& read);
+  void Tick();
+  // Sends, calls and hands over what the relay has ready.
+  void Pump();
+  void LogRejection();
 
-  StoreClient& store_;
+  DaemonId self_;
+  StoreClient store_;
+  PeerNet& net_;
   Taker taker_;
   MonotonicClock clock_;
-  Timer poll_;
-  std::uint64_t version_ = 0;
-  std::string text_;
+  Timer tick_;
+  settings::SettingsRelay relay_;
+  std::map<DaemonId, std::string> addresses_;
+  std::uint64_t taken_ = 0;
+  std::uint64_t rejections_logged_ = 0;
 };
 
 }  // namespace gentianreach
