--- a/integration/settings_fleet_test.sh
+++ b/integration/settings_fleet_test.sh
@@ -30,6 +30,6 @@
 
 kill -KILL "${pid_of[platform]}"
 sleep 3
-behind=$(ctl settings status 2> /dev/null | grep -c -E '^d[0-9]+\.[0-9]+ +4 ' || true)
-[ "$behind" -eq "$daemons" ] || fail "$behind daemons run version 4 without the store"
+running=$(ctl settings status 2> /dev/null | grep -c -E '^d[0-9]+\.[0-9]+ +4 ' || true)
+[ "$running" -eq "$daemons" ] || fail "$running daemons run version 4 without the store"
 echo "settings fleet: ok"
