--- a/src/http/message_parser.h
+++ b/src/http/message_parser.h
@@ -118,12 +118,13 @@
     std::size_t consumed = 0;
     boost::beast::error_code ec;
     while (!collector_.is_done() && consumed < data.size()) {
-      if (had_head && collector_.chunked() &&
-          data.size() - consumed < kLeastFinalChunkBytes) {
+      if (in_chunk_header_ && data.size() - consumed < kLeastFinalChunkBytes) {
         break;
       }
       consumed +=
           collector_.put({data.data() + consumed, data.size() - consumed}, ec);
+      in_chunk_header_ = had_head && collector_.chunked() &&
+                         ec == boost::beast::http::error::need_more;
       if (ec) {
         break;
       }
@@ -144,8 +145,7 @@
 
  private:
   // The shortest end of a chunked body, "0\r\n\r\n". Beast's parser asserts
-  // that it is never asked again about the end with fewer bytes than that;
-  // waiting for them delays no message, since at least as many must follow.
+  // that it is never asked again about the end with fewer bytes than that.
   static constexpr std::size_t kLeastFinalChunkBytes = 5;
 
   void ReadFraming(MessageHead& head) const {
@@ -179,6 +179,8 @@
 
   internal::Collector<kIsRequest> collector_;
   std::size_t max_header_;
+  // A chunk's header, or what follows the last one, has begun to arrive.
+  bool in_chunk_header_ = false;
 };
 
 using RequestParser = MessageParser<true>;
--- a/src/proxy/exchange.h
+++ b/src/proxy/exchange.h
@@ -8,7 +8,6 @@
 #define SRC_PROXY_EXCHANGE_H_
 
 #include <algorithm>
-#include <charconv>
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
@@ -22,6 +21,7 @@
 #include "gentianreach/router.h"
 #include "http/serializer.h"
 #include "proxy/caller_connection.h"
+#include "proxy/exchange_rules.h"
 #include "proxy/message_builder.h"
 #include "proxy/proxy_state.h"
 #include "proxy/server_connection.h"
@@ -29,38 +29,6 @@
 
 namespace gentianreach::proxy {
 
-namespace internal {
-
-// Body bytes kept so that a request can be sent again. A request with a larger
-// body is sent once only.
-inline constexpr std::size_t kMaxReplayBytes = 64 * 1024;
-// Answers up to this size are held until they are whole, so that a broken one
-// still becomes a true verdict; larger ones are passed on as they arrive.
-inline constexpr std::uint64_t kMaxHeldAnswerBytes = 64 * 1024;
-// Bytes that may wait for one side before the other side is no longer read.
-inline constexpr std::size_t kMaxWaitingBytes = 64 * 1024;
-// Requests that may wait for an owner, and for a connection to one server.
-inline constexpr std::size_t kMaxHeldRequests = 10'000;
-inline constexpr std::size_t kMaxWaitingRequests = 1'000;
-// Servers of a plain service that one request tries.
-inline constexpr std::size_t kMaxPlainAttempts = 3;
-// Pause before an owner that could not serve is asked again; doubles up to the
-// greatest one.
-inline constexpr Duration kFirstPause = std::chrono::milliseconds(20);
-inline constexpr Duration kLongestPause = std::chrono::milliseconds(320);
-
-// Returns the caller's own timeout, where it states a valid one.
-std::optional<std::chrono::milliseconds> CallerTimeout(
-    const http::MessageHead& head);
-// Returns whether an answer proves that the server did not run the request.
-bool SaysNotRun(const http::MessageHead& answer);
-// Returns the verdict that such an answer means.
-Verdict RefusalVerdict(const http::MessageHead& answer);
-// Returns when a caller may try again, where that is worthwhile.
-std::optional<std::chrono::seconds> RetryAfter(Verdict verdict);
-
-}  // namespace internal
-
 template <typename State>
 class Exchange : public std::enable_shared_from_this<Exchange<State>> {
  public:
@@ -92,10 +60,11 @@
     }
     record_.route = rule_->name;
     record_.service = rule_->service.name;
-    record_.deadline = record_.started + Timeout(head);
+    record_.deadline = record_.started + internal::Timeout(*rule_, head);
     caller_->SetDeadline(record_.deadline);
     state_->policies.Budget(rule_->service).OnRequest(record_.started);
-    if (!TakeKey(head)) {
+    record_.key = internal::KeyOf(*rule_, head);
+    if (rule_->service.keyed && !record_.key) {
       GiveUp(Verdict::NotRun(Reason::kBadRequest), "the request has no key");
       return;
     }
@@ -181,30 +150,6 @@
     record_.deadline = record_.started;
   }
 
-  [[nodiscard]] Duration Timeout(const http::MessageHead& head) const {
-    const auto stated = internal::CallerTimeout(head);
-    if (!stated) {
-      return std::min(rule_->default_timeout, rule_->max_timeout);
-    }
-    return std::min<Duration>(*stated, rule_->max_timeout);
-  }
-
-  bool TakeKey(const http::MessageHead& head) {
-    if (!rule_->service.keyed) {
-      return true;
-    }
-    std::optional<std::string> key = KeyFromTarget(*rule_, head.target);
-    if (rule_->key_source == settings::KeySource::Header) {
-      const auto value = head.Get(std::string_view(rule_->key_name));
-      key = value ? std::optional<std::string>(*value) : std::nullopt;
-    }
-    if (!key || key->empty()) {
-      return false;
-    }
-    record_.key = HashKey(rule_->service.name, *key);
-    return true;
-  }
-
   [[nodiscard]] bool waiting() const {
     return queued_ || hold_ != 0 || timer_ || in_line_;
   }
@@ -523,7 +468,8 @@
     connection_.reset();
     const bool written = connection->written();
     record_.sent += written ? 1 : 0;
-    const Verdict verdict = FailureVerdict(connection->failure(), written);
+    const Verdict verdict =
+        internal::FailureVerdict(connection->failure(), written);
     EndAttempt(verdict, connection->failure());
     if (committed_) {
       Break(verdict);
@@ -532,20 +478,6 @@
     RetryOrGiveUp(verdict, written);
   }
 
-  static Verdict FailureVerdict(ServerFailure failure, bool written) {
-    if (failure == ServerFailure::kTruncated) {
-      return Verdict::MayHaveRun(Reason::kTruncated);
-    }
-    if (written) {
-      return Verdict::MayHaveRun(failure == ServerFailure::kSilent
-                                     ? Reason::kSilent
-                                     : Reason::kConnectionLost);
-    }
-    return Verdict::NotRun(failure == ServerFailure::kLost
-                               ? Reason::kConnectionLost
-                               : Reason::kConnectFailed);
-  }
-
   // Tells the picker and the daemon how an attempt went.
   void EndAttempt(Verdict verdict,
                   ServerFailure failure = ServerFailure::kNone) {
@@ -562,32 +494,12 @@
     if (!state_->hooks.on_contact) {
       return;
     }
-    if (const auto kind = KindOf(verdict)) {
+    if (const auto kind = internal::ContactOf(verdict)) {
       state_->hooks.on_contact(
           {target_.server, rule_->service.name, *kind, now});
     }
   }
 
-  static std::optional<ContactKind> KindOf(Verdict verdict) {
-    if (verdict.answered()) {
-      return ContactKind::kAnswered;
-    }
-    switch (verdict.reason()) {
-      case Reason::kNotOwner:
-      case Reason::kDraining:
-        return ContactKind::kRefused;
-      case Reason::kConnectFailed:
-        return ContactKind::kConnectFailed;
-      case Reason::kConnectionLost:
-      case Reason::kTruncated:
-        return ContactKind::kLost;
-      case Reason::kSilent:
-        return ContactKind::kSilent;
-      default:
-        return std::nullopt;
-    }
-  }
-
   // Decides what follows on a failed attempt.
   void RetryOrGiveUp(Verdict verdict, bool sent) {
     answer_.clear();
@@ -663,24 +575,14 @@
                                    .verdict = verdict,
                                    .status = record_.status,
                                    .detail = detail,
-                                   .retry_after = RetryAfter(verdict),
+                                   .retry_after = internal::RetryAfter(
+                                       verdict, retry_at_, state_->loop.Now()),
                                    .keep_alive = keep_alive,
                                    .head_only = record_.method == "HEAD"}));
     Finish(verdict);
     caller_->FinishAnswer(keep_alive);
   }
 
-  // Returns the value of Retry-After.
-  [[nodiscard]] std::optional<std::chrono::seconds> RetryAfter(
-      Verdict verdict) const {
-    if (retry_at_ && verdict.outcome() == Outcome::kNotRun) {
-      return std::max(std::chrono::ceil<std::chrono::seconds>(
-                          *retry_at_ - state_->loop.Now()),
-                      std::chrono::seconds(1));
-    }
-    return internal::RetryAfter(verdict);
-  }
-
   void AbandonAttempt(Verdict verdict) {
     if (!connection_) {
       if (picked_ || ticket_) {
