--- a/src/proxy/http_edge_test.cc
+++ b/src/proxy/http_edge_test.cc
@@ -13,15 +13,15 @@
 const std::vector<std::string> kCorpus = {
     "GET / HTTP/1.1\r\nHost: a\r\n\r\n",
     "POST /x?y=1 HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\nabc",
-    "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
-    "3;e=1\r\nabc\r\n0\r\nX-T: 1\r\n\r\n",
+    ("POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+     "3;e=1\r\nabc\r\n0\r\nX-T: 1\r\n\r\n"),
     "GET / HTTP/1.1\r\nHost: a\r\nConnection: close, x\r\nX: 1\r\n\r\n",
     "GET / HTTP/1.1\r\nHost: a\r\nX: 1\r\n folded\r\n\r\n",
     "GET / HTTP/1.1\r\nHost: a\r\nConnection: host\r\n\r\n",
     "GET / HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\n\r\n",
     "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
-    "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
-    "0\r\nabc\r\n\r\n",
+    ("POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+     "0\r\nabc\r\n\r\n"),
     "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
     "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
 };
