An attempt ends by its route's deadline; serving follows the settings at once

Cause: whole_path_test failed in a loaded ctest run with 503 cut-off: the rule of what may be served was looked at every 100 ms only, so that a ready daemon still refused. And KeyRoute::deadline, on which servers that do not watch their lease rely, was not honoured by the data path. Change: the rule is looked at when settings come in force; attempts end by the route's deadline, which is also what the server is told.

--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -323,6 +323,7 @@
     ready_by_ = clock_.Now() + kReadyTimeout;
   }
   cell_->Pump();
+  UpdateServing();
   shown_record_ = {};
   OnOwnersChanged();
 }
--- a/src/proxy/exchange.h
+++ b/src/proxy/exchange.h
@@ -146,6 +146,8 @@
     Incarnation incarnation;
     Token token;
     HashRange range;
+    // The attempt ends by then, answered or not.
+    TimePoint deadline = TimePoint::max();
   };
 
   void Open() {
@@ -189,6 +191,7 @@
       GiveUp(Verdict::NotRun(Reason::kDeadline));
       return;
     }
+    caller_->SetDeadline(record_.deadline);
     if (rule_->service.keyed) {
       AttemptAtOwner();
     } else {
@@ -216,8 +219,12 @@
   }
 
   static Target TargetOf(const KeyRoute& route) {
-    return {route.server, route.address, route.incarnation, route.token,
-            route.range};
+    return {route.server, route.address, route.incarnation,
+            route.token,  route.range,   route.deadline};
+  }
+
+  [[nodiscard]] TimePoint AttemptDeadline() const {
+    return std::min(record_.deadline, target_.deadline);
   }
 
   void AttemptAnywhere() {
@@ -228,7 +235,12 @@
       return;
     }
     picked_ = true;
-    Send({choice->server, choice->address, choice->incarnation, {}, {}});
+    Send({choice->server,
+          choice->address,
+          choice->incarnation,
+          {},
+          {},
+          TimePoint::max()});
   }
 
   // Waits for a change of owner, at most for `pause`.
@@ -363,6 +375,8 @@
     record_.token = target_.token;
     record_.range = target_.range;
     attempt_started_ = now;
+    // A server that does not watch its lease relies on this bound.
+    caller_->SetDeadline(AttemptDeadline());
     pool_->OnStart(connection_.get());
     ticket_->Sent(fingerprint_, target_.server, target_.incarnation, now);
     const std::uint32_t attempt = record_.attempts;
@@ -386,7 +400,7 @@
       length = replay_.size();
     }
     const auto left =
-        std::chrono::floor<std::chrono::milliseconds>(record_.deadline - now);
+        std::chrono::floor<std::chrono::milliseconds>(AttemptDeadline() - now);
     std::string bytes = BuildRequestHead(
         head, {.id = record_.id,
                .key = record_.key,
--- a/src/proxy/proxy_faults_test.cc
+++ b/src/proxy/proxy_faults_test.cc
@@ -202,6 +202,20 @@
   });
 }
 
+TEST_CASE("an attempt ends by its route's deadline, not the caller's") {
+  Bench bench;
+  bench.server.otherwise = Behaviour::kFrozen;
+  bench.router.route.deadline =
+      bench.loop.Now() + std::chrono::milliseconds(50);
+  TestCaller caller(bench.loop, bench.proxy.port());
+  const Answer answer = caller.Ask(Bench::Request(
+      "POST", "/keyed/1", "a", "x", "gentianreach-timeout-ms: 25000\r\n"));
+  CHECK(answer.verdict == "may-have-run");
+  CHECK(answer.status == 504);
+  CHECK(bench.loop.Now() - bench.router.route.deadline <
+        std::chrono::seconds(20));
+}
+
 TEST_CASE("a request without an owner until its deadline has not run") {
   Bench bench;
   bench.router.route.state = RouteState::kHold;
