--- a/integration/fleet.sh
+++ b/integration/fleet.sh
@@ -22,6 +22,7 @@
 run() {
   local name=$1
   shift
+  rm -f "$dir/$name.out" "$dir/$name.log"
   "$@" > "$dir/$name.out" 2> "$dir/$name.log" &
   pid_of[$name]=$!
 }
@@ -63,17 +64,18 @@
   "$build/gentianreachctl" --store "$platform" settings apply "$1" > /dev/null
 }
 
-# start_daemon NAME ZONE
+# start_daemon NAME ZONE [CALLER_ADDRESS [SECURITY]]: SECURITY is the lines that
+# say how daemons trust each other.
 start_daemon() {
   cat > "$dir/$1.ini" <<EOF
 [daemon]
 name = $1
 zone = $2
-caller_address = 127.0.0.1:0
+caller_address = ${3:-127.0.0.1:0}
 operator_address = 127.0.0.1:0
 peer_address = 127.0.0.1:0
 store = http://$platform
-insecure = true
+${4:-insecure = true}
 EOF
   run "$1" "$build/gentianreachd" --config "$dir/$1.ini"
 }
@@ -103,3 +105,71 @@
   wait "${pid_of[$1]}" || fail "$1 exited with $?"
   unset "pid_of[$1]"
 }
+
+# kill_program NAME: ends a program at once, as a lost VM would.
+kill_program() {
+  kill -KILL "${pid_of[$1]}"
+  wait "${pid_of[$1]}" 2>/dev/null || true
+  unset "pid_of[$1]"
+}
+
+control_platform() {
+  curl -s -f -m 5 -d "$1" "http://$platform/control" > /dev/null
+}
+
+# start_recorded_backend ID SERVICE ZONE [OPTIONS...]: writes its runs down.
+start_recorded_backend() {
+  start_backend "$@" --runs-file "$dir/$1.runs"
+}
+
+# note_event WHAT SERVER: the time is CLOCK_BOOTTIME in nanoseconds.
+note_event() {
+  awk -v what="$1" -v server="$2" '{printf "%s %s %.0f\n", what, server, $1 * 1e9}' /proc/uptime >> "$dir/events"
+}
+
+# start_load SECONDS DAEMON...: callers that use all the daemons.
+start_load() {
+  local seconds=$1
+  shift
+  start_load_to load "$seconds" "$dir/outcomes" "$@"
+}
+
+# start_load_to NAME SECONDS FILE DAEMON...
+start_load_to() {
+  local name=$1 seconds=$2 out=$3 options=() it
+  shift 3
+  for it in "$@"; do options+=(--daemon "$(caller_address "$it")"); done
+  run "$name" "$build/demo_load" --name "$name" --seconds "$seconds" --out "$out" --threads "${load_threads:-8}" "${options[@]}"
+}
+
+# await_load [NAME]
+await_load() {
+  wait "${pid_of[${1:-load}]}" || fail "the callers exited with $?"
+  unset "pid_of[${1:-load}]"
+}
+
+# check_load [OPTIONS...]: prints the table; fails unless every promise held.
+check_load() {
+  touch "$dir/events"
+  "$build/demo_check" --outcomes "$dir/outcomes" --events "$dir/events" --runs "$dir"/*.runs "$@" || fail "a promise was broken"
+}
+
+# ask DAEMON PATH: an answer for operators.
+ask() {
+  curl -s -f -m 5 "http://$(operator_address "$1")$2"
+}
+
+# start_small_fleet DAEMONS: backend servers of every service of both
+# customers and that many daemons, ready.
+start_small_fleet() {
+  local i
+  start_platform
+  for i in 1 2 3; do start_recorded_backend "catalogue-$i" catalogue bilbao --keyed; done
+  for i in 1 2; do start_recorded_backend "boats-$i" boats koper --keyed --slots 6; done
+  for i in 1 2; do start_recorded_backend "orders-$i" orders bilbao; done
+  start_recorded_backend feed-1 partner-feed bilbao
+  publish_vms
+  apply_settings docs/examples/both-customers.ini
+  for ((i = 1; i <= $1; i++)); do start_daemon "d$i" "zone-$i"; done
+  for ((i = 1; i <= $1; i++)); do await_ready "d$i"; done
+}
--- a/standins/fake_backend.cc
+++ b/standins/fake_backend.cc
@@ -6,10 +6,13 @@
 // "service_ms": N, "crash": true}. A request whose target holds the text of
 // --crash-on ends the process; one whose target holds "silent=1" is never
 // answered. GET /control/runs gives {"runs": {REQUEST_ID: COUNT}} and the
-// count of requests seen by method.
+// count of requests seen by method. --runs-file takes a line for each run
+// before it is answered, so that the runs of a killed process are known
+// (standins/demo_outcome.h).
 #include <chrono>
 #include <cstdlib>
 #include <deque>
+#include <fstream>
 #include <map>
 #include <memory>
 #include <optional>
@@ -25,6 +28,7 @@
 #include "base/timer.h"
 #include "server/grant_table.h"
 #include "server/order_codec.h"
+#include "standins/demo_outcome.h"
 #include "standins/soup_server.h"
 
 namespace gentianreach::standins {
@@ -42,6 +46,7 @@
   std::string id = "server";
   std::string service;
   std::string crash_on;
+  std::string runs_file;
   std::uint32_t slots = 3;
   std::uint32_t queue = 50;
   int service_ms = 5;
@@ -56,6 +61,7 @@
   Request request;
   std::optional<KeyHash> hash;
   Token token;
+  TimePoint started;
   bool gone = false;  // The daemon closed the connection.
   Timer timer;
 };
@@ -68,7 +74,11 @@
         grants_(ServerId(options_.id),
                 Incarnation(incarnation_),
                 {.giver = !options_.ignores_giver,
-                 .deadline = !options_.ignores_deadline}) {}
+                 .deadline = !options_.ignores_deadline}) {
+    if (!options_.runs_file.empty()) {
+      runs_out_.open(options_.runs_file, std::ios::app);
+    }
+  }
 
   void Handle(SoupServerMessage* message, const Request& request) {
     if (request.path == "/.gentianreach/order") {
@@ -164,7 +174,8 @@
     if (run->hash.has_value()) {
       grants_.Begin(*run->hash);
     }
-    run->timer.Set(MonotonicClock().Now() + milliseconds(options_.service_ms),
+    run->started = MonotonicClock().Now();
+    run->timer.Set(run->started + milliseconds(options_.service_ms),
                    [this, run] { Finish(run); });
   }
 
@@ -174,19 +185,21 @@
       grants_.End(*run->hash);
     }
     // The effect is committed here, so ownership is checked here once more.
+    const TimePoint committed = MonotonicClock().Now();
     if (run->hash.has_value() &&
         !grants_.Holds(*run->hash, run->token, Now())) {
       Refuse(*run, kMisdirected);
     } else {
-      Commit(*run);
+      Commit(*run, committed);
     }
     soup_server_message_unpause(run->message.get());
     StartWaiting();
   }
 
-  void Commit(const Run& run) {
+  void Commit(const Run& run, TimePoint committed) {
     const std::string id = run.request.Header("gentianreach-request-id");
     ++runs_[id];
+    WriteRun(run, committed);
     Reply(run.message.get(), kOk,
           {{"server", options_.id},
            {"incarnation", incarnation_},
@@ -196,6 +209,19 @@
            {"body_bytes", run.request.body.size()}});
   }
 
+  void WriteRun(const Run& run, TimePoint committed) {
+    if (!runs_out_.is_open()) {
+      return;
+    }
+    runs_out_ << DemoRun{.path = run.request.path,
+                         .server = options_.id,
+                         .key_hash = run.hash.value_or(KeyHash(0)).value(),
+                         .token = run.token.value(),
+                         .started = run.started,
+                         .committed = committed}
+              << std::flush;
+  }
+
   void StartWaiting() {
     while (running_ < options_.slots && !waiting_.empty()) {
       const std::shared_ptr<Run> run = waiting_.front();
@@ -243,6 +269,7 @@
   GrantTable grants_;
   std::deque<std::shared_ptr<Run>> waiting_;
   std::map<std::string, int> runs_;
+  std::ofstream runs_out_;
   std::map<std::string, int> seen_;
   std::uint32_t running_ = 0;
   bool draining_ = false;
@@ -265,6 +292,8 @@
   app.add_option("--service-ms", options.service_ms, "Time of one request");
   app.add_option("--crash-on", options.crash_on,
                  "Requests whose target holds this text crash the server");
+  app.add_option("--runs-file", options.runs_file,
+                 "File that takes a line for each run");
   app.add_flag("--keyed", options.keyed, "Serves only keys that it holds");
   app.add_flag("--ignores-giver", options.ignores_giver,
                "Takes orders of any epoch");
