--- a/integration/fleet.sh
+++ b/integration/fleet.sh
@@ -166,7 +166,7 @@
   start_platform
   for i in 1 2 3; do start_recorded_backend "catalogue-$i" catalogue bilbao --keyed; done
   for i in 1 2; do start_recorded_backend "boats-$i" boats koper --keyed --slots 6; done
-  for i in 1 2; do start_recorded_backend "orders-$i" orders bilbao; done
+  for i in 1 2; do start_recorded_backend "orders-$i" orders bilbao --service-ms "${order_ms:-5}"; done
   start_recorded_backend feed-1 partner-feed bilbao
   publish_vms
   apply_settings docs/examples/both-customers.ini
--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -31,6 +31,7 @@
 constexpr milliseconds kBalancerNotice{500};
 // A service that has no servers keeps the daemon from the balancer no longer.
 constexpr milliseconds kReadyTimeout{10000};
+constexpr milliseconds kFirstStoreTimeout{5000};
 constexpr milliseconds kLeaveTimeout{3000};
 constexpr milliseconds kLeavePoll{20};
 
@@ -128,6 +129,12 @@
 };
 
 boost::leaf::result<void> Daemon::Impl::Start() {
+  // A store that answers with an error has an outage and is waited for.
+  const auto why = store_.WhyUnreachable(clock_.Now() + kFirstStoreTimeout);
+  if (why.has_value()) {
+    return boost::leaf::new_error(
+        StartError{"store " + settings_.store + ": " + *why});
+  }
   BOOST_LEAF_CHECK(OpenPeers());
   MakeCell();
   BOOST_LEAF_CHECK(OpenOperators());
--- a/src/peer/peer_tls.cc
+++ b/src/peer/peer_tls.cc
@@ -5,6 +5,24 @@
 
 constexpr const char* kIdentity = "gentianreach";
 
+GObjectPtr<GSocketConnectable> Identity() {
+  return GObjectPtr<GSocketConnectable>::Adopt(
+      g_network_address_new(kIdentity, 0));
+}
+
+// GIO leaves the verdict on a client's certificate to the server, also where
+// it found no fault in it, and does not compare the name.
+gboolean OnClientCertificate(GTlsConnection* /*connection*/,
+                             GTlsCertificate* certificate,
+                             GTlsCertificateFlags faults,
+                             gpointer /*data*/) {
+  const GTlsCertificateFlags all_faults =
+      g_tls_certificate_verify(certificate, Identity().get(), nullptr);
+  return faults == 0 && (all_faults & G_TLS_CERTIFICATE_BAD_IDENTITY) == 0
+             ? TRUE
+             : FALSE;
+}
+
 }  // namespace
 
 boost::leaf::result<PeerTls> PeerTls::Load(const TlsFiles& files) {
@@ -37,14 +55,14 @@
   // A daemon without a certificate of the authority may not speak.
   g_object_set(stream, "authentication-mode", G_TLS_AUTHENTICATION_REQUIRED,
                "database", authority_.get(), nullptr);
+  g_signal_connect(stream, "accept-certificate",
+                   G_CALLBACK(&OnClientCertificate), nullptr);
   return GObjectPtr<GIOStream>::Adopt(stream);
 }
 
 GObjectPtr<GIOStream> PeerTls::WrapClient(GIOStream* base) const {
-  const auto identity = GObjectPtr<GSocketConnectable>::Adopt(
-      g_network_address_new(kIdentity, 0));
   GIOStream* stream =
-      g_tls_client_connection_new(base, identity.get(), nullptr);
+      g_tls_client_connection_new(base, Identity().get(), nullptr);
   if (stream == nullptr) {
     return {};
   }
--- a/src/platform/store_client.cc
+++ b/src/platform/store_client.cc
@@ -119,6 +119,12 @@
   return base_url_ + "/v1/objects/" + Escape(name, "/");
 }
 
+std::optional<std::string> StoreClient::WhyUnreachable(TimePoint deadline) {
+  const HttpReply reply =
+      http_.SendAndWait({"GET", base_url_ + "/v1/vms", {}, {}, deadline});
+  return reply.status != 0 ? std::nullopt : std::optional(reply.error);
+}
+
 void StoreClient::Read(const std::string& name,
                        TimePoint deadline,
                        std::function<void(ObjectRead)> done) {
--- a/src/platform/store_client.h
+++ b/src/platform/store_client.h
@@ -75,6 +75,10 @@
   StoreClient(const StoreClient&) = delete;
   StoreClient& operator=(const StoreClient&) = delete;
 
+  // Runs the main context until the store has answered anything, an error
+  // included. Returns why there was no answer, or nothing.
+  [[nodiscard]] std::optional<std::string> WhyUnreachable(TimePoint deadline);
+
   void Read(const std::string& name,
             TimePoint deadline,
             std::function<void(ObjectRead)> done);
