--- /dev/null
+++ b/bench/fleet_router.h
@@ -0,0 +1,89 @@
+// Routes by an agent that knows a whole cell, for benchmarks.
+#ifndef BENCH_FLEET_ROUTER_H_
+#define BENCH_FLEET_ROUTER_H_
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <random>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "cell/testing/fake_world.h"
+#include "gentianreach/router.h"
+
+namespace gentianreach::bench {
+
+// A settled cell in virtual time, which stands still afterwards.
+class FleetRouter {
+ public:
+  // `address` is where every server is reached. Settles the cell, which takes
+  // seconds where it is large.
+  FleetRouter(std::size_t daemons, std::size_t servers, std::string address)
+      : world_(Options(daemons, servers)), address_(std::move(address)) {
+    settled_ = world_.RunUntil([&] { return world_.Settled(); },
+                               std::chrono::seconds(20));
+    const auto record = world_.StoredRecord();
+    if (record != nullptr && !record->ranges.empty()) {
+      service_ = ServiceName(record->ranges.front()->service);
+    }
+    now_ = world_.Local(world_.daemons().front());
+  }
+  FleetRouter(const FleetRouter&) = delete;
+  FleetRouter& operator=(const FleetRouter&) = delete;
+
+  [[nodiscard]] bool settled() const { return settled_; }
+
+  // Returns the owner of `hash` in the cell's own service, whatever the service
+  // asked for.
+  [[nodiscard]] KeyRoute Route(const ServiceName& /*service*/,
+                               KeyHash hash,
+                               TimePoint /*now*/) {
+    KeyRoute route =
+        world_.daemons().front().agent->Route(service_, hash, now_);
+    route.address = address_;
+    return route;
+  }
+
+  // Returns the mean time in nanoseconds to route one of many keys.
+  [[nodiscard]] double RouteNanoseconds() {
+    constexpr std::size_t kKeys = 100'000;
+    std::mt19937_64 random(1);
+    std::vector<KeyHash> keys;
+    keys.reserve(kKeys);
+    for (std::size_t i = 0; i < kKeys; ++i) {
+      keys.emplace_back(random());
+    }
+    std::size_t served = 0;
+    const auto start = std::chrono::steady_clock::now();
+    for (const KeyHash it : keys) {
+      served += Route(service_, it, now_).state == RouteState::kServe ? 1 : 0;
+    }
+    const std::chrono::duration<double, std::nano> passed =
+        std::chrono::steady_clock::now() - start;
+    settled_ = settled_ && served == kKeys;
+    return passed.count() / kKeys;
+  }
+
+ private:
+  static testing::WorldOptions Options(std::size_t daemons,
+                                       std::size_t servers) {
+    constexpr std::uint32_t kRangesPerServer = 8;
+    testing::WorldOptions options;
+    options.daemons = daemons;
+    options.servers = servers;
+    options.ranges_per_server = kRangesPerServer;
+    return options;
+  }
+
+  testing::FakeWorld world_;
+  std::string address_;
+  ServiceName service_;
+  TimePoint now_;
+  bool settled_ = false;
+};
+
+}  // namespace gentianreach::bench
+
+#endif  // BENCH_FLEET_ROUTER_H_
--- a/bench/proxy_bench.cc
+++ b/bench/proxy_bench.cc
@@ -2,13 +2,15 @@
 // memory per connection, against libsoup on both sides in the same run.
 //
 // Backend server, proxy and load run on a thread each. "Per core" is the number
-// of requests divided by the processor time of the proxy's thread.
+// of requests divided by the processor time of the proxy's thread. With --fleet
+// the same for cells of several sizes, whose routes the proxy asks for.
 #include <malloc.h>
 #include <netinet/in.h>
 #include <pthread.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <atomic>
 #include <chrono>
 #include <cstdio>
@@ -23,6 +25,7 @@
 #include <CLI/CLI.hpp>
 
 #include "bench/bench_backend.h"
+#include "bench/fleet_router.h"
 #include "bench/load_generator.h"
 #include "bench/soup_proxy.h"
 #include "proxy/proxy_server.h"
@@ -40,6 +43,7 @@
   double rate = 0;
   std::string only;
   bool memory = true;
+  bool fleet = false;
 };
 
 // Says that one of several servers at one address owns the key.
@@ -72,19 +76,19 @@
   return tree;
 }
 
-// The proxy with what it needs, on the thread that makes it.
+// The proxy with what it needs, on the thread that makes it. `router` must
+// outlive it.
+template <typename Router>
 struct OwnProxy {
-  OwnProxy(net::EventLoop& loop, std::string address, std::size_t servers)
-      : router{std::move(address), servers},
-        proxy(loop, router, picker, {}, {.id_prefix = "bench", .limits = {}}) {
+  OwnProxy(net::EventLoop& loop, Router& router)
+      : proxy(loop, router, picker, {}, {.id_prefix = "bench", .limits = {}}) {
     proxy.SetRoutes(std::make_shared<RouteTable>(Tree()));
     proxy.Listen("127.0.0.1:0");
   }
 
   using RouteTable = proxy::RouteTable;
-  BenchRouter router;
   proxy::LeastOutstandingPicker picker;
-  proxy::ProxyServer<BenchRouter, proxy::LeastOutstandingPicker> proxy;
+  proxy::ProxyServer<Router, proxy::LeastOutstandingPicker> proxy;
 };
 
 // Runs a loop on a thread of its own until destroyed. `setup` makes what lives
@@ -224,7 +228,8 @@
   net::EventLoop loop;
   // Never accepts: the kernel completes the connections.
   auto silent = std::move(*net::TcpSocket::Listen("127.0.0.1:0", false));
-  OwnProxy own(loop, "127.0.0.1:" + std::to_string(silent.port()), 1'000'000);
+  BenchRouter router{"127.0.0.1:" + std::to_string(silent.port()), 1'000'000};
+  OwnProxy<BenchRouter> own(loop, router);
   const auto turn = [&] {
     const TimePoint end = loop.Now() + 300ms;
     while (loop.Now() < end) {
@@ -281,16 +286,72 @@
     Measure(options, "soup", soup);
   }
   if (wanted("gentianreach")) {
-    LoopThread<OwnProxy> own(
+    BenchRouter router{backend.address(), options.servers};
+    LoopThread<OwnProxy<BenchRouter>> own(
         [&](net::EventLoop& loop) {
-          return std::make_unique<OwnProxy>(loop, backend.address(),
-                                            options.servers);
+          return std::make_unique<OwnProxy<BenchRouter>>(loop, router);
         },
-        [](OwnProxy& it) { return it.proxy.port(); });
+        [](OwnProxy<BenchRouter>& it) { return it.proxy.port(); });
     Measure(options, "gentianreach", own);
   }
 }
 
+// Prints the proxy's processor time for a request in a cell of this size, the
+// median of several measurements.
+void MeasureFleetSize(const BenchOptions& options,
+                      const char* varied,
+                      std::size_t daemons,
+                      std::size_t servers) {
+  constexpr int kMeasurements = 3;
+  LoopThread<BenchBackend> backend(
+      [&](net::EventLoop& loop) {
+        return std::make_unique<BenchBackend>(loop, options.body_bytes);
+      },
+      [](BenchBackend& it) { return it.port(); });
+  FleetRouter router(daemons, servers, backend.address());
+  const double route_ns = router.RouteNanoseconds();
+  LoopThread<OwnProxy<FleetRouter>> own(
+      [&](net::EventLoop& loop) {
+        return std::make_unique<OwnProxy<FleetRouter>>(loop, router);
+      },
+      [](OwnProxy<FleetRouter>& it) { return it.proxy.port(); });
+  std::vector<double> cpu_us;
+  std::uint64_t answered = 0;
+  std::uint64_t all = 0;
+  for (int i = 0; i < kMeasurements; ++i) {
+    const Duration before = own.ProcessorTime();
+    LoadResult result = Load(options, own.address(), 0);
+    const std::chrono::duration<double, std::micro> used =
+        own.ProcessorTime() - before;
+    const std::uint64_t count = result.latency.count();
+    all += count;
+    answered += result.verdicts["answered"];
+    cpu_us.push_back(used.count() /
+                     static_cast<double>(std::max<std::uint64_t>(1, count)));
+  }
+  std::sort(cpu_us.begin(), cpu_us.end());
+  std::printf("%s,%zu,%zu,%s,%.0f,%.2f,%.2f,%.2f,%llu,%llu\n", varied, daemons,
+              servers, router.settled() ? "yes" : "no", route_ns,
+              cpu_us.front(), cpu_us[cpu_us.size() / 2], cpu_us.back(),
+              static_cast<unsigned long long>(all),
+              static_cast<unsigned long long>(answered));
+  std::fflush(stdout);
+}
+
+void MeasureFleets(const BenchOptions& options) {
+  std::puts(
+      "varied,daemons,servers,settled,route_ns,cpu_us_least,cpu_us_median,"
+      "cpu_us_most,requests,answered");
+  constexpr std::size_t kDaemons = 9;
+  constexpr std::size_t kServers = 12;
+  for (const std::size_t it : {3, 6, 9, 12, 24}) {
+    MeasureFleetSize(options, "daemons", it, kServers);
+  }
+  for (const std::size_t it : {6, 12, 24, 48, 96}) {
+    MeasureFleetSize(options, "servers", kDaemons, it);
+  }
+}
+
 }  // namespace
 }  // namespace gentianreach::bench
 
@@ -309,7 +370,13 @@
   app.add_option("--only", options.only, "direct, soup or gentianreach")
       ->check(CLI::IsMember({"direct", "soup", "gentianreach"}));
   app.add_flag("!--no-memory", options.memory, "leave the memory out");
+  app.add_flag("--fleet", options.fleet,
+               "time per request against the size of the cell instead, as CSV");
   CLI11_PARSE(app, argc, argv);
+  if (options.fleet) {
+    gentianreach::bench::MeasureFleets(options);
+    return 0;
+  }
   if (options.memory) {
     constexpr std::size_t kConnections = 1000;
     gentianreach::bench::MeasureMemory(kConnections);
--- a/bench/takeover_bench.cc
+++ b/bench/takeover_bench.cc
@@ -1,6 +1,7 @@
 // Measures in virtual time how long keys go unserved after a loss, and how
 // long a planned move holds requests; with --slopes, what control costs one
 // agent against servers, ranges and members.
+// With --by-ranges, the takeover of a server by the number of its ranges.
 //
 // The state machines are the real ones; store, network and servers are fakes
 // with a store call of 3 to 4.5 ms and links of 0.5 to 0.75 ms one way.
@@ -43,6 +44,7 @@
   std::string name;
   std::size_t servers;
   std::size_t daemons;
+  std::uint32_t ranges_per_server = WorldOptions{}.ranges_per_server;
 };
 
 struct Loss {
@@ -151,6 +153,7 @@
     options.seed = seed;
     options.daemons = size.daemons;
     options.servers = size.servers;
+    options.ranges_per_server = size.ranges_per_server;
     FakeWorld world(options);
     if (!Prepare(world)) {
       ++result.unserved;
@@ -194,6 +197,7 @@
     options.seed = seed;
     options.daemons = size.daemons;
     options.servers = size.servers;
+    options.ranges_per_server = size.ranges_per_server;
     FakeWorld world(options);
     if (!Prepare(world)) {
       ++result.unserved;
@@ -321,19 +325,41 @@
   }
 }
 
+// Prints how long a server's keys go unserved after its crash, by the number
+// of ranges that it owned.
+void TakeoversByRanges(std::uint64_t seeds) {
+  std::printf(
+      "ranges_per_server,servers,daemons,median_ms,worst_ms,runs,unserved\n");
+  for (const std::uint32_t n : {4, 8, 16, 32, 64}) {
+    const Size size{"", 10, 9, n};
+    Result result = Measure(size, Losses().front(), StoreMode::kUp, seeds);
+    std::sort(result.ms.begin(), result.ms.end());
+    std::printf("%u,%zu,%zu,%.0f,%.0f,%zu,%zu\n", n, size.servers, size.daemons,
+                result.ms.empty() ? 0 : result.ms[result.ms.size() / 2],
+                result.ms.empty() ? 0 : result.ms.back(), result.ms.size(),
+                result.unserved);
+    std::fflush(stdout);
+  }
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
   CLI::App app("Time until keys are served again, and the cost of control");
   bool csv = false;
   bool slopes = false;
+  bool by_ranges = false;
   std::uint64_t seeds = 30;
   app.add_flag("--csv", csv, "print comma-separated values");
   app.add_flag("--slopes", slopes, "measure the cost of control instead");
+  app.add_flag("--by-ranges", by_ranges,
+               "measure a server's crash by the ranges it owned instead");
   app.add_option("--seeds", seeds, "runs of each case");
   CLI11_PARSE(app, argc, argv);
   if (slopes) {
     Slopes();
+  } else if (by_ranges) {
+    TakeoversByRanges(seeds);
   } else {
     Takeovers(csv, seeds);
   }
