Requests that kill: refused after the second server of a plain service too

A daemon that does not look after a server probes it with no incarnation in the order, and then its refused connection did not count as proof. It kept the suspicion that another daemon had announced, let the request wait until its deadline, and sent it again once the suspicion had run out. The daemon that lost the request may be one of these, and only it announces the proof. 2. A wait for the quarantine counted the server as tried, so that after a wait for each server the picker had none left, or a later refusal was not retried.

Change: a refused connection ends every suspected life of the server (Quarantine::OnServerRefused). A server given back by a wait does not count as tried.

--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -247,9 +247,7 @@
 }
 
 void Daemon::Impl::OnServerRefused(const ServerOrder& order) {
-  if (order.incarnation.value() != 0) {
-    quarantine_.OnServerRefused(order.server, order.incarnation);
-  }
+  quarantine_.OnServerRefused(order.server, order.incarnation);
 }
 
 // A daemon that cannot know whether its rules are current serves only what may
--- a/src/daemon/quarantine_driver.cc
+++ b/src/daemon/quarantine_driver.cc
@@ -31,7 +31,10 @@
 
 void QuarantineDriver::OnServerRefused(const ServerId& server,
                                        Incarnation incarnation) {
-  quarantine_.OnServerGone(server, incarnation, clock_.Now());
+  if (incarnation.value() != 0) {
+    quarantine_.OnServerGone(server, incarnation, clock_.Now());
+  }
+  quarantine_.OnServerRefused(server, clock_.Now());
   Flush();
 }
 
--- a/src/daemon/quarantine_driver.h
+++ b/src/daemon/quarantine_driver.h
@@ -20,7 +20,8 @@
   void OnServerAnswered(const ServerId& server,
                         Incarnation incarnation,
                         TimePoint asked_at);
-  // An order found nobody at the server's address.
+  // An order found nobody at the server's address; `incarnation` is 0 where
+  // the order was meant for any life of it.
   void OnServerRefused(const ServerId& server, Incarnation incarnation);
   // Takes another daemon's update.
   void OnUpdate(const peer::QuarantineUpdateT& update);
--- a/src/policy/quarantine.cc
+++ b/src/policy/quarantine.cc
@@ -125,6 +125,18 @@
   const Life alive{server, incarnation};
   if (gone_.contains(alive))
     return;
+  EndLives(server, alive, now);
+  Withdraw(alive, asked_at, now);
+}
+
+void Quarantine::OnServerRefused(const ServerId& server, TimePoint now) {
+  Expire(now);
+  EndLives(server, std::nullopt, now);
+}
+
+void Quarantine::EndLives(const ServerId& server,
+                          const std::optional<Life>& alive,
+                          TimePoint now) {
   std::set<Life> over;
   for (const auto& [fingerprint, record] : records_) {
     for (const auto& [life, charge] : record.charges) {
@@ -135,7 +147,6 @@
   }
   for (const Life& it : over)
     OnServerGone(it.first, it.second, now);
-  Withdraw(alive, asked_at, now);
 }
 
 void Quarantine::Merge(const peer::QuarantineUpdateT& update, TimePoint now) {
--- a/src/policy/quarantine.h
+++ b/src/policy/quarantine.h
@@ -118,6 +118,9 @@
   void OnServerGone(const ServerId& server,
                     Incarnation incarnation,
                     TimePoint now);
+  // A connection to the server was refused: every life of it whose loss is
+  // suspected is over. For daemons that do not know which life it was.
+  void OnServerRefused(const ServerId& server, TimePoint now);
   // That life of the server answered a question that was sent at `asked_at`.
   // Connections of the same life lost before were lost for another reason; an
   // answer that was merely under way at the loss proves nothing. Another life
@@ -166,6 +169,10 @@
   };
 
   void AddCharge(Fingerprint fingerprint, const Life& life, Charge charge);
+  // Ends the suspected lives of the server except the one that is alive.
+  void EndLives(const ServerId& server,
+                const std::optional<Life>& alive,
+                TimePoint now);
   void Confirm(const Life& life, TimePoint now);
   void Withdraw(const Life& life, TimePoint asked_at, TimePoint now);
   bool Clear(Fingerprint fingerprint, TimePoint now);
--- a/src/policy/quarantine_test.cc
+++ b/src/policy/quarantine_test.cc
@@ -47,6 +47,23 @@
         MakeFingerprint(boats, "GET/", "a", 0));
 }
 
+TEST_CASE("a refused connection settles what another daemon suspects") {
+  Quarantine loser({});
+  Quarantine other({});
+  for (const ServerId& server : {kFirst, kSecond}) {
+    loser.OnSent(1, kKiller, server, kLife, kStart);
+    loser.OnConnectionLost(1, kStart);
+  }
+  Exchange(loser, other, kStart);
+  CHECK(other.Check(kKiller, kThird, kStart) == QuarantineState::kWait);
+  other.OnServerRefused(kThird, kStart + seconds(1));
+  CHECK(other.Check(kKiller, kThird, kStart) == QuarantineState::kWait);
+  other.OnServerRefused(kFirst, kStart + seconds(1));
+  CHECK(other.Check(kKiller, kThird, kStart) == QuarantineState::kWait);
+  other.OnServerRefused(kSecond, kStart + seconds(1));
+  CHECK(other.Check(kKiller, kThird, kStart) == QuarantineState::kRefused);
+}
+
 TEST_CASE("a request is refused after its second server") {
   Quarantine quarantine({});
   Kill(quarantine, kKiller, kFirst, kStart);
--- a/src/proxy/exchange.h
+++ b/src/proxy/exchange.h
@@ -313,7 +313,7 @@
       case QuarantineState::kAllowed:
         return true;
       case QuarantineState::kWait:
-        EndAttempt(Verdict::NotRun(Reason::kNone));
+        GiveBackPicked();
         Hold(internal::kFirstPause);
         return false;
       case QuarantineState::kRefused:
@@ -482,6 +482,16 @@
     RetryOrGiveUp(verdict, written);
   }
 
+  // Gives the picked server back. Nothing was sent to it, so it does not count
+  // as tried.
+  void GiveBackPicked() {
+    if (std::exchange(picked_, false)) {
+      state_->picker.Finished(rule_->service.name, target_.server,
+                              Verdict::NotRun(Reason::kNone), Duration(0),
+                              state_->loop.Now());
+    }
+  }
+
   // Tells the picker and the daemon how an attempt went.
   void EndAttempt(Verdict verdict,
                   ServerFailure failure = ServerFailure::kNone) {
--- a/src/proxy/proxy_faults_test.cc
+++ b/src/proxy/proxy_faults_test.cc
@@ -342,6 +342,33 @@
   CHECK(ask("/keyed/1", "harmless").verdict == "answered");
 }
 
+TEST_CASE("a wait for the quarantine uses up no attempt") {
+  Bench bench;
+  Quarantine quarantine{QuarantineOptions{}};
+  bench.proxy.SetQuarantine(&quarantine);
+  const Fingerprint fingerprint =
+      MakeFingerprint(ServiceName("orders"), "POST", "/plain", DigestBody("x"));
+  // One strike and one suspicion that stays for a while.
+  const auto lose = [&](std::uint64_t attempt, const ServerId& server) {
+    quarantine.OnSent(attempt, fingerprint, server, Incarnation(1),
+                      bench.loop.Now());
+    quarantine.OnConnectionLost(attempt, bench.loop.Now());
+  };
+  lose(1001, ServerId("s8"));
+  quarantine.OnServerGone(ServerId("s8"), Incarnation(1), bench.loop.Now());
+  lose(1002, ServerId("s9"));
+  bench.loop.AddTimer(bench.loop.Now() + std::chrono::milliseconds(400), [&] {
+    CHECK(bench.server.heads() == 0);
+    quarantine.OnServerAlive(ServerId("s9"), Incarnation(1), bench.loop.Now(),
+                             bench.loop.Now());
+  });
+  bench.server.script = {Behaviour::kShed};
+  TestCaller caller(bench.loop, bench.proxy.port());
+  const Answer answer = caller.Ask(Bench::Request("POST", "/plain", "a", "x"));
+  CHECK(answer.verdict == "answered");
+  CHECK(bench.server.runs("a") == 1);
+}
+
 TEST_CASE("a connection forgotten on the way is noticed before the deadline") {
   ForEachRequest([&](const Way& way, const std::string& method) {
     Bench bench;
