--- a/standins/demo_check.cc
+++ b/standins/demo_check.cc
@@ -140,7 +140,7 @@
     std::set<std::string> paths;
     for (const DemoOutcome& it : outcomes_) {
       if (verdicts.contains(it.verdict)) {
-        paths.insert(it.path + " " + it.verdict + " " +
+        paths.insert(it.path + " " + it.verdict + " " + it.reason + " " +
                      std::to_string(it.status));
       }
     }
--- a/standins/demo_load.cc
+++ b/standins/demo_load.cc
@@ -152,6 +152,9 @@
         soup_message_headers_get_one(headers, "gentianreach-request-id");
     outcome.status = soup_message_get_status(message);
     outcome.verdict = verdict == nullptr ? "no-verdict" : verdict;
+    const char* reason =
+        soup_message_headers_get_one(headers, "gentianreach-reason");
+    outcome.reason = reason == nullptr ? "-" : reason;
     if (outcome.verdict != "answered" || id == nullptr) {
       return;
     }
--- a/standins/demo_outcome.h
+++ b/standins/demo_outcome.h
@@ -22,6 +22,7 @@
   // The daemon's verdict; "not-sent" where no daemon was reached, "no-answer"
   // where the connection ended without one.
   std::string verdict = "no-answer";
+  std::string reason = "-";  // Of a verdict other than "answered".
   std::uint32_t status = 0;
   std::string server = "-";  // Who answered.
   bool whole = false;        // The answer is whole and the request's own.
@@ -59,14 +60,15 @@
 
 inline std::ostream& operator<<(std::ostream& out, const DemoOutcome& it) {
   return out << it.path << ' ' << it.key << ' ' << it.idempotent << ' '
-             << it.verdict << ' ' << it.status << ' ' << it.server << ' '
-             << it.whole << ' ' << it.started.time_since_epoch().count() << ' '
+             << it.verdict << ' ' << it.reason << ' ' << it.status << ' '
+             << it.server << ' ' << it.whole << ' '
+             << it.started.time_since_epoch().count() << ' '
              << it.finished.time_since_epoch().count() << '\n';
 }
 
 inline std::istream& operator>>(std::istream& in, DemoOutcome& it) {
-  in >> it.path >> it.key >> it.idempotent >> it.verdict >> it.status >>
-      it.server >> it.whole;
+  in >> it.path >> it.key >> it.idempotent >> it.verdict >> it.reason >>
+      it.status >> it.server >> it.whole;
   internal::ReadTime(in, it.started);
   return internal::ReadTime(in, it.finished);
 }
