Slopes: points drawn as shapes, the busiest daemon's bytes, partial runs kept

Some viewers leave out symbols that SVG draws by reference, so the measured points were missing there; they are circles now. The settings benchmark printed its share of a core in steps of 1e-5, as large as the values. A partial run keeps the other fits and draws all plots.

--- a/bench/settings_bench.cc
+++ b/bench/settings_bench.cc
@@ -139,9 +139,9 @@
 
 void Print(const Row& row, bool csv) {
   const char* const format =
-      csv ? "%zu,%.0f,%.0f,%.0f,%.0f,%.0f,%.2f,%.2f,%.2f,%.5f\n"
+      csv ? "%zu,%.0f,%.0f,%.0f,%.0f,%.0f,%.2f,%.2f,%.2f,%.7f\n"
           : "%8zu %10.0f %9.0f %11.0f %13.0f %11.0f %11.2f %13.2f %11.2f "
-            "%9.5f\n";
+            "%9.7f\n";
   std::printf(format, row.daemons, row.median_ms, row.worst_ms, row.idle_bytes,
               row.scaled_bytes, row.full_bytes, row.idle_calls,
               row.scaled_calls, row.full_calls, row.cpu_share);
--- a/scripts/measure.sh
+++ b/scripts/measure.sh
@@ -31,8 +31,17 @@
   esac
 done
 
-ninja -C "$build" gentianreachd gentianreachctl fake_platform fake_backend load \
-  takeover_bench placement_bench settings_bench proxy_bench > /dev/null
+wanted() {
+  [ -z "$only" ] || [[ $only == *" $1 "* ]]
+}
+
+programs=()
+wanted control || wanted takeover && programs+=(takeover_bench)
+wanted placement && programs+=(placement_bench)
+wanted settings && programs+=(settings_bench)
+wanted datapath && programs+=(proxy_bench)
+wanted fleet && programs+=(gentianreachd gentianreachctl fake_platform fake_backend load)
+ninja -C "$build" "${programs[@]}" > /dev/null
 mkdir -p "$out"
 scratch=$(mktemp -d)
 trap 'rm -rf "$scratch"' EXIT
@@ -53,10 +62,6 @@
   save "$name" "${*//$build\//build/}"
 }
 
-wanted() {
-  [ -z "$only" ] || [[ $only == *" $1 "* ]]
-}
-
 measure_control() {
   measure control "$build/takeover_bench" --slopes
 }
@@ -142,6 +147,7 @@
 fleet daemons rss_kib_mean daemons KiB 1
 fleet daemons peer_frames_out_per_s daemons frames/s 1
 fleet daemons peer_bytes_out_per_s daemons B/s 1
+fleet daemons peer_bytes_out_per_s_max daemons B/s 1
 fleet daemons store_reads_per_s daemons calls/s 1
 fleet daemons store_writes_per_s daemons calls/s 1
 fleet daemons store_vms_per_s daemons calls/s 1
@@ -182,15 +188,18 @@
   gnuplot << EOF
 set terminal svg size 480,320 font "sans,11" background "white"
 set output "$svg"
-set title "${3//_/ }" noenhanced
+set title "${1//_/ }: ${3//_/ }" noenhanced
 set xlabel "${4//_/ }" noenhanced
 set ylabel "$5" noenhanced
 set grid
+set rmargin 5
 set key top left
+set style circle radius graph 0.008
+set style fill solid
 set offsets graph 0.02, graph 0.04, graph 0.25, graph 0.05
 set xrange [0:*]
 set yrange [0:*]
-plot "$scratch/points" with points pt 7 lc rgb "#1f4e79" title "measured", \
+plot "$scratch/points" using 1:2 with circles lc rgb "#1f4e79" title "measured", \
   $9 + (${10}) * x with lines lc rgb "#c55a11" title "fit"
 EOF
 }
@@ -198,19 +207,17 @@
 plot_slopes() {
   local file x y x_unit y_unit scale where is fit
   while read -r file x y x_unit y_unit scale where is; do
-    [ -n "${commands[$file]:-}" ] || continue
-    fit=$(grep -F "$file: $y by $x," "$out/slopes.csv")
+    fit=$(grep -F "$file: $y by $x," "$out/slopes.csv") || continue
     plot_slope "$file" "$x" "$y" "$x_unit" "$y_unit" "$scale" "${where:-}" "${is:-}" \
       "$(cut -d, -f4 <<< "$fit")" "$(cut -d, -f5 <<< "$fit")"
   done < <(slopes)
 }
 
-# Says on what the values were measured.
+# Says on what the values were measured; a partial run adds its line.
 write_machine() {
-  {
-    echo "date,cores,memory_mib,load_at_start,load_at_end,options"
-    echo "$(date -u +%FT%TZ),$(nproc),$(awk '/^MemTotal/ { print int($2 / 1024) }' /proc/meminfo),$load_at_start,$(cut -d' ' -f1 /proc/loadavg),$($quick && echo quick || echo whole)$only"
-  } > "$out/machine.csv"
+  [ -n "$only" ] && [ -e "$out/machine.csv" ] ||
+    echo "date,cores,memory_mib,load_at_start,load_at_end,options" > "$out/machine.csv"
+  echo "$(date -u +%FT%TZ),$(nproc),$(awk '/^MemTotal/ { print int($2 / 1024) }' /proc/meminfo),$load_at_start,$(cut -d' ' -f1 /proc/loadavg),$($quick && echo quick || echo whole)${only% }" >> "$out/machine.csv"
 }
 
 load_at_start=$(cut -d' ' -f1 /proc/loadavg)
--- a/scripts/measure_fleet.sh
+++ b/scripts/measure_fleet.sh
@@ -7,7 +7,7 @@
 cd "$(dirname "$0")/.."
 
 names="daemons,backends,cpu_ms_per_s_mean,cpu_ms_per_s_max,rss_kib_mean,rss_kib_max"
-names+=",peer_frames_out_per_s,peer_bytes_out_per_s"
+names+=",peer_frames_out_per_s,peer_bytes_out_per_s,peer_bytes_out_per_s_max"
 names+=",store_reads_per_s,store_writes_per_s,store_watches_per_s,store_lists_per_s,store_vms_per_s"
 names+=",store_watches_since_start,platform_cpu_ms_per_s"
 names+=",idle_connections_keyed,idle_connections_plain"
@@ -136,12 +136,13 @@
   {
     n++; sum += cpu; rss += $9
     frames += ($10 - $5) / span; bytes += ($11 - $6) / span
+    if (($11 - $6) / span > most_bytes) most_bytes = ($11 - $6) / span
     if (cpu > most) most = cpu
     if ($9 > most_rss) most_rss = $9
   }
   END {
     split(rates, call, " ")
-    printf "%d,12,%.2f,%.2f,%.0f,%.0f,%.1f,%.0f", n, sum / n, most, rss / n, most_rss, frames / n, bytes / n
+    printf "%d,12,%.2f,%.2f,%.0f,%.0f,%.1f,%.0f,%.0f", n, sum / n, most, rss / n, most_rss, frames / n, bytes / n, most_bytes
     for (i = 1; i <= 5; i++) printf ",%.2f", call[i] / platform_span
     printf ",%d,%.2f,%s\n", watches, platform, connections
   }'
