Operators' actions do what they say; settings without effect are gone

Cause: reading code against docs found: [limits] quarantine and [daemon] data_threads had no effect; /drain accepted unknown servers and ignored the actor; a lift was audited before it was known to work; ConfirmOldMembersGone could not be reached by an operator; the quarantine offered to hold answers back, which the users rule out (an answer that is final leaves at once).

--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -114,6 +114,8 @@
   void UpdateServing();
   [[nodiscard]] CellLinks Links();
   void AddOperatorActions();
+  // Returns false where the cell has no such server.
+  bool Drain(const std::string& server, bool drain, const std::string& actor);
   void OnOwnersChanged();
   [[nodiscard]] bool IsReady() const;
   void OnFinished(const proxy::RequestRecord& record);
@@ -272,26 +274,56 @@
 
 void Daemon::Impl::AddOperatorActions() {
   operators_.Handle("POST", "/drain", [this](const OperatorRequest& request) {
-    return DrainByRequest(request, [this](const std::string& server,
-                                          bool drain) {
-      cell_->agent().Drain(ServerId(server), drain, "operator", clock_.Now());
-      cell_->Pump();
+    return DrainByRequest(request, [this](const std::string& server, bool drain,
+                                          const std::string& actor) {
+      return Drain(server, drain, actor);
     });
   });
+  // States that the daemons of all older views are gone for good.
+  operators_.Handle(
+      "POST", "/members/confirm-gone", [this](const OperatorRequest&) {
+        const bool done =
+            cell_->agent().ConfirmOldMembersGone("operator", clock_.Now());
+        cell_->Pump();
+        return done ? OperatorReply{SOUP_STATUS_OK, "application/json",
+                                    "{\"ok\":true}\n"}
+                    : OperatorReply{SOUP_STATUS_CONFLICT, "application/json",
+                                    "{\"error\":\"ask the assigner\"}\n"};
+      });
   operators_.Handle(
       "POST", "/quarantine/lift", [this](const OperatorRequest& request) {
         return LiftByRequest(request, [this](Fingerprint fingerprint) {
+          if (!quarantine_.quarantine().Lift(fingerprint, clock_.Now())) {
+            return false;
+          }
           audit::Entry entry;
           entry.actor = "operator";
           entry.kind = "quarantine";
           entry.key = std::to_string(fingerprint.value);
           entry.to = "lifted";
           audit_.Add(std::move(entry));
-          return quarantine_.quarantine().Lift(fingerprint, clock_.Now());
+          return true;
         });
       });
 }
 
+bool Daemon::Impl::Drain(const std::string& server,
+                         bool drain,
+                         const std::string& actor) {
+  const auto record = cell_->agent().Record();
+  const bool known =
+      record != nullptr &&
+      std::ranges::any_of(record->servers, [&server](const auto& it) {
+        return it->id == server;
+      });
+  if (!known) {
+    return false;
+  }
+  cell_->agent().Drain(ServerId(server), drain, actor, clock_.Now());
+  cell_->Pump();
+  return true;
+}
+
 boost::leaf::result<void> Daemon::Impl::OpenCallers() {
   proxy::ProxyHooks hooks;
   hooks.on_finished = [this](const proxy::RequestRecord& it) {
@@ -315,6 +347,7 @@
 void Daemon::Impl::OnSettings(const settings::TreeT& tree) {
   proxy_->SetRoutes(std::make_shared<proxy::RouteTable>(tree));
   proxy_->SetLimits(*tree.limits);
+  quarantine_.quarantine().SetExpiry(milliseconds(tree.limits->quarantine));
   for (const auto& it : tree.services) {
     picker_.SetOptions(
         ServiceName(it->name),
--- a/src/daemon/operator_api.cc
+++ b/src/daemon/operator_api.cc
@@ -291,7 +291,8 @@
 
 OperatorReply DrainByRequest(
     const OperatorRequest& request,
-    const std::function<void(const std::string&, bool)>& drain) {
+    const std::function<bool(const std::string&, bool, const std::string&)>&
+        drain) {
   const Json json = Json::parse(request.body, nullptr, false);
   if (!json.is_object() || !json.contains("server") ||
       !json["server"].is_string() || !json.contains("drain") ||
@@ -299,7 +300,10 @@
     return Complain(SOUP_STATUS_BAD_REQUEST,
                     "expected {\"server\": NAME, \"drain\": true or false}");
   }
-  drain(json["server"], json["drain"]);
+  const std::string server = json["server"];
+  if (!drain(server, json["drain"], json.value("actor", "operator"))) {
+    return Complain(SOUP_STATUS_NOT_FOUND, "no such server: " + server);
+  }
   return Answer({{"ok", true}}, SOUP_STATUS_ACCEPTED);
 }
 
--- a/src/daemon/operator_api.h
+++ b/src/daemon/operator_api.h
@@ -75,10 +75,12 @@
     const OperatorRequest& request,
     const std::function<bool(Fingerprint)>& lift);
 
-// Answers POST /drain with {"server": S, "drain": bool}.
+// Answers POST /drain with {"server": S, "drain": bool, "actor": A}. `drain`
+// returns false where there is no such server.
 [[nodiscard]] OperatorReply DrainByRequest(
     const OperatorRequest& request,
-    const std::function<void(const std::string&, bool)>& drain);
+    const std::function<bool(const std::string&, bool, const std::string&)>&
+        drain);
 
 }  // namespace gentianreach
 
--- a/src/policy/quarantine.h
+++ b/src/policy/quarantine.h
@@ -40,9 +40,6 @@
   Duration expiry = std::chrono::minutes(10);
   // How long a lost connection waits for the proof that its server is gone.
   Duration confirmation = std::chrono::seconds(10);
-  // How long the answer to the caller of a lost request is held back, so that
-  // the strike reaches the other daemons before the caller's next try does.
-  Duration answer_hold = std::chrono::milliseconds(20);
   // Longest time for which a suspected request waits for another one.
   Duration trial = std::chrono::seconds(5);
   // Greatest number of fingerprints kept.
@@ -81,10 +78,9 @@
 // one that was merely beside a killer lives on.
 //
 // A strike is announced to the other daemons as soon as the connection is
-// lost, before the proof, as a suspicion that makes them wait; hold the answer
-// to the caller until AnswerAt(), so that its next try through another daemon
-// meets the suspicion. Requests with a strike or suspicion run one at a time
-// on a server, so that the next loss tells which of them it was.
+// lost, before the proof, as a suspicion that makes them wait. Requests with a
+// strike or suspicion run one at a time on a server, so that the next loss
+// tells which of them it was.
 class Quarantine {
  public:
   explicit Quarantine(QuarantineOptions options);
@@ -95,12 +91,6 @@
   [[nodiscard]] QuarantineState Check(Fingerprint fingerprint,
                                       const ServerId& server,
                                       TimePoint now);
-  // Returns when the answer to a caller whose attempt was lost at `now` may
-  // leave.
-  [[nodiscard]] TimePoint AnswerAt(TimePoint now) const {
-    return now + options_.answer_hold;
-  }
-
   // The attempt's first byte is about to be written.
   void OnSent(std::uint64_t attempt,
               Fingerprint fingerprint,
@@ -138,6 +128,9 @@
   // Returns all confirmed strikes, for a member that has just joined.
   [[nodiscard]] peer::QuarantineUpdateT Snapshot(TimePoint now) const;
 
+  // Sets how long strikes that come from now on count.
+  void SetExpiry(Duration expiry) { options_.expiry = expiry; }
+
   // Returns what is struck or refused, for the operator.
   [[nodiscard]] std::vector<QuarantineEntry> List(TimePoint now) const;
   // Clears a fingerprint here and, by the next update, everywhere. Returns
