A 503 of the store does not prove that a write had no effect

Cause: the agent may take kFailed only as proof; the client took 503 for one, though something in front of the store can answer so after the write. Store calls of the agent were bounded by 2 s, twice what its timing allows for.

--- a/src/daemon/cell_driver.cc
+++ b/src/daemon/cell_driver.cc
@@ -9,7 +9,7 @@
 
 using std::chrono::milliseconds;
 
-constexpr milliseconds kStoreTimeout{2000};
+constexpr milliseconds kStoreTimeout{1000};
 constexpr milliseconds kOrderTimeout{300};
 constexpr milliseconds kVmPollInterval{2000};
 
--- a/src/platform/store_client.cc
+++ b/src/platform/store_client.cc
@@ -15,7 +15,6 @@
 constexpr int kOk = 200;
 constexpr int kNotFound = 404;
 constexpr int kPreconditionFailed = 412;
-constexpr int kServiceUnavailable = 503;
 // A watch ends this long before its deadline, so that its answer arrives.
 constexpr milliseconds kWatchMargin{500};
 
@@ -69,8 +68,9 @@
     return written;
   }
   const bool refused = reply.status >= 400 && reply.status < 500;
-  const bool no_effect =
-      refused || reply.status == kServiceUnavailable || !reply.may_have_arrived;
+  // A 503 proves nothing: it may come from something in front of the store,
+  // after the write.
+  const bool no_effect = refused || !reply.may_have_arrived;
   written.status =
       no_effect ? StoreStatus::kUnavailable : StoreStatus::kUnknown;
   return written;
--- /dev/null
+++ b/src/platform/store_client_test.cc
@@ -0,0 +1,79 @@
+#include "platform/store_client.h"
+
+#include <doctest/doctest.h>
+
+#include <optional>
+#include <string>
+
+namespace gentianreach {
+namespace {
+
+// A store that answers every call with one status.
+class StatusServer {
+ public:
+  explicit StatusServer(guint status)
+      : status_(status),
+        server_(GObjectPtr<SoupServer>::Adopt(
+            soup_server_new("server-header", "test", nullptr))) {
+    soup_server_add_handler(server_.get(), nullptr, &StatusServer::Answer, this,
+                            nullptr);
+    soup_server_listen_local(server_.get(), 0, SOUP_SERVER_LISTEN_IPV4_ONLY,
+                             nullptr);
+  }
+
+  [[nodiscard]] std::string Url() const {
+    GSList* uris = soup_server_get_uris(server_.get());
+    const int port = g_uri_get_port(static_cast<GUri*>(uris->data));
+    g_slist_free_full(uris,
+                      [](gpointer it) { g_uri_unref(static_cast<GUri*>(it)); });
+    return "http://127.0.0.1:" + std::to_string(port);
+  }
+
+ private:
+  static void Answer(SoupServer* /*server*/,
+                     SoupServerMessage* message,
+                     const char* /*path*/,
+                     GHashTable* /*query*/,
+                     gpointer self) {
+    soup_server_message_set_status(
+        message, static_cast<StatusServer*>(self)->status_, nullptr);
+  }
+
+  guint status_;
+  GObjectPtr<SoupServer> server_;
+};
+
+StoreStatus WriteTo(const std::string& url) {
+  StoreClient client(url);
+  std::optional<StoreStatus> status;
+  client.Write("cells/main", ObjectVersion(1), "bytes",
+               MonotonicClock().Now() + std::chrono::seconds(10),
+               [&status](const ObjectWritten& it) { status = it.status; });
+  while (!status.has_value()) {
+    g_main_context_iteration(nullptr, TRUE);
+  }
+  return *status;
+}
+
+TEST_CASE("a write is called without effect only where that is proven") {
+  const StatusServer failing(503);
+  CHECK(WriteTo(failing.Url()) == StoreStatus::kUnknown);
+  const StatusServer broken(500);
+  CHECK(WriteTo(broken.Url()) == StoreStatus::kUnknown);
+  const StatusServer other_version(412);
+  CHECK(WriteTo(other_version.Url()) == StoreStatus::kConflict);
+  const StatusServer too_large(413);
+  CHECK(WriteTo(too_large.Url()) == StoreStatus::kUnavailable);
+}
+
+TEST_CASE("a write that found nobody listening had no effect") {
+  std::string url;
+  {
+    const StatusServer gone(200);
+    url = gone.Url();
+  }
+  CHECK(WriteTo(url) == StoreStatus::kUnavailable);
+}
+
+}  // namespace
+}  // namespace gentianreach
