--- a/src/base/log.cc
+++ b/src/base/log.cc
@@ -1,9 +1,15 @@
 #include "base/log.h"
 
+#include <poll.h>
+#include <unistd.h>
+
 #include <algorithm>
 #include <array>
 #include <atomic>
+#include <climits>
 #include <iostream>
+#include <ostream>
+#include <streambuf>
 
 #include <boost/date_time/posix_time/posix_time_types.hpp>
 #include <boost/log/attributes/clock.hpp>
@@ -21,6 +27,7 @@
 constexpr std::array<std::string_view, 4> kLevelNames = {"debug", "info",
                                                          "warning", "error"};
 
+std::atomic<std::uint64_t> dropped_lines = 0;
 std::atomic<LogLevel> lowest_level = LogLevel::kDebug;
 
 bool NeedsQuotes(std::string_view value) {
@@ -47,6 +54,42 @@
   line += '"';
 }
 
+// Passes whole lines to standard output and drops those that would have to
+// wait.
+class NonBlockingBuffer : public std::streambuf {
+ protected:
+  std::streamsize xsputn(const char* data, std::streamsize n) override {
+    pending_.append(data, static_cast<std::size_t>(n));
+    return n;
+  }
+  int_type overflow(int_type c) override {
+    if (c != traits_type::eof()) {
+      pending_.push_back(traits_type::to_char_type(c));
+    }
+    return traits_type::not_eof(c);
+  }
+  int sync() override {
+    pollfd out{.fd = STDOUT_FILENO, .events = POLLOUT, .revents = 0};
+    // A pipe that is writable takes this many bytes without waiting.
+    pending_.resize(std::min<std::size_t>(pending_.size(), PIPE_BUF));
+    if (poll(&out, 1, 0) != 1 || (out.revents & POLLOUT) == 0 ||
+        write(STDOUT_FILENO, pending_.data(), pending_.size()) < 0) {
+      dropped_lines.fetch_add(1, std::memory_order_relaxed);
+    }
+    pending_.clear();
+    return 0;
+  }
+
+ private:
+  std::string pending_;
+};
+
+std::ostream& OutputStream() {
+  static NonBlockingBuffer buffer;
+  static std::ostream stream(&buffer);
+  return stream;
+}
+
 void Write(LogLevel level, const std::string& line) {
   thread_local boost::log::sources::severity_logger<int> logger;
   BOOST_LOG_SEV(logger, static_cast<int>(level))
@@ -56,12 +99,17 @@
 
 }  // namespace
 
-void InitLogging(LogLevel threshold) {
+std::uint64_t DroppedLogLines() {
+  return dropped_lines.load(std::memory_order_relaxed);
+}
+
+void InitLogging(LogLevel threshold, LogTarget target) {
   lowest_level.store(threshold, std::memory_order_relaxed);
   namespace expr = boost::log::expressions;
   boost::log::add_common_attributes();
   boost::log::add_console_log(
-      std::clog, boost::log::keywords::auto_flush = true,
+      target == LogTarget::kStandardOutput ? OutputStream() : std::clog,
+      boost::log::keywords::auto_flush = true,
       boost::log::keywords::format =
           (expr::stream << "time="
                         << expr::format_date_time<boost::posix_time::ptime>(
--- a/src/base/log.h
+++ b/src/base/log.h
@@ -1,4 +1,4 @@
-// Structured logs: one line of key=value pairs per event, on standard error.
+// Structured logs: one line of key=value pairs per event.
 //
 //   InitLogging(LogLevel::kInfo);
 //   Log(LogLevel::kInfo, "lease_renewed", {{"server", id}, {"ms", 12}});
@@ -45,8 +45,20 @@
   std::string value_;
 };
 
+// Where lines go.
+enum class LogTarget : std::uint8_t {
+  kStandardError,
+  // Standard output, never waiting for its reader: a line that it cannot take
+  // now is dropped and counted by DroppedLogLines().
+  kStandardOutput,
+};
+
 // Starts logging of events at or above `threshold`. Called once by `main`.
-void InitLogging(LogLevel threshold);
+void InitLogging(LogLevel threshold,
+                 LogTarget target = LogTarget::kStandardError);
+
+// Returns the number of lines that were dropped so far.
+[[nodiscard]] std::uint64_t DroppedLogLines();
 
 // Returns whether events of `level` are written. Ask before making the fields
 // of an event on a hot path.
--- a/src/ctl/context.cc
+++ b/src/ctl/context.cc
@@ -9,7 +9,7 @@
 #include <thread>
 #include <utility>
 
-#include "platform/store_caller.h"
+#include "store/store_caller.h"
 
 namespace gentianreach::ctl {
 namespace {
--- a/src/ctl/context.h
+++ b/src/ctl/context.h
@@ -11,8 +11,8 @@
 #include <nlohmann/json.hpp>
 
 #include "gentianreach/time.h"
-#include "platform/http_client.h"
-#include "platform/store_client.h"
+#include "net/http_client.h"
+#include "store/store_client.h"
 #include "store/store_call.h"
 
 namespace gentianreach::ctl {
--- a/src/daemon/audit_driver.cc
+++ b/src/daemon/audit_driver.cc
@@ -4,7 +4,7 @@
 #include <utility>
 
 #include "base/log.h"
-#include "platform/store_caller.h"
+#include "store/store_caller.h"
 
 namespace gentianreach {
 namespace {
--- a/src/daemon/audit_driver.h
+++ b/src/daemon/audit_driver.h
@@ -7,7 +7,7 @@
 #include "audit/audit_log.h"
 #include "base/timer.h"
 #include "gentianreach/cell_agent.h"
-#include "platform/store_client.h"
+#include "store/store_client.h"
 
 namespace gentianreach {
 
--- a/src/daemon/cell_driver.h
+++ b/src/daemon/cell_driver.h
@@ -12,7 +12,7 @@
 #include "gentianreach/time.h"
 #include "net/event_loop.h"
 #include "peer/peer_net.h"
-#include "platform/store_client.h"
+#include "store/store_client.h"
 #include "server/order_client.h"
 #include "server/order_codec.h"
 
--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -20,7 +20,7 @@
 #include "daemon/settings_driver.h"
 #include "net/event_loop.h"
 #include "peer/peer_net.h"
-#include "platform/store_client.h"
+#include "store/store_client.h"
 #include "proxy/policy_picker.h"
 #include "proxy/proxy_server.h"
 
--- a/src/daemon/daemon_settings.cc
+++ b/src/daemon/daemon_settings.cc
@@ -8,60 +8,17 @@
 #include "base/log.h"
 #include "settings/builder.h"
 #include "settings/document.h"
+#include "settings/section_checker.h"
 
 namespace gentianreach {
 namespace {
 
 using settings::Document;
-using settings::SettingsError;
+using settings::SectionChecker;
 
 constexpr std::string_view kSection = "daemon";
 
-// Collects errors with the line of the key they concern.
-class Checker {
- public:
-  Checker(const Document& doc, std::vector<SettingsError>* errors)
-      : doc_(doc), errors_(errors) {}
-
-  void Report(std::string_view key, std::string message) {
-    const auto found = doc_.Lookup(kSection, key);
-    const settings::Branch* branch = doc_.Find(kSection);
-    const int line = found.has_value()   ? found->entry->line
-                     : branch != nullptr ? branch->line
-                                         : 1;
-    errors_->push_back({doc_.file(), line,
-                        std::string(kSection) + "/" + std::string(key),
-                        std::move(message)});
-  }
-
-  void Require(std::string_view key, const std::string& value) {
-    if (value.empty()) {
-      Report(key, "missing");
-    }
-  }
-
-  void RequireAddress(std::string_view key, const std::string& value) {
-    if (value.empty()) {
-      Report(key, "missing");
-      return;
-    }
-    const std::size_t colon = value.rfind(':');
-    const bool ok = colon != std::string::npos &&
-                    g_hostname_is_ip_address(value.substr(0, colon).c_str()) &&
-                    colon + 1 < value.size() &&
-                    g_ascii_string_to_unsigned(value.c_str() + colon + 1, 10, 0,
-                                               G_MAXUINT16, nullptr, nullptr);
-    if (!ok) {
-      Report(key, "expected IP:port, not \"" + value + "\"");
-    }
-  }
-
- private:
-  const Document& doc_;
-  std::vector<SettingsError>* errors_;
-};
-
-void CheckStore(const settings::DaemonT& daemon, Checker& checker) {
+void CheckStore(const settings::DaemonT& daemon, SectionChecker& checker) {
   const GUriPtr uri(
       g_uri_parse(daemon.store.c_str(), G_URI_FLAGS_NONE, nullptr));
   const bool is_http =
@@ -73,7 +30,7 @@
   }
 }
 
-void CheckTls(const settings::DaemonT& daemon, Checker& checker) {
+void CheckTls(const settings::DaemonT& daemon, SectionChecker& checker) {
   const bool any = !daemon.tls_certificate.empty() || !daemon.tls_key.empty() ||
                    !daemon.tls_authority.empty();
   if (daemon.insecure && any) {
@@ -88,7 +45,7 @@
   checker.Require("tls_authority", daemon.tls_authority);
 }
 
-void CheckDaemon(const settings::DaemonT& daemon, Checker& checker) {
+void CheckDaemon(const settings::DaemonT& daemon, SectionChecker& checker) {
   checker.Require("name", daemon.name);
   checker.Require("zone", daemon.zone);
   checker.RequireAddress("caller_address", daemon.caller_address);
@@ -124,7 +81,7 @@
   if (daemon->log_level.empty()) {
     daemon->log_level = "info";
   }
-  Checker checker(doc, &result.errors);
+  SectionChecker checker(doc, kSection, &result.errors);
   CheckDaemon(*daemon, checker);
   if (result.errors.empty()) {
     result.daemon = std::move(daemon);
--- a/src/daemon/settings_driver.cc
+++ b/src/daemon/settings_driver.cc
@@ -3,7 +3,7 @@
 #include <utility>
 
 #include "base/log.h"
-#include "platform/store_caller.h"
+#include "store/store_caller.h"
 
 namespace gentianreach {
 
--- a/src/daemon/settings_driver.h
+++ b/src/daemon/settings_driver.h
@@ -10,7 +10,7 @@
 #include "base/timer.h"
 #include "daemon/cell_links.h"
 #include "gentianreach/settings.h"
-#include "platform/store_client.h"
+#include "store/store_client.h"
 #include "settings/settings_relay.h"
 
 namespace gentianreach {
--- /dev/null
+++ b/src/entry/entry_daemon.cc
@@ -0,0 +1,425 @@
+#include "entry/entry_daemon.h"
+
+#include <algorithm>
+#include <chrono>
+#include <cstdint>
+#include <random>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include <boost/leaf/handle_errors.hpp>
+#include <nlohmann/json.hpp>
+
+#include "base/log.h"
+#include "daemon/operator_server.h"
+#include "entry/entry_proxy.h"
+#include "entry/entry_state.h"
+#include "entry/key_assignment.h"
+#include "entry/leader_election.h"
+#include "entry/member_link.h"
+#include "entry/store_watcher.h"
+#include "net/deadline_timer.h"
+#include "net/event_loop.h"
+#include "platform/decode.h"
+#include "platform/platform_client.h"
+
+namespace gentianreach::entry {
+namespace {
+
+using std::chrono::milliseconds;
+
+// How often the daemon looks after what no event tells it.
+constexpr Duration kHousekeepingPeriod = milliseconds(250);
+// Time for the store's answer about the lead.
+constexpr Duration kElectionTimeout = milliseconds(1500);
+// The daemons of a deployment start together: they ask for the lead spread over
+// this time, so that the first one is found by the others.
+constexpr Duration kElectionSpread = milliseconds(400);
+// A stopping daemon still accepts callers for this time: the balancer looks
+// once a second and takes it out after two misses.
+constexpr Duration kAcceptWhileStopping = milliseconds(2600);
+// Time left between the last answer and the end of the grace period.
+constexpr Duration kStopMargin = milliseconds(350);
+// Grants are at most this long, however long servers allow them.
+constexpr milliseconds kLongestUsefulLease{6000};
+// Name of the record of who leads.
+constexpr const char* kLeaderObject = "entry";
+
+std::uint64_t RandomNumber() {
+  // 52 bits: JSON numbers of that size are exact in every implementation.
+  std::random_device device;
+  return ((std::uint64_t{device()} << 32) | device()) >> 12;
+}
+
+nlohmann::json EncodeLeader(const LeaderRecord& record) {
+  return {{"epoch", record.epoch.value()},
+          {"name", record.leader.name},
+          {"life", record.leader.life.value()},
+          {"address", record.leader.address}};
+}
+
+std::optional<LeaderRecord> DecodeLeader(const nlohmann::json& content) {
+  try {
+    return LeaderRecord{
+        Epoch(content.at("epoch").get<std::uint64_t>()),
+        {content.at("name").get<std::string>(),
+         Incarnation(content.at("life").get<std::uint64_t>()),
+         content.at("address").get<std::string>()}};
+  } catch (const nlohmann::json::exception&) {
+    return std::nullopt;
+  }
+}
+
+ElectionOutcome OutcomeOf(platform::CallStatus status) {
+  switch (status) {
+    case platform::CallStatus::kOk:
+      return ElectionOutcome::kOk;
+    case platform::CallStatus::kAbsent:
+      return ElectionOutcome::kAbsent;
+    case platform::CallStatus::kConflict:
+      return ElectionOutcome::kConflict;
+    case platform::CallStatus::kUnknown:
+      return ElectionOutcome::kUnknown;
+    case platform::CallStatus::kHistoryGone:
+    case platform::CallStatus::kUnavailable:
+      return ElectionOutcome::kUnavailable;
+  }
+  return ElectionOutcome::kUnavailable;
+}
+
+keyspace::AssignerOptions AssignerOptionsOf(const settings::EntryDaemonT& settings) {
+  keyspace::AssignerOptions options;
+  const milliseconds longest(
+      static_cast<std::int64_t>(settings.longest_lease_ms));
+  options.lease = std::min(longest, kLongestUsefulLease);
+  options.renew_period = options.lease / 4;
+  return options;
+}
+
+}  // namespace
+
+class EntryDaemon::Impl {
+ public:
+  explicit Impl(const settings::EntryDaemonT& settings)
+      : settings_(settings),
+        platform_(settings.store_address),
+        health_(loop_),
+        state_(std::make_shared<EntryState>(
+            loop_,
+            platform::PlatformHeaders(),
+            RetryBounds{settings.retry_ratio, settings.retry_slack})),
+        proxy_(state_),
+        self_{settings.name, Incarnation(RandomNumber()),
+              settings.member_address},
+        election_(self_, {}),
+        link_(loop_, self_, election_, state_->crashes),
+        assignment_(*state_, election_, platform_, AssignerOptionsOf(settings)),
+        config_watcher_(
+            loop_, platform_, health_, platform::ObjectKind::kConfig,
+            {[this](const auto& it) { OnConfig(it); },
+             [this](const auto& it) { OnConfig(it); }}),
+        server_watcher_(
+            loop_, platform_, health_, platform::ObjectKind::kServers,
+            {[this](const auto& it) { OnServerList(it); },
+             [this](const auto& it) { OnServerEvents(it); }}),
+        ownership_watcher_(
+            loop_, platform_, health_, platform::ObjectKind::kOwnership,
+            {[this](const auto& it) { OnTables(it); },
+             [this](const auto& it) { OnTables(it); }}),
+        housekeeping_(loop_, [this] { Housekeep(); }),
+        election_timer_(loop_, [this] { Elect(); }) {
+    health_.on_change = [this](bool lost) { OnStoreChange(lost); };
+    link_.on_news = [this] { OnNews(); };
+    assignment_.on_table = [this] { state_->held.WakeAll(); };
+  }
+
+  boost::leaf::result<void> Start() {
+    BOOST_LEAF_CHECK(proxy_.Listen(settings_.caller_address));
+    BOOST_LEAF_CHECK(link_.Open());
+    ready_server_.Handle("GET", settings_.ready_path, [this](const auto&) {
+      return IsReady() ? OperatorReply{200, "text/plain", "ready\n"}
+                       : OperatorReply{503, "text/plain", "not ready\n"};
+    });
+    BOOST_LEAF_CHECK(ready_server_.Listen(settings_.ready_address));
+    if (!settings_.metrics_address.empty()) {
+      metrics_server_.Handle("GET", settings_.metrics_path,
+                             [this](const auto&) { return Metrics(); });
+      BOOST_LEAF_CHECK(metrics_server_.Listen(settings_.metrics_address));
+    }
+    const TimePoint now = loop_.Now();
+    config_watcher_.Start(now);
+    server_watcher_.Start(now);
+    ownership_watcher_.Start(now);
+    housekeeping_.Set(now + kHousekeepingPeriod);
+    election_timer_.Set(
+        now + Duration(RandomNumber() %
+                       static_cast<std::uint64_t>(kElectionSpread.count())));
+    Log(LogLevel::kInfo, "started",
+        {{"name", settings_.name},
+         {"zone", settings_.zone},
+         {"life", self_.life.value()}});
+    return {};
+  }
+
+  void Stop(std::function<void()> done) {
+    if (state_->stopping) {
+      return;
+    }
+    Log(LogLevel::kInfo, "stopping", {{"in_flight", state_->in_flight}});
+    const TimePoint now = loop_.Now();
+    const auto grace = std::chrono::duration_cast<Duration>(
+        std::chrono::duration<double>(settings_.stop_grace_s));
+    const TimePoint deadline = now + std::max(grace - kStopMargin, grace / 2);
+    election_.Resign();
+    Elect();
+    proxy_.Stop(std::min(now + kAcceptWhileStopping, deadline), deadline,
+                [done = std::move(done)] {
+                  Log(LogLevel::kInfo, "stopped", {});
+                  done();
+                });
+  }
+
+ private:
+  // Ready: it can tell which requests are allowed, and is not leaving.
+  [[nodiscard]] bool IsReady() const {
+    return state_->routes != nullptr && servers_known_ && !state_->stopping;
+  }
+
+  OperatorReply Metrics() {
+    EntryMetrics& metrics = state_->metrics;
+    metrics.Set("in_flight", static_cast<std::int64_t>(state_->in_flight));
+    metrics.Set("members", state_->members());
+    metrics.Set("leading", election_.IsLeader(loop_.Now()) ? 1 : 0);
+    metrics.Set("leader_epoch",
+                static_cast<std::int64_t>(election_.record().epoch.value()));
+    metrics.Set("store_lost", health_.lost() ? 1 : 0);
+    metrics.Set("store_calls",
+                static_cast<std::int64_t>(platform_.store_calls()));
+    metrics.Set("servers",
+                static_cast<std::int64_t>(state_->directory.servers().size()));
+    metrics.Set("config_version",
+                state_->routes ? static_cast<std::int64_t>(
+                                     state_->routes->config().version)
+                               : 0);
+    return {200, "text/plain", metrics.Text()};
+  }
+
+  void OnConfig(const std::vector<platform::Object>& objects) {
+    for (const platform::Object& it : objects) {
+      if (it.name != "main" || it.deleted) {
+        continue;
+      }
+      std::string why;
+      auto config = platform::DecodeRoutingConfig(it.content(), &why);
+      if (!config) {
+        Log(LogLevel::kError, "config_unusable",
+            {{"revision", it.revision}, {"why", why}});
+        continue;
+      }
+      const std::uint64_t present =
+          state_->routes ? state_->routes->config().version : 0;
+      if (state_->routes && config->version <= present) {
+        continue;
+      }
+      Log(LogLevel::kInfo, "config_in_force",
+          {{"version", config->version},
+           {"before", present},
+           {"revision", it.revision},
+           {"routes", config->routes.size()}});
+      state_->routes = std::make_shared<routing::HostRoutes>(
+          std::make_shared<const routing::RoutingConfig>(*std::move(config)),
+          self_.life.value());
+    }
+    assignment_.Run();
+  }
+
+  // Puts the entry into the directory; one that cannot be used is taken out.
+  void PutServer(const platform::Object& object) {
+    std::string why;
+    const TimePoint now = loop_.Now();
+    const auto server =
+        platform::DecodeServer(object.name, object.whole, now, &why);
+    if (!server) {
+      Log(LogLevel::kWarning, "server_entry_unusable",
+          {{"server", object.name}, {"why", why}});
+      state_->directory.Remove(ServerId(object.name), now);
+      return;
+    }
+    const routing::BackendServer* before = state_->directory.Find(server->id);
+    if (before == nullptr || before->draining != server->draining ||
+        before->incarnation != server->incarnation ||
+        before->address != server->address) {
+      Log(LogLevel::kInfo, "server",
+          {{"server", object.name},
+           {"service", server->service},
+           {"address", server->address},
+           {"draining", server->draining},
+           {"life", server->incarnation.value()},
+           {"revision", object.revision}});
+    }
+    state_->directory.Put(*server);
+  }
+
+  void OnServerList(const std::vector<platform::Object>& objects) {
+    std::vector<ServerId> present;
+    for (const platform::Object& it : objects) {
+      if (it.deleted) {
+        continue;
+      }
+      present.emplace_back(it.name);
+      PutServer(it);
+    }
+    state_->directory.RemoveOthers(present, loop_.Now());
+    servers_known_ = true;
+    OnServersChanged();
+  }
+
+  void OnServerEvents(const std::vector<platform::Object>& objects) {
+    for (const platform::Object& it : objects) {
+      if (!it.deleted) {
+        PutServer(it);
+        continue;
+      }
+      Log(LogLevel::kInfo, "server_removed",
+          {{"server", it.name}, {"revision", it.revision}});
+      state_->directory.Remove(ServerId(it.name), loop_.Now());
+    }
+    OnServersChanged();
+  }
+
+  void OnServersChanged() {
+    state_->ForgetAbsentServers();
+    assignment_.Run();
+    state_->held.WakeAll();
+  }
+
+  void OnTables(const std::vector<platform::Object>& objects) {
+    bool changed = false;
+    for (const platform::Object& it : objects) {
+      if (it.deleted) {
+        continue;
+      }
+      auto table = keyspace::DecodeTable(it.content());
+      if (!table) {
+        Log(LogLevel::kError, "table_unreadable",
+            {{"service", it.name}, {"revision", it.revision}});
+        continue;
+      }
+      changed = state_->ownership.Put(it.name, it.revision,
+                                      *std::move(table)) ||
+                changed;
+    }
+    if (changed) {
+      state_->held.WakeAll();
+    }
+  }
+
+  void OnStoreChange(bool lost) {
+    if (lost) {
+      Log(LogLevel::kWarning, "store_lost", {});
+      state_->directory.OnStoreLost();
+    } else {
+      state_->directory.OnStoreBack(loop_.Now());
+    }
+  }
+
+  void OnNews() {
+    state_->SetMembers(link_.members());
+    if (!election_timer_.deadline()) {
+      Elect();
+    }
+  }
+
+  void Housekeep() {
+    const TimePoint now = loop_.Now();
+    housekeeping_.Set(now + kHousekeepingPeriod);
+    if (state_->directory.Expire(now)) {
+      OnServersChanged();
+    }
+    if (const auto dropped = state_->log_budget.TakeDropped(); dropped > 0) {
+      Log(LogLevel::kWarning, "log_lines_dropped", {{"lines", dropped}});
+    }
+    if (!election_timer_.deadline()) {
+      Elect();
+    }
+    state_->SetMembers(link_.members());
+  }
+
+  // Makes the store call that the election wants, if any.
+  void Elect() {
+    const auto call = election_.Poll(loop_.Now());
+    if (!call) {
+      return;
+    }
+    const auto on_reply = [this](const platform::ObjectReply& reply) {
+      std::optional<LeaderRecord> record;
+      if (reply.object) {
+        record = DecodeLeader(reply.object->content());
+      }
+      const TimePoint now = loop_.Now();
+      const bool led = election_.IsLeader(now);
+      election_.OnReply(OutcomeOf(reply.status), record,
+                        reply.object ? reply.object->revision : 0, now);
+      if (led != election_.IsLeader(now)) {
+        Log(LogLevel::kInfo, led ? "lead_lost" : "lead_taken",
+            {{"epoch", election_.record().epoch.value()},
+             {"leader", election_.record().leader.name}});
+      }
+      if (election_.resigned()) {
+        link_.AnnounceResignation();
+      }
+      assignment_.Run();
+      Elect();
+    };
+    const TimePoint deadline = loop_.Now() + kElectionTimeout;
+    const auto kind = platform::ObjectKind::kLeadership;
+    switch (call->kind) {
+      case ElectionCall::Kind::kRead:
+        platform_.Read(kind, kLeaderObject, deadline, on_reply);
+        break;
+      case ElectionCall::Kind::kCreate:
+        platform_.Create(kind, kLeaderObject, EncodeLeader(call->record),
+                         deadline, on_reply);
+        break;
+      case ElectionCall::Kind::kReplace:
+        platform_.Replace(kind, kLeaderObject, call->revision,
+                          EncodeLeader(call->record), deadline, on_reply);
+        break;
+    }
+  }
+
+  const settings::EntryDaemonT settings_;
+  net::EventLoop loop_;
+  platform::PlatformClient platform_;
+  StoreHealth health_;
+  std::shared_ptr<EntryState> state_;
+  EntryProxy proxy_;
+  const Member self_;
+  LeaderElection election_;
+  MemberLink link_;
+  KeyAssignment assignment_;
+  StoreWatcher config_watcher_;
+  StoreWatcher server_watcher_;
+  StoreWatcher ownership_watcher_;
+  OperatorServer ready_server_;
+  OperatorServer metrics_server_;
+  net::DeadlineTimer housekeeping_;
+  net::DeadlineTimer election_timer_;
+  bool servers_known_ = false;
+};
+
+EntryDaemon::EntryDaemon(const settings::EntryDaemonT& settings)
+    : impl_(std::make_unique<Impl>(settings)) {}
+
+EntryDaemon::~EntryDaemon() = default;
+
+boost::leaf::result<void> EntryDaemon::Start() {
+  return impl_->Start();
+}
+
+void EntryDaemon::Stop(std::function<void()> done) {
+  impl_->Stop(std::move(done));
+}
+
+}  // namespace gentianreach::entry
--- /dev/null
+++ b/src/entry/entry_proxy.cc
@@ -0,0 +1,147 @@
+#include "entry/entry_proxy.h"
+
+#include <chrono>
+#include <utility>
+
+#include "base/log.h"
+#include "entry/entry_request.h"
+
+namespace gentianreach::entry {
+namespace {
+
+// Callers' connections that one daemon takes; the descriptors of an entry VM
+// allow about twice as many.
+constexpr std::size_t kMostCallers = 2000;
+// How often a stopping daemon looks whether it may end.
+constexpr Duration kStopCheckPeriod = std::chrono::milliseconds(100);
+
+// Ties a connection to the request that it carries.
+class CallerSession : public std::enable_shared_from_this<CallerSession> {
+ public:
+  CallerSession(std::shared_ptr<EntryState> state,
+                std::shared_ptr<proxy::CallerConnection> connection)
+      : state_(std::move(state)), connection_(std::move(connection)) {}
+
+  void Start(std::function<void(proxy::CallerConnection*)> on_closed) {
+    on_closed_ = std::move(on_closed);
+    connection_->Start(
+        [self = shared_from_this()](proxy::CallerEvent event) {
+          self->OnEvent(event);
+        });
+  }
+
+ private:
+  void OnEvent(proxy::CallerEvent event) {
+    if (event == proxy::CallerEvent::kClosed) {
+      on_closed_(connection_.get());
+      return;
+    }
+    const bool in_request = request_ && !request_->done();
+    if (event == proxy::CallerEvent::kHead ||
+        (event == proxy::CallerEvent::kRefused && !in_request)) {
+      request_ = std::make_shared<EntryRequest>(state_, connection_);
+    } else if (!in_request) {
+      return;
+    }
+    // A later request may take this one's place during the call.
+    const auto request = request_;
+    request->OnCallerEvent(event);
+  }
+
+  std::shared_ptr<EntryState> state_;
+  std::shared_ptr<proxy::CallerConnection> connection_;
+  std::shared_ptr<EntryRequest> request_;
+  std::function<void(proxy::CallerConnection*)> on_closed_;
+};
+
+}  // namespace
+
+EntryProxy::EntryProxy(std::shared_ptr<EntryState> state)
+    : state_(std::move(state)),
+      stop_timer_(state_->loop, [this] { CheckStopped(); }) {}
+
+EntryProxy::~EntryProxy() {
+  CloseListener();
+  const Callers callers = *callers_;
+  for (const auto& [key, it] : callers) {
+    it->Abort();
+  }
+}
+
+boost::leaf::result<void> EntryProxy::Listen(const std::string& address) {
+  BOOST_LEAF_AUTO(listener, net::TcpSocket::Listen(address, false));
+  listener_ = std::move(listener);
+  listener_watch_ = state_->loop.Watch(
+      listener_.fd(), [this](net::ReadyEvents) { Accept(); });
+  return {};
+}
+
+void EntryProxy::Accept() {
+  while (auto socket = listener_.Accept()) {
+    if (callers_->size() >= kMostCallers) {
+      state_->metrics.Count("callers_turned_away_total");
+      socket->Close();
+      continue;
+    }
+    routing::CallerLimits limits;
+    if (state_->routes) {
+      limits = state_->routes->config().limits;
+    }
+    auto connection = std::make_shared<proxy::CallerConnection>(
+        state_->loop, std::move(*socket), limits.max_header_bytes,
+        proxy::CallerTimeouts{.idle = limits.idle_timeout,
+                              .head = limits.header_timeout});
+    callers_->emplace(connection.get(), connection);
+    std::make_shared<CallerSession>(state_, connection)
+        ->Start([callers = callers_](proxy::CallerConnection* it) {
+          callers->erase(it);
+        });
+  }
+}
+
+void EntryProxy::CloseListener() {
+  if (!listener_.is_open()) {
+    return;
+  }
+  state_->loop.Unwatch(listener_watch_, listener_.fd());
+  listener_.Close();
+}
+
+void EntryProxy::Stop(TimePoint accept_until,
+                      TimePoint deadline,
+                      std::function<void()> done) {
+  state_->stopping = true;
+  accept_until_ = accept_until;
+  stop_deadline_ = deadline;
+  stop_done_ = std::move(done);
+  CheckStopped();
+}
+
+void EntryProxy::CheckStopped() {
+  const TimePoint now = state_->loop.Now();
+  if (now >= accept_until_) {
+    // Those that wait in the listener's queue are taken before it closes.
+    if (listener_.is_open()) {
+      Accept();
+    }
+    CloseListener();
+    const Callers callers = *callers_;
+    for (const auto& [key, it] : callers) {
+      it->CloseIfIdle();
+    }
+  }
+  const bool ended =
+      now >= accept_until_ && (callers_->empty() || state_->in_flight == 0);
+  if (ended || now >= stop_deadline_) {
+    Log(LogLevel::kInfo, "callers_done",
+        {{"in_flight", state_->in_flight}, {"callers", callers_->size()}});
+    const auto done = std::exchange(stop_done_, nullptr);
+    if (done) {
+      done();
+    }
+    return;
+  }
+  stop_timer_.Set(std::min(now + kStopCheckPeriod, stop_deadline_));
+}
+
+}  // namespace gentianreach::entry
--- /dev/null
+++ b/src/entry/entry_proxy.h
@@ -0,0 +1,62 @@
+// Accepts callers and gives each of their requests an EntryRequest.
+#ifndef SRC_ENTRY_ENTRY_PROXY_H_
+#define SRC_ENTRY_ENTRY_PROXY_H_
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+#include <boost/leaf/result.hpp>
+
+#include "entry/entry_state.h"
+#include "gentianreach/time.h"
+#include "net/deadline_timer.h"
+#include "net/event_loop.h"
+#include "net/tcp_socket.h"
+#include "proxy/caller_connection.h"
+
+namespace gentianreach::entry {
+
+class EntryProxy {
+ public:
+  explicit EntryProxy(std::shared_ptr<EntryState> state);
+  ~EntryProxy();
+  EntryProxy(const EntryProxy&) = delete;
+  EntryProxy& operator=(const EntryProxy&) = delete;
+
+  // Starts accepting callers at `address` ("IP:port"). Fails with
+  // net::SocketError.
+  boost::leaf::result<void> Listen(const std::string& address);
+  [[nodiscard]] std::uint16_t port() const { return listener_.port(); }
+
+  // Stops gracefully: callers are still accepted until `accept_until`, since
+  // the balancer learns late; every answer closes its connection. `done` is
+  // called when nothing is left, or at `deadline`.
+  void Stop(TimePoint accept_until,
+            TimePoint deadline,
+            std::function<void()> done);
+
+ private:
+  using Callers =
+      std::unordered_map<proxy::CallerConnection*,
+                         std::shared_ptr<proxy::CallerConnection>>;
+
+  void Accept();
+  void CloseListener();
+  void CheckStopped();
+
+  std::shared_ptr<EntryState> state_;
+  std::shared_ptr<Callers> callers_ = std::make_shared<Callers>();
+  net::TcpSocket listener_;
+  net::EventLoop::WatchId listener_watch_ = 0;
+  net::DeadlineTimer stop_timer_;
+  TimePoint accept_until_{};
+  TimePoint stop_deadline_{};
+  std::function<void()> stop_done_;
+};
+
+}  // namespace gentianreach::entry
+
+#endif  // SRC_ENTRY_ENTRY_PROXY_H_
--- /dev/null
+++ b/src/entry/entry_request.h
@@ -0,0 +1,131 @@
+// One request of a caller at an entry daemon, from its head to its answer.
+#ifndef SRC_ENTRY_ENTRY_REQUEST_H_
+#define SRC_ENTRY_ENTRY_REQUEST_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "entry/entry_state.h"
+#include "entry/request_rules.h"
+#include "gentianreach/verdict.h"
+#include "net/deadline_timer.h"
+#include "proxy/caller_connection.h"
+#include "proxy/server_connection.h"
+#include "proxy/server_pool.h"
+
+namespace gentianreach::entry {
+
+// Finds the route and a server, makes attempts until one is answered or none
+// is allowed any more, and gives the caller a whole answer or a true refusal.
+//
+// The request is read in full before it is sent, and an answer of usual size
+// is held until it is whole: so a broken answer still becomes another attempt
+// or a true status. Keeps itself alive until it is done.
+class EntryRequest : public std::enable_shared_from_this<EntryRequest> {
+ public:
+  EntryRequest(std::shared_ptr<EntryState> state,
+               std::shared_ptr<proxy::CallerConnection> caller);
+  ~EntryRequest();
+  EntryRequest(const EntryRequest&) = delete;
+  EntryRequest& operator=(const EntryRequest&) = delete;
+
+  // Handles one event of the caller's connection.
+  void OnCallerEvent(proxy::CallerEvent event);
+  // Returns whether the request has its answer.
+  [[nodiscard]] bool done() const { return done_; }
+
+ private:
+  // Which server is chosen, or why none is.
+  struct Choice {
+    const routing::BackendServer* server = nullptr;
+    Reason reason = Reason::kNone;
+    // When another try is likely to succeed; where there is no server.
+    Duration retry_after{};
+    // The owner of the key is about to change: wait for it.
+    bool wait = false;
+  };
+
+  void OnHead();
+  void OnBody();
+  void OnBodyEnd();
+  void OnRefused();
+  void OnDeadline();
+
+  void Attempt();
+  [[nodiscard]] Choice ChooseOwner();
+  [[nodiscard]] Choice ChooseAny();
+  [[nodiscard]] Choice Admit(const routing::BackendServer& server) const;
+  void HoldForOwner(const Choice& choice);
+  void StopWaiting();
+
+  void Send(const routing::BackendServer& server);
+  [[nodiscard]] std::string BuildRequest(
+      const routing::BackendServer& server) const;
+  void OnServerEvent(proxy::ServerEvent event);
+  void OnAnswerHead();
+  void OnAnswerBody();
+  void OnAnswerEnd();
+  void OnNotRun(const http::MessageHead& head);
+  void OnConnectionFailed();
+  void OnSilence();
+  void EndAttempt(AttemptResult result);
+
+  // Makes another attempt where that is allowed, or ends the request.
+  void RetryOrEnd(bool sent, Reason reason, Duration retry_after);
+  [[nodiscard]] bool MayRetry(bool sent);
+  void Deliver();
+  void CommitAnswer();
+  void End(int status, Reason reason, Duration retry_after);
+  void Finish(int status, std::string_view outcome);
+  [[nodiscard]] bool KeepsAlive() const;
+  [[nodiscard]] Duration TimeLeft() const;
+
+  std::shared_ptr<EntryState> state_;
+  std::shared_ptr<proxy::CallerConnection> caller_;
+  // Keeps the configuration that the request began with.
+  std::shared_ptr<routing::HostRoutes> routes_;
+  const routing::Route* route_ = nullptr;
+  const routing::Service* service_ = nullptr;
+  std::string id_;
+  std::string body_;
+  std::optional<std::uint32_t> key_;
+  Fingerprint fingerprint_;
+  TimePoint started_;
+  TimePoint deadline_;
+  bool done_ = false;
+
+  // The current attempt.
+  std::shared_ptr<proxy::ServerPool> pool_;
+  std::shared_ptr<proxy::ServerConnection> connection_;
+  ServerId server_;
+  TimePoint attempt_started_;
+  std::optional<LoadReport> report_;
+  int skipped_answers_ = 0;
+  net::DeadlineTimer silence_timer_;
+
+  // Earlier attempts.
+  std::vector<ServerId> tried_;
+  std::uint32_t attempts_ = 0;
+  std::uint32_t failed_connects_ = 0;
+  // A server may have begun to run it.
+  bool may_have_run_ = false;
+
+  // Waiting for an owner.
+  std::uint64_t hold_ = 0;
+  net::DeadlineTimer hold_timer_;
+  TimePoint hold_until_{};
+
+  // The answer.
+  std::string answer_body_;
+  http::MessageHead answer_head_;
+  bool committed_ = false;
+};
+
+}  // namespace gentianreach::entry
+
+#endif  // SRC_ENTRY_ENTRY_REQUEST_H_
--- /dev/null
+++ b/src/entry/entry_settings.cc
@@ -0,0 +1,66 @@
+#include "entry/entry_settings.h"
+
+#include <optional>
+#include <string>
+
+#include "base/log.h"
+#include "settings/builder.h"
+#include "settings/document.h"
+#include "settings/schema.h"
+#include "settings/section_checker.h"
+
+namespace gentianreach::entry {
+namespace {
+
+constexpr std::string_view kSection = "entry";
+
+void Check(const settings::EntryDaemonT& entry, settings::SectionChecker& checker) {
+  checker.Require("name", entry.name);
+  checker.Require("zone", entry.zone);
+  checker.RequireAddress("caller_address", entry.caller_address);
+  checker.RequireAddress("ready_address", entry.ready_address);
+  checker.RequireAddress("member_address", entry.member_address);
+  checker.RequireAddress("store_address", entry.store_address);
+  if (!entry.metrics_address.empty()) {
+    checker.RequireAddress("metrics_address", entry.metrics_address);
+  }
+  if (!ParseLogLevel(entry.log_level).has_value()) {
+    checker.Report("log_level",
+                   "expected debug, info, warning or error, not \"" +
+                       entry.log_level + "\"");
+  }
+}
+
+}  // namespace
+
+EntrySettingsResult LoadEntrySettings(std::string_view text,
+                                      std::string_view file) {
+  EntrySettingsResult result;
+  const auto doc = settings::Document::Parse(text, file, &result.errors);
+  const settings::Section section = settings::EntrySection();
+  for (const settings::Branch& it : doc.branches()) {
+    const bool known = settings::RootOf(it.path) == kSection;
+    settings::CheckBranch(doc, it,
+                          known ? std::optional(section) : std::nullopt,
+                          {std::string(kSection)}, &result.errors);
+  }
+  auto entry = settings::Build<settings::EntryDaemon>(
+      section, settings::ValuesOf(doc, section, kSection));
+  if (entry->ready_path.empty()) {
+    entry->ready_path = "/ready";
+  }
+  if (entry->metrics_path.empty()) {
+    entry->metrics_path = "/metrics";
+  }
+  if (entry->log_level.empty()) {
+    entry->log_level = "info";
+  }
+  settings::SectionChecker checker(doc, kSection, &result.errors);
+  Check(*entry, checker);
+  if (result.errors.empty()) {
+    result.entry = std::move(entry);
+  }
+  return result;
+}
+
+}  // namespace gentianreach::entry
--- /dev/null
+++ b/src/entry/entry_state.cc
@@ -0,0 +1,88 @@
+#include "entry/entry_state.h"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+namespace gentianreach::entry {
+namespace {
+
+// The part of the allowed repeats that is used: requests differ between
+// daemons and windows.
+constexpr double kBudgetShare = 0.75;
+// Connections to a server opened in vain block no request for longer.
+constexpr Duration kConnectTimeout = std::chrono::milliseconds(300);
+// How long an unused connection is kept where the server does not say.
+constexpr Duration kIdleTimeout = std::chrono::seconds(8);
+// Connections that each daemon may open to a server at least.
+constexpr std::size_t kLeastConnections = 2;
+// The part of a server's connections that is used: some are its leader's and
+// of daemons that are being replaced.
+constexpr double kConnectionShare = 0.8;
+
+}  // namespace
+
+EntryState::EntryState(net::EventLoop& loop,
+                       HeaderNames headers,
+                       RetryBounds bounds)
+    : loop(loop), headers(std::move(headers)), bounds_(bounds) {}
+
+RetryBudget& EntryState::Budget(const std::string& service) {
+  const auto found = budgets_.find(service);
+  if (found != budgets_.end()) {
+    return found->second;
+  }
+  const double own_slack =
+      std::max(1.0, bounds_.slack * kBudgetShare / std::max(1U, members_));
+  const RetryBudgetOptions options{.share = bounds_.ratio * kBudgetShare,
+                                   .floor = own_slack / 2,
+                                   .floor_refill = std::chrono::seconds(5),
+                                   .limit = own_slack};
+  return budgets_.emplace(service, RetryBudget(options, loop.Now()))
+      .first->second;
+}
+
+std::size_t EntryState::ConnectionLimit(const std::string& service) const {
+  std::size_t connections = 100;
+  if (routes) {
+    const auto it = routes->config().services.find(service);
+    if (it != routes->config().services.end()) {
+      connections = it->second.max_connections;
+    }
+  }
+  const auto share = static_cast<std::size_t>(
+      static_cast<double>(connections) * kConnectionShare /
+      std::max(1U, members_));
+  return std::max(kLeastConnections, share);
+}
+
+std::shared_ptr<proxy::ServerPool> EntryState::Pool(
+    const routing::BackendServer& server) {
+  PoolEntry& entry = pools_[server.id];
+  if (!entry.pool || entry.address != server.address) {
+    if (entry.pool) {
+      entry.pool->CloseIdle();
+    }
+    entry.address = server.address;
+    entry.pool = std::make_shared<proxy::ServerPool>(
+        loop, server.address, std::nullopt,
+        proxy::ServerConnectionOptions{.connect_timeout = kConnectTimeout,
+                                       .idle_timeout = kIdleTimeout,
+                                       .accept_until_end = true});
+  }
+  entry.pool->SetLimit(ConnectionLimit(server.service));
+  return entry.pool;
+}
+
+void EntryState::ForgetAbsentServers() {
+  std::erase_if(pools_, [&](auto& it) {
+    if (directory.Find(it.first) != nullptr) {
+      return false;
+    }
+    it.second.pool->CloseIdle();
+    loads.Forget(it.first);
+    return true;
+  });
+}
+
+}  // namespace gentianreach::entry
--- /dev/null
+++ b/src/entry/entry_state.h
@@ -0,0 +1,88 @@
+// What the requests of one entry daemon share. Owned by one loop.
+#ifndef SRC_ENTRY_ENTRY_STATE_H_
+#define SRC_ENTRY_ENTRY_STATE_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+#include "entry/crash_watch.h"
+#include "entry/entry_metrics.h"
+#include "entry/header_names.h"
+#include "entry/log_budget.h"
+#include "entry/ownership_view.h"
+#include "entry/server_directory.h"
+#include "entry/server_loads.h"
+#include "keyspace/key_load.h"
+#include "net/event_loop.h"
+#include "policy/retry_budget.h"
+#include "proxy/proxy_state.h"
+#include "proxy/server_pool.h"
+#include "routing/host_routes.h"
+
+namespace gentianreach::entry {
+
+// Bounds that the operators set for repeated requests.
+struct RetryBounds {
+  // Repeats of all daemons together per request of a service.
+  double ratio = 0.2;
+  // Repeats of all daemons together that a service always has, per window.
+  double slack = 50;
+};
+
+class EntryState {
+ public:
+  EntryState(net::EventLoop& loop, HeaderNames headers, RetryBounds bounds);
+  EntryState(const EntryState&) = delete;
+  EntryState& operator=(const EntryState&) = delete;
+
+  // Returns the retry budget of a service at this daemon.
+  RetryBudget& Budget(const std::string& service);
+  // Returns the connections to a server, or null where it is not known.
+  std::shared_ptr<proxy::ServerPool> Pool(const routing::BackendServer& server);
+  // Forgets servers that have gone, once their requests are done.
+  void ForgetAbsentServers();
+  // Returns the load counts of a keyed service.
+  keyspace::KeyLoad& Load(const std::string& service) {
+    return key_loads_[service];
+  }
+  // Sets the number of daemons that share the servers and the budgets.
+  void SetMembers(std::uint32_t members) { members_ = members; }
+  [[nodiscard]] std::uint32_t members() const { return members_; }
+
+  net::EventLoop& loop;
+  const HeaderNames headers;
+  // Null until a configuration is known.
+  std::shared_ptr<routing::HostRoutes> routes;
+  ServerDirectory directory;
+  ServerLoads loads;
+  OwnershipView ownership;
+  CrashWatch crashes;
+  // Requests that wait for a change of owner.
+  proxy::HoldLine held;
+  EntryMetrics metrics;
+  LogBudget log_budget;
+  std::size_t in_flight = 0;
+  bool stopping = false;
+
+ private:
+  struct PoolEntry {
+    std::string address;
+    std::shared_ptr<proxy::ServerPool> pool;
+  };
+
+  [[nodiscard]] std::size_t ConnectionLimit(const std::string& service) const;
+
+  const RetryBounds bounds_;
+  std::uint32_t members_ = 1;
+  std::map<std::string, RetryBudget> budgets_;
+  std::map<std::string, keyspace::KeyLoad> key_loads_;
+  std::unordered_map<ServerId, PoolEntry> pools_;
+};
+
+}  // namespace gentianreach::entry
+
+#endif  // SRC_ENTRY_ENTRY_STATE_H_
--- /dev/null
+++ b/src/entry/key_assignment.cc
@@ -0,0 +1,283 @@
+#include "entry/key_assignment.h"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+#include <variant>
+
+#include "base/log.h"
+
+namespace gentianreach::entry {
+namespace {
+
+using std::chrono::milliseconds;
+
+// Time for the store's answer to a read or write of a table.
+constexpr Duration kStoreTimeout = milliseconds(1500);
+// Pause after a store call that failed.
+constexpr Duration kStorePause = milliseconds(400);
+
+std::string Describe(const keyspace::KeyRange& range) {
+  return std::to_string(range.first) + "-" + std::to_string(range.last);
+}
+
+const char* Describe(platform::OrderStatus status) {
+  switch (status) {
+    case platform::OrderStatus::kDone:
+      return "done";
+    case platform::OrderStatus::kHigherToken:
+      return "higher_token";
+    case platform::OrderStatus::kRefused:
+      return "refused";
+    case platform::OrderStatus::kNobodyThere:
+      return "nobody_there";
+    case platform::OrderStatus::kUnknown:
+      return "unknown";
+  }
+  return "";
+}
+
+keyspace::OrderOutcome OutcomeOf(platform::OrderStatus status) {
+  switch (status) {
+    case platform::OrderStatus::kDone:
+      return keyspace::OrderOutcome::kDone;
+    case platform::OrderStatus::kHigherToken:
+      return keyspace::OrderOutcome::kHigherToken;
+    case platform::OrderStatus::kRefused:
+    case platform::OrderStatus::kNobodyThere:
+      return keyspace::OrderOutcome::kRefused;
+    case platform::OrderStatus::kUnknown:
+      return keyspace::OrderOutcome::kUnknown;
+  }
+  return keyspace::OrderOutcome::kUnknown;
+}
+
+}  // namespace
+
+KeyAssignment::KeyAssignment(EntryState& state,
+                             LeaderElection& election,
+                             platform::PlatformClient& platform,
+                             keyspace::AssignerOptions options)
+    : state_(state),
+      election_(election),
+      platform_(platform),
+      options_(options),
+      timer_(state.loop, [this] { Run(); }) {}
+
+void KeyAssignment::Run() {
+  if (running_) {
+    return;
+  }
+  const TimePoint now = state_.loop.Now();
+  if (!election_.IsLeader(now)) {
+    services_.clear();
+    return;
+  }
+  if (!state_.routes) {
+    return;
+  }
+  running_ = true;
+  for (const auto& [name, it] : state_.routes->config().services) {
+    if (!it.keyed) {
+      continue;
+    }
+    auto found = services_.find(name);
+    if (found == services_.end()) {
+      found = services_.emplace(name, Service(options_)).first;
+      found->second.term = ++last_term_;
+    }
+    RunService(name, found->second);
+  }
+  running_ = false;
+}
+
+void KeyAssignment::RunService(const std::string& name, Service& service) {
+  const TimePoint now = state_.loop.Now();
+  if (!service.begun) {
+    if (!service.reading && now >= service.next_read) {
+      ReadTable(name, service);
+    } else if (!service.reading) {
+      timer_.Set(service.next_read);
+    }
+    return;
+  }
+  keyspace::KeyLoad& load = state_.Load(name);
+  load.Decay(now);
+  if (election_.others_until() <= now) {
+    service.assigner.OnOthersEnded(election_.others_until());
+  }
+  service.assigner.SetServers(Servers(name), now);
+  for (const auto& it : service.assigner.Poll(load, now)) {
+    if (const auto* write = std::get_if<keyspace::WriteTable>(&it)) {
+      WriteTable(name, service, write->table);
+    } else {
+      SendOrder(name, service, std::get<keyspace::SendOrder>(it));
+    }
+  }
+  const TimePoint wake = service.assigner.NextWake();
+  if (!timer_.deadline() || wake < *timer_.deadline()) {
+    timer_.Set(wake);
+  }
+}
+
+std::vector<keyspace::AssignerServer> KeyAssignment::Servers(
+    const std::string& service) const {
+  std::vector<keyspace::AssignerServer> servers;
+  for (const auto& [id, it] : state_.directory.servers()) {
+    if (it.service != service) {
+      continue;
+    }
+    servers.push_back({.id = id,
+                       .incarnation = it.incarnation,
+                       .address = it.address,
+                       .draining = it.draining,
+                       .capacity = state_.loads.Capacity(it)});
+  }
+  return servers;
+}
+
+KeyAssignment::Service* KeyAssignment::Find(const std::string& name,
+                                            std::uint64_t term) {
+  const auto it = services_.find(name);
+  return it == services_.end() || it->second.term != term ? nullptr
+                                                          : &it->second;
+}
+
+void KeyAssignment::ReadTable(const std::string& name, Service& service) {
+  service.reading = true;
+  platform_.Read(
+      platform::ObjectKind::kOwnership, name,
+      state_.loop.Now() + kStoreTimeout,
+      [this, name, term = service.term](const platform::ObjectReply& reply) {
+        Service* service = Find(name, term);
+        if (service == nullptr) {
+          return;
+        }
+        const TimePoint now = state_.loop.Now();
+        service->reading = false;
+        if (reply.status != platform::CallStatus::kOk &&
+            reply.status != platform::CallStatus::kAbsent) {
+          Log(LogLevel::kWarning, "table_not_read",
+              {{"service", name}, {"error", reply.error}});
+          service->next_read = now + kStorePause;
+          Run();
+          return;
+        }
+        std::optional<keyspace::OwnershipTable> table;
+        service->revision = 0;
+        if (reply.object) {
+          table = keyspace::DecodeTable(reply.object->content());
+          service->revision = reply.object->revision;
+          if (!table) {
+            Log(LogLevel::kError, "table_unreadable",
+                {{"service", name}, {"revision", service->revision}});
+            service->next_read = now + kStorePause;
+            Run();
+            return;
+          }
+          if (state_.ownership.Put(name, service->revision, *table) &&
+              on_table) {
+            on_table();
+          }
+        }
+        Log(LogLevel::kInfo, "assigner_begins",
+            {{"service", name},
+             {"epoch", election_.record().epoch.value()},
+             {"revision", service->revision}});
+        service->begun = true;
+        service->assigner.Begin(std::move(table), election_.others_until(),
+                                now);
+        Run();
+      });
+}
+
+void KeyAssignment::WriteTable(const std::string& name,
+                               Service& service,
+                               const keyspace::OwnershipTable& table) {
+  const auto on_reply = [this, name, table, term = service.term](
+                            const platform::ObjectReply& reply) {
+    Service* service = Find(name, term);
+    if (service == nullptr) {
+      return;
+    }
+    const TimePoint now = state_.loop.Now();
+    if (reply.status == platform::CallStatus::kOk) {
+      service->revision = reply.object->revision;
+      service->assigner.OnWritten(now);
+      Log(LogLevel::kInfo, "table_written",
+          {{"service", name},
+           {"revision", service->revision},
+           {"ranges", table.ranges.size()},
+           {"moving", std::count_if(table.ranges.begin(), table.ranges.end(),
+                                    [](const auto& it) {
+                                      return it.moving();
+                                    })}});
+      if (state_.ownership.Put(name, service->revision, table) && on_table) {
+        on_table();
+      }
+      Run();
+      return;
+    }
+    Log(LogLevel::kWarning, "table_not_written",
+        {{"service", name},
+         {"status", static_cast<int>(reply.status)},
+         {"error", reply.error}});
+    service->assigner.OnWriteFailed(now + kStorePause);
+    if (reply.status != platform::CallStatus::kUnavailable) {
+      // Another leader has written, or this write may have taken effect.
+      if (reply.status == platform::CallStatus::kConflict) {
+        election_.OnDoubt(now);
+      }
+      service->begun = false;
+      service->next_read = now + kStorePause / 4;
+    }
+    Run();
+  };
+  const auto content = keyspace::EncodeTable(table);
+  const TimePoint deadline = state_.loop.Now() + kStoreTimeout;
+  if (service.revision == 0) {
+    platform_.Create(platform::ObjectKind::kOwnership, name, content, deadline,
+                     on_reply);
+  } else {
+    platform_.Replace(platform::ObjectKind::kOwnership, name, service.revision,
+                      content, deadline, on_reply);
+  }
+}
+
+void KeyAssignment::SendOrder(const std::string& name,
+                              Service& service,
+                              const keyspace::SendOrder& order) {
+  const bool grant = order.kind == keyspace::SendOrder::Kind::kGrant;
+  const auto on_reply = [this, name, order, grant, term = service.term](
+                            const platform::OrderReply& reply) {
+    Service* service = Find(name, term);
+    if (service == nullptr) {
+      return;
+    }
+    if (!grant || reply.status != platform::OrderStatus::kDone) {
+      Log(LogLevel::kInfo, "order",
+          {{"kind", grant ? "grant" : "release"},
+           {"service", name},
+           {"server", order.server.value()},
+           {"keys", Describe(order.range)},
+           {"token", order.token.value()},
+           {"outcome", Describe(reply.status)},
+           {"error", reply.error}});
+    }
+    service->assigner.OnOrderReply(order.order, OutcomeOf(reply.status),
+                                   reply.handover, state_.loop.Now());
+    Run();
+  };
+  state_.metrics.Count("orders_total",
+                       grant ? "kind=\"grant\"" : "kind=\"release\"");
+  if (grant) {
+    platform_.Grant(order.address,
+                    {order.range, order.token, order.lease, order.handover},
+                    order.deadline, on_reply);
+  } else {
+    platform_.Release(order.address, order.range, order.token, order.deadline,
+                      on_reply);
+  }
+}
+
+}  // namespace gentianreach::entry
--- /dev/null
+++ b/src/entry/leader_election.h
@@ -0,0 +1,132 @@
+// Elects one daemon that assigns keys, by a conditional update in the store.
+#ifndef SRC_ENTRY_LEADER_ELECTION_H_
+#define SRC_ENTRY_LEADER_ELECTION_H_
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <string>
+
+#include "gentianreach/ids.h"
+#include "gentianreach/time.h"
+
+namespace gentianreach::entry {
+
+// One life of a daemon.
+struct Member {
+  std::string name;
+  Incarnation life;
+  std::string address;  // "IP:port" for messages between daemons.
+
+  bool operator==(const Member&) const = default;
+};
+
+// The store's record of who leads. An empty name: nobody does.
+struct LeaderRecord {
+  Epoch epoch;
+  Member leader;
+
+  bool operator==(const LeaderRecord&) const = default;
+};
+
+struct ElectionOptions {
+  // How long a leader acts without proof from the store that it still leads.
+  // Bridges an outage of the store, during which nobody else can be elected.
+  std::chrono::milliseconds authority{15000};
+  // How often the leader asks the store for that proof.
+  std::chrono::milliseconds verify_period{4000};
+  // Silence of the leader after which the first in line takes its place.
+  std::chrono::milliseconds silence{1500};
+  // How much longer each further one in line waits.
+  std::chrono::milliseconds rank_delay{700};
+  // Pause after a store call that failed, doubled up to the longest one.
+  std::chrono::milliseconds first_pause{250};
+  std::chrono::milliseconds longest_pause{2000};
+};
+
+// A store call that the election wants made.
+struct ElectionCall {
+  enum class Kind : std::uint8_t { kRead, kCreate, kReplace };
+  Kind kind = Kind::kRead;
+  LeaderRecord record;          // Writes: what to write.
+  std::uint64_t revision = 0;   // kReplace: the revision it must have.
+};
+
+// How a store call ended.
+enum class ElectionOutcome : std::uint8_t {
+  kOk,
+  kAbsent,
+  kConflict,
+  kUnavailable,
+  kUnknown,
+};
+
+// Decides when to take the lead and when to leave it. Knows no clock, store or
+// network.
+//
+// Two daemons may believe for a while that they lead: the store's conditional
+// updates and the tokens of the grants make that harmless. A new leader is told
+// until when the one before may still act (others_until()).
+class LeaderElection {
+ public:
+  LeaderElection(Member self, ElectionOptions options);
+
+  // Returns the call to make now, if any; report its end by OnReply(). One
+  // call is under way at a time.
+  [[nodiscard]] std::optional<ElectionCall> Poll(TimePoint now);
+  // `record` and `revision` are what the store has, where known.
+  void OnReply(ElectionOutcome outcome,
+               const std::optional<LeaderRecord>& record,
+               std::uint64_t revision,
+               TimePoint now);
+
+  // The leader of `epoch` was heard; `rank` is this daemon's place in line.
+  void OnLeaderHeard(Epoch epoch, std::uint32_t rank, TimePoint now);
+  // Somebody has seen a later epoch, or the leader has stepped down: read the
+  // store soon.
+  void OnDoubt(TimePoint now);
+  // Another life of a daemon has been heard: the former leader, if it was an
+  // earlier life, has ended.
+  void OnLife(const std::string& name, Incarnation life, TimePoint now);
+  // Begins to leave the lead, so that another takes it at once.
+  void Resign() { resigning_ = true; }
+
+  // Returns whether this daemon leads and may act on it.
+  [[nodiscard]] bool IsLeader(TimePoint now) const;
+  // Returns until when a leader before this one may act.
+  [[nodiscard]] TimePoint others_until() const { return others_until_; }
+  [[nodiscard]] const LeaderRecord& record() const { return record_; }
+  [[nodiscard]] bool resigned() const { return resigned_; }
+
+ private:
+  [[nodiscard]] bool IsSelf(const Member& member) const;
+  void Adopt(const LeaderRecord& record, std::uint64_t revision, TimePoint now);
+  ElectionCall TakeOver();
+
+  const Member self_;
+  const ElectionOptions options_;
+  LeaderRecord record_;
+  std::uint64_t revision_ = 0;
+  bool known_ = false;
+  bool absent_ = false;
+  bool doubted_ = false;
+  bool suspected_ = false;
+  bool resigning_ = false;
+  bool resigned_ = false;
+  std::uint32_t rank_ = 0;
+  std::optional<ElectionCall> in_flight_;
+  TimePoint sent_at_{};
+  TimePoint next_call_{};
+  Duration pause_{};
+  TimePoint heard_at_{};
+  // Where leading: when the last proof of it was asked for.
+  TimePoint verified_at_{};
+  // Whom this daemon has last tried to replace, and, once it leads, the leader
+  // before it whose life has not been seen to end.
+  Member former_;
+  TimePoint others_until_{};
+};
+
+}  // namespace gentianreach::entry
+
+#endif  // SRC_ENTRY_LEADER_ELECTION_H_
--- /dev/null
+++ b/src/entry/member_link.cc
@@ -0,0 +1,177 @@
+#include "entry/member_link.h"
+
+#include <algorithm>
+#include <chrono>
+#include <iterator>
+#include <utility>
+
+namespace gentianreach::entry {
+namespace {
+
+// Three hellos fit into the leader's silence that members bear.
+constexpr Duration kHelloPeriod = std::chrono::milliseconds(500);
+// A member that has not been heard for this time has gone.
+constexpr Duration kMemberSilence = std::chrono::seconds(3);
+
+std::vector<Fingerprint> ToFingerprints(
+    const std::vector<std::uint64_t>& values) {
+  std::vector<Fingerprint> fingerprints;
+  for (const std::uint64_t it : values) {
+    fingerprints.push_back({it});
+  }
+  return fingerprints;
+}
+
+std::vector<std::uint64_t> ToValues(
+    const std::vector<Fingerprint>& fingerprints) {
+  std::vector<std::uint64_t> values;
+  for (const Fingerprint it : fingerprints) {
+    values.push_back(it.value);
+  }
+  return values;
+}
+
+}  // namespace
+
+MemberLink::MemberLink(net::EventLoop& loop,
+                       Member self,
+                       LeaderElection& election,
+                       CrashWatch& crashes)
+    : loop_(loop),
+      self_(std::move(self)),
+      election_(election),
+      crashes_(crashes),
+      socket_(loop),
+      timer_(loop, [this] { Tick(); }) {}
+
+boost::leaf::result<void> MemberLink::Open() {
+  BOOST_LEAF_CHECK(socket_.Open(
+      self_.address, [this](std::span<const std::uint8_t> data) {
+        Receive(data);
+      }));
+  timer_.Set(loop_.Now());
+  return {};
+}
+
+void MemberLink::Tick() {
+  const TimePoint now = loop_.Now();
+  timer_.Set(now + kHelloPeriod);
+  if (!election_.IsLeader(now)) {
+    SendHello();
+    return;
+  }
+  SpreadCrashes(self_.name, crashes_.TakeLosses());
+  std::erase_if(known_, [&](const auto& it) {
+    return it.second.heard_at + kMemberSilence < now;
+  });
+  const auto members = static_cast<std::uint32_t>(known_.size()) + 1;
+  if (std::exchange(members_, members) != members && on_news) {
+    on_news();
+  }
+}
+
+void MemberLink::SendHello() {
+  const LeaderRecord& record = election_.record();
+  if (record.leader.address.empty() || record.leader.name == self_.name) {
+    return;
+  }
+  wire::HelloT hello;
+  hello.name = self_.name;
+  hello.life = self_.life.value();
+  hello.address = self_.address;
+  hello.epoch = record.epoch.value();
+  hello.crashed = ToValues(crashes_.TakeLosses());
+  wire::BodyUnion body;
+  body.Set(std::move(hello));
+  Send(record.leader.address, body);
+}
+
+void MemberLink::Send(const std::string& address, const wire::BodyUnion& body) {
+  flatbuffers::FlatBufferBuilder builder;
+  const auto packed = body.Pack(builder);
+  builder.Finish(wire::CreateDatagram(builder, body.type, packed));
+  socket_.Send(address, {builder.GetBufferPointer(), builder.GetSize()});
+}
+
+void MemberLink::Receive(std::span<const std::uint8_t> data) {
+  flatbuffers::Verifier verifier(data.data(), data.size());
+  if (!verifier.VerifyBuffer<wire::Datagram>(nullptr)) {
+    return;
+  }
+  const auto* datagram = flatbuffers::GetRoot<wire::Datagram>(data.data());
+  if (const auto* hello = datagram->body_as_Hello()) {
+    OnHello(*std::unique_ptr<wire::HelloT>(hello->UnPack()));
+  } else if (const auto* beat = datagram->body_as_LeaderBeat()) {
+    OnBeat(*std::unique_ptr<wire::LeaderBeatT>(beat->UnPack()));
+  }
+  if (on_news) {
+    on_news();
+  }
+}
+
+void MemberLink::OnHello(const wire::HelloT& hello) {
+  const TimePoint now = loop_.Now();
+  election_.OnLife(hello.name, Incarnation(hello.life), now);
+  if (!election_.IsLeader(now)) {
+    return;
+  }
+  if (Epoch(hello.epoch) > election_.record().epoch) {
+    election_.OnDoubt(now);
+    return;
+  }
+  Known& known = known_[hello.name];
+  known.member = {hello.name, Incarnation(hello.life), hello.address};
+  known.heard_at = now;
+  const auto crashed = ToFingerprints(hello.crashed);
+  for (const Fingerprint it : crashed) {
+    crashes_.OnLostElsewhere(it, now);
+  }
+  SpreadCrashes(hello.name, crashed);
+  SendBeat(known, false);
+}
+
+void MemberLink::SpreadCrashes(const std::string& from,
+                               const std::vector<Fingerprint>& crashes) {
+  for (auto& [name, it] : known_) {
+    if (name != from) {
+      it.unsent_crashes.insert(it.unsent_crashes.end(), crashes.begin(),
+                               crashes.end());
+    }
+  }
+}
+
+void MemberLink::SendBeat(Known& known, bool resigning) {
+  wire::LeaderBeatT beat;
+  beat.name = self_.name;
+  beat.life = self_.life.value();
+  beat.epoch = election_.record().epoch.value();
+  beat.rank = static_cast<std::uint32_t>(
+      std::distance(known_.begin(), known_.find(known.member.name)));
+  beat.members = static_cast<std::uint32_t>(known_.size()) + 1;
+  beat.resigning = resigning;
+  beat.crashed = ToValues(std::exchange(known.unsent_crashes, {}));
+  wire::BodyUnion body;
+  body.Set(std::move(beat));
+  Send(known.member.address, body);
+}
+
+void MemberLink::OnBeat(const wire::LeaderBeatT& beat) {
+  const TimePoint now = loop_.Now();
+  for (const std::uint64_t it : beat.crashed) {
+    crashes_.OnLostElsewhere({it}, now);
+  }
+  if (beat.resigning) {
+    election_.OnDoubt(now);
+    return;
+  }
+  election_.OnLeaderHeard(Epoch(beat.epoch), beat.rank, now);
+  members_ = std::max(1U, beat.members);
+}
+
+void MemberLink::AnnounceResignation() {
+  for (auto& [name, it] : known_) {
+    SendBeat(it, true);
+  }
+}
+
+}  // namespace gentianreach::entry
--- /dev/null
+++ b/src/entry/member_link.h
@@ -0,0 +1,79 @@
+// Datagrams between the leader and the other daemons.
+#ifndef SRC_ENTRY_MEMBER_LINK_H_
+#define SRC_ENTRY_MEMBER_LINK_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include <boost/leaf/result.hpp>
+
+#include "entry/crash_watch.h"
+#include "entry/leader_election.h"
+#include "entry_generated.h"
+#include "gentianreach/time.h"
+#include "net/deadline_timer.h"
+#include "net/event_loop.h"
+#include "net/udp_socket.h"
+
+namespace gentianreach::entry {
+
+// Lets the daemons know that their leader lives, how many they are, and which
+// requests crash servers.
+//
+// A member says hello to the leader of the store's record every half second;
+// the leader answers each with a beat. Nothing depends on a single datagram.
+class MemberLink {
+ public:
+  MemberLink(net::EventLoop& loop,
+             Member self,
+             LeaderElection& election,
+             CrashWatch& crashes);
+  MemberLink(const MemberLink&) = delete;
+  MemberLink& operator=(const MemberLink&) = delete;
+
+  // Opens the own address. Fails with net::SocketError.
+  boost::leaf::result<void> Open();
+  // Tells all members at once that this leader leaves the lead.
+  void AnnounceResignation();
+
+  // Returns the number of daemons, this one included, as far as known.
+  [[nodiscard]] std::uint32_t members() const { return members_; }
+  // Called when the number has changed or something about the leader was
+  // learnt.
+  std::function<void()> on_news;
+
+ private:
+  // A member as its leader knows it.
+  struct Known {
+    Member member;
+    TimePoint heard_at;
+    std::vector<Fingerprint> unsent_crashes;
+  };
+
+  void Tick();
+  void Receive(std::span<const std::uint8_t> data);
+  void OnHello(const wire::HelloT& hello);
+  void OnBeat(const wire::LeaderBeatT& beat);
+  void SendHello();
+  void SendBeat(Known& known, bool resigning);
+  void Send(const std::string& address, const wire::BodyUnion& body);
+  void SpreadCrashes(const std::string& from,
+                     const std::vector<Fingerprint>& crashes);
+
+  net::EventLoop& loop_;
+  const Member self_;
+  LeaderElection& election_;
+  CrashWatch& crashes_;
+  net::UdpSocket socket_;
+  net::DeadlineTimer timer_;
+  // By name, which gives the order of succession.
+  std::map<std::string, Known> known_;
+  std::uint32_t members_ = 1;
+};
+
+}  // namespace gentianreach::entry
+
+#endif  // SRC_ENTRY_MEMBER_LINK_H_
--- /dev/null
+++ b/src/entry/ownership_view.h
@@ -0,0 +1,54 @@
+// What one daemon knows of who owns which keys.
+#ifndef SRC_ENTRY_OWNERSHIP_VIEW_H_
+#define SRC_ENTRY_OWNERSHIP_VIEW_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <utility>
+
+#include "keyspace/key_load.h"
+#include "keyspace/ownership_table.h"
+
+namespace gentianreach::entry {
+
+class OwnershipView {
+ public:
+  // Takes a table with the store's revision; an older one is ignored. Returns
+  // whether it was newer.
+  bool Put(const std::string& service,
+           std::uint64_t revision,
+           keyspace::OwnershipTable table) {
+    Entry& entry = entries_[service];
+    if (revision <= entry.revision) {
+      return false;
+    }
+    entry.revision = revision;
+    entry.table = std::move(table);
+    return true;
+  }
+
+  // Returns the table of a service, or null where none is known.
+  [[nodiscard]] const keyspace::OwnershipTable* Find(
+      const std::string& service) const {
+    const auto it = entries_.find(service);
+    return it == entries_.end() ? nullptr : &it->second.table;
+  }
+  [[nodiscard]] std::uint64_t revision(const std::string& service) const {
+    const auto it = entries_.find(service);
+    return it == entries_.end() ? 0 : it->second.revision;
+  }
+
+ private:
+  struct Entry {
+    std::uint64_t revision = 0;
+    keyspace::OwnershipTable table;
+  };
+
+  std::map<std::string, Entry> entries_;
+};
+
+}  // namespace gentianreach::entry
+
+#endif  // SRC_ENTRY_OWNERSHIP_VIEW_H_
--- /dev/null
+++ b/src/entry/server_loads.cc
@@ -0,0 +1,165 @@
+#include "entry/server_loads.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <chrono>
+#include <system_error>
+
+namespace gentianreach::entry {
+namespace {
+
+using Seconds = std::chrono::duration<double>;
+
+// Weight of one more sample in the smoothed times and counts.
+constexpr double kLatencyWeight = 0.15;
+constexpr double kOthersWeight = 0.4;
+constexpr double kUsualWeight = 0.02;
+constexpr double kErrorWeight = 0.15;
+// Processing time assumed before any server has answered.
+constexpr double kFirstProcessingS = 0.1;
+// How much slower a server is that has just started.
+constexpr double kColdFactor = 2;
+// First and longest time for which a failing server is avoided.
+constexpr Duration kFirstAvoidance = std::chrono::milliseconds(250);
+constexpr Duration kLongestAvoidance = std::chrono::seconds(2);
+// Failures in a row from which a server is avoided.
+constexpr std::uint32_t kFailuresToAvoid = 2;
+// Requests at a server, as a multiple of its slots, beyond which it may answer
+// nothing any more. Servers queue about four times their slots.
+constexpr double kMostPerSlot = 3.5;
+// The share of failures counts as extra latency up to this factor.
+constexpr double kErrorPenalty = 4;
+
+Duration ToDuration(double seconds) {
+  return std::chrono::duration_cast<Duration>(Seconds(seconds));
+}
+
+}  // namespace
+
+std::optional<LoadReport> ParseLoadReport(std::string_view text) {
+  std::array<std::uint32_t, 3> numbers{};
+  const char* at = text.data();
+  const char* last = text.data() + text.size();
+  for (std::size_t i = 0; i < numbers.size(); ++i) {
+    if (i > 0 && (at == last || *at++ != ',')) {
+      return std::nullopt;
+    }
+    const auto [end, ec] = std::from_chars(at, last, numbers[i]);
+    if (ec != std::errc()) {
+      return std::nullopt;
+    }
+    at = end;
+  }
+  if (at != last) {
+    return std::nullopt;
+  }
+  return LoadReport{numbers[0], numbers[1], numbers[2]};
+}
+
+const ServerLoads::State* ServerLoads::Find(const ServerId& server) const {
+  const auto it = states_.find(server);
+  return it == states_.end() ? nullptr : &it->second;
+}
+
+void ServerLoads::OnSent(const ServerId& server) {
+  ++states_[server].own;
+}
+
+void ServerLoads::OnEnd(const ServerId& server,
+                        AttemptResult result,
+                        Duration latency,
+                        const std::optional<LoadReport>& report,
+                        TimePoint now) {
+  State& state = states_[server];
+  state.own -= state.own > 0 ? 1 : 0;
+  if (report) {
+    const double others =
+        std::max(0.0, static_cast<double>(report->running + report->waiting) -
+                          state.own);
+    state.others += kOthersWeight * (others - state.others);
+  }
+  if (result == AttemptResult::kCancelled) {
+    return;
+  }
+  const bool failed = result != AttemptResult::kAnswered;
+  state.error_share += kErrorWeight * ((failed ? 1 : 0) - state.error_share);
+  if (result == AttemptResult::kAnswered ||
+      result == AttemptResult::kServerError ||
+      result == AttemptResult::kRejected) {
+    state.last_answer = now;
+  }
+  if (result == AttemptResult::kBroken ||
+      result == AttemptResult::kUnreachable) {
+    ++state.failures;
+    if (state.failures >= kFailuresToAvoid) {
+      const auto doublings = std::min(state.failures - kFailuresToAvoid, 8U);
+      state.avoided_until =
+          now + std::min<Duration>(kFirstAvoidance * (1U << doublings),
+                                   kLongestAvoidance);
+    }
+    return;
+  }
+  state.failures = 0;
+  if (result != AttemptResult::kAnswered) {
+    return;
+  }
+  // What waits at the server is not processing: take its part off.
+  const double waiting =
+      report && report->slots > 0
+          ? static_cast<double>(report->waiting) / report->slots
+          : 0;
+  const double sample = Seconds(latency).count() / (1 + waiting);
+  state.processing_s = state.processing_s == 0
+                           ? sample
+                           : state.processing_s +
+                                 kLatencyWeight * (sample - state.processing_s);
+  usual_s_ = usual_s_ == 0 ? sample
+                           : usual_s_ + kUsualWeight * (sample - usual_s_);
+}
+
+double ServerLoads::ProcessingSeconds(const State* state) const {
+  if (state != nullptr && state->processing_s > 0) {
+    return state->processing_s;
+  }
+  return usual_s_ > 0 ? usual_s_ : kFirstProcessingS;
+}
+
+Duration ServerLoads::ProcessingTime(const routing::BackendServer& server,
+                                     TimePoint now) const {
+  const double warm = ProcessingSeconds(Find(server.id));
+  return ToDuration(now < server.warm_at ? warm * kColdFactor : warm);
+}
+
+Duration ServerLoads::ExpectedLatency(const routing::BackendServer& server,
+                                      TimePoint now) const {
+  const State* state = Find(server.id);
+  const double processing = Seconds(ProcessingTime(server, now)).count();
+  const double present = state == nullptr ? 0 : state->own + state->others;
+  const double ahead = std::max(0.0, present + 1 - server.slots);
+  const double penalty =
+      state == nullptr ? 1 : 1 + kErrorPenalty * state->error_share;
+  return ToDuration(processing * (1 + ahead / server.slots) * penalty);
+}
+
+bool ServerLoads::IsAvoided(const ServerId& server, TimePoint now) const {
+  const State* state = Find(server);
+  return state != nullptr && now < state->avoided_until;
+}
+
+bool ServerLoads::HasRoom(const routing::BackendServer& server) const {
+  const State* state = Find(server.id);
+  return state == nullptr ||
+         state->own + state->others + 1 <= kMostPerSlot * server.slots;
+}
+
+double ServerLoads::Capacity(const routing::BackendServer& server) const {
+  return server.slots / ProcessingSeconds(Find(server.id));
+}
+
+TimePoint ServerLoads::last_answer(const ServerId& server) const {
+  const State* state = Find(server);
+  return state == nullptr ? TimePoint{} : state->last_answer;
+}
+
+}  // namespace gentianreach::entry
--- a/src/platform/http_client.cc
+++ b/src/net/http_client.cc
@@ -1,4 +1,4 @@
-#include "platform/http_client.h"
+#include "net/http_client.h"
 
 #include <memory>
 #include <optional>
@@ -18,6 +18,7 @@
   GObjectPtr<SoupMessage> message;
   GObjectPtr<GCancellable> cancellable;
   Timer timer;
+  std::string wanted_header;
   HttpCallback done;
 };
 
@@ -28,7 +29,10 @@
          g_error_matches(&error, G_IO_ERROR, G_IO_ERROR_NETWORK_UNREACHABLE);
 }
 
-HttpReply ReplyOf(SoupMessage* message, GBytes* bytes, const GError* error) {
+HttpReply ReplyOf(SoupMessage* message,
+                  GBytes* bytes,
+                  const GError* error,
+                  const std::string& wanted_header) {
   HttpReply reply;
   if (error != nullptr) {
     reply.error = error->message;
@@ -39,9 +43,14 @@
   gsize size = 0;
   const auto* data = static_cast<const char*>(g_bytes_get_data(bytes, &size));
   reply.body.assign(data == nullptr ? "" : data, size);
-  const char* etag = soup_message_headers_get_one(
-      soup_message_get_response_headers(message), "ETag");
+  SoupMessageHeaders* headers = soup_message_get_response_headers(message);
+  const char* etag = soup_message_headers_get_one(headers, "ETag");
   reply.etag = etag == nullptr ? "" : etag;
+  if (!wanted_header.empty()) {
+    const char* value =
+        soup_message_headers_get_one(headers, wanted_header.c_str());
+    reply.header = value == nullptr ? "" : value;
+  }
   return reply;
 }
 
@@ -55,7 +64,8 @@
   if (!*call->client_alive) {
     return;
   }
-  call->done(ReplyOf(call->message.get(), bytes.get(), error.get()));
+  call->done(ReplyOf(call->message.get(), bytes.get(), error.get(),
+                     call->wanted_header));
 }
 
 }  // namespace
@@ -89,6 +99,7 @@
   pending->client_alive = alive_;
   pending->message = GObjectPtr<SoupMessage>::Adopt(message);
   pending->cancellable = GObjectPtr<GCancellable>::Adopt(g_cancellable_new());
+  pending->wanted_header = std::move(call.wanted_header);
   pending->done = std::move(done);
   SoupMessageHeaders* headers = soup_message_get_request_headers(message);
   for (const auto& [name, value] : call.headers) {
@@ -97,7 +108,7 @@
   if (!call.body.empty()) {
     const GBytesPtr body(g_bytes_new(call.body.data(), call.body.size()));
     soup_message_set_request_body_from_bytes(
-        message, "application/octet-stream", body.get());
+        message, call.content_type.c_str(), body.get());
   }
   GCancellable* cancellable = pending->cancellable.get();
   pending->timer.Set(call.deadline,
--- a/src/platform/http_client.h
+++ b/src/net/http_client.h
@@ -4,8 +4,8 @@
 // early, so this client is for idempotent calls only: reads, conditional
 // updates that carry a write id, and orders. Requests of callers never go
 // through it.
-#ifndef SRC_PLATFORM_HTTP_CLIENT_H_
-#define SRC_PLATFORM_HTTP_CLIENT_H_
+#ifndef SRC_NET_HTTP_CLIENT_H_
+#define SRC_NET_HTTP_CLIENT_H_
 
 #include <functional>
 #include <string>
@@ -26,6 +26,9 @@
   std::string body;
   // The call is given up at this point.
   TimePoint deadline;
+  std::string content_type = "application/octet-stream";
+  // Name of the response header that HttpReply::header returns; empty: none.
+  std::string wanted_header;
 };
 
 struct HttpReply {
@@ -36,6 +39,8 @@
   // False where nothing can have reached the other side (no connection).
   bool may_have_arrived = true;
   std::string etag;
+  // Value of HttpCall::wanted_header; empty where the answer lacks it.
+  std::string header;
   std::string body;
 };
 
@@ -64,4 +69,4 @@
 
 }  // namespace gentianreach
 
-#endif  // SRC_PLATFORM_HTTP_CLIENT_H_
+#endif  // SRC_NET_HTTP_CLIENT_H_
--- /dev/null
+++ b/src/net/udp_socket.cc
@@ -0,0 +1,92 @@
+#include "net/udp_socket.h"
+
+#include <utility>
+
+#include "net/tcp_socket.h"
+
+namespace gentianreach::net {
+namespace {
+
+GObjectPtr<GSocketAddress> ParseAddress(const std::string& address) {
+  const std::size_t colon = address.rfind(':');
+  if (colon == std::string::npos) {
+    return {};
+  }
+  const auto port = g_ascii_strtoull(address.c_str() + colon + 1, nullptr, 10);
+  return GObjectPtr<GSocketAddress>::Adopt(
+      g_inet_socket_address_new_from_string(address.substr(0, colon).c_str(),
+                                            static_cast<guint>(port)));
+}
+
+}  // namespace
+
+UdpSocket::~UdpSocket() {
+  if (socket_) {
+    loop_.Unwatch(watch_, g_socket_get_fd(socket_.get()));
+    g_socket_close(socket_.get(), nullptr);
+  }
+}
+
+boost::leaf::result<void> UdpSocket::Open(const std::string& address,
+                                          Receiver receiver) {
+  const auto parsed = ParseAddress(address);
+  if (!parsed) {
+    return boost::leaf::new_error(SocketError{address + ": not an IP:port"});
+  }
+  GError* raw_error = nullptr;
+  auto socket = GObjectPtr<GSocket>::Adopt(g_socket_new(
+      g_socket_address_get_family(parsed.get()), G_SOCKET_TYPE_DATAGRAM,
+      G_SOCKET_PROTOCOL_UDP, &raw_error));
+  if (!socket ||
+      g_socket_bind(socket.get(), parsed.get(), TRUE, &raw_error) == 0) {
+    const GErrorPtr error(raw_error);
+    return boost::leaf::new_error(SocketError{address + ": " + error->message});
+  }
+  g_socket_set_blocking(socket.get(), FALSE);
+  socket_ = std::move(socket);
+  receiver_ = std::move(receiver);
+  watch_ = loop_.Watch(g_socket_get_fd(socket_.get()),
+                       [this](ReadyEvents) { Receive(); });
+  return {};
+}
+
+std::string UdpSocket::address() const {
+  const auto address = GObjectPtr<GSocketAddress>::Adopt(
+      g_socket_get_local_address(socket_.get(), nullptr));
+  if (!address) {
+    return {};
+  }
+  auto* inet = G_INET_SOCKET_ADDRESS(address.get());
+  gchar* ip =
+      g_inet_address_to_string(g_inet_socket_address_get_address(inet));
+  std::string text = ip;
+  g_free(ip);
+  return text + ":" + std::to_string(g_inet_socket_address_get_port(inet));
+}
+
+void UdpSocket::Send(const std::string& address,
+                     std::span<const std::uint8_t> data) {
+  const auto parsed = ParseAddress(address);
+  if (!parsed || !socket_) {
+    return;
+  }
+  // A datagram that the kernel does not take is lost like any other.
+  g_socket_send_to(socket_.get(), parsed.get(),
+                   reinterpret_cast<const gchar*>(data.data()), data.size(),
+                   nullptr, nullptr);
+}
+
+void UdpSocket::Receive() {
+  while (true) {
+    const auto space = loop_.scratch();
+    const gssize n = g_socket_receive(socket_.get(), space.data(),
+                                      space.size(), nullptr, nullptr);
+    if (n <= 0) {
+      return;
+    }
+    receiver_({reinterpret_cast<const std::uint8_t*>(space.data()),
+               static_cast<std::size_t>(n)});
+  }
+}
+
+}  // namespace gentianreach::net
--- a/src/proxy/caller_connection.cc
+++ b/src/proxy/caller_connection.cc
@@ -8,10 +8,6 @@
 
 using namespace std::chrono_literals;
 
-// How long a connection may wait for its next request.
-constexpr Duration kIdleTimeout = 75s;
-// How long a caller may take to send a request's head.
-constexpr Duration kHeadTimeout = 10s;
 // How long a closing connection waits for the caller to close too, so that the
 // last answer is not lost to a reset.
 constexpr Duration kLingerTimeout = 1s;
@@ -22,17 +18,19 @@
 
 CallerConnection::CallerConnection(net::EventLoop& loop,
                                    net::TcpSocket socket,
-                                   std::size_t max_header)
+                                   std::size_t max_header,
+                                   CallerTimeouts timeouts)
     : loop_(loop),
       socket_(std::move(socket)),
       max_header_(max_header),
+      timeouts_(timeouts),
       peer_hash_(std::hash<std::string>()(socket_.PeerAddress())),
       timer_(loop, [this] { OnTimer(); }) {}
 
 void CallerConnection::Start(Sink sink) {
   sink_ = std::move(sink);
   parser_.emplace(max_header_);
-  timer_.Set(loop_.Now() + kIdleTimeout);
+  timer_.Set(loop_.Now() + timeouts_.idle);
   watch_ = loop_.Watch(socket_.fd(),
                        [self = shared_from_this()](net::ReadyEvents events) {
                          self->OnReady(events);
@@ -69,7 +67,7 @@
     return;
   }
   phase_ = Phase::kFlushing;
-  timer_.Set(loop_.Now() + kIdleTimeout);
+  timer_.Set(loop_.Now() + timeouts_.idle);
   if (out_.size() == 0 && socket_.is_open()) {
     Linger();
   }
@@ -81,7 +79,7 @@
   parser_.emplace(max_header_);
   head_.Clear();
   body_.clear();
-  timer_.Set(loop_.Now() + kIdleTimeout);
+  timer_.Set(loop_.Now() + timeouts_.idle);
   if (parsing_) {
     return;
   }
@@ -229,7 +227,7 @@
   if (result.status == http::ParseStatus::kNeedMore) {
     if (phase_ == Phase::kIdle) {
       phase_ = Phase::kHead;
-      timer_.Set(loop_.Now() + kHeadTimeout);
+      timer_.Set(loop_.Now() + timeouts_.head);
     }
     return false;
   }
--- a/src/proxy/caller_connection.h
+++ b/src/proxy/caller_connection.h
@@ -8,6 +8,7 @@
 #ifndef SRC_PROXY_CALLER_CONNECTION_H_
 #define SRC_PROXY_CALLER_CONNECTION_H_
 
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -38,13 +39,21 @@
   kClosed,    // The connection is closed; the last event.
 };
 
+struct CallerTimeouts {
+  // How long a connection may wait for its next request.
+  Duration idle = std::chrono::seconds(75);
+  // How long a caller may take to send a request's head.
+  Duration head = std::chrono::seconds(10);
+};
+
 class CallerConnection : public std::enable_shared_from_this<CallerConnection> {
  public:
   using Sink = std::function<void(CallerEvent)>;
 
   CallerConnection(net::EventLoop& loop,
                    net::TcpSocket socket,
-                   std::size_t max_header);
+                   std::size_t max_header,
+                   CallerTimeouts timeouts = {});
   CallerConnection(const CallerConnection&) = delete;
   CallerConnection& operator=(const CallerConnection&) = delete;
 
@@ -114,6 +123,7 @@
   net::TcpSocket socket_;
   net::EventLoop::WatchId watch_ = 0;
   const std::size_t max_header_;
+  const CallerTimeouts timeouts_;
   const std::uint64_t peer_hash_;
   Sink sink_;
   net::DeadlineTimer timer_;
--- a/src/proxy/server_connection.cc
+++ b/src/proxy/server_connection.cc
@@ -1,5 +1,7 @@
 #include "proxy/server_connection.h"
 
+#include <algorithm>
+#include <charconv>
 #include <chrono>
 #include <utility>
 
@@ -10,11 +12,9 @@
 
 using namespace std::chrono_literals;
 
-// A connection opens in about a millisecond; past this the server or the way
-// to it is gone.
-constexpr Duration kConnectTimeout = 1s;
-// How long an unused connection is kept.
-constexpr Duration kIdleTimeout = 60s;
+// How long before the server's announced idle timeout a connection is no
+// longer used, so that a request does not cross the server's close.
+constexpr Duration kIdleMargin = 1s;
 // What may be spent on an answer that nobody wants, to save its connection.
 constexpr Duration kDiscardTimeout = 1s;
 constexpr std::size_t kMaxDiscardBytes = 64 * 1024;
@@ -24,9 +24,11 @@
 }  // namespace
 
 ServerConnection::ServerConnection(net::EventLoop& loop,
-                                   ClosedCallback on_closed)
+                                   ClosedCallback on_closed,
+                                   ServerConnectionOptions options)
     : loop_(loop),
       on_closed_(std::move(on_closed)),
+      options_(options),
       timer_(loop, [this] { OnTimer(); }) {}
 
 void ServerConnection::Connect(const std::string& address) {
@@ -37,7 +39,7 @@
     return;
   }
   socket_ = std::move(*socket);
-  timer_.Set(loop_.Now() + kConnectTimeout);
+  timer_.Set(loop_.Now() + options_.connect_timeout);
   watch_ = loop_.Watch(socket_.fd(),
                        [self = shared_from_this()](net::ReadyEvents events) {
                          self->OnReady(events);
@@ -56,12 +58,8 @@
   answer_begun_ = false;
   paused_ = false;
   failure_ = ServerFailure::kNone;
-  head_.Clear();
   body_.clear();
-  parser_.emplace(kMaxHeaderBytes);
-  if (head_only_) {
-    parser_->SkipBody();
-  }
+  ExpectAnswer();
   last_progress_ = loop_.Now();
   out_.Append(std::move(bytes));
   if (phase_ == Phase::kIdle) {
@@ -175,7 +173,7 @@
       return;
     }
     if (result.status != net::IoStatus::kOk) {
-      OnEndOfStream();
+      OnEndOfStream(result.status == net::IoStatus::kClosed);
       return;
     }
     // A short read has emptied the socket; the next bytes bring a new event.
@@ -215,10 +213,16 @@
     return OnAnswerHead();
   }
   if (!body_.empty()) {
-    Emit(ServerEvent::kBody);
+    if (!skipping_) {
+      Emit(ServerEvent::kBody);
+    }
     body_.clear();
   }
   if (phase_ == Phase::kBusy && parser_->done()) {
+    if (skipping_) {
+      ExpectAnswer();
+      return !pending_.empty();
+    }
     OnAnswerEnd();
     return false;
   }
@@ -228,34 +232,59 @@
 bool ServerConnection::OnAnswerHead() {
   if (head_.status / 100 == 1 && head_.status != 101) {
     // An interim answer; the final one follows.
-    head_.Clear();
-    parser_.emplace(kMaxHeaderBytes);
-    if (head_only_) {
-      parser_->SkipBody();
-    }
+    ExpectAnswer();
     return true;
   }
-  if (head_.status == 101 || head_.framing == http::BodyFraming::kUntilEnd) {
-    // Whether an answer that ends with its connection is whole cannot be told.
+  if (head_.status == 101 || (head_.framing == http::BodyFraming::kUntilEnd &&
+                              !options_.accept_until_end)) {
     Fail(ServerFailure::kTruncated);
     return false;
   }
   answer_begun_ = true;
   Emit(ServerEvent::kHead);
   if (phase_ == Phase::kBusy && parser_->done()) {
+    if (skipping_) {
+      ExpectAnswer();
+      return true;
+    }
     OnAnswerEnd();
     return false;
   }
   return phase_ == Phase::kBusy;
 }
 
+void ServerConnection::ExpectAnswer() {
+  skipping_ = false;
+  answer_begun_ = false;
+  head_.Clear();
+  parser_.emplace(kMaxHeaderBytes);
+  if (head_only_) {
+    parser_->SkipBody();
+  }
+}
+
+TimePoint ServerConnection::IdleDeadline() const {
+  const auto announced = head_.Get(http::FieldId::keep_alive);
+  constexpr std::string_view kTimeout = "timeout=";
+  const std::size_t at =
+      announced ? announced->find(kTimeout) : std::string_view::npos;
+  if (at == std::string_view::npos) {
+    return loop_.Now() + options_.idle_timeout;
+  }
+  const std::string_view digits = announced->substr(at + kTimeout.size());
+  int seconds = 0;
+  std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
+  const Duration left = std::chrono::seconds(seconds) - kIdleMargin;
+  return loop_.Now() + std::clamp(left, Duration(0), options_.idle_timeout);
+}
+
 void ServerConnection::OnAnswerEnd() {
   const auto self = shared_from_this();
   reusable_ = head_.keep_alive && complete_ && out_.size() == 0 &&
               pending_.empty() && !hung_up_;
   phase_ = Phase::kIdle;
   pending_ = std::string();
-  timer_.Set(loop_.Now() + kIdleTimeout);
+  timer_.Set(IdleDeadline());
   const Sink sink = std::move(sink_);
   sink_ = nullptr;
   sink(ServerEvent::kEnd);
@@ -264,7 +293,13 @@
   }
 }
 
-void ServerConnection::OnEndOfStream() {
+void ServerConnection::OnEndOfStream(bool orderly) {
+  if (phase_ == Phase::kBusy && orderly && answer_begun_ && !skipping_ &&
+      head_.framing == http::BodyFraming::kUntilEnd) {
+    hung_up_ = true;
+    OnAnswerEnd();
+    return;
+  }
   if (phase_ == Phase::kBusy) {
     Fail(answer_begun_ || (parser_ && parser_->started()) || !pending_.empty()
              ? ServerFailure::kTruncated
@@ -292,7 +327,7 @@
     loop_.Defer([self = shared_from_this()] {
       self->ReadAvailable();
       if (self->phase_ == Phase::kBusy && !self->paused_) {
-        self->OnEndOfStream();
+        self->OnEndOfStream(false);
       }
     });
     return;
--- a/src/proxy/server_connection.h
+++ b/src/proxy/server_connection.h
@@ -6,6 +6,7 @@
 #ifndef SRC_PROXY_SERVER_CONNECTION_H_
 #define SRC_PROXY_SERVER_CONNECTION_H_
 
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -42,13 +43,26 @@
   kTruncated,  // Closed or broken inside of the answer, or malformed.
 };
 
+struct ServerConnectionOptions {
+  // A connection opens in about a millisecond; past this the server or the way
+  // to it is gone.
+  Duration connect_timeout = std::chrono::seconds(1);
+  // How long an unused connection is kept where the server does not say.
+  Duration idle_timeout = std::chrono::seconds(60);
+  // Whether an answer without a length that ends with an orderly close of the
+  // connection is whole. Otherwise it counts as truncated.
+  bool accept_until_end = false;
+};
+
 class ServerConnection : public std::enable_shared_from_this<ServerConnection> {
  public:
   using Sink = std::function<void(ServerEvent)>;
   using ClosedCallback = std::function<void(ServerConnection*)>;
 
   // `on_closed` is called once, when the connection has been closed.
-  ServerConnection(net::EventLoop& loop, ClosedCallback on_closed);
+  ServerConnection(net::EventLoop& loop,
+                   ClosedCallback on_closed,
+                   ServerConnectionOptions options = {});
   ServerConnection(const ServerConnection&) = delete;
   ServerConnection& operator=(const ServerConnection&) = delete;
 
@@ -68,6 +82,9 @@
   void DeclareSilent() { Fail(ServerFailure::kSilent); }
   // Returns what the kernel knows of the way to the server.
   [[nodiscard]] net::PathState AskPath();
+  // Skips the answer whose head has just arrived: it belongs to another
+  // request, and that of the current one follows. Call it on kHead only.
+  void SkipAnswer() { skipping_ = true; }
   // Reads the rest of an answer that nobody wants any more, so that the
   // connection can be used again; closes it where that takes too much.
   void Discard(std::function<void()> on_end);
@@ -99,7 +116,12 @@
   void OnConnected();
   void ReadAvailable();
   void OnReceived(std::string_view data);
-  void OnEndOfStream();
+  // `orderly` tells a close from a reset.
+  void OnEndOfStream(bool orderly);
+  void ExpectAnswer();
+  // Returns when an unused connection is closed by this side: before the
+  // server does by what it has announced.
+  [[nodiscard]] TimePoint IdleDeadline() const;
   // Parses one part of the answer; returns whether there may be another.
   bool ParseStep();
   bool OnAnswerHead();
@@ -113,6 +135,7 @@
   net::TcpSocket socket_;
   net::EventLoop::WatchId watch_ = 0;
   ClosedCallback on_closed_;
+  const ServerConnectionOptions options_;
   Sink sink_;
   net::DeadlineTimer timer_;
   Phase phase_ = Phase::kConnecting;
@@ -125,6 +148,7 @@
   bool head_only_ = false;
   bool answer_begun_ = false;
   bool reusable_ = true;
+  bool skipping_ = false;
   TimePoint last_progress_;
   ServerFailure failure_ = ServerFailure::kNone;
   std::optional<http::ResponseParser> parser_;
--- a/src/proxy/server_pool.cc
+++ b/src/proxy/server_pool.cc
@@ -7,7 +7,9 @@
 
 std::shared_ptr<ServerConnection> ServerPool::Acquire() {
   // Connections that are being verified stay where they are.
-  const auto usable = [&](const auto& it) { return watch_->MayUse(it.get()); };
+  const auto usable = [&](const auto& it) { 
+    return !watch_ || watch_->MayUse(it.get());
+   };
   while (true) {
     const auto it = std::find_if(idle_.rbegin(), idle_.rend(), usable);
     if (it == idle_.rend()) {
@@ -29,14 +31,19 @@
         if (const auto self = pool.lock()) {
           self->OnClosed(closed);
         }
-      });
-  watch_->Add(connection);
+      },
+      options_);
+  if (watch_) {
+    watch_->Add(connection);
+  }
   connection->Connect(address_);
   return connection;
 }
 
 void ServerPool::Release(const std::shared_ptr<ServerConnection>& connection) {
-  watch_->OnIdle(connection.get());
+  if (watch_) {
+    watch_->OnIdle(connection.get());
+  }
   if (!connection->Reusable() || open_ > limit_) {
     connection->Abandon();
     return;
@@ -55,7 +62,9 @@
 
 void ServerPool::OnClosed(ServerConnection* connection) {
   --open_;
-  watch_->Remove(connection);
+  if (watch_) {
+    watch_->Remove(connection);
+  }
   std::erase_if(idle_, [&](const auto& it) { return it.get() == connection; });
   WakeNext();
 }
--- a/src/proxy/server_pool.h
+++ b/src/proxy/server_pool.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <list>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -28,14 +29,17 @@
   using WaiterId = std::list<Waiter>::iterator;
 
   // `progress_timeout` is how long a connection may be silent; see
-  // ServerWatch.
+  // ServerWatch. Without one the connections are not watched.
   ServerPool(net::EventLoop& loop,
              std::string address,
-             Duration progress_timeout)
-      : loop_(loop),
-        address_(std::move(address)),
-        watch_(
-            std::make_shared<ServerWatch>(loop, address_, progress_timeout)) {}
+             std::optional<Duration> progress_timeout,
+             ServerConnectionOptions options = {})
+      : loop_(loop), address_(std::move(address)), options_(options) {
+    if (progress_timeout) {
+      watch_ =
+          std::make_shared<ServerWatch>(loop, address_, *progress_timeout);
+    }
+  }
   ServerPool(const ServerPool&) = delete;
   ServerPool& operator=(const ServerPool&) = delete;
 
@@ -46,7 +50,11 @@
   // is complete; a failed or abandoned one returns by itself.
   [[nodiscard]] std::shared_ptr<ServerConnection> Acquire();
   // Tells that a request is about to be written on a connection.
-  void OnStart(ServerConnection* connection) { watch_->OnBusy(connection); }
+  void OnStart(ServerConnection* connection) {
+    if (watch_) {
+      watch_->OnBusy(connection);
+    }
+  }
   // Takes a connection back.
   void Release(const std::shared_ptr<ServerConnection>& connection);
 
@@ -70,7 +78,8 @@
 
   net::EventLoop& loop_;
   const std::string address_;
-  std::shared_ptr<ServerWatch> watch_;
+  const ServerConnectionOptions options_;
+  std::shared_ptr<ServerWatch> watch_;  // Null where not watched.
   std::size_t limit_ = 1;
   std::size_t open_ = 0;
   // The most recently used one is last and is used first, so that surplus
--- /dev/null
+++ b/src/routing/routing_config.h
@@ -0,0 +1,64 @@
+// The accepted routing configuration: which request goes to which service.
+#ifndef SRC_ROUTING_ROUTING_CONFIG_H_
+#define SRC_ROUTING_ROUTING_CONFIG_H_
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace gentianreach::routing {
+
+// What a caller may send, and how long it may take or stay idle.
+struct CallerLimits {
+  std::size_t max_header_bytes = 16 * 1024;
+  std::uint64_t max_body_bytes = 64 * 1024 * 1024;
+  std::chrono::milliseconds header_timeout{3000};
+  std::chrono::milliseconds idle_timeout{15000};
+};
+
+// A service with its part of a route's requests.
+struct WeightedService {
+  std::string service;
+  std::uint32_t weight = 1;
+};
+
+struct Route {
+  std::string name;
+  std::string host;
+  // Begins and ends with a slash.
+  std::string path_prefix;
+  // Whether a request may run more than once.
+  bool idempotent = false;
+  // Longest time that a caller is kept waiting.
+  std::chrono::milliseconds timeout{1000};
+  // A response within this time has its full worth for the caller.
+  std::chrono::milliseconds latency_objective{1000};
+  // 0 is the most urgent.
+  std::uint32_t priority = 0;
+  // Greatest number of servers to which one request is sent.
+  std::uint32_t max_attempts = 1;
+  // At least one; several share the requests by weight.
+  std::vector<WeightedService> split;
+};
+
+struct Service {
+  std::string name;
+  // Connections that one server accepts from all daemons together.
+  std::uint32_t max_connections = 100;
+  // Whether each key has one owner among the servers.
+  bool keyed = false;
+};
+
+struct RoutingConfig {
+  std::uint64_t version = 0;
+  CallerLimits limits;
+  std::vector<Route> routes;
+  std::map<std::string, Service> services;
+};
+
+}  // namespace gentianreach::routing
+
+#endif  // SRC_ROUTING_ROUTING_CONFIG_H_
--- a/src/settings/schema.cc
+++ b/src/settings/schema.cc
@@ -292,6 +292,13 @@
       false};
 }
 
+Section EntrySection() {
+  return Section{
+      "entry",
+      EmbeddedSchema()->objects()->LookupByKey("gentianreach.settings.EntryDaemon"),
+      false};
+}
+
 std::vector<std::string> SectionNames() {
   std::vector<std::string> names;
   names.reserve(kRoots.size());
--- a/src/settings/schema.h
+++ b/src/settings/schema.h
@@ -73,6 +73,8 @@
 // Returns the section [daemon] of a daemon's own file, which is no part of the
 // tree.
 [[nodiscard]] Section DaemonSection();
+// Returns the section [entry] of an entry daemon's file.
+[[nodiscard]] Section EntrySection();
 // Returns the names of all sections.
 [[nodiscard]] std::vector<std::string> SectionNames();
 // Returns the name among `known` that differs least from `name`, or nothing
--- a/src/platform/store_caller.cc
+++ b/src/store/store_caller.cc
@@ -1,4 +1,4 @@
-#include "platform/store_caller.h"
+#include "store/store_caller.h"
 
 #include <optional>
 #include <utility>
--- a/src/platform/store_caller.h
+++ b/src/store/store_caller.h
@@ -1,10 +1,10 @@
 // Makes the store calls of state machines (store/store_call.h) by StoreClient.
-#ifndef SRC_PLATFORM_STORE_CALLER_H_
-#define SRC_PLATFORM_STORE_CALLER_H_
+#ifndef SRC_STORE_STORE_CALLER_H_
+#define SRC_STORE_STORE_CALLER_H_
 
 #include <functional>
 
-#include "platform/store_client.h"
+#include "store/store_client.h"
 #include "store/store_call.h"
 
 namespace gentianreach {
@@ -20,4 +20,4 @@
 
 }  // namespace gentianreach
 
-#endif  // SRC_PLATFORM_STORE_CALLER_H_
+#endif  // SRC_STORE_STORE_CALLER_H_
--- a/src/platform/store_client.h
+++ b/src/store/store_client.h
@@ -1,6 +1,6 @@
 // The platform's object store and VM list (docs/PROTOCOLS.md).
-#ifndef SRC_PLATFORM_STORE_CLIENT_H_
-#define SRC_PLATFORM_STORE_CLIENT_H_
+#ifndef SRC_STORE_STORE_CLIENT_H_
+#define SRC_STORE_STORE_CLIENT_H_
 
 #include <functional>
 #include <optional>
@@ -9,7 +9,7 @@
 
 #include "gentianreach/ids.h"
 #include "gentianreach/time.h"
-#include "platform/http_client.h"
+#include "net/http_client.h"
 
 namespace gentianreach {
 
@@ -111,4 +111,4 @@
 
 }  // namespace gentianreach
 
-#endif  // SRC_PLATFORM_STORE_CLIENT_H_
+#endif  // SRC_STORE_STORE_CLIENT_H_
--- a/src/platform/store_client_test.cc
+++ b/src/store/store_client_test.cc
@@ -1,4 +1,4 @@
-#include "platform/store_client.h"
+#include "store/store_client.h"
 
 #include <doctest/doctest.h>
 
