The leader passes the store's changes on; others ask it, not the store

Change: beats of the leader carry the revisions of its copies, members fetch what changed; one lost history lists all kinds anew; nothing goes to an owner that has been draining for 1.5 s. A new leader is known by its beat.

--- a/src/entry/entry_daemon.cc
+++ b/src/entry/entry_daemon.cc
@@ -1,6 +1,7 @@
 #include "entry/entry_daemon.h"
 
 #include <algorithm>
+#include <array>
 #include <chrono>
 #include <cstdint>
 #include <random>
@@ -30,7 +31,7 @@
 using std::chrono::milliseconds;
 
 // How often the daemon looks after what no event tells it.
-constexpr Duration kHousekeepingPeriod = milliseconds(250);
+constexpr Duration kHousekeepingPeriod = milliseconds(100);
 // Time for the store's answer about the lead.
 constexpr Duration kElectionTimeout = milliseconds(1500);
 // The daemons of a deployment start together: they ask for the lead spread over
@@ -43,6 +44,23 @@
 constexpr Duration kStopMargin = milliseconds(350);
 // Grants are at most this long, however long servers allow them.
 constexpr milliseconds kLongestUsefulLease{6000};
+// How long watches wait. The leader's are short: a watch that has gone silent
+// is noticed only when it ends. Others watch while no leader is heard.
+constexpr milliseconds kLeaderWatchWait{1800};
+constexpr milliseconds kOwnWatchWait{4000};
+// Silence of the leader after which a daemon follows the store by itself. The
+// next leader is usually elected sooner.
+constexpr Duration kLeaderSilence = milliseconds(2000);
+// Those first in line look whether the store is really away when the leader
+// cannot reach it.
+constexpr std::uint32_t kProbingRanks = 2;
+// How long a leader may be without the store while others have it.
+constexpr Duration kLeaderWithoutStore = milliseconds(1200);
+// Where the leader passes the store's objects on, and how long that may take.
+constexpr const char* kRelayPath = "/changes";
+constexpr std::array<const char*, 3> kRelayKinds = {"config", "servers",
+                                                    "ownership"};
+constexpr Duration kRelayTimeout = milliseconds(400);
 // Name of the record of who leads.
 constexpr const char* kLeaderObject = "entry";
 
@@ -108,6 +126,7 @@
         state_(std::make_shared<EntryState>(
             loop_,
             platform::PlatformHeaders(),
+            ZoneName(settings.zone),
             RetryBounds{settings.retry_ratio, settings.retry_slack})),
         proxy_(state_),
         self_{settings.name, Incarnation(RandomNumber()),
@@ -117,21 +136,32 @@
         assignment_(*state_, election_, platform_, AssignerOptionsOf(settings)),
         config_watcher_(
             loop_, platform_, health_, platform::ObjectKind::kConfig,
+            platform::Freshness::kCurrent,
             {[this](const auto& it) { OnConfig(it); },
              [this](const auto& it) { OnConfig(it); }}),
         server_watcher_(
             loop_, platform_, health_, platform::ObjectKind::kServers,
+            platform::Freshness::kMayBeStale,
             {[this](const auto& it) { OnServerList(it); },
              [this](const auto& it) { OnServerEvents(it); }}),
         ownership_watcher_(
             loop_, platform_, health_, platform::ObjectKind::kOwnership,
+            platform::Freshness::kMayBeStale,
             {[this](const auto& it) { OnTables(it); },
              [this](const auto& it) { OnTables(it); }}),
         housekeeping_(loop_, [this] { Housekeep(); }),
         election_timer_(loop_, [this] { Elect(); }) {
     health_.on_change = [this](bool lost) { OnStoreChange(lost); };
     link_.on_news = [this] { OnNews(); };
-    assignment_.on_table = [this] { state_->held.WakeAll(); };
+    health_.on_history_gone = [this] {
+      for (StoreWatcher* it : Watchers()) {
+        it->Relist();
+      }
+    };
+    link_.on_beat = [this](const LeaderNews& news) { return OnBeat(news); };
+    assignment_.on_table = [this](const platform::Object& table) {
+      ownership_watcher_.Put(table);
+    };
   }
 
   boost::leaf::result<void> Start() {
@@ -142,11 +172,15 @@
                        : OperatorReply{503, "text/plain", "not ready\n"};
     });
     BOOST_LEAF_CHECK(ready_server_.Listen(settings_.ready_address));
+    relay_server_.Handle("GET", kRelayPath, [this](const auto& request) {
+      return PassOn(request);
+    });
     if (!settings_.metrics_address.empty()) {
       metrics_server_.Handle("GET", settings_.metrics_path,
                              [this](const auto&) { return Metrics(); });
       BOOST_LEAF_CHECK(metrics_server_.Listen(settings_.metrics_address));
     }
+    BOOST_LEAF_CHECK(relay_server_.Listen(settings_.member_address));
     const TimePoint now = loop_.Now();
     config_watcher_.Start(now);
     server_watcher_.Start(now);
@@ -231,6 +265,7 @@
           std::make_shared<const routing::RoutingConfig>(*std::move(config)),
           self_.life.value());
     }
+    TellMembers();
     assignment_.Run();
   }
 
@@ -258,7 +293,7 @@
            {"life", server->incarnation.value()},
            {"revision", object.revision}});
     }
-    state_->directory.Put(*server);
+    state_->directory.Put(*server, now);
   }
 
   void OnServerList(const std::vector<platform::Object>& objects) {
@@ -290,6 +325,7 @@
 
   void OnServersChanged() {
     state_->ForgetAbsentServers();
+    TellMembers();
     assignment_.Run();
     state_->held.WakeAll();
   }
@@ -311,21 +347,122 @@
                 changed;
     }
     if (changed) {
+      TellMembers();
       state_->held.WakeAll();
     }
   }
 
+  [[nodiscard]] std::array<StoreWatcher*, 3> Watchers() {
+    return {&config_watcher_, &server_watcher_, &ownership_watcher_};
+  }
+
   void OnStoreChange(bool lost) {
+    Log(LogLevel::kWarning, lost ? "store_lost" : "store_back", {});
+    UpdateStoreTrust();
+    TellMembers();
+  }
+
+  // Entries that vanish may only have lapsed while nobody whom this daemon
+  // listens to reaches the store.
+  void UpdateStoreTrust() {
+    const bool lost =
+        follows_leader_ ? leader_store_lost_ : health_.lost();
     if (lost) {
-      Log(LogLevel::kWarning, "store_lost", {});
       state_->directory.OnStoreLost();
     } else {
       state_->directory.OnStoreBack(loop_.Now());
     }
   }
 
+  // Leader: passes on what has changed since the revision of the request.
+  OperatorReply PassOn(const OperatorRequest& request) {
+    const std::string kind = request.Query("kind");
+    const auto since =
+        g_ascii_strtoull(request.Query("since").c_str(), nullptr, 10);
+    const auto watchers = Watchers();
+    for (std::size_t i = 0; i < watchers.size(); ++i) {
+      if (kind == kRelayKinds[i]) {
+        return {200, "application/json",
+                watchers[i]->ChangesSince(since).dump()};
+      }
+    }
+    return {404, "application/json", R"({"error":"no such kind"})"};
+  }
+
+  // Leader: tells the members that a copy has changed.
+  void TellMembers() {
+    LeaderNews news{.store_lost = health_.lost()};
+    for (const StoreWatcher* it : Watchers()) {
+      news.changed_at.push_back(it->listed() ? it->changed_at() : 0);
+    }
+    link_.SetNews(std::move(news));
+    if (election_.IsLeader(loop_.Now())) {
+      link_.BeatAll();
+    }
+  }
+
+  // Takes a beat; returns whether its sender is still to be followed.
+  bool OnBeat(const LeaderNews& news) {
+    const TimePoint now = loop_.Now();
+    if (news.store_lost && !leader_store_lost_) {
+      leader_lost_store_at_ = now;
+    }
+    leader_store_lost_ = news.store_lost;
+    for (std::size_t i = 0; i < news.changed_at.size(); ++i) {
+      FetchChanges(i, news.address, news.changed_at[i]);
+    }
+    const bool store_is_there =
+        !health_.lost() && health_.answered_at() > leader_lost_store_at_;
+    return !news.store_lost || link_.rank() >= kProbingRanks ||
+           !store_is_there ||
+           now < leader_lost_store_at_ + kLeaderWithoutStore;
+  }
+
+  void FetchChanges(std::size_t i,
+                    const std::string& address,
+                    std::uint64_t changed_at) {
+    if (i >= fetching_.size() || fetching_[i] ||
+        Watchers()[i]->revision() >= changed_at) {
+      return;
+    }
+    fetching_[i] = true;
+    HttpCall call;
+    call.url = "http://" + address + kRelayPath + "?kind=" + kRelayKinds[i] +
+               "&since=" + std::to_string(Watchers()[i]->revision());
+    call.deadline = loop_.Now() + kRelayTimeout;
+    relay_client_.Send(std::move(call), [this, i](const HttpReply& reply) {
+      fetching_[i] = false;
+      const auto changes = nlohmann::json::parse(reply.body, nullptr, false);
+      if (reply.status != 200 || changes.is_discarded()) {
+        Log(LogLevel::kWarning, "relay_failed",
+            {{"kind", kRelayKinds[i]}, {"error", reply.error}});
+        return;
+      }
+      Watchers()[i]->Adopt(changes);
+    });
+  }
+
+  // Chooses whom this daemon learns of changes from.
+  void ChooseSource() {
+    const TimePoint now = loop_.Now();
+    const bool leads = election_.IsLeader(now);
+    const bool heard = now < link_.leader_heard_at() + kLeaderSilence;
+    const bool probes = leader_store_lost_ && link_.rank() < kProbingRanks;
+    follows_leader_ = !leads && heard && !probes;
+    if (!heard) {
+      leader_store_lost_ = false;
+    }
+    for (StoreWatcher* it : Watchers()) {
+      it->SetSource(
+          follows_leader_ ? WatchSource::kLeader : WatchSource::kStore,
+          leads ? kLeaderWatchWait : kOwnWatchWait);
+    }
+    UpdateStoreTrust();
+  }
+
   void OnNews() {
     state_->SetMembers(link_.members());
+    ChooseSource();
     if (!election_timer_.deadline()) {
       Elect();
     }
@@ -344,6 +481,7 @@
       Elect();
     }
     state_->SetMembers(link_.members());
+    ChooseSource();
   }
 
   // Makes the store call that the election wants, if any.
@@ -365,6 +503,8 @@
         Log(LogLevel::kInfo, led ? "lead_lost" : "lead_taken",
             {{"epoch", election_.record().epoch.value()},
              {"leader", election_.record().leader.name}});
+        ChooseSource();
+        TellMembers();
       }
       if (election_.resigned()) {
         link_.AnnounceResignation();
@@ -402,6 +542,12 @@
   StoreWatcher config_watcher_;
   StoreWatcher server_watcher_;
   StoreWatcher ownership_watcher_;
+  OperatorServer relay_server_;
+  HttpClient relay_client_;
+  std::array<bool, 3> fetching_{};
+  bool follows_leader_ = false;
+  bool leader_store_lost_ = false;
+  TimePoint leader_lost_store_at_{};
   OperatorServer ready_server_;
   OperatorServer metrics_server_;
   net::DeadlineTimer housekeeping_;
--- a/src/entry/entry_request.cc
+++ b/src/entry/entry_request.cc
@@ -32,6 +32,9 @@
 constexpr std::uint32_t kMostFailedConnects = 4;
 // How long a request waits for an owner whose keys are just moving.
 constexpr Duration kLongestHold = milliseconds(400);
+// How long the owner of keys is still used after it has announced to leave: its
+// keys have usually moved by then. Servers may expect nothing after two seconds.
+constexpr Duration kLongestUseOfDraining = milliseconds(1500);
 // A part of the objective that a request may wait before it is refused.
 constexpr int kHoldObjectiveParts = 2;
 // A repeatable request goes to another server when its own has been silent for
@@ -46,6 +49,10 @@
 // same view do not all choose the same server.
 constexpr double kChoiceNoise = 0.15;
 
+// A server in another zone is taken when it is faster by this factor: what
+// crosses zones is paid for.
+constexpr double kOtherZoneFactor = 1.15;
+
 double Noise() {
   static std::minstd_rand generator{std::random_device{}()};
   return std::uniform_real_distribution<double>(1, 1 + kChoiceNoise)(
@@ -229,7 +236,10 @@
       state_->directory.Find(range.owner.server);
   const bool known = server != nullptr &&
                      server->incarnation == range.owner.incarnation;
-  if (range.moving() || !known) {
+  const bool leaves =
+      known && server->draining &&
+      state_->loop.Now() > server->draining_since + kLongestUseOfDraining;
+  if (range.moving() || !known || leaves) {
     return {.reason = Reason::kNoOwner,
             .retry_after = kNotReadyRetryAfter,
             .wait = true};
@@ -251,7 +261,7 @@
       const double score =
           std::chrono::duration<double>(state_->loads.ExpectedLatency(it, now))
               .count() *
-          Noise();
+          (it.zone == state_->zone ? 1 : kOtherZoneFactor) * Noise();
       if (score < best_score) {
         best_score = score;
         best = &it;
--- a/src/entry/entry_state.cc
+++ b/src/entry/entry_state.cc
@@ -24,8 +24,12 @@
 
 EntryState::EntryState(net::EventLoop& loop,
                        HeaderNames headers,
+                       ZoneName zone,
                        RetryBounds bounds)
-    : loop(loop), headers(std::move(headers)), bounds_(bounds) {}
+    : loop(loop),
+      headers(std::move(headers)),
+      zone(std::move(zone)),
+      bounds_(bounds) {}
 
 RetryBudget& EntryState::Budget(const std::string& service) {
   const auto found = budgets_.find(service);
--- a/src/entry/entry_state.h
+++ b/src/entry/entry_state.h
@@ -35,7 +35,11 @@
 
 class EntryState {
  public:
-  EntryState(net::EventLoop& loop, HeaderNames headers, RetryBounds bounds);
+  // `zone` is the availability zone of this daemon.
+  EntryState(net::EventLoop& loop,
+             HeaderNames headers,
+             ZoneName zone,
+             RetryBounds bounds);
   EntryState(const EntryState&) = delete;
   EntryState& operator=(const EntryState&) = delete;
 
@@ -55,6 +59,7 @@
 
   net::EventLoop& loop;
   const HeaderNames headers;
+  const ZoneName zone;
   // Null until a configuration is known.
   std::shared_ptr<routing::HostRoutes> routes;
   ServerDirectory directory;
--- a/src/entry/key_assignment.cc
+++ b/src/entry/key_assignment.cc
@@ -175,9 +175,8 @@
             Run();
             return;
           }
-          if (state_.ownership.Put(name, service->revision, *table) &&
-              on_table) {
-            on_table();
+          if (on_table) {
+            on_table(*reply.object);
           }
         }
         Log(LogLevel::kInfo, "assigner_begins",
@@ -212,8 +211,8 @@
                                     [](const auto& it) {
                                       return it.moving();
                                     })}});
-      if (state_.ownership.Put(name, service->revision, table) && on_table) {
-        on_table();
+      if (on_table) {
+        on_table(*reply.object);
       }
       Run();
       return;
--- a/src/entry/key_assignment.h
+++ b/src/entry/key_assignment.h
@@ -28,8 +28,8 @@
   // Goes on: call it whenever servers, configuration or leadership change.
   void Run();
 
-  // Called when a table was written.
-  std::function<void()> on_table;
+  // Called with each table that was written or read.
+  std::function<void(const platform::Object&)> on_table;
 
  private:
   // One keyed service, while this daemon leads.
--- a/src/entry/leader_election.cc
+++ b/src/entry/leader_election.cc
@@ -135,30 +135,37 @@
   suspected_ = false;
 }
 
-void LeaderElection::OnLeaderHeard(Epoch epoch,
+void LeaderElection::OnLeaderHeard(const LeaderRecord& record,
                                    std::uint32_t rank,
                                    TimePoint now) {
-  if (!known_ || epoch < record_.epoch) {
+  if (known_ && record.epoch < record_.epoch) {
     return;
   }
-  if (epoch > record_.epoch) {
-    doubted_ = true;
-    return;
+  if (!known_ || record.epoch > record_.epoch) {
+    // No write is made under this record before the store was read again.
+    Adopt(record, 0, now);
   }
   heard_at_ = now;
   rank_ = rank;
   suspected_ = false;
 }
 
+void LeaderElection::OnLeaderResigned(TimePoint now) {
+  doubted_ = true;
+  next_call_ = now + rank_ * options_.resign_delay;
+}
+
 void LeaderElection::OnDoubt(TimePoint now) {
   doubted_ = true;
   next_call_ = std::min(next_call_, now);
 }
 
-void LeaderElection::OnLife(const std::string& name,
-                            Incarnation life,
-                            TimePoint now) {
-  if (name == former_.name && life != former_.life) {
+void LeaderElection::OnFollower(const std::string& name,
+                                Incarnation life,
+                                Epoch epoch,
+                                TimePoint now) {
+  if (name == former_.name &&
+      (life != former_.life || epoch == record_.epoch)) {
     former_ = {};
     others_until_ = std::min(others_until_, now);
   }
--- a/src/entry/leader_election.h
+++ b/src/entry/leader_election.h
@@ -36,9 +36,11 @@
   // How often the leader asks the store for that proof.
   std::chrono::milliseconds verify_period{4000};
   // Silence of the leader after which the first in line takes its place.
-  std::chrono::milliseconds silence{1500};
+  std::chrono::milliseconds silence{800};
   // How much longer each further one in line waits.
-  std::chrono::milliseconds rank_delay{700};
+  std::chrono::milliseconds rank_delay{400};
+  // When the leader resigns, each further one in line waits this much longer.
+  std::chrono::milliseconds resign_delay{60};
   // Pause after a store call that failed, doubled up to the longest one.
   std::chrono::milliseconds first_pause{250};
   std::chrono::milliseconds longest_pause{2000};
@@ -80,14 +82,21 @@
                std::uint64_t revision,
                TimePoint now);
 
-  // The leader of `epoch` was heard; `rank` is this daemon's place in line.
-  void OnLeaderHeard(Epoch epoch, std::uint32_t rank, TimePoint now);
-  // Somebody has seen a later epoch, or the leader has stepped down: read the
-  // store soon.
+  // The leader of `record` was heard; `rank` is this daemon's place in line.
+  // One of a later epoch than known is followed at once.
+  void OnLeaderHeard(const LeaderRecord& record,
+                     std::uint32_t rank,
+                     TimePoint now);
+  // The leader has left the lead.
+  void OnLeaderResigned(TimePoint now);
+  // Somebody has seen a later epoch: read the store soon.
   void OnDoubt(TimePoint now);
-  // Another life of a daemon has been heard: the former leader, if it was an
-  // earlier life, has ended.
-  void OnLife(const std::string& name, Incarnation life, TimePoint now);
+  // A daemon was heard that follows the leader of `epoch`. The former leader
+  // has ended where that is another life of it, or follows this daemon.
+  void OnFollower(const std::string& name,
+                  Incarnation life,
+                  Epoch epoch,
+                  TimePoint now);
   // Begins to leave the lead, so that another takes it at once.
   void Resign() { resigning_ = true; }
 
--- a/src/entry/member_link.cc
+++ b/src/entry/member_link.cc
@@ -9,7 +9,7 @@
 namespace {
 
 // Three hellos fit into the leader's silence that members bear.
-constexpr Duration kHelloPeriod = std::chrono::milliseconds(500);
+constexpr Duration kHelloPeriod = std::chrono::milliseconds(250);
 // A member that has not been heard for this time has gone.
 constexpr Duration kMemberSilence = std::chrono::seconds(3);
 
@@ -111,7 +111,8 @@
 
 void MemberLink::OnHello(const wire::HelloT& hello) {
   const TimePoint now = loop_.Now();
-  election_.OnLife(hello.name, Incarnation(hello.life), now);
+  election_.OnFollower(hello.name, Incarnation(hello.life),
+                       Epoch(hello.epoch), now);
   if (!election_.IsLeader(now)) {
     return;
   }
@@ -145,10 +146,18 @@
   beat.name = self_.name;
   beat.life = self_.life.value();
   beat.epoch = election_.record().epoch.value();
+  beat.address = self_.address;
   beat.rank = static_cast<std::uint32_t>(
       std::distance(known_.begin(), known_.find(known.member.name)));
-  beat.members = static_cast<std::uint32_t>(known_.size()) + 1;
+  for (const auto& [name, it] : known_) {
+    auto address = std::make_unique<wire::MemberAddressT>();
+    address->name = name;
+    address->address = it.member.address;
+    beat.line.push_back(std::move(address));
+  }
   beat.resigning = resigning;
+  beat.store_lost = own_news_.store_lost;
+  beat.changed_at = own_news_.changed_at;
   beat.crashed = ToValues(std::exchange(known.unsent_crashes, {}));
   wire::BodyUnion body;
   body.Set(std::move(beat));
@@ -160,12 +169,34 @@
   for (const std::uint64_t it : beat.crashed) {
     crashes_.OnLostElsewhere({it}, now);
   }
+  const LeaderRecord record{
+      Epoch(beat.epoch), {beat.name, Incarnation(beat.life), beat.address}};
+  if (record.epoch < election_.record().epoch) {
+    return;
+  }
   if (beat.resigning) {
-    election_.OnDoubt(now);
+    election_.OnLeaderResigned(now);
     return;
   }
-  election_.OnLeaderHeard(Epoch(beat.epoch), beat.rank, now);
-  members_ = std::max(1U, beat.members);
+  rank_ = beat.rank;
+  members_ = static_cast<std::uint32_t>(beat.line.size()) + 1;
+  // Whoever takes the lead next knows the others from this line.
+  known_.clear();
+  for (const auto& it : beat.line) {
+    if (it->name != self_.name) {
+      known_[it->name] = {{it->name, {}, it->address}, now, {}};
+    }
+  }
+  if (!on_beat || on_beat({beat.address, beat.store_lost, beat.changed_at})) {
+    leader_heard_at_ = now;
+    election_.OnLeaderHeard(record, beat.rank, now);
+  }
+}
+
+void MemberLink::BeatAll() {
+  for (auto& [name, it] : known_) {
+    SendBeat(it, false);
+  }
 }
 
 void MemberLink::AnnounceResignation() {
--- a/src/entry/member_link.h
+++ b/src/entry/member_link.h
@@ -20,11 +20,21 @@
 
 namespace gentianreach::entry {
 
-// Lets the daemons know that their leader lives, how many they are, and which
-// requests crash servers.
+// What the leader tells of its copies of the store.
+struct LeaderNews {
+  // Where the copies are passed on, as "IP:port".
+  std::string address;
+  bool store_lost = false;
+  // Revisions at which they last changed: configuration, servers, ownership.
+  std::vector<std::uint64_t> changed_at;
+};
+
+// Lets the daemons know that their leader lives and what it has seen, how many
+// they are, and which requests crash servers.
 //
-// A member says hello to the leader of the store's record every half second;
-// the leader answers each with a beat. Nothing depends on a single datagram.
+// A member says hello to the leader of the store's record several times a
+// second; the leader answers each with a beat, and sends one to all when
+// something changes. Nothing depends on a single datagram.
 class MemberLink {
  public:
   MemberLink(net::EventLoop& loop,
@@ -36,13 +46,24 @@
 
   // Opens the own address. Fails with net::SocketError.
   boost::leaf::result<void> Open();
+  // Leader: tells all members what has changed.
+  void BeatAll();
   // Tells all members at once that this leader leaves the lead.
   void AnnounceResignation();
+  // Sets what the beats of this daemon tell while it leads.
+  void SetNews(LeaderNews news) { own_news_ = std::move(news); }
 
   // Returns the number of daemons, this one included, as far as known.
   [[nodiscard]] std::uint32_t members() const { return members_; }
-  // Called when the number has changed or something about the leader was
-  // learnt.
+  // Returns when the present leader was last heard.
+  [[nodiscard]] TimePoint leader_heard_at() const { return leader_heard_at_; }
+  // Returns this daemon's place in the line of succession.
+  [[nodiscard]] std::uint32_t rank() const { return rank_; }
+
+  // Called with each beat of the leader. Returns whether the leader is
+  // recognised; one that is not is treated as silent.
+  std::function<bool(const LeaderNews&)> on_beat;
+  // Called when something about the leader or the members was learnt.
   std::function<void()> on_news;
 
  private:
@@ -72,6 +93,9 @@
   // By name, which gives the order of succession.
   std::map<std::string, Known> known_;
   std::uint32_t members_ = 1;
+  std::uint32_t rank_ = 0;
+  LeaderNews own_news_;
+  TimePoint leader_heard_at_{};
 };
 
 }  // namespace gentianreach::entry
--- a/src/entry/server_directory.cc
+++ b/src/entry/server_directory.cc
@@ -2,19 +2,26 @@
 
 #include <algorithm>
 #include <chrono>
+#include <utility>
 
 namespace gentianreach::entry {
 namespace {
 
 // Live servers write their entries again within about two seconds of the
-// store's return.
-constexpr Duration kReturnTime = std::chrono::milliseconds(2500);
+// store's return; one that is missing then is gone.
+constexpr Duration kReturnTime = std::chrono::milliseconds(2000);
 
 }  // namespace
 
-void ServerDirectory::Put(const routing::BackendServer& server) {
-  servers_[server.id] = server;
+void ServerDirectory::Put(routing::BackendServer server, TimePoint now) {
+  const routing::BackendServer* before = Find(server.id);
+  if (server.draining) {
+    server.draining_since = before != nullptr && before->draining
+                                ? before->draining_since
+                                : now;
+  }
   lapsed_.erase(server.id);
+  servers_[server.id] = std::move(server);
 }
 
 void ServerDirectory::Remove(const ServerId& id, TimePoint now) {
--- a/src/entry/server_directory.h
+++ b/src/entry/server_directory.h
@@ -19,7 +19,7 @@
 class ServerDirectory {
  public:
   // Adds or replaces an entry.
-  void Put(const routing::BackendServer& server);
+  void Put(routing::BackendServer server, TimePoint now);
   // An entry was removed. One that was draining goes at once.
   void Remove(const ServerId& id, TimePoint now);
   // Removes all entries that are not among `present`.
--- a/src/entry/store_watcher.cc
+++ b/src/entry/store_watcher.cc
@@ -11,17 +11,19 @@
 
 using std::chrono::milliseconds;
 
-// How long one watch waits. A watch that went silent is noticed after that.
-constexpr milliseconds kWatchWait{8000};
+// How long a watch waits unless SetSource() says otherwise.
+constexpr milliseconds kFirstWatchWait{4000};
 // Pause after a watch that brought changes, so that changes in quick
-// succession come with one call. Well below what a change may take to be in
-// force.
-constexpr Duration kGatherTime = milliseconds(250);
+// succession come with one call. Well below the time within which a change has
+// to be in force.
+constexpr Duration kGatherTime = milliseconds(200);
 // Time for the answer to a list.
 constexpr Duration kListTimeout = milliseconds(1500);
 // Pauses while the store does not answer.
 constexpr Duration kFirstPause = milliseconds(200);
-constexpr Duration kLongestPause = milliseconds(1000);
+constexpr Duration kLongestPause = milliseconds(800);
+// Changes kept for other daemons.
+constexpr std::size_t kMostChanges = 256;
 
 const char* Name(platform::ObjectKind kind) {
   switch (kind) {
@@ -40,12 +42,12 @@
 }  // namespace
 
 void StoreHealth::OnAnswer() {
+  answered_at_ = loop_.Now();
   pause_ = Duration(0);
   next_turn_ = {};
   if (!std::exchange(lost_, false)) {
     return;
   }
-  Log(LogLevel::kWarning, "store_back", {});
   if (on_change) {
     on_change(false);
   }
@@ -62,6 +64,12 @@
   }
 }
 
+void StoreHealth::OnHistoryGone() {
+  if (on_history_gone) {
+    on_history_gone();
+  }
+}
+
 TimePoint StoreHealth::NextTurn() {
   const TimePoint now = loop_.Now();
   if (!lost_) {
@@ -78,78 +86,233 @@
                            platform::PlatformClient& platform,
                            StoreHealth& health,
                            platform::ObjectKind kind,
+                           platform::Freshness first_list,
                            Sink sink)
     : loop_(loop),
       platform_(platform),
       health_(health),
       kind_(kind),
       sink_(std::move(sink)),
+      next_list_(first_list),
+      watch_wait_(kFirstWatchWait),
       timer_(loop, [this] { Continue(); }) {}
 
+void StoreWatcher::SetSource(WatchSource source, milliseconds watch_wait) {
+  watch_wait_ = watch_wait;
+  if (std::exchange(source_, source) == source) {
+    return;
+  }
+  if (source == WatchSource::kStore && !in_flight_) {
+    timer_.Set(loop_.Now());
+  }
+}
+
+void StoreWatcher::Relist() {
+  if (source_ != WatchSource::kStore) {
+    return;
+  }
+  ++generation_;
+  in_flight_ = false;
+  listed_ = false;
+  timer_.Set(loop_.Now());
+}
+
 void StoreWatcher::Continue() {
+  if (in_flight_ || (source_ == WatchSource::kLeader && listed_)) {
+    return;
+  }
   const TimePoint turn = health_.NextTurn();
   if (turn > loop_.Now()) {
     timer_.Set(turn);
     return;
   }
-  if (listed_) {
-    Watch();
-  } else {
-    List();
-  }
-}
-
-void StoreWatcher::List() {
-  const auto freshness = std::exchange(first_, false)
-                             ? platform::Freshness::kMayBeStale
-                             : platform::Freshness::kCurrent;
-  platform_.List(kind_, freshness, loop_.Now() + kListTimeout,
-                 [this](const platform::ListReply& reply) {
-                   OnReply(reply, true);
-                 });
+  Call(!listed_);
 }
 
-void StoreWatcher::Watch() {
+void StoreWatcher::Call(bool list) {
+  in_flight_ = true;
+  const auto on_reply = [this, list, generation = generation_](
+                            const platform::ListReply& reply) {
+    if (generation != generation_) {
+      return;
+    }
+    in_flight_ = false;
+    OnReply(reply, list);
+  };
+  if (list) {
+    const auto freshness =
+        std::exchange(next_list_, platform::Freshness::kCurrent);
+    platform_.List(kind_, freshness, loop_.Now() + kListTimeout, on_reply);
+    return;
+  }
   // While the store is in doubt a short wait tells soon whether it is back.
   constexpr milliseconds kProbeWait{1};
-  platform_.Watch(kind_, revision_, health_.lost() ? kProbeWait : kWatchWait,
-                  [this](const platform::ListReply& reply) {
-                    OnReply(reply, false);
-                  });
+  platform_.Watch(kind_, revision_, health_.lost() ? kProbeWait : watch_wait_,
+                  on_reply);
 }
 
-void StoreWatcher::OnReply(const platform::ListReply& reply, bool listed) {
+void StoreWatcher::OnReply(const platform::ListReply& reply, bool list) {
   const TimePoint now = loop_.Now();
   switch (reply.status) {
     case platform::CallStatus::kOk:
       health_.OnAnswer();
-      revision_ = reply.revision;
-      if (listed) {
-        listed_ = true;
-        sink_.on_list(reply.objects);
-        timer_.Set(now);
-        return;
+      timer_.Set(list || reply.objects.empty() ? now : now + kGatherTime);
+      if (list) {
+        TakeList(reply.objects, reply.revision);
+      } else {
+        TakeEvents(reply.objects, reply.revision);
       }
-      if (!reply.objects.empty()) {
-        sink_.on_events(reply.objects);
-      }
-      timer_.Set(reply.objects.empty() ? now : now + kGatherTime);
       return;
     case platform::CallStatus::kHistoryGone:
       health_.OnAnswer();
       Log(LogLevel::kWarning, "store_history_gone",
           {{"kind", Name(kind_)}, {"revision", revision_}});
-      listed_ = false;
-      timer_.Set(now);
+      health_.OnHistoryGone();
       return;
     default:
       Log(LogLevel::kWarning, "store_call_failed",
           {{"kind", Name(kind_)},
-           {"call", listed ? "list" : "watch"},
+           {"call", list ? "list" : "watch"},
            {"error", reply.error}});
       health_.OnFailure();
-      timer_.Set(health_.NextTurn() + kFirstPause / 10);
+      timer_.Set(now);
+  }
+}
+
+void StoreWatcher::Record(const platform::Object& object,
+                          std::uint64_t revision) {
+  if (object.deleted) {
+    objects_.erase(object.name);
+  } else {
+    objects_[object.name] = object;
+  }
+  changes_.push_back({revision, object});
+  changed_at_ = revision;
+  if (changes_.size() > kMostChanges) {
+    changes_from_ = changes_.front().revision;
+    changes_.pop_front();
+  }
+}
+
+void StoreWatcher::TakeList(const std::vector<platform::Object>& objects,
+                            std::uint64_t revision) {
+  std::map<std::string, platform::Object> present;
+  for (const platform::Object& it : objects) {
+    if (!it.deleted) {
+      present.emplace(it.name, it);
+    }
+  }
+  // Objects that are gone count as changes for those who follow this copy.
+  std::vector<platform::Object> changed;
+  for (const auto& [name, it] : objects_) {
+    if (!present.contains(name)) {
+      changed.push_back(it);
+      changed.back().deleted = true;
+    }
+  }
+  for (const auto& [name, it] : present) {
+    const auto known = objects_.find(name);
+    if (known == objects_.end() || known->second.revision != it.revision) {
+      changed.push_back(it);
+    }
+  }
+  if (!listed_ && revision_ == 0) {
+    changes_from_ = revision;
+  }
+  listed_ = true;
+  revision_ = std::max(revision_, revision);
+  for (const platform::Object& it : changed) {
+    Record(it, revision_);
+  }
+  sink_.on_list(objects);
+}
+
+void StoreWatcher::TakeEvents(const std::vector<platform::Object>& objects,
+                              std::uint64_t revision) {
+  revision_ = std::max(revision_, revision);
+  std::vector<platform::Object> changed;
+  for (const platform::Object& it : objects) {
+    const auto known = objects_.find(it.name);
+    // What this daemon wrote itself is known already.
+    if (!it.deleted && known != objects_.end() &&
+        known->second.revision >= it.revision) {
+      continue;
+    }
+    Record(it, revision_);
+    changed.push_back(it);
+  }
+  if (!changed.empty()) {
+    sink_.on_events(changed);
+  }
+}
+
+void StoreWatcher::Put(const platform::Object& object) {
+  const auto known = objects_.find(object.name);
+  if (known != objects_.end() && known->second.revision >= object.revision) {
+    return;
+  }
+  // The copy is not known to be complete up to the object's revision, but
+  // those who follow it have to see that it changed.
+  Record(object, std::max(revision_, object.revision));
+  sink_.on_events({object});
+}
+
+nlohmann::json StoreWatcher::ChangesSince(std::uint64_t since) const {
+  nlohmann::json list = nlohmann::json::array();
+  const auto add = [&](const platform::Object& object) {
+    list.push_back({{"name", object.name},
+                    {"revision", object.revision},
+                    {"deleted", object.deleted},
+                    {"object", object.whole}});
+  };
+  const bool whole = since == 0 || since < changes_from_;
+  if (whole) {
+    for (const auto& [name, it] : objects_) {
+      add(it);
+    }
+  } else {
+    for (const Change& it : changes_) {
+      if (it.revision > since) {
+        add(it.object);
+      }
+    }
+  }
+  return {{"revision", std::max(revision_, changed_at_)},
+          {"listed", listed_},
+          {"whole", whole},
+          {"objects", std::move(list)}};
+}
+
+bool StoreWatcher::Adopt(const nlohmann::json& changes) {
+  std::vector<platform::Object> objects;
+  std::uint64_t revision = 0;
+  bool whole = false;
+  try {
+    if (!changes.at("listed").get<bool>()) {
+      return false;
+    }
+    revision = changes.at("revision").get<std::uint64_t>();
+    whole = changes.at("whole").get<bool>();
+    for (const auto& it : changes.at("objects")) {
+      objects.push_back({it.at("name").get<std::string>(),
+                         it.at("revision").get<std::uint64_t>(),
+                         it.at("deleted").get<bool>(), it.at("object")});
+    }
+  } catch (const nlohmann::json::exception& error) {
+    Log(LogLevel::kWarning, "relayed_changes_unusable",
+        {{"kind", Name(kind_)}, {"error", error.what()}});
+    return false;
+  }
+  // A leader that knows less than this daemon has nothing to tell.
+  if (revision < revision_ || (!whole && !listed_)) {
+    return false;
+  }
+  if (whole) {
+    TakeList(objects, revision);
+  } else {
+    TakeEvents(objects, revision);
   }
+  return true;
 }
 
 }  // namespace gentianreach::entry
--- a/src/entry/store_watcher.h
+++ b/src/entry/store_watcher.h
@@ -1,11 +1,17 @@
-// Follows the objects of one kind in the platform's store.
+// Keeps a copy of the objects of one kind in the platform's store.
 #ifndef SRC_ENTRY_STORE_WATCHER_H_
 #define SRC_ENTRY_STORE_WATCHER_H_
 
 #include <cstdint>
+#include <deque>
 #include <functional>
+#include <map>
+#include <optional>
+#include <string>
 #include <vector>
 
+#include <nlohmann/json.hpp>
+
 #include "gentianreach/time.h"
 #include "net/deadline_timer.h"
 #include "net/event_loop.h"
@@ -13,26 +19,39 @@
 
 namespace gentianreach::entry {
 
-// Whether the store answers, for all watchers of a daemon. While it does not,
-// one of them tries at a time, since every call has its price.
+// Whether the store answers this daemon. While it does not, one watcher tries
+// at a time, since every call has its price.
 class StoreHealth {
  public:
   explicit StoreHealth(net::EventLoop& loop) : loop_(loop) {}
 
   void OnAnswer();
   void OnFailure();
+  // The store has dropped its history: what watches were told may be old.
+  void OnHistoryGone();
   // Returns when the next call may be made; takes that turn where it is now.
   [[nodiscard]] TimePoint NextTurn();
   [[nodiscard]] bool lost() const { return lost_; }
+  // Returns when the store last answered.
+  [[nodiscard]] TimePoint answered_at() const { return answered_at_; }
 
   // Called when the store stops and when it begins to answer.
   std::function<void(bool lost)> on_change;
+  std::function<void()> on_history_gone;
 
  private:
   net::EventLoop& loop_;
   bool lost_ = false;
   Duration pause_{};
   TimePoint next_turn_{};
+  TimePoint answered_at_{};
+};
+
+// Where a watcher gets its changes from.
+enum class WatchSource : std::uint8_t {
+  kStore,
+  // Another daemon passes them on; see Adopt().
+  kLeader,
 };
 
 class StoreWatcher {
@@ -44,30 +63,72 @@
     std::function<void(const std::vector<platform::Object>&)> on_events;
   };
 
+  // `first_list` says whether the list at the start may be stale.
   StoreWatcher(net::EventLoop& loop,
                platform::PlatformClient& platform,
                StoreHealth& health,
                platform::ObjectKind kind,
+               platform::Freshness first_list,
                Sink sink);
 
   // Begins, not before `at`.
   void Start(TimePoint at) { timer_.Set(at); }
+  // Chooses where changes come from, and for how long a watch waits; a watch
+  // that went silent is noticed only after that.
+  void SetSource(WatchSource source, std::chrono::milliseconds watch_wait);
+  // Reads everything anew where the store is the source.
+  void Relist();
+  // Takes in an object that this daemon has just written.
+  void Put(const platform::Object& object);
+
+  // Returns the changes after `since` for another daemon's Adopt(), or
+  // everything where they are not known any more.
+  [[nodiscard]] nlohmann::json ChangesSince(std::uint64_t since) const;
+  // Takes what ChangesSince() of another daemon returned. Returns false where
+  // it cannot be used.
+  bool Adopt(const nlohmann::json& changes);
+
+  // Returns the store's revision up to which the copy is complete; 0: nothing
+  // is known yet.
+  [[nodiscard]] std::uint64_t revision() const { return revision_; }
+  // Returns the revision at which the copy last changed.
+  [[nodiscard]] std::uint64_t changed_at() const { return changed_at_; }
+  [[nodiscard]] bool listed() const { return listed_; }
 
  private:
+  // One change that was taken in when the copy reached `revision`.
+  struct Change {
+    std::uint64_t revision = 0;
+    platform::Object object;
+  };
+
   void Continue();
-  void List();
-  void Watch();
-  void OnReply(const platform::ListReply& reply, bool listed);
+  void Call(bool list);
+  void OnReply(const platform::ListReply& reply, bool list);
+  void TakeList(const std::vector<platform::Object>& objects,
+                std::uint64_t revision);
+  void TakeEvents(const std::vector<platform::Object>& objects,
+                  std::uint64_t revision);
+  void Record(const platform::Object& object, std::uint64_t revision);
 
   net::EventLoop& loop_;
   platform::PlatformClient& platform_;
   StoreHealth& health_;
   const platform::ObjectKind kind_;
   const Sink sink_;
+  platform::Freshness next_list_;
+  WatchSource source_ = WatchSource::kStore;
+  std::chrono::milliseconds watch_wait_;
   bool listed_ = false;
-  // The first list may be stale: the watch from its revision brings the rest.
-  bool first_ = true;
   std::uint64_t revision_ = 0;
+  std::uint64_t changed_at_ = 0;
+  std::map<std::string, platform::Object> objects_;
+  std::deque<Change> changes_;
+  // Changes after this revision are in `changes_`.
+  std::uint64_t changes_from_ = 0;
+  // Replies to calls of an earlier generation come too late.
+  std::uint64_t generation_ = 0;
+  bool in_flight_ = false;
   net::DeadlineTimer timer_;
 };
 
--- a/src/keyspace/range_assigner.cc
+++ b/src/keyspace/range_assigner.cc
@@ -15,8 +15,10 @@
 constexpr std::uint64_t kTokensPerMove = kMostFences + 1;
 // How far tokens jump where a server has seen a higher one than the table has.
 constexpr std::uint64_t kTokenJump = 1000;
-// How long servers may take to register before the keys are divided.
-constexpr Duration kRegistrationTime = std::chrono::milliseconds(700);
+// The keys are divided for the first time when no server has registered for
+// the quiet time, and at the latest after the longest time.
+constexpr Duration kRegistrationQuiet = std::chrono::milliseconds(1000);
+constexpr Duration kLongestRegistration = std::chrono::milliseconds(3500);
 // Ranges that may move for balance at the same time.
 constexpr std::ptrdiff_t kMostBalanceMoves = 3;
 
@@ -111,7 +113,11 @@
   servers_.clear();
   for (AssignerServer& it : servers) {
     const ServerId id = it.id;
-    addresses_[{id, it.incarnation}] = it.address;
+    std::string& address = addresses_[{id, it.incarnation}];
+    if (address.empty()) {
+      last_server_at_ = now;
+    }
+    address = it.address;
     servers_.emplace(id, std::move(it));
   }
   if (!servers_.empty() && first_server_at_ == TimePoint{}) {
@@ -397,7 +403,9 @@
 std::optional<OwnershipTable> RangeAssigner::Plan(const KeyLoad& load,
                                                   TimePoint now) {
   if (!has_table_) {
-    if (servers_.empty() || now < first_server_at_ + kRegistrationTime) {
+    const bool settled = now >= last_server_at_ + kRegistrationQuiet ||
+                         now >= first_server_at_ + kLongestRegistration;
+    if (servers_.empty() || !settled) {
       return std::nullopt;
     }
     const std::vector<Candidate> candidates = Candidates();
--- a/src/keyspace/range_assigner.h
+++ b/src/keyspace/range_assigner.h
@@ -207,6 +207,7 @@
   // it has ended.
   std::map<Life, std::string> addresses_;
   TimePoint first_server_at_{};
+  TimePoint last_server_at_{};
   TimePoint others_until_{};
   TimePoint plan_at_{};
   TimePoint next_balance_{};
--- a/src/routing/backend_server.h
+++ b/src/routing/backend_server.h
@@ -21,6 +21,8 @@
   std::uint32_t slots = 1;
   // It still serves, and asks for no new work.
   bool draining = false;
+  // When this daemon learnt that it is draining.
+  TimePoint draining_since{};
   // Until then it is slow after its start.
   TimePoint warm_at{};
 };
