Moves wait for renewals under way; a new leader claims the table first

Change: a renewal under way is waited for before the release; a leader that takes over writes the table once before its first order; fences only for moves of its own; several fence tokens, since one may be lost and arrive late.

Ruled out: orders over one connection, as the order of arrival would still be lost where a connection breaks.

--- a/src/entry/key_assignment.cc
+++ b/src/entry/key_assignment.cc
@@ -179,6 +179,15 @@
             on_table(*reply.object);
           }
         }
+        const auto unconfirmed =
+            std::exchange(service->unconfirmed, std::nullopt);
+        if (table && unconfirmed && *table == *unconfirmed) {
+          // The write whose answer was lost took effect.
+          service->begun = true;
+          service->assigner.OnWritten(now);
+          Run();
+          return;
+        }
         Log(LogLevel::kInfo, "assigner_begins",
             {{"service", name},
              {"epoch", election_.record().epoch.value()},
@@ -221,14 +230,22 @@
         {{"service", name},
          {"status", static_cast<int>(reply.status)},
          {"error", reply.error}});
-    service->assigner.OnWriteFailed(now + kStorePause);
-    if (reply.status != platform::CallStatus::kUnavailable) {
-      // Another leader has written, or this write may have taken effect.
-      if (reply.status == platform::CallStatus::kConflict) {
+    switch (reply.status) {
+      case platform::CallStatus::kUnavailable:
+        service->assigner.OnWriteFailed(now + kStorePause);
+        break;
+      case platform::CallStatus::kUnknown:
+        // It may have taken effect; the plan stands until that is known.
+        service->unconfirmed = table;
+        service->begun = false;
+        service->next_read = now + kStorePause / 4;
+        break;
+      default:
+        // Another leader has written.
+        service->assigner.OnWriteFailed(now + kStorePause);
         election_.OnDoubt(now);
-      }
-      service->begun = false;
-      service->next_read = now + kStorePause / 4;
+        service->begun = false;
+        service->next_read = now + kStorePause / 4;
     }
     Run();
   };
--- a/src/entry/key_assignment.h
+++ b/src/entry/key_assignment.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 
 #include "entry/entry_state.h"
@@ -41,6 +42,8 @@
     bool begun = false;
     bool reading = false;
     TimePoint next_read{};
+    // A table whose write had no answer: it may be in the store.
+    std::optional<keyspace::OwnershipTable> unconfirmed;
     // Tells replies to an earlier term of leading apart.
     std::uint64_t term = 0;
   };
--- a/src/entry/leader_election.h
+++ b/src/entry/leader_election.h
@@ -32,9 +32,9 @@
 struct ElectionOptions {
   // How long a leader acts without proof from the store that it still leads.
   // Bridges an outage of the store, during which nobody else can be elected.
-  std::chrono::milliseconds authority{15000};
+  std::chrono::milliseconds authority{12000};
   // How often the leader asks the store for that proof.
-  std::chrono::milliseconds verify_period{4000};
+  std::chrono::milliseconds verify_period{2500};
   // Silence of the leader after which the first in line takes its place.
   std::chrono::milliseconds silence{800};
   // How much longer each further one in line waits.
--- a/src/keyspace/range_assigner.cc
+++ b/src/keyspace/range_assigner.cc
@@ -68,6 +68,7 @@
   plan_at_ = now;
   others_until_ = std::max(others_until, now);
   has_table_ = table.has_value();
+  claimed_ = !has_table_;
   table_ = table ? *std::move(table) : OwnershipTable{};
   states_.clear();
   for (const OwnedRange& it : table_.ranges) {
@@ -78,6 +79,7 @@
     state.orders.late_until = state.orders.held_until;
     Clearing clearing;
     clearing.orders = state.orders;
+    clearing.inherited = true;
     state.earlier.assign(it.earlier.size(), clearing);
     states_.push_back(std::move(state));
   }
@@ -143,7 +145,8 @@
   // Another life under the same id proves it. A connection that is refused
   // does not: a network partition may refuse as well.
   const auto it = servers_.find(owner.server);
-  return it != servers_.end() && it->second.incarnation != owner.incarnation;
+  return it != servers_.end() && it->second.incarnation != owner.incarnation &&
+         it->second.address != AddressOf(owner);
 }
 
 bool RangeAssigner::MayOwn(const Owner& owner) const {
@@ -180,6 +183,7 @@
   planned_.reset();
   states_ = std::move(states);
   has_table_ = true;
+  claimed_ = true;
   next_wake_ = now;
 }
 
@@ -210,6 +214,11 @@
             std::max(orders.late_until, known.orders.late_until);
         orders.renewed_at =
             std::min(orders.renewed_at, known.orders.renewed_at);
+        if (known.orders.in_flight != 0) {
+          // Its reply is not waited for any more.
+          orders.late_until =
+              std::max(orders.late_until, HeldUntil(known.orders.sent_at));
+        }
       }
       first = false;
       continue;
@@ -217,8 +226,8 @@
     for (const Owner& owner : range.earlier) {
       Clearing clearing;
       if (owner == old.owner) {
+        // A renewal under way is waited for: it could arrive after a release.
         clearing.orders = known.orders;
-        clearing.orders.in_flight = 0;
         clearing.orders.next_try = {};
       }
       for (std::size_t k = 0; k < old.earlier.size(); ++k) {
@@ -241,7 +250,10 @@
       return false;
     }
     state->in_flight = 0;
-    if (outcome == OrderOutcome::kUnknown) {
+    if (outcome == OrderOutcome::kUnknown &&
+        state->purpose == OrderPurpose::kRelease) {
+      state->next_try = now;
+    } else if (outcome == OrderOutcome::kUnknown) {
       state->late_until =
           std::max(state->late_until, HeldUntil(state->sent_at));
       state->next_try = now;
@@ -260,16 +272,14 @@
           it.token_refused || outcome == OrderOutcome::kHigherToken;
     }
     for (Clearing& clearing : it.earlier) {
-      if (!settle(&clearing.orders)) {
-        continue;
-      }
-      const bool was_fence = std::exchange(clearing.fencing, false);
-      if (outcome != OrderOutcome::kDone) {
+      if (!settle(&clearing.orders) || outcome != OrderOutcome::kDone) {
         continue;
       }
-      if (was_fence) {
+      if (clearing.orders.purpose == OrderPurpose::kFence) {
         // The release follows.
         clearing.fenced = true;
+      }
+      if (clearing.orders.purpose != OrderPurpose::kRelease) {
         continue;
       }
       clearing.cleared = true;
@@ -288,7 +298,7 @@
   if (!begun_) {
     return actions;
   }
-  for (std::size_t i = 0; i < table_.ranges.size(); ++i) {
+  for (std::size_t i = 0; claimed_ && i < table_.ranges.size(); ++i) {
     PollRange(i, now, &actions);
   }
   if (!planned_ && now >= plan_at_) {
@@ -323,8 +333,8 @@
     return;
   }
   SendGrant(range, range.owner, range.owner.token, server->address,
-            state.granted ? std::string() : state.handover, &state.orders, now,
-            actions);
+            state.granted ? std::string() : state.handover,
+            OrderPurpose::kRenewal, &state.orders, now, actions);
 }
 
 void RangeAssigner::SendGrant(const OwnedRange& range,
@@ -332,10 +342,12 @@
                               Token token,
                               const std::string& address,
                               const std::string& handover,
+                              OrderPurpose purpose,
                               OrderState* state,
                               TimePoint now,
                               std::vector<AssignerAction>* actions) {
   state->in_flight = ++last_order_;
+  state->purpose = purpose;
   state->sent_at = now;
   state->held_until = std::max(state->held_until, HeldUntil(now));
   actions->emplace_back(SendOrder{.kind = SendOrder::Kind::kGrant,
@@ -373,22 +385,21 @@
   if (!clearing.fenced && orders.late_until > now) {
     // With several earlier owners it is not known which of them holds the
     // keys, and a grant to one that does not would make a second holder.
-    if (range.earlier.size() > 1 || clearing.fences_sent >= kMostFences) {
+    if (range.earlier.size() > 1 || clearing.inherited ||
+        clearing.fences_sent >= kMostFences) {
       return false;
     }
     ++clearing.fences_sent;
-    clearing.fencing = true;
-    SendGrant(range, owner,
-              FenceToken(range.owner.token, clearing.fences_sent), address, "",
+    clearing.fence = FenceToken(range.owner.token, clearing.fences_sent);
+    SendGrant(range, owner, clearing.fence, address, "", OrderPurpose::kFence,
               &orders, now, actions);
     return false;
   }
   orders.in_flight = ++last_order_;
+  orders.purpose = OrderPurpose::kRelease;
   orders.sent_at = now;
   orders.next_try = now + options_.order_timeout;
-  const Token token =
-      clearing.fenced ? FenceToken(range.owner.token, clearing.fences_sent)
-                      : owner.token;
+  const Token token = clearing.fenced ? clearing.fence : owner.token;
   actions->emplace_back(
       SendOrder{.kind = SendOrder::Kind::kRelease,
                 .order = orders.in_flight,
@@ -420,6 +431,10 @@
     return plan;
   }
   OwnershipTable plan = table_;
+  if (!claimed_) {
+    plan.next_token = plan.next_token.Next();
+    return plan;
+  }
   PlanSettled(&plan);
   PlanMoves(load, &plan);
   PlanBalance(load, &plan, now);
--- a/src/keyspace/range_assigner.h
+++ b/src/keyspace/range_assigner.h
@@ -89,6 +89,8 @@
 //     store, so that a successor knows of it;
 //  2. every earlier owner in that table is cleared: it answered a release, its
 //     life is proven to be over, or its leases have run out.
+// A leader that takes over writes the table once before its first order, so
+// that a write of the leader before it, which would begin a move, fails.
 // Orders can be carried out late, and a leader before this one may still be
 // sending its own. A release is therefore preceded by a grant of the same keys
 // to the same server with a token reserved for it wherever such orders may be
@@ -131,6 +133,7 @@
 
  private:
   using Life = std::pair<ServerId, Incarnation>;
+  enum class OrderPurpose : std::uint8_t { kRenewal, kFence, kRelease };
 
   // What is known of orders to one owner for one range.
   struct OrderState {
@@ -142,7 +145,8 @@
     // When the last answered grant was sent.
     TimePoint renewed_at{};
     TimePoint next_try{};
-    std::uint64_t in_flight = 0;
+    std::uint64_t in_flight = 0;  // 0: no order is under way.
+    OrderPurpose purpose = OrderPurpose::kRenewal;  // Of the one under way.
     TimePoint sent_at{};
   };
   // How far an earlier owner has been cleared.
@@ -151,7 +155,10 @@
     // Fencing grants sent. Each has a token of its own, so that one without
     // an answer is superseded by the next.
     std::uint64_t fences_sent = 0;
-    bool fencing = false;  // The order in flight is a fencing grant.
+    // Another leader began the move: the next owner may have its grant
+    // already, and a fencing grant would make a second holder.
+    bool inherited = false;
+    Token fence;  // Of the latest fencing grant.
     bool fenced = false;
     bool cleared = false;
   };
@@ -167,6 +174,8 @@
   // Returns where that life of a server was last known to be; empty where it
   // never was.
   [[nodiscard]] std::string AddressOf(const Owner& owner) const;
+  // Returns whether that life of the server is over and no order to it can
+  // reach the next one.
   [[nodiscard]] bool HasEnded(const Owner& owner) const;
   [[nodiscard]] bool MayOwn(const Owner& owner) const;
   [[nodiscard]] std::vector<Candidate> Candidates() const;
@@ -187,6 +196,7 @@
                  Token token,
                  const std::string& address,
                  const std::string& handover,
+                 OrderPurpose purpose,
                  OrderState* state,
                  TimePoint now,
                  std::vector<AssignerAction>* actions);
@@ -198,6 +208,8 @@
   AssignerOptions options_;
   bool begun_ = false;
   bool has_table_ = false;
+  // Whether this leader has written the table that it took over.
+  bool claimed_ = false;
   OwnershipTable table_;
   std::vector<RangeState> states_;  // One per range of table_.
   std::optional<OwnershipTable> planned_;
