Leases of a leader's own earlier orders are waited for; later leaders' tables are left alone

Change: the table carries its writer's epoch; the wait runs from the reading of the table; whoever tells of the servers also says whether entries may be missing. Tests: range_assigner_test (the last case fails before).

--- a/src/entry/entry_daemon.cc
+++ b/src/entry/entry_daemon.cc
@@ -55,7 +55,7 @@
 // cannot reach it.
 constexpr std::uint32_t kProbingRanks = 2;
 // How long a leader may be without the store while others have it.
-constexpr Duration kLeaderWithoutStore = milliseconds(1200);
+constexpr Duration kLeaderWithoutStore = milliseconds(500);
 // Where the leader passes the store's objects on, and how long that may take.
 constexpr const char* kRelayPath = "/changes";
 constexpr std::array<const char*, 3> kRelayKinds = {"config", "servers",
@@ -278,7 +278,7 @@
     if (!server) {
       Log(LogLevel::kWarning, "server_entry_unusable",
           {{"server", object.name}, {"why", why}});
-      state_->directory.Remove(ServerId(object.name), now);
+      state_->directory.Remove(ServerId(object.name));
       return;
     }
     const routing::BackendServer* before = state_->directory.Find(server->id);
@@ -305,7 +305,7 @@
       present.emplace_back(it.name);
       PutServer(it);
     }
-    state_->directory.RemoveOthers(present, loop_.Now());
+    state_->directory.RemoveOthers(present);
     servers_known_ = true;
     OnServersChanged();
   }
@@ -318,7 +318,7 @@
       }
       Log(LogLevel::kInfo, "server_removed",
           {{"server", it.name}, {"revision", it.revision}});
-      state_->directory.Remove(ServerId(it.name), loop_.Now());
+      state_->directory.Remove(ServerId(it.name));
     }
     OnServersChanged();
   }
@@ -358,19 +358,17 @@
 
   void OnStoreChange(bool lost) {
     Log(LogLevel::kWarning, lost ? "store_lost" : "store_back", {});
-    UpdateStoreTrust();
+    UpdateDoubt();
     TellMembers();
   }
 
-  // Entries that vanish may only have lapsed while nobody whom this daemon
-  // listens to reaches the store.
-  void UpdateStoreTrust() {
-    const bool lost =
-        follows_leader_ ? leader_store_lost_ : health_.lost();
-    if (lost) {
-      state_->directory.OnStoreLost();
-    } else {
-      state_->directory.OnStoreBack(loop_.Now());
+  // Whoever tells this daemon of the servers also says whether entries may be
+  // missing.
+  void UpdateDoubt() {
+    const bool doubt =
+        follows_leader_ ? leader_lacks_entries_ : health_.MayLackEntries();
+    if (state_->directory.SetDoubt(doubt)) {
+      OnServersChanged();
     }
   }
 
@@ -389,13 +387,19 @@
     return {404, "application/json", R"({"error":"no such kind"})"};
   }
 
-  // Leader: tells the members that a copy has changed.
-  void TellMembers() {
-    LeaderNews news{.store_lost = health_.lost()};
+  // Sets what the beats of this daemon say while it leads.
+  void UpdateNews() {
+    LeaderNews news{.store_lost = health_.lost(),
+                    .may_lack_entries = health_.MayLackEntries()};
     for (const StoreWatcher* it : Watchers()) {
       news.changed_at.push_back(it->listed() ? it->changed_at() : 0);
     }
     link_.SetNews(std::move(news));
+  }
+
+  // Leader: tells the members that a copy has changed.
+  void TellMembers() {
+    UpdateNews();
     if (election_.IsLeader(loop_.Now())) {
       link_.BeatAll();
     }
@@ -408,6 +412,7 @@
       leader_lost_store_at_ = now;
     }
     leader_store_lost_ = news.store_lost;
+    leader_lacks_entries_ = news.may_lack_entries;
     for (std::size_t i = 0; i < news.changed_at.size(); ++i) {
       FetchChanges(i, news.address, news.changed_at[i]);
     }
@@ -457,7 +462,7 @@
           follows_leader_ ? WatchSource::kLeader : WatchSource::kStore,
           leads ? kLeaderWatchWait : kOwnWatchWait);
     }
-    UpdateStoreTrust();
+    UpdateDoubt();
   }
 
   void OnNews() {
@@ -471,9 +476,7 @@
   void Housekeep() {
     const TimePoint now = loop_.Now();
     housekeeping_.Set(now + kHousekeepingPeriod);
-    if (state_->directory.Expire(now)) {
-      OnServersChanged();
-    }
+    UpdateNews();
     if (const auto dropped = state_->log_budget.TakeDropped(); dropped > 0) {
       Log(LogLevel::kWarning, "log_lines_dropped", {{"lines", dropped}});
     }
@@ -547,6 +550,7 @@
   std::array<bool, 3> fetching_{};
   bool follows_leader_ = false;
   bool leader_store_lost_ = false;
+  bool leader_lacks_entries_ = false;
   TimePoint leader_lost_store_at_{};
   OperatorServer ready_server_;
   OperatorServer metrics_server_;
--- a/src/entry/key_assignment.cc
+++ b/src/entry/key_assignment.cc
@@ -192,9 +192,14 @@
             {{"service", name},
              {"epoch", election_.record().epoch.value()},
              {"revision", service->revision}});
-        service->begun = true;
-        service->assigner.Begin(std::move(table), election_.others_until(),
-                                now);
+        service->begun = service->assigner.Begin(
+            std::move(table), election_.record().epoch,
+            election_.others_until(), now);
+        if (!service->begun) {
+          Log(LogLevel::kWarning, "later_leader_found", {{"service", name}});
+          service->next_read = now + kStorePause;
+          election_.OnDoubt(now);
+        }
         Run();
       });
 }
--- a/src/entry/member_link.cc
+++ b/src/entry/member_link.cc
@@ -157,6 +157,7 @@
   }
   beat.resigning = resigning;
   beat.store_lost = own_news_.store_lost;
+  beat.may_lack_entries = own_news_.may_lack_entries;
   beat.changed_at = own_news_.changed_at;
   beat.crashed = ToValues(std::exchange(known.unsent_crashes, {}));
   wire::BodyUnion body;
@@ -187,7 +188,8 @@
       known_[it->name] = {{it->name, {}, it->address}, now, {}};
     }
   }
-  if (!on_beat || on_beat({beat.address, beat.store_lost, beat.changed_at})) {
+  if (!on_beat || on_beat({beat.address, beat.store_lost,
+                           beat.may_lack_entries, beat.changed_at})) {
     leader_heard_at_ = now;
     election_.OnLeaderHeard(record, beat.rank, now);
   }
--- a/src/entry/member_link.h
+++ b/src/entry/member_link.h
@@ -25,6 +25,8 @@
   // Where the copies are passed on, as "IP:port".
   std::string address;
   bool store_lost = false;
+  // Entries of live servers may be missing after an outage of the store.
+  bool may_lack_entries = false;
   // Revisions at which they last changed: configuration, servers, ownership.
   std::vector<std::uint64_t> changed_at;
 };
--- a/src/entry/server_directory.h
+++ b/src/entry/server_directory.h
@@ -3,8 +3,7 @@
 #define SRC_ENTRY_SERVER_DIRECTORY_H_
 
 #include <map>
-#include <optional>
-#include <string>
+#include <set>
 #include <vector>
 
 #include "gentianreach/ids.h"
@@ -13,23 +12,21 @@
 
 namespace gentianreach::entry {
 
-// Keeps the entries of all servers. An entry that vanishes while the store is
-// unreachable, or shortly after it returned, may only have lapsed: a live
-// server writes it again, so it is kept for a while.
+// Keeps the entries of all servers. An entry that vanishes around an outage of
+// the store may only have lapsed: a live server writes it again, so it is kept
+// until the doubt has passed.
 class ServerDirectory {
  public:
   // Adds or replaces an entry.
   void Put(routing::BackendServer server, TimePoint now);
   // An entry was removed. One that was draining goes at once.
-  void Remove(const ServerId& id, TimePoint now);
+  void Remove(const ServerId& id);
   // Removes all entries that are not among `present`.
-  void RemoveOthers(const std::vector<ServerId>& present, TimePoint now);
+  void RemoveOthers(const std::vector<ServerId>& present);
 
-  // The store cannot be reached, and has been reached again.
-  void OnStoreLost() { store_lost_ = true; }
-  void OnStoreBack(TimePoint now);
-  // Drops the entries whose time has run out; returns whether there were any.
-  bool Expire(TimePoint now);
+  // Sets whether vanished entries may only have lapsed. Returns whether this
+  // removed any.
+  bool SetDoubt(bool doubt);
 
   // Returns the servers, sorted by id.
   [[nodiscard]] const std::map<ServerId, routing::BackendServer>& servers()
@@ -40,10 +37,9 @@
 
  private:
   std::map<ServerId, routing::BackendServer> servers_;
-  // Entries that may have lapsed, until they are taken for gone.
-  std::map<ServerId, TimePoint> lapsed_;
-  bool store_lost_ = false;
-  TimePoint trusted_from_{};
+  // Entries that may have lapsed.
+  std::set<ServerId> lapsed_;
+  bool doubt_ = false;
 };
 
 }  // namespace gentianreach::entry
--- a/src/entry/store_watcher.cc
+++ b/src/entry/store_watcher.cc
@@ -22,6 +22,9 @@
 // Pauses while the store does not answer.
 constexpr Duration kFirstPause = milliseconds(200);
 constexpr Duration kLongestPause = milliseconds(800);
+// Live servers write their entries again within about two seconds of the
+// store's return; one that is missing then is gone.
+constexpr Duration kReturnTime = milliseconds(2000);
 // Changes kept for other daemons.
 constexpr std::size_t kMostChanges = 256;
 
@@ -48,6 +51,7 @@
   if (!std::exchange(lost_, false)) {
     return;
   }
+  back_at_ = answered_at_;
   if (on_change) {
     on_change(false);
   }
@@ -64,6 +68,11 @@
   }
 }
 
+bool StoreHealth::MayLackEntries() const {
+  return lost_ || (back_at_ != TimePoint{} &&
+                   loop_.Now() < back_at_ + kReturnTime);
+}
+
 void StoreHealth::OnHistoryGone() {
   if (on_history_gone) {
     on_history_gone();
@@ -102,6 +111,7 @@
   if (std::exchange(source_, source) == source) {
     return;
   }
+  probe_ = source == WatchSource::kStore;
   if (source == WatchSource::kStore && !in_flight_) {
     timer_.Set(loop_.Now());
   }
@@ -147,8 +157,8 @@
   }
   // While the store is in doubt a short wait tells soon whether it is back.
   constexpr milliseconds kProbeWait{1};
-  platform_.Watch(kind_, revision_, health_.lost() ? kProbeWait : watch_wait_,
-                  on_reply);
+  const bool probe = std::exchange(probe_, false) || health_.lost();
+  platform_.Watch(kind_, revision_, probe ? kProbeWait : watch_wait_, on_reply);
 }
 
 void StoreWatcher::OnReply(const platform::ListReply& reply, bool list) {
--- a/src/entry/store_watcher.h
+++ b/src/entry/store_watcher.h
@@ -34,6 +34,9 @@
   [[nodiscard]] bool lost() const { return lost_; }
   // Returns when the store last answered.
   [[nodiscard]] TimePoint answered_at() const { return answered_at_; }
+  // Returns whether entries of live servers may be missing: while the store
+  // does not answer, and until servers have had the time to write them again.
+  [[nodiscard]] bool MayLackEntries() const;
 
   // Called when the store stops and when it begins to answer.
   std::function<void(bool lost)> on_change;
@@ -45,6 +48,7 @@
   Duration pause_{};
   TimePoint next_turn_{};
   TimePoint answered_at_{};
+  TimePoint back_at_{};
 };
 
 // Where a watcher gets its changes from.
@@ -129,6 +133,8 @@
   // Replies to calls of an earlier generation come too late.
   std::uint64_t generation_ = 0;
   bool in_flight_ = false;
+  // The next watch only asks whether the store answers.
+  bool probe_ = false;
   net::DeadlineTimer timer_;
 };
 
--- a/src/keyspace/ownership_table.cc
+++ b/src/keyspace/ownership_table.cc
@@ -104,7 +104,8 @@
     }
     ranges.push_back(std::move(range));
   }
-  return {{"nextToken", table.next_token.value()},
+  return {{"epoch", table.epoch.value()},
+          {"nextToken", table.next_token.value()},
           {"servers", servers.Encode()},
           {"ranges", std::move(ranges)}};
 }
@@ -112,6 +113,7 @@
 std::optional<OwnershipTable> DecodeTable(const json& content) {
   try {
     OwnershipTable table;
+    table.epoch = Epoch(content.at("epoch").get<std::uint64_t>());
     table.next_token = Token(content.at("nextToken").get<std::uint64_t>());
     const json& servers = content.at("servers");
     for (const json& it : content.at("ranges")) {
--- a/src/keyspace/ownership_table.h
+++ b/src/keyspace/ownership_table.h
@@ -40,6 +40,8 @@
 
 // The ranges of one service in order of keys. They cover all keys.
 struct OwnershipTable {
+  // The leader that wrote it.
+  Epoch epoch;
   // The next token that nobody has had.
   Token next_token{1};
   std::vector<OwnedRange> ranges;
--- a/src/keyspace/range_assigner.cc
+++ b/src/keyspace/range_assigner.cc
@@ -60,10 +60,17 @@
 
 RangeAssigner::RangeAssigner(AssignerOptions options) : options_(options) {}
 
-void RangeAssigner::Begin(std::optional<OwnershipTable> table,
+bool RangeAssigner::Begin(std::optional<OwnershipTable> table,
+                          Epoch epoch,
                           TimePoint others_until,
                           TimePoint now) {
+  if (table && table->epoch > epoch) {
+    begun_ = false;
+    return false;
+  }
   begun_ = true;
+  epoch_ = epoch;
+  begun_at_ = now;
   planned_.reset();
   plan_at_ = now;
   others_until_ = std::max(others_until, now);
@@ -84,15 +91,18 @@
     states_.push_back(std::move(state));
   }
   next_wake_ = now;
+  return true;
 }
 
-void RangeAssigner::OnOthersEnded(TimePoint now) {
-  if (others_until_ <= now) {
+void RangeAssigner::OnOthersEnded(TimePoint ended_at) {
+  // This leader itself may have sent orders until it read the table.
+  const TimePoint until = std::max(ended_at, begun_at_);
+  if (others_until_ <= until) {
     return;
   }
   const TimePoint before = HeldUntil(others_until_);
-  const TimePoint after = HeldUntil(now);
-  others_until_ = now;
+  const TimePoint after = HeldUntil(until);
+  others_until_ = until;
   const auto shorten = [&](OrderState* state) {
     if (state->held_until == before) {
       state->held_until = after;
@@ -107,7 +117,7 @@
       shorten(&clearing.orders);
     }
   }
-  next_wake_ = now;
+  next_wake_ = begun_at_;
 }
 
 void RangeAssigner::SetServers(std::vector<AssignerServer> servers,
@@ -424,6 +434,7 @@
       return std::nullopt;
     }
     OwnershipTable plan;
+    plan.epoch = epoch_;
     for (const Transfer& it : DivideAll(candidates)) {
       plan.ranges.push_back(
           {it.range, {it.server, it.incarnation, TakeToken(&plan)}, {}});
@@ -432,6 +443,7 @@
   }
   OwnershipTable plan = table_;
   if (!claimed_) {
+    plan.epoch = epoch_;
     plan.next_token = plan.next_token.Next();
     return plan;
   }
--- a/src/keyspace/range_assigner.h
+++ b/src/keyspace/range_assigner.h
@@ -99,13 +99,16 @@
  public:
   explicit RangeAssigner(AssignerOptions options);
 
-  // Takes over: `table` is what the store has; nothing where it has none.
-  // Leaders before this one may send orders until `others_until`.
-  void Begin(std::optional<OwnershipTable> table,
-             TimePoint others_until,
-             TimePoint now);
-  // No leader before this one can send orders after `now`.
-  void OnOthersEnded(TimePoint now);
+  // Takes over as the leader of `epoch`: `table` is what the store has; nothing
+  // where it has none. Leaders before this one may send orders until
+  // `others_until`. Returns false, and does nothing, where a leader of a later
+  // epoch has written the table.
+  [[nodiscard]] bool Begin(std::optional<OwnershipTable> table,
+                           Epoch epoch,
+                           TimePoint others_until,
+                           TimePoint now);
+  // No leader before this one can send orders after `ended_at`.
+  void OnOthersEnded(TimePoint ended_at);
   // Replaces the known servers.
   void SetServers(std::vector<AssignerServer> servers, TimePoint now);
 
@@ -207,6 +210,7 @@
 
   AssignerOptions options_;
   bool begun_ = false;
+  Epoch epoch_;
   bool has_table_ = false;
   // Whether this leader has written the table that it took over.
   bool claimed_ = false;
@@ -220,6 +224,7 @@
   std::map<Life, std::string> addresses_;
   TimePoint first_server_at_{};
   TimePoint last_server_at_{};
+  TimePoint begun_at_{};
   TimePoint others_until_{};
   TimePoint plan_at_{};
   TimePoint next_balance_{};
--- a/src/keyspace/range_assigner_random_test.cc
+++ b/src/keyspace/range_assigner_random_test.cc
@@ -89,6 +89,7 @@
     std::uint64_t revision = 0;
     TimePoint acts_until = TimePoint::max();
     TimePoint others_until{};
+    Epoch epoch;
     bool begun = false;
   };
 
@@ -103,15 +104,15 @@
 
   void StartLeader(TimePoint others_until) {
     leaders_.push_back(std::make_unique<Leader>());
+    leaders_.back()->epoch = Epoch(leaders_.size());
     Begin(*leaders_.back(), others_until);
   }
   void Begin(Leader& leader, TimePoint others_until) {
     leader.revision = revision_;
     leader.others_until = others_until;
-    leader.begun = true;
-    leader.assigner.Begin(revision_ == 0 ? std::nullopt
-                                         : std::optional(table_),
-                          others_until, now_);
+    leader.begun = leader.assigner.Begin(
+        revision_ == 0 ? std::nullopt : std::optional(table_), leader.epoch,
+        others_until, now_);
   }
 
   void Step() {
@@ -179,10 +180,8 @@
     At(now_ + milliseconds(4), [this, &leader, table] {
       if (leader.revision != revision_) {
         leader.assigner.OnWriteFailed(now_);
-        // It reads again, and steps down where another has taken the lead.
-        if (&leader == leaders_.back().get()) {
-          Begin(leader, leader.others_until);
-        }
+        // It reads again, although another may have taken the lead.
+        Begin(leader, leader.others_until);
         return;
       }
       table_ = table;
--- /dev/null
+++ b/src/keyspace/range_assigner_test.cc
@@ -0,0 +1,140 @@
+#include "keyspace/range_assigner.h"
+
+#include <algorithm>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <doctest/doctest.h>
+
+namespace gentianreach::keyspace {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const TimePoint kStart = TimePoint(seconds(1000));
+
+AssignerServer Server(const std::string& id, bool draining = false) {
+  return {ServerId(id), Incarnation(1), id + ":1", draining, 1};
+}
+
+Owner OwnerOf(const std::string& id, std::uint64_t token) {
+  return {ServerId(id), Incarnation(1), Token(token)};
+}
+
+// A table in which `owner` has all keys.
+OwnershipTable OneOwner(const Owner& owner) {
+  OwnershipTable table;
+  table.epoch = Epoch(1);
+  table.next_token = Token(owner.token.value() + 1);
+  table.ranges.push_back({{0, kKeyCount - 1}, owner, {}});
+  return table;
+}
+
+// Drives an assigner whose writes succeed at once.
+class Leader {
+ public:
+  RangeAssigner assigner{AssignerOptions{}};
+  KeyLoad load;
+
+  // Returns the orders that are due at `now`, after any writes.
+  std::vector<SendOrder> Orders(TimePoint now) {
+    std::vector<SendOrder> orders;
+    for (bool again = true; again;) {
+      again = false;
+      for (const auto& it : assigner.Poll(load, now)) {
+        if (std::holds_alternative<WriteTable>(it)) {
+          assigner.OnWritten(now);
+          again = true;
+        } else {
+          orders.push_back(std::get<SendOrder>(it));
+        }
+      }
+    }
+    return orders;
+  }
+};
+
+const SendOrder* Find(const std::vector<SendOrder>& orders,
+                      SendOrder::Kind kind,
+                      const std::string& server) {
+  const auto it = std::find_if(
+      orders.begin(), orders.end(), [&](const SendOrder& order) {
+        return order.kind == kind && order.server == ServerId(server);
+      });
+  return it == orders.end() ? nullptr : &*it;
+}
+
+TEST_CASE("a table written by a later leader is not taken over") {
+  Leader leader;
+  OwnershipTable table = OneOwner(OwnerOf("a", 10));
+  table.epoch = Epoch(3);
+  CHECK_FALSE(leader.assigner.Begin(table, Epoch(2), kStart, kStart));
+  leader.assigner.SetServers({Server("a")}, kStart);
+  CHECK(leader.assigner.Poll(leader.load, kStart).empty());
+}
+
+TEST_CASE("the table is written before the first order of a new leader") {
+  Leader leader;
+  REQUIRE(leader.assigner.Begin(OneOwner(OwnerOf("a", 10)), Epoch(2), kStart,
+                                kStart));
+  leader.assigner.SetServers({Server("a")}, kStart);
+  const auto actions = leader.assigner.Poll(leader.load, kStart);
+  REQUIRE(actions.size() == 1);
+  const auto* write = std::get_if<WriteTable>(&actions[0]);
+  REQUIRE(write != nullptr);
+  CHECK(write->table.epoch == Epoch(2));
+  leader.assigner.OnWritten(kStart);
+  const auto orders = leader.Orders(kStart);
+  CHECK(Find(orders, SendOrder::Kind::kGrant, "a") != nullptr);
+}
+
+TEST_CASE("keys of a draining server are released with its answer carried on") {
+  Leader leader;
+  REQUIRE(leader.assigner.Begin(OneOwner(OwnerOf("a", 10)), Epoch(1), kStart,
+                                kStart));
+  leader.assigner.SetServers({Server("a"), Server("b")}, kStart);
+  TimePoint now = kStart;
+  const auto grants = leader.Orders(now);
+  REQUIRE(grants.size() == 1);
+  leader.assigner.OnOrderReply(grants[0].order, OrderOutcome::kDone, "", now);
+  // Past the time of orders that a leader before might have sent.
+  now += seconds(10);
+  leader.assigner.SetServers({Server("a", true), Server("b")}, now);
+  for (const auto& it : leader.Orders(now)) {
+    if (it.kind == SendOrder::Kind::kGrant) {
+      leader.assigner.OnOrderReply(it.order, OrderOutcome::kDone, "", now);
+    }
+  }
+  const auto releases = leader.Orders(now);
+  const SendOrder* release = Find(releases, SendOrder::Kind::kRelease, "a");
+  REQUIRE(release != nullptr);
+  CHECK(Find(releases, SendOrder::Kind::kGrant, "b") == nullptr);
+  leader.assigner.OnOrderReply(release->order, OrderOutcome::kDone, "warm",
+                               now);
+  const auto next = leader.Orders(now);
+  const SendOrder* grant = Find(next, SendOrder::Kind::kGrant, "b");
+  REQUIRE(grant != nullptr);
+  CHECK(grant->handover == "warm");
+  CHECK(grant->token > release->token);
+}
+
+TEST_CASE("an inherited move waits for this leader's own earlier orders") {
+  Leader leader;
+  OwnershipTable table = OneOwner(OwnerOf("b", 20));
+  table.ranges[0].earlier.push_back(OwnerOf("a", 10));
+  // The leader before ended long ago, but this one may have sent orders of its
+  // own until it read the table again.
+  const TimePoint long_ago = kStart - seconds(60);
+  REQUIRE(leader.assigner.Begin(table, Epoch(2), long_ago, kStart));
+  leader.assigner.OnOthersEnded(long_ago);
+  leader.assigner.SetServers({Server("b")}, kStart);
+  CHECK(leader.Orders(kStart + seconds(5)).empty());
+  // The lease of 6 s by a slow clock, and the way of the order.
+  const auto orders = leader.Orders(kStart + milliseconds(6500));
+  CHECK(Find(orders, SendOrder::Kind::kGrant, "b") != nullptr);
+}
+
+}  // namespace
+}  // namespace gentianreach::keyspace
