--- a/src/entry/entry_daemon.cc
+++ b/src/entry/entry_daemon.cc
@@ -51,9 +51,9 @@
 // Silence of the leader after which a daemon follows the store by itself. The
 // next leader is usually elected sooner.
 constexpr Duration kLeaderSilence = milliseconds(2000);
-// Those first in line look whether the store is really away when the leader
-// cannot reach it.
-constexpr std::uint32_t kProbingRanks = 2;
+// When the leader cannot reach the store, the others look in the order of
+// succession whether they can, this much after each other.
+constexpr Duration kProbeDelay = milliseconds(250);
 // How long a leader may be without the store while others have it.
 constexpr Duration kLeaderWithoutStore = milliseconds(500);
 // Where the leader passes the store's objects on, and how long that may take.
@@ -418,8 +418,7 @@
     }
     const bool store_is_there =
         !health_.lost() && health_.answered_at() > leader_lost_store_at_;
-    return !news.store_lost || link_.rank() >= kProbingRanks ||
-           !store_is_there ||
+    return !news.store_lost || !store_is_there ||
            now < leader_lost_store_at_ + kLeaderWithoutStore;
   }
 
@@ -452,7 +451,9 @@
     const TimePoint now = loop_.Now();
     const bool leads = election_.IsLeader(now);
     const bool heard = now < link_.leader_heard_at() + kLeaderSilence;
-    const bool probes = leader_store_lost_ && link_.rank() < kProbingRanks;
+    const bool probes =
+        leader_store_lost_ &&
+        now >= leader_lost_store_at_ + link_.rank() * kProbeDelay;
     follows_leader_ = !leads && heard && !probes;
     if (!heard) {
       leader_store_lost_ = false;
