Orders name their server; an owner that may have restarted gets a new token

Change: orders carry the expected server, 421 proves that the life has ended; a refused connection or three renewals without an answer lead to a new token; what an owner holds is remembered by its life, not by its token; an attempt is given up for silence later, and only for one that has its connection. Tests: three cases of range_assigner_test, the last one failed before.

--- a/src/entry/entry_request.cc
+++ b/src/entry/entry_request.cc
@@ -39,8 +39,8 @@
 constexpr int kHoldObjectiveParts = 2;
 // A repeatable request goes to another server when its own has been silent for
 // this multiple of its usual time, and at least for the shortest time.
-constexpr int kSilenceFactor = 4;
-constexpr Duration kShortestSilence = milliseconds(400);
+constexpr int kSilenceFactor = 5;
+constexpr Duration kShortestSilence = milliseconds(800);
 // Retry-After while there is no configuration, owner or server.
 constexpr Duration kNotReadyRetryAfter = milliseconds(300);
 // Retry-After when the server rejected the request for lack of room.
@@ -317,12 +317,18 @@
 }
 
 void EntryRequest::Send(const routing::BackendServer& server) {
-  pool_ = state_->Pool(server);
-  auto connection = pool_->Acquire();
+  auto connection = state_->Pool(server)->Acquire();
   if (!connection) {
     End(kUnavailable, Reason::kOverload, kRejectedRetryAfter);
     return;
   }
+  SendOver(std::move(connection), server);
+}
+
+void EntryRequest::SendOver(
+    std::shared_ptr<proxy::ServerConnection> connection,
+    const routing::BackendServer& server) {
+  pool_ = state_->Pool(server);
   connection_ = std::move(connection);
   server_ = server.id;
   tried_.push_back(server.id);
@@ -515,16 +521,23 @@
 // Nothing has come from the server for long. Where it has answered others
 // meanwhile, the request is merely slow.
 void EntryRequest::OnSilence() {
-  if (done_ || !connection_ || service_->keyed ||
+  if (done_ || !connection_ || service_->keyed || state_->stopping ||
       state_->loads.last_answer(server_) >= attempt_started_) {
     return;
   }
   const auto self = shared_from_this();
-  if (attempts_ + 1 >= route_->max_attempts || !MayRetry(true)) {
+  if (attempts_ + 1 >= route_->max_attempts) {
     return;
   }
   const Choice choice = ChooseAny();
-  if (choice.server == nullptr) {
+  // The attempt under way is given up only for another that can begin.
+  auto next = choice.server == nullptr ? nullptr
+                                       : state_->Pool(*choice.server)->Acquire();
+  if (!next) {
+    return;
+  }
+  if (!MayRetry(true)) {
+    state_->Pool(*choice.server)->Release(next);
     return;
   }
   const bool sent = connection_->written();
@@ -533,7 +546,7 @@
   attempts_ += sent ? 1 : 0;
   may_have_run_ = may_have_run_ || sent;
   EndAttempt(AttemptResult::kBroken);
-  Send(*choice.server);
+  SendOver(std::move(next), *choice.server);
 }
 
 void EntryRequest::EndAttempt(AttemptResult result) {
--- a/src/entry/entry_request.h
+++ b/src/entry/entry_request.h
@@ -64,6 +64,8 @@
   void StopWaiting();
 
   void Send(const routing::BackendServer& server);
+  void SendOver(std::shared_ptr<proxy::ServerConnection> connection,
+                const routing::BackendServer& server);
   [[nodiscard]] std::string BuildRequest(
       const routing::BackendServer& server) const;
   void OnServerEvent(proxy::ServerEvent event);
--- a/src/entry/key_assignment.cc
+++ b/src/entry/key_assignment.cc
@@ -29,6 +29,8 @@
       return "higher_token";
     case platform::OrderStatus::kRefused:
       return "refused";
+    case platform::OrderStatus::kOtherServer:
+      return "other_server";
     case platform::OrderStatus::kNobodyThere:
       return "nobody_there";
     case platform::OrderStatus::kUnknown:
@@ -43,8 +45,11 @@
       return keyspace::OrderOutcome::kDone;
     case platform::OrderStatus::kHigherToken:
       return keyspace::OrderOutcome::kHigherToken;
-    case platform::OrderStatus::kRefused:
+    case platform::OrderStatus::kOtherServer:
+      return keyspace::OrderOutcome::kOtherServer;
     case platform::OrderStatus::kNobodyThere:
+      return keyspace::OrderOutcome::kNobodyThere;
+    case platform::OrderStatus::kRefused:
       return keyspace::OrderOutcome::kRefused;
     case platform::OrderStatus::kUnknown:
       return keyspace::OrderOutcome::kUnknown;
@@ -293,11 +298,11 @@
                        grant ? "kind=\"grant\"" : "kind=\"release\"");
   if (grant) {
     platform_.Grant(order.address,
-                    {order.range, order.token, order.lease, order.handover},
+                    {order.server, order.range, order.token, order.lease, order.handover},
                     order.deadline, on_reply);
   } else {
-    platform_.Release(order.address, order.range, order.token, order.deadline,
-                      on_reply);
+    platform_.Release(order.address, order.server, order.range, order.token,
+                      order.deadline, on_reply);
   }
 }
 
--- a/src/keyspace/range_assigner.cc
+++ b/src/keyspace/range_assigner.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cstddef>
+#include <utility>
 
 namespace gentianreach::keyspace {
 namespace {
@@ -21,6 +22,9 @@
 constexpr Duration kLongestRegistration = std::chrono::milliseconds(3500);
 // Ranges that may move for balance at the same time.
 constexpr std::ptrdiff_t kMostBalanceMoves = 3;
+// Renewals in a row without an answer after which the owner may have started
+// again.
+constexpr int kMostUnanswered = 3;
 
 // Returns the `n`-th token, from 1, that fences the owner before the one with
 // `token`.
@@ -152,8 +156,10 @@
 }
 
 bool RangeAssigner::HasEnded(const Owner& owner) const {
-  // Another life under the same id proves it. A connection that is refused
-  // does not: a network partition may refuse as well.
+  if (ended_.contains({owner.server, owner.incarnation})) {
+    return true;
+  }
+  // Another life under the same id proves it too.
   const auto it = servers_.find(owner.server);
   return it != servers_.end() && it->second.incarnation != owner.incarnation &&
          it->second.address != AddressOf(owner);
@@ -161,13 +167,13 @@
 
 bool RangeAssigner::MayOwn(const Owner& owner) const {
   const AssignerServer* server = FindLife(owner);
-  return server != nullptr && !server->draining;
+  return server != nullptr && !server->draining && !HasEnded(owner);
 }
 
 std::vector<Candidate> RangeAssigner::Candidates() const {
   std::vector<Candidate> candidates;
   for (const auto& [id, it] : servers_) {
-    if (!it.draining) {
+    if (!it.draining && !ended_.contains({id, it.incarnation})) {
       candidates.push_back({id, it.incarnation, it.capacity});
     }
   }
@@ -233,16 +239,28 @@
       first = false;
       continue;
     }
+    if (old.owner.IsLife(range.owner.server, range.owner.incarnation)) {
+      // The same server under another token.
+      state.orders.held_until = known.orders.held_until;
+      state.orders.late_until = known.orders.late_until;
+      if (known.orders.in_flight != 0) {
+        state.orders.late_until =
+            std::max(state.orders.late_until, HeldUntil(known.orders.sent_at));
+      }
+    }
+    // Owners are told apart by their lives: a token may have changed in the
+    // same write.
     for (const Owner& owner : range.earlier) {
       Clearing clearing;
-      if (owner == old.owner) {
+      if (old.owner.IsLife(owner.server, owner.incarnation)) {
         // A renewal under way is waited for: it could arrive after a release.
         clearing.orders = known.orders;
         clearing.orders.next_try = {};
-      }
-      for (std::size_t k = 0; k < old.earlier.size(); ++k) {
-        if (owner == old.earlier[k]) {
-          clearing = known.earlier[k];
+      } else {
+        for (std::size_t k = 0; k < old.earlier.size(); ++k) {
+          if (old.earlier[k].IsLife(owner.server, owner.incarnation)) {
+            clearing = known.earlier[k];
+          }
         }
       }
       state.earlier.push_back(clearing);
@@ -272,17 +290,21 @@
     }
     return true;
   };
-  for (RangeState& it : states_) {
+  for (std::size_t i = 0; i < states_.size(); ++i) {
+    RangeState& it = states_[i];
     if (settle(&it.orders)) {
-      if (outcome == OrderOutcome::kDone) {
-        it.orders.renewed_at = it.orders.sent_at;
-        it.granted = true;
-      }
-      it.token_refused =
-          it.token_refused || outcome == OrderOutcome::kHigherToken;
+      OnGrantReply(table_.ranges[i].owner, outcome, &it);
     }
-    for (Clearing& clearing : it.earlier) {
-      if (!settle(&clearing.orders) || outcome != OrderOutcome::kDone) {
+    for (std::size_t k = 0; k < it.earlier.size(); ++k) {
+      Clearing& clearing = it.earlier[k];
+      if (!settle(&clearing.orders)) {
+        continue;
+      }
+      if (outcome == OrderOutcome::kOtherServer) {
+        const Owner& owner = table_.ranges[i].earlier[k];
+        ended_.insert({owner.server, owner.incarnation});
+      }
+      if (outcome != OrderOutcome::kDone) {
         continue;
       }
       if (clearing.orders.purpose == OrderPurpose::kFence) {
@@ -301,6 +323,34 @@
   next_wake_ = now;
 }
 
+void RangeAssigner::OnGrantReply(const Owner& owner,
+                                 OrderOutcome outcome,
+                                 RangeState* state) {
+  const int unanswered = std::exchange(state->unanswered, 0);
+  switch (outcome) {
+    case OrderOutcome::kDone:
+      state->orders.renewed_at = state->orders.sent_at;
+      state->granted = true;
+      break;
+    case OrderOutcome::kHigherToken:
+      state->needs_token = true;
+      break;
+    case OrderOutcome::kOtherServer:
+      ended_.insert({owner.server, owner.incarnation});
+      break;
+    case OrderOutcome::kNobodyThere:
+      state->needs_token = state->granted;
+      break;
+    case OrderOutcome::kUnknown:
+      state->unanswered = unanswered + 1;
+      state->needs_token =
+          state->granted && state->unanswered >= kMostUnanswered;
+      break;
+    case OrderOutcome::kRefused:
+      break;
+  }
+}
+
 std::vector<AssignerAction> RangeAssigner::Poll(const KeyLoad& load,
                                                 TimePoint now) {
   std::vector<AssignerAction> actions;
@@ -331,7 +381,8 @@
     cleared = PollEarlier(i, k, now, actions) && cleared;
   }
   const AssignerServer* server = FindLife(range.owner);
-  if (!cleared || server == nullptr || state.token_refused ||
+  if (!cleared || server == nullptr || HasEnded(range.owner) ||
+      state.needs_token ||
       state.orders.in_flight != 0) {
     return;
   }
@@ -464,8 +515,10 @@
     if (states_[i].granted) {
       plan->ranges[i].earlier.clear();
     }
-    if (states_[i].token_refused) {
-      plan->next_token = Token(plan->next_token.value() + kTokenJump);
+    if (states_[i].needs_token) {
+      plan->next_token = Token(std::max(
+          plan->next_token.value(),
+          table_.ranges[i].owner.token.value() + kTokenJump));
       plan->ranges[i].owner.token = TakeToken(plan);
     }
   }
--- a/src/keyspace/range_assigner.h
+++ b/src/keyspace/range_assigner.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <variant>
@@ -76,6 +77,10 @@
   kDone,
   kHigherToken,
   kRefused,
+  kOtherServer,  // Another server has the address: that life has ended.
+  // Nobody takes connections there. No proof of an end, since a network
+  // partition may refuse them as well.
+  kNobodyThere,
   kUnknown,  // It may be carried out, also seconds later.
 };
 
@@ -170,7 +175,11 @@
     std::vector<Clearing> earlier;
     std::string handover;
     bool granted = false;
-    bool token_refused = false;
+    // Renewals in a row that had no answer.
+    int unanswered = 0;
+    // The owner needs another token: it has seen a higher one, or it may have
+    // started again and would take the old one as new.
+    bool needs_token = false;
   };
 
   [[nodiscard]] const AssignerServer* FindLife(const Owner& owner) const;
@@ -203,6 +212,9 @@
                  OrderState* state,
                  TimePoint now,
                  std::vector<AssignerAction>* actions);
+  void OnGrantReply(const Owner& owner,
+                    OrderOutcome outcome,
+                    RangeState* state);
   std::optional<OwnershipTable> Plan(const KeyLoad& load, TimePoint now);
   void PlanMoves(const KeyLoad& load, OwnershipTable* plan) const;
   void PlanBalance(const KeyLoad& load, OwnershipTable* plan, TimePoint now);
@@ -222,6 +234,8 @@
   // hold keys and answer a release; another server gets its address only after
   // it has ended.
   std::map<Life, std::string> addresses_;
+  // Lives that are proven to be over.
+  std::set<Life> ended_;
   TimePoint first_server_at_{};
   TimePoint last_server_at_{};
   TimePoint begun_at_{};
--- a/src/keyspace/range_assigner_test.cc
+++ b/src/keyspace/range_assigner_test.cc
@@ -136,5 +136,63 @@
   CHECK(Find(orders, SendOrder::Kind::kGrant, "b") != nullptr);
 }
 
+TEST_CASE("keys move at once when another server has the owner's address") {
+  Leader leader;
+  REQUIRE(leader.assigner.Begin(OneOwner(OwnerOf("a", 10)), Epoch(1), kStart,
+                                kStart));
+  leader.assigner.SetServers({Server("a"), Server("b")}, kStart);
+  const auto grants = leader.Orders(kStart);
+  REQUIRE(grants.size() == 1);
+  leader.assigner.OnOrderReply(grants[0].order, OrderOutcome::kOtherServer, "",
+                               kStart);
+  const auto orders = leader.Orders(kStart);
+  CHECK(Find(orders, SendOrder::Kind::kGrant, "a") == nullptr);
+  CHECK(Find(orders, SendOrder::Kind::kGrant, "b") != nullptr);
+}
+
+TEST_CASE("an owner that may have started again gets another token") {
+  Leader leader;
+  REQUIRE(leader.assigner.Begin(OneOwner(OwnerOf("a", 10)), Epoch(1), kStart,
+                                kStart));
+  leader.assigner.SetServers({Server("a")}, kStart);
+  TimePoint now = kStart;
+  const auto first = leader.Orders(now);
+  REQUIRE(first.size() == 1);
+  leader.assigner.OnOrderReply(first[0].order, OrderOutcome::kDone, "", now);
+  now += seconds(2);
+  const auto renewals = leader.Orders(now);
+  REQUIRE(renewals.size() == 1);
+  leader.assigner.OnOrderReply(renewals[0].order, OrderOutcome::kNobodyThere,
+                               "", now);
+  now += seconds(1);
+  const auto again = leader.Orders(now);
+  REQUIRE(again.size() == 1);
+  CHECK(again[0].token > Token(10));
+}
+
+TEST_CASE("an owner with a new token is cleared of what the old one gave it") {
+  Leader leader;
+  REQUIRE(leader.assigner.Begin(OneOwner(OwnerOf("a", 10)), Epoch(1), kStart,
+                                kStart));
+  leader.assigner.SetServers({Server("a"), Server("b")}, kStart);
+  TimePoint now = kStart + seconds(20);
+  const auto first = leader.Orders(now);
+  REQUIRE(first.size() == 1);
+  leader.assigner.OnOrderReply(first[0].order, OrderOutcome::kDone, "", now);
+  for (int i = 0; i < 3; ++i) {
+    now += seconds(2);
+    const auto renewals = leader.Orders(now);
+    REQUIRE(renewals.size() == 1);
+    if (i == 2) {
+      // The token changes and the keys move in the same write.
+      leader.assigner.SetServers({Server("a", true), Server("b")}, now);
+    }
+    leader.assigner.OnOrderReply(renewals[0].order, OrderOutcome::kUnknown, "",
+                                 now);
+  }
+  const auto orders = leader.Orders(now);
+  CHECK(Find(orders, SendOrder::Kind::kGrant, "b") == nullptr);
+}
+
 }  // namespace
 }  // namespace gentianreach::keyspace
