The leader balances by what all daemons see

Change: hellos carry the keys and processing times seen; a round of balance moves up to three ranges; servers of other zones are used when 1.5 times as fast; a request waits for a moving key as long as its objective allows.

--- a/src/entry/entry_daemon.cc
+++ b/src/entry/entry_daemon.cc
@@ -132,7 +132,7 @@
         self_{settings.name, Incarnation(RandomNumber()),
               settings.member_address},
         election_(self_, {}),
-        link_(loop_, self_, election_, state_->crashes),
+        link_(loop_, self_, election_, *state_),
         assignment_(*state_, election_, platform_, AssignerOptionsOf(settings)),
         config_watcher_(
             loop_, platform_, health_, platform::ObjectKind::kConfig,
--- a/src/entry/entry_request.cc
+++ b/src/entry/entry_request.cc
@@ -35,7 +35,8 @@
 // How long the owner of keys is still used after it has announced to leave: its
 // keys have usually moved by then. Servers may expect nothing after two seconds.
 constexpr Duration kLongestUseOfDraining = milliseconds(1500);
-// A part of the objective that a request may wait before it is refused.
+// The least part of the objective that a request waits for an owner. It waits
+// longer where it could still be answered within the objective.
 constexpr int kHoldObjectiveParts = 2;
 // A repeatable request goes to another server when its own has been silent for
 // this multiple of its usual time, and at least for the shortest time.
@@ -51,7 +52,7 @@
 
 // A server in another zone is taken when it is faster by this factor: what
 // crosses zones is paid for.
-constexpr double kOtherZoneFactor = 1.15;
+constexpr double kOtherZoneFactor = 1.5;
 
 double Noise() {
   static std::minstd_rand generator{std::random_device{}()};
@@ -153,7 +154,7 @@
       End(400, Reason::kBadRequest, {});
       return;
     }
-    state_->Load(service_->name).Add(*key_);
+    state_->CountKey(service_->name, *key_);
   }
   caller_->SetDeadline(deadline_);
   if (!caller_->request_complete() && head.Get(http::FieldId::expect)) {
@@ -291,11 +292,10 @@
 void EntryRequest::HoldForOwner(const Choice& choice) {
   const TimePoint now = state_->loop.Now();
   if (hold_until_ == TimePoint{}) {
-    hold_until_ =
-        now + std::min<Duration>(
-                  kLongestHold,
-                  Duration(route_->latency_objective) / kHoldObjectiveParts);
-    hold_until_ = std::min(hold_until_, deadline_);
+    const Duration objective = route_->latency_objective;
+    const Duration hold = std::max(objective - state_->loads.UsualTime(),
+                                   objective / kHoldObjectiveParts);
+    hold_until_ = std::min(now + std::min(hold, kLongestHold), deadline_);
   }
   if (now >= hold_until_) {
     End(kUnavailable, choice.reason, choice.retry_after);
--- a/src/entry/entry_state.cc
+++ b/src/entry/entry_state.cc
@@ -14,6 +14,8 @@
 constexpr Duration kConnectTimeout = std::chrono::milliseconds(300);
 // How long an unused connection is kept where the server does not say.
 constexpr Duration kIdleTimeout = std::chrono::seconds(8);
+// Keys kept for the next message to the leader; more fit into no datagram.
+constexpr std::size_t kMostUnsentKeys = 400;
 // Connections that each daemon may open to a server at least.
 constexpr std::size_t kLeastConnections = 2;
 // The part of a server's connections that is used: some are its leader's and
@@ -46,6 +48,14 @@
       .first->second;
 }
 
+void EntryState::CountKey(const std::string& service, std::uint32_t key) {
+  key_loads_[service].Add(key);
+  auto& unsent = unsent_keys_[service];
+  if (unsent.size() < kMostUnsentKeys) {
+    unsent.push_back(static_cast<std::uint16_t>(key));
+  }
+}
+
 std::size_t EntryState::ConnectionLimit(const std::string& service) const {
   std::size_t connections = 100;
   if (routes) {
--- a/src/entry/entry_state.h
+++ b/src/entry/entry_state.h
@@ -8,6 +8,8 @@
 #include <memory>
 #include <string>
 #include <unordered_map>
+#include <utility>
+#include <vector>
 
 #include "entry/crash_watch.h"
 #include "entry/entry_metrics.h"
@@ -53,6 +55,12 @@
   keyspace::KeyLoad& Load(const std::string& service) {
     return key_loads_[service];
   }
+  // Counts one request for a key of a service.
+  void CountKey(const std::string& service, std::uint32_t key);
+  // Returns the keys that were counted since the last call, by service.
+  [[nodiscard]] std::map<std::string, std::vector<std::uint16_t>> TakeKeys() {
+    return std::exchange(unsent_keys_, {});
+  }
   // Sets the number of daemons that share the servers and the budgets.
   void SetMembers(std::uint32_t members) { members_ = members; }
   [[nodiscard]] std::uint32_t members() const { return members_; }
@@ -85,6 +93,7 @@
   std::uint32_t members_ = 1;
   std::map<std::string, RetryBudget> budgets_;
   std::map<std::string, keyspace::KeyLoad> key_loads_;
+  std::map<std::string, std::vector<std::uint16_t>> unsent_keys_;
   std::unordered_map<ServerId, PoolEntry> pools_;
 };
 
--- a/src/entry/member_link.cc
+++ b/src/entry/member_link.cc
@@ -36,11 +36,12 @@
 MemberLink::MemberLink(net::EventLoop& loop,
                        Member self,
                        LeaderElection& election,
-                       CrashWatch& crashes)
+                       EntryState& state)
     : loop_(loop),
       self_(std::move(self)),
       election_(election),
-      crashes_(crashes),
+      state_(state),
+      crashes_(state.crashes),
       socket_(loop),
       timer_(loop, [this] { Tick(); }) {}
 
@@ -61,6 +62,9 @@
     return;
   }
   SpreadCrashes(self_.name, crashes_.TakeLosses());
+  // The leader counts its own directly.
+  static_cast<void>(state_.TakeKeys());
+  static_cast<void>(state_.loads.TakeSamples());
   std::erase_if(known_, [&](const auto& it) {
     return it.second.heard_at + kMemberSilence < now;
   });
@@ -81,6 +85,20 @@
   hello.address = self_.address;
   hello.epoch = record.epoch.value();
   hello.crashed = ToValues(crashes_.TakeLosses());
+  for (auto& [service, keys] : state_.TakeKeys()) {
+    auto sample = std::make_unique<wire::KeySampleT>();
+    sample->service = service;
+    sample->keys = std::move(keys);
+    hello.keys.push_back(std::move(sample));
+  }
+  for (const auto& [server, it] : state_.loads.TakeSamples()) {
+    auto sample = std::make_unique<wire::ServerSampleT>();
+    sample->server = server.value();
+    sample->requests = it.requests;
+    sample->total_ms =
+        std::chrono::duration<float, std::milli>(it.total).count();
+    hello.servers.push_back(std::move(sample));
+  }
   wire::BodyUnion body;
   body.Set(std::move(hello));
   Send(record.leader.address, body);
@@ -128,9 +146,25 @@
     crashes_.OnLostElsewhere(it, now);
   }
   SpreadCrashes(hello.name, crashed);
+  TakeSamples(hello);
   SendBeat(known, false);
 }
 
+void MemberLink::TakeSamples(const wire::HelloT& hello) {
+  for (const auto& it : hello.keys) {
+    keyspace::KeyLoad& load = state_.Load(it->service);
+    for (const std::uint16_t key : it->keys) {
+      load.Add(key);
+    }
+  }
+  for (const auto& it : hello.servers) {
+    const std::chrono::duration<float, std::milli> total(it->total_ms);
+    state_.loads.OnOtherSample(
+        ServerId(it->server), it->requests,
+        std::chrono::duration_cast<Duration>(total));
+  }
+}
+
 void MemberLink::SpreadCrashes(const std::string& from,
                                const std::vector<Fingerprint>& crashes) {
   for (auto& [name, it] : known_) {
--- a/src/entry/member_link.h
+++ b/src/entry/member_link.h
@@ -11,6 +11,7 @@
 #include <boost/leaf/result.hpp>
 
 #include "entry/crash_watch.h"
+#include "entry/entry_state.h"
 #include "entry/leader_election.h"
 #include "entry_generated.h"
 #include "gentianreach/time.h"
@@ -42,7 +43,7 @@
   MemberLink(net::EventLoop& loop,
              Member self,
              LeaderElection& election,
-             CrashWatch& crashes);
+             EntryState& state);
   MemberLink(const MemberLink&) = delete;
   MemberLink& operator=(const MemberLink&) = delete;
 
@@ -81,6 +82,7 @@
   void OnHello(const wire::HelloT& hello);
   void OnBeat(const wire::LeaderBeatT& beat);
   void SendHello();
+  void TakeSamples(const wire::HelloT& hello);
   void SendBeat(Known& known, bool resigning);
   void Send(const std::string& address, const wire::BodyUnion& body);
   void SpreadCrashes(const std::string& from,
@@ -89,6 +91,7 @@
   net::EventLoop& loop_;
   const Member self_;
   LeaderElection& election_;
+  EntryState& state_;
   CrashWatch& crashes_;
   net::UdpSocket socket_;
   net::DeadlineTimer timer_;
--- a/src/entry/server_loads.cc
+++ b/src/entry/server_loads.cc
@@ -110,12 +110,32 @@
           ? static_cast<double>(report->waiting) / report->slots
           : 0;
   const double sample = Seconds(latency).count() / (1 + waiting);
-  state.processing_s = state.processing_s == 0
-                           ? sample
-                           : state.processing_s +
-                                 kLatencyWeight * (sample - state.processing_s);
-  usual_s_ = usual_s_ == 0 ? sample
-                           : usual_s_ + kUsualWeight * (sample - usual_s_);
+  AddProcessingSample(state, sample);
+  Sample& unsent = samples_[server];
+  ++unsent.requests;
+  unsent.total += ToDuration(sample);
+}
+
+void ServerLoads::AddProcessingSample(State& state, double seconds) {
+  state.processing_s =
+      state.processing_s == 0
+          ? seconds
+          : state.processing_s +
+                kLatencyWeight * (seconds - state.processing_s);
+  usual_s_ = usual_s_ == 0 ? seconds
+                           : usual_s_ + kUsualWeight * (seconds - usual_s_);
+}
+
+void ServerLoads::OnOtherSample(const ServerId& server,
+                                std::uint32_t requests,
+                                Duration total) {
+  if (requests == 0) {
+    return;
+  }
+  // One sample for the mean: it says less than that many single ones, and
+  // moves the estimate a little more than one.
+  const double mean = Seconds(total).count() / requests;
+  AddProcessingSample(states_[server], mean);
 }
 
 double ServerLoads::ProcessingSeconds(const State* state) const {
@@ -142,6 +162,10 @@
   return ToDuration(processing * (1 + ahead / server.slots) * penalty);
 }
 
+Duration ServerLoads::UsualTime() const {
+  return ToDuration(ProcessingSeconds(nullptr));
+}
+
 bool ServerLoads::IsAvoided(const ServerId& server, TimePoint now) const {
   const State* state = Find(server);
   return state != nullptr && now < state->avoided_until;
--- a/src/entry/server_loads.h
+++ b/src/entry/server_loads.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <string_view>
 #include <unordered_map>
+#include <utility>
 
 #include "gentianreach/ids.h"
 #include "gentianreach/time.h"
@@ -49,6 +50,19 @@
              const std::optional<LoadReport>& report,
              TimePoint now);
   void Forget(const ServerId& server) { states_.erase(server); }
+  // Takes in what another daemon has seen: `requests` took `total` while they
+  // were processed.
+  void OnOtherSample(const ServerId& server,
+                     std::uint32_t requests,
+                     Duration total);
+  // What was seen of a server since the last call.
+  struct Sample {
+    std::uint32_t requests = 0;
+    Duration total{};
+  };
+  [[nodiscard]] std::unordered_map<ServerId, Sample> TakeSamples() {
+    return std::exchange(samples_, {});
+  }
 
   // Returns how long one more request would take at `server`.
   [[nodiscard]] Duration ExpectedLatency(const routing::BackendServer& server,
@@ -56,6 +70,8 @@
   // Returns how long a request takes there once it is being processed.
   [[nodiscard]] Duration ProcessingTime(const routing::BackendServer& server,
                                         TimePoint now) const;
+  // Returns how long a request usually takes at any server.
+  [[nodiscard]] Duration UsualTime() const;
   // Returns whether it should be left alone after failures.
   [[nodiscard]] bool IsAvoided(const ServerId& server, TimePoint now) const;
   // Returns whether the server, with `queue` places, has room for one more.
@@ -80,7 +96,10 @@
   [[nodiscard]] double ProcessingSeconds(const State* state) const;
   [[nodiscard]] const State* Find(const ServerId& server) const;
 
+  void AddProcessingSample(State& state, double seconds);
+
   std::unordered_map<ServerId, State> states_;
+  std::unordered_map<ServerId, Sample> samples_;
   // Of all servers, for those that are not known yet.
   double usual_s_ = 0;
 };
--- a/src/keyspace/key_load.cc
+++ b/src/keyspace/key_load.cc
@@ -10,7 +10,7 @@
 // Time in which a count falls to 1/e: long enough for a few hundred samples at
 // the smallest deployments, short enough to follow keys that turn hot for
 // several seconds.
-constexpr std::chrono::duration<double> kMemory = std::chrono::seconds(4);
+constexpr std::chrono::duration<double> kMemory = std::chrono::seconds(3);
 // Counts are decayed at most this often, since all keys are touched.
 constexpr Duration kDecayPeriod = std::chrono::milliseconds(500);
 
--- a/src/keyspace/key_load.h
+++ b/src/keyspace/key_load.h
@@ -10,9 +10,7 @@
 
 namespace gentianreach::keyspace {
 
-// Counts requests by key and forgets them exponentially. The counts of one
-// daemon stand for those of all: the balancer shares callers out by a hash, so
-// a daemon's requests are a sample of the fleet's.
+// Counts requests by key and forgets them exponentially.
 class KeyLoad {
  public:
   KeyLoad() : counts_(kKeyCount, 0.0F) {}
--- a/src/keyspace/range_assigner.cc
+++ b/src/keyspace/range_assigner.cc
@@ -60,6 +60,20 @@
   return i;
 }
 
+// Gives the keys of `transfer`, which lie in one range, to their new owner.
+void Move(const Transfer& transfer, OwnershipTable* plan) {
+  for (std::size_t i = 0; i < plan->ranges.size(); ++i) {
+    if (!plan->ranges[i].range.Contains(transfer.range.first)) {
+      continue;
+    }
+    OwnedRange& moved =
+        plan->ranges[Isolate(&plan->ranges, i, transfer.range)];
+    moved.earlier.push_back(moved.owner);
+    moved.owner = {transfer.server, transfer.incarnation, TakeToken(plan)};
+    return;
+  }
+}
+
 }  // namespace
 
 RangeAssigner::RangeAssigner(AssignerOptions options) : options_(options) {}
@@ -557,19 +571,13 @@
     return;
   }
   next_balance_ = now + options_.balance_period;
-  const auto transfer = Rebalance(*plan, Candidates(), load);
-  if (!transfer) {
-    return;
-  }
-  for (std::size_t i = 0; i < plan->ranges.size(); ++i) {
-    if (!plan->ranges[i].range.Contains(transfer->range.first)) {
-      continue;
+  const std::vector<Candidate> candidates = Candidates();
+  for (std::ptrdiff_t i = 0; i < kMostBalanceMoves; ++i) {
+    const auto transfer = Rebalance(*plan, candidates, load);
+    if (!transfer) {
+      return;
     }
-    OwnedRange& moved =
-        plan->ranges[Isolate(&plan->ranges, i, transfer->range)];
-    moved.earlier.push_back(moved.owner);
-    moved.owner = {transfer->server, transfer->incarnation, TakeToken(plan)};
-    return;
+    Move(*transfer, plan);
   }
 }
 
--- a/src/keyspace/range_assigner.h
+++ b/src/keyspace/range_assigner.h
@@ -37,8 +37,8 @@
   double clock_slack = 1.04;
   // What an order may spend on its way.
   std::chrono::milliseconds transit{150};
-  // Pause between two transfers for balance.
-  std::chrono::milliseconds balance_period{700};
+  // Pause between two rounds of transfers for balance.
+  std::chrono::milliseconds balance_period{500};
 };
 
 // A server of the service, as discovery knows it.
