Tests of the entry daemon and its parts; balance in steps

Cause: none of the new modules but the assigner had tests. Found by them: an even load over slow and fast servers was never balanced, since the range that had to move was wider than a transfer may be; a request that met an owner without its grant waited for its whole hold.

Change: transfers in steps; a short pause after a misdirected request; the daemon is tested whole against stand-ins of the store and of servers.

--- a/src/entry/entry_daemon.cc
+++ b/src/entry/entry_daemon.cc
@@ -214,6 +214,8 @@
                 });
   }
 
+  [[nodiscard]] std::uint16_t caller_port() const { return proxy_.port(); }
+
  private:
   // Ready: it can tell which requests are allowed, and is not leaving.
   [[nodiscard]] bool IsReady() const {
@@ -569,6 +571,10 @@
   return impl_->Start();
 }
 
+std::uint16_t EntryDaemon::caller_port() const {
+  return impl_->caller_port();
+}
+
 void EntryDaemon::Stop(std::function<void()> done) {
   impl_->Stop(std::move(done));
 }
--- a/src/entry/entry_daemon.h
+++ b/src/entry/entry_daemon.h
@@ -7,6 +7,7 @@
 #ifndef SRC_ENTRY_ENTRY_DAEMON_H_
 #define SRC_ENTRY_ENTRY_DAEMON_H_
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 
@@ -26,6 +27,8 @@
 
   // Opens the addresses and begins to follow the store. Fails with StartError.
   boost::leaf::result<void> Start();
+  // Returns the port that callers connect to.
+  [[nodiscard]] std::uint16_t caller_port() const;
   // Stops gracefully: fails the balancer's check, leaves the lead, finishes
   // what is in flight, then calls `done`.
   void Stop(std::function<void()> done);
--- a/src/entry/entry_request.cc
+++ b/src/entry/entry_request.cc
@@ -35,6 +35,8 @@
 // How long the owner of keys is still used after it has announced to leave: its
 // keys have usually moved by then. Servers may expect nothing after two seconds.
 constexpr Duration kLongestUseOfDraining = milliseconds(1500);
+// Pause after an owner that does not hold the key, unless the table changes.
+constexpr Duration kMisdirectedPause = milliseconds(60);
 // The least part of the objective that a request waits for an owner. It waits
 // longer where it could still be answered within the objective.
 constexpr int kHoldObjectiveParts = 2;
@@ -306,7 +308,10 @@
     self->hold_timer_.Clear();
     self->Attempt();
   });
-  hold_timer_.Set(hold_until_);
+  // A server that is to hold the key may just not have its grant yet.
+  hold_timer_.Set(choice.reason == Reason::kNotOwner
+                      ? std::min(hold_until_, now + kMisdirectedPause)
+                      : hold_until_);
 }
 
 void EntryRequest::StopWaiting() {
--- /dev/null
+++ b/src/entry/leader_election_test.cc
@@ -0,0 +1,200 @@
+#include "entry/leader_election.h"
+
+#include <chrono>
+#include <optional>
+#include <string>
+
+#include <doctest/doctest.h>
+
+namespace gentianreach::entry {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const TimePoint kStart = TimePoint(seconds(100));
+
+// The store's one record, with conditional updates.
+class Store {
+ public:
+  std::optional<LeaderRecord> record;
+  std::uint64_t revision = 0;
+  bool down = false;
+
+  // Carries out what the election asks for; `answered` false: the answer of a
+  // write is lost.
+  void Serve(LeaderElection& election, TimePoint now, bool answered = true) {
+    while (const auto call = election.Poll(now)) {
+      if (down) {
+        election.OnReply(ElectionOutcome::kUnavailable, std::nullopt, 0, now);
+        return;
+      }
+      const auto outcome = CarryOut(*call);
+      if (!answered && call->kind != ElectionCall::Kind::kRead) {
+        election.OnReply(ElectionOutcome::kUnknown, std::nullopt, 0, now);
+        return;
+      }
+      election.OnReply(outcome, record, revision, now);
+    }
+  }
+
+ private:
+  ElectionOutcome CarryOut(const ElectionCall& call) {
+    switch (call.kind) {
+      case ElectionCall::Kind::kRead:
+        return record ? ElectionOutcome::kOk : ElectionOutcome::kAbsent;
+      case ElectionCall::Kind::kCreate:
+        if (record) {
+          return ElectionOutcome::kConflict;
+        }
+        break;
+      case ElectionCall::Kind::kReplace:
+        if (call.revision != revision) {
+          return ElectionOutcome::kConflict;
+        }
+        break;
+    }
+    if (record != call.record) {
+      record = call.record;
+      ++revision;
+    }
+    return ElectionOutcome::kOk;
+  }
+};
+
+LeaderElection Daemon(const std::string& name, std::uint64_t life = 1) {
+  return LeaderElection({name, Incarnation(life), name + ":1"}, {});
+}
+
+TEST_CASE("the first daemon to create the record leads, the next follows") {
+  Store store;
+  LeaderElection a = Daemon("a");
+  LeaderElection b = Daemon("b");
+  store.Serve(a, kStart);
+  store.Serve(b, kStart);
+  CHECK(a.IsLeader(kStart));
+  CHECK_FALSE(b.IsLeader(kStart));
+  CHECK(b.record().leader.name == "a");
+  // Nobody led before.
+  CHECK(a.others_until() == kStart);
+}
+
+TEST_CASE("a leader that is heard is not replaced") {
+  Store store;
+  LeaderElection a = Daemon("a");
+  LeaderElection b = Daemon("b");
+  store.Serve(a, kStart);
+  store.Serve(b, kStart);
+  for (int i = 0; i < 100; ++i) {
+    const TimePoint now = kStart + i * milliseconds(250);
+    b.OnLeaderHeard(a.record(), 0, now);
+    store.Serve(a, now);
+    store.Serve(b, now);
+    CHECK(a.IsLeader(now));
+    CHECK_FALSE(b.IsLeader(now));
+  }
+}
+
+TEST_CASE("a silent leader is replaced and given time to learn of it") {
+  Store store;
+  LeaderElection a = Daemon("a");
+  LeaderElection b = Daemon("b");
+  store.Serve(a, kStart);
+  store.Serve(b, kStart);
+  const TimePoint later = kStart + seconds(2);
+  store.Serve(b, later);
+  CHECK(b.IsLeader(later));
+  CHECK(b.others_until() > later + seconds(10));
+  // The former leader's next proof fails.
+  const TimePoint verified = kStart + seconds(3);
+  store.Serve(a, verified);
+  CHECK_FALSE(a.IsLeader(verified));
+  // Once it follows, nothing has to be waited for.
+  b.OnFollower("a", Incarnation(1), b.record().epoch, verified);
+  CHECK(b.others_until() == verified);
+}
+
+TEST_CASE("those behind in line wait longer") {
+  Store store;
+  LeaderElection a = Daemon("a");
+  LeaderElection b = Daemon("b");
+  store.Serve(a, kStart);
+  store.Serve(b, kStart);
+  b.OnLeaderHeard(a.record(), 3, kStart);
+  store.Serve(b, kStart + milliseconds(1900));
+  CHECK_FALSE(b.IsLeader(kStart + milliseconds(1900)));
+  store.Serve(b, kStart + milliseconds(2100));
+  CHECK(b.IsLeader(kStart + milliseconds(2100)));
+}
+
+TEST_CASE("a restarted leader takes its own place without a wait") {
+  Store store;
+  LeaderElection before = Daemon("a", 1);
+  store.Serve(before, kStart);
+  LeaderElection after = Daemon("a", 2);
+  store.Serve(after, kStart + seconds(1));
+  CHECK(after.IsLeader(kStart + seconds(1)));
+  CHECK(after.others_until() == kStart + seconds(1));
+}
+
+TEST_CASE("a leader acts on while the store is down, but not for ever") {
+  Store store;
+  LeaderElection a = Daemon("a");
+  store.Serve(a, kStart);
+  store.down = true;
+  TimePoint now = kStart;
+  for (; now < kStart + seconds(11); now += milliseconds(100)) {
+    store.Serve(a, now);
+    CHECK(a.IsLeader(now));
+  }
+  CHECK_FALSE(a.IsLeader(kStart + seconds(13)));
+  store.down = false;
+  store.Serve(a, kStart + seconds(20));
+  CHECK(a.IsLeader(kStart + seconds(20)));
+}
+
+TEST_CASE("a takeover whose answer was lost is found by reading") {
+  Store store;
+  LeaderElection a = Daemon("a");
+  LeaderElection b = Daemon("b");
+  store.Serve(a, kStart);
+  store.Serve(b, kStart);
+  const TimePoint later = kStart + seconds(2);
+  store.Serve(b, later, false);
+  CHECK_FALSE(b.IsLeader(later));
+  const TimePoint found = later + seconds(1);
+  store.Serve(b, found);
+  CHECK(b.IsLeader(found));
+  CHECK(b.others_until() > found + seconds(10));
+}
+
+TEST_CASE("a leader that resigns leaves the place to the next at once") {
+  Store store;
+  LeaderElection a = Daemon("a");
+  LeaderElection b = Daemon("b");
+  store.Serve(a, kStart);
+  store.Serve(b, kStart);
+  a.Resign();
+  store.Serve(a, kStart);
+  CHECK(a.resigned());
+  CHECK_FALSE(a.IsLeader(kStart));
+  b.OnLeaderResigned(kStart);
+  store.Serve(b, kStart);
+  CHECK(b.IsLeader(kStart));
+  CHECK(b.others_until() == kStart);
+}
+
+TEST_CASE("a leader of a later epoch is followed by its beat alone") {
+  LeaderElection a = Daemon("a");
+  Store store;
+  store.Serve(a, kStart);
+  const LeaderRecord later{Epoch(7), {"b", Incarnation(1), "b:1"}};
+  a.OnLeaderHeard(later, 0, kStart);
+  CHECK_FALSE(a.IsLeader(kStart));
+  CHECK(a.record() == later);
+  a.OnLeaderHeard({Epoch(2), {"c", Incarnation(1), "c:1"}}, 0, kStart);
+  CHECK(a.record() == later);
+}
+
+}  // namespace
+}  // namespace gentianreach::entry
--- /dev/null
+++ b/src/entry/server_directory_test.cc
@@ -0,0 +1,55 @@
+#include "entry/server_directory.h"
+
+#include <chrono>
+
+#include <doctest/doctest.h>
+
+namespace gentianreach::entry {
+namespace {
+
+const TimePoint kNow = TimePoint(std::chrono::seconds(50));
+
+routing::BackendServer Server(const char* id, bool draining = false) {
+  routing::BackendServer server;
+  server.id = ServerId(id);
+  server.draining = draining;
+  return server;
+}
+
+TEST_CASE("a removed entry is gone at once") {
+  ServerDirectory directory;
+  directory.Put(Server("a"), kNow);
+  directory.Remove(ServerId("a"));
+  CHECK(directory.Find(ServerId("a")) == nullptr);
+}
+
+TEST_CASE("an entry that may have lapsed is kept until the doubt has passed") {
+  ServerDirectory directory;
+  directory.Put(Server("a"), kNow);
+  directory.Put(Server("b"), kNow);
+  CHECK_FALSE(directory.SetDoubt(true));
+  directory.RemoveOthers({});
+  CHECK(directory.Find(ServerId("a")) != nullptr);
+  directory.Put(Server("b"), kNow);
+  CHECK(directory.SetDoubt(false));
+  CHECK(directory.Find(ServerId("a")) == nullptr);
+  CHECK(directory.Find(ServerId("b")) != nullptr);
+}
+
+TEST_CASE("a draining server is removed also in doubt") {
+  ServerDirectory directory;
+  directory.Put(Server("a", true), kNow);
+  directory.SetDoubt(true);
+  directory.Remove(ServerId("a"));
+  CHECK(directory.Find(ServerId("a")) == nullptr);
+}
+
+TEST_CASE("the time since which a server drains is that of the first news") {
+  ServerDirectory directory;
+  directory.Put(Server("a", true), kNow);
+  directory.Put(Server("a", true), kNow + std::chrono::seconds(1));
+  CHECK(directory.Find(ServerId("a"))->draining_since == kNow);
+}
+
+}  // namespace
+}  // namespace gentianreach::entry
--- a/src/entry/server_loads.cc
+++ b/src/entry/server_loads.cc
@@ -32,7 +32,7 @@
 constexpr double kErrorPenalty = 4;
 
 Duration ToDuration(double seconds) {
-  return std::chrono::duration_cast<Duration>(Seconds(seconds));
+  return std::chrono::round<Duration>(Seconds(seconds));
 }
 
 }  // namespace
--- a/src/keyspace/rebalancer.cc
+++ b/src/keyspace/rebalancer.cc
@@ -19,8 +19,8 @@
 // A server keeps at least this part of the mean load before it counts as one
 // that has too little.
 constexpr double kUnderload = 0.4;
-// Widest range that moves for balance, in keys; wider moves cost more than the
-// balance is worth.
+// Widest range that moves for balance at once, in keys. Where balance needs
+// more, it comes in steps, so that not too many keys are on their way.
 constexpr std::uint32_t kWidestTransfer = kKeyCount / 16;
 // The most pieces into which an orphaned range is cut.
 constexpr int kMostPieces = 3;
@@ -193,12 +193,16 @@
                                         candidates[most].incarnation)) {
       continue;
     }
-    const KeyRange part = NarrowestPart(it.range, wanted, load);
+    KeyRange part = NarrowestPart(it.range, wanted, load);
+    const bool is_step = part.width() > kWidestTransfer;
+    if (is_step) {
+      part.last = part.first + kWidestTransfer - 1;
+    }
     // A range that holds too little moves whole, where it is worth it.
-    const bool worthwhile = LoadOf(part, load) >= wanted / 3;
+    const bool worthwhile = is_step || LoadOf(part, load) >= wanted / 3;
     // A part far above what is wanted would only swap the two servers' roles.
     const bool fits = LoadOf(part, load) <= 2 * wanted;
-    if (worthwhile && fits && part.width() <= kWidestTransfer &&
+    if (worthwhile && fits &&
         (from == nullptr || part.width() < best.width())) {
       from = &it;
       best = part;
