Choice among samples of a large service; load reports fade

Cause: on grown fleets 16457 refusals of browse in 26 s with free servers: a report of a long queue stayed in force at daemons that ask each server less than once a second, and all daemons of a zone preferred the same fastest few. A server's failures also kept requests for its own keys away.

Change: reports and failures fade within seconds, the choice is among a random sample and weighs utilization, a round of balance moves a sixth as many ranges as there are servers, and a single hot key does not stop the others' balance.

--- a/src/entry/entry_daemon.cc
+++ b/src/entry/entry_daemon.cc
@@ -37,6 +37,10 @@
 // The daemons of a deployment start together: they ask for the lead spread over
 // this time, so that the first one is found by the others.
 constexpr Duration kElectionSpread = milliseconds(400);
+// Processor share with which a daemon asks for the lead at once.
+constexpr double kLeaderProcessorShare = 0.3;
+// Pause between two beats to all members while copies change quickly.
+constexpr Duration kBeatPause = milliseconds(40);
 // A stopping daemon still accepts callers for this time: the balancer looks
 // once a second and takes it out after two misses.
 constexpr Duration kAcceptWhileStopping = milliseconds(2600);
@@ -60,7 +64,7 @@
 constexpr const char* kRelayPath = "/changes";
 constexpr std::array<const char*, 3> kRelayKinds = {"config", "servers",
                                                     "ownership"};
-constexpr Duration kRelayTimeout = milliseconds(400);
+constexpr Duration kRelayTimeout = milliseconds(1200);
 // Name of the record of who leads.
 constexpr const char* kLeaderObject = "entry";
 
@@ -132,7 +136,11 @@
         self_{settings.name, Incarnation(RandomNumber()),
               settings.member_address},
         election_(self_, {}),
-        link_(loop_, self_, election_, *state_),
+        link_(loop_,
+              self_,
+              settings.processor_share,
+              election_,
+              *state_),
         assignment_(*state_, election_, platform_, AssignerOptionsOf(settings)),
         config_watcher_(
             loop_, platform_, health_, platform::ObjectKind::kConfig,
@@ -150,7 +158,11 @@
             {[this](const auto& it) { OnTables(it); },
              [this](const auto& it) { OnTables(it); }}),
         housekeeping_(loop_, [this] { Housekeep(); }),
-        election_timer_(loop_, [this] { Elect(); }) {
+        election_timer_(loop_, [this] { Elect(); }),
+        beat_timer_(loop_, [this] {
+          next_beat_ = loop_.Now() + kBeatPause;
+          link_.BeatAll();
+        }) {
     health_.on_change = [this](bool lost) { OnStoreChange(lost); };
     link_.on_news = [this] { OnNews(); };
     health_.on_history_gone = [this] {
@@ -186,9 +198,14 @@
     server_watcher_.Start(now);
     ownership_watcher_.Start(now);
     housekeeping_.Set(now + kHousekeepingPeriod);
+    // Those with little processor time leave the lead to others.
+    const Duration modesty = settings_.processor_share < kLeaderProcessorShare
+                                 ? kElectionSpread
+                                 : Duration(0);
     election_timer_.Set(
-        now + Duration(RandomNumber() %
-                       static_cast<std::uint64_t>(kElectionSpread.count())));
+        now + modesty +
+        Duration(RandomNumber() %
+                 static_cast<std::uint64_t>(kElectionSpread.count())));
     Log(LogLevel::kInfo, "started",
         {{"name", settings_.name},
          {"zone", settings_.zone},
@@ -383,7 +400,7 @@
     for (std::size_t i = 0; i < watchers.size(); ++i) {
       if (kind == kRelayKinds[i]) {
         return {200, "application/json",
-                watchers[i]->ChangesSince(since).dump()};
+                watchers[i]->ChangesSince(since)};
       }
     }
     return {404, "application/json", R"({"error":"no such kind"})"};
@@ -402,9 +419,11 @@
   // Leader: tells the members that a copy has changed.
   void TellMembers() {
     UpdateNews();
-    if (election_.IsLeader(loop_.Now())) {
-      link_.BeatAll();
+    const TimePoint now = loop_.Now();
+    if (!election_.IsLeader(now) || beat_timer_.deadline()) {
+      return;
     }
+    beat_timer_.Set(std::max(now, next_beat_));
   }
 
   // Takes a beat; returns whether its sender is still to be followed.
@@ -438,13 +457,12 @@
     call.deadline = loop_.Now() + kRelayTimeout;
     relay_client_.Send(std::move(call), [this, i](const HttpReply& reply) {
       fetching_[i] = false;
-      const auto changes = nlohmann::json::parse(reply.body, nullptr, false);
-      if (reply.status != 200 || changes.is_discarded()) {
+      if (reply.status != 200) {
         Log(LogLevel::kWarning, "relay_failed",
             {{"kind", kRelayKinds[i]}, {"error", reply.error}});
         return;
       }
-      Watchers()[i]->Adopt(changes);
+      Watchers()[i]->Adopt(reply.body);
     });
   }
 
@@ -457,6 +475,7 @@
         leader_store_lost_ &&
         now >= leader_lost_store_at_ + link_.rank() * kProbeDelay;
     follows_leader_ = !leads && heard && !probes;
+    state_->SetCountsLoad(leads);
     if (!heard) {
       leader_store_lost_ = false;
     }
@@ -559,6 +578,8 @@
   OperatorServer metrics_server_;
   net::DeadlineTimer housekeeping_;
   net::DeadlineTimer election_timer_;
+  net::DeadlineTimer beat_timer_;
+  TimePoint next_beat_{};
   bool servers_known_ = false;
 };
 
--- a/src/entry/entry_request.cc
+++ b/src/entry/entry_request.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <iterator>
 #include <limits>
 #include <random>
 #include <utility>
@@ -56,10 +57,26 @@
 // crosses zones is paid for.
 constexpr double kOtherZoneFactor = 1.5;
 
-double Noise() {
+// Servers of a large service of which the best is chosen. Daemons that all
+// chose from all servers would all choose the same few.
+constexpr std::size_t kSampleSize = 8;
+
+std::minstd_rand& Generator() {
   static std::minstd_rand generator{std::random_device{}()};
+  return generator;
+}
+
+double Noise() {
   return std::uniform_real_distribution<double>(1, 1 + kChoiceNoise)(
-      generator);
+      Generator());
+}
+
+std::vector<const routing::BackendServer*> Sample(
+    const std::vector<const routing::BackendServer*>& servers) {
+  std::vector<const routing::BackendServer*> sample;
+  std::sample(servers.begin(), servers.end(), std::back_inserter(sample),
+              kSampleSize, Generator());
+  return sample;
 }
 
 }  // namespace
@@ -247,34 +264,49 @@
             .retry_after = kNotReadyRetryAfter,
             .wait = true};
   }
+  if (state_->loads.IsAvoided(server->id, state_->loop.Now())) {
+    // Its queue is full, or it is gone: more requests would only be lost.
+    return {.reason = Reason::kOverload, .retry_after = kRejectedRetryAfter};
+  }
   return Admit(*server);
 }
 
 EntryRequest::Choice EntryRequest::ChooseAny() {
   const TimePoint now = state_->loop.Now();
+  std::vector<const routing::BackendServer*> sound;
+  std::vector<const routing::BackendServer*> avoided;
+  for (const auto& [id, it] : state_->directory.servers()) {
+    if (it.service != service_->name || it.draining ||
+        std::find(tried_.begin(), tried_.end(), id) != tried_.end()) {
+      continue;
+    }
+    (state_->loads.IsAvoided(id, now) ? avoided : sound).push_back(&it);
+  }
+  const auto& servers = sound.empty() ? avoided : sound;
+  if (servers.empty()) {
+    return {.reason = Reason::kNoServer, .retry_after = kNotReadyRetryAfter};
+  }
   const routing::BackendServer* best = nullptr;
   double best_score = std::numeric_limits<double>::max();
-  for (const bool with_avoided : {false, true}) {
-    for (const auto& [id, it] : state_->directory.servers()) {
-      if (it.service != service_->name || it.draining ||
-          std::find(tried_.begin(), tried_.end(), id) != tried_.end() ||
-          state_->loads.IsAvoided(id, now) != with_avoided) {
-        continue;
-      }
-      const double score =
-          std::chrono::duration<double>(state_->loads.ExpectedLatency(it, now))
-              .count() *
-          (it.zone == state_->zone ? 1 : kOtherZoneFactor) * Noise();
-      if (score < best_score) {
-        best_score = score;
-        best = &it;
-      }
-    }
-    if (best != nullptr) {
-      return Admit(*best);
+  for (const routing::BackendServer* it : Sample(servers)) {
+    const double score = Score(*it, now);
+    if (score < best_score) {
+      best_score = score;
+      best = it;
     }
   }
-  return {.reason = Reason::kNoServer, .retry_after = kNotReadyRetryAfter};
+  return Admit(*best);
+}
+
+double EntryRequest::Score(const routing::BackendServer& server,
+                           TimePoint now) const {
+  const ServerLoads& loads = state_->loads;
+  const bool is_near = server.zone == state_->zone;
+  return std::chrono::duration<double>(loads.ExpectedLatency(server, now))
+             .count() *
+         (1 + loads.Utilization(server, now)) *
+         loads.FailurePenalty(server.id, now) *
+         (is_near ? 1 : kOtherZoneFactor) * Noise();
 }
 
 EntryRequest::Choice EntryRequest::Admit(
@@ -283,7 +315,7 @@
   const Duration expected = state_->loads.ExpectedLatency(server, now);
   const Duration longest = LongestLatency(
       *route_, state_->loads.ProcessingTime(server, now), TimeLeft());
-  if (expected > longest || !state_->loads.HasRoom(server)) {
+  if (expected > longest || !state_->loads.HasRoom(server, now)) {
     return {.reason = Reason::kOverload,
             .retry_after = std::max<Duration>(expected - longest,
                                               kRejectedRetryAfter)};
--- a/src/entry/entry_request.h
+++ b/src/entry/entry_request.h
@@ -59,6 +59,9 @@
   void Attempt();
   [[nodiscard]] Choice ChooseOwner();
   [[nodiscard]] Choice ChooseAny();
+  // Returns how little a server is to be preferred.
+  [[nodiscard]] double Score(const routing::BackendServer& server,
+                             TimePoint now) const;
   [[nodiscard]] Choice Admit(const routing::BackendServer& server) const;
   void HoldForOwner(const Choice& choice);
   void StopWaiting();
--- a/src/entry/entry_state.cc
+++ b/src/entry/entry_state.cc
@@ -48,8 +48,18 @@
       .first->second;
 }
 
+void EntryState::SetCountsLoad(bool counts) {
+  counts_load_ = counts;
+  if (!counts) {
+    key_loads_.clear();
+  }
+}
+
 void EntryState::CountKey(const std::string& service, std::uint32_t key) {
-  key_loads_[service].Add(key);
+  if (counts_load_) {
+    key_loads_[service].Add(key);
+    return;
+  }
   auto& unsent = unsent_keys_[service];
   if (unsent.size() < kMostUnsentKeys) {
     unsent.push_back(static_cast<std::uint16_t>(key));
--- a/src/entry/entry_state.h
+++ b/src/entry/entry_state.h
@@ -55,6 +55,8 @@
   keyspace::KeyLoad& Load(const std::string& service) {
     return key_loads_[service];
   }
+  // Sets whether this daemon leads, and so keeps the load counts.
+  void SetCountsLoad(bool counts);
   // Counts one request for a key of a service.
   void CountKey(const std::string& service, std::uint32_t key);
   // Returns the keys that were counted since the last call, by service.
@@ -90,6 +92,7 @@
   [[nodiscard]] std::size_t ConnectionLimit(const std::string& service) const;
 
   const RetryBounds bounds_;
+  bool counts_load_ = false;
   std::uint32_t members_ = 1;
   std::map<std::string, RetryBudget> budgets_;
   std::map<std::string, keyspace::KeyLoad> key_loads_;
--- a/src/entry/leader_election.cc
+++ b/src/entry/leader_election.cc
@@ -47,8 +47,8 @@
     // The leader is silent, nobody leads, or an earlier life of this daemon
     // did.
     call = TakeOver();
-  } else if (doubted_ || now >= heard_at_ + options_.silence +
-                                    rank_ * options_.rank_delay) {
+  } else if (doubted_ || now >= LookTime()) {
+    looked_ = true;
     call = ElectionCall{.kind = ElectionCall::Kind::kRead};
   }
   if (call) {
@@ -58,6 +58,18 @@
   return call;
 }
 
+TimePoint LeaderElection::Turn() const {
+  return heard_at_ + options_.silence + rank_ * options_.rank_delay;
+}
+
+TimePoint LeaderElection::LookTime() const {
+  if (looked_) {
+    return Turn();
+  }
+  return std::min(Turn(), heard_at_ + options_.silence + options_.look_delay +
+                              rank_ * options_.look_rank_delay);
+}
+
 ElectionCall LeaderElection::TakeOver() {
   former_ = record_.leader;
   return {.kind = ElectionCall::Kind::kReplace,
@@ -115,12 +127,11 @@
   if (resigning_ && led) {
     resigned_ = true;
   }
-  const bool still_silent =
-      now >= heard_at_ + options_.silence + rank_ * options_.rank_delay;
-  suspected_ = read_same && still_silent;
+  suspected_ = read_same && now >= Turn();
   if (!read_same) {
     // Give a leader that is new here the time to be heard.
     heard_at_ = now;
+    looked_ = false;
   }
 }
 
@@ -147,6 +158,7 @@
   }
   heard_at_ = now;
   rank_ = rank;
+  looked_ = false;
   suspected_ = false;
 }
 
--- a/src/entry/leader_election.h
+++ b/src/entry/leader_election.h
@@ -39,6 +39,10 @@
   std::chrono::milliseconds silence{800};
   // How much longer each further one in line waits.
   std::chrono::milliseconds rank_delay{400};
+  // All others look into the store this long after the first one's turn, and
+  // this much after each other: another may lead already.
+  std::chrono::milliseconds look_delay{400};
+  std::chrono::milliseconds look_rank_delay{20};
   // When the leader resigns, each further one in line waits this much longer.
   std::chrono::milliseconds resign_delay{60};
   // Pause after a store call that failed, doubled up to the longest one.
@@ -97,6 +101,11 @@
                   Incarnation life,
                   Epoch epoch,
                   TimePoint now);
+  // Sets how long a leader may be silent; it grows with the time between two
+  // signs of life.
+  void SetSilence(std::chrono::milliseconds silence) {
+    options_.silence = silence;
+  }
   // Begins to leave the lead, so that another takes it at once.
   void Resign() { resigning_ = true; }
 
@@ -111,15 +120,21 @@
   [[nodiscard]] bool IsSelf(const Member& member) const;
   void Adopt(const LeaderRecord& record, std::uint64_t revision, TimePoint now);
   ElectionCall TakeOver();
+  // Returns when this daemon takes the place of a leader that stays silent.
+  [[nodiscard]] TimePoint Turn() const;
+  // Returns when it looks into the store.
+  [[nodiscard]] TimePoint LookTime() const;
 
   const Member self_;
-  const ElectionOptions options_;
+  ElectionOptions options_;
   LeaderRecord record_;
   std::uint64_t revision_ = 0;
   bool known_ = false;
   bool absent_ = false;
   bool doubted_ = false;
   bool suspected_ = false;
+  // The store was asked since the leader was last heard.
+  bool looked_ = false;
   bool resigning_ = false;
   bool resigned_ = false;
   std::uint32_t rank_ = 0;
--- a/src/entry/member_link.cc
+++ b/src/entry/member_link.cc
@@ -8,8 +8,20 @@
 namespace gentianreach::entry {
 namespace {
 
-// Three hellos fit into the leader's silence that members bear.
-constexpr Duration kHelloPeriod = std::chrono::milliseconds(250);
+// Time between two hellos of a member, and how it grows with their number, so
+// that the leader's work stays bounded.
+constexpr std::chrono::milliseconds kHelloPeriod{250};
+constexpr std::uint32_t kMembersPerHelloPeriod = 24;
+constexpr std::uint32_t kMostHelloPeriods = 3;
+// Three hellos fit into the leader's silence that members bear, and a little.
+constexpr int kSilenceTenths = 32;
+// Members that a beat names: those who may lead next soon.
+constexpr std::size_t kLongestLine = 12;
+
+std::chrono::milliseconds HelloPeriod(std::uint32_t members) {
+  return kHelloPeriod *
+         std::clamp(members / kMembersPerHelloPeriod, 1U, kMostHelloPeriods);
+}
 // A member that has not been heard for this time has gone.
 constexpr Duration kMemberSilence = std::chrono::seconds(3);
 
@@ -35,10 +47,12 @@
 
 MemberLink::MemberLink(net::EventLoop& loop,
                        Member self,
+                       double processor_share,
                        LeaderElection& election,
                        EntryState& state)
     : loop_(loop),
       self_(std::move(self)),
+      processor_share_(processor_share),
       election_(election),
       state_(state),
       crashes_(state.crashes),
@@ -56,14 +70,15 @@
 
 void MemberLink::Tick() {
   const TimePoint now = loop_.Now();
-  timer_.Set(now + kHelloPeriod);
+  const std::chrono::milliseconds period = HelloPeriod(members_);
+  timer_.Set(now + period);
+  election_.SetSilence(period * kSilenceTenths / 10);
   if (!election_.IsLeader(now)) {
     SendHello();
     return;
   }
   SpreadCrashes(self_.name, crashes_.TakeLosses());
-  // The leader counts its own directly.
-  static_cast<void>(state_.TakeKeys());
+  // The leader has taken its own into account already.
   static_cast<void>(state_.loads.TakeSamples());
   std::erase_if(known_, [&](const auto& it) {
     return it.second.heard_at + kMemberSilence < now;
@@ -84,6 +99,7 @@
   hello.life = self_.life.value();
   hello.address = self_.address;
   hello.epoch = record.epoch.value();
+  hello.processor_share = static_cast<float>(processor_share_);
   hello.crashed = ToValues(crashes_.TakeLosses());
   for (auto& [service, keys] : state_.TakeKeys()) {
     auto sample = std::make_unique<wire::KeySampleT>();
@@ -141,13 +157,14 @@
   Known& known = known_[hello.name];
   known.member = {hello.name, Incarnation(hello.life), hello.address};
   known.heard_at = now;
+  known.processor_share = hello.processor_share;
   const auto crashed = ToFingerprints(hello.crashed);
   for (const Fingerprint it : crashed) {
     crashes_.OnLostElsewhere(it, now);
   }
   SpreadCrashes(hello.name, crashed);
   TakeSamples(hello);
-  SendBeat(known, false);
+  SendBeat(known, Line(), false);
 }
 
 void MemberLink::TakeSamples(const wire::HelloT& hello) {
@@ -175,18 +192,36 @@
   }
 }
 
-void MemberLink::SendBeat(Known& known, bool resigning) {
+std::vector<const MemberLink::Known*> MemberLink::Line() const {
+  std::vector<const Known*> line;
+  for (const auto& [name, it] : known_) {
+    line.push_back(&it);
+  }
+  std::stable_sort(line.begin(), line.end(),
+                   [](const Known* a, const Known* b) {
+                     return a->processor_share > b->processor_share;
+                   });
+  return line;
+}
+
+void MemberLink::SendBeat(Known& known,
+                          const std::vector<const Known*>& line,
+                          bool resigning) {
   wire::LeaderBeatT beat;
   beat.name = self_.name;
   beat.life = self_.life.value();
   beat.epoch = election_.record().epoch.value();
   beat.address = self_.address;
+  beat.members = static_cast<std::uint32_t>(known_.size()) + 1;
   beat.rank = static_cast<std::uint32_t>(
-      std::distance(known_.begin(), known_.find(known.member.name)));
-  for (const auto& [name, it] : known_) {
+      std::distance(line.begin(), std::find(line.begin(), line.end(), &known)));
+  for (const Known* it : line) {
+    if (beat.line.size() == kLongestLine) {
+      break;
+    }
     auto address = std::make_unique<wire::MemberAddressT>();
-    address->name = name;
-    address->address = it.member.address;
+    address->name = it->member.name;
+    address->address = it->member.address;
     beat.line.push_back(std::move(address));
   }
   beat.resigning = resigning;
@@ -214,12 +249,12 @@
     return;
   }
   rank_ = beat.rank;
-  members_ = static_cast<std::uint32_t>(beat.line.size()) + 1;
+  members_ = std::max(1U, beat.members);
   // Whoever takes the lead next knows the others from this line.
   known_.clear();
   for (const auto& it : beat.line) {
     if (it->name != self_.name) {
-      known_[it->name] = {{it->name, {}, it->address}, now, {}};
+      known_[it->name] = {{it->name, {}, it->address}, now, 0, {}};
     }
   }
   if (!on_beat || on_beat({beat.address, beat.store_lost,
@@ -230,14 +265,16 @@
 }
 
 void MemberLink::BeatAll() {
+  const auto line = Line();
   for (auto& [name, it] : known_) {
-    SendBeat(it, false);
+    SendBeat(it, line, false);
   }
 }
 
 void MemberLink::AnnounceResignation() {
+  const auto line = Line();
   for (auto& [name, it] : known_) {
-    SendBeat(it, true);
+    SendBeat(it, line, true);
   }
 }
 
--- a/src/entry/member_link.h
+++ b/src/entry/member_link.h
@@ -42,6 +42,7 @@
  public:
   MemberLink(net::EventLoop& loop,
              Member self,
+             double processor_share,
              LeaderElection& election,
              EntryState& state);
   MemberLink(const MemberLink&) = delete;
@@ -74,6 +75,7 @@
   struct Known {
     Member member;
     TimePoint heard_at;
+    double processor_share = 0;
     std::vector<Fingerprint> unsent_crashes;
   };
 
@@ -83,19 +85,24 @@
   void OnBeat(const wire::LeaderBeatT& beat);
   void SendHello();
   void TakeSamples(const wire::HelloT& hello);
-  void SendBeat(Known& known, bool resigning);
+  void SendBeat(Known& known,
+                const std::vector<const Known*>& line,
+                bool resigning);
   void Send(const std::string& address, const wire::BodyUnion& body);
   void SpreadCrashes(const std::string& from,
                      const std::vector<Fingerprint>& crashes);
 
   net::EventLoop& loop_;
   const Member self_;
+  const double processor_share_;
   LeaderElection& election_;
   EntryState& state_;
   CrashWatch& crashes_;
   net::UdpSocket socket_;
   net::DeadlineTimer timer_;
-  // By name, which gives the order of succession.
+  // Returns the members in the order of succession.
+  [[nodiscard]] std::vector<const Known*> Line() const;
+
   std::map<std::string, Known> known_;
   std::uint32_t members_ = 1;
   std::uint32_t rank_ = 0;
--- a/src/entry/server_loads.cc
+++ b/src/entry/server_loads.cc
@@ -4,6 +4,7 @@
 #include <array>
 #include <charconv>
 #include <chrono>
+#include <cmath>
 #include <system_error>
 
 namespace gentianreach::entry {
@@ -28,6 +29,10 @@
 // Requests at a server, as a multiple of its slots, beyond which it may answer
 // nothing any more. Servers queue about four times their slots.
 constexpr double kMostPerSlot = 3.5;
+// Time in which what was learnt of a server's queue and failures loses most of
+// its meaning. Without it a server that looked bad once would get no request
+// that could show otherwise.
+constexpr Seconds kFading{1.5};
 // The share of failures counts as extra latency up to this factor.
 constexpr double kErrorPenalty = 4;
 
@@ -35,6 +40,10 @@
   return std::chrono::round<Duration>(Seconds(seconds));
 }
 
+double Fading(Duration age) {
+  return std::exp(-Seconds(age) / kFading);
+}
+
 }  // namespace
 
 std::optional<LoadReport> ParseLoadReport(std::string_view text) {
@@ -77,13 +86,17 @@
     const double others =
         std::max(0.0, static_cast<double>(report->running + report->waiting) -
                           state.own);
-    state.others += kOthersWeight * (others - state.others);
+    const double before = Present(state, now) - state.own;
+    state.others = before + kOthersWeight * (others - before);
+    state.reported_at = now;
   }
   if (result == AttemptResult::kCancelled) {
     return;
   }
   const bool failed = result != AttemptResult::kAnswered;
-  state.error_share += kErrorWeight * ((failed ? 1 : 0) - state.error_share);
+  const double share = state.error_share * Fading(now - state.judged_at);
+  state.error_share = share + kErrorWeight * ((failed ? 1 : 0) - share);
+  state.judged_at = now;
   if (result == AttemptResult::kAnswered ||
       result == AttemptResult::kServerError ||
       result == AttemptResult::kRejected) {
@@ -155,11 +168,27 @@
                                       TimePoint now) const {
   const State* state = Find(server.id);
   const double processing = Seconds(ProcessingTime(server, now)).count();
-  const double present = state == nullptr ? 0 : state->own + state->others;
+  const double present = state == nullptr ? 0 : Present(*state, now);
   const double ahead = std::max(0.0, present + 1 - server.slots);
-  const double penalty =
-      state == nullptr ? 1 : 1 + kErrorPenalty * state->error_share;
-  return ToDuration(processing * (1 + ahead / server.slots) * penalty);
+  return ToDuration(processing * (1 + ahead / server.slots));
+}
+
+double ServerLoads::Utilization(const routing::BackendServer& server,
+                                TimePoint now) const {
+  const State* state = Find(server.id);
+  return state == nullptr ? 0 : Present(*state, now) / server.slots;
+}
+
+double ServerLoads::Present(const State& state, TimePoint now) {
+  return state.own + state.others * Fading(now - state.reported_at);
+}
+
+double ServerLoads::FailurePenalty(const ServerId& server,
+                                   TimePoint now) const {
+  const State* state = Find(server);
+  return state == nullptr ? 1
+                          : 1 + kErrorPenalty * state->error_share *
+                                    Fading(now - state->judged_at);
 }
 
 Duration ServerLoads::UsualTime() const {
@@ -171,10 +200,11 @@
   return state != nullptr && now < state->avoided_until;
 }
 
-bool ServerLoads::HasRoom(const routing::BackendServer& server) const {
+bool ServerLoads::HasRoom(const routing::BackendServer& server,
+                          TimePoint now) const {
   const State* state = Find(server.id);
   return state == nullptr ||
-         state->own + state->others + 1 <= kMostPerSlot * server.slots;
+         Present(*state, now) + 1 <= kMostPerSlot * server.slots;
 }
 
 double ServerLoads::Capacity(const routing::BackendServer& server) const {
--- a/src/entry/server_loads.h
+++ b/src/entry/server_loads.h
@@ -67,6 +67,13 @@
   // Returns how long one more request would take at `server`.
   [[nodiscard]] Duration ExpectedLatency(const routing::BackendServer& server,
                                          TimePoint now) const;
+  // Returns the requests at the server per slot, as far as known.
+  [[nodiscard]] double Utilization(const routing::BackendServer& server,
+                                   TimePoint now) const;
+  // Returns by which factor a server is less attractive than its latency says,
+  // after failures; 1 for a sound one.
+  [[nodiscard]] double FailurePenalty(const ServerId& server,
+                                      TimePoint now) const;
   // Returns how long a request takes there once it is being processed.
   [[nodiscard]] Duration ProcessingTime(const routing::BackendServer& server,
                                         TimePoint now) const;
@@ -74,8 +81,9 @@
   [[nodiscard]] Duration UsualTime() const;
   // Returns whether it should be left alone after failures.
   [[nodiscard]] bool IsAvoided(const ServerId& server, TimePoint now) const;
-  // Returns whether the server, with `queue` places, has room for one more.
-  [[nodiscard]] bool HasRoom(const routing::BackendServer& server) const;
+  // Returns whether the server has room for one more.
+  [[nodiscard]] bool HasRoom(const routing::BackendServer& server,
+                             TimePoint now) const;
   // Returns requests per second that the server completes.
   [[nodiscard]] double Capacity(const routing::BackendServer& server) const;
   // Returns when the server last answered anything.
@@ -84,15 +92,20 @@
  private:
   struct State {
     std::uint32_t own = 0;
-    // Smoothed number of requests of other daemons there.
+    // Smoothed number of requests of other daemons there, when it last
+    // reported them.
     double others = 0;
+    TimePoint reported_at{};
     double processing_s = 0;  // 0: not known.
     std::uint32_t failures = 0;
     double error_share = 0;
+    TimePoint judged_at{};
     TimePoint avoided_until{};
     TimePoint last_answer{};
   };
 
+  // Returns the requests of all daemons at the server.
+  [[nodiscard]] static double Present(const State& state, TimePoint now);
   [[nodiscard]] double ProcessingSeconds(const State* state) const;
   [[nodiscard]] const State* Find(const ServerId& server) const;
 
--- a/src/entry/store_watcher.cc
+++ b/src/entry/store_watcher.cc
@@ -196,8 +196,14 @@
   } else {
     objects_[object.name] = object;
   }
-  changes_.push_back({revision, object});
   changed_at_ = revision;
+  if (source_ == WatchSource::kLeader) {
+    // Nobody asks a daemon that follows another one.
+    changes_.clear();
+    changes_from_ = revision;
+    return;
+  }
+  changes_.push_back({revision, object});
   if (changes_.size() > kMostChanges) {
     changes_from_ = changes_.front().revision;
     changes_.pop_front();
@@ -267,7 +273,13 @@
   sink_.on_events({object});
 }
 
-nlohmann::json StoreWatcher::ChangesSince(std::uint64_t since) const {
+const std::string& StoreWatcher::ChangesSince(std::uint64_t since) {
+  const std::uint64_t at = std::max(revision_, changed_at_);
+  if (!answer_.empty() && answer_since_ == since && answer_at_ == at) {
+    return answer_;
+  }
+  answer_since_ = since;
+  answer_at_ = at;
   nlohmann::json list = nlohmann::json::array();
   const auto add = [&](const platform::Object& object) {
     list.push_back({{"name", object.name},
@@ -287,17 +299,20 @@
       }
     }
   }
-  return {{"revision", std::max(revision_, changed_at_)},
-          {"listed", listed_},
-          {"whole", whole},
-          {"objects", std::move(list)}};
+  answer_ = nlohmann::json{{"revision", at},
+                           {"listed", listed_},
+                           {"whole", whole},
+                           {"objects", std::move(list)}}
+                .dump();
+  return answer_;
 }
 
-bool StoreWatcher::Adopt(const nlohmann::json& changes) {
+bool StoreWatcher::Adopt(const std::string& text) {
   std::vector<platform::Object> objects;
   std::uint64_t revision = 0;
   bool whole = false;
   try {
+    const auto changes = nlohmann::json::parse(text);
     if (!changes.at("listed").get<bool>()) {
       return false;
     }
--- a/src/entry/store_watcher.h
+++ b/src/entry/store_watcher.h
@@ -87,10 +87,10 @@
 
   // Returns the changes after `since` for another daemon's Adopt(), or
   // everything where they are not known any more.
-  [[nodiscard]] nlohmann::json ChangesSince(std::uint64_t since) const;
+  [[nodiscard]] const std::string& ChangesSince(std::uint64_t since);
   // Takes what ChangesSince() of another daemon returned. Returns false where
   // it cannot be used.
-  bool Adopt(const nlohmann::json& changes);
+  bool Adopt(const std::string& changes);
 
   // Returns the store's revision up to which the copy is complete; 0: nothing
   // is known yet.
@@ -130,6 +130,10 @@
   std::deque<Change> changes_;
   // Changes after this revision are in `changes_`.
   std::uint64_t changes_from_ = 0;
+  // The last answer of ChangesSince(), which many ask for at the same time.
+  std::string answer_;
+  std::uint64_t answer_since_ = 0;
+  std::uint64_t answer_at_ = 0;
   // Replies to calls of an earlier generation come too late.
   std::uint64_t generation_ = 0;
   bool in_flight_ = false;
--- a/src/keyspace/range_assigner.cc
+++ b/src/keyspace/range_assigner.cc
@@ -20,8 +20,10 @@
 // the quiet time, and at the latest after the longest time.
 constexpr Duration kRegistrationQuiet = std::chrono::milliseconds(1000);
 constexpr Duration kLongestRegistration = std::chrono::milliseconds(3500);
-// Ranges that may move for balance at the same time.
-constexpr std::ptrdiff_t kMostBalanceMoves = 3;
+// Ranges that may move for balance at the same time: at least, and as a part of
+// the number of servers.
+constexpr std::size_t kLeastBalanceMoves = 3;
+constexpr std::size_t kServersPerBalanceMove = 6;
 // Renewals in a row without an answer after which the owner may have started
 // again.
 constexpr int kMostUnanswered = 3;
@@ -564,20 +566,22 @@
 void RangeAssigner::PlanBalance(const KeyLoad& load,
                                 OwnershipTable* plan,
                                 TimePoint now) {
-  if (now < next_balance_ ||
-      std::count_if(plan->ranges.begin(), plan->ranges.end(),
-                    [](const auto& it) { return it.moving(); }) >=
-          kMostBalanceMoves) {
+  if (now < next_balance_) {
     return;
   }
   next_balance_ = now + options_.balance_period;
   const std::vector<Candidate> candidates = Candidates();
-  for (std::ptrdiff_t i = 0; i < kMostBalanceMoves; ++i) {
-    const auto transfer = Rebalance(*plan, candidates, load);
-    if (!transfer) {
-      return;
-    }
-    Move(*transfer, plan);
+  const std::size_t most = std::max(
+      kLeastBalanceMoves, candidates.size() / kServersPerBalanceMove);
+  const auto moving = static_cast<std::size_t>(
+      std::count_if(plan->ranges.begin(), plan->ranges.end(),
+                    [](const auto& it) { return it.moving(); }));
+  if (moving >= most) {
+    return;
+  }
+  for (const Transfer& it :
+       Rebalance(*plan, candidates, load, most - moving)) {
+    Move(it, plan);
   }
 }
 
--- a/src/keyspace/rebalancer.cc
+++ b/src/keyspace/rebalancer.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cmath>
 #include <cstddef>
+#include <map>
+#include <set>
 #include <utility>
 
 namespace gentianreach::keyspace {
@@ -33,16 +35,40 @@
   return load.At(key) + kBaseLoad / kKeyCount;
 }
 
+// Marks a range whose owner is no candidate.
+constexpr std::size_t kNoCandidate = static_cast<std::size_t>(-1);
+
+// A range that does not move, and whose it is.
+struct Holding {
+  KeyRange range;
+  std::size_t candidate = kNoCandidate;
+  bool moving = false;
+};
+
+std::vector<Holding> HoldingsOf(const OwnershipTable& table,
+                                const std::vector<Candidate>& candidates) {
+  std::map<std::pair<ServerId, Incarnation>, std::size_t> places;
+  for (std::size_t i = 0; i < candidates.size(); ++i) {
+    places[{candidates[i].server, candidates[i].incarnation}] = i;
+  }
+  std::vector<Holding> holdings;
+  for (const OwnedRange& it : table.ranges) {
+    const auto place = places.find({it.owner.server, it.owner.incarnation});
+    holdings.push_back({it.range,
+                        place == places.end() ? kNoCandidate : place->second,
+                        it.moving()});
+  }
+  return holdings;
+}
+
 // Load of each candidate, in their order.
-std::vector<double> Loads(const OwnershipTable& table,
-                          const std::vector<Candidate>& candidates,
+std::vector<double> Loads(const std::vector<Holding>& holdings,
+                          std::size_t candidates,
                           const KeyLoad& load) {
-  std::vector<double> loads(candidates.size(), 0);
-  for (const OwnedRange& it : table.ranges) {
-    for (std::size_t i = 0; i < candidates.size(); ++i) {
-      if (it.owner.IsLife(candidates[i].server, candidates[i].incarnation)) {
-        loads[i] += LoadOf(it.range, load);
-      }
+  std::vector<double> loads(candidates, 0);
+  for (const Holding& it : holdings) {
+    if (it.candidate != kNoCandidate) {
+      loads[it.candidate] += LoadOf(it.range, load);
     }
   }
   return loads;
@@ -128,7 +154,8 @@
   if (candidates.empty()) {
     return transfers;
   }
-  std::vector<double> loads = Loads(table, candidates, load);
+  std::vector<double> loads =
+      Loads(HoldingsOf(table, candidates), candidates.size(), load);
   double total = LoadOf(orphan, load);
   for (const double it : loads) {
     total += it;
@@ -154,65 +181,156 @@
   return transfers;
 }
 
-std::optional<Transfer> Rebalance(const OwnershipTable& table,
-                                  const std::vector<Candidate>& candidates,
-                                  const KeyLoad& load) {
-  if (candidates.size() < 2 ||
-      load.In({0, kKeyCount - 1}) < kLeastSamples) {
-    return std::nullopt;
-  }
-  const std::vector<double> loads = Loads(table, candidates, load);
+namespace {
+
+// The two servers between which a transfer helps most.
+struct Pair {
+  std::size_t from = 0;
+  std::size_t to = 0;
+  // Load that the transfer should have; none where the two are balanced.
+  double wanted = 0;
+};
+
+// Servers in `stuck` cannot be relieved.
+Pair FindPair(const std::vector<double>& loads,
+              const std::vector<Candidate>& candidates,
+              const std::set<std::size_t>& stuck) {
+  Pair pair;
   double total = 0;
-  std::size_t most = 0;
-  std::size_t least = 0;
+  double highest = -1;
   for (std::size_t i = 0; i < candidates.size(); ++i) {
     total += loads[i];
     const double relative = loads[i] / candidates[i].capacity;
-    if (relative > loads[most] / candidates[most].capacity) {
-      most = i;
+    if (relative > highest && !stuck.contains(i)) {
+      highest = relative;
+      pair.from = i;
     }
-    if (relative < loads[least] / candidates[least].capacity) {
-      least = i;
+    if (relative < loads[pair.to] / candidates[pair.to].capacity) {
+      pair.to = i;
     }
   }
   const double mean = total / TotalCapacity(candidates);
-  const double surplus = loads[most] - mean * candidates[most].capacity;
-  const double room = mean * candidates[least].capacity - loads[least];
-  const bool overloaded =
-      loads[most] > kOverload * mean * candidates[most].capacity;
-  const bool unused =
-      loads[least] < kUnderload * mean * candidates[least].capacity;
-  if ((!overloaded && !unused) || most == least) {
-    return std::nullopt;
-  }
-  const double wanted = std::min(surplus, room);
-  const OwnedRange* from = nullptr;
-  KeyRange best;
-  for (const OwnedRange& it : table.ranges) {
-    if (it.moving() || !it.owner.IsLife(candidates[most].server,
-                                        candidates[most].incarnation)) {
+  const double most = mean * candidates[pair.from].capacity;
+  const double least = mean * candidates[pair.to].capacity;
+  const bool overloaded = loads[pair.from] > kOverload * most;
+  const bool unused = loads[pair.to] < kUnderload * least;
+  if ((overloaded || unused) && pair.from != pair.to) {
+    pair.wanted = std::min(loads[pair.from] - most, least - loads[pair.to]);
+  }
+  return pair;
+}
+
+// Adds the parts of `range` that a transfer of `wanted` load could take: the
+// narrowest with that load, or, where a single key is heavier than that, what
+// lies beside it.
+void AddParts(const KeyRange& range,
+              double wanted,
+              const KeyLoad& load,
+              std::vector<KeyRange>* parts) {
+  KeyRange part = NarrowestPart(range, wanted, load);
+  if (part.width() > kWidestTransfer) {
+    part.last = part.first + kWidestTransfer - 1;
+  }
+  // A part far above what is wanted would only swap the two servers' roles.
+  if (LoadOf(part, load) <= 2 * wanted) {
+    parts->push_back(part);
+    return;
+  }
+  for (KeyRange beside : {KeyRange{range.first, part.first - 1},
+                          KeyRange{part.last + 1, range.last}}) {
+    const bool is_left = beside.first == range.first;
+    if ((is_left && part.first == range.first) ||
+        (!is_left && part.last == range.last)) {
       continue;
     }
-    KeyRange part = NarrowestPart(it.range, wanted, load);
-    const bool is_step = part.width() > kWidestTransfer;
-    if (is_step) {
-      part.last = part.first + kWidestTransfer - 1;
+    if (beside.width() > kWidestTransfer) {
+      beside.last = beside.first + kWidestTransfer - 1;
     }
-    // A range that holds too little moves whole, where it is worth it.
-    const bool worthwhile = is_step || LoadOf(part, load) >= wanted / 3;
-    // A part far above what is wanted would only swap the two servers' roles.
-    const bool fits = LoadOf(part, load) <= 2 * wanted;
-    if (worthwhile && fits &&
-        (from == nullptr || part.width() < best.width())) {
-      from = &it;
-      best = part;
+    if (LoadOf(beside, load) > wanted) {
+      beside = NarrowestPart(beside, wanted, load);
+    }
+    if (LoadOf(beside, load) <= 2 * wanted) {
+      parts->push_back(beside);
     }
   }
-  if (from == nullptr) {
-    return std::nullopt;
+}
+
+// Returns the place of the holding to cut, and the part to transfer; the
+// number of holdings where none fits.
+std::pair<std::size_t, KeyRange> FindPart(const std::vector<Holding>& holdings,
+                                          const Pair& pair,
+                                          const KeyLoad& load) {
+  std::size_t place = holdings.size();
+  KeyRange best;
+  for (std::size_t i = 0; i < holdings.size(); ++i) {
+    const Holding& it = holdings[i];
+    if (it.moving || it.candidate != pair.from) {
+      continue;
+    }
+    std::vector<KeyRange> parts;
+    AddParts(it.range, pair.wanted, load, &parts);
+    for (const KeyRange& part : parts) {
+      // A range that holds too little moves whole, where it is worth it.
+      const bool worthwhile = part.width() >= kWidestTransfer ||
+                              LoadOf(part, load) >= pair.wanted / 3;
+      if (worthwhile &&
+          (place == holdings.size() || part.width() < best.width())) {
+        place = i;
+        best = part;
+      }
+    }
+  }
+  return {place, best};
+}
+
+// Cuts `part` out of the holding at `place` and gives it to `candidate`.
+void Apply(std::vector<Holding>& holdings,
+           std::size_t place,
+           const KeyRange& part,
+           std::size_t candidate) {
+  const Holding whole = holdings[place];
+  holdings[place] = {part, candidate, true};
+  if (whole.range.first < part.first) {
+    holdings.push_back(
+        {{whole.range.first, part.first - 1}, whole.candidate, false});
+  }
+  if (part.last < whole.range.last) {
+    holdings.push_back(
+        {{part.last + 1, whole.range.last}, whole.candidate, false});
+  }
+}
+
+}  // namespace
+
+std::vector<Transfer> Rebalance(const OwnershipTable& table,
+                                const std::vector<Candidate>& candidates,
+                                const KeyLoad& load,
+                                std::size_t most) {
+  std::vector<Transfer> transfers;
+  if (candidates.size() < 2 || load.In({0, kKeyCount - 1}) < kLeastSamples) {
+    return transfers;
   }
-  return Transfer{best, candidates[least].server,
-                  candidates[least].incarnation};
+  std::vector<Holding> holdings = HoldingsOf(table, candidates);
+  std::vector<double> loads = Loads(holdings, candidates.size(), load);
+  std::set<std::size_t> stuck;
+  while (transfers.size() < most && stuck.size() < candidates.size()) {
+    const Pair pair = FindPair(loads, candidates, stuck);
+    if (pair.wanted <= 0) {
+      break;
+    }
+    const auto [place, part] = FindPart(holdings, pair, load);
+    if (place == holdings.size()) {
+      stuck.insert(pair.from);
+      continue;
+    }
+    Apply(holdings, place, part, pair.to);
+    const double moved = LoadOf(part, load);
+    loads[pair.from] -= moved;
+    loads[pair.to] += moved;
+    transfers.push_back({part, candidates[pair.to].server,
+                         candidates[pair.to].incarnation});
+  }
+  return transfers;
 }
 
 }  // namespace gentianreach::keyspace
--- a/src/keyspace/rebalancer.h
+++ b/src/keyspace/rebalancer.h
@@ -2,7 +2,7 @@
 #ifndef SRC_KEYSPACE_REBALANCER_H_
 #define SRC_KEYSPACE_REBALANCER_H_
 
-#include <optional>
+#include <cstddef>
 #include <vector>
 
 #include "gentianreach/ids.h"
@@ -39,13 +39,15 @@
     const std::vector<Candidate>& candidates,
     const KeyLoad& load);
 
-// Returns one transfer from the server that is most loaded for its capacity to
-// the least loaded one, the narrowest range that brings them closer; nothing
-// where the gain is not worth the keys that move.
-[[nodiscard]] std::optional<Transfer> Rebalance(
+// Returns up to `most` transfers, each from the server that is then most loaded
+// for its capacity to the least loaded one, of the narrowest range that brings
+// them closer; none where the gain is not worth the keys that move. Apply them
+// in order.
+[[nodiscard]] std::vector<Transfer> Rebalance(
     const OwnershipTable& table,
     const std::vector<Candidate>& candidates,
-    const KeyLoad& load);
+    const KeyLoad& load,
+    std::size_t most);
 
 }  // namespace gentianreach::keyspace
 
