Few idle connections where they are scarce; hot keys go to fast servers

Two thirds of the refusals there were for two keys, each too hot for a server.

Change: a daemon keeps no more idle connections than its share; the sample of servers is mostly of the own zone; a key that is too hot for any server goes to one of the fastest. Sources formatted.

--- a/src/entry/entry_daemon.cc
+++ b/src/entry/entry_daemon.cc
@@ -83,11 +83,10 @@
 
 std::optional<LeaderRecord> DecodeLeader(const nlohmann::json& content) {
   try {
-    return LeaderRecord{
-        Epoch(content.at("epoch").get<std::uint64_t>()),
-        {content.at("name").get<std::string>(),
-         Incarnation(content.at("life").get<std::uint64_t>()),
-         content.at("address").get<std::string>()}};
+    return LeaderRecord{Epoch(content.at("epoch").get<std::uint64_t>()),
+                        {content.at("name").get<std::string>(),
+                         Incarnation(content.at("life").get<std::uint64_t>()),
+                         content.at("address").get<std::string>()}};
   } catch (const nlohmann::json::exception&) {
     return std::nullopt;
   }
@@ -110,7 +109,8 @@
   return ElectionOutcome::kUnavailable;
 }
 
-keyspace::AssignerOptions AssignerOptionsOf(const settings::EntryDaemonT& settings) {
+keyspace::AssignerOptions AssignerOptionsOf(
+    const settings::EntryDaemonT& settings) {
   keyspace::AssignerOptions options;
   const milliseconds longest(
       static_cast<std::int64_t>(settings.longest_lease_ms));
@@ -136,27 +136,29 @@
         self_{settings.name, Incarnation(RandomNumber()),
               settings.member_address},
         election_(self_, {}),
-        link_(loop_,
-              self_,
-              settings.processor_share,
-              election_,
-              *state_),
+        link_(loop_, self_, settings.processor_share, election_, *state_),
         assignment_(*state_, election_, platform_, AssignerOptionsOf(settings)),
-        config_watcher_(
-            loop_, platform_, health_, platform::ObjectKind::kConfig,
-            platform::Freshness::kCurrent,
-            {[this](const auto& it) { OnConfig(it); },
-             [this](const auto& it) { OnConfig(it); }}),
-        server_watcher_(
-            loop_, platform_, health_, platform::ObjectKind::kServers,
-            platform::Freshness::kMayBeStale,
-            {[this](const auto& it) { OnServerList(it); },
-             [this](const auto& it) { OnServerEvents(it); }}),
-        ownership_watcher_(
-            loop_, platform_, health_, platform::ObjectKind::kOwnership,
-            platform::Freshness::kMayBeStale,
-            {[this](const auto& it) { OnTables(it); },
-             [this](const auto& it) { OnTables(it); }}),
+        config_watcher_(loop_,
+                        platform_,
+                        health_,
+                        platform::ObjectKind::kConfig,
+                        platform::Freshness::kCurrent,
+                        {[this](const auto& it) { OnConfig(it); },
+                         [this](const auto& it) { OnConfig(it); }}),
+        server_watcher_(loop_,
+                        platform_,
+                        health_,
+                        platform::ObjectKind::kServers,
+                        platform::Freshness::kMayBeStale,
+                        {[this](const auto& it) { OnServerList(it); },
+                         [this](const auto& it) { OnServerEvents(it); }}),
+        ownership_watcher_(loop_,
+                           platform_,
+                           health_,
+                           platform::ObjectKind::kOwnership,
+                           platform::Freshness::kMayBeStale,
+                           {[this](const auto& it) { OnTables(it); },
+                            [this](const auto& it) { OnTables(it); }}),
         housekeeping_(loop_, [this] { Housekeep(); }),
         election_timer_(loop_, [this] { Elect(); }),
         beat_timer_(loop_, [this] {
@@ -251,10 +253,10 @@
                 static_cast<std::int64_t>(platform_.store_calls()));
     metrics.Set("servers",
                 static_cast<std::int64_t>(state_->directory.servers().size()));
-    metrics.Set("config_version",
-                state_->routes ? static_cast<std::int64_t>(
-                                     state_->routes->config().version)
-                               : 0);
+    metrics.Set("config_version", state_->routes
+                                      ? static_cast<std::int64_t>(
+                                            state_->routes->config().version)
+                                      : 0);
     return {200, "text/plain", metrics.Text()};
   }
 
@@ -361,9 +363,9 @@
             {{"service", it.name}, {"revision", it.revision}});
         continue;
       }
-      changed = state_->ownership.Put(it.name, it.revision,
-                                      *std::move(table)) ||
-                changed;
+      changed =
+          state_->ownership.Put(it.name, it.revision, *std::move(table)) ||
+          changed;
     }
     if (changed) {
       TellMembers();
@@ -399,8 +401,7 @@
     const auto watchers = Watchers();
     for (std::size_t i = 0; i < watchers.size(); ++i) {
       if (kind == kRelayKinds[i]) {
-        return {200, "application/json",
-                watchers[i]->ChangesSince(since)};
+        return {200, "application/json", watchers[i]->ChangesSince(since)};
       }
     }
     return {404, "application/json", R"({"error":"no such kind"})"};
--- a/src/entry/entry_metrics.cc
+++ b/src/entry/entry_metrics.cc
@@ -32,8 +32,7 @@
   gauges_["gentianreach_" + std::string(name)] = value;
 }
 
-void EntryMetrics::RecordLatency(const std::string& service,
-                                 Duration latency) {
+void EntryMetrics::RecordLatency(const std::string& service, Duration latency) {
   auto it = latencies_.find(service);
   if (it == latencies_.end()) {
     it = latencies_
@@ -43,8 +42,7 @@
                               kBins, kLeastMs, kMostMs)))
              .first;
   }
-  it->second(
-      std::chrono::duration<double, std::milli>(latency).count());
+  it->second(std::chrono::duration<double, std::milli>(latency).count());
 }
 
 std::string EntryMetrics::Text() const {
--- a/src/entry/entry_metrics.h
+++ b/src/entry/entry_metrics.h
@@ -16,7 +16,8 @@
 class EntryMetrics {
  public:
   // Adds to the counter `name` with `label` (like `reason="overload"`).
-  void Count(std::string_view name, std::string_view label = {},
+  void Count(std::string_view name,
+             std::string_view label = {},
              std::uint64_t n = 1);
   // Sets a gauge.
   void Set(std::string_view name, std::int64_t value);
--- a/src/entry/entry_proxy.cc
+++ b/src/entry/entry_proxy.cc
@@ -24,10 +24,9 @@
 
   void Start(std::function<void(proxy::CallerConnection*)> on_closed) {
     on_closed_ = std::move(on_closed);
-    connection_->Start(
-        [self = shared_from_this()](proxy::CallerEvent event) {
-          self->OnEvent(event);
-        });
+    connection_->Start([self = shared_from_this()](proxy::CallerEvent event) {
+      self->OnEvent(event);
+    });
   }
 
  private:
@@ -71,8 +70,8 @@
 boost::leaf::result<void> EntryProxy::Listen(const std::string& address) {
   BOOST_LEAF_AUTO(listener, net::TcpSocket::Listen(address, false));
   listener_ = std::move(listener);
-  listener_watch_ = state_->loop.Watch(
-      listener_.fd(), [this](net::ReadyEvents) { Accept(); });
+  listener_watch_ = state_->loop.Watch(listener_.fd(),
+                                       [this](net::ReadyEvents) { Accept(); });
   return {};
 }
 
--- a/src/entry/entry_proxy.h
+++ b/src/entry/entry_proxy.h
@@ -39,9 +39,8 @@
             std::function<void()> done);
 
  private:
-  using Callers =
-      std::unordered_map<proxy::CallerConnection*,
-                         std::shared_ptr<proxy::CallerConnection>>;
+  using Callers = std::unordered_map<proxy::CallerConnection*,
+                                     std::shared_ptr<proxy::CallerConnection>>;
 
   void Accept();
   void CloseListener();
--- a/src/entry/entry_request.cc
+++ b/src/entry/entry_request.cc
@@ -34,7 +34,8 @@
 // How long a request waits for an owner whose keys are just moving.
 constexpr Duration kLongestHold = milliseconds(400);
 // How long the owner of keys is still used after it has announced to leave: its
-// keys have usually moved by then. Servers may expect nothing after two seconds.
+// keys have usually moved by then. Servers may expect nothing after two
+// seconds.
 constexpr Duration kLongestUseOfDraining = milliseconds(1500);
 // Pause after an owner that does not hold the key, unless the table changes.
 constexpr Duration kMisdirectedPause = milliseconds(60);
@@ -60,6 +61,8 @@
 // Servers of a large service of which the best is chosen. Daemons that all
 // chose from all servers would all choose the same few.
 constexpr std::size_t kSampleSize = 8;
+// Those of them that are in the daemon's own zone, where there are as many.
+constexpr std::size_t kNearSample = 6;
 
 std::minstd_rand& Generator() {
   static std::minstd_rand generator{std::random_device{}()};
@@ -67,15 +70,25 @@
 }
 
 double Noise() {
-  return std::uniform_real_distribution<double>(1, 1 + kChoiceNoise)(
-      Generator());
+  return std::uniform_real_distribution<double>(1,
+                                                1 + kChoiceNoise)(Generator());
 }
 
+// Returns up to kSampleSize servers, most of them of `zone` where it has
+// enough.
 std::vector<const routing::BackendServer*> Sample(
-    const std::vector<const routing::BackendServer*>& servers) {
+    const std::vector<const routing::BackendServer*>& servers,
+    const ZoneName& zone) {
+  std::vector<const routing::BackendServer*> near;
+  std::vector<const routing::BackendServer*> far;
+  for (const routing::BackendServer* it : servers) {
+    (it->zone == zone ? near : far).push_back(it);
+  }
   std::vector<const routing::BackendServer*> sample;
-  std::sample(servers.begin(), servers.end(), std::back_inserter(sample),
-              kSampleSize, Generator());
+  std::sample(near.begin(), near.end(), std::back_inserter(sample), kNearSample,
+              Generator());
+  std::sample(far.begin(), far.end(), std::back_inserter(sample),
+              kSampleSize - sample.size(), Generator());
   return sample;
 }
 
@@ -254,8 +267,8 @@
   const keyspace::OwnedRange& range = table->Find(*key_);
   const routing::BackendServer* server =
       state_->directory.Find(range.owner.server);
-  const bool known = server != nullptr &&
-                     server->incarnation == range.owner.incarnation;
+  const bool known =
+      server != nullptr && server->incarnation == range.owner.incarnation;
   const bool leaves =
       known && server->draining &&
       state_->loop.Now() > server->draining_since + kLongestUseOfDraining;
@@ -288,7 +301,7 @@
   }
   const routing::BackendServer* best = nullptr;
   double best_score = std::numeric_limits<double>::max();
-  for (const routing::BackendServer* it : Sample(servers)) {
+  for (const routing::BackendServer* it : Sample(servers, state_->zone)) {
     const double score = Score(*it, now);
     if (score < best_score) {
       best_score = score;
@@ -317,8 +330,8 @@
       *route_, state_->loads.ProcessingTime(server, now), TimeLeft());
   if (expected > longest || !state_->loads.HasRoom(server, now)) {
     return {.reason = Reason::kOverload,
-            .retry_after = std::max<Duration>(expected - longest,
-                                              kRejectedRetryAfter)};
+            .retry_after =
+                std::max<Duration>(expected - longest, kRejectedRetryAfter)};
   }
   return {.server = &server};
 }
@@ -362,9 +375,8 @@
   SendOver(std::move(connection), server);
 }
 
-void EntryRequest::SendOver(
-    std::shared_ptr<proxy::ServerConnection> connection,
-    const routing::BackendServer& server) {
+void EntryRequest::SendOver(std::shared_ptr<proxy::ServerConnection> connection,
+                            const routing::BackendServer& server) {
   pool_ = state_->Pool(server);
   connection_ = std::move(connection);
   server_ = server.id;
@@ -463,14 +475,16 @@
       break;
   }
   silence_timer_.Clear();
-  if (const auto load = head.Get(std::string_view(state_->headers.server_load))) {
+  if (const auto load =
+          head.Get(std::string_view(state_->headers.server_load))) {
     report_ = ParseLoadReport(*load);
   }
   answer_head_ = head;
 }
 
 void EntryRequest::OnNotRun(const http::MessageHead& head) {
-  if (const auto load = head.Get(std::string_view(state_->headers.server_load))) {
+  if (const auto load =
+          head.Get(std::string_view(state_->headers.server_load))) {
     report_ = ParseLoadReport(*load);
   }
   constexpr int kMisdirected = 421;
@@ -484,8 +498,8 @@
     // The table that was used is old, or the grant has not arrived yet.
     tried_.clear();
     if (MayRetry(true)) {
-      HoldForOwner({.reason = Reason::kNotOwner,
-                    .retry_after = kNotReadyRetryAfter});
+      HoldForOwner(
+          {.reason = Reason::kNotOwner, .retry_after = kNotReadyRetryAfter});
       return;
     }
     End(kUnavailable, Reason::kNotOwner, kNotReadyRetryAfter);
@@ -516,9 +530,8 @@
   pool_->Release(connection);
   ++attempts_;
   state_->crashes.OnAnswered(fingerprint_);
-  const bool server_error =
-      JudgeAnswer(answer_head_, state_->headers, id_) ==
-      AnswerKind::kServerError;
+  const bool server_error = JudgeAnswer(answer_head_, state_->headers, id_) ==
+                            AnswerKind::kServerError;
   EndAttempt(server_error ? AttemptResult::kServerError
                           : AttemptResult::kAnswered);
   if (server_error && !committed_ && route_->idempotent && MayRetry(true)) {
@@ -568,8 +581,9 @@
   }
   const Choice choice = ChooseAny();
   // The attempt under way is given up only for another that can begin.
-  auto next = choice.server == nullptr ? nullptr
-                                       : state_->Pool(*choice.server)->Acquire();
+  auto next = choice.server == nullptr
+                  ? nullptr
+                  : state_->Pool(*choice.server)->Acquire();
   if (!next) {
     return;
   }
@@ -617,9 +631,7 @@
   return !sent || state_->Budget(service_->name).TryRetry(state_->loop.Now());
 }
 
-void EntryRequest::RetryOrEnd(bool sent,
-                              Reason reason,
-                              Duration retry_after) {
+void EntryRequest::RetryOrEnd(bool sent, Reason reason, Duration retry_after) {
   if (done_) {
     return;
   }
@@ -686,8 +698,7 @@
   http::AppendHeadEnd(out);
   out.append(answer_body_);
   caller_->Write(std::move(out));
-  state_->metrics.RecordLatency(service_->name,
-                                state_->loop.Now() - started_);
+  state_->metrics.RecordLatency(service_->name, state_->loop.Now() - started_);
   Finish(answer_head_.status, "answered");
   caller_->FinishAnswer(keep_alive);
 }
@@ -758,8 +769,8 @@
          {"status", status},
          {"outcome", outcome},
          {"ms", (now - started_) / milliseconds(1)},
-         {"left_ms", route_ == nullptr ? 0
-                                       : (deadline_ - now) / milliseconds(1)}});
+         {"left_ms",
+          route_ == nullptr ? 0 : (deadline_ - now) / milliseconds(1)}});
   }
   body_ = std::string();
   answer_body_ = std::string();
--- a/src/entry/entry_settings.cc
+++ b/src/entry/entry_settings.cc
@@ -14,7 +14,8 @@
 
 constexpr std::string_view kSection = "entry";
 
-void Check(const settings::EntryDaemonT& entry, settings::SectionChecker& checker) {
+void Check(const settings::EntryDaemonT& entry,
+           settings::SectionChecker& checker) {
   checker.Require("name", entry.name);
   checker.Require("zone", entry.zone);
   checker.RequireAddress("caller_address", entry.caller_address);
--- a/src/entry/entry_state.cc
+++ b/src/entry/entry_state.cc
@@ -16,11 +16,14 @@
 constexpr Duration kIdleTimeout = std::chrono::seconds(8);
 // Keys kept for the next message to the leader; more fit into no datagram.
 constexpr std::size_t kMostUnsentKeys = 400;
-// Connections that each daemon may open to a server at least.
-constexpr std::size_t kLeastConnections = 2;
+// Connections that each daemon may use to a server at the same time at least.
+// Few daemons use that many, where a server's connections are few for each.
+constexpr std::size_t kLeastConnections = 3;
 // The part of a server's connections that is used: some are its leader's and
 // of daemons that are being replaced.
 constexpr double kConnectionShare = 0.8;
+// The part that may stay open without being used.
+constexpr double kIdleShare = 0.6;
 
 }  // namespace
 
@@ -66,7 +69,8 @@
   }
 }
 
-std::size_t EntryState::ConnectionLimit(const std::string& service) const {
+std::size_t EntryState::OwnShare(const std::string& service,
+                                 double share) const {
   std::size_t connections = 100;
   if (routes) {
     const auto it = routes->config().services.find(service);
@@ -74,10 +78,8 @@
       connections = it->second.max_connections;
     }
   }
-  const auto share = static_cast<std::size_t>(
-      static_cast<double>(connections) * kConnectionShare /
-      std::max(1U, members_));
-  return std::max(kLeastConnections, share);
+  return static_cast<std::size_t>(static_cast<double>(connections) * share /
+                                  std::max(1U, members_));
 }
 
 std::shared_ptr<proxy::ServerPool> EntryState::Pool(
@@ -94,7 +96,10 @@
                                        .idle_timeout = kIdleTimeout,
                                        .accept_until_end = true});
   }
-  entry.pool->SetLimit(ConnectionLimit(server.service));
+  entry.pool->SetLimit(
+      std::max(kLeastConnections, OwnShare(server.service, kConnectionShare)));
+  entry.pool->SetIdleLimit(
+      std::max<std::size_t>(1, OwnShare(server.service, kIdleShare)));
   return entry.pool;
 }
 
--- a/src/entry/entry_state.h
+++ b/src/entry/entry_state.h
@@ -89,7 +89,9 @@
     std::shared_ptr<proxy::ServerPool> pool;
   };
 
-  [[nodiscard]] std::size_t ConnectionLimit(const std::string& service) const;
+  // Returns this daemon's part of `share` of a server's connections.
+  [[nodiscard]] std::size_t OwnShare(const std::string& service,
+                                     double share) const;
 
   const RetryBounds bounds_;
   bool counts_load_ = false;
--- a/src/entry/key_assignment.cc
+++ b/src/entry/key_assignment.cc
@@ -151,8 +151,7 @@
 void KeyAssignment::ReadTable(const std::string& name, Service& service) {
   service.reading = true;
   platform_.Read(
-      platform::ObjectKind::kOwnership, name,
-      state_.loop.Now() + kStoreTimeout,
+      platform::ObjectKind::kOwnership, name, state_.loop.Now() + kStoreTimeout,
       [this, name, term = service.term](const platform::ObjectReply& reply) {
         Service* service = Find(name, term);
         if (service == nullptr) {
@@ -197,9 +196,9 @@
             {{"service", name},
              {"epoch", election_.record().epoch.value()},
              {"revision", service->revision}});
-        service->begun = service->assigner.Begin(
-            std::move(table), election_.record().epoch,
-            election_.others_until(), now);
+        service->begun =
+            service->assigner.Begin(std::move(table), election_.record().epoch,
+                                    election_.others_until(), now);
         if (!service->begun) {
           Log(LogLevel::kWarning, "later_leader_found", {{"service", name}});
           service->next_read = now + kStorePause;
@@ -226,10 +225,9 @@
           {{"service", name},
            {"revision", service->revision},
            {"ranges", table.ranges.size()},
-           {"moving", std::count_if(table.ranges.begin(), table.ranges.end(),
-                                    [](const auto& it) {
-                                      return it.moving();
-                                    })}});
+           {"moving",
+            std::count_if(table.ranges.begin(), table.ranges.end(),
+                          [](const auto& it) { return it.moving(); })}});
       if (on_table) {
         on_table(*reply.object);
       }
@@ -297,9 +295,10 @@
   state_.metrics.Count("orders_total",
                        grant ? "kind=\"grant\"" : "kind=\"release\"");
   if (grant) {
-    platform_.Grant(order.address,
-                    {order.server, order.range, order.token, order.lease, order.handover},
-                    order.deadline, on_reply);
+    platform_.Grant(
+        order.address,
+        {order.server, order.range, order.token, order.lease, order.handover},
+        order.deadline, on_reply);
   } else {
     platform_.Release(order.address, order.server, order.range, order.token,
                       order.deadline, on_reply);
--- a/src/entry/leader_election.h
+++ b/src/entry/leader_election.h
@@ -54,8 +54,8 @@
 struct ElectionCall {
   enum class Kind : std::uint8_t { kRead, kCreate, kReplace };
   Kind kind = Kind::kRead;
-  LeaderRecord record;          // Writes: what to write.
-  std::uint64_t revision = 0;   // kReplace: the revision it must have.
+  LeaderRecord record;         // Writes: what to write.
+  std::uint64_t revision = 0;  // kReplace: the revision it must have.
 };
 
 // How a store call ended.
--- a/src/entry/member_link.cc
+++ b/src/entry/member_link.cc
@@ -61,9 +61,8 @@
 
 boost::leaf::result<void> MemberLink::Open() {
   BOOST_LEAF_CHECK(socket_.Open(
-      self_.address, [this](std::span<const std::uint8_t> data) {
-        Receive(data);
-      }));
+      self_.address,
+      [this](std::span<const std::uint8_t> data) { Receive(data); }));
   timer_.Set(loop_.Now());
   return {};
 }
@@ -145,8 +144,8 @@
 
 void MemberLink::OnHello(const wire::HelloT& hello) {
   const TimePoint now = loop_.Now();
-  election_.OnFollower(hello.name, Incarnation(hello.life),
-                       Epoch(hello.epoch), now);
+  election_.OnFollower(hello.name, Incarnation(hello.life), Epoch(hello.epoch),
+                       now);
   if (!election_.IsLeader(now)) {
     return;
   }
@@ -176,9 +175,8 @@
   }
   for (const auto& it : hello.servers) {
     const std::chrono::duration<float, std::milli> total(it->total_ms);
-    state_.loads.OnOtherSample(
-        ServerId(it->server), it->requests,
-        std::chrono::duration_cast<Duration>(total));
+    state_.loads.OnOtherSample(ServerId(it->server), it->requests,
+                               std::chrono::duration_cast<Duration>(total));
   }
 }
 
@@ -239,8 +237,8 @@
   for (const std::uint64_t it : beat.crashed) {
     crashes_.OnLostElsewhere({it}, now);
   }
-  const LeaderRecord record{
-      Epoch(beat.epoch), {beat.name, Incarnation(beat.life), beat.address}};
+  const LeaderRecord record{Epoch(beat.epoch),
+                            {beat.name, Incarnation(beat.life), beat.address}};
   if (record.epoch < election_.record().epoch) {
     return;
   }
@@ -257,8 +255,8 @@
       known_[it->name] = {{it->name, {}, it->address}, now, 0, {}};
     }
   }
-  if (!on_beat || on_beat({beat.address, beat.store_lost,
-                           beat.may_lack_entries, beat.changed_at})) {
+  if (!on_beat || on_beat({beat.address, beat.store_lost, beat.may_lack_entries,
+                           beat.changed_at})) {
     leader_heard_at_ = now;
     election_.OnLeaderHeard(record, beat.rank, now);
   }
--- a/src/entry/server_directory.cc
+++ b/src/entry/server_directory.cc
@@ -8,9 +8,8 @@
 void ServerDirectory::Put(routing::BackendServer server, TimePoint now) {
   const routing::BackendServer* before = Find(server.id);
   if (server.draining) {
-    server.draining_since = before != nullptr && before->draining
-                                ? before->draining_since
-                                : now;
+    server.draining_since =
+        before != nullptr && before->draining ? before->draining_since : now;
   }
   lapsed_.erase(server.id);
   servers_[server.id] = std::move(server);
--- a/src/entry/server_loads.cc
+++ b/src/entry/server_loads.cc
@@ -135,8 +135,8 @@
           ? seconds
           : state.processing_s +
                 kLatencyWeight * (seconds - state.processing_s);
-  usual_s_ = usual_s_ == 0 ? seconds
-                           : usual_s_ + kUsualWeight * (seconds - usual_s_);
+  usual_s_ =
+      usual_s_ == 0 ? seconds : usual_s_ + kUsualWeight * (seconds - usual_s_);
 }
 
 void ServerLoads::OnOtherSample(const ServerId& server,
--- a/src/entry/server_loads_test.cc
+++ b/src/entry/server_loads_test.cc
@@ -115,8 +115,7 @@
     Answer(loads, "a", milliseconds(600), "2,4,2");
   }
   CHECK(loads.ExpectedLatency(Server("a"), kNow) > milliseconds(500));
-  CHECK(loads.ExpectedLatency(Server("a"),
-                              kNow + std::chrono::seconds(10)) <
+  CHECK(loads.ExpectedLatency(Server("a"), kNow + std::chrono::seconds(10)) <
         milliseconds(230));
 }
 
--- a/src/entry/store_watcher.cc
+++ b/src/entry/store_watcher.cc
@@ -69,8 +69,8 @@
 }
 
 bool StoreHealth::MayLackEntries() const {
-  return lost_ || (back_at_ != TimePoint{} &&
-                   loop_.Now() < back_at_ + kReturnTime);
+  return lost_ ||
+         (back_at_ != TimePoint{} && loop_.Now() < back_at_ + kReturnTime);
 }
 
 void StoreHealth::OnHistoryGone() {
@@ -141,14 +141,14 @@
 
 void StoreWatcher::Call(bool list) {
   in_flight_ = true;
-  const auto on_reply = [this, list, generation = generation_](
-                            const platform::ListReply& reply) {
-    if (generation != generation_) {
-      return;
-    }
-    in_flight_ = false;
-    OnReply(reply, list);
-  };
+  const auto on_reply =
+      [this, list, generation = generation_](const platform::ListReply& reply) {
+        if (generation != generation_) {
+          return;
+        }
+        in_flight_ = false;
+        OnReply(reply, list);
+      };
   if (list) {
     const auto freshness =
         std::exchange(next_list_, platform::Freshness::kCurrent);
--- a/src/keyspace/range_assigner.cc
+++ b/src/keyspace/range_assigner.cc
@@ -56,8 +56,7 @@
     OwnedRange after = (*ranges)[i];
     after.range.first = part.last + 1;
     (*ranges)[i].range.last = part.last;
-    ranges->insert(ranges->begin() + static_cast<std::ptrdiff_t>(i) + 1,
-                   after);
+    ranges->insert(ranges->begin() + static_cast<std::ptrdiff_t>(i) + 1, after);
   }
   return i;
 }
@@ -68,8 +67,7 @@
     if (!plan->ranges[i].range.Contains(transfer.range.first)) {
       continue;
     }
-    OwnedRange& moved =
-        plan->ranges[Isolate(&plan->ranges, i, transfer.range)];
+    OwnedRange& moved = plan->ranges[Isolate(&plan->ranges, i, transfer.range)];
     moved.earlier.push_back(moved.owner);
     moved.owner = {transfer.server, transfer.incarnation, TakeToken(plan)};
     return;
@@ -398,8 +396,7 @@
   }
   const AssignerServer* server = FindLife(range.owner);
   if (!cleared || server == nullptr || HasEnded(range.owner) ||
-      state.needs_token ||
-      state.orders.in_flight != 0) {
+      state.needs_token || state.orders.in_flight != 0) {
     return;
   }
   const TimePoint due =
@@ -477,14 +474,13 @@
   orders.sent_at = now;
   orders.next_try = now + options_.order_timeout;
   const Token token = clearing.fenced ? clearing.fence : owner.token;
-  actions->emplace_back(
-      SendOrder{.kind = SendOrder::Kind::kRelease,
-                .order = orders.in_flight,
-                .server = owner.server,
-                .address = address,
-                .range = range.range,
-                .token = token,
-                .deadline = now + options_.release_timeout});
+  actions->emplace_back(SendOrder{.kind = SendOrder::Kind::kRelease,
+                                  .order = orders.in_flight,
+                                  .server = owner.server,
+                                  .address = address,
+                                  .range = range.range,
+                                  .token = token,
+                                  .deadline = now + options_.release_timeout});
   return false;
 }
 
@@ -532,16 +528,15 @@
       plan->ranges[i].earlier.clear();
     }
     if (states_[i].needs_token) {
-      plan->next_token = Token(std::max(
-          plan->next_token.value(),
-          table_.ranges[i].owner.token.value() + kTokenJump));
+      plan->next_token =
+          Token(std::max(plan->next_token.value(),
+                         table_.ranges[i].owner.token.value() + kTokenJump));
       plan->ranges[i].owner.token = TakeToken(plan);
     }
   }
 }
 
-void RangeAssigner::PlanMoves(const KeyLoad& load,
-                              OwnershipTable* plan) const {
+void RangeAssigner::PlanMoves(const KeyLoad& load, OwnershipTable* plan) const {
   const std::vector<Candidate> candidates = Candidates();
   if (candidates.empty()) {
     return;
@@ -551,8 +546,7 @@
     if (MayOwn(range.owner)) {
       continue;
     }
-    for (const Transfer& it :
-         Rehome(range.range, *plan, candidates, load)) {
+    for (const Transfer& it : Rehome(range.range, *plan, candidates, load)) {
       i = Isolate(&plan->ranges, i, it.range);
       OwnedRange& moved = plan->ranges[i];
       moved.earlier.push_back(moved.owner);
@@ -571,16 +565,15 @@
   }
   next_balance_ = now + options_.balance_period;
   const std::vector<Candidate> candidates = Candidates();
-  const std::size_t most = std::max(
-      kLeastBalanceMoves, candidates.size() / kServersPerBalanceMove);
+  const std::size_t most =
+      std::max(kLeastBalanceMoves, candidates.size() / kServersPerBalanceMove);
   const auto moving = static_cast<std::size_t>(
       std::count_if(plan->ranges.begin(), plan->ranges.end(),
                     [](const auto& it) { return it.moving(); }));
   if (moving >= most) {
     return;
   }
-  for (const Transfer& it :
-       Rebalance(*plan, candidates, load, most - moving)) {
+  for (const Transfer& it : Rebalance(*plan, candidates, load, most - moving)) {
     Move(it, plan);
   }
 }
--- a/src/keyspace/range_assigner.h
+++ b/src/keyspace/range_assigner.h
@@ -153,7 +153,7 @@
     // When the last answered grant was sent.
     TimePoint renewed_at{};
     TimePoint next_try{};
-    std::uint64_t in_flight = 0;  // 0: no order is under way.
+    std::uint64_t in_flight = 0;                    // 0: no order is under way.
     OrderPurpose purpose = OrderPurpose::kRenewal;  // Of the one under way.
     TimePoint sent_at{};
   };
--- a/src/keyspace/range_assigner_random_test.cc
+++ b/src/keyspace/range_assigner_random_test.cc
@@ -231,8 +231,8 @@
 
   OrderOutcome CarryOut(const SendOrder& order, TimePoint arrived) {
     FakeServer* it = &Find(order.server);
-    const std::size_t first = (order.range.first + kSampleStep - 1) /
-                              kSampleStep;
+    const std::size_t first =
+        (order.range.first + kSampleStep - 1) / kSampleStep;
     const std::size_t last = order.range.last / kSampleStep;
     if (order.kind == SendOrder::Kind::kRelease) {
       for (std::size_t i = first; i <= last; ++i) {
@@ -277,8 +277,8 @@
   void Violation(const std::string& what, std::size_t sample) {
     if (violations_++ == 0) {
       first_ = what + " of key " + std::to_string(sample * kSampleStep) +
-               " at " +
-               std::to_string((now_ - TimePoint{}) / milliseconds(1)) + " ms";
+               " at " + std::to_string((now_ - TimePoint{}) / milliseconds(1)) +
+               " ms";
     }
   }
 
--- a/src/keyspace/range_assigner_test.cc
+++ b/src/keyspace/range_assigner_test.cc
@@ -59,8 +59,8 @@
 const SendOrder* Find(const std::vector<SendOrder>& orders,
                       SendOrder::Kind kind,
                       const std::string& server) {
-  const auto it = std::find_if(
-      orders.begin(), orders.end(), [&](const SendOrder& order) {
+  const auto it =
+      std::find_if(orders.begin(), orders.end(), [&](const SendOrder& order) {
         return order.kind == kind && order.server == ServerId(server);
       });
   return it == orders.end() ? nullptr : &*it;
--- a/src/keyspace/rebalancer.cc
+++ b/src/keyspace/rebalancer.cc
@@ -4,6 +4,7 @@
 #include <cmath>
 #include <cstddef>
 #include <map>
+#include <optional>
 #include <set>
 #include <utility>
 
@@ -21,6 +22,10 @@
 // A server keeps at least this part of the mean load before it counts as one
 // that has too little.
 constexpr double kUnderload = 0.4;
+// A key that overloads any server moves to one that is faster by this factor,
+// and which is nearly the fastest.
+constexpr double kFasterServer = 1.5;
+constexpr double kNearlyFastest = 0.85;
 // Widest range that moves for balance at once, in keys. Where balance needs
 // more, it comes in steps, so that not too many keys are on their way.
 constexpr std::uint32_t kWidestTransfer = kKeyCount / 16;
@@ -133,10 +138,10 @@
   std::uint32_t next = 0;
   for (const Candidate& it : candidates) {
     sum += it.capacity;
-    const auto end = &it == &candidates.back()
-                         ? kKeyCount
-                         : static_cast<std::uint32_t>(
-                               std::lround(kKeyCount * sum / total));
+    const auto end =
+        &it == &candidates.back()
+            ? kKeyCount
+            : static_cast<std::uint32_t>(std::lround(kKeyCount * sum / total));
     if (end == next) {
       continue;
     }
@@ -161,8 +166,7 @@
     total += it;
   }
   const double mean = total / static_cast<double>(candidates.size());
-  const int most =
-      std::min(kMostPieces, static_cast<int>(candidates.size()));
+  const int most = std::min(kMostPieces, static_cast<int>(candidates.size()));
   const int pieces = std::clamp(
       static_cast<int>(std::ceil(LoadOf(orphan, load) / (mean / 3))), 1, most);
   for (const KeyRange& piece : CutByLoad(orphan, pieces, load)) {
@@ -283,6 +287,43 @@
   return {place, best};
 }
 
+// Returns the holding of a single key that is most of the load of `candidate`.
+std::optional<std::size_t> FindHotKey(const std::vector<Holding>& holdings,
+                                      std::size_t candidate,
+                                      const std::vector<double>& loads,
+                                      const KeyLoad& load) {
+  for (std::size_t i = 0; i < holdings.size(); ++i) {
+    const Holding& it = holdings[i];
+    if (it.candidate == candidate && !it.moving && it.range.width() == 1 &&
+        load.In(it.range) > loads[candidate] / 2) {
+      return i;
+    }
+  }
+  return std::nullopt;
+}
+
+// Returns the candidate that is the least loaded of the fastest ones, or `from`
+// where that is about as fast.
+std::size_t FindFastest(const std::vector<Candidate>& candidates,
+                        const std::vector<double>& loads,
+                        std::size_t from) {
+  double highest = 0;
+  for (const Candidate& it : candidates) {
+    highest = std::max(highest, it.capacity);
+  }
+  if (candidates[from].capacity * kFasterServer >= highest) {
+    return from;
+  }
+  std::size_t best = from;
+  for (std::size_t i = 0; i < candidates.size(); ++i) {
+    if (i != from && candidates[i].capacity > highest * kNearlyFastest &&
+        (best == from || loads[i] < loads[best])) {
+      best = i;
+    }
+  }
+  return best;
+}
+
 // Cuts `part` out of the holding at `place` and gives it to `candidate`.
 void Apply(std::vector<Holding>& holdings,
            std::size_t place,
@@ -321,14 +362,25 @@
     const auto [place, part] = FindPart(holdings, pair, load);
     if (place == holdings.size()) {
       stuck.insert(pair.from);
+      const auto hot = FindHotKey(holdings, pair.from, loads, load);
+      const std::size_t fastest = FindFastest(candidates, loads, pair.from);
+      if (!hot || fastest == pair.from) {
+        continue;
+      }
+      // No server can carry the key: the fastest one carries most of it.
+      const KeyRange key = holdings[*hot].range;
+      Apply(holdings, *hot, key, fastest);
+      stuck.insert(fastest);
+      transfers.push_back(
+          {key, candidates[fastest].server, candidates[fastest].incarnation});
       continue;
     }
     Apply(holdings, place, part, pair.to);
     const double moved = LoadOf(part, load);
     loads[pair.from] -= moved;
     loads[pair.to] += moved;
-    transfers.push_back({part, candidates[pair.to].server,
-                         candidates[pair.to].incarnation});
+    transfers.push_back(
+        {part, candidates[pair.to].server, candidates[pair.to].incarnation});
   }
   return transfers;
 }
--- a/src/keyspace/rebalancer_test.cc
+++ b/src/keyspace/rebalancer_test.cc
@@ -65,9 +65,8 @@
         part.range = {it.range.first, transfer->range.first - 1};
         ranges.push_back(part);
       }
-      ranges.push_back({transfer->range,
-                        {transfer->server, Incarnation(1), Token(2)},
-                        {}});
+      ranges.push_back(
+          {transfer->range, {transfer->server, Incarnation(1), Token(2)}, {}});
       if (it.range.last > transfer->range.last) {
         part.range = {transfer->range.last + 1, it.range.last};
         ranges.push_back(part);
@@ -78,7 +77,8 @@
 }
 
 TEST_CASE("all keys are divided in proportion to capacity") {
-  const auto parts = DivideAll({Server("a", 1), Server("b", 2), Server("c", 1)});
+  const auto parts =
+      DivideAll({Server("a", 1), Server("b", 2), Server("c", 1)});
   REQUIRE(parts.size() == 3);
   CHECK(parts[0].range == KeyRange{0, 16383});
   CHECK(parts[1].range == KeyRange{16384, 49151});
@@ -178,15 +178,14 @@
 TEST_CASE("the keys of a lost server go to several others, all of them") {
   const std::vector<Candidate> servers = {Server("a"), Server("b"),
                                           Server("c")};
-  const auto table = TableOf(
-      {{{0, 19999}, ServerId("a"), Incarnation(1)},
-       {{20000, 39999}, ServerId("b"), Incarnation(1)},
-       {{40000, 49999}, ServerId("c"), Incarnation(1)},
-       {{50000, 65535}, ServerId("lost"), Incarnation(1)}});
+  const auto table =
+      TableOf({{{0, 19999}, ServerId("a"), Incarnation(1)},
+               {{20000, 39999}, ServerId("b"), Incarnation(1)},
+               {{40000, 49999}, ServerId("c"), Incarnation(1)},
+               {{50000, 65535}, ServerId("lost"), Incarnation(1)}});
   KeyLoad load;
   Spread(load, {0, kKeyCount - 1}, 6000);
-  const auto transfers =
-      Rehome({50000, 65535}, table, servers, load);
+  const auto transfers = Rehome({50000, 65535}, table, servers, load);
   std::uint32_t next = 50000;
   std::map<ServerId, int> receivers;
   for (const Transfer& it : transfers) {
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -107,8 +107,8 @@
   }
   if (!call.body.empty()) {
     const GBytesPtr body(g_bytes_new(call.body.data(), call.body.size()));
-    soup_message_set_request_body_from_bytes(
-        message, call.content_type.c_str(), body.get());
+    soup_message_set_request_body_from_bytes(message, call.content_type.c_str(),
+                                             body.get());
   }
   GCancellable* cancellable = pending->cancellable.get();
   pending->timer.Set(call.deadline,
--- a/src/net/udp_socket.cc
+++ b/src/net/udp_socket.cc
@@ -34,9 +34,9 @@
     return boost::leaf::new_error(SocketError{address + ": not an IP:port"});
   }
   GError* raw_error = nullptr;
-  auto socket = GObjectPtr<GSocket>::Adopt(g_socket_new(
-      g_socket_address_get_family(parsed.get()), G_SOCKET_TYPE_DATAGRAM,
-      G_SOCKET_PROTOCOL_UDP, &raw_error));
+  auto socket = GObjectPtr<GSocket>::Adopt(
+      g_socket_new(g_socket_address_get_family(parsed.get()),
+                   G_SOCKET_TYPE_DATAGRAM, G_SOCKET_PROTOCOL_UDP, &raw_error));
   if (!socket ||
       g_socket_bind(socket.get(), parsed.get(), TRUE, &raw_error) == 0) {
     const GErrorPtr error(raw_error);
@@ -57,8 +57,7 @@
     return {};
   }
   auto* inet = G_INET_SOCKET_ADDRESS(address.get());
-  gchar* ip =
-      g_inet_address_to_string(g_inet_socket_address_get_address(inet));
+  gchar* ip = g_inet_address_to_string(g_inet_socket_address_get_address(inet));
   std::string text = ip;
   g_free(ip);
   return text + ":" + std::to_string(g_inet_socket_address_get_port(inet));
@@ -79,8 +78,8 @@
 void UdpSocket::Receive() {
   while (true) {
     const auto space = loop_.scratch();
-    const gssize n = g_socket_receive(socket_.get(), space.data(),
-                                      space.size(), nullptr, nullptr);
+    const gssize n = g_socket_receive(socket_.get(), space.data(), space.size(),
+                                      nullptr, nullptr);
     if (n <= 0) {
       return;
     }
--- a/src/proxy/server_pool.cc
+++ b/src/proxy/server_pool.cc
@@ -7,9 +7,9 @@
 
 std::shared_ptr<ServerConnection> ServerPool::Acquire() {
   // Connections that are being verified stay where they are.
-  const auto usable = [&](const auto& it) { 
+  const auto usable = [&](const auto& it) {
     return !watch_ || watch_->MayUse(it.get());
-   };
+  };
   while (true) {
     const auto it = std::find_if(idle_.rbegin(), idle_.rend(), usable);
     if (it == idle_.rend()) {
@@ -27,7 +27,8 @@
   }
   ++open_;
   auto connection = std::make_shared<ServerConnection>(
-      loop_, [pool = weak_from_this()](ServerConnection* closed) {
+      loop_,
+      [pool = weak_from_this()](ServerConnection* closed) {
         if (const auto self = pool.lock()) {
           self->OnClosed(closed);
         }
@@ -44,7 +45,8 @@
   if (watch_) {
     watch_->OnIdle(connection.get());
   }
-  if (!connection->Reusable() || open_ > limit_) {
+  if (!connection->Reusable() || open_ > limit_ ||
+      idle_.size() >= idle_limit_) {
     connection->Abandon();
     return;
   }
--- a/src/proxy/server_pool.h
+++ b/src/proxy/server_pool.h
@@ -6,6 +6,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <list>
 #include <memory>
 #include <optional>
@@ -36,8 +37,7 @@
              ServerConnectionOptions options = {})
       : loop_(loop), address_(std::move(address)), options_(options) {
     if (progress_timeout) {
-      watch_ =
-          std::make_shared<ServerWatch>(loop, address_, *progress_timeout);
+      watch_ = std::make_shared<ServerWatch>(loop, address_, *progress_timeout);
     }
   }
   ServerPool(const ServerPool&) = delete;
@@ -45,6 +45,8 @@
 
   // Sets the number of connections that may be open.
   void SetLimit(std::size_t limit) { limit_ = limit; }
+  // Sets the number of unused connections that are kept open.
+  void SetIdleLimit(std::size_t limit) { idle_limit_ = limit; }
   // Returns a connection for one request, or null where all are in use. The
   // connection may still be opening. Return it by Release() when the answer
   // is complete; a failed or abandoned one returns by itself.
@@ -81,6 +83,7 @@
   const ServerConnectionOptions options_;
   std::shared_ptr<ServerWatch> watch_;  // Null where not watched.
   std::size_t limit_ = 1;
+  std::size_t idle_limit_ = std::numeric_limits<std::size_t>::max();
   std::size_t open_ = 0;
   // The most recently used one is last and is used first, so that surplus
   // connections grow old and close.
--- a/src/routing/host_routes.cc
+++ b/src/routing/host_routes.cc
@@ -57,11 +57,10 @@
         std::make_unique<RouteEntry>(it, TrafficSplit(it.split, seed)));
   }
   for (auto& [host, routes] : by_host_) {
-    std::stable_sort(routes.begin(), routes.end(),
-                     [](const auto& a, const auto& b) {
-                       return a->route.path_prefix.size() >
-                              b->route.path_prefix.size();
-                     });
+    std::stable_sort(
+        routes.begin(), routes.end(), [](const auto& a, const auto& b) {
+          return a->route.path_prefix.size() > b->route.path_prefix.size();
+        });
   }
 }
 
--- a/src/store/store_caller.h
+++ b/src/store/store_caller.h
@@ -4,8 +4,8 @@
 
 #include <functional>
 
-#include "store/store_client.h"
 #include "store/store_call.h"
+#include "store/store_client.h"
 
 namespace gentianreach {
 
