--- /dev/null
+++ b/src/entry/entry_settings_test.cc
@@ -0,0 +1,57 @@
+#include "entry/entry_settings.h"
+
+#include <algorithm>
+#include <string>
+
+#include <doctest/doctest.h>
+
+namespace gentianreach::entry {
+namespace {
+
+constexpr std::string_view kValid = R"([entry]
+name = e1
+zone = north
+caller_address = 10.0.0.1:8080
+ready_address = 10.0.0.1:8081
+member_address = 10.0.0.1:8082
+store_address = 10.0.0.9:7000
+retry_ratio = 0.2
+longest_lease_ms = 10000
+)";
+
+TEST_CASE("settings are read, and what is left out has its default") {
+  const auto result = LoadEntrySettings(kValid, "e.ini");
+  REQUIRE(result.entry != nullptr);
+  CHECK(result.entry->name == "e1");
+  CHECK(result.entry->ready_path == "/ready");
+  CHECK(result.entry->log_level == "info");
+  CHECK(result.entry->stop_grace_s == 6);
+}
+
+TEST_CASE("each error names its line and key") {
+  const std::string text =
+      std::string(kValid) + "store_adress = 10.0.0.9:1\nlog_level = loud\n";
+  const auto result = LoadEntrySettings(text, "e.ini");
+  CHECK(result.entry == nullptr);
+  REQUIRE(result.errors.size() == 2);
+  CHECK(result.errors[0].line == 10);
+  CHECK(result.errors[1].line == 11);
+}
+
+TEST_CASE("addresses are required and checked") {
+  const auto result = LoadEntrySettings(
+      "[entry]\nname = e1\nzone = z\ncaller_address = nowhere\n", "e.ini");
+  CHECK(result.entry == nullptr);
+  const auto names = [&](const std::string& key) {
+    return std::any_of(result.errors.begin(), result.errors.end(),
+                       [&](const auto& it) {
+                         return ToString(it).find(key) != std::string::npos;
+                       });
+  };
+  CHECK(names("caller_address"));
+  CHECK(names("ready_address"));
+  CHECK(names("store_address"));
+}
+
+}  // namespace
+}  // namespace gentianreach::entry
--- a/src/entry/member_link.cc
+++ b/src/entry/member_link.cc
@@ -28,6 +28,7 @@
 std::vector<Fingerprint> ToFingerprints(
     const std::vector<std::uint64_t>& values) {
   std::vector<Fingerprint> fingerprints;
+  fingerprints.reserve(values.size());
   for (const std::uint64_t it : values) {
     fingerprints.push_back({it});
   }
@@ -37,6 +38,7 @@
 std::vector<std::uint64_t> ToValues(
     const std::vector<Fingerprint>& fingerprints) {
   std::vector<std::uint64_t> values;
+  values.reserve(fingerprints.size());
   for (const Fingerprint it : fingerprints) {
     values.push_back(it.value);
   }
--- a/src/keyspace/rebalancer_test.cc
+++ b/src/keyspace/rebalancer_test.cc
@@ -128,6 +128,7 @@
 
 TEST_CASE("one round spreads a hot spot over many servers") {
   std::vector<Candidate> servers;
+  servers.reserve(40);
   for (int i = 0; i < 40; ++i) {
     servers.push_back(Server("s" + std::to_string(i)));
   }
--- a/src/routing/host_routes.h
+++ b/src/routing/host_routes.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "routing/routing_config.h"
@@ -33,6 +34,9 @@
 
 // A route with the state that is kept for it.
 struct RouteEntry {
+  RouteEntry(Route of, TrafficSplit shared)
+      : route(std::move(of)), split(std::move(shared)) {}
+
   Route route;
   TrafficSplit split;
 };
