A leader that has lost the store is replaced at once; restarted daemons ask neighbours

Change: the leader's watches end after 1 s, a member that reaches the store replaces a leader that does not without a wait; a daemon that knows no leader says hello to the seeds, and any daemon passes its copies on. Tests: two cases of leader_election_test.

--- a/src/entry/entry_daemon.cc
+++ b/src/entry/entry_daemon.cc
@@ -24,6 +24,7 @@
 #include "net/event_loop.h"
 #include "platform/decode.h"
 #include "platform/platform_client.h"
+#include "settings/document.h"
 
 namespace gentianreach::entry {
 namespace {
@@ -50,7 +51,7 @@
 constexpr milliseconds kLongestUsefulLease{6000};
 // How long watches wait. The leader's are short: a watch that has gone silent
 // is noticed only when it ends. Others watch while no leader is heard.
-constexpr milliseconds kLeaderWatchWait{1800};
+constexpr milliseconds kLeaderWatchWait{1000};
 constexpr milliseconds kOwnWatchWait{4000};
 // Silence of the leader after which a daemon follows the store by itself. The
 // next leader is usually elected sooner.
@@ -58,8 +59,6 @@
 // When the leader cannot reach the store, the others look in the order of
 // succession whether they can, this much after each other.
 constexpr Duration kProbeDelay = milliseconds(250);
-// How long a leader may be without the store while others have it.
-constexpr Duration kLeaderWithoutStore = milliseconds(500);
 // Where the leader passes the store's objects on, and how long that may take.
 constexpr const char* kRelayPath = "/changes";
 constexpr std::array<const char*, 3> kRelayKinds = {"config", "servers",
@@ -68,6 +67,20 @@
 // Name of the record of who leads.
 constexpr const char* kLeaderObject = "entry";
 
+// Returns where the seeds take datagrams: at the same port as this daemon.
+std::vector<std::string> SeedsOf(const settings::EntryDaemonT& settings) {
+  const std::string& own = settings.member_address;
+  const std::string port = own.substr(own.rfind(':'));
+  std::vector<std::string> seeds;
+  for (const std::string& it : settings::SplitList(settings.seed_addresses)) {
+    const std::string seed = it.substr(0, it.rfind(':')) + port;
+    if (seed != own) {
+      seeds.push_back(seed);
+    }
+  }
+  return seeds;
+}
+
 std::uint64_t RandomNumber() {
   // 52 bits: JSON numbers of that size are exact in every implementation.
   std::random_device device;
@@ -136,7 +149,12 @@
         self_{settings.name, Incarnation(RandomNumber()),
               settings.member_address},
         election_(self_, {}),
-        link_(loop_, self_, settings.processor_share, election_, *state_),
+        link_(loop_,
+              self_,
+              settings.processor_share,
+              SeedsOf(settings),
+              election_,
+              *state_),
         assignment_(*state_, election_, platform_, AssignerOptionsOf(settings)),
         config_watcher_(loop_,
                         platform_,
@@ -172,7 +190,8 @@
         it->Relist();
       }
     };
-    link_.on_beat = [this](const LeaderNews& news) { return OnBeat(news); };
+    link_.on_beat = [this](const LeaderNews& news) { OnBeat(news); };
+    link_.on_neighbour = [this](const std::string& it) { OnNeighbour(it); };
     assignment_.on_table = [this](const platform::Object& table) {
       ownership_watcher_.Put(table);
     };
@@ -427,21 +446,33 @@
     beat_timer_.Set(std::max(now, next_beat_));
   }
 
-  // Takes a beat; returns whether its sender is still to be followed.
-  bool OnBeat(const LeaderNews& news) {
-    const TimePoint now = loop_.Now();
+  void OnBeat(const LeaderNews& news) {
     if (news.store_lost && !leader_store_lost_) {
-      leader_lost_store_at_ = now;
+      leader_lost_store_at_ = loop_.Now();
     }
     leader_store_lost_ = news.store_lost;
     leader_lacks_entries_ = news.may_lack_entries;
     for (std::size_t i = 0; i < news.changed_at.size(); ++i) {
       FetchChanges(i, news.address, news.changed_at[i]);
     }
-    const bool store_is_there =
-        !health_.lost() && health_.answered_at() > leader_lost_store_at_;
-    return !news.store_lost || !store_is_there ||
-           now < leader_lost_store_at_ + kLeaderWithoutStore;
+    JudgeLeader();
+  }
+
+  // Takes the lead from a leader that has lost the store where it is there.
+  void JudgeLeader() {
+    if (leader_store_lost_ && !health_.lost() &&
+        health_.answered_at() > leader_lost_store_at_) {
+      election_.OnLeaderUnfit(loop_.Now());
+    }
+  }
+
+  // Another daemon has copies while this one has none: fetches them.
+  void OnNeighbour(const std::string& address) {
+    for (std::size_t i = 0; i < fetching_.size(); ++i) {
+      if (!Watchers()[i]->listed()) {
+        FetchChanges(i, address, 1);
+      }
+    }
   }
 
   void FetchChanges(std::size_t i,
@@ -500,6 +531,7 @@
     const TimePoint now = loop_.Now();
     housekeeping_.Set(now + kHousekeepingPeriod);
     UpdateNews();
+    JudgeLeader();
     if (const auto dropped = state_->log_budget.TakeDropped(); dropped > 0) {
       Log(LogLevel::kWarning, "log_lines_dropped", {{"lines", dropped}});
     }
--- a/src/entry/leader_election.cc
+++ b/src/entry/leader_election.cc
@@ -127,7 +127,7 @@
   if (resigning_ && led) {
     resigned_ = true;
   }
-  suspected_ = read_same && now >= Turn();
+  suspected_ = read_same && (std::exchange(unfit_, false) || now >= Turn());
   if (!read_same) {
     // Give a leader that is new here the time to be heard.
     heard_at_ = now;
@@ -159,7 +159,23 @@
   heard_at_ = now;
   rank_ = rank;
   looked_ = false;
-  suspected_ = false;
+}
+
+void LeaderElection::OnHint(const LeaderRecord& record, TimePoint now) {
+  if (knows_leader() || record.leader.name == self_.name) {
+    return;
+  }
+  Adopt(record, 0, now);
+  heard_at_ = now;
+  looked_ = false;
+}
+
+void LeaderElection::OnLeaderUnfit(TimePoint now) {
+  if (!known_ || IsSelf(record_.leader) || unfit_ || suspected_) {
+    return;
+  }
+  unfit_ = true;
+  OnDoubt(now);
 }
 
 void LeaderElection::OnLeaderResigned(TimePoint now) {
--- a/src/entry/leader_election.h
+++ b/src/entry/leader_election.h
@@ -91,6 +91,11 @@
   void OnLeaderHeard(const LeaderRecord& record,
                      std::uint32_t rank,
                      TimePoint now);
+  // Another daemon says whom it follows; of use while the store does not tell.
+  void OnHint(const LeaderRecord& record, TimePoint now);
+  // The leader lives but cannot reach the store, which this daemon can: take
+  // its place at once.
+  void OnLeaderUnfit(TimePoint now);
   // The leader has left the lead.
   void OnLeaderResigned(TimePoint now);
   // Somebody has seen a later epoch: read the store soon.
@@ -114,6 +119,10 @@
   // Returns until when a leader before this one may act.
   [[nodiscard]] TimePoint others_until() const { return others_until_; }
   [[nodiscard]] const LeaderRecord& record() const { return record_; }
+  // Returns whether it is known who leads.
+  [[nodiscard]] bool knows_leader() const {
+    return known_ && !record_.leader.name.empty();
+  }
   [[nodiscard]] bool resigned() const { return resigned_; }
 
  private:
@@ -135,6 +144,7 @@
   bool suspected_ = false;
   // The store was asked since the leader was last heard.
   bool looked_ = false;
+  bool unfit_ = false;
   bool resigning_ = false;
   bool resigned_ = false;
   std::uint32_t rank_ = 0;
--- a/src/entry/leader_election_test.cc
+++ b/src/entry/leader_election_test.cc
@@ -184,6 +184,37 @@
   CHECK(b.others_until() == kStart);
 }
 
+TEST_CASE("a leader without the store is replaced at once by one that has it") {
+  Store store;
+  LeaderElection a = Daemon("a");
+  LeaderElection b = Daemon("b");
+  store.Serve(a, kStart);
+  store.Serve(b, kStart);
+  b.OnLeaderHeard(a.record(), 2, kStart);
+  b.OnLeaderUnfit(kStart);
+  store.Serve(b, kStart);
+  CHECK(b.IsLeader(kStart));
+  CHECK(b.others_until() > kStart + seconds(10));
+}
+
+TEST_CASE("a daemon that starts while the store is down follows a hint") {
+  Store store;
+  store.down = true;
+  LeaderElection a = Daemon("a");
+  store.Serve(a, kStart);
+  CHECK_FALSE(a.knows_leader());
+  const LeaderRecord hint{Epoch(7), {"b", Incarnation(1), "b:1"}};
+  a.OnHint(hint, kStart);
+  CHECK(a.record() == hint);
+  // Who knows the leader from better sources believes no hint.
+  a.OnHint({Epoch(9), {"c", Incarnation(1), "c:1"}}, kStart);
+  CHECK(a.record() == hint);
+  // Its own earlier life is no leader to follow.
+  LeaderElection b = Daemon("b", 2);
+  b.OnHint(hint, kStart);
+  CHECK_FALSE(b.knows_leader());
+}
+
 TEST_CASE("a leader of a later epoch is followed by its beat alone") {
   LeaderElection a = Daemon("a");
   Store store;
--- a/src/entry/member_link.cc
+++ b/src/entry/member_link.cc
@@ -50,11 +50,13 @@
 MemberLink::MemberLink(net::EventLoop& loop,
                        Member self,
                        double processor_share,
+                       std::vector<std::string> seeds,
                        LeaderElection& election,
                        EntryState& state)
     : loop_(loop),
       self_(std::move(self)),
       processor_share_(processor_share),
+      seeds_(std::move(seeds)),
       election_(election),
       state_(state),
       crashes_(state.crashes),
@@ -92,7 +94,9 @@
 
 void MemberLink::SendHello() {
   const LeaderRecord& record = election_.record();
-  if (record.leader.address.empty() || record.leader.name == self_.name) {
+  const bool is_known =
+      election_.knows_leader() && record.leader.name != self_.name;
+  if (!is_known && seeds_.empty()) {
     return;
   }
   wire::HelloT hello;
@@ -118,7 +122,26 @@
   }
   wire::BodyUnion body;
   body.Set(std::move(hello));
-  Send(record.leader.address, body);
+  if (is_known) {
+    Send(record.leader.address, body);
+    return;
+  }
+  for (const std::string& it : seeds_) {
+    Send(it, body);
+  }
+}
+
+void MemberLink::SendHint(const std::string& address) {
+  const LeaderRecord& record = election_.record();
+  wire::LeaderHintT hint;
+  hint.name = record.leader.name;
+  hint.life = record.leader.life.value();
+  hint.epoch = record.epoch.value();
+  hint.address = record.leader.address;
+  hint.sender = self_.address;
+  wire::BodyUnion body;
+  body.Set(std::move(hint));
+  Send(address, body);
 }
 
 void MemberLink::Send(const std::string& address, const wire::BodyUnion& body) {
@@ -138,6 +161,16 @@
     OnHello(*std::unique_ptr<wire::HelloT>(hello->UnPack()));
   } else if (const auto* beat = datagram->body_as_LeaderBeat()) {
     OnBeat(*std::unique_ptr<wire::LeaderBeatT>(beat->UnPack()));
+  } else if (const auto* hint = datagram->body_as_LeaderHint()) {
+    const std::unique_ptr<wire::LeaderHintT> it(hint->UnPack());
+    if (!it->address.empty()) {
+      election_.OnHint(
+          {Epoch(it->epoch), {it->name, Incarnation(it->life), it->address}},
+          loop_.Now());
+    }
+    if (on_neighbour) {
+      on_neighbour(it->sender);
+    }
   }
   if (on_news) {
     on_news();
@@ -149,6 +182,9 @@
   election_.OnFollower(hello.name, Incarnation(hello.life), Epoch(hello.epoch),
                        now);
   if (!election_.IsLeader(now)) {
+    if (hello.epoch == 0) {
+      SendHint(hello.address);
+    }
     return;
   }
   if (Epoch(hello.epoch) > election_.record().epoch) {
@@ -257,10 +293,11 @@
       known_[it->name] = {{it->name, {}, it->address}, now, 0, {}};
     }
   }
-  if (!on_beat || on_beat({beat.address, beat.store_lost, beat.may_lack_entries,
-                           beat.changed_at})) {
-    leader_heard_at_ = now;
-    election_.OnLeaderHeard(record, beat.rank, now);
+  leader_heard_at_ = now;
+  election_.OnLeaderHeard(record, beat.rank, now);
+  if (on_beat) {
+    on_beat({beat.address, beat.store_lost, beat.may_lack_entries,
+             beat.changed_at});
   }
 }
 
--- a/src/entry/member_link.h
+++ b/src/entry/member_link.h
@@ -43,6 +43,7 @@
   MemberLink(net::EventLoop& loop,
              Member self,
              double processor_share,
+             std::vector<std::string> seeds,
              LeaderElection& election,
              EntryState& state);
   MemberLink(const MemberLink&) = delete;
@@ -64,9 +65,11 @@
   // Returns this daemon's place in the line of succession.
   [[nodiscard]] std::uint32_t rank() const { return rank_; }
 
-  // Called with each beat of the leader. Returns whether the leader is
-  // recognised; one that is not is treated as silent.
-  std::function<bool(const LeaderNews&)> on_beat;
+  // Called with each beat of the leader.
+  std::function<void(const LeaderNews&)> on_beat;
+  // Called with the address of a daemon that has answered while no leader was
+  // known; it passes its copies on as a leader does.
+  std::function<void(const std::string&)> on_neighbour;
   // Called when something about the leader or the members was learnt.
   std::function<void()> on_news;
 
@@ -83,6 +86,7 @@
   void Receive(std::span<const std::uint8_t> data);
   void OnHello(const wire::HelloT& hello);
   void OnBeat(const wire::LeaderBeatT& beat);
+  void SendHint(const std::string& address);
   void SendHello();
   void TakeSamples(const wire::HelloT& hello);
   void SendBeat(Known& known,
@@ -95,6 +99,8 @@
   net::EventLoop& loop_;
   const Member self_;
   const double processor_share_;
+  // Where to ask while nobody is known to lead.
+  const std::vector<std::string> seeds_;
   LeaderElection& election_;
   EntryState& state_;
   CrashWatch& crashes_;
