--- a/src/daemon/operator_server.cc
+++ b/src/daemon/operator_server.cc
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "net/socket_address.h"
+
 namespace gentianreach {
 namespace {
 
@@ -26,17 +28,6 @@
   return request;
 }
 
-GObjectPtr<GSocketAddress> ParseAddress(const std::string& address) {
-  const std::size_t colon = address.rfind(':');
-  if (colon == std::string::npos) {
-    return {};
-  }
-  const auto port = g_ascii_strtoull(address.c_str() + colon + 1, nullptr, 10);
-  return GObjectPtr<GSocketAddress>::Adopt(
-      g_inet_socket_address_new_from_string(address.substr(0, colon).c_str(),
-                                            static_cast<guint>(port)));
-}
-
 }  // namespace
 
 std::string OperatorRequest::Query(const std::string& name) const {
@@ -59,7 +50,7 @@
 
 boost::leaf::result<std::uint16_t> OperatorServer::Listen(
     const std::string& address) {
-  const GObjectPtr<GSocketAddress> parsed = ParseAddress(address);
+  const GObjectPtr<GSocketAddress> parsed = net::ParseSocketAddress(address);
   if (!parsed) {
     return boost::leaf::new_error(ListenError{address + ": not an address"});
   }
--- a/src/entry/entry_daemon.cc
+++ b/src/entry/entry_daemon.cc
@@ -18,6 +18,7 @@
 #include "entry/entry_state.h"
 #include "entry/key_assignment.h"
 #include "entry/leader_election.h"
+#include "entry/leader_record.h"
 #include "entry/member_link.h"
 #include "entry/store_watcher.h"
 #include "net/deadline_timer.h"
@@ -87,41 +88,6 @@
   return ((std::uint64_t{device()} << 32) | device()) >> 12;
 }
 
-nlohmann::json EncodeLeader(const LeaderRecord& record) {
-  return {{"epoch", record.epoch.value()},
-          {"name", record.leader.name},
-          {"life", record.leader.life.value()},
-          {"address", record.leader.address}};
-}
-
-std::optional<LeaderRecord> DecodeLeader(const nlohmann::json& content) {
-  try {
-    return LeaderRecord{Epoch(content.at("epoch").get<std::uint64_t>()),
-                        {content.at("name").get<std::string>(),
-                         Incarnation(content.at("life").get<std::uint64_t>()),
-                         content.at("address").get<std::string>()}};
-  } catch (const nlohmann::json::exception&) {
-    return std::nullopt;
-  }
-}
-
-ElectionOutcome OutcomeOf(platform::CallStatus status) {
-  switch (status) {
-    case platform::CallStatus::kOk:
-      return ElectionOutcome::kOk;
-    case platform::CallStatus::kAbsent:
-      return ElectionOutcome::kAbsent;
-    case platform::CallStatus::kConflict:
-      return ElectionOutcome::kConflict;
-    case platform::CallStatus::kUnknown:
-      return ElectionOutcome::kUnknown;
-    case platform::CallStatus::kHistoryGone:
-    case platform::CallStatus::kUnavailable:
-      return ElectionOutcome::kUnavailable;
-  }
-  return ElectionOutcome::kUnavailable;
-}
-
 keyspace::AssignerOptions AssignerOptionsOf(
     const settings::EntryDaemonT& settings) {
   keyspace::AssignerOptions options;
--- a/src/entry/entry_request.cc
+++ b/src/entry/entry_request.cc
@@ -2,12 +2,10 @@
 
 #include <algorithm>
 #include <chrono>
-#include <iterator>
-#include <limits>
-#include <random>
 #include <utility>
 
 #include "base/log.h"
+#include "entry/message_writer.h"
 #include "http/serializer.h"
 
 namespace gentianreach::entry {
@@ -33,10 +31,6 @@
 constexpr std::uint32_t kMostFailedConnects = 4;
 // How long a request waits for an owner whose keys are just moving.
 constexpr Duration kLongestHold = milliseconds(400);
-// How long the owner of keys is still used after it has announced to leave: its
-// keys have usually moved by then. Servers may expect nothing after two
-// seconds.
-constexpr Duration kLongestUseOfDraining = milliseconds(1500);
 // Pause after an owner that does not hold the key, unless the table changes.
 constexpr Duration kMisdirectedPause = milliseconds(60);
 // The least part of the objective that a request waits for an owner. It waits
@@ -46,52 +40,6 @@
 // this multiple of its usual time, and at least for the shortest time.
 constexpr int kSilenceFactor = 5;
 constexpr Duration kShortestSilence = milliseconds(800);
-// Retry-After while there is no configuration, owner or server.
-constexpr Duration kNotReadyRetryAfter = milliseconds(300);
-// Retry-After when the server rejected the request for lack of room.
-constexpr Duration kRejectedRetryAfter = milliseconds(120);
-// Random part of the latencies that are compared, so that daemons with the
-// same view do not all choose the same server.
-constexpr double kChoiceNoise = 0.15;
-
-// A server in another zone is taken when it is faster by this factor: what
-// crosses zones is paid for.
-constexpr double kOtherZoneFactor = 1.5;
-
-// Servers of a large service of which the best is chosen. Daemons that all
-// chose from all servers would all choose the same few.
-constexpr std::size_t kSampleSize = 8;
-// Those of them that are in the daemon's own zone, where there are as many.
-constexpr std::size_t kNearSample = 6;
-
-std::minstd_rand& Generator() {
-  static std::minstd_rand generator{std::random_device{}()};
-  return generator;
-}
-
-double Noise() {
-  return std::uniform_real_distribution<double>(1,
-                                                1 + kChoiceNoise)(Generator());
-}
-
-// Returns up to kSampleSize servers, most of them of `zone` where it has
-// enough.
-std::vector<const routing::BackendServer*> Sample(
-    const std::vector<const routing::BackendServer*>& servers,
-    const ZoneName& zone) {
-  std::vector<const routing::BackendServer*> near;
-  std::vector<const routing::BackendServer*> far;
-  for (const routing::BackendServer* it : servers) {
-    (it->zone == zone ? near : far).push_back(it);
-  }
-  std::vector<const routing::BackendServer*> sample;
-  std::sample(near.begin(), near.end(), std::back_inserter(sample), kNearSample,
-              Generator());
-  std::sample(far.begin(), far.end(), std::back_inserter(sample),
-              kSampleSize - sample.size(), Generator());
-  return sample;
-}
-
 }  // namespace
 
 EntryRequest::EntryRequest(std::shared_ptr<EntryState> state,
@@ -246,7 +194,7 @@
   if (done_) {
     return;
   }
-  const Choice choice = service_->keyed ? ChooseOwner() : ChooseAny();
+  const ServerChoice choice = Choose();
   if (choice.wait) {
     HoldForOwner(choice);
     return;
@@ -258,85 +206,18 @@
   Send(*choice.server);
 }
 
-EntryRequest::Choice EntryRequest::ChooseOwner() {
-  const keyspace::OwnershipTable* table =
-      state_->ownership.Find(service_->name);
-  if (table == nullptr) {
-    return {.reason = Reason::kNoOwner, .retry_after = kNotReadyRetryAfter};
-  }
-  const keyspace::OwnedRange& range = table->Find(*key_);
-  const routing::BackendServer* server =
-      state_->directory.Find(range.owner.server);
-  const bool known =
-      server != nullptr && server->incarnation == range.owner.incarnation;
-  const bool leaves =
-      known && server->draining &&
-      state_->loop.Now() > server->draining_since + kLongestUseOfDraining;
-  if (range.moving() || !known || leaves) {
-    return {.reason = Reason::kNoOwner,
-            .retry_after = kNotReadyRetryAfter,
-            .wait = true};
-  }
-  if (state_->loads.IsAvoided(server->id, state_->loop.Now())) {
-    // Its queue is full, or it is gone: more requests would only be lost.
-    return {.reason = Reason::kOverload, .retry_after = kRejectedRetryAfter};
-  }
-  return Admit(*server);
+ServerChoice EntryRequest::Choose() const {
+  return ChooseServer({.route = *route_,
+                       .service = *service_,
+                       .key = key_,
+                       .tried = tried_,
+                       .time_left = TimeLeft(),
+                       .zone = state_->zone},
+                      state_->directory, state_->loads, state_->ownership,
+                      state_->loop.Now());
 }
 
-EntryRequest::Choice EntryRequest::ChooseAny() {
-  const TimePoint now = state_->loop.Now();
-  std::vector<const routing::BackendServer*> sound;
-  std::vector<const routing::BackendServer*> avoided;
-  for (const auto& [id, it] : state_->directory.servers()) {
-    if (it.service != service_->name || it.draining ||
-        std::find(tried_.begin(), tried_.end(), id) != tried_.end()) {
-      continue;
-    }
-    (state_->loads.IsAvoided(id, now) ? avoided : sound).push_back(&it);
-  }
-  const auto& servers = sound.empty() ? avoided : sound;
-  if (servers.empty()) {
-    return {.reason = Reason::kNoServer, .retry_after = kNotReadyRetryAfter};
-  }
-  const routing::BackendServer* best = nullptr;
-  double best_score = std::numeric_limits<double>::max();
-  for (const routing::BackendServer* it : Sample(servers, state_->zone)) {
-    const double score = Score(*it, now);
-    if (score < best_score) {
-      best_score = score;
-      best = it;
-    }
-  }
-  return Admit(*best);
-}
-
-double EntryRequest::Score(const routing::BackendServer& server,
-                           TimePoint now) const {
-  const ServerLoads& loads = state_->loads;
-  const bool is_near = server.zone == state_->zone;
-  return std::chrono::duration<double>(loads.ExpectedLatency(server, now))
-             .count() *
-         (1 + loads.Utilization(server, now)) *
-         loads.FailurePenalty(server.id, now) *
-         (is_near ? 1 : kOtherZoneFactor) * Noise();
-}
-
-EntryRequest::Choice EntryRequest::Admit(
-    const routing::BackendServer& server) const {
-  const TimePoint now = state_->loop.Now();
-  const Duration expected = state_->loads.ExpectedLatency(server, now);
-  const Duration longest = LongestLatency(
-      *route_, state_->loads.ProcessingTime(server, now), TimeLeft());
-  if (expected > longest || !state_->loads.HasRoom(server, now)) {
-    return {.reason = Reason::kOverload,
-            .retry_after =
-                std::max<Duration>(expected - longest, kRejectedRetryAfter)};
-  }
-  return {.server = &server};
-}
-
-void EntryRequest::HoldForOwner(const Choice& choice) {
+void EntryRequest::HoldForOwner(const ServerChoice& choice) {
   const TimePoint now = state_->loop.Now();
   if (hold_until_ == TimePoint{}) {
     const Duration objective = route_->latency_objective;
@@ -393,39 +274,20 @@
     silence_timer_.Set(attempt_started_ +
                        std::max(kShortestSilence, usual * kSilenceFactor));
   }
-  connection_->Start(BuildRequest(server) + body_,
+  const auto left = std::max<Duration>(TimeLeft(), milliseconds(1));
+  connection_->Start(RequestHead(caller_->head(), state_->headers,
+                                 {.id = id_,
+                                  .server = server.id,
+                                  .key = key_,
+                                  .time_left = left,
+                                  .body_size = body_.size()}) +
+                         body_,
                      caller_->head().method == "HEAD", true,
                      [self = shared_from_this()](proxy::ServerEvent event) {
                        self->OnServerEvent(event);
                      });
 }
 
-std::string EntryRequest::BuildRequest(
-    const routing::BackendServer& server) const {
-  const http::MessageHead& head = caller_->head();
-  const HeaderNames& names = state_->headers;
-  const auto left = std::max<std::int64_t>(
-      1, std::chrono::duration_cast<milliseconds>(TimeLeft()).count());
-  std::string out;
-  http::AppendRequestLine(out, head);
-  http::AppendPassedFields(out, head);
-  if (!id_.empty()) {
-    http::AppendField(out, names.request_id, id_);
-  }
-  http::AppendField(out, names.deadline_ms, static_cast<std::uint64_t>(left));
-  http::AppendField(out, names.expected_server, server.id.value());
-  if (key_) {
-    http::AppendField(out, names.key, *key_);
-  }
-  const bool has_length = head.Count(http::FieldId::content_length) != 0;
-  if (!body_.empty() || has_length ||
-      head.framing == http::BodyFraming::kChunked) {
-    http::AppendField(out, "Content-Length", body_.size());
-  }
-  http::AppendHeadEnd(out);
-  return out;
-}
-
 void EntryRequest::OnServerEvent(proxy::ServerEvent event) {
   const auto self = shared_from_this();
   if (done_ || !connection_) {
@@ -536,7 +398,7 @@
                           : AttemptResult::kAnswered);
   if (server_error && !committed_ && route_->idempotent && MayRetry(true)) {
     may_have_run_ = true;
-    const Choice choice = service_->keyed ? Choice{} : ChooseAny();
+    const ServerChoice choice = service_->keyed ? ServerChoice{} : Choose();
     if (choice.server != nullptr) {
       Send(*choice.server);
       return;
@@ -579,7 +441,7 @@
   if (attempts_ + 1 >= route_->max_attempts) {
     return;
   }
-  const Choice choice = ChooseAny();
+  const ServerChoice choice = Choose();
   // The attempt under way is given up only for another that can begin.
   auto next = choice.server == nullptr
                   ? nullptr
@@ -643,60 +505,22 @@
 }
 
 void EntryRequest::CommitAnswer() {
-  std::string out;
-  http::AppendStatusLine(out, answer_head_.status, answer_head_.reason);
-  http::AppendPassedFields(out, answer_head_);
-  const HeaderNames& names = state_->headers;
-  for (const std::string* it : {&names.request_id, &names.response_stamp}) {
-    if (const auto value = answer_head_.Get(std::string_view(*it))) {
-      http::AppendField(out, *it, *value);
-    }
-  }
+  std::string out = BeginPassedAnswer(answer_head_, state_->headers);
   http::AppendFraming(out, http::BodyFraming::kChunked, 0);
-  if (!KeepsAlive()) {
-    http::AppendField(out, "Connection", "close");
-  }
-  http::AppendHeadEnd(out);
+  EndAnswerHead(out, KeepsAlive());
   caller_->Write(std::move(out));
   committed_ = true;
 }
 
 void EntryRequest::Deliver() {
   const bool keep_alive = KeepsAlive();
-  if (committed_) {
-    std::string end;
-    http::AppendBodyEnd(end, http::BodyFraming::kChunked);
-    caller_->Write(std::move(end));
-    Finish(answer_head_.status, "answered");
-    caller_->FinishAnswer(keep_alive);
-    return;
-  }
   std::string out;
-  out.reserve(answer_body_.size() + 512);
-  http::AppendStatusLine(out, answer_head_.status, answer_head_.reason);
-  http::AppendPassedFields(out, answer_head_);
-  const HeaderNames& names = state_->headers;
-  for (const std::string* it : {&names.request_id, &names.response_stamp}) {
-    if (const auto value = answer_head_.Get(std::string_view(*it))) {
-      http::AppendField(out, *it, *value);
-    }
-  }
-  constexpr int kNoContent = 204;
-  constexpr int kNotModified = 304;
-  const bool head_only = caller_->head().method == "HEAD";
-  const auto length = answer_head_.Get(http::FieldId::content_length);
-  if (head_only || answer_head_.status == kNotModified) {
-    if (length) {
-      http::AppendField(out, "Content-Length", *length);
-    }
-  } else if (answer_head_.status != kNoContent) {
-    http::AppendField(out, "Content-Length", answer_body_.size());
-  }
-  if (!keep_alive) {
-    http::AppendField(out, "Connection", "close");
+  if (committed_) {
+    http::AppendBodyEnd(out, http::BodyFraming::kChunked);
+  } else {
+    out = WholeAnswer(answer_head_, state_->headers, answer_body_,
+                      caller_->head().method == "HEAD", keep_alive);
   }
-  http::AppendHeadEnd(out);
-  out.append(answer_body_);
   caller_->Write(std::move(out));
   state_->metrics.RecordLatency(service_->name, state_->loop.Now() - started_);
   Finish(answer_head_.status, "answered");
@@ -713,27 +537,17 @@
     status = kBadGateway;
   }
   const bool keep_alive = KeepsAlive();
-  std::string body = "reason=";
-  body.append(ToString(reason));
-  body.push_back('\n');
-  std::string out;
-  http::AppendStatusLine(out, status, http::ReasonPhrase(status));
-  if (!id_.empty()) {
-    http::AppendField(out, state_->headers.request_id, id_);
-  }
-  if (status == kUnavailable && retry_after > Duration(0)) {
-    const Duration bounded = BoundRetryAfter(retry_after, TimeLeft());
-    http::AppendField(out, "Retry-After", FormatSeconds(bounded));
-  }
-  http::AppendField(out, "Content-Type", "text/plain");
-  http::AppendField(out, "Content-Length", body.size());
-  if (!keep_alive) {
-    http::AppendField(out, "Connection", "close");
-  }
-  http::AppendHeadEnd(out);
-  if (caller_->head().method != "HEAD") {
-    out.append(body);
-  }
+  const bool may_return = status == kUnavailable && retry_after > Duration(0);
+  std::string out = RefusalAnswer(
+      {.status = status,
+       .reason = reason,
+       .request_id = id_,
+       .retry_after =
+           may_return ? std::optional(BoundRetryAfter(retry_after, TimeLeft()))
+                      : std::nullopt,
+       .head_only = caller_->head().method == "HEAD",
+       .keep_alive = keep_alive},
+      state_->headers);
   caller_->Write(std::move(out));
   Finish(status, ToString(reason));
   caller_->FinishAnswer(keep_alive);
--- a/src/entry/entry_request.h
+++ b/src/entry/entry_request.h
@@ -12,6 +12,7 @@
 
 #include "entry/entry_state.h"
 #include "entry/request_rules.h"
+#include "entry/server_choice.h"
 #include "gentianreach/verdict.h"
 #include "net/deadline_timer.h"
 #include "proxy/caller_connection.h"
@@ -40,16 +41,6 @@
   [[nodiscard]] bool done() const { return done_; }
 
  private:
-  // Which server is chosen, or why none is.
-  struct Choice {
-    const routing::BackendServer* server = nullptr;
-    Reason reason = Reason::kNone;
-    // When another try is likely to succeed; where there is no server.
-    Duration retry_after{};
-    // The owner of the key is about to change: wait for it.
-    bool wait = false;
-  };
-
   void OnHead();
   void OnBody();
   void OnBodyEnd();
@@ -57,20 +48,13 @@
   void OnDeadline();
 
   void Attempt();
-  [[nodiscard]] Choice ChooseOwner();
-  [[nodiscard]] Choice ChooseAny();
-  // Returns how little a server is to be preferred.
-  [[nodiscard]] double Score(const routing::BackendServer& server,
-                             TimePoint now) const;
-  [[nodiscard]] Choice Admit(const routing::BackendServer& server) const;
-  void HoldForOwner(const Choice& choice);
+  [[nodiscard]] ServerChoice Choose() const;
+  void HoldForOwner(const ServerChoice& choice);
   void StopWaiting();
 
   void Send(const routing::BackendServer& server);
   void SendOver(std::shared_ptr<proxy::ServerConnection> connection,
                 const routing::BackendServer& server);
-  [[nodiscard]] std::string BuildRequest(
-      const routing::BackendServer& server) const;
   void OnServerEvent(proxy::ServerEvent event);
   void OnAnswerHead();
   void OnAnswerBody();
--- /dev/null
+++ b/src/entry/message_writer.cc
@@ -0,0 +1,104 @@
+#include "entry/message_writer.h"
+
+#include <chrono>
+
+#include "entry/request_rules.h"
+#include "http/serializer.h"
+
+namespace gentianreach::entry {
+namespace {
+
+constexpr int kNoContent = 204;
+constexpr int kNotModified = 304;
+
+}  // namespace
+
+std::string RequestHead(const http::MessageHead& from_caller,
+                        const HeaderNames& names,
+                        const RequestFields& fields) {
+  std::string out;
+  http::AppendRequestLine(out, from_caller);
+  http::AppendPassedFields(out, from_caller);
+  if (!fields.id.empty()) {
+    http::AppendField(out, names.request_id, fields.id);
+  }
+  const auto left =
+      std::chrono::duration_cast<std::chrono::milliseconds>(fields.time_left);
+  http::AppendField(out, names.deadline_ms,
+                    static_cast<std::uint64_t>(left.count()));
+  http::AppendField(out, names.expected_server, fields.server.value());
+  if (fields.key) {
+    http::AppendField(out, names.key, *fields.key);
+  }
+  const bool has_body = fields.body_size > 0 ||
+                        from_caller.Count(http::FieldId::content_length) != 0 ||
+                        from_caller.framing == http::BodyFraming::kChunked;
+  if (has_body) {
+    http::AppendField(out, "Content-Length", fields.body_size);
+  }
+  http::AppendHeadEnd(out);
+  return out;
+}
+
+std::string BeginPassedAnswer(const http::MessageHead& from_server,
+                              const HeaderNames& names) {
+  std::string out;
+  http::AppendStatusLine(out, from_server.status, from_server.reason);
+  http::AppendPassedFields(out, from_server);
+  for (const std::string* it : {&names.request_id, &names.response_stamp}) {
+    if (const auto value = from_server.Get(std::string_view(*it))) {
+      http::AppendField(out, *it, *value);
+    }
+  }
+  return out;
+}
+
+void EndAnswerHead(std::string& out, bool keep_alive) {
+  if (!keep_alive) {
+    http::AppendField(out, "Connection", "close");
+  }
+  http::AppendHeadEnd(out);
+}
+
+std::string WholeAnswer(const http::MessageHead& from_server,
+                        const HeaderNames& names,
+                        std::string_view body,
+                        bool head_only,
+                        bool keep_alive) {
+  std::string out = BeginPassedAnswer(from_server, names);
+  const auto length = from_server.Get(http::FieldId::content_length);
+  if (head_only || from_server.status == kNotModified) {
+    if (length) {
+      http::AppendField(out, "Content-Length", *length);
+    }
+  } else if (from_server.status != kNoContent) {
+    http::AppendField(out, "Content-Length", body.size());
+  }
+  EndAnswerHead(out, keep_alive);
+  out.append(body);
+  return out;
+}
+
+std::string RefusalAnswer(const Refusal& refusal, const HeaderNames& names) {
+  std::string body = "reason=";
+  body.append(ToString(refusal.reason));
+  body.push_back('\n');
+  std::string out;
+  http::AppendStatusLine(out, refusal.status,
+                         http::ReasonPhrase(refusal.status));
+  if (!refusal.request_id.empty()) {
+    http::AppendField(out, names.request_id, refusal.request_id);
+  }
+  if (refusal.retry_after) {
+    http::AppendField(out, "Retry-After", FormatSeconds(*refusal.retry_after));
+  }
+  http::AppendField(out, "Content-Type", "text/plain");
+  http::AppendField(out, "Content-Length", body.size());
+  EndAnswerHead(out, refusal.keep_alive);
+  if (!refusal.head_only) {
+    out.append(body);
+  }
+  return out;
+}
+
+}  // namespace gentianreach::entry
--- /dev/null
+++ b/src/net/socket_address.cc
@@ -0,0 +1,30 @@
+#include "net/socket_address.h"
+
+#include <charconv>
+#include <cstdint>
+#include <string>
+#include <system_error>
+
+namespace gentianreach::net {
+
+GObjectPtr<GSocketAddress> ParseSocketAddress(std::string_view address) {
+  const std::size_t colon = address.rfind(':');
+  if (colon == std::string_view::npos) {
+    return {};
+  }
+  std::string_view ip = address.substr(0, colon);
+  if (ip.size() >= 2 && ip.front() == '[' && ip.back() == ']') {
+    ip = ip.substr(1, ip.size() - 2);
+  }
+  const std::string_view digits = address.substr(colon + 1);
+  std::uint16_t port = 0;
+  const auto [end, ec] =
+      std::from_chars(digits.data(), digits.data() + digits.size(), port);
+  if (ec != std::errc() || end != digits.data() + digits.size()) {
+    return {};
+  }
+  return GObjectPtr<GSocketAddress>::Adopt(
+      g_inet_socket_address_new_from_string(std::string(ip).c_str(), port));
+}
+
+}  // namespace gentianreach::net
--- a/src/net/tcp_socket.cc
+++ b/src/net/tcp_socket.cc
@@ -4,9 +4,10 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
-#include <charconv>
 #include <utility>
 
+#include "net/socket_address.h"
+
 namespace gentianreach::net {
 namespace {
 
@@ -39,27 +40,6 @@
   GError* error_ = nullptr;
 };
 
-// Returns the parsed form of "IP:port" ("[IP]:port" for IPv6), or null.
-AddressPtr ParseAddress(std::string_view address) {
-  const std::size_t colon = address.rfind(':');
-  if (colon == std::string_view::npos) {
-    return nullptr;
-  }
-  std::string_view ip = address.substr(0, colon);
-  if (ip.size() >= 2 && ip.front() == '[' && ip.back() == ']') {
-    ip = ip.substr(1, ip.size() - 2);
-  }
-  const std::string_view digits = address.substr(colon + 1);
-  std::uint16_t port = 0;
-  const auto [end, ec] =
-      std::from_chars(digits.data(), digits.data() + digits.size(), port);
-  if (ec != std::errc() || end != digits.data() + digits.size()) {
-    return nullptr;
-  }
-  return AddressPtr(
-      g_inet_socket_address_new_from_string(std::string(ip).c_str(), port));
-}
-
 IoResult ToResult(gssize n, const ErrorSlot& error) {
   if (n > 0) {
     return {IoStatus::kOk, static_cast<std::size_t>(n)};
@@ -91,7 +71,7 @@
 
 leaf::result<TcpSocket> TcpSocket::Listen(const std::string& address,
                                           bool reuse_port) {
-  const AddressPtr parsed = ParseAddress(address);
+  const auto parsed = ParseSocketAddress(address);
   if (!parsed) {
     return leaf::new_error(SocketError{address + ": not an IP:port"});
   }
@@ -114,7 +94,7 @@
 }
 
 leaf::result<TcpSocket> TcpSocket::Connect(const std::string& address) {
-  const AddressPtr parsed = ParseAddress(address);
+  const auto parsed = ParseSocketAddress(address);
   if (!parsed) {
     return leaf::new_error(SocketError{address + ": not an IP:port"});
   }
--- a/src/net/udp_socket.cc
+++ b/src/net/udp_socket.cc
@@ -2,24 +2,10 @@
 
 #include <utility>
 
+#include "net/socket_address.h"
 #include "net/tcp_socket.h"
 
 namespace gentianreach::net {
-namespace {
-
-GObjectPtr<GSocketAddress> ParseAddress(const std::string& address) {
-  const std::size_t colon = address.rfind(':');
-  if (colon == std::string::npos) {
-    return {};
-  }
-  const auto port = g_ascii_strtoull(address.c_str() + colon + 1, nullptr, 10);
-  return GObjectPtr<GSocketAddress>::Adopt(
-      g_inet_socket_address_new_from_string(address.substr(0, colon).c_str(),
-                                            static_cast<guint>(port)));
-}
-
-}  // namespace
-
 UdpSocket::~UdpSocket() {
   if (socket_) {
     loop_.Unwatch(watch_, g_socket_get_fd(socket_.get()));
@@ -29,7 +15,7 @@
 
 boost::leaf::result<void> UdpSocket::Open(const std::string& address,
                                           Receiver receiver) {
-  const auto parsed = ParseAddress(address);
+  const auto parsed = ParseSocketAddress(address);
   if (!parsed) {
     return boost::leaf::new_error(SocketError{address + ": not an IP:port"});
   }
@@ -65,7 +51,7 @@
 
 void UdpSocket::Send(const std::string& address,
                      std::span<const std::uint8_t> data) {
-  const auto parsed = ParseAddress(address);
+  const auto parsed = ParseSocketAddress(address);
   if (!parsed || !socket_) {
     return;
   }
