--- a/src/ctl/context.h
+++ b/src/ctl/context.h
@@ -12,8 +12,8 @@
 
 #include "gentianreach/time.h"
 #include "net/http_client.h"
-#include "store/store_client.h"
 #include "store/store_call.h"
+#include "store/store_client.h"
 
 namespace gentianreach::ctl {
 
--- a/src/daemon/cell_driver.h
+++ b/src/daemon/cell_driver.h
@@ -12,9 +12,9 @@
 #include "gentianreach/time.h"
 #include "net/event_loop.h"
 #include "peer/peer_net.h"
-#include "store/store_client.h"
 #include "server/order_client.h"
 #include "server/order_codec.h"
+#include "store/store_client.h"
 
 namespace gentianreach {
 
--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -20,9 +20,9 @@
 #include "daemon/settings_driver.h"
 #include "net/event_loop.h"
 #include "peer/peer_net.h"
-#include "store/store_client.h"
 #include "proxy/policy_picker.h"
 #include "proxy/proxy_server.h"
+#include "store/store_client.h"
 
 namespace gentianreach {
 namespace {
--- a/src/daemon/settings_driver.h
+++ b/src/daemon/settings_driver.h
@@ -10,8 +10,8 @@
 #include "base/timer.h"
 #include "daemon/cell_links.h"
 #include "gentianreach/settings.h"
-#include "store/store_client.h"
 #include "settings/settings_relay.h"
+#include "store/store_client.h"
 
 namespace gentianreach {
 
--- a/src/settings/schema.cc
+++ b/src/settings/schema.cc
@@ -293,10 +293,10 @@
 }
 
 Section EntrySection() {
-  return Section{
-      "entry",
-      EmbeddedSchema()->objects()->LookupByKey("gentianreach.settings.EntryDaemon"),
-      false};
+  return Section{"entry",
+                 EmbeddedSchema()->objects()->LookupByKey(
+                     "gentianreach.settings.EntryDaemon"),
+                 false};
 }
 
 std::vector<std::string> SectionNames() {
