--- a/src/entry/entry_request.cc
+++ b/src/entry/entry_request.cc
@@ -40,6 +40,7 @@
 // this multiple of its usual time, and at least for the shortest time.
 constexpr int kSilenceFactor = 5;
 constexpr Duration kShortestSilence = milliseconds(800);
+
 }  // namespace
 
 EntryRequest::EntryRequest(std::shared_ptr<EntryState> state,
--- a/src/entry/member_link.h
+++ b/src/entry/member_link.h
@@ -95,6 +95,8 @@
   void Send(const std::string& address, const wire::BodyUnion& body);
   void SpreadCrashes(const std::string& from,
                      const std::vector<Fingerprint>& crashes);
+  // Returns the members in the order of succession.
+  [[nodiscard]] std::vector<const Known*> Line() const;
 
   net::EventLoop& loop_;
   const Member self_;
@@ -106,9 +108,8 @@
   CrashWatch& crashes_;
   net::UdpSocket socket_;
   net::DeadlineTimer timer_;
-  // Returns the members in the order of succession.
-  [[nodiscard]] std::vector<const Known*> Line() const;
-
+  // The members that this leader has heard; at others, the line of their
+  // leader's last beat. By name.
   std::map<std::string, Known> known_;
   std::uint32_t members_ = 1;
   std::uint32_t rank_ = 0;
