Stand-ins start their loopback servers by one function

Cause: the two stand-ins of the platform for tests wrote the same start of a libsoup server, and the reading of its port stood a third time in RunServer(). Change: ListenOnLoopback() and PortOf() beside RunServer() serve all three. No source of a deployed program is touched; behaviour as before.

--- a/standins/soup_server.h
+++ b/standins/soup_server.h
@@ -15,6 +15,7 @@
 #include <nlohmann/json.hpp>
 
 #include "base/glib_ptr.h"
+#include "gentianreach/check.h"
 
 namespace gentianreach::standins {
 
@@ -129,6 +130,25 @@
 
 }  // namespace internal
 
+// Returns the port that `server` listens on.
+inline int PortOf(SoupServer* server) {
+  GSList* uris = soup_server_get_uris(server);
+  const int port = g_uri_get_port(static_cast<GUri*>(uris->data));
+  g_slist_free_full(uris,
+                    [](gpointer it) { g_uri_unref(static_cast<GUri*>(it)); });
+  return port;
+}
+
+// Passes the requests that arrive at any free port of 127.0.0.1 to `handler`,
+// which must outlive the server. Returns "127.0.0.1:PORT".
+inline std::string ListenOnLoopback(SoupServer* server, Handler& handler) {
+  soup_server_add_handler(server, nullptr, &internal::OnRequest, &handler,
+                          nullptr);
+  GENTIANREACH_CHECK(soup_server_listen_local(
+      server, 0, SOUP_SERVER_LISTEN_IPV4_ONLY, nullptr));
+  return "127.0.0.1:" + std::to_string(PortOf(server));
+}
+
 // Listens on 127.0.0.1, prints "port=N" and serves until SIGTERM or SIGINT.
 // Returns the exit code.
 inline int RunServer(std::uint16_t port, Handler handler) {
@@ -144,11 +164,7 @@
               << "\n";
     return EXIT_FAILURE;
   }
-  GSList* uris = soup_server_get_uris(server.get());
-  std::cout << "port=" << g_uri_get_port(static_cast<GUri*>(uris->data))
-            << std::endl;
-  g_slist_free_full(uris,
-                    [](gpointer it) { g_uri_unref(static_cast<GUri*>(it)); });
+  std::cout << "port=" << PortOf(server.get()) << std::endl;
   const GMainLoopPtr loop(g_main_loop_new(nullptr, FALSE));
   g_unix_signal_add(SIGTERM, &internal::OnTerminate, loop.get());
   g_unix_signal_add(SIGINT, &internal::OnTerminate, loop.get());
