--- /dev/null
+++ b/soak/caller.cc
@@ -0,0 +1,223 @@
+#include "soak/caller.h"
+
+#include <array>
+#include <chrono>
+#include <utility>
+
+#include <boost/leaf/handle_errors.hpp>
+
+#include "http/serializer.h"
+#include "platform/platform_client.h"
+#include "platform/testing/sample_config.h"
+
+namespace gentianreach::soak {
+namespace {
+
+using std::chrono::milliseconds;
+
+// What callers allow for an answer; under the routes' own limit.
+constexpr milliseconds kDeadline{2000};
+// A caller that has waited this much longer leaves.
+constexpr Duration kGiveUpAfter = milliseconds(1500);
+constexpr Duration kConnectTimeout = milliseconds(1000);
+// Pauses between requests, and after a failed connection.
+constexpr std::uint64_t kLongestPauseMs = 30;
+constexpr Duration kPauseAfterFailure = milliseconds(50);
+// Most requests on one connection.
+constexpr std::uint64_t kMostOnConnection = 200;
+constexpr std::size_t kMaxHeaderBytes = 16384;
+constexpr std::size_t kLongestBody = 300;
+
+}  // namespace
+
+Caller::Caller(CallerContext& context, std::size_t index, std::uint64_t seed)
+    : context_(context),
+      name_("c" + std::to_string(index)),
+      random_(seed + index),
+      home_(index % context.daemons.size()),
+      daemon_(home_),
+      timer_(context.loop, [this] { OnTimer(); }) {}
+
+void Caller::Start() {
+  Connect();
+}
+
+void Caller::Connect() {
+  if (context_.stopped) {
+    return;
+  }
+  connected_ = false;
+  auto socket = net::TcpSocket::Connect(context_.daemons[daemon_]);
+  if (!socket) {
+    timer_.Set(context_.loop.Now() + kPauseAfterFailure);
+    return;
+  }
+  socket_ = *std::move(socket);
+  watch_ = context_.loop.Watch(
+      socket_.fd(), [self = shared_from_this()](net::ReadyEvents events) {
+        self->OnReady(events);
+      });
+  timer_.Set(context_.loop.Now() + kConnectTimeout);
+}
+
+void Caller::OnTimer() {
+  if (!socket_.is_open()) {
+    Connect();
+    return;
+  }
+  if (!connected_ || waiting_) {
+    OnEnd();
+    return;
+  }
+  SendNext();
+}
+
+void Caller::OnReady(net::ReadyEvents events) {
+  const auto self = shared_from_this();
+  if (!connected_ && (events.writable || events.hung_up)) {
+    if (socket_.FinishConnect() != net::ConnectStatus::kConnected) {
+      OnEnd();
+      return;
+    }
+    connected_ = true;
+    left_ = 1 + random_() % kMostOnConnection;
+    SendNext();
+  }
+  if (connected_ && events.writable) {
+    Flush();
+  }
+  if (socket_.is_open() && connected_) {
+    Receive();
+  }
+}
+
+void Caller::SendNext() {
+  if (context_.stopped) {
+    CloseSocket();
+    return;
+  }
+  const RequestKind& kind = context_.kinds[random_() % context_.kinds.size()];
+  request_ = {};
+  request_.id = name_ + "-" + std::to_string(++sent_);
+  request_.method = kind.idempotent ? "GET" : "POST";
+  request_.path = kind.path_prefix + request_.id;
+  request_.idempotent = kind.idempotent;
+  request_.daemon = daemon_;
+  request_.sent = context_.loop.Now();
+  request_.deadline = request_.sent + kDeadline;
+  target_ = kind.path_prefix;
+  if (!kind.idempotent) {
+    request_.body.assign(random_() % kLongestBody, 'x');
+  }
+  const entry::HeaderNames names = platform::PlatformHeaders();
+  std::string text = request_.method + " " + request_.path + " HTTP/1.1\r\n";
+  http::AppendField(text, "Host", platform::testing::kSampleHost);
+  http::AppendField(text, names.request_id, request_.id);
+  http::AppendField(text, names.deadline_ms,
+                    static_cast<std::uint64_t>(kDeadline.count()));
+  if (kind.keyed) {
+    request_.key = context_.keys[random_() % context_.keys.size()];
+    target_ += std::to_string(*request_.key);
+    http::AppendField(text, names.key, std::uint64_t{*request_.key});
+  }
+  if (!kind.idempotent) {
+    http::AppendField(text, "Content-Length",
+                      std::uint64_t{request_.body.size()});
+  }
+  http::AppendHeadEnd(text);
+  text += request_.body;
+  parser_ = std::make_unique<http::ResponseParser>(kMaxHeaderBytes);
+  head_.Clear();
+  body_.clear();
+  waiting_ = true;
+  context_.checker.OnSent(request_);
+  timer_.Set(request_.deadline + kGiveUpAfter);
+  out_.Append(std::move(text));
+  Flush();
+}
+
+void Caller::Flush() {
+  bool any_sent = false;
+  if (out_.Flush(socket_, any_sent) == net::FlushStatus::kFailed) {
+    OnEnd();
+  }
+}
+
+void Caller::Receive() {
+  while (socket_.is_open()) {
+    std::array<char, 16384> buf{};
+    const net::IoResult result = socket_.Receive(buf);
+    if (result.status == net::IoStatus::kWouldBlock) {
+      return;
+    }
+    if (result.status != net::IoStatus::kOk) {
+      OnEnd();
+      return;
+    }
+    received_.append(buf.data(), result.bytes);
+    while (waiting_) {
+      const http::ParseResult parsed = parser_->Parse(received_, head_, body_);
+      received_.erase(0, parsed.consumed);
+      if (parsed.status == http::ParseStatus::kDone) {
+        OnAnswer();
+        break;
+      }
+      if (parsed.status == http::ParseStatus::kHead) {
+        continue;
+      }
+      if (parsed.status != http::ParseStatus::kNeedMore) {
+        OnEnd();
+        return;
+      }
+      break;
+    }
+  }
+}
+
+void Caller::OnAnswer() {
+  waiting_ = false;
+  const entry::HeaderNames names = platform::PlatformHeaders();
+  SeenAnswer answer;
+  answer.status = head_.status;
+  answer.request_id = head_.Get(names.request_id).value_or("");
+  answer.stamp = head_.Get(names.response_stamp).value_or("");
+  answer.body = body_;
+  answer.at = context_.loop.Now();
+  context_.checker.OnAnswer(request_.id, answer);
+  if (answer.status == 200) {
+    context_.on_success(daemon_, target_, request_.sent);
+  }
+  if (!head_.keep_alive) {
+    OnEnd();
+    return;
+  }
+  if (--left_ == 0) {
+    OnEnd();
+    daemon_ = home_;
+    return;
+  }
+  timer_.Set(answer.at + milliseconds(random_() % kLongestPauseMs));
+}
+
+void Caller::OnEnd() {
+  if (waiting_) {
+    waiting_ = false;
+    context_.checker.OnNoAnswer(request_.id, context_.loop.Now());
+  }
+  CloseSocket();
+  // As the balancer would, the next connection goes to any daemon.
+  daemon_ = random_() % context_.daemons.size();
+  timer_.Set(context_.loop.Now() + kPauseAfterFailure);
+}
+
+void Caller::CloseSocket() {
+  if (!socket_.is_open()) {
+    return;
+  }
+  context_.loop.Unwatch(watch_, socket_.fd());
+  socket_.Close();
+  received_.clear();
+  out_ = net::OutputBuffer();
+}
+
+}  // namespace gentianreach::soak
--- /dev/null
+++ b/soak/chaos_proxy.h
@@ -0,0 +1,62 @@
+// A TCP proxy on loopback that disturbs the connections through it.
+#ifndef SOAK_CHAOS_PROXY_H_
+#define SOAK_CHAOS_PROXY_H_
+
+#include <cstdint>
+#include <memory>
+#include <set>
+#include <string>
+
+#include <boost/leaf/result.hpp>
+
+#include "gentianreach/time.h"
+#include "net/event_loop.h"
+#include "net/tcp_socket.h"
+
+namespace gentianreach::soak {
+
+// What happens to bytes on their way. Bytes that are held back follow once the
+// mode changes, as after the repair of a cut network.
+enum class LinkMode : std::uint8_t {
+  kPass,
+  kSlow,           // Each piece arrives later.
+  kSilent,         // Nothing arrives.
+  kOnlyToTarget,   // Nothing comes back.
+  kOnlyToClients,  // Nothing arrives at the target.
+};
+
+class ChaosProxy {
+ public:
+  explicit ChaosProxy(net::EventLoop& loop);
+  ChaosProxy(const ChaosProxy&) = delete;
+  ChaosProxy& operator=(const ChaosProxy&) = delete;
+  ~ChaosProxy();
+
+  // Accepts connections at `address` ("IP:port"; port 0: any).
+  boost::leaf::result<void> Listen(const std::string& address);
+  // Returns "IP:port".
+  [[nodiscard]] const std::string& address() const { return address_; }
+
+  // Where connections go; "" while nobody is there: they are reset.
+  void SetTarget(const std::string& address);
+  void SetMode(LinkMode mode);
+  // Resets all connections.
+  void Reset();
+
+ private:
+  class Pair;
+
+  void Accept();
+
+  net::EventLoop& loop_;
+  net::TcpSocket listener_;
+  net::EventLoop::WatchId watch_ = 0;
+  std::string address_;
+  std::string target_;
+  LinkMode mode_ = LinkMode::kPass;
+  std::set<std::shared_ptr<Pair>> pairs_;
+};
+
+}  // namespace gentianreach::soak
+
+#endif  // SOAK_CHAOS_PROXY_H_
--- /dev/null
+++ b/soak/chaos_proxy_test.cc
@@ -0,0 +1,128 @@
+#include "soak/chaos_proxy.h"
+
+#include <array>
+#include <chrono>
+#include <functional>
+#include <string>
+
+#include <doctest/doctest.h>
+#include <boost/leaf/handle_errors.hpp>
+
+namespace gentianreach::soak {
+namespace {
+
+using net::EventLoop;
+using net::IoStatus;
+using net::TcpSocket;
+
+// How long a test waits for what has to happen; far more than it takes.
+constexpr Duration kPatience = std::chrono::seconds(30);
+
+template <typename T>
+T Take(boost::leaf::result<T> result) {
+  REQUIRE(result);
+  return *std::move(result);
+}
+
+// A client and a target with a proxy between them.
+class Link {
+ public:
+  Link() {
+    REQUIRE(proxy.Listen("127.0.0.1:0"));
+    proxy.SetTarget("127.0.0.1:" + std::to_string(listener_.port()));
+    client = Take(TcpSocket::Connect(proxy.address()));
+    WaitFor([this] {
+      if (auto accepted = listener_.Accept()) {
+        target = *std::move(accepted);
+      }
+      return target.is_open();
+    });
+    WaitFor(
+        [this] { return client.FinishConnect() == net::ConnectStatus::kConnected; });
+  }
+
+  void WaitFor(const std::function<bool()>& done) {
+    const TimePoint end = loop.Now() + kPatience;
+    while (!done()) {
+      REQUIRE(loop.Now() < end);
+      loop.RunOnce(false);
+    }
+  }
+  // Returns what has arrived at `socket` so far.
+  static std::string Received(TcpSocket& socket, IoStatus* last) {
+    std::array<char, 100> buf{};
+    const net::IoResult result = socket.Receive(buf);
+    *last = result.status;
+    return result.status == IoStatus::kOk ? std::string(buf.data(), result.bytes)
+                                          : "";
+  }
+  // Lets the proxy do what it can do now.
+  void Settle() {
+    for (int i = 0; i < 100; ++i) {
+      loop.RunOnce(false);
+      g_usleep(100);
+    }
+  }
+
+  EventLoop loop;
+  ChaosProxy proxy{loop};
+  TcpSocket client;
+  TcpSocket target;
+
+ private:
+  TcpSocket listener_ = Take(TcpSocket::Listen("127.0.0.1:0", false));
+};
+
+TEST_CASE("bytes pass in both directions, and so does the end") {
+  Link link;
+  IoStatus last = IoStatus::kOk;
+  link.client.Send("ping");
+  link.WaitFor([&] { return Link::Received(link.target, &last) == "ping"; });
+  link.target.Send("pong");
+  link.WaitFor([&] { return Link::Received(link.client, &last) == "pong"; });
+  link.client.ShutdownSend();
+  link.WaitFor([&] {
+    Link::Received(link.target, &last);
+    return last == IoStatus::kClosed;
+  });
+}
+
+TEST_CASE("a cut holds bytes back until it is repaired") {
+  Link link;
+  IoStatus last = IoStatus::kOk;
+  link.proxy.SetMode(LinkMode::kOnlyToClients);
+  link.client.Send("late");
+  link.target.Send("pong");
+  link.WaitFor([&] { return Link::Received(link.client, &last) == "pong"; });
+  link.Settle();
+  CHECK(Link::Received(link.target, &last).empty());
+  CHECK(last == IoStatus::kWouldBlock);
+  link.proxy.SetMode(LinkMode::kPass);
+  link.WaitFor([&] { return Link::Received(link.target, &last) == "late"; });
+}
+
+TEST_CASE("a reset ends both connections with an error") {
+  Link link;
+  link.proxy.Reset();
+  for (TcpSocket* it : {&link.client, &link.target}) {
+    IoStatus last = IoStatus::kOk;
+    link.WaitFor([&] {
+      Link::Received(*it, &last);
+      return last == IoStatus::kFailed;
+    });
+  }
+}
+
+TEST_CASE("connections are reset while nobody is there") {
+  Link link;
+  link.proxy.SetTarget("");
+  TcpSocket client = Take(TcpSocket::Connect(link.proxy.address()));
+  IoStatus last = IoStatus::kOk;
+  link.WaitFor([&] {
+    Link::Received(client, &last);
+    return last == IoStatus::kFailed;
+  });
+}
+
+}  // namespace
+}  // namespace gentianreach::soak
--- /dev/null
+++ b/soak/fault_plan_test.cc
@@ -0,0 +1,71 @@
+#include "soak/fault_plan.h"
+
+#include <algorithm>
+#include <chrono>
+#include <set>
+
+#include <doctest/doctest.h>
+
+namespace gentianreach::soak {
+namespace {
+
+using std::chrono::seconds;
+
+constexpr TimePoint kBegin{seconds(100)};
+constexpr TimePoint kEnd{seconds(160)};
+
+std::string TextOf(const std::vector<Fault>& plan) {
+  std::string text;
+  for (const Fault& it : plan) {
+    text += ToString(it, kBegin) + "\n";
+  }
+  return text;
+}
+
+TEST_CASE("the same seed gives the same plan, another one another") {
+  const FleetShape shape;
+  const std::string plan = TextOf(MakePlan(7, shape, kBegin, kEnd));
+  CHECK(plan == TextOf(MakePlan(7, shape, kBegin, kEnd)));
+  CHECK(plan != TextOf(MakePlan(8, shape, kBegin, kEnd)));
+}
+
+TEST_CASE("plans hold every kind of fault, within their time and fleet") {
+  const FleetShape shape{4, 5};
+  std::set<FaultKind> kinds;
+  bool overlapping = false;
+  for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+    const std::vector<Fault> plan = MakePlan(seed, shape, kBegin, kEnd);
+    CHECK(plan.size() > 30);
+    CHECK(std::ranges::is_sorted(plan, {}, &Fault::begins));
+    TimePoint latest_end = kBegin;
+    for (const Fault& it : plan) {
+      kinds.insert(it.kind);
+      CHECK(it.begins >= kBegin);
+      CHECK(it.begins < it.ends);
+      CHECK(it.ends <= kEnd);
+      CHECK(it.target < std::max(shape.daemons, shape.servers));
+      overlapping = overlapping || it.begins < latest_end;
+      latest_end = std::max(latest_end, it.ends);
+    }
+  }
+  CHECK(kinds.size() == kFaultKinds);
+  CHECK(overlapping);
+}
+
+TEST_CASE("a process gets no signal before its earlier fault has ended") {
+  const FleetShape shape{2, 2};
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    const std::vector<Fault> plan = MakePlan(seed, shape, kBegin, kEnd);
+    for (std::size_t i = 0; i < plan.size(); ++i) {
+      for (std::size_t j = 0; j < i; ++j) {
+        const bool same_daemon = IsDaemonFault(plan[i].kind) &&
+                                 IsDaemonFault(plan[j].kind) &&
+                                 plan[i].target == plan[j].target;
+        CHECK_FALSE((same_daemon && plan[i].begins < plan[j].ends));
+      }
+    }
+  }
+}
+
+}  // namespace
+}  // namespace gentianreach::soak
--- /dev/null
+++ b/soak/server_program.cc
@@ -0,0 +1,153 @@
+// A backend server of a soak: a stand-in as a process that keeps its entry in
+// the store.
+//
+// Prints "address=IP:PORT", "ready" once its entry has been accepted, and a line
+// for each request before it runs:
+//   ran ID METHOD PATH KEY TOKEN NANOSECONDS
+// with the time on the machine's boot clock. At SIGTERM it reports that it is
+// draining, and ends some time after that was accepted.
+#include <cstdlib>
+#include <iostream>
+#include <optional>
+#include <string>
+
+#include <glib-unix.h>
+
+#include <CLI/CLI.hpp>
+
+#include "base/glib_ptr.h"
+#include "base/timer.h"
+#include "platform/platform_client.h"
+#include "platform/testing/fake_server.h"
+
+namespace gentianreach::soak {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr Duration kHeartbeat = milliseconds(500);
+constexpr Duration kReportTimeout = milliseconds(1000);
+// How long a draining server goes on; as the users' deployments say.
+constexpr Duration kDrain = milliseconds(2500);
+// What it goes on beyond that.
+constexpr Duration kDrainMargin = milliseconds(500);
+
+struct ServerOptions {
+  std::string id;
+  std::string service;
+  std::string store;
+  std::string advertise;
+  bool keyed = false;
+  int work_ms = 20;
+};
+
+class Reporter {
+ public:
+  Reporter(const ServerOptions& options, GMainLoop* loop)
+      : options_(options),
+        loop_(loop),
+        server_(options.id, options.service, options.keyed),
+        store_(options.store) {
+    server_.set_work(milliseconds(options.work_ms));
+    server_.on_run = [](const platform::testing::ServerRun& run) {
+      // Flushed at once: the line must outlive a kill.
+      std::cout << "ran " << run.request_id << ' ' << run.method << ' '
+                << run.path << ' ' << run.key << ' ' << run.token << ' '
+                << run.at.time_since_epoch().count() << std::endl;
+    };
+    std::cout << "address=" << server_.address() << std::endl;
+    Report();
+  }
+
+  void Drain() {
+    state_ = "draining";
+    Report();
+  }
+
+ private:
+  void Report() {
+    timer_.Set(clock_.Now() + kHeartbeat, [this] { Report(); });
+    if (reporting_) {
+      return;
+    }
+    reporting_ = true;
+    const auto content = server_.Entry(state_, ++sequence_, options_.advertise);
+    const TimePoint deadline = clock_.Now() + kReportTimeout;
+    const auto kind = platform::ObjectKind::kServers;
+    const auto done = [this, reported = state_](
+                          const platform::ObjectReply& reply) {
+      reporting_ = false;
+      OnReply(reply, reported);
+    };
+    if (revision_) {
+      store_.Replace(kind, options_.id, *revision_, content, deadline, done);
+    } else {
+      store_.Create(kind, options_.id, content, deadline, done);
+    }
+  }
+
+  void OnReply(const platform::ObjectReply& reply, const std::string& reported) {
+    if (reply.status == platform::CallStatus::kAbsent) {
+      revision_.reset();
+      return;
+    }
+    if (reply.object) {
+      revision_ = reply.object->revision;
+    }
+    if (reply.status != platform::CallStatus::kOk) {
+      return;
+    }
+    if (!ready_) {
+      ready_ = true;
+      std::cout << "ready" << std::endl;
+    }
+    if (reported == "draining" && !end_timer_.pending()) {
+      end_timer_.Set(clock_.Now() + kDrain + kDrainMargin,
+                     [this] { g_main_loop_quit(loop_); });
+    }
+  }
+
+  const ServerOptions options_;
+  GMainLoop* loop_;
+  MonotonicClock clock_;
+  platform::testing::FakeServer server_;
+  platform::PlatformClient store_;
+  std::string state_ = "ready";
+  std::uint64_t sequence_ = 0;
+  // Of the entry; nothing while there is none.
+  std::optional<std::uint64_t> revision_;
+  bool reporting_ = false;
+  bool ready_ = false;
+  Timer timer_;
+  Timer end_timer_;
+};
+
+gboolean OnTerminate(gpointer reporter) {
+  static_cast<Reporter*>(reporter)->Drain();
+  return G_SOURCE_CONTINUE;
+}
+
+int Run(const ServerOptions& options) {
+  const GMainLoopPtr loop(g_main_loop_new(nullptr, FALSE));
+  Reporter reporter(options, loop.get());
+  g_unix_signal_add(SIGTERM, &OnTerminate, &reporter);
+  g_main_loop_run(loop.get());
+  return EXIT_SUCCESS;
+}
+
+}  // namespace
+}  // namespace gentianreach::soak
+
+int main(int argc, char** argv) {
+  CLI::App app{"Backend server of a soak"};
+  gentianreach::soak::ServerOptions options;
+  app.add_option("--id", options.id, "Id in the store")->required();
+  app.add_option("--service", options.service, "Service")->required();
+  app.add_option("--store", options.store, "Address of the store")->required();
+  app.add_option("--advertise", options.advertise,
+                 "Address by which callers reach it");
+  app.add_flag("--keyed", options.keyed, "Runs requests for keys it holds");
+  app.add_option("--work-ms", options.work_ms, "Time of one request");
+  CLI11_PARSE(app, argc, argv);
+  return gentianreach::soak::Run(options);
+}
--- /dev/null
+++ b/soak/store_program.cc
@@ -0,0 +1,69 @@
+// The store of a soak: a stand-in of the platform's store as a process.
+//
+// Prints "address=IP:PORT" and then obeys lines on standard input:
+//   fail STATUS               answers all calls with STATUS; 0: serves them
+//   lose 0|1                  carries out writes without an answer
+//   drop                      forgets the history
+//   put KIND NAME CONTENT     writes an object as its owner would
+#include <cstdlib>
+#include <iostream>
+#include <string>
+
+#include <nlohmann/json.hpp>
+
+#include "base/glib_ptr.h"
+#include "platform/testing/fake_store.h"
+#include "soak/line_reader.h"
+
+namespace gentianreach::soak {
+namespace {
+
+// Three heartbeats of the soak's servers.
+constexpr std::chrono::milliseconds kServerExpiry{1500};
+
+void Obey(platform::testing::FakeStore& store, const std::string& line) {
+  std::istringstream in(line);
+  std::string command;
+  in >> command;
+  if (command == "fail") {
+    guint status = 0;
+    in >> status;
+    store.set_failure(status);
+  } else if (command == "lose") {
+    bool lose = false;
+    in >> lose;
+    store.set_lose_answers(lose);
+  } else if (command == "drop") {
+    store.DropHistory();
+  } else if (command == "put") {
+    std::string kind;
+    std::string name;
+    in >> kind >> name;
+    std::string content;
+    std::getline(in, content);
+    store.Put(kind, name, nlohmann::json::parse(content));
+  } else {
+    std::cerr << "not a command: " << line << "\n";
+    std::exit(EXIT_FAILURE);
+  }
+}
+
+int Run() {
+  platform::testing::FakeStore store;
+  store.ExpireServers(kServerExpiry);
+  std::cout << "address=" << store.address() << std::endl;
+  const GMainLoopPtr loop(g_main_loop_new(nullptr, FALSE));
+  const LineReader reader(
+      GObjectPtr<GInputStream>::Adopt(g_unix_input_stream_new(0, FALSE)),
+      [&](const std::string& line) { Obey(store, line); },
+      [&] { g_main_loop_quit(loop.get()); });
+  g_main_loop_run(loop.get());
+  return EXIT_SUCCESS;
+}
+
+}  // namespace
+}  // namespace gentianreach::soak
+
+int main() {
+  return gentianreach::soak::Run();
+}
--- a/standins/soup_server.h
+++ b/standins/soup_server.h
@@ -81,6 +81,40 @@
                                  nullptr);
 }
 
+// A message whose answer comes later. Resume() is safe also after its caller has
+// gone, when libsoup has nothing left to resume.
+class HeldMessage {
+ public:
+  explicit HeldMessage(SoupServerMessage* message)
+      : message_(GObjectPtr<SoupServerMessage>::Share(message)),
+        handler_(g_signal_connect(message,
+                                  "disconnected",
+                                  G_CALLBACK(&HeldMessage::OnDisconnected),
+                                  this)) {
+    soup_server_message_pause(message);
+  }
+  HeldMessage(const HeldMessage&) = delete;
+  HeldMessage& operator=(const HeldMessage&) = delete;
+  ~HeldMessage() { g_signal_handler_disconnect(message_.get(), handler_); }
+
+  [[nodiscard]] SoupServerMessage* get() const { return message_.get(); }
+  // Sends the answer that was set meanwhile.
+  void Resume() {
+    if (connected_) {
+      soup_server_message_unpause(message_.get());
+    }
+  }
+
+ private:
+  static void OnDisconnected(SoupServerMessage* /*message*/, gpointer self) {
+    static_cast<HeldMessage*>(self)->connected_ = false;
+  }
+
+  GObjectPtr<SoupServerMessage> message_;
+  gulong handler_;
+  bool connected_ = true;
+};
+
 namespace internal {
 
 inline Request CopyRequest(SoupServerMessage* message,
