Relayed copies are small; a stopping daemon answers everything

Found while reading: a deadline that passed after a part of a large answer had been sent wrote a refusal into the middle of it. Ruled out: processor time of the leader (0.1 of its share), loss of beats. Change: a relayed copy holds each changed object once, as it is now, compressed (GIO's zlib); daemons that follow keep changes too. What has no answer 0.55 s before the end of the grace period gets one that says whether it may have run, and the process leaves 0.2 s for it to be sent. A broken-off answer is aborted.

--- /dev/null
+++ b/src/base/gzip.h
@@ -0,0 +1,21 @@
+// Compression of texts that daemons send each other, by GIO's zlib.
+#ifndef SRC_BASE_GZIP_H_
+#define SRC_BASE_GZIP_H_
+
+#include <cstddef>
+#include <optional>
+#include <string>
+
+namespace gentianreach {
+
+// Returns `text` in the gzip format.
+[[nodiscard]] std::string Compress(const std::string& text);
+
+// Returns the text that Compress() was given; nothing where `data` is damaged,
+// cut off or holds more than `most` bytes.
+[[nodiscard]] std::optional<std::string> Decompress(const std::string& data,
+                                                    std::size_t most);
+
+}  // namespace gentianreach
+
+#endif  // SRC_BASE_GZIP_H_
--- a/src/entry/entry_daemon.cc
+++ b/src/entry/entry_daemon.cc
@@ -46,8 +46,8 @@
 // A stopping daemon still accepts callers for this time: the balancer looks
 // once a second and takes it out after two misses.
 constexpr Duration kAcceptWhileStopping = milliseconds(2600);
-// Time left between the last answer and the end of the grace period.
-constexpr Duration kStopMargin = milliseconds(350);
+// Time left between the last answers and the end of the grace period.
+constexpr Duration kStopMargin = milliseconds(550);
 // Grants are at most this long, however long servers allow them.
 constexpr milliseconds kLongestUsefulLease{6000};
 // How long watches wait. The leader's are short: a watch that has gone silent
@@ -396,7 +396,7 @@
     const auto watchers = Watchers();
     for (std::size_t i = 0; i < watchers.size(); ++i) {
       if (kind == kRelayKinds[i]) {
-        return {200, "application/json", watchers[i]->ChangesSince(since)};
+        return {200, "application/gzip", watchers[i]->ChangesSince(since)};
       }
     }
     return {404, "application/json", R"({"error":"no such kind"})"};
--- a/src/entry/entry_proxy.cc
+++ b/src/entry/entry_proxy.cc
@@ -14,12 +14,16 @@
 constexpr std::size_t kMostCallers = 2000;
 // How often a stopping daemon looks whether it may end.
 constexpr Duration kStopCheckPeriod = std::chrono::milliseconds(100);
+// Time for the last answers to reach the network.
+constexpr Duration kLastFlush = std::chrono::milliseconds(200);
+
+}  // namespace
 
 // Ties a connection to the request that it carries.
-class CallerSession : public std::enable_shared_from_this<CallerSession> {
+class EntryProxy::Session : public std::enable_shared_from_this<Session> {
  public:
-  CallerSession(std::shared_ptr<EntryState> state,
-                std::shared_ptr<proxy::CallerConnection> connection)
+  Session(std::shared_ptr<EntryState> state,
+          std::shared_ptr<proxy::CallerConnection> connection)
       : state_(std::move(state)), connection_(std::move(connection)) {}
 
   void Start(std::function<void(proxy::CallerConnection*)> on_closed) {
@@ -28,6 +32,13 @@
       self->OnEvent(event);
     });
   }
+  void OnStopDeadline() {
+    if (request_) {
+      request_->OnStopDeadline();
+    }
+  }
+  void CloseIfIdle() { connection_->CloseIfIdle(); }
+  void Abort() { connection_->Abort(); }
 
  private:
   void OnEvent(proxy::CallerEvent event) {
@@ -53,16 +64,14 @@
   std::function<void(proxy::CallerConnection*)> on_closed_;
 };
 
-}  // namespace
-
 EntryProxy::EntryProxy(std::shared_ptr<EntryState> state)
     : state_(std::move(state)),
       stop_timer_(state_->loop, [this] { CheckStopped(); }) {}
 
 EntryProxy::~EntryProxy() {
   CloseListener();
-  const Callers callers = *callers_;
-  for (const auto& [key, it] : callers) {
+  const Sessions sessions = *sessions_;
+  for (const auto& [key, it] : sessions) {
     it->Abort();
   }
 }
@@ -77,7 +86,7 @@
 
 void EntryProxy::Accept() {
   while (auto socket = listener_.Accept()) {
-    if (callers_->size() >= kMostCallers) {
+    if (sessions_->size() >= kMostCallers) {
       state_->metrics.Count("callers_turned_away_total");
       socket->Close();
       continue;
@@ -90,11 +99,11 @@
         state_->loop, std::move(*socket), limits.max_header_bytes,
         proxy::CallerTimeouts{.idle = limits.idle_timeout,
                               .head = limits.header_timeout});
-    callers_->emplace(connection.get(), connection);
-    std::make_shared<CallerSession>(state_, connection)
-        ->Start([callers = callers_](proxy::CallerConnection* it) {
-          callers->erase(it);
-        });
+    const auto session = std::make_shared<Session>(state_, connection);
+    sessions_->emplace(connection.get(), session);
+    session->Start([sessions = sessions_](proxy::CallerConnection* it) {
+      sessions->erase(it);
+    });
   }
 }
 
@@ -124,23 +133,32 @@
       Accept();
     }
     CloseListener();
-    const Callers callers = *callers_;
-    for (const auto& [key, it] : callers) {
+    const Sessions sessions = *sessions_;
+    for (const auto& [key, it] : sessions) {
       it->CloseIfIdle();
     }
   }
+  if (now >= stop_deadline_ && state_->in_flight > 0) {
+    Log(LogLevel::kWarning, "stop_deadline",
+        {{"in_flight", state_->in_flight}});
+    const Sessions sessions = *sessions_;
+    for (const auto& [key, it] : sessions) {
+      it->OnStopDeadline();
+    }
+  }
   const bool ended =
-      now >= accept_until_ && (callers_->empty() || state_->in_flight == 0);
-  if (ended || now >= stop_deadline_) {
+      now >= accept_until_ && (sessions_->empty() || state_->in_flight == 0);
+  if ((ended && now < stop_deadline_) || now >= stop_deadline_ + kLastFlush) {
     Log(LogLevel::kInfo, "callers_done",
-        {{"in_flight", state_->in_flight}, {"callers", callers_->size()}});
+        {{"in_flight", state_->in_flight}, {"callers", sessions_->size()}});
     const auto done = std::exchange(stop_done_, nullptr);
     if (done) {
       done();
     }
     return;
   }
-  stop_timer_.Set(std::min(now + kStopCheckPeriod, stop_deadline_));
+  const TimePoint next = now + kStopCheckPeriod;
+  stop_timer_.Set(now < stop_deadline_ ? std::min(next, stop_deadline_) : next);
 }
 
 }  // namespace gentianreach::entry
--- a/src/entry/entry_proxy.h
+++ b/src/entry/entry_proxy.h
@@ -32,22 +32,24 @@
   [[nodiscard]] std::uint16_t port() const { return listener_.port(); }
 
   // Stops gracefully: callers are still accepted until `accept_until`, since
-  // the balancer learns late; every answer closes its connection. `done` is
-  // called when nothing is left, or at `deadline`.
+  // the balancer learns late; every answer closes its connection. What has no
+  // answer at `deadline` gets one that says whether it may have run. `done` is
+  // called when nothing is left, or soon after `deadline`.
   void Stop(TimePoint accept_until,
             TimePoint deadline,
             std::function<void()> done);
 
  private:
-  using Callers = std::unordered_map<proxy::CallerConnection*,
-                                     std::shared_ptr<proxy::CallerConnection>>;
+  class Session;
+  using Sessions =
+      std::unordered_map<proxy::CallerConnection*, std::shared_ptr<Session>>;
 
   void Accept();
   void CloseListener();
   void CheckStopped();
 
   std::shared_ptr<EntryState> state_;
-  std::shared_ptr<Callers> callers_ = std::make_shared<Callers>();
+  std::shared_ptr<Sessions> sessions_ = std::make_shared<Sessions>();
   net::TcpSocket listener_;
   net::EventLoop::WatchId listener_watch_ = 0;
   net::DeadlineTimer stop_timer_;
--- a/src/entry/entry_request.cc
+++ b/src/entry/entry_request.cc
@@ -178,8 +178,29 @@
   if (done_) {
     return;
   }
-  if (route_ == nullptr || !connection_) {
-    End(may_have_run_ ? kGatewayTimeout : kUnavailable, Reason::kDeadline, {});
+  GiveUp(Reason::kDeadline);
+}
+
+void EntryRequest::OnStopDeadline() {
+  const auto self = shared_from_this();
+  if (!done_) {
+    GiveUp(Reason::kDraining);
+  }
+}
+
+void EntryRequest::GiveUp(Reason reason) {
+  if (committed_) {
+    // A part of the answer has been passed on: nothing else can follow it.
+    if (const auto connection = std::exchange(connection_, nullptr)) {
+      connection->Abandon();
+      EndAttempt(AttemptResult::kCancelled);
+    }
+    Finish(0, "broken_off");
+    caller_->Abort();
+    return;
+  }
+  if (!connection_) {
+    End(may_have_run_ ? kGatewayTimeout : kUnavailable, reason, {});
     return;
   }
   const bool sent = connection_->written();
@@ -188,7 +209,7 @@
   may_have_run_ = may_have_run_ || sent;
   const bool silent = state_->loads.last_answer(server_) < attempt_started_;
   EndAttempt(silent ? AttemptResult::kBroken : AttemptResult::kCancelled);
-  End(may_have_run_ ? kGatewayTimeout : kUnavailable, Reason::kDeadline, {});
+  End(may_have_run_ ? kGatewayTimeout : kUnavailable, reason, {});
 }
 
 void EntryRequest::Attempt() {
--- a/src/entry/entry_request.h
+++ b/src/entry/entry_request.h
@@ -37,6 +37,8 @@
 
   // Handles one event of the caller's connection.
   void OnCallerEvent(proxy::CallerEvent event);
+  // The daemon ends: answers at once, since nobody could later.
+  void OnStopDeadline();
   // Returns whether the request has its answer.
   [[nodiscard]] bool done() const { return done_; }
 
@@ -46,6 +48,9 @@
   void OnBodyEnd();
   void OnRefused();
   void OnDeadline();
+  // Leaves the attempt under way and ends the request with a status that says
+  // whether it may have run.
+  void GiveUp(Reason reason);
 
   void Attempt();
   [[nodiscard]] ServerChoice Choose() const;
--- a/src/entry/store_watcher.cc
+++ b/src/entry/store_watcher.cc
@@ -2,8 +2,10 @@
 
 #include <algorithm>
 #include <chrono>
+#include <set>
 #include <utility>
 
+#include "base/gzip.h"
 #include "base/log.h"
 
 namespace gentianreach::entry {
@@ -25,8 +27,10 @@
 // Live servers write their entries again within about two seconds of the
 // store's return; one that is missing then is gone.
 constexpr Duration kReturnTime = milliseconds(2000);
-// Changes kept for other daemons.
+// Changes kept for other daemons: a second or two of the busiest times.
 constexpr std::size_t kMostChanges = 256;
+// A copy of all objects of one kind has some 100 KB at 230 servers.
+constexpr std::size_t kMostRelayedBytes = 64 << 20;
 
 const char* Name(platform::ObjectKind kind) {
   switch (kind) {
@@ -197,13 +201,8 @@
     objects_[object.name] = object;
   }
   changed_at_ = revision;
-  if (source_ == WatchSource::kLeader) {
-    // Nobody asks a daemon that follows another one.
-    changes_.clear();
-    changes_from_ = revision;
-    return;
-  }
-  changes_.push_back({revision, object});
+  // Also where another daemon leads: this one may be the next.
+  changes_.push_back({revision, object.name});
   if (changes_.size() > kMostChanges) {
     changes_from_ = changes_.front().revision;
     changes_.pop_front();
@@ -293,26 +292,40 @@
       add(it);
     }
   } else {
+    // An object that changed several times is sent once, as it is now.
+    std::set<std::string> changed;
     for (const Change& it : changes_) {
       if (it.revision > since) {
-        add(it.object);
+        changed.insert(it.name);
       }
     }
+    for (const std::string& it : changed) {
+      const auto present = objects_.find(it);
+      add(present != objects_.end() ? present->second
+                                    : platform::Object{it, at, true, {}});
+    }
   }
-  answer_ = nlohmann::json{{"revision", at},
-                           {"listed", listed_},
-                           {"whole", whole},
-                           {"objects", std::move(list)}}
-                .dump();
+  answer_ = Compress(nlohmann::json{
+      {"revision", at},
+      {"listed", listed_},
+      {"whole", whole},
+      {"objects",
+       std::move(list)}}.dump());
   return answer_;
 }
 
-bool StoreWatcher::Adopt(const std::string& text) {
+bool StoreWatcher::Adopt(const std::string& data) {
+  const auto text = Decompress(data, kMostRelayedBytes);
+  if (!text) {
+    Log(LogLevel::kWarning, "relayed_changes_unusable",
+        {{"kind", Name(kind_)}, {"error", "cannot be decompressed"}});
+    return false;
+  }
   std::vector<platform::Object> objects;
   std::uint64_t revision = 0;
   bool whole = false;
   try {
-    const auto changes = nlohmann::json::parse(text);
+    const auto changes = nlohmann::json::parse(*text);
     if (!changes.at("listed").get<bool>()) {
       return false;
     }
--- a/src/entry/store_watcher.h
+++ b/src/entry/store_watcher.h
@@ -85,8 +85,8 @@
   // Takes in an object that this daemon has just written.
   void Put(const platform::Object& object);
 
-  // Returns the changes after `since` for another daemon's Adopt(), or
-  // everything where they are not known any more.
+  // Returns what has changed after `since`, compressed, for another daemon's
+  // Adopt(), or everything where that is not known any more.
   [[nodiscard]] const std::string& ChangesSince(std::uint64_t since);
   // Takes what ChangesSince() of another daemon returned. Returns false where
   // it cannot be used.
@@ -100,10 +100,10 @@
   [[nodiscard]] bool listed() const { return listed_; }
 
  private:
-  // One change that was taken in when the copy reached `revision`.
+  // An object that changed when the copy reached `revision`.
   struct Change {
     std::uint64_t revision = 0;
-    platform::Object object;
+    std::string name;
   };
 
   void Continue();
