Relayed changes are patches of the objects that changed

Ruled out: the leader's processor time (46 ms/s at most). Change: a change is passed on as a merge patch of the object as the follower has it, with the revision that it needs; a copy that it does not fit asks for everything. The table of owners is an object by first key, so that a patch names only ranges that changed. Pauses between beats grow with the members.

--- a/src/entry/entry_daemon.cc
+++ b/src/entry/entry_daemon.cc
@@ -41,8 +41,10 @@
 constexpr Duration kElectionSpread = milliseconds(400);
 // Processor share with which a daemon asks for the lead at once.
 constexpr double kLeaderProcessorShare = 0.3;
-// Pause between two beats to all members while copies change quickly.
+// Pause between two beats to all members while copies change quickly: at least,
+// and for each member, since every one asks for the changes that it is told of.
 constexpr Duration kBeatPause = milliseconds(40);
+constexpr Duration kBeatPausePerMember = milliseconds(2);
 // A stopping daemon still accepts callers for this time: the balancer looks
 // once a second and takes it out after two misses.
 constexpr Duration kAcceptWhileStopping = milliseconds(2600);
@@ -156,7 +158,9 @@
         housekeeping_(loop_, [this] { Housekeep(); }),
         election_timer_(loop_, [this] { Elect(); }),
         beat_timer_(loop_, [this] {
-          next_beat_ = loop_.Now() + kBeatPause;
+          next_beat_ =
+              loop_.Now() +
+              std::max(kBeatPause, link_.members() * kBeatPausePerMember);
           link_.BeatAll();
         }) {
     health_.on_change = [this](bool lost) { OnStoreChange(lost); };
@@ -455,13 +459,13 @@
                     const std::string& address,
                     std::uint64_t changed_at) {
     if (i >= fetching_.size() || fetching_[i] ||
-        Watchers()[i]->revision() >= changed_at) {
+        Watchers()[i]->relay_since() >= changed_at) {
       return;
     }
     fetching_[i] = true;
     HttpCall call;
     call.url = "http://" + address + kRelayPath + "?kind=" + kRelayKinds[i] +
-               "&since=" + std::to_string(Watchers()[i]->revision());
+               "&since=" + std::to_string(Watchers()[i]->relay_since());
     call.deadline = loop_.Now() + kRelayTimeout;
     relay_client_.Send(std::move(call), [this, i](const HttpReply& reply) {
       fetching_[i] = false;
--- a/src/entry/store_watcher.cc
+++ b/src/entry/store_watcher.cc
@@ -2,11 +2,12 @@
 
 #include <algorithm>
 #include <chrono>
-#include <set>
+#include <optional>
 #include <utility>
 
 #include "base/gzip.h"
 #include "base/log.h"
+#include "base/merge_patch.h"
 
 namespace gentianreach::entry {
 namespace {
@@ -46,6 +47,29 @@
   return "";
 }
 
+// Returns how a change is passed on: as a patch of what the object was, where
+// that is possible.
+nlohmann::json EncodeChange(const platform::Object* before,
+                            const platform::Object& object) {
+  nlohmann::json entry = {{"name", object.name},
+                          {"revision", object.revision},
+                          {"deleted", object.deleted}};
+  if (object.deleted) {
+    return entry;
+  }
+  std::optional<nlohmann::json> patch;
+  if (before != nullptr) {
+    patch = MakeMergePatch(before->whole, object.whole);
+  }
+  if (patch) {
+    entry["from"] = before->revision;
+    entry["patch"] = *std::move(patch);
+  } else {
+    entry["object"] = object.whole;
+  }
+  return entry;
+}
+
 }  // namespace
 
 void StoreHealth::OnAnswer() {
@@ -140,7 +164,7 @@
     timer_.Set(turn);
     return;
   }
-  Call(!listed_);
+  Call(!listed_ || needs_whole_);
 }
 
 void StoreWatcher::Call(bool list) {
@@ -195,14 +219,17 @@
 
 void StoreWatcher::Record(const platform::Object& object,
                           std::uint64_t revision) {
+  const auto known = objects_.find(object.name);
+  const platform::Object* before =
+      known == objects_.end() ? nullptr : &known->second;
+  // Also where another daemon leads: this one may be the next.
+  changes_.push_back({revision, EncodeChange(before, object)});
   if (object.deleted) {
     objects_.erase(object.name);
   } else {
     objects_[object.name] = object;
   }
   changed_at_ = revision;
-  // Also where another daemon leads: this one may be the next.
-  changes_.push_back({revision, object.name});
   if (changes_.size() > kMostChanges) {
     changes_from_ = changes_.front().revision;
     changes_.pop_front();
@@ -235,6 +262,7 @@
     changes_from_ = revision;
   }
   listed_ = true;
+  needs_whole_ = false;
   revision_ = std::max(revision_, revision);
   for (const platform::Object& it : changed) {
     Record(it, revision_);
@@ -247,20 +275,23 @@
   revision_ = std::max(revision_, revision);
   std::vector<platform::Object> changed;
   for (const platform::Object& it : objects) {
-    const auto known = objects_.find(it.name);
-    // What this daemon wrote itself is known already.
-    if (!it.deleted && known != objects_.end() &&
-        known->second.revision >= it.revision) {
-      continue;
+    if (IsNews(it)) {
+      Record(it, revision_);
+      changed.push_back(it);
     }
-    Record(it, revision_);
-    changed.push_back(it);
   }
   if (!changed.empty()) {
     sink_.on_events(changed);
   }
 }
 
+bool StoreWatcher::IsNews(const platform::Object& object) const {
+  const auto known = objects_.find(object.name);
+  // What this daemon wrote itself is known already.
+  return object.deleted || known == objects_.end() ||
+         known->second.revision < object.revision;
+}
+
 void StoreWatcher::Put(const platform::Object& object) {
   const auto known = objects_.find(object.name);
   if (known != objects_.end() && known->second.revision >= object.revision) {
@@ -280,30 +311,17 @@
   answer_since_ = since;
   answer_at_ = at;
   nlohmann::json list = nlohmann::json::array();
-  const auto add = [&](const platform::Object& object) {
-    list.push_back({{"name", object.name},
-                    {"revision", object.revision},
-                    {"deleted", object.deleted},
-                    {"object", object.whole}});
-  };
   const bool whole = since == 0 || since < changes_from_;
   if (whole) {
     for (const auto& [name, it] : objects_) {
-      add(it);
+      list.push_back(EncodeChange(nullptr, it));
     }
   } else {
-    // An object that changed several times is sent once, as it is now.
-    std::set<std::string> changed;
     for (const Change& it : changes_) {
       if (it.revision > since) {
-        changed.insert(it.name);
+        list.push_back(it.entry);
       }
     }
-    for (const std::string& it : changed) {
-      const auto present = objects_.find(it);
-      add(present != objects_.end() ? present->second
-                                    : platform::Object{it, at, true, {}});
-    }
   }
   answer_ = Compress(nlohmann::json{
       {"revision", at},
@@ -314,6 +332,29 @@
   return answer_;
 }
 
+std::optional<platform::Object> StoreWatcher::ReadEntry(
+    const nlohmann::json& entry) const {
+  platform::Object object{entry.at("name").get<std::string>(),
+                          entry.at("revision").get<std::uint64_t>(),
+                          entry.at("deleted").get<bool>(),
+                          {}};
+  if (entry.contains("object")) {
+    object.whole = entry.at("object");
+    return object;
+  }
+  if (object.deleted) {
+    return object;
+  }
+  const auto known = objects_.find(object.name);
+  if (known == objects_.end() ||
+      known->second.revision != entry.at("from").get<std::uint64_t>()) {
+    return std::nullopt;
+  }
+  object.whole = known->second.whole;
+  object.whole.merge_patch(entry.at("patch"));
+  return object;
+}
+
 bool StoreWatcher::Adopt(const std::string& data) {
   const auto text = Decompress(data, kMostRelayedBytes);
   if (!text) {
@@ -321,36 +362,55 @@
         {{"kind", Name(kind_)}, {"error", "cannot be decompressed"}});
     return false;
   }
-  std::vector<platform::Object> objects;
-  std::uint64_t revision = 0;
-  bool whole = false;
   try {
-    const auto changes = nlohmann::json::parse(*text);
-    if (!changes.at("listed").get<bool>()) {
-      return false;
-    }
-    revision = changes.at("revision").get<std::uint64_t>();
-    whole = changes.at("whole").get<bool>();
-    for (const auto& it : changes.at("objects")) {
-      objects.push_back({it.at("name").get<std::string>(),
-                         it.at("revision").get<std::uint64_t>(),
-                         it.at("deleted").get<bool>(), it.at("object")});
-    }
+    return AdoptChanges(nlohmann::json::parse(*text));
   } catch (const nlohmann::json::exception& error) {
     Log(LogLevel::kWarning, "relayed_changes_unusable",
         {{"kind", Name(kind_)}, {"error", error.what()}});
     return false;
   }
-  // A leader that knows less than this daemon has nothing to tell.
-  if (revision < revision_ || (!whole && !listed_)) {
+}
+
+bool StoreWatcher::AdoptChanges(const nlohmann::json& changes) {
+  const auto revision = changes.at("revision").get<std::uint64_t>();
+  const bool whole = changes.at("whole").get<bool>();
+  // Who knows less than this daemon has nothing to tell.
+  if (!changes.at("listed").get<bool>() || revision < revision_ ||
+      (!whole && !listed_)) {
     return false;
   }
   if (whole) {
+    std::vector<platform::Object> objects;
+    for (const auto& it : changes.at("objects")) {
+      if (auto object = ReadEntry(it)) {
+        objects.push_back(*std::move(object));
+      }
+    }
     TakeList(objects, revision);
-  } else {
-    TakeEvents(objects, revision);
+    return true;
+  }
+  revision_ = revision;
+  std::vector<platform::Object> changed;
+  for (const auto& it : changes.at("objects")) {
+    // One by one: the next may be a patch of this one.
+    const auto object = ReadEntry(it);
+    if (!object) {
+      Log(LogLevel::kWarning, "relayed_change_misfits",
+          {{"kind", Name(kind_)},
+           {"object", it.at("name").get<std::string>()},
+           {"revision", revision_}});
+      needs_whole_ = true;
+      break;
+    }
+    if (IsNews(*object)) {
+      Record(*object, revision);
+      changed.push_back(*object);
+    }
+  }
+  if (!changed.empty()) {
+    sink_.on_events(changed);
   }
-  return true;
+  return !needs_whole_;
 }
 
 }  // namespace gentianreach::entry
--- a/src/entry/store_watcher.h
+++ b/src/entry/store_watcher.h
@@ -95,15 +95,20 @@
   // Returns the store's revision up to which the copy is complete; 0: nothing
   // is known yet.
   [[nodiscard]] std::uint64_t revision() const { return revision_; }
+  // Returns since when this copy needs the changes of another daemon's.
+  [[nodiscard]] std::uint64_t relay_since() const {
+    return needs_whole_ ? 0 : revision_;
+  }
   // Returns the revision at which the copy last changed.
   [[nodiscard]] std::uint64_t changed_at() const { return changed_at_; }
   [[nodiscard]] bool listed() const { return listed_; }
 
  private:
-  // An object that changed when the copy reached `revision`.
+  // A change that was taken in when the copy reached `revision`, as it is
+  // passed on.
   struct Change {
     std::uint64_t revision = 0;
-    std::string name;
+    nlohmann::json entry;
   };
 
   void Continue();
@@ -114,6 +119,13 @@
   void TakeEvents(const std::vector<platform::Object>& objects,
                   std::uint64_t revision);
   void Record(const platform::Object& object, std::uint64_t revision);
+  bool AdoptChanges(const nlohmann::json& changes);
+  // Returns whether the copy does not have `object` yet.
+  [[nodiscard]] bool IsNews(const platform::Object& object) const;
+  // Returns the object that `entry` of another daemon's changes describes;
+  // nothing where it does not fit the copy.
+  [[nodiscard]] std::optional<platform::Object> ReadEntry(
+      const nlohmann::json& entry) const;
 
   net::EventLoop& loop_;
   platform::PlatformClient& platform_;
@@ -130,6 +142,8 @@
   std::deque<Change> changes_;
   // Changes after this revision are in `changes_`.
   std::uint64_t changes_from_ = 0;
+  // A change that was passed on did not fit the copy.
+  bool needs_whole_ = false;
   // The last answer of ChangesSince(), which many ask for at the same time.
   std::string answer_;
   std::uint64_t answer_since_ = 0;
--- a/src/keyspace/ownership_table.cc
+++ b/src/keyspace/ownership_table.cc
@@ -11,46 +11,32 @@
 
 using nlohmann::json;
 
-// Servers stand once in a list; ranges name them by their place there.
-class ServerList {
- public:
-  std::size_t Place(const Owner& owner) {
-    for (std::size_t i = 0; i < entries_.size(); ++i) {
-      if (owner.IsLife(entries_[i].server, entries_[i].incarnation)) {
-        return i;
-      }
-    }
-    entries_.push_back(owner);
-    return entries_.size() - 1;
-  }
-  [[nodiscard]] json Encode() const {
-    json list = json::array();
-    for (const Owner& it : entries_) {
-      list.push_back({it.server.value(), it.incarnation.value()});
-    }
-    return list;
-  }
+// Ranges stand in an object under their first key, so that a patch from one
+// table to the next names only the ranges that differ.
+constexpr int kKeyDigits = 5;
 
- private:
-  std::vector<Owner> entries_;
-};
+std::string NameOf(std::uint32_t first) {
+  const std::string digits = std::to_string(first);
+  return std::string(kKeyDigits - digits.size(), '0') + digits;
+}
+
+json EncodeOwner(const Owner& owner) {
+  return {owner.server.value(), owner.incarnation.value(), owner.token.value()};
+}
 
-Owner DecodeOwner(const json& servers, const json& place, const json& token) {
-  const json& it = servers.at(place.get<std::size_t>());
+Owner DecodeOwner(const json& it) {
   return {ServerId(it.at(0).get<std::string>()),
           Incarnation(it.at(1).get<std::uint64_t>()),
-          Token(token.get<std::uint64_t>())};
+          Token(it.at(2).get<std::uint64_t>())};
 }
 
-OwnedRange DecodeRange(const json& servers, const json& it) {
+OwnedRange DecodeRange(const std::string& name, const json& it) {
   OwnedRange range;
-  range.range = {it.at(0).get<std::uint32_t>(), it.at(1).get<std::uint32_t>()};
-  range.owner = DecodeOwner(servers, it.at(2), it.at(3));
-  if (it.size() > 4) {
-    for (const json& earlier : it.at(4)) {
-      range.earlier.push_back(
-          DecodeOwner(servers, earlier.at(0), earlier.at(1)));
-    }
+  range.range = {static_cast<std::uint32_t>(std::stoul(name)),
+                 it.at(0).get<std::uint32_t>()};
+  range.owner = DecodeOwner(it.at(1));
+  for (std::size_t i = 2; i < it.size(); ++i) {
+    range.earlier.push_back(DecodeOwner(it.at(i)));
   }
   return range;
 }
@@ -90,23 +76,17 @@
 }
 
 json EncodeTable(const OwnershipTable& table) {
-  ServerList servers;
-  json ranges = json::array();
+  json ranges = json::object();
   for (const OwnedRange& it : table.ranges) {
-    json range = {it.range.first, it.range.last, servers.Place(it.owner),
-                  it.owner.token.value()};
-    if (it.moving()) {
-      json earlier = json::array();
-      for (const Owner& owner : it.earlier) {
-        earlier.push_back({servers.Place(owner), owner.token.value()});
-      }
-      range.push_back(std::move(earlier));
+    // Last key, owner, earlier owners.
+    json range = {it.range.last, EncodeOwner(it.owner)};
+    for (const Owner& owner : it.earlier) {
+      range.push_back(EncodeOwner(owner));
     }
-    ranges.push_back(std::move(range));
+    ranges[NameOf(it.range.first)] = std::move(range);
   }
   return {{"epoch", table.epoch.value()},
           {"nextToken", table.next_token.value()},
-          {"servers", servers.Encode()},
           {"ranges", std::move(ranges)}};
 }
 
@@ -115,15 +95,14 @@
     OwnershipTable table;
     table.epoch = Epoch(content.at("epoch").get<std::uint64_t>());
     table.next_token = Token(content.at("nextToken").get<std::uint64_t>());
-    const json& servers = content.at("servers");
-    for (const json& it : content.at("ranges")) {
-      table.ranges.push_back(DecodeRange(servers, it));
+    for (const auto& [name, it] : content.at("ranges").items()) {
+      table.ranges.push_back(DecodeRange(name, it));
     }
     if (!CoversAllKeys(table.ranges)) {
       return std::nullopt;
     }
     return table;
-  } catch (const json::exception&) {
+  } catch (const std::exception&) {
     return std::nullopt;
   }
 }
--- a/src/keyspace/ownership_table_test.cc
+++ b/src/keyspace/ownership_table_test.cc
@@ -28,8 +28,12 @@
   gap.ranges.pop_back();
   CHECK_FALSE(DecodeTable(EncodeTable(gap)).has_value());
   CHECK_FALSE(DecodeTable(nlohmann::json("text")).has_value());
+  // An owner that is none, and a range whose name is no key.
   auto content = EncodeTable(Sample());
-  content["ranges"][0][2] = 17;  // No such server.
+  content["ranges"]["00000"][1] = 17;
+  CHECK_FALSE(DecodeTable(content).has_value());
+  content = EncodeTable(Sample());
+  content["ranges"]["x"] = content["ranges"]["00000"];
   CHECK_FALSE(DecodeTable(content).has_value());
 }
 
