A new leader's relay takes all daemons' connections at once

Ruled out: the leader's processor time and link (both measured before). Change: the operators' and relay's HTTP server listens with a queue of 1024. Test: operator_server_test, 200 connections before the first is accepted; fails with the queue before.

--- a/src/daemon/operator_server.cc
+++ b/src/daemon/operator_server.cc
@@ -7,6 +7,10 @@
 namespace gentianreach {
 namespace {
 
+// Connections that may wait to be accepted: all daemons ask a new leader for
+// its copies at the same time, and one that does not fit tries again after 1 s.
+constexpr int kListenBacklog = 1024;
+
 OperatorRequest CopyRequest(SoupServerMessage* message, GHashTable* query) {
   OperatorRequest request;
   request.method = soup_server_message_get_method(message);
@@ -55,9 +59,19 @@
     return boost::leaf::new_error(ListenError{address + ": not an address"});
   }
   GError* raw_error = nullptr;
-  soup_server_listen(server_.get(), parsed.get(),
-                     static_cast<SoupServerListenOptions>(0), &raw_error);
-  if (raw_error != nullptr) {
+  // libsoup's own sockets queue ten connections.
+  const auto socket = GObjectPtr<GSocket>::Adopt(
+      g_socket_new(g_socket_address_get_family(parsed.get()),
+                   G_SOCKET_TYPE_STREAM, G_SOCKET_PROTOCOL_TCP, &raw_error));
+  if (socket) {
+    g_socket_set_listen_backlog(socket.get(), kListenBacklog);
+  }
+  if (!socket ||
+      g_socket_bind(socket.get(), parsed.get(), TRUE, &raw_error) == 0 ||
+      g_socket_listen(socket.get(), &raw_error) == 0 ||
+      soup_server_listen_socket(server_.get(), socket.get(),
+                                static_cast<SoupServerListenOptions>(0),
+                                &raw_error) == 0) {
     const GErrorPtr error(raw_error);
     return boost::leaf::new_error(ListenError{address + ": " + error->message});
   }
--- /dev/null
+++ b/src/daemon/operator_server_test.cc
@@ -0,0 +1,76 @@
+#include "daemon/operator_server.h"
+
+#include <string>
+#include <vector>
+
+#include <doctest/doctest.h>
+#include <boost/leaf/handle_errors.hpp>
+
+#include "net/http_client.h"
+#include "net/tcp_socket.h"
+
+namespace gentianreach {
+namespace {
+
+constexpr Duration kPatience = std::chrono::seconds(30);
+
+std::string AddressOf(OperatorServer& server) {
+  const auto port = server.Listen("127.0.0.1:0");
+  REQUIRE(port);
+  return "127.0.0.1:" + std::to_string(*port);
+}
+
+TEST_CASE("a request reaches the handler of its path and method") {
+  OperatorServer server;
+  server.Handle("GET", "/hello", [](const OperatorRequest& request) {
+    return OperatorReply{200, "text/plain", "hello " + request.Query("name")};
+  });
+  const std::string url = "http://" + AddressOf(server);
+  HttpClient client;
+  const auto send = [&](const std::string& method, const std::string& path) {
+    HttpCall call;
+    call.method = method;
+    call.url = url + path;
+    call.deadline = MonotonicClock().Now() + kPatience;
+    return client.SendAndWait(std::move(call));
+  };
+  CHECK(send("GET", "/hello?name=ana").body == "hello ana");
+  CHECK(send("GET", "/other").status == 404);
+  CHECK(send("POST", "/hello").status == 405);
+}
+
+TEST_CASE("many connections at the same time wait until they are accepted") {
+  OperatorServer server;
+  const std::string address = AddressOf(server);
+  std::vector<net::TcpSocket> sockets;
+  // Nothing is accepted before the main context runs.
+  for (int i = 0; i < 200; ++i) {
+    auto socket = net::TcpSocket::Connect(address);
+    REQUIRE(socket);
+    sockets.push_back(*std::move(socket));
+    // Known once the other side has taken the connection.
+    CHECK_FALSE(sockets.back().PeerAddress().empty());
+  }
+}
+
+TEST_CASE("an address that is taken is an error") {
+  OperatorServer server;
+  const std::string address = AddressOf(server);
+  OperatorServer other;
+  std::string message;
+  const bool listens = boost::leaf::try_handle_all(
+      [&]() -> boost::leaf::result<bool> {
+        BOOST_LEAF_CHECK(other.Listen(address));
+        return true;
+      },
+      [&](const ListenError& error) {
+        message = error.message;
+        return false;
+      },
+      [] { return false; });
+  CHECK_FALSE(listens);
+  CHECK(message.find(address) != std::string::npos);
+}
+
+}  // namespace
+}  // namespace gentianreach
