--- a/soak/soak.cc
+++ b/soak/soak.cc
@@ -371,12 +371,10 @@
     switch (fault.kind) {
       case FaultKind::kKillDaemon:
         Excuse(fault.target, fault);
-        daemons_[fault.target].ending = true;
-        SignalDaemon(fault.target, SIGKILL);
+        EndDaemon(fault.target, SIGKILL);
         break;
       case FaultKind::kStopDaemon:
-        daemons_[fault.target].ending = true;
-        SignalDaemon(fault.target, SIGTERM);
+        EndDaemon(fault.target, SIGTERM);
         break;
       case FaultKind::kPauseDaemon:
         Excuse(fault.target, fault);
@@ -386,12 +384,10 @@
         SignalDaemon(fault.target, SIGHUP);
         break;
       case FaultKind::kKillServer:
-        servers_[fault.target].ending = true;
-        SignalServer(fault.target, SIGKILL);
+        EndServer(fault.target, SIGKILL);
         break;
       case FaultKind::kDrainServer:
-        servers_[fault.target].ending = true;
-        SignalServer(fault.target, SIGTERM);
+        EndServer(fault.target, SIGTERM);
         break;
       case FaultKind::kPauseServer:
         SignalServer(fault.target, SIGSTOP);
@@ -498,6 +494,14 @@
     }
   }
 
+  void EndDaemon(std::size_t i, int signal) {
+    daemons_[i].ending = true;
+    SignalDaemon(i, signal);
+  }
+  void EndServer(std::size_t i, int signal) {
+    servers_[i].ending = true;
+    SignalServer(i, signal);
+  }
   void SignalDaemon(std::size_t i, int signal) {
     if (daemons_[i].process) {
       daemons_[i].process->Signal(signal);
@@ -509,8 +513,12 @@
     }
   }
 
-  // Starts the daemon again, once it has ended.
+  // Starts the daemon again, once it has ended. One that an earlier fault has
+  // had started again meanwhile is left alone.
   void RestartDaemon(std::size_t i) {
+    if (daemons_[i].process && !daemons_[i].ending) {
+      return;
+    }
     if (daemons_[i].process) {
       restart_.insert(i);
       loop_.AddTimer(loop_.Now() + kGrace, [this, i, start = starts_] {
@@ -523,8 +531,11 @@
     StartDaemon(i);
   }
 
-  // Starts the server again, once it has ended.
+  // Starts the server again, once it has ended; see RestartDaemon().
   void RestartServer(std::size_t i) {
+    if (servers_[i].process && !servers_[i].ending) {
+      return;
+    }
     if (servers_[i].process) {
       loop_.AddTimer(loop_.Now() + kSpawnRetry,
                      [this, i] { RestartServer(i); });
@@ -603,8 +614,7 @@
   // All daemons end in order at SIGTERM.
   void StopAll() {
     for (std::size_t i = 0; i < daemons_.size(); ++i) {
-      daemons_[i].ending = true;
-      SignalDaemon(i, SIGTERM);
+      EndDaemon(i, SIGTERM);
     }
     const auto ended = [this] {
       return std::ranges::none_of(
--- a/src/daemon/operator_server_test.cc
+++ b/src/daemon/operator_server_test.cc
@@ -1,5 +1,7 @@
 #include "daemon/operator_server.h"
 
+#include <poll.h>
+
 #include <string>
 #include <vector>
 
@@ -48,8 +50,9 @@
     auto socket = net::TcpSocket::Connect(address);
     REQUIRE(socket);
     sockets.push_back(*std::move(socket));
-    // Known once the other side has taken the connection.
-    CHECK_FALSE(sockets.back().PeerAddress().empty());
+    // Writable once the kernel has taken the connection for the server.
+    pollfd it{sockets.back().fd(), POLLOUT, 0};
+    CHECK(poll(&it, 1, 0) == 1);
   }
 }
 
