--- a/soak/soak.cc
+++ b/soak/soak.cc
@@ -49,6 +49,9 @@
 // A disturbance is felt until this long after it has ended: connections are
 // set up again and held-back packets arrive. `stabilityMs` of the deployments.
 constexpr Duration kAftermath = milliseconds(3000);
+// A change of the configuration is in force everywhere within this time;
+// `configApplyMs` of the deployments.
+constexpr Duration kConfigInForce = milliseconds(2500);
 // Reports of runs reach the soak within this time.
 constexpr Duration kReportDelay = milliseconds(2000);
 constexpr Duration kCheckPeriod = milliseconds(500);
@@ -562,9 +565,11 @@
       Fail("not all processes run again");
       return;
     }
+    const TimePoint end = loop_.Now() + kRecovery;
+    const TimePoint in_force = loop_.Now() + kAftermath + kConfigInForce;
+    loop_.RunUntil([&] { return loop_.Now() >= in_force || Broken(); });
     callers_.kinds.push_back({newest_route_, false, true});
     ExpectEverything();
-    const TimePoint end = loop_.Now() + kRecovery;
     loop_.RunUntil(
         [&] { return missing_.empty() || loop_.Now() >= end || Broken(); });
     if (!missing_.empty() && !Broken()) {
