Parts of shared budgets are cut by a number of members that falls slowly

Change: a fall of the number counts after 10 s, the budget's window; the leader's watches wait 0.7 s instead of 1 s.

--- a/src/entry/entry_daemon.cc
+++ b/src/entry/entry_daemon.cc
@@ -54,7 +54,7 @@
 constexpr milliseconds kLongestUsefulLease{6000};
 // How long watches wait. The leader's are short: a watch that has gone silent
 // is noticed only when it ends. Others watch while no leader is heard.
-constexpr milliseconds kLeaderWatchWait{1000};
+constexpr milliseconds kLeaderWatchWait{700};
 constexpr milliseconds kOwnWatchWait{4000};
 // Silence of the leader after which a daemon follows the store by itself. The
 // next leader is usually elected sooner.
--- a/src/entry/entry_state.cc
+++ b/src/entry/entry_state.cc
@@ -42,7 +42,7 @@
     return found->second;
   }
   const double own_slack =
-      std::max(1.0, bounds_.slack * kBudgetShare / std::max(1U, members_));
+      std::max(1.0, bounds_.slack * kBudgetShare / std::max(1U, members()));
   const RetryBudgetOptions options{.share = bounds_.ratio * kBudgetShare,
                                    .floor = own_slack / 2,
                                    .floor_refill = std::chrono::seconds(5),
@@ -79,7 +79,7 @@
     }
   }
   return static_cast<std::size_t>(static_cast<double>(connections) * share /
-                                  std::max(1U, members_));
+                                  std::max(1U, members()));
 }
 
 std::shared_ptr<proxy::ServerPool> EntryState::Pool(
--- a/src/entry/entry_state.h
+++ b/src/entry/entry_state.h
@@ -15,6 +15,7 @@
 #include "entry/entry_metrics.h"
 #include "entry/header_names.h"
 #include "entry/log_budget.h"
+#include "entry/member_count.h"
 #include "entry/ownership_view.h"
 #include "entry/server_directory.h"
 #include "entry/server_loads.h"
@@ -64,8 +65,8 @@
     return std::exchange(unsent_keys_, {});
   }
   // Sets the number of daemons that share the servers and the budgets.
-  void SetMembers(std::uint32_t members) { members_ = members; }
-  [[nodiscard]] std::uint32_t members() const { return members_; }
+  void SetMembers(std::uint32_t members) { members_.Set(members, loop.Now()); }
+  [[nodiscard]] std::uint32_t members() const { return members_.value(); }
 
   net::EventLoop& loop;
   const HeaderNames headers;
@@ -95,7 +96,7 @@
 
   const RetryBounds bounds_;
   bool counts_load_ = false;
-  std::uint32_t members_ = 1;
+  MemberCount members_;
   std::map<std::string, RetryBudget> budgets_;
   std::map<std::string, keyspace::KeyLoad> key_loads_;
   std::map<std::string, std::vector<std::uint16_t>> unsent_keys_;
