Retry budgets follow the number of daemons; metrics by convention; explain reads lines

A daemon's budget was cut once, by the members it knew at its first request. A daemon that had been killed and started again knew one, itself, and took the whole slack: up to 124 repeats each, six daemons at a time. Ruled out: attempts that are not counted (each repeat after a send asks the budget). Change: bounds of a budget are set by the present number of members, which is assumed to be 64 until a leader tells.

--- a/integration/platform_words_test.sh
+++ b/integration/platform_words_test.sh
@@ -4,7 +4,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 words='trafficSplit|pathPrefix|targetLatencyMs|maxAttempts|holdMs|allowStale|warmupLeftMs|configVersion|createRev|Gentianreach-[A-Z]|/api/(objects|grant|release|readiness)'
-found=$(grep -rnE "$words" src include tools standins bench samples schema || true)
+found=$(grep -rnE "$words" src include tools standins bench samples schema soak || true)
 if [ -n "$found" ]; then
   echo "names of the platform outside platform/:" >&2
   echo "$found" >&2
--- a/soak/store_program.cc
+++ b/soak/store_program.cc
@@ -5,6 +5,7 @@
 //   lose 0|1                  carries out writes without an answer
 //   drop                      forgets the history
 //   put KIND NAME CONTENT     writes an object as its owner would
+//   sample VERSION            writes that version of the sample configuration
 #include <cstdlib>
 #include <iostream>
 #include <string>
@@ -13,6 +14,7 @@
 
 #include "base/glib_ptr.h"
 #include "platform/testing/fake_store.h"
+#include "platform/testing/sample_config.h"
 #include "soak/line_reader.h"
 
 namespace gentianreach::soak {
@@ -42,6 +44,10 @@
     std::string content;
     std::getline(in, content);
     store.Put(kind, name, nlohmann::json::parse(content));
+  } else if (command == "sample") {
+    int version = 0;
+    in >> version;
+    store.Put("config", "main", platform::testing::SampleConfig(version));
   } else {
     std::cerr << "not a command: " << line << "\n";
     std::exit(EXIT_FAILURE);
--- a/src/ctl/daemon_commands.cc
+++ b/src/ctl/daemon_commands.cc
@@ -1,6 +1,10 @@
 #include "ctl/daemon_commands.h"
 
 #include <cstdio>
+#include <fstream>
+#include <iostream>
+
+#include "ctl/explain_lines.h"
 
 namespace gentianreach::ctl {
 namespace {
@@ -69,6 +73,40 @@
   return kExitOk;
 }
 
+int ExplainFromLines(Context& context,
+                     const std::string& file,
+                     const std::string& request) {
+  std::ifstream opened;
+  if (file != "-") {
+    opened.open(file);
+    if (!opened) {
+      PrintError(file + ": cannot be read");
+      return kExitFailure;
+    }
+  }
+  const auto story = ExplainRequest(file == "-" ? std::cin : opened, request);
+  if (!story) {
+    PrintError("no line names the request " + request);
+    return kExitNotFound;
+  }
+  if (context.options().json) {
+    PrintJson({{"lines", story->lines},
+               {"context", story->context},
+               {"summary", story->summary}});
+    return kExitOk;
+  }
+  for (const std::string& it : story->context) {
+    std::printf("before: %s\n", it.c_str());
+  }
+  for (const std::string& it : story->lines) {
+    std::printf("request: %s\n", it.c_str());
+  }
+  std::printf("%s\n", story->summary.empty()
+                          ? "The line that ends the request is missing."
+                          : story->summary.c_str());
+  return kExitOk;
+}
+
 int Explain(Context& context,
             const std::string& request_or_key,
             const std::string& service) {
--- a/src/ctl/daemon_commands.h
+++ b/src/ctl/daemon_commands.h
@@ -18,6 +18,11 @@
 int Drain(Context& context, const std::string& server, bool undo);
 // Prints where a request went and why; with a service, the recent requests of
 // a key.
+// Prints what the log lines of entry daemons in `file` ("-": standard input)
+// say of a request.
+int ExplainFromLines(Context& context,
+                     const std::string& file,
+                     const std::string& request);
 int Explain(Context& context,
             const std::string& request_or_key,
             const std::string& service);
--- a/src/entry/entry_daemon.cc
+++ b/src/entry/entry_daemon.cc
@@ -241,22 +241,69 @@
   }
 
   OperatorReply Metrics() {
+    const TimePoint now = loop_.Now();
     EntryMetrics& metrics = state_->metrics;
-    metrics.Set("in_flight", static_cast<std::int64_t>(state_->in_flight));
+    const auto seconds = [](Duration it) {
+      return std::chrono::duration<double>(it).count();
+    };
+    metrics.Set("in_flight_requests", static_cast<double>(state_->in_flight));
+    metrics.Set("held_requests", static_cast<double>(state_->held.size()));
     metrics.Set("members", state_->members());
-    metrics.Set("leading", election_.IsLeader(loop_.Now()) ? 1 : 0);
+    metrics.Set("leading", election_.IsLeader(now) ? 1 : 0);
     metrics.Set("leader_epoch",
-                static_cast<std::int64_t>(election_.record().epoch.value()));
+                static_cast<double>(election_.record().epoch.value()));
+    if (link_.leader_heard_at() != TimePoint{}) {
+      metrics.Set("leader_silence_seconds",
+                  seconds(now - link_.leader_heard_at()));
+    }
     metrics.Set("store_lost", health_.lost() ? 1 : 0);
-    metrics.Set("store_calls",
-                static_cast<std::int64_t>(platform_.store_calls()));
-    metrics.Set("servers",
-                static_cast<std::int64_t>(state_->directory.servers().size()));
-    metrics.Set("config_version", state_->routes
-                                      ? static_cast<std::int64_t>(
-                                            state_->routes->config().version)
-                                      : 0);
-    return {200, "text/plain", metrics.Text()};
+    if (health_.answered_at() != TimePoint{}) {
+      metrics.Set("store_silence_seconds",
+                  seconds(now - health_.answered_at()));
+    }
+    metrics.Set("store_calls_total",
+                static_cast<double>(platform_.store_calls()));
+    metrics.Set("log_lines_dropped_total",
+                static_cast<double>(DroppedLogLines()));
+    metrics.Set("config_version",
+                state_->routes
+                    ? static_cast<double>(state_->routes->config().version)
+                    : 0);
+    SetServiceMetrics(now);
+    return {200, "text/plain; version=0.0.4", metrics.Text()};
+  }
+
+  void SetServiceMetrics(TimePoint now) {
+    if (!state_->routes) {
+      return;
+    }
+    EntryMetrics& metrics = state_->metrics;
+    for (const auto& [name, service] : state_->routes->config().services) {
+      const std::string label = "service=\"" + name + "\"";
+      double servers = 0;
+      double free = 0;
+      for (const auto& [id, it] : state_->directory.servers()) {
+        if (it.service != name) {
+          continue;
+        }
+        ++servers;
+        free +=
+            it.slots * std::max(0.0, 1 - state_->loads.Utilization(it, now));
+      }
+      metrics.Set("servers", servers, label);
+      metrics.Set("slots_known_free", free, label);
+      metrics.Set("retries_left", state_->Budget(name).Left(now), label);
+      const auto* table = state_->ownership.Find(name);
+      if (table == nullptr) {
+        continue;
+      }
+      metrics.Set("ranges", static_cast<double>(table->ranges.size()), label);
+      metrics.Set(
+          "ranges_moving",
+          static_cast<double>(std::ranges::count_if(
+              table->ranges, [](const auto& it) { return it.moving(); })),
+          label);
+    }
   }
 
   void OnConfig(const std::vector<platform::Object>& objects) {
@@ -511,8 +558,8 @@
     housekeeping_.Set(now + kHousekeepingPeriod);
     UpdateNews();
     JudgeLeader();
-    if (const auto dropped = state_->log_budget.TakeDropped(); dropped > 0) {
-      Log(LogLevel::kWarning, "log_lines_dropped", {{"lines", dropped}});
+    if (const auto left_out = state_->log_budget.TakeLeftOut(); left_out > 0) {
+      Log(LogLevel::kWarning, "log_lines_left_out", {{"lines", left_out}});
     }
     if (!election_timer_.deadline()) {
       Elect();
--- a/src/entry/entry_metrics.cc
+++ b/src/entry/entry_metrics.cc
@@ -1,68 +1,149 @@
 #include "entry/entry_metrics.h"
 
+#include <algorithm>
+#include <array>
 #include <chrono>
+#include <cmath>
+#include <iomanip>
 #include <sstream>
 
+#include "gentianreach/check.h"
+
 namespace gentianreach::entry {
 namespace {
 
 namespace bh = boost::histogram;
 
-// Latency bins: 24 of equal width on a logarithmic scale.
+constexpr std::string_view kPrefix = "gentianreach_";
+// Latency bins: 24 of equal width on a logarithmic scale, from the fastest
+// answers over the network to beyond the longest deadlines.
 constexpr unsigned kBins = 24;
-constexpr double kLeastMs = 1;
-constexpr double kMostMs = 10'000;
+constexpr double kLeastSeconds = 0.001;
+constexpr double kMostSeconds = 20;
+constexpr std::string_view kLatency = "request_duration_seconds";
+
+struct Description {
+  std::string_view name;
+  std::string_view type;
+  std::string_view help;
+};
+constexpr std::array kDescriptions = {
+    Description{"requests_total", "counter", "Requests by how they ended."},
+    Description{"attempts_failed_total", "counter",
+                "Attempts at a server without an answer for the caller."},
+    Description{"orders_total", "counter", "Orders sent to servers by kind."},
+    Description{"callers_turned_away_total", "counter",
+                "Connections of callers beyond those that a daemon takes."},
+    Description{"store_calls_total", "counter", "Calls to the store."},
+    Description{"log_lines_dropped_total", "counter",
+                "Log lines that the reader of standard output did not take."},
+    Description{"in_flight_requests", "gauge", "Requests without an answer."},
+    Description{"held_requests", "gauge",
+                "Requests that wait for an owner of their key."},
+    Description{"members", "gauge", "Daemons that share servers and budgets."},
+    Description{"leading", "gauge", "1 where this daemon leads."},
+    Description{"leader_epoch", "gauge", "Epoch of the leader it follows."},
+    Description{"leader_silence_seconds", "gauge",
+                "Time since the leader was last heard."},
+    Description{"store_lost", "gauge", "1 while the store does not answer."},
+    Description{"store_silence_seconds", "gauge",
+                "Time since the store last answered this daemon."},
+    Description{"servers", "gauge", "Servers that are known, by service."},
+    Description{"slots_known_free", "gauge",
+                "Slots of servers without a request, by service, as reported."},
+    Description{"ranges", "gauge", "Ranges of keys by service."},
+    Description{"ranges_moving", "gauge",
+                "Ranges whose new owner has no grant yet, by service."},
+    Description{"retries_left", "gauge",
+                "Repeats that the budget allows now, by service."},
+    Description{"config_version", "gauge", "Version in force; 0: none."},
+    Description{kLatency, "histogram",
+                "Time from a request's head to its answer."},
+};
+
+const Description& DescriptionOf(std::string_view name) {
+  const auto* it = std::ranges::find(kDescriptions, name, &Description::name);
+  GENTIANREACH_CHECK(it != kDescriptions.end());
+  return *it;
+}
+
+void AppendDescription(std::ostream& out, std::string_view name) {
+  const Description& it = DescriptionOf(name);
+  out << "# HELP " << kPrefix << name << " " << it.help << "\n# TYPE "
+      << kPrefix << name << " " << it.type << "\n";
+}
 
 }  // namespace
 
 void EntryMetrics::Count(std::string_view name,
                          std::string_view label,
                          std::uint64_t n) {
-  std::string key = "gentianreach_";
-  key += name;
-  if (!label.empty()) {
-    key += "{";
-    key += label;
-    key += "}";
-  }
-  counters_[key] += n;
+  static_cast<void>(DescriptionOf(name));
+  values_[std::string(name)][std::string(label)] += static_cast<double>(n);
 }
 
-void EntryMetrics::Set(std::string_view name, std::int64_t value) {
-  gauges_["gentianreach_" + std::string(name)] = value;
+void EntryMetrics::Set(std::string_view name,
+                       double value,
+                       std::string_view label) {
+  static_cast<void>(DescriptionOf(name));
+  values_[std::string(name)][std::string(label)] = value;
 }
 
-void EntryMetrics::RecordLatency(const std::string& service, Duration latency) {
-  auto it = latencies_.find(service);
+void EntryMetrics::RecordLatency(const std::string& route,
+                                 const std::string& service,
+                                 Duration latency) {
+  const std::string labels =
+      "route=\"" + route + "\",service=\"" + service + "\"";
+  auto it = latencies_.find(labels);
   if (it == latencies_.end()) {
     it = latencies_
-             .emplace(service,
-                      bh::make_histogram(
+             .emplace(labels,
+                      Latencies{bh::make_histogram(
                           bh::axis::regular<double, bh::axis::transform::log>(
-                              kBins, kLeastMs, kMostMs)))
+                              kBins, kLeastSeconds, kMostSeconds))})
              .first;
   }
-  it->second(std::chrono::duration<double, std::milli>(latency).count());
+  const double seconds = std::chrono::duration<double>(latency).count();
+  it->second.histogram(seconds);
+  it->second.sum_seconds += seconds;
 }
 
 std::string EntryMetrics::Text() const {
   std::ostringstream out;
-  for (const auto& [name, value] : counters_) {
-    out << name << " " << value << "\n";
+  for (const auto& [name, by_label] : values_) {
+    AppendDescription(out, name);
+    for (const auto& [label, value] : by_label) {
+      out << kPrefix << name;
+      if (!label.empty()) {
+        out << "{" << label << "}";
+      }
+      // Counts are written without an exponent.
+      out << " " << std::fixed
+          << std::setprecision(value == std::floor(value) ? 0 : 3) << value
+          << "\n";
+    }
   }
-  for (const auto& [name, value] : gauges_) {
-    out << name << " " << value << "\n";
+  if (latencies_.empty()) {
+    return out.str();
   }
-  for (const auto& [service, histogram] : latencies_) {
-    double sum = 0;
-    for (auto&& bin : bh::indexed(histogram, bh::coverage::all)) {
-      sum += *bin;
-      out << "gentianreach_request_ms_bucket{service=\"" << service
-          << "\",le=\"" << bin.bin().upper() << "\"} "
-          << static_cast<std::uint64_t>(sum) << "\n";
+  AppendDescription(out, kLatency);
+  out << std::defaultfloat << std::setprecision(6);
+  for (const auto& [labels, it] : latencies_) {
+    std::uint64_t count = 0;
+    for (auto&& bin : bh::indexed(it.histogram, bh::coverage::all)) {
+      count += static_cast<std::uint64_t>(*bin);
+      const double upper = bin.bin().upper();
+      out << kPrefix << kLatency << "_bucket{" << labels << ",le=\"";
+      if (std::isinf(upper)) {
+        out << "+Inf";
+      } else {
+        out << upper;
+      }
+      out << "\"} " << count << "\n";
     }
-    out << "gentianreach_request_ms_count{service=\"" << service << "\"} "
-        << static_cast<std::uint64_t>(sum) << "\n";
+    out << kPrefix << kLatency << "_sum{" << labels << "} " << it.sum_seconds
+        << "\n"
+        << kPrefix << kLatency << "_count{" << labels << "} " << count << "\n";
   }
   return out.str();
 }
--- a/src/entry/entry_metrics.h
+++ b/src/entry/entry_metrics.h
@@ -1,4 +1,4 @@
-// Counters and latency histograms of an entry daemon.
+// Counters, gauges and latency histograms of an entry daemon.
 #ifndef SRC_ENTRY_ENTRY_METRICS_H_
 #define SRC_ENTRY_ENTRY_METRICS_H_
 
@@ -13,30 +13,39 @@
 
 namespace gentianreach::entry {
 
+// Every name is one of those that entry_metrics.cc describes, and gets the
+// prefix `gentianreach_`. A label is written like `reason="overload"`.
 class EntryMetrics {
  public:
-  // Adds to the counter `name` with `label` (like `reason="overload"`).
+  // Adds to a counter.
   void Count(std::string_view name,
              std::string_view label = {},
              std::uint64_t n = 1);
-  // Sets a gauge.
-  void Set(std::string_view name, std::int64_t value);
-  // Records the latency of one answered request of a service.
-  void RecordLatency(const std::string& service, Duration latency);
-
-  // Returns everything as text, one "name{labels} value" a line.
+  // Sets a gauge, or a counter that is kept elsewhere.
+  void Set(std::string_view name, double value, std::string_view label = {});
+  // Records the latency of one answered request.
+  void RecordLatency(const std::string& route,
+                     const std::string& service,
+                     Duration latency);
+
+  // Returns everything in the text exposition format of Prometheus.
   [[nodiscard]] std::string Text() const;
 
  private:
-  using Latencies = decltype(boost::histogram::make_histogram(
+  using Histogram = decltype(boost::histogram::make_histogram(
       boost::histogram::axis::regular<double,
                                       boost::histogram::axis::transform::log>(
           1,
           1.0,
           2.0)));
-
-  std::map<std::string, std::uint64_t, std::less<>> counters_;
-  std::map<std::string, std::int64_t, std::less<>> gauges_;
+  struct Latencies {
+    Histogram histogram;
+    double sum_seconds = 0;
+  };
+
+  // By name, then by label.
+  std::map<std::string, std::map<std::string, double>, std::less<>> values_;
+  // By labels.
   std::map<std::string, Latencies> latencies_;
 };
 
--- a/src/entry/entry_request.cc
+++ b/src/entry/entry_request.cc
@@ -497,7 +497,7 @@
     Log(LogLevel::kInfo, "attempt_failed",
         {{"request", id_},
          {"server", server_.value()},
-         {"result", static_cast<int>(result)},
+         {"result", ToString(result)},
          {"may_have_run", may_have_run_},
          {"attempts", attempts_},
          {"ms", (now - attempt_started_) / milliseconds(1)}});
@@ -544,7 +544,8 @@
                       caller_->head().method == "HEAD", keep_alive);
   }
   caller_->Write(std::move(out));
-  state_->metrics.RecordLatency(service_->name, state_->loop.Now() - started_);
+  state_->metrics.RecordLatency(route_->name, service_->name,
+                                state_->loop.Now() - started_);
   Finish(answer_head_.status, "answered");
   caller_->FinishAnswer(keep_alive);
 }
--- a/src/entry/entry_state.cc
+++ b/src/entry/entry_state.cc
@@ -37,12 +37,13 @@
       bounds_(bounds) {}
 
 RetryBudget& EntryState::Budget(const std::string& service) {
+  const double own_slack =
+      std::max(1.0, bounds_.slack * kBudgetShare / std::max(1U, members()));
   const auto found = budgets_.find(service);
   if (found != budgets_.end()) {
+    found->second.SetBounds(own_slack / 2, own_slack);
     return found->second;
   }
-  const double own_slack =
-      std::max(1.0, bounds_.slack * kBudgetShare / std::max(1U, members()));
   const RetryBudgetOptions options{.share = bounds_.ratio * kBudgetShare,
                                    .floor = own_slack / 2,
                                    .floor_refill = std::chrono::seconds(5),
--- a/src/entry/member_count.h
+++ b/src/entry/member_count.h
@@ -9,6 +9,9 @@
 
 namespace gentianreach::entry {
 
+// Before a leader has told, it assumes many: a daemon that has just started
+// among many others must not take the whole of a budget.
+//
 // Follows a rise at once and a fall only when it lasts. A leader that is new,
 // or does not hear some members for a while, counts too few; parts of a budget
 // that were cut by that number would together exceed it.
@@ -29,7 +32,10 @@
   // The window of the users' retry budget: what was granted in it still counts.
   static constexpr Duration kLongestFall = std::chrono::seconds(10);
 
-  std::uint32_t members_ = 1;
+  // Fleets of the users' deployments have up to some 75 daemons.
+  static constexpr std::uint32_t kAssumed = 64;
+
+  std::uint32_t members_ = kAssumed;
   TimePoint holds_until_{};
 };
 
--- a/src/entry/member_count_test.cc
+++ b/src/entry/member_count_test.cc
@@ -11,9 +11,17 @@
 
 constexpr TimePoint kStart{seconds(100)};
 
-TEST_CASE("a rise counts at once") {
+TEST_CASE("many are assumed until the number is known") {
   MemberCount count;
+  CHECK(count.value() > 50);
+  count.Set(1, kStart);
   CHECK(count.value() == 1);
+}
+
+TEST_CASE("a rise counts at once") {
+  MemberCount count;
+  count.Set(12, kStart);
+  CHECK(count.value() == 12);
   count.Set(60, kStart);
   CHECK(count.value() == 60);
   count.Set(63, kStart + seconds(1));
--- a/src/entry/server_loads.cc
+++ b/src/entry/server_loads.cc
@@ -46,6 +46,24 @@
 
 }  // namespace
 
+std::string_view ToString(AttemptResult result) {
+  switch (result) {
+    case AttemptResult::kAnswered:
+      return "answered";
+    case AttemptResult::kServerError:
+      return "server-error";
+    case AttemptResult::kRejected:
+      return "rejected";
+    case AttemptResult::kBroken:
+      return "broken";
+    case AttemptResult::kUnreachable:
+      return "unreachable";
+    case AttemptResult::kCancelled:
+      return "cancelled";
+  }
+  return "unknown";
+}
+
 std::optional<LoadReport> ParseLoadReport(std::string_view text) {
   std::array<std::uint32_t, 3> numbers{};
   const char* at = text.data();
--- a/src/entry/server_loads.h
+++ b/src/entry/server_loads.h
@@ -34,6 +34,9 @@
   kCancelled,    // Ended by this daemon or the caller.
 };
 
+// Returns the result as log lines name it.
+[[nodiscard]] std::string_view ToString(AttemptResult result);
+
 // Estimates when each server would have answered one more request: by the
 // daemon's own requests there, what the server reported with its last answers
 // about those of the others, and the time that its answers take.
--- a/src/policy/retry_budget.cc
+++ b/src/policy/retry_budget.cc
@@ -7,6 +7,12 @@
 RetryBudget::RetryBudget(RetryBudgetOptions options, TimePoint now)
     : options_(options), balance_(options.floor), refilled_at_(now) {}
 
+void RetryBudget::SetBounds(double floor, double limit) {
+  options_.floor = floor;
+  options_.limit = limit;
+  balance_ = std::min(balance_, limit);
+}
+
 void RetryBudget::OnRequest(TimePoint now) {
   Refill(now);
   ++requests_;
--- a/src/policy/retry_budget.h
+++ b/src/policy/retry_budget.h
@@ -29,12 +29,21 @@
  public:
   RetryBudget(RetryBudgetOptions options, TimePoint now);
 
+  // Replaces `floor` and `limit`; what was saved up beyond the new limit is
+  // lost.
+  void SetBounds(double floor, double limit);
   // Counts a caller's request.
   void OnRequest(TimePoint now);
   // Spends one retry. Returns false, and spends nothing, where the budget does
   // not allow one; the request then ends with Reason::kRetryBudget.
   [[nodiscard]] bool TryRetry(TimePoint now);
 
+  // Returns how many retries it allows now.
+  [[nodiscard]] double Left(TimePoint now) {
+    Refill(now);
+    return balance_;
+  }
+
   [[nodiscard]] std::uint64_t requests() const { return requests_; }
   [[nodiscard]] std::uint64_t retries() const { return retries_; }
 
--- a/src/policy/retry_budget_test.cc
+++ b/src/policy/retry_budget_test.cc
@@ -56,5 +56,18 @@
   CHECK_FALSE(budget.TryRetry(kStart));
 }
 
+TEST_CASE("a limit that falls takes what was saved up") {
+  RetryBudget budget({.share = 0.5, .floor = 2, .limit = 100}, TimePoint{});
+  for (int i = 0; i < 1000; ++i) {
+    budget.OnRequest(TimePoint{});
+  }
+  budget.SetBounds(1, 3);
+  int retries = 0;
+  while (budget.TryRetry(TimePoint{})) {
+    ++retries;
+  }
+  CHECK(retries == 3);
+}
+
 }  // namespace
 }  // namespace gentianreach
--- a/tools/gentianreachctl.cc
+++ b/tools/gentianreachctl.cc
@@ -29,6 +29,7 @@
   std::string key;
   std::string server;
   std::string request;
+  std::string lines;
   std::string since;
   std::string until;
   std::string filter_actor;
@@ -141,7 +142,12 @@
   explain->add_option("request", args.request, "Request id, or a key")
       ->required();
   explain->add_option("--service", args.service, "Service of the key");
+  explain->add_option("--lines", args.lines,
+                      "File of log lines of entry daemons; -: standard input");
   commands[explain] = [](Context& context, Arguments& it) {
+    if (!it.lines.empty()) {
+      return ctl::ExplainFromLines(context, it.lines, it.request);
+    }
     return ctl::Explain(context, it.request, it.service);
   };
 }
