Copies of the store and their source are a class of their own

The unused name of the header with a server's id is gone. Ruled out: a change of behaviour; the calls and their order are those of before. Tests: entry_daemon_test passes.

--- a/src/entry/entry_daemon.cc
+++ b/src/entry/entry_daemon.cc
@@ -1,7 +1,6 @@
 #include "entry/entry_daemon.h"
 
 #include <algorithm>
-#include <array>
 #include <chrono>
 #include <cstdint>
 #include <random>
@@ -20,7 +19,7 @@
 #include "entry/leader_election.h"
 #include "entry/leader_record.h"
 #include "entry/member_link.h"
-#include "entry/store_watcher.h"
+#include "entry/store_copies.h"
 #include "net/deadline_timer.h"
 #include "net/event_loop.h"
 #include "platform/decode.h"
@@ -52,31 +51,6 @@
 constexpr Duration kStopMargin = milliseconds(550);
 // Grants are at most this long, however long servers allow them.
 constexpr milliseconds kLongestUsefulLease{6000};
-// How long watches wait. The leader's are short: a watch that has gone silent
-// is noticed only when it ends. Others watch while no leader is heard.
-constexpr milliseconds kLeaderWatchWait{700};
-constexpr milliseconds kOwnWatchWait{4000};
-// Silence of the leader after which a daemon follows the store by itself. The
-// next leader is usually elected sooner.
-constexpr Duration kLeaderSilence = milliseconds(2000);
-// When the leader cannot reach the store, the others look in the order of
-// succession whether they can, this much after each other. Those further behind
-// do not wait for their place: together they look within the time in which a
-// change has to be in force.
-constexpr Duration kProbeDelay = milliseconds(250);
-constexpr Duration kLateProbe = milliseconds(1000);
-constexpr Duration kLateProbeDelay = milliseconds(15);
-
-// Returns how long the daemon at place `rank` leaves an outage of the leader's
-// store to those before it.
-Duration ProbeDelay(std::uint32_t rank) {
-  return std::min(rank * kProbeDelay, kLateProbe + rank * kLateProbeDelay);
-}
-// Where the leader passes the store's objects on, and how long that may take.
-constexpr const char* kRelayPath = "/changes";
-constexpr std::array<const char*, 3> kRelayKinds = {"config", "servers",
-                                                    "ownership"};
-constexpr Duration kRelayTimeout = milliseconds(1200);
 // Name of the record of who leads.
 constexpr const char* kLeaderObject = "entry";
 
@@ -117,7 +91,6 @@
   explicit Impl(const settings::EntryDaemonT& settings)
       : settings_(settings),
         platform_(settings.store_address),
-        health_(loop_),
         state_(std::make_shared<EntryState>(
             loop_,
             platform::PlatformHeaders(),
@@ -134,27 +107,14 @@
               election_,
               *state_),
         assignment_(*state_, election_, platform_, AssignerOptionsOf(settings)),
-        config_watcher_(loop_,
-                        platform_,
-                        health_,
-                        platform::ObjectKind::kConfig,
-                        platform::Freshness::kCurrent,
-                        {[this](const auto& it) { OnConfig(it); },
-                         [this](const auto& it) { OnConfig(it); }}),
-        server_watcher_(loop_,
-                        platform_,
-                        health_,
-                        platform::ObjectKind::kServers,
-                        platform::Freshness::kMayBeStale,
-                        {[this](const auto& it) { OnServerList(it); },
-                         [this](const auto& it) { OnServerEvents(it); }}),
-        ownership_watcher_(loop_,
-                           platform_,
-                           health_,
-                           platform::ObjectKind::kOwnership,
-                           platform::Freshness::kMayBeStale,
-                           {[this](const auto& it) { OnTables(it); },
-                            [this](const auto& it) { OnTables(it); }}),
+        copies_(loop_,
+                platform_,
+                {.config = {[this](const auto& it) { OnConfig(it); },
+                            [this](const auto& it) { OnConfig(it); }},
+                 .servers = {[this](const auto& it) { OnServerList(it); },
+                             [this](const auto& it) { OnServerEvents(it); }},
+                 .ownership = {[this](const auto& it) { OnTables(it); },
+                               [this](const auto& it) { OnTables(it); }}}),
         housekeeping_(loop_, [this] { Housekeep(); }),
         election_timer_(loop_, [this] { Elect(); }),
         beat_timer_(loop_, [this] {
@@ -163,17 +123,14 @@
               std::max(kBeatPause, link_.members() * kBeatPausePerMember);
           link_.BeatAll();
         }) {
-    health_.on_change = [this](bool lost) { OnStoreChange(lost); };
+    copies_.on_store_change = [this](bool lost) { OnStoreChange(lost); };
     link_.on_news = [this] { OnNews(); };
-    health_.on_history_gone = [this] {
-      for (StoreWatcher* it : Watchers()) {
-        it->Relist();
-      }
-    };
     link_.on_beat = [this](const LeaderNews& news) { OnBeat(news); };
-    link_.on_neighbour = [this](const std::string& it) { OnNeighbour(it); };
+    link_.on_neighbour = [this](const std::string& it) {
+      copies_.OnNeighbour(it);
+    };
     assignment_.on_table = [this](const platform::Object& table) {
-      ownership_watcher_.Put(table);
+      copies_.PutTable(table);
     };
   }
 
@@ -185,19 +142,13 @@
                        : OperatorReply{503, "text/plain", "not ready\n"};
     });
     BOOST_LEAF_CHECK(ready_server_.Listen(settings_.ready_address));
-    relay_server_.Handle("GET", kRelayPath, [this](const auto& request) {
-      return PassOn(request);
-    });
     if (!settings_.metrics_address.empty()) {
       metrics_server_.Handle("GET", settings_.metrics_path,
                              [this](const auto&) { return Metrics(); });
       BOOST_LEAF_CHECK(metrics_server_.Listen(settings_.metrics_address));
     }
-    BOOST_LEAF_CHECK(relay_server_.Listen(settings_.member_address));
+    BOOST_LEAF_CHECK(copies_.Start(settings_.member_address));
     const TimePoint now = loop_.Now();
-    config_watcher_.Start(now);
-    server_watcher_.Start(now);
-    ownership_watcher_.Start(now);
     housekeeping_.Set(now + kHousekeepingPeriod);
     // Those with little processor time leave the lead to others.
     const Duration modesty = settings_.processor_share < kLeaderProcessorShare
@@ -256,10 +207,10 @@
       metrics.Set("leader_silence_seconds",
                   seconds(now - link_.leader_heard_at()));
     }
-    metrics.Set("store_lost", health_.lost() ? 1 : 0);
-    if (health_.answered_at() != TimePoint{}) {
+    metrics.Set("store_lost", copies_.health().lost() ? 1 : 0);
+    if (copies_.health().answered_at() != TimePoint{}) {
       metrics.Set("store_silence_seconds",
-                  seconds(now - health_.answered_at()));
+                  seconds(now - copies_.health().answered_at()));
     }
     metrics.Set("store_calls_total",
                 static_cast<double>(platform_.store_calls()));
@@ -419,53 +370,21 @@
     }
   }
 
-  [[nodiscard]] std::array<StoreWatcher*, 3> Watchers() {
-    return {&config_watcher_, &server_watcher_, &ownership_watcher_};
-  }
-
   void OnStoreChange(bool lost) {
     Log(LogLevel::kWarning, lost ? "store_lost" : "store_back", {});
     UpdateDoubt();
     TellMembers();
   }
 
-  // Whoever tells this daemon of the servers also says whether entries may be
-  // missing.
   void UpdateDoubt() {
-    const bool doubt =
-        follows_leader_ ? leader_lacks_entries_ : health_.MayLackEntries();
-    if (state_->directory.SetDoubt(doubt)) {
+    if (state_->directory.SetDoubt(copies_.MayLackEntries())) {
       OnServersChanged();
     }
   }
 
-  // Leader: passes on what has changed since the revision of the request.
-  OperatorReply PassOn(const OperatorRequest& request) {
-    const std::string kind = request.Query("kind");
-    const auto since =
-        g_ascii_strtoull(request.Query("since").c_str(), nullptr, 10);
-    const auto watchers = Watchers();
-    for (std::size_t i = 0; i < watchers.size(); ++i) {
-      if (kind == kRelayKinds[i]) {
-        return {200, "application/gzip", watchers[i]->ChangesSince(since)};
-      }
-    }
-    return {404, "application/json", R"({"error":"no such kind"})"};
-  }
-
-  // Sets what the beats of this daemon say while it leads.
-  void UpdateNews() {
-    LeaderNews news{.store_lost = health_.lost(),
-                    .may_lack_entries = health_.MayLackEntries()};
-    for (const StoreWatcher* it : Watchers()) {
-      news.changed_at.push_back(it->listed() ? it->changed_at() : 0);
-    }
-    link_.SetNews(std::move(news));
-  }
-
   // Leader: tells the members that a copy has changed.
   void TellMembers() {
-    UpdateNews();
+    link_.SetNews(copies_.News());
     const TimePoint now = loop_.Now();
     if (!election_.IsLeader(now) || beat_timer_.deadline()) {
       return;
@@ -474,74 +393,24 @@
   }
 
   void OnBeat(const LeaderNews& news) {
-    if (news.store_lost && !leader_store_lost_) {
-      leader_lost_store_at_ = loop_.Now();
-    }
-    leader_store_lost_ = news.store_lost;
-    leader_lacks_entries_ = news.may_lack_entries;
-    for (std::size_t i = 0; i < news.changed_at.size(); ++i) {
-      FetchChanges(i, news.address, news.changed_at[i]);
-    }
+    copies_.OnBeat(news);
     JudgeLeader();
   }
 
   // Takes the lead from a leader that has lost the store where it is there.
   void JudgeLeader() {
-    if (leader_store_lost_ && !health_.lost() &&
-        health_.answered_at() > leader_lost_store_at_) {
+    if (copies_.IsLeaderUnfit()) {
       election_.OnLeaderUnfit(loop_.Now());
     }
   }
 
-  // Another daemon has copies while this one has none: fetches them.
-  void OnNeighbour(const std::string& address) {
-    for (std::size_t i = 0; i < fetching_.size(); ++i) {
-      if (!Watchers()[i]->listed()) {
-        FetchChanges(i, address, 1);
-      }
-    }
-  }
-
-  void FetchChanges(std::size_t i,
-                    const std::string& address,
-                    std::uint64_t changed_at) {
-    if (i >= fetching_.size() || fetching_[i] ||
-        Watchers()[i]->relay_since() >= changed_at) {
-      return;
-    }
-    fetching_[i] = true;
-    HttpCall call;
-    call.url = "http://" + address + kRelayPath + "?kind=" + kRelayKinds[i] +
-               "&since=" + std::to_string(Watchers()[i]->relay_since());
-    call.deadline = loop_.Now() + kRelayTimeout;
-    relay_client_.Send(std::move(call), [this, i](const HttpReply& reply) {
-      fetching_[i] = false;
-      if (reply.status != 200) {
-        Log(LogLevel::kWarning, "relay_failed",
-            {{"kind", kRelayKinds[i]}, {"error", reply.error}});
-        return;
-      }
-      Watchers()[i]->Adopt(reply.body);
-    });
-  }
-
   // Chooses whom this daemon learns of changes from.
   void ChooseSource() {
-    const TimePoint now = loop_.Now();
-    const bool leads = election_.IsLeader(now);
-    const bool heard = now < link_.leader_heard_at() + kLeaderSilence;
-    const bool probes = leader_store_lost_ &&
-                        now >= leader_lost_store_at_ + ProbeDelay(link_.rank());
-    follows_leader_ = !leads && heard && !probes;
+    const bool leads = election_.IsLeader(loop_.Now());
     state_->SetCountsLoad(leads);
-    if (!heard) {
-      leader_store_lost_ = false;
-    }
-    for (StoreWatcher* it : Watchers()) {
-      it->SetSource(
-          follows_leader_ ? WatchSource::kLeader : WatchSource::kStore,
-          leads ? kLeaderWatchWait : kOwnWatchWait);
-    }
+    copies_.ChooseSource({.leads = leads,
+                          .leader_heard_at = link_.leader_heard_at(),
+                          .rank = link_.rank()});
     UpdateDoubt();
   }
 
@@ -556,7 +425,7 @@
   void Housekeep() {
     const TimePoint now = loop_.Now();
     housekeeping_.Set(now + kHousekeepingPeriod);
-    UpdateNews();
+    link_.SetNews(copies_.News());
     JudgeLeader();
     if (const auto left_out = state_->log_budget.TakeLeftOut(); left_out > 0) {
       Log(LogLevel::kWarning, "log_lines_left_out", {{"lines", left_out}});
@@ -616,23 +485,13 @@
   const settings::EntryDaemonT settings_;
   net::EventLoop loop_;
   platform::PlatformClient platform_;
-  StoreHealth health_;
   std::shared_ptr<EntryState> state_;
   EntryProxy proxy_;
   const Member self_;
   LeaderElection election_;
   MemberLink link_;
   KeyAssignment assignment_;
-  StoreWatcher config_watcher_;
-  StoreWatcher server_watcher_;
-  StoreWatcher ownership_watcher_;
-  OperatorServer relay_server_;
-  HttpClient relay_client_;
-  std::array<bool, 3> fetching_{};
-  bool follows_leader_ = false;
-  bool leader_store_lost_ = false;
-  bool leader_lacks_entries_ = false;
-  TimePoint leader_lost_store_at_{};
+  StoreCopies copies_;
   OperatorServer ready_server_;
   OperatorServer metrics_server_;
   net::DeadlineTimer housekeeping_;
--- a/src/entry/header_names.h
+++ b/src/entry/header_names.h
@@ -16,8 +16,6 @@
   std::string response_stamp;
   // Requests: id of the only server that may run it.
   std::string expected_server;
-  // Answers: id of the server that answers.
-  std::string server_id;
   // Answers: "running,waiting,slots" of the server.
   std::string server_load;
   // Answers: the server has not run the request.
--- /dev/null
+++ b/src/entry/store_copies.cc
@@ -0,0 +1,176 @@
+#include "entry/store_copies.h"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+#include "base/log.h"
+
+namespace gentianreach::entry {
+namespace {
+
+using std::chrono::milliseconds;
+
+// How long watches wait. The leader's are short: a watch that has gone silent
+// is noticed only when it ends. Others watch while no leader is heard.
+constexpr milliseconds kLeaderWatchWait{700};
+constexpr milliseconds kOwnWatchWait{4000};
+// Silence of the leader after which a daemon follows the store by itself. The
+// next leader is usually elected sooner.
+constexpr Duration kLeaderSilence = milliseconds(2000);
+// When the leader cannot reach the store, the others look in the order of
+// succession whether they can, this much after each other. Those further behind
+// do not wait for their place: together they look within the time in which a
+// change has to be in force.
+constexpr Duration kProbeDelay = milliseconds(250);
+constexpr Duration kLateProbe = milliseconds(1000);
+constexpr Duration kLateProbeDelay = milliseconds(15);
+// Where copies are passed on, and how long that may take.
+constexpr const char* kRelayPath = "/changes";
+constexpr std::array<const char*, 3> kRelayKinds = {"config", "servers",
+                                                    "ownership"};
+constexpr Duration kRelayTimeout = milliseconds(1200);
+
+// Returns how long the daemon at place `rank` leaves an outage of the leader's
+// store to those before it.
+Duration ProbeDelay(std::uint32_t rank) {
+  return std::min(rank * kProbeDelay, kLateProbe + rank * kLateProbeDelay);
+}
+
+}  // namespace
+
+StoreCopies::StoreCopies(net::EventLoop& loop,
+                         platform::PlatformClient& platform,
+                         Sinks sinks)
+    : loop_(loop),
+      health_(loop),
+      config_(loop,
+              platform,
+              health_,
+              platform::ObjectKind::kConfig,
+              platform::Freshness::kCurrent,
+              std::move(sinks.config)),
+      servers_(loop,
+               platform,
+               health_,
+               platform::ObjectKind::kServers,
+               platform::Freshness::kMayBeStale,
+               std::move(sinks.servers)),
+      ownership_(loop,
+                 platform,
+                 health_,
+                 platform::ObjectKind::kOwnership,
+                 platform::Freshness::kMayBeStale,
+                 std::move(sinks.ownership)) {
+  health_.on_change = [this](bool lost) {
+    if (on_store_change) {
+      on_store_change(lost);
+    }
+  };
+  health_.on_history_gone = [this] {
+    for (StoreWatcher* it : Watchers()) {
+      it->Relist();
+    }
+  };
+  relay_server_.Handle("GET", kRelayPath,
+                       [this](const auto& request) { return PassOn(request); });
+}
+
+boost::leaf::result<void> StoreCopies::Start(const std::string& address) {
+  BOOST_LEAF_CHECK(relay_server_.Listen(address));
+  const TimePoint now = loop_.Now();
+  for (StoreWatcher* it : Watchers()) {
+    it->Start(now);
+  }
+  return {};
+}
+
+void StoreCopies::ChooseSource(const Standing& standing) {
+  const TimePoint now = loop_.Now();
+  const bool heard = now < standing.leader_heard_at + kLeaderSilence;
+  const bool probes = leader_store_lost_ &&
+                      now >= leader_lost_store_at_ + ProbeDelay(standing.rank);
+  follows_leader_ = !standing.leads && heard && !probes;
+  if (!heard) {
+    leader_store_lost_ = false;
+  }
+  for (StoreWatcher* it : Watchers()) {
+    it->SetSource(follows_leader_ ? WatchSource::kLeader : WatchSource::kStore,
+                  standing.leads ? kLeaderWatchWait : kOwnWatchWait);
+  }
+}
+
+void StoreCopies::OnBeat(const LeaderNews& news) {
+  if (news.store_lost && !leader_store_lost_) {
+    leader_lost_store_at_ = loop_.Now();
+  }
+  leader_store_lost_ = news.store_lost;
+  leader_lacks_entries_ = news.may_lack_entries;
+  for (std::size_t i = 0; i < std::min(news.changed_at.size(), kKinds); ++i) {
+    FetchChanges(i, news.address, news.changed_at[i]);
+  }
+}
+
+void StoreCopies::OnNeighbour(const std::string& address) {
+  for (std::size_t i = 0; i < kKinds; ++i) {
+    if (!Watchers()[i]->listed()) {
+      FetchChanges(i, address, 1);
+    }
+  }
+}
+
+LeaderNews StoreCopies::News() const {
+  LeaderNews news{.store_lost = health_.lost(),
+                  .may_lack_entries = health_.MayLackEntries()};
+  for (const StoreWatcher* it : Watchers()) {
+    news.changed_at.push_back(it->listed() ? it->changed_at() : 0);
+  }
+  return news;
+}
+
+bool StoreCopies::MayLackEntries() const {
+  return follows_leader_ ? leader_lacks_entries_ : health_.MayLackEntries();
+}
+
+bool StoreCopies::IsLeaderUnfit() const {
+  return leader_store_lost_ && !health_.lost() &&
+         health_.answered_at() > leader_lost_store_at_;
+}
+
+OperatorReply StoreCopies::PassOn(const OperatorRequest& request) {
+  const std::string kind = request.Query("kind");
+  const auto since =
+      g_ascii_strtoull(request.Query("since").c_str(), nullptr, 10);
+  for (std::size_t i = 0; i < kKinds; ++i) {
+    if (kind == kRelayKinds[i]) {
+      return {200, "application/gzip", Watchers()[i]->ChangesSince(since)};
+    }
+  }
+  return {404, "application/json", R"({"error":"no such kind"})"};
+}
+
+void StoreCopies::FetchChanges(std::size_t kind,
+                               const std::string& address,
+                               std::uint64_t changed_at) {
+  StoreWatcher* watcher = Watchers()[kind];
+  if (fetching_[kind] || watcher->relay_since() >= changed_at) {
+    return;
+  }
+  fetching_[kind] = true;
+  HttpCall call;
+  call.url = "http://" + address + kRelayPath + "?kind=" + kRelayKinds[kind] +
+             "&since=" + std::to_string(watcher->relay_since());
+  call.deadline = loop_.Now() + kRelayTimeout;
+  relay_client_.Send(
+      std::move(call), [this, kind, watcher](const HttpReply& reply) {
+        fetching_[kind] = false;
+        if (reply.status != 200) {
+          Log(LogLevel::kWarning, "relay_failed",
+              {{"kind", kRelayKinds[kind]}, {"error", reply.error}});
+          return;
+        }
+        watcher->Adopt(reply.body);
+      });
+}
+
+}  // namespace gentianreach::entry
