--- a/src/entry/entry_request.cc
+++ b/src/entry/entry_request.cc
@@ -62,6 +62,10 @@
   StopWaiting();
 }
 
+std::uint64_t EntryRequest::MostBodyBytes() const {
+  return std::min(routes_->config().limits.max_body_bytes, kMostBodyBytes);
+}
+
 Duration EntryRequest::TimeLeft() const {
   return deadline_ - state_->loop.Now();
 }
@@ -119,9 +123,7 @@
   }
   route_ = &entry->route;
   deadline_ = RequestDeadline(head, names, *route_, started_);
-  const std::uint64_t most =
-      std::min(routes_->config().limits.max_body_bytes, kMostBodyBytes);
-  if (head.content_length > most) {
+  if (head.content_length > MostBodyBytes()) {
     End(kTooLarge, Reason::kTooLarge, {});
     return;
   }
@@ -148,9 +150,7 @@
     return;
   }
   body_.append(caller_->body());
-  const std::uint64_t most =
-      std::min(routes_->config().limits.max_body_bytes, kMostBodyBytes);
-  if (body_.size() > most) {
+  if (body_.size() > MostBodyBytes()) {
     End(kTooLarge, Reason::kTooLarge, {});
   }
 }
--- a/src/entry/entry_request.h
+++ b/src/entry/entry_request.h
@@ -78,6 +78,8 @@
   void Finish(int status, std::string_view outcome);
   [[nodiscard]] bool KeepsAlive() const;
   [[nodiscard]] Duration TimeLeft() const;
+  // Returns how long the body may be.
+  [[nodiscard]] std::uint64_t MostBodyBytes() const;
 
   std::shared_ptr<EntryState> state_;
   std::shared_ptr<proxy::CallerConnection> caller_;
--- /dev/null
+++ b/tools/daemon_program.h
@@ -0,0 +1,107 @@
+// What the programs of the daemons share: arguments, settings file, signals.
+#ifndef TOOLS_DAEMON_PROGRAM_H_
+#define TOOLS_DAEMON_PROGRAM_H_
+
+#include <cstdlib>
+#include <fstream>
+#include <functional>
+#include <iostream>
+#include <sstream>
+#include <string>
+
+#include <glib-unix.h>
+
+#include <CLI/CLI.hpp>
+
+#include "base/glib_ptr.h"
+
+namespace gentianreach::tools {
+
+struct ProgramInfo {
+  std::string name;
+  std::string description;
+  // Section of the settings file.
+  std::string section;
+};
+
+// Reads the file at `path` by `load`, whose result has the settings, or null,
+// in the member `settings` and what is wrong in `errors`. Returns the settings;
+// prints what is wrong where null.
+template <typename Load>
+auto ReadSettings(const std::string& path, const Load& load)
+    -> decltype(load(std::string(), path).settings) {
+  std::ifstream in(path);
+  if (!in) {
+    std::cerr << path << ": cannot be read\n";
+    return nullptr;
+  }
+  std::stringstream text;
+  text << in.rdbuf();
+  auto result = load(text.str(), path);
+  for (const auto& it : result.errors) {
+    std::cerr << ToString(it) << "\n";
+  }
+  return std::move(result.settings);
+}
+
+namespace internal {
+
+inline gboolean CallBack(gpointer function) {
+  (*static_cast<std::function<void()>*>(function))();
+  return G_SOURCE_CONTINUE;
+}
+
+}  // namespace internal
+
+// Runs the main loop until `daemon` has stopped after SIGTERM or SIGINT. Calls
+// `on_reload` at SIGHUP; null: SIGHUP ends the process, as by default.
+template <typename Daemon>
+void RunUntilStopped(Daemon& daemon, std::function<void()> on_reload) {
+  const GMainLoopPtr loop(g_main_loop_new(nullptr, FALSE));
+  std::function<void()> stop = [&daemon, &loop] {
+    daemon.Stop([&loop] { g_main_loop_quit(loop.get()); });
+  };
+  g_unix_signal_add(SIGTERM, &internal::CallBack, &stop);
+  g_unix_signal_add(SIGINT, &internal::CallBack, &stop);
+  if (on_reload) {
+    g_unix_signal_add(SIGHUP, &internal::CallBack, &on_reload);
+  }
+  g_main_loop_run(loop.get());
+}
+
+// Parses the arguments, reads the settings by `load` (see ReadSettings()) and
+// passes them with the file's path to `run`. Returns the exit code.
+template <typename Load, typename Run>
+int DaemonMain(int argc,
+               char** argv,
+               const ProgramInfo& info,
+               const Load& load,
+               const Run& run) {
+  constexpr int kUsageError = 2;
+  CLI::App app{info.description};
+  std::string config;
+  bool check_config = false;
+  app.add_option("--config", config,
+                 "File with the section [" + info.section + "]")
+      ->required();
+  app.add_flag("--check-config", check_config, "Check the file and exit");
+  app.set_version_flag("--version", info.name + " " + GENTIANREACH_VERSION);
+  try {
+    app.parse(argc, argv);
+  } catch (const CLI::ParseError& error) {
+    return app.exit(error) == 0 ? EXIT_SUCCESS : kUsageError;
+  }
+  const auto settings = ReadSettings(config, load);
+  if (settings == nullptr) {
+    return EXIT_FAILURE;
+  }
+  if (check_config) {
+    std::cout << config << ": ok\n";
+    return EXIT_SUCCESS;
+  }
+  return run(*settings, config);
+}
+
+}  // namespace gentianreach::tools
+
+#endif  // TOOLS_DAEMON_PROGRAM_H_
