What is held against a leader is not held against its successor

Each had judged the leader before the outage, which said that it had lost the store; the judgement stood when the store named a new leader, and was used against that one. Members of each short-lived leader waited for its verification (2.5 s). Ruled out: relays (none failed), listen queue. Change: the election forgets the judgement with the record, and the last beat's word counts only against the daemon that sent it. A leader also beats the one that it replaced until that follows.

--- a/src/entry/entry_daemon.cc
+++ b/src/entry/entry_daemon.cc
@@ -399,7 +399,7 @@
 
   // Takes the lead from a leader that has lost the store where it is there.
   void JudgeLeader() {
-    if (copies_.IsLeaderUnfit()) {
+    if (copies_.IsLeaderUnfit(election_.record().leader.address)) {
       election_.OnLeaderUnfit(loop_.Now());
     }
   }
--- a/src/entry/leader_election.cc
+++ b/src/entry/leader_election.cc
@@ -129,6 +129,7 @@
   }
   suspected_ = read_same && (std::exchange(unfit_, false) || now >= Turn());
   if (!read_same) {
+    unfit_ = false;
     // Give a leader that is new here the time to be heard.
     heard_at_ = now;
     looked_ = false;
--- a/src/entry/leader_election.h
+++ b/src/entry/leader_election.h
@@ -120,6 +120,9 @@
   // Returns until when a leader before this one may act.
   [[nodiscard]] TimePoint others_until() const { return others_until_; }
   [[nodiscard]] const LeaderRecord& record() const { return record_; }
+  // Returns the leader that this one has replaced, while it may not know; an
+  // empty name: nobody.
+  [[nodiscard]] const Member& former() const { return former_; }
   // Returns whether it is known who leads.
   [[nodiscard]] bool knows_leader() const {
     return known_ && !record_.leader.name.empty();
--- a/src/entry/leader_election_test.cc
+++ b/src/entry/leader_election_test.cc
@@ -197,6 +197,28 @@
   CHECK(b.others_until() > kStart + seconds(10));
 }
 
+TEST_CASE("what was held against a leader is not held against the next one") {
+  Store store;
+  LeaderElection a = Daemon("a");
+  LeaderElection b = Daemon("b");
+  LeaderElection c = Daemon("c");
+  for (LeaderElection* it : {&a, &b, &c}) {
+    store.Serve(*it, kStart);
+  }
+  for (LeaderElection* it : {&b, &c}) {
+    it->OnLeaderHeard(a.record(), 1, kStart);
+    it->OnLeaderUnfit(kStart);
+  }
+  store.Serve(b, kStart);
+  REQUIRE(b.IsLeader(kStart));
+  // It finds that the leader has been replaced, and asks the store once more.
+  store.Serve(c, kStart);
+  c.OnDoubt(kStart);
+  store.Serve(c, kStart);
+  CHECK_FALSE(c.IsLeader(kStart));
+  CHECK(c.record().leader.name == "b");
+}
+
 TEST_CASE("a daemon that starts while the store is down follows a hint") {
   Store store;
   store.down = true;
--- a/src/entry/member_link.cc
+++ b/src/entry/member_link.cc
@@ -84,6 +84,7 @@
   if (!std::exchange(led_, true)) {
     members_heard_at_ = now + kMemberSilence;
   }
+  TellFormer();
   SpreadCrashes(self_.name, crashes_.TakeLosses());
   // The leader has taken its own into account already.
   static_cast<void>(state_.loads.TakeSamples());
@@ -157,6 +158,15 @@
   SendHello();
 }
 
+void MemberLink::TellFormer() {
+  const Member& former = election_.former();
+  if (former.name.empty() || former.name == self_.name) {
+    return;
+  }
+  Known known{former, loop_.Now(), 0, {}};
+  SendBeat(known, Line(), false);
+}
+
 void MemberLink::PassMembersOn() {
   for (const auto& [name, it] : known_) {
     SendHint(it.member.address);
@@ -343,6 +353,7 @@
   for (auto& [name, it] : known_) {
     SendBeat(it, line, false);
   }
+  TellFormer();
 }
 
 void MemberLink::AnnounceResignation() {
--- a/src/entry/member_link.h
+++ b/src/entry/member_link.h
@@ -88,6 +88,8 @@
   void OnBeat(const wire::LeaderBeatT& beat);
   void OnHint(const wire::LeaderHintT& hint);
   void SendHint(const std::string& address);
+  // Tells the leader that this one has replaced.
+  void TellFormer();
   // Tells the members of this daemon, which has led, who leads now.
   void PassMembersOn();
   void SendHello();
--- a/src/entry/member_link_test.cc
+++ b/src/entry/member_link_test.cc
@@ -50,6 +50,18 @@
     Read({Epoch(epoch), self});
     CHECK(election.IsLeader(loop_.Now()));
   }
+  // Has the store elect this daemon in the place of the leader that it knows.
+  void Replace() {
+    const LeaderRecord before = election.record();
+    election.OnLeaderUnfit(loop_.Now());
+    Read(before);
+    const auto call = election.Poll(loop_.Now());
+    REQUIRE(call);
+    REQUIRE(call->kind == ElectionCall::Kind::kReplace);
+    election.OnReply(ElectionOutcome::kOk, call->record,
+                     call->record.epoch.value(), loop_.Now());
+    CHECK(election.IsLeader(loop_.Now()));
+  }
   [[nodiscard]] bool Follows(const Daemon& other) const {
     return election.record().leader == other.self;
   }
@@ -127,6 +139,27 @@
   CHECK_FALSE(fleet.daemons[0]->election.IsLeader(fleet.loop.Now()));
 }
 
+TEST_CASE("a leader that was replaced at once learns of it") {
+  Fleet fleet;
+  // Two daemons see that the leader has lost the store. The second one knows of
+  // the first from the store only, and no beat has named it.
+  Daemon& first = *fleet.daemons[5];
+  Daemon& second = *fleet.daemons[6];
+  first.Replace();
+  second.election.OnDoubt(fleet.loop.Now());
+  second.Read(first.election.record());
+  second.Replace();
+  second.link.BeatAll();
+  fleet.WaitFor([&] {
+    for (const auto& it : fleet.daemons) {
+      if (!it->Follows(second)) {
+        return false;
+      }
+    }
+    return true;
+  });
+}
+
 TEST_CASE("a new leader counts on the members that the old one knew") {
   Fleet fleet;
   Daemon& next = *fleet.daemons[5];
--- a/src/entry/store_copies.cc
+++ b/src/entry/store_copies.cc
@@ -104,6 +104,7 @@
   if (news.store_lost && !leader_store_lost_) {
     leader_lost_store_at_ = loop_.Now();
   }
+  leader_address_ = news.address;
   leader_store_lost_ = news.store_lost;
   leader_lacks_entries_ = news.may_lack_entries;
   for (std::size_t i = 0; i < std::min(news.changed_at.size(), kKinds); ++i) {
@@ -132,9 +133,9 @@
   return follows_leader_ ? leader_lacks_entries_ : health_.MayLackEntries();
 }
 
-bool StoreCopies::IsLeaderUnfit() const {
-  return leader_store_lost_ && !health_.lost() &&
-         health_.answered_at() > leader_lost_store_at_;
+bool StoreCopies::IsLeaderUnfit(const std::string& leader_address) const {
+  return leader_address == leader_address_ && leader_store_lost_ &&
+         !health_.lost() && health_.answered_at() > leader_lost_store_at_;
 }
 
 OperatorReply StoreCopies::PassOn(const OperatorRequest& request) {
--- a/src/entry/store_copies.h
+++ b/src/entry/store_copies.h
@@ -65,8 +65,9 @@
   // Returns whether entries of live servers may be missing, by whoever tells
   // this daemon of the servers.
   [[nodiscard]] bool MayLackEntries() const;
-  // Returns whether the store answers this daemon, but not the leader.
-  [[nodiscard]] bool IsLeaderUnfit() const;
+  // Returns whether the store answers this daemon, but not the leader at
+  // `leader_address`, by its own word.
+  [[nodiscard]] bool IsLeaderUnfit(const std::string& leader_address) const;
   [[nodiscard]] const StoreHealth& health() const { return health_; }
 
   // Called when the store stops and when it begins to answer this daemon.
@@ -98,7 +99,8 @@
   // Whether a call for the kind is under way.
   std::array<bool, kKinds> fetching_{};
   bool follows_leader_ = false;
-  // What the leader's last beat said.
+  // What the last beat of a leader said.
+  std::string leader_address_;
   bool leader_store_lost_ = false;
   bool leader_lacks_entries_ = false;
   TimePoint leader_lost_store_at_{};
