What is known of a server's processing time fades without news

Servers without keys are chosen around. Ruled out: requests counted for ever (none under way), avoidance (2 s at most), the owner (two daemons used it). Change: the estimate moves to the usual time with a time constant of 5 s. Test: server_loads_test, fails without it.

--- a/src/entry/key_assignment.cc
+++ b/src/entry/key_assignment.cc
@@ -154,11 +154,12 @@
     if (it.service != service) {
       continue;
     }
-    servers.push_back({.id = id,
-                       .incarnation = it.incarnation,
-                       .address = it.address,
-                       .draining = it.draining,
-                       .capacity = state_.loads.Capacity(it)});
+    servers.push_back(
+        {.id = id,
+         .incarnation = it.incarnation,
+         .address = it.address,
+         .draining = it.draining,
+         .capacity = state_.loads.Capacity(it, state_.loop.Now())});
   }
   return servers;
 }
--- a/src/entry/member_link.cc
+++ b/src/entry/member_link.cc
@@ -253,7 +253,8 @@
   for (const auto& it : hello.servers) {
     const std::chrono::duration<float, std::milli> total(it->total_ms);
     state_.loads.OnOtherSample(ServerId(it->server), it->requests,
-                               std::chrono::duration_cast<Duration>(total));
+                               std::chrono::duration_cast<Duration>(total),
+                               loop_.Now());
   }
 }
 
--- a/src/entry/server_loads.cc
+++ b/src/entry/server_loads.cc
@@ -33,6 +33,9 @@
 // its meaning. Without it a server that looked bad once would get no request
 // that could show otherwise.
 constexpr Seconds kFading{1.5};
+// The same for how long requests take there. An owner of keys that once looked
+// too slow for every request would otherwise never be asked again.
+constexpr Seconds kProcessingFading{5};
 // The share of failures counts as extra latency up to this factor.
 constexpr double kErrorPenalty = 4;
 
@@ -40,8 +43,8 @@
   return std::chrono::round<Duration>(Seconds(seconds));
 }
 
-double Fading(Duration age) {
-  return std::exp(-Seconds(age) / kFading);
+double Fading(Duration age, Seconds constant = kFading) {
+  return std::exp(-Seconds(age) / constant);
 }
 
 }  // namespace
@@ -141,13 +144,16 @@
           ? static_cast<double>(report->waiting) / report->slots
           : 0;
   const double sample = Seconds(latency).count() / (1 + waiting);
-  AddProcessingSample(state, sample);
+  AddProcessingSample(state, sample, now);
   Sample& unsent = samples_[server];
   ++unsent.requests;
   unsent.total += ToDuration(sample);
 }
 
-void ServerLoads::AddProcessingSample(State& state, double seconds) {
+void ServerLoads::AddProcessingSample(State& state,
+                                      double seconds,
+                                      TimePoint now) {
+  state.processed_at = now;
   state.processing_s =
       state.processing_s == 0
           ? seconds
@@ -159,26 +165,29 @@
 
 void ServerLoads::OnOtherSample(const ServerId& server,
                                 std::uint32_t requests,
-                                Duration total) {
+                                Duration total,
+                                TimePoint now) {
   if (requests == 0) {
     return;
   }
   // One sample for the mean: it says less than that many single ones, and
   // moves the estimate a little more than one.
   const double mean = Seconds(total).count() / requests;
-  AddProcessingSample(states_[server], mean);
+  AddProcessingSample(states_[server], mean, now);
 }
 
-double ServerLoads::ProcessingSeconds(const State* state) const {
-  if (state != nullptr && state->processing_s > 0) {
-    return state->processing_s;
+double ServerLoads::ProcessingSeconds(const State* state, TimePoint now) const {
+  const double usual = usual_s_ > 0 ? usual_s_ : kFirstProcessingS;
+  if (state == nullptr || state->processing_s == 0) {
+    return usual;
   }
-  return usual_s_ > 0 ? usual_s_ : kFirstProcessingS;
+  return usual + (state->processing_s - usual) *
+                     Fading(now - state->processed_at, kProcessingFading);
 }
 
 Duration ServerLoads::ProcessingTime(const routing::BackendServer& server,
                                      TimePoint now) const {
-  const double warm = ProcessingSeconds(Find(server.id));
+  const double warm = ProcessingSeconds(Find(server.id), now);
   return ToDuration(now < server.warm_at ? warm * kColdFactor : warm);
 }
 
@@ -210,7 +219,7 @@
 }
 
 Duration ServerLoads::UsualTime() const {
-  return ToDuration(ProcessingSeconds(nullptr));
+  return ToDuration(ProcessingSeconds(nullptr, {}));
 }
 
 bool ServerLoads::IsAvoided(const ServerId& server, TimePoint now) const {
@@ -225,8 +234,9 @@
          Present(*state, now) + 1 <= kMostPerSlot * server.slots;
 }
 
-double ServerLoads::Capacity(const routing::BackendServer& server) const {
-  return server.slots / ProcessingSeconds(Find(server.id));
+double ServerLoads::Capacity(const routing::BackendServer& server,
+                             TimePoint now) const {
+  return server.slots / ProcessingSeconds(Find(server.id), now);
 }
 
 TimePoint ServerLoads::last_answer(const ServerId& server) const {
--- a/src/entry/server_loads.h
+++ b/src/entry/server_loads.h
@@ -57,7 +57,8 @@
   // were processed.
   void OnOtherSample(const ServerId& server,
                      std::uint32_t requests,
-                     Duration total);
+                     Duration total,
+                     TimePoint now);
   // What was seen of a server since the last call.
   struct Sample {
     std::uint32_t requests = 0;
@@ -88,7 +89,8 @@
   [[nodiscard]] bool HasRoom(const routing::BackendServer& server,
                              TimePoint now) const;
   // Returns requests per second that the server completes.
-  [[nodiscard]] double Capacity(const routing::BackendServer& server) const;
+  [[nodiscard]] double Capacity(const routing::BackendServer& server,
+                                TimePoint now) const;
   // Returns when the server last answered anything.
   [[nodiscard]] TimePoint last_answer(const ServerId& server) const;
 
@@ -100,6 +102,7 @@
     double others = 0;
     TimePoint reported_at{};
     double processing_s = 0;  // 0: not known.
+    TimePoint processed_at{};
     std::uint32_t failures = 0;
     double error_share = 0;
     TimePoint judged_at{};
@@ -109,10 +112,13 @@
 
   // Returns the requests of all daemons at the server.
   [[nodiscard]] static double Present(const State& state, TimePoint now);
-  [[nodiscard]] double ProcessingSeconds(const State* state) const;
+  // Returns the estimate for a server, which loses its meaning without news;
+  // null: for any server.
+  [[nodiscard]] double ProcessingSeconds(const State* state,
+                                         TimePoint now) const;
   [[nodiscard]] const State* Find(const ServerId& server) const;
 
-  void AddProcessingSample(State& state, double seconds);
+  void AddProcessingSample(State& state, double seconds, TimePoint now);
 
   std::unordered_map<ServerId, State> states_;
   std::unordered_map<ServerId, Sample> samples_;
--- a/src/entry/server_loads_test.cc
+++ b/src/entry/server_loads_test.cc
@@ -121,9 +121,9 @@
 
 TEST_CASE("samples of other daemons teach the speed of a server") {
   ServerLoads loads;
-  loads.OnOtherSample(ServerId("a"), 4, milliseconds(1000));
+  loads.OnOtherSample(ServerId("a"), 4, milliseconds(1000), kNow);
   CHECK(loads.ProcessingTime(Server("a"), kNow) == milliseconds(250));
-  CHECK(loads.Capacity(Server("a")) == doctest::Approx(8));
+  CHECK(loads.Capacity(Server("a"), kNow) == doctest::Approx(8));
 }
 
 TEST_CASE("a server is never filled up to where it stops answering") {
@@ -136,5 +136,18 @@
   CHECK(sent == 7);
 }
 
+TEST_CASE("a server that once looked slow is asked again after a while") {
+  ServerLoads loads;
+  for (int i = 0; i < 20; ++i) {
+    Answer(loads, "b", milliseconds(20));
+  }
+  // Paused for the length of one request.
+  Answer(loads, "a", milliseconds(5000));
+  CHECK(loads.ExpectedLatency(Server("a"), kNow) > milliseconds(2000));
+  // Nobody sends it anything, so there is no news.
+  const TimePoint later = kNow + std::chrono::seconds(15);
+  CHECK(loads.ExpectedLatency(Server("a"), later) < milliseconds(1000));
+}
+
 }  // namespace
 }  // namespace gentianreach::entry
