A daemon that turns to the store lists what it has

Ruled out: relays, flapping of the lead (one change). Change: the first call after a change of source is a list, which costs as much; the leader's watches wait 0.5 s. Test: store_watcher_test with watches that tell nothing; fails before.

--- a/src/entry/store_copies.cc
+++ b/src/entry/store_copies.cc
@@ -13,7 +13,7 @@
 
 // How long watches wait. The leader's are short: a watch that has gone silent
 // is noticed only when it ends. Others watch while no leader is heard.
-constexpr milliseconds kLeaderWatchWait{700};
+constexpr milliseconds kLeaderWatchWait{500};
 constexpr milliseconds kOwnWatchWait{4000};
 // Silence of the leader after which a daemon follows the store by itself. The
 // next leader is usually elected sooner.
--- a/src/entry/store_watcher.cc
+++ b/src/entry/store_watcher.cc
@@ -139,7 +139,7 @@
   if (std::exchange(source_, source) == source) {
     return;
   }
-  probe_ = source == WatchSource::kStore;
+  turned_ = source == WatchSource::kStore;
   if (source == WatchSource::kStore && !in_flight_) {
     timer_.Set(loop_.Now());
   }
@@ -164,7 +164,9 @@
     timer_.Set(turn);
     return;
   }
-  Call(!listed_ || needs_whole_);
+  // A list costs as much as a watch, and tells also what a watch would not
+  // before its history is dropped.
+  Call(!listed_ || needs_whole_ || std::exchange(turned_, false));
 }
 
 void StoreWatcher::Call(bool list) {
@@ -185,8 +187,8 @@
   }
   // While the store is in doubt a short wait tells soon whether it is back.
   constexpr milliseconds kProbeWait{1};
-  const bool probe = std::exchange(probe_, false) || health_.lost();
-  platform_.Watch(kind_, revision_, probe ? kProbeWait : watch_wait_, on_reply);
+  platform_.Watch(kind_, revision_, health_.lost() ? kProbeWait : watch_wait_,
+                  on_reply);
 }
 
 void StoreWatcher::OnReply(const platform::ListReply& reply, bool list) {
--- a/src/entry/store_watcher.h
+++ b/src/entry/store_watcher.h
@@ -151,8 +151,8 @@
   // Replies to calls of an earlier generation come too late.
   std::uint64_t generation_ = 0;
   bool in_flight_ = false;
-  // The next watch only asks whether the store answers.
-  bool probe_ = false;
+  // The store has just become the source.
+  bool turned_ = false;
   net::DeadlineTimer timer_;
 };
 
--- a/src/entry/store_watcher_test.cc
+++ b/src/entry/store_watcher_test.cc
@@ -138,6 +138,16 @@
   CHECK(daemons.third.content["s3"] == daemons.leader.content["s3"]);
 }
 
+TEST_CASE("a copy that turns to the store reads what watches do not tell") {
+  Daemons daemons;
+  daemons.store.set_mute_watches(true);
+  const json content = {{"n", 3}, {"load", 7}};
+  daemons.store.Put("servers", "s3", content);
+  daemons.follower.watcher.SetSource(WatchSource::kStore,
+                                     std::chrono::milliseconds(1000));
+  daemons.WaitFor([&] { return daemons.follower.content["s3"] == content; });
+}
+
 TEST_CASE("damaged changes are not taken in") {
   Daemons daemons;
   daemons.Put("s3", {{"n", 3}, {"load", 7}});
