--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -3,7 +3,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 build=${1:-build}
-mapfile -t sources < <(find include src platform standins tools bench samples -name '*.h' -o -name '*.cc' | grep -v src/generated/ | sort)
+mapfile -t sources < <(find include src platform soak standins tools bench samples -name '*.h' -o -name '*.cc' | grep -v src/generated/ | sort)
 clang-format --dry-run --Werror "${sources[@]}"
 scripts/generate.sh --check
 mapfile -t units < <(printf '%s\n' "${sources[@]}" | grep '\.cc$')
