Soak: two findings of clang-tidy

Cause: soak/ was not linted before; a parameter passed by value, a list without its capacity. Change: both.

--- a/soak/line_reader.cc
+++ b/soak/line_reader.cc
@@ -4,7 +4,7 @@
 
 namespace gentianreach::soak {
 
-LineReader::LineReader(GObjectPtr<GInputStream> stream,
+LineReader::LineReader(const GObjectPtr<GInputStream>& stream,
                        std::function<void(const std::string&)> on_line,
                        std::function<void()> on_end)
     : state_(std::make_shared<State>()) {
--- a/soak/line_reader.h
+++ b/soak/line_reader.h
@@ -15,7 +15,7 @@
 class LineReader {
  public:
   // Calls `on_line` for each line, and `on_end` once at the end.
-  LineReader(GObjectPtr<GInputStream> stream,
+  LineReader(const GObjectPtr<GInputStream>& stream,
              std::function<void(const std::string&)> on_line,
              std::function<void()> on_end);
   LineReader(const LineReader&) = delete;
--- a/soak/process.cc
+++ b/soak/process.cc
@@ -32,6 +32,7 @@
                                                output_file.c_str());
   }
   std::vector<const char*> argv;
+  argv.reserve(arguments.size() + 1);
   for (const std::string& it : arguments) {
     argv.push_back(it.c_str());
   }
