The daemon reports the delay of its event loop and how orders end

To tell apart whether a leader is late itself, does not hear from the store or is not heard by its members: event_loop_delay_seconds, the log line event_loop_late, order_replies_total by outcome, relay_failures_total.

--- a/src/entry/entry_daemon.cc
+++ b/src/entry/entry_daemon.cc
@@ -33,6 +33,9 @@
 
 // Period of the checks that no event triggers.
 constexpr Duration kHousekeepingPeriod = milliseconds(100);
+// Delay of the event loop from which on it is logged. Orders to servers time
+// out after twice this time.
+constexpr Duration kLoggedLoopDelay = milliseconds(200);
 // Timeout of store calls for the election.
 constexpr Duration kElectionTimeout = milliseconds(1500);
 // Daemons of a deployment start at the same time. Their first election calls
@@ -155,7 +158,7 @@
     }
     BOOST_LEAF_CHECK(copies_.Start(settings_.member_address));
     const TimePoint now = loop_.Now();
-    housekeeping_.Set(now + kHousekeepingPeriod);
+    SetHousekeepingTimer(now + kHousekeepingPeriod);
     // Daemons with a small processor share let others become leader.
     const Duration low_share_delay =
         settings_.processor_share < kLeaderProcessorShare ? kElectionJitter
@@ -221,6 +224,10 @@
     }
     metrics.Set("store_calls_total",
                 static_cast<double>(platform_.store_calls()));
+    metrics.Set("relay_failures_total",
+                static_cast<double>(copies_.relay_failures()));
+    metrics.Set("event_loop_delay_seconds",
+                seconds(std::exchange(max_loop_delay_, Duration(0))));
     metrics.Set("log_lines_dropped_total",
                 static_cast<double>(DroppedLogLines()));
     metrics.Set("config_version",
@@ -431,9 +438,25 @@
     }
   }
 
+  void SetHousekeepingTimer(TimePoint due) {
+    housekeeping_due_ = due;
+    housekeeping_.Set(due);
+  }
+
+  // Records how long after its deadline the housekeeping timer has fired.
+  void RecordLoopDelay(Duration delay) {
+    max_loop_delay_ = std::max(max_loop_delay_, delay);
+    if (delay >= kLoggedLoopDelay) {
+      Log(LogLevel::kWarning, "event_loop_late",
+          {{"ms", std::chrono::duration_cast<milliseconds>(delay).count()},
+           {"leading", election_.IsLeader(loop_.Now())}});
+    }
+  }
+
   void RunHousekeeping() {
     const TimePoint now = loop_.Now();
-    housekeeping_.Set(now + kHousekeepingPeriod);
+    RecordLoopDelay(now - housekeeping_due_);
+    SetHousekeepingTimer(now + kHousekeepingPeriod);
     link_.SetStoreCopyStatus(copies_.CopyStatus());
     TakeOverIfLeaderLostStore();
     if (const auto suppressed = state_->log_budget.TakeSuppressed();
@@ -508,6 +531,9 @@
   net::DeadlineTimer election_timer_;
   net::DeadlineTimer heartbeat_timer_;
   TimePoint next_heartbeat_{};
+  TimePoint housekeeping_due_{};
+  // Since the metrics were last read.
+  Duration max_loop_delay_{};
   bool servers_known_ = false;
 };
 
--- a/src/entry/key_assignment.cc
+++ b/src/entry/key_assignment.cc
@@ -302,6 +302,9 @@
     if (service == nullptr) {
       return;
     }
+    state_.metrics.Count(
+        "order_replies_total",
+        std::string("outcome=\"") + Describe(reply.status) + "\"");
     if (!grant || reply.status != platform::OrderStatus::kDone) {
       Log(LogLevel::kInfo, "order",
           {{"kind", grant ? "grant" : "release"},
--- a/src/entry/store_copies.cc
+++ b/src/entry/store_copies.cc
@@ -172,6 +172,7 @@
       std::move(call), [this, kind, watcher](const HttpResponse& reply) {
         fetching_[kind] = false;
         if (reply.status != 200) {
+          ++relay_failures_;
           Log(LogLevel::kWarning, "relay_failed",
               {{"kind", kRelayKinds[kind]}, {"error", reply.error}});
           return;
--- a/src/entry/store_copies.h
+++ b/src/entry/store_copies.h
@@ -72,6 +72,8 @@
   [[nodiscard]] bool HasLeaderLostStore(
       const std::string& leader_address) const;
   [[nodiscard]] const StoreHealth& health() const { return health_; }
+  // Returns the number of fetches of changes that failed.
+  [[nodiscard]] std::uint64_t relay_failures() const { return relay_failures_; }
 
   // Called when the store becomes unreachable for this daemon and when it is
   // reachable again.
@@ -103,6 +105,7 @@
   HttpClient relay_client_;
   // Whether a fetch is in flight, by kind.
   std::array<bool, kKinds> fetching_{};
+  std::uint64_t relay_failures_ = 0;
   bool follows_leader_ = false;
   // From the last heartbeat of a leader.
   std::string leader_address_;
