Calls to different servers do not share a libsoup session

Cause: for each call, libsoup reads from all idle connections of the session to see whether they are still open. A leader keeps a connection to each of a hundred servers and sends them hundreds of orders at a time, so that the cost of the orders grows with the square of the servers. At 300 ranges the orders took its processor share; its event loop ran 200 to 450 ms late, orders timed out after 400 ms, closed their connections and were sent again. Responses of the store and relays to the members waited behind them for seconds, and calls to the store that the leader read too late looked like an outage, which changed the leader.

Evidence: a process that leads 300 ranges made 370587 receive calls in 8 s, 369724 of them without data. event_loop_late was logged at leaders only.

Each server has a session of its own now, so a call reads from that server's connections only; sessions without calls are dropped after 60 s.

--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -1,16 +1,20 @@
 #include "net/http_client.h"
 
+#include <chrono>
 #include <memory>
 #include <optional>
+#include <utility>
 
 #include "base/timer.h"
 
 namespace gentianreach {
 namespace {
 
-constexpr int kMaxConnections = 4096;
-constexpr int kMaxConnectionsPerHost = 16;
+constexpr int kMaxConnectionsPerServer = 16;
 constexpr guint kIdleSeconds = 30;
+// Time without a call after which the session of a server is dropped. Its
+// connections have been closed by then.
+constexpr Duration kSessionTimeout = std::chrono::seconds(2 * kIdleSeconds);
 
 // A pending call. Owned by its libsoup operation.
 struct PendingCall {
@@ -70,19 +74,31 @@
 
 }  // namespace
 
-HttpClient::HttpClient()
-    : session_(GObjectPtr<SoupSession>::Adopt(
-          soup_session_new_with_options("max-conns",
-                                        kMaxConnections,
-                                        "max-conns-per-host",
-                                        kMaxConnectionsPerHost,
-                                        "idle-timeout",
-                                        kIdleSeconds,
-                                        nullptr))) {}
+HttpClient::HttpClient() = default;
 
 HttpClient::~HttpClient() {
   *alive_ = false;
-  soup_session_abort(session_.get());
+  for (const auto& [server, it] : sessions_) {
+    soup_session_abort(it.session.get());
+  }
+}
+
+SoupSession* HttpClient::SessionFor(SoupMessage* message) {
+  const TimePoint now = MonotonicClock().Now();
+  GUri* uri = soup_message_get_uri(message);
+  const std::string server = std::string(g_uri_get_host(uri)) + ":" +
+                             std::to_string(g_uri_get_port(uri));
+  auto known = sessions_.find(server);
+  if (known == sessions_.end()) {
+    std::erase_if(sessions_,
+                  [&](const auto& it) { return it.second.expires_at < now; });
+    auto session = GObjectPtr<SoupSession>::Adopt(soup_session_new_with_options(
+        "max-conns", kMaxConnectionsPerServer, "max-conns-per-host",
+        kMaxConnectionsPerServer, "idle-timeout", kIdleSeconds, nullptr));
+    known = sessions_.emplace(server, Session{std::move(session), {}}).first;
+  }
+  known->second.expires_at = now + kSessionTimeout;
+  return known->second.session.get();
 }
 
 void HttpClient::Send(HttpCall call, HttpCallback done) {
@@ -113,8 +129,9 @@
   GCancellable* cancellable = pending->cancellable.get();
   pending->timer.Set(call.deadline,
                      [cancellable] { g_cancellable_cancel(cancellable); });
-  soup_session_send_and_read_async(session_.get(), message, G_PRIORITY_DEFAULT,
-                                   cancellable, &OnDone, pending.release());
+  soup_session_send_and_read_async(SessionFor(message), message,
+                                   G_PRIORITY_DEFAULT, cancellable, &OnDone,
+                                   pending.release());
 }
 
 HttpResponse HttpClient::SendAndWait(HttpCall call) {
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -7,6 +7,8 @@
 #define SRC_NET_HTTP_CLIENT_H_
 
 #include <functional>
+#include <map>
+#include <memory>
 #include <string>
 #include <utility>
 #include <vector>
@@ -61,7 +63,17 @@
   [[nodiscard]] HttpResponse SendAndWait(HttpCall call);
 
  private:
-  GObjectPtr<SoupSession> session_;
+  struct Session {
+    GObjectPtr<SoupSession> session;
+    TimePoint expires_at;
+  };
+
+  // Returns the session for the server of `message`.
+  SoupSession* SessionFor(SoupMessage* message);
+
+  // By "host:port". Servers do not share a session, since libsoup reads from
+  // all idle connections of a session for each call.
+  std::map<std::string, Session> sessions_;
   // Calls may outlive the client in libsoup; they check this flag to see
   // whether the client still exists.
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
