Keys that were to return to a server wait for its old lease

Two servers could hold the same keys. Where a move from a to b was followed by a move back to a and one to c, before a had answered the release, a was listed twice as an earlier owner, and its old entry took the state of the new one, which had never been granted. It counted as cleared, and c got its grant while a still held the keys.

Cause: the state of an earlier owner was looked up by its server, at the current owner first. Earlier owners keep their tokens, so they are matched with them now, and only the current owner by its server.

The new case of range_assigner_test failed before this change and passes.

--- a/src/keyspace/range_assigner.cc
+++ b/src/keyspace/range_assigner.cc
@@ -280,22 +280,21 @@
                      LatestLeaseEnd(known.orders.sent_at));
       }
     }
-    // Owners are compared without their tokens, since the same write may have
-    // changed a token.
+    // The same write may have changed the token of the current owner, but not
+    // those of earlier ones.
     for (const Owner& owner : range.earlier) {
       EarlierOwnerState earlier;
-      if (old.owner.IsServerIncarnation(owner.server, owner.incarnation)) {
+      // A server to which the keys were to return is listed twice.
+      const auto listed = std::ranges::find(old.earlier, owner);
+      if (listed != old.earlier.end()) {
+        earlier = known.earlier[static_cast<std::size_t>(listed -
+                                                         old.earlier.begin())];
+      } else if (old.owner.IsServerIncarnation(owner.server,
+                                               owner.incarnation)) {
         // The state keeps the renewal in flight so that the release waits for
         // its reply. Otherwise the renewal could arrive after the release.
         earlier.orders = known.orders;
         earlier.orders.next_attempt_at = {};
-      } else {
-        for (std::size_t k = 0; k < old.earlier.size(); ++k) {
-          if (old.earlier[k].IsServerIncarnation(owner.server,
-                                                 owner.incarnation)) {
-            earlier = known.earlier[k];
-          }
-        }
       }
       state.earlier.push_back(earlier);
     }
--- a/src/keyspace/range_assigner_test.cc
+++ b/src/keyspace/range_assigner_test.cc
@@ -174,6 +174,31 @@
   CHECK(Find(orders, SendOrder::Kind::kGrant, "b") != nullptr);
 }
 
+TEST_CASE("keys that were to return to a server wait for its old lease") {
+  Leader leader;
+  REQUIRE(leader.assigner.Begin(TableWithOwner(OwnerOf("a", 10)), Epoch(1),
+                                kStart, kStart));
+  leader.assigner.SetServers({Server("a")}, kStart);
+  const auto grants = leader.Orders(kStart);
+  REQUIRE(grants.size() == 1);
+  leader.assigner.OnOrderReply(grants[0].order, OrderOutcome::kDone, "",
+                               kStart);
+  // The keys are to move to "b", back to "a" and to "c". Nobody answers the
+  // releases of the keys that "a" holds.
+  TimePoint now = kStart + seconds(1);
+  leader.assigner.SetServers({Server("a", true), Server("b")}, now);
+  CHECK(Find(leader.Orders(now), SendOrder::Kind::kGrant, "b") == nullptr);
+  now += milliseconds(100);
+  leader.assigner.SetServers({Server("a"), Server("b", true)}, now);
+  CHECK(Find(leader.Orders(now), SendOrder::Kind::kGrant, "a") == nullptr);
+  now += milliseconds(100);
+  leader.assigner.SetServers(
+      {Server("a", true), Server("b", true), Server("c")}, now);
+  CHECK(Find(leader.Orders(now), SendOrder::Kind::kGrant, "c") == nullptr);
+  now = kStart + AssignerOptions{}.lease * 2;
+  CHECK(Find(leader.Orders(now), SendOrder::Kind::kGrant, "c") != nullptr);
+}
+
 TEST_CASE("an order whose connection is reset is not retried immediately") {
   Leader leader;
   REQUIRE(leader.assigner.Begin(TableWithOwner(OwnerOf("a", 10)), Epoch(1),
