Renewals of leases are spread instead of sent at the same time

Second cause of the late leader: all renewals of a table are due at once after a takeover and stay so, since each is due 1.5 s after the one before. The leader sends them in one go and reads the first reply only after the last of them. Once that takes longer than their timeout of 400 ms, all time out, close their connections and are sent again at once: the load keeps itself up although the leader has time for twice as many. A session per server moved that point to more ranges, and did not remove it.

RenewalPacer spreads the renewals of all ranges over 750 ms, half of the period, those due for longest first. Grants of keys that no server holds are not delayed.

--- a/src/keyspace/range_assigner.cc
+++ b/src/keyspace/range_assigner.cc
@@ -80,7 +80,8 @@
 
 }  // namespace
 
-RangeAssigner::RangeAssigner(AssignerOptions options) : options_(options) {}
+RangeAssigner::RangeAssigner(AssignerOptions options)
+    : options_(options), pacer_(options.renewal_spread) {}
 
 bool RangeAssigner::Begin(std::optional<OwnershipTable> table,
                           Epoch epoch,
@@ -392,9 +393,11 @@
   if (!begun_) {
     return actions;
   }
+  std::vector<DueRenewal> due;
   for (std::size_t i = 0; takeover_written_ && i < table_.ranges.size(); ++i) {
-    PollRange(i, now, &actions);
+    PollRange(i, now, &due, &actions);
   }
+  SendRenewals(std::move(due), now, &actions);
   if (!planned_ && now >= plan_at_) {
     planned_ = Plan(load, now);
     if (planned_) {
@@ -407,6 +410,7 @@
 
 void RangeAssigner::PollRange(std::size_t i,
                               TimePoint now,
+                              std::vector<DueRenewal>* due,
                               std::vector<AssignerAction>* actions) {
   const OwnedRange& range = table_.ranges[i];
   RangeState& state = states_[i];
@@ -414,19 +418,47 @@
   for (std::size_t k = 0; k < range.earlier.size(); ++k) {
     cleared = PollEarlier(i, k, now, actions) && cleared;
   }
-  const AssignerServer* server = FindIncarnation(range.owner);
-  if (!cleared || server == nullptr || HasEnded(range.owner) ||
-      state.needs_new_token || state.orders.in_flight != 0) {
+  if (!cleared || FindIncarnation(range.owner) == nullptr ||
+      HasEnded(range.owner) || state.needs_new_token ||
+      state.orders.in_flight != 0) {
     return;
   }
-  const TimePoint due =
-      state.granted ? state.orders.renewed_at + options_.renew_period : now;
-  const TimePoint at = std::max(due, state.orders.next_attempt_at);
-  if (at > now) {
-    SchedulePoll(at);
+  const TimePoint due_at = std::max(
+      state.granted ? state.orders.renewed_at + options_.renew_period : now,
+      state.orders.next_attempt_at);
+  if (due_at > now) {
+    SchedulePoll(due_at);
     return;
   }
-  SendGrant(range, range.owner, range.owner.token, server->address,
+  // Keys that no server holds are granted at once.
+  if (range.moving() || state.orders.held_until <= now) {
+    SendOwnerGrant(i, now, actions);
+    return;
+  }
+  due->push_back({due_at, i});
+}
+
+void RangeAssigner::SendRenewals(std::vector<DueRenewal> due,
+                                 TimePoint now,
+                                 std::vector<AssignerAction>* actions) {
+  const std::size_t n = due.size();
+  const std::vector<std::size_t> ranges =
+      pacer_.Take(std::move(due), table_.ranges.size(), now);
+  for (const std::size_t it : ranges) {
+    SendOwnerGrant(it, now, actions);
+  }
+  if (ranges.size() < n) {
+    SchedulePoll(pacer_.next_at());
+  }
+}
+
+void RangeAssigner::SendOwnerGrant(std::size_t i,
+                                   TimePoint now,
+                                   std::vector<AssignerAction>* actions) {
+  const OwnedRange& range = table_.ranges[i];
+  RangeState& state = states_[i];
+  SendGrant(range, range.owner, range.owner.token,
+            FindIncarnation(range.owner)->address,
             state.granted ? std::string() : state.handover,
             OrderPurpose::kRenewal, &state.orders, now, actions);
 }
--- a/src/keyspace/range_assigner.h
+++ b/src/keyspace/range_assigner.h
@@ -18,6 +18,7 @@
 #include "keyspace/key_range.h"
 #include "keyspace/ownership_table.h"
 #include "keyspace/rebalancer.h"
+#include "keyspace/renewal_pacer.h"
 
 namespace gentianreach::keyspace {
 
@@ -29,6 +30,10 @@
   // Interval between grants of the same keys. A lease leaves time for three
   // renewal attempts.
   std::chrono::milliseconds renew_period{1500};
+  // Time over which the renewals of all ranges are spread. Renewals that are
+  // due at the same time, as after a takeover, do not time out in each other's
+  // queue.
+  std::chrono::milliseconds renewal_spread{750};
   // Time after which an order without a reply is sent again.
   std::chrono::milliseconds order_timeout{400};
   // Time after which a release without a reply is sent again.
@@ -208,9 +213,17 @@
     next_poll_at_ = std::min(next_poll_at_, at);
   }
 
+  // Renewals that are due are added to `due` instead of `actions`.
   void PollRange(std::size_t i,
                  TimePoint now,
+                 std::vector<DueRenewal>* due,
                  std::vector<AssignerAction>* actions);
+  void SendRenewals(std::vector<DueRenewal> due,
+                    TimePoint now,
+                    std::vector<AssignerAction>* actions);
+  void SendOwnerGrant(std::size_t i,
+                      TimePoint now,
+                      std::vector<AssignerAction>* actions);
   // Returns whether the earlier owner `k` of range `i` is cleared.
   bool PollEarlier(std::size_t i,
                    std::size_t k,
@@ -244,6 +257,7 @@
   bool takeover_written_ = false;
   OwnershipTable table_;
   std::vector<RangeState> states_;  // One per range of table_.
+  RenewalPacer pacer_;
   std::optional<OwnershipTable> planned_;
   std::map<ServerId, AssignerServer> servers_;
   // Addresses of all incarnations seen. A server that discovery no longer lists
