--- a/src/keyspace/range_assigner.cc
+++ b/src/keyspace/range_assigner.cc
@@ -4,80 +4,17 @@
 #include <cstddef>
 #include <utility>
 
+#include "keyspace/fencing_tokens.h"
+
 namespace gentianreach::keyspace {
 namespace {
 
 using std::chrono::milliseconds;
 
-// Upper bound on the fencing grants to an earlier owner. If all are lost, the
-// owner is cleared when its leases expire.
-constexpr std::uint64_t kMaxFencingGrants = 3;
-// Tokens reserved for one change of owner: those of the fencing grants to the
-// previous owner, and the new owner's.
-constexpr std::uint64_t kTokensPerMove = kMaxFencingGrants + 1;
-// Tokens skipped if a server has seen a higher token than the table's.
-constexpr std::uint64_t kTokenSkip = 1000;
-// The first table is planned when no server has registered for the quiet
-// period, and at the latest when the maximum period has passed since the first
-// registration.
-constexpr Duration kRegistrationQuietPeriod = std::chrono::milliseconds(1000);
-constexpr Duration kMaxRegistrationPeriod = std::chrono::milliseconds(3500);
-// Ranges that may move for balance at the same time: one for each
-// kServersPerBalanceMove servers, but at least kMinConcurrentBalanceMoves.
-constexpr std::size_t kMinConcurrentBalanceMoves = 3;
-constexpr std::size_t kServersPerBalanceMove = 6;
 // Consecutive renewals without a reply after which the owner is assumed to have
 // restarted.
 constexpr int kMaxUnansweredRenewals = 3;
 
-// Returns the token of the `n`-th fencing grant, counted from 1, to the owner
-// before the one with `token`.
-Token FencingToken(Token token, std::uint64_t n) {
-  return Token(token.value() - kTokensPerMove + n);
-}
-
-// Returns the token of a new owner and reserves those of its fencing grants.
-Token AllocateToken(OwnershipTable* table) {
-  const Token token(table->next_token.value() + kTokensPerMove - 1);
-  table->next_token = Token(table->next_token.value() + kTokensPerMove);
-  return token;
-}
-
-// Returns the index of `part` after splitting `ranges[i]` so that `part` is a
-// range of its own.
-std::size_t SplitOut(std::vector<OwnedRange>* ranges,
-                     std::size_t i,
-                     const KeyRange& part) {
-  if (part.first > (*ranges)[i].range.first) {
-    OwnedRange before = (*ranges)[i];
-    before.range.last = part.first - 1;
-    (*ranges)[i].range.first = part.first;
-    ranges->insert(ranges->begin() + static_cast<std::ptrdiff_t>(i), before);
-    ++i;
-  }
-  if (part.last < (*ranges)[i].range.last) {
-    OwnedRange after = (*ranges)[i];
-    after.range.first = part.last + 1;
-    (*ranges)[i].range.last = part.last;
-    ranges->insert(ranges->begin() + static_cast<std::ptrdiff_t>(i) + 1, after);
-  }
-  return i;
-}
-
-// Changes the owner of the keys of `transfer`, which must lie in one range.
-void ApplyTransfer(const Transfer& transfer, OwnershipTable* plan) {
-  for (std::size_t i = 0; i < plan->ranges.size(); ++i) {
-    if (!plan->ranges[i].range.Contains(transfer.range.first)) {
-      continue;
-    }
-    OwnedRange& moved =
-        plan->ranges[SplitOut(&plan->ranges, i, transfer.range)];
-    moved.earlier.push_back(moved.owner);
-    moved.owner = {transfer.server, transfer.incarnation, AllocateToken(plan)};
-    return;
-  }
-}
-
 }  // namespace
 
 RangeAssigner::RangeAssigner(AssignerOptions options)
@@ -430,7 +367,7 @@
     SchedulePoll(due_at);
     return;
   }
-  // Keys that no server holds are granted at once.
+  // Only renewals can wait: no server holds the other keys.
   if (range.moving() || state.orders.held_until <= now) {
     SendOwnerGrant(i, now, actions);
     return;
@@ -537,101 +474,4 @@
   return false;
 }
 
-std::optional<OwnershipTable> RangeAssigner::Plan(const KeyLoad& load,
-                                                  TimePoint now) {
-  if (!has_table_) {
-    const bool settled = now >= last_server_at_ + kRegistrationQuietPeriod ||
-                         now >= first_server_at_ + kMaxRegistrationPeriod;
-    if (servers_.empty() || !settled) {
-      return std::nullopt;
-    }
-    const std::vector<Candidate> candidates = Candidates();
-    if (candidates.empty()) {
-      return std::nullopt;
-    }
-    OwnershipTable plan;
-    plan.epoch = epoch_;
-    for (const Transfer& it : PartitionByCapacity(candidates)) {
-      plan.ranges.push_back(
-          {it.range, {it.server, it.incarnation, AllocateToken(&plan)}, {}});
-    }
-    return plan;
-  }
-  OwnershipTable plan = table_;
-  if (!takeover_written_) {
-    plan.epoch = epoch_;
-    plan.next_token = plan.next_token.Next();
-    return plan;
-  }
-  PlanCompletions(&plan);
-  PlanReassignments(load, &plan);
-  PlanRebalancing(load, &plan, now);
-  if (plan == table_) {
-    return std::nullopt;
-  }
-  plan.MergeAdjacentRanges();
-  return plan;
-}
-
-// Removes the earlier owners of ranges whose new owner has its grant, and
-// allocates a new token for owners that need one.
-void RangeAssigner::PlanCompletions(OwnershipTable* plan) const {
-  for (std::size_t i = 0; i < table_.ranges.size(); ++i) {
-    if (states_[i].granted) {
-      plan->ranges[i].earlier.clear();
-    }
-    if (states_[i].needs_new_token) {
-      plan->next_token =
-          Token(std::max(plan->next_token.value(),
-                         table_.ranges[i].owner.token.value() + kTokenSkip));
-      plan->ranges[i].owner.token = AllocateToken(plan);
-    }
-  }
-}
-
-void RangeAssigner::PlanReassignments(const KeyLoad& load,
-                                      OwnershipTable* plan) const {
-  const std::vector<Candidate> candidates = Candidates();
-  if (candidates.empty()) {
-    return;
-  }
-  for (std::size_t i = 0; i < plan->ranges.size(); ++i) {
-    const OwnedRange range = plan->ranges[i];
-    if (MayOwn(range.owner)) {
-      continue;
-    }
-    for (const Transfer& it :
-         ReassignRange(range.range, *plan, candidates, load)) {
-      i = SplitOut(&plan->ranges, i, it.range);
-      OwnedRange& moved = plan->ranges[i];
-      moved.earlier.push_back(moved.owner);
-      moved.owner = {it.server, it.incarnation, AllocateToken(plan)};
-      ++i;
-    }
-    --i;
-  }
-}
-
-void RangeAssigner::PlanRebalancing(const KeyLoad& load,
-                                    OwnershipTable* plan,
-                                    TimePoint now) {
-  if (now < next_balance_) {
-    return;
-  }
-  next_balance_ = now + options_.balance_period;
-  const std::vector<Candidate> candidates = Candidates();
-  const std::size_t max_moves = std::max(
-      kMinConcurrentBalanceMoves, candidates.size() / kServersPerBalanceMove);
-  const auto moving = static_cast<std::size_t>(
-      std::count_if(plan->ranges.begin(), plan->ranges.end(),
-                    [](const auto& it) { return it.moving(); }));
-  if (moving >= max_moves) {
-    return;
-  }
-  for (const Transfer& it :
-       Rebalance(*plan, candidates, load, max_moves - moving)) {
-    ApplyTransfer(it, plan);
-  }
-}
-
 }  // namespace gentianreach::keyspace
--- a/src/keyspace/range_assigner.h
+++ b/src/keyspace/range_assigner.h
@@ -30,9 +30,8 @@
   // Interval between grants of the same keys. A lease leaves time for three
   // renewal attempts.
   std::chrono::milliseconds renew_period{1500};
-  // Time over which the renewals of all ranges are spread. Renewals that are
-  // due at the same time, as after a takeover, do not time out in each other's
-  // queue.
+  // Time over which the renewals of all ranges are spread if they are due at
+  // the same time, as after a takeover; see RenewalPacer.
   std::chrono::milliseconds renewal_spread{750};
   // Time after which an order without a reply is sent again.
   std::chrono::milliseconds order_timeout{400};
@@ -213,7 +212,7 @@
     next_poll_at_ = std::min(next_poll_at_, at);
   }
 
-  // Renewals that are due are added to `due` instead of `actions`.
+  // Adds the orders for range `i` to `actions`, and its renewal to `due`.
   void PollRange(std::size_t i,
                  TimePoint now,
                  std::vector<DueRenewal>* due,
@@ -221,6 +220,7 @@
   void SendRenewals(std::vector<DueRenewal> due,
                     TimePoint now,
                     std::vector<AssignerAction>* actions);
+  // Sends a grant of range `i` to its owner.
   void SendOwnerGrant(std::size_t i,
                       TimePoint now,
                       std::vector<AssignerAction>* actions);
