A daemon reports how old its copies of the store's objects are

Metrics had the silence of the leader and of the store, but not the age of what a daemon knows, so a leader that is alive and late looked like a sound one. A copy now has the time up to which it is known to be complete: from the call to the store, or from the leader's heartbeat, which carries the age of the leader's copies, once nothing is left to fetch. New metric: copy_age_seconds. Nothing is decided by it yet.

--- a/src/entry/entry_daemon.cc
+++ b/src/entry/entry_daemon.cc
@@ -222,6 +222,9 @@
       metrics.Set("store_silence_seconds",
                   seconds(now - copies_.health().answered_at()));
     }
+    if (copies_.current_at() != TimePoint{}) {
+      metrics.Set("copy_age_seconds", seconds(now - copies_.current_at()));
+    }
     metrics.Set("store_calls_total",
                 static_cast<double>(platform_.store_calls()));
     metrics.Set("relay_failures_total",
--- a/src/entry/entry_metrics.cc
+++ b/src/entry/entry_metrics.cc
@@ -54,6 +54,8 @@
     Description{"store_lost", "gauge", "1 while the store does not answer."},
     Description{"store_silence_seconds", "gauge",
                 "Time since the store last answered this daemon."},
+    Description{"copy_age_seconds", "gauge",
+                "Time since the copies of the store's objects were complete."},
     Description{"servers", "gauge", "Servers that are known, by service."},
     Description{"slots_known_free", "gauge",
                 "Slots of servers without a request, by service, as reported."},
--- a/src/entry/member_link.cc
+++ b/src/entry/member_link.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <chrono>
 #include <iterator>
+#include <limits>
 #include <utility>
 
 namespace gentianreach::entry {
@@ -27,6 +28,27 @@
 // A member that has not sent a Hello for this time is no longer counted.
 constexpr Duration kMemberTimeout = std::chrono::seconds(3);
 
+// Age of copies of which no time is known at which they were complete.
+constexpr std::uint32_t kUnknownAge = std::numeric_limits<std::uint32_t>::max();
+
+// Returns the age of copies that were complete at `current_at`, in
+// milliseconds.
+std::uint32_t AgeOf(TimePoint current_at, TimePoint now) {
+  if (current_at == TimePoint{}) {
+    return kUnknownAge;
+  }
+  const auto age = std::chrono::ceil<std::chrono::milliseconds>(
+      std::max(now - current_at, Duration(0)));
+  return static_cast<std::uint32_t>(
+      std::min<std::int64_t>(age.count(), kUnknownAge));
+}
+
+// Returns the time at which copies of age `age_ms` were complete.
+TimePoint TimeOf(std::uint32_t age_ms, TimePoint now) {
+  return age_ms == kUnknownAge ? TimePoint{}
+                               : now - std::chrono::milliseconds(age_ms);
+}
+
 std::vector<Fingerprint> ToFingerprints(
     const std::vector<std::uint64_t>& values) {
   std::vector<Fingerprint> fingerprints;
@@ -310,6 +332,7 @@
   heartbeat.store_lost = own_copy_status_.store_lost;
   heartbeat.may_lack_entries = own_copy_status_.may_lack_entries;
   heartbeat.changed_at = own_copy_status_.changed_at;
+  heartbeat.copy_age_ms = AgeOf(own_copy_status_.current_at, loop_.Now());
   heartbeat.crashed = ToValues(std::exchange(known.unsent_crash_reports, {}));
   wire::BodyUnion body;
   body.Set(std::move(heartbeat));
@@ -352,7 +375,8 @@
   election_.OnLeaderHeartbeat(record, heartbeat.rank, now);
   if (on_leader_heartbeat) {
     on_leader_heartbeat({heartbeat.address, heartbeat.store_lost,
-                         heartbeat.may_lack_entries, heartbeat.changed_at});
+                         heartbeat.may_lack_entries, heartbeat.changed_at,
+                         TimeOf(heartbeat.copy_age_ms, now)});
   }
 }
 
--- a/src/entry/member_link.h
+++ b/src/entry/member_link.h
@@ -33,6 +33,8 @@
   // Store revisions at which the copies last changed: configuration, servers
   // and key ownership, in this order.
   std::vector<std::uint64_t> changed_at;
+  // All changes up to this time are in the copies; TimePoint{}: unknown.
+  TimePoint current_at{};
 };
 
 // Tells the daemons whether their leader is alive, the revisions of its copies,
--- a/src/entry/store_copies.cc
+++ b/src/entry/store_copies.cc
@@ -113,27 +113,37 @@
   leader_lacks_entries_ = copy_status.may_lack_entries;
   for (std::size_t i = 0; i < std::min(copy_status.changed_at.size(), kKinds);
        ++i) {
-    FetchChanges(i, copy_status.address, copy_status.changed_at[i]);
+    FetchChanges(i, copy_status.address, copy_status.changed_at[i],
+                 copy_status.current_at);
   }
 }
 
 void StoreCopies::OnPeerWithCopies(const std::string& address) {
   for (std::size_t i = 0; i < kKinds; ++i) {
     if (!Watchers()[i]->listed()) {
-      FetchChanges(i, address, 1);
+      FetchChanges(i, address, 1, TimePoint{});
     }
   }
 }
 
 StoreCopyStatus StoreCopies::CopyStatus() const {
   StoreCopyStatus copy_status{.store_lost = health_.lost(),
-                              .may_lack_entries = health_.MayLackEntries()};
+                              .may_lack_entries = health_.MayLackEntries(),
+                              .current_at = current_at()};
   for (const StoreWatcher* it : Watchers()) {
     copy_status.changed_at.push_back(it->listed() ? it->changed_at() : 0);
   }
   return copy_status;
 }
 
+TimePoint StoreCopies::current_at() const {
+  TimePoint current_at = TimePoint::max();
+  for (const StoreWatcher* it : Watchers()) {
+    current_at = std::min(current_at, it->current_at());
+  }
+  return current_at;
+}
+
 bool StoreCopies::MayLackEntries() const {
   return follows_leader_ ? leader_lacks_entries_ : health_.MayLackEntries();
 }
@@ -158,9 +168,14 @@
 
 void StoreCopies::FetchChanges(std::size_t kind,
                                const std::string& address,
-                               std::uint64_t changed_at) {
+                               std::uint64_t changed_at,
+                               TimePoint current_at) {
   StoreWatcher* watcher = Watchers()[kind];
-  if (fetching_[kind] || watcher->relay_since() >= changed_at) {
+  if (watcher->relay_since() >= changed_at) {
+    watcher->ConfirmCurrent(current_at);
+    return;
+  }
+  if (fetching_[kind]) {
     return;
   }
   fetching_[kind] = true;
@@ -168,17 +183,19 @@
   call.url = "http://" + address + kRelayPath + "?kind=" + kRelayKinds[kind] +
              "&since=" + std::to_string(watcher->relay_since());
   call.deadline = loop_.Now() + kRelayTimeout;
-  relay_client_.Send(
-      std::move(call), [this, kind, watcher](const HttpResponse& reply) {
-        fetching_[kind] = false;
-        if (reply.status != 200) {
-          ++relay_failures_;
-          Log(LogLevel::kWarning, "relay_failed",
-              {{"kind", kRelayKinds[kind]}, {"error", reply.error}});
-          return;
-        }
-        watcher->ApplyChanges(reply.body);
-      });
+  relay_client_.Send(std::move(call), [this, kind, watcher,
+                                       current_at](const HttpResponse& reply) {
+    fetching_[kind] = false;
+    if (reply.status != 200) {
+      ++relay_failures_;
+      Log(LogLevel::kWarning, "relay_failed",
+          {{"kind", kRelayKinds[kind]}, {"error", reply.error}});
+      return;
+    }
+    if (watcher->ApplyChanges(reply.body)) {
+      watcher->ConfirmCurrent(current_at);
+    }
+  });
 }
 
 }  // namespace gentianreach::entry
--- a/src/entry/store_copies.h
+++ b/src/entry/store_copies.h
@@ -64,6 +64,13 @@
 
   // Returns the status that this daemon's heartbeats report while it leads.
   [[nodiscard]] StoreCopyStatus CopyStatus() const;
+  // Returns a time up to which all copies contain all changes of the store, or
+  // TimePoint{} if none is known.
+  [[nodiscard]] TimePoint current_at() const;
+  // Returns the same for the server entries alone.
+  [[nodiscard]] TimePoint servers_current_at() const {
+    return servers_.current_at();
+  }
   // Returns whether entries of live servers may be missing, according to the
   // current source.
   [[nodiscard]] bool MayLackEntries() const;
@@ -91,10 +98,12 @@
   // Handles another daemon's request for changes.
   OperatorResponse HandleChangesRequest(const OperatorRequest& request);
   // Fetches the changes from `address` unless the copy already has those up to
-  // revision `changed_at`.
+  // revision `changed_at`. That copy then contains all changes up to
+  // `current_at`.
   void FetchChanges(std::size_t kind,
                     const std::string& address,
-                    std::uint64_t changed_at);
+                    std::uint64_t changed_at,
+                    TimePoint current_at);
 
   net::EventLoop& loop_;
   StoreHealth health_;
--- a/src/entry/store_watcher.cc
+++ b/src/entry/store_watcher.cc
@@ -157,6 +157,7 @@
   ++generation_;
   in_flight_ = false;
   listed_ = false;
+  current_at_ = {};
   timer_.Set(loop_.Now());
 }
 
@@ -177,37 +178,49 @@
 
 void StoreWatcher::Call(bool list) {
   in_flight_ = true;
+  const TimePoint now = loop_.Now();
+  // While the store is unreachable, watches wait only briefly, so that its
+  // recovery is detected soon.
+  constexpr milliseconds kProbeWait{1};
+  const milliseconds wait = health_.lost() ? kProbeWait : watch_wait_;
+  const auto freshness =
+      list ? std::exchange(next_list_, platform::Freshness::kCurrent)
+           : platform::Freshness::kCurrent;
+  PendingCall call{list, now, now + wait};
+  if (freshness == platform::Freshness::kMayBeStale) {
+    call.current_at = {};
+  }
   const auto on_reply =
-      [this, list, generation = generation_](const platform::ListReply& reply) {
+      [this, call, generation = generation_](const platform::ListReply& reply) {
         if (generation != generation_) {
           return;
         }
         in_flight_ = false;
-        OnReply(reply, list);
+        OnReply(reply, call);
       };
   if (list) {
-    const auto freshness =
-        std::exchange(next_list_, platform::Freshness::kCurrent);
-    platform_.List(kind_, freshness, loop_.Now() + kListTimeout, on_reply);
-    return;
+    platform_.List(kind_, freshness, now + kListTimeout, on_reply);
+  } else {
+    platform_.Watch(kind_, revision_, wait, on_reply);
   }
-  // While the store is unreachable, watches wait only briefly, so that its
-  // recovery is detected soon.
-  constexpr milliseconds kProbeWait{1};
-  platform_.Watch(kind_, revision_, health_.lost() ? kProbeWait : watch_wait_,
-                  on_reply);
 }
 
-void StoreWatcher::OnReply(const platform::ListReply& reply, bool list) {
+void StoreWatcher::OnReply(const platform::ListReply& reply,
+                           const PendingCall& call) {
   const TimePoint now = loop_.Now();
   switch (reply.status) {
     case platform::CallStatus::kOk:
       health_.OnResponse();
-      timer_.Set(list || reply.objects.empty() ? now : now + kWatchBatchDelay);
-      if (list) {
+      timer_.Set(call.list || reply.objects.empty() ? now
+                                                    : now + kWatchBatchDelay);
+      if (call.list) {
         ApplyList(reply.objects, reply.revision);
+        ConfirmCurrent(call.current_at);
       } else {
         ApplyEvents(reply.objects, reply.revision);
+        ConfirmCurrent(reply.objects.empty()
+                           ? std::min(now, call.empty_current_at)
+                           : call.current_at);
       }
       return;
     case platform::CallStatus::kHistoryGone:
@@ -219,7 +232,7 @@
     default:
       Log(LogLevel::kWarning, "store_call_failed",
           {{"kind", KindName(kind_)},
-           {"call", list ? "list" : "watch"},
+           {"call", call.list ? "list" : "watch"},
            {"error", reply.error}});
       health_.OnFailure();
       timer_.Set(now);
--- a/src/entry/store_watcher.h
+++ b/src/entry/store_watcher.h
@@ -2,6 +2,7 @@
 #ifndef SRC_ENTRY_STORE_WATCHER_H_
 #define SRC_ENTRY_STORE_WATCHER_H_
 
+#include <algorithm>
 #include <cstdint>
 #include <deque>
 #include <functional>
@@ -107,8 +108,23 @@
   // Returns the revision at which the copy last changed.
   [[nodiscard]] std::uint64_t changed_at() const { return changed_at_; }
   [[nodiscard]] bool listed() const { return listed_; }
+  // Returns a time up to which the copy contains all changes of the store, or
+  // TimePoint{} if none is known. The sinks see the value from before the
+  // changes that they receive.
+  [[nodiscard]] TimePoint current_at() const { return current_at_; }
+  // Records that the copy contains all changes up to `at`.
+  void ConfirmCurrent(TimePoint at) { current_at_ = std::max(current_at_, at); }
 
  private:
+  // A call to the store, and what its success proves.
+  struct PendingCall {
+    bool list = false;
+    // All changes up to this time are in the reply, or, if a watch returns no
+    // changes, up to `empty_current_at`.
+    TimePoint current_at{};
+    TimePoint empty_current_at{};
+  };
+
   // A change as it is relayed to other daemons, and the revision that the copy
   // reached with it.
   struct Change {
@@ -118,7 +134,7 @@
 
   void MakeNextCall();
   void Call(bool list);
-  void OnReply(const platform::ListReply& reply, bool list);
+  void OnReply(const platform::ListReply& reply, const PendingCall& call);
   void ApplyList(const std::vector<platform::Object>& objects,
                  std::uint64_t revision);
   void ApplyEvents(const std::vector<platform::Object>& objects,
@@ -143,6 +159,7 @@
   bool listed_ = false;
   std::uint64_t revision_ = 0;
   std::uint64_t changed_at_ = 0;
+  TimePoint current_at_{};
   std::map<std::string, platform::Object> objects_;
   std::deque<Change> changes_;
   // `changes_` contains all changes after this revision.
