The time of a draining owner counts from the last complete copy

Callers' requests reached servers up to 3.6 s after they had said that they leave: the owner of a key is used for 1.5 s longer, so that its keys can move, and that time counted from when the daemon learned of the drain. A daemon whose leader is lost learns of it up to 2.2 s late.

--- a/src/entry/entry_daemon.cc
+++ b/src/entry/entry_daemon.cc
@@ -329,7 +329,7 @@
            {"life", server->incarnation.value()},
            {"revision", object.revision}});
     }
-    state_->directory.Put(*server, now);
+    state_->directory.Put(*server, copies_.servers_current_at());
   }
 
   void OnServerList(const std::vector<platform::Object>& objects) {
--- a/src/entry/server_directory.cc
+++ b/src/entry/server_directory.cc
@@ -5,11 +5,13 @@
 
 namespace gentianreach::entry {
 
-void ServerDirectory::Put(routing::BackendServer server, TimePoint now) {
+void ServerDirectory::Put(routing::BackendServer server,
+                          TimePoint current_at) {
   const routing::BackendServer* before = Find(server.id);
   if (server.draining) {
     server.draining_since =
-        before != nullptr && before->draining ? before->draining_since : now;
+        before != nullptr && before->draining ? before->draining_since
+                                              : current_at;
   }
   deferred_removals_.erase(server.id);
   ++changes_;
--- a/src/entry/server_directory.h
+++ b/src/entry/server_directory.h
@@ -18,8 +18,9 @@
 // So removals can be deferred until it is known which servers are gone.
 class ServerDirectory {
  public:
-  // Adds or replaces an entry.
-  void Put(routing::BackendServer server, TimePoint now);
+  // Adds or replaces an entry. The entries before it were complete up to
+  // `current_at`, so a server that drains may have done so since then.
+  void Put(routing::BackendServer server, TimePoint current_at);
   // Handles the removal of an entry. A draining server is always removed at
   // once.
   void Remove(const ServerId& id);
--- a/src/routing/backend_server.h
+++ b/src/routing/backend_server.h
@@ -21,7 +21,7 @@
   std::uint32_t slots = 1;
   // Whether the server still processes requests but wants no new ones.
   bool draining = false;
-  // When this daemon learned that the server is draining.
+  // Earliest time at which the server may have started draining.
   TimePoint draining_since{};
   // Until this time the server is expected to be slow, as it has just started.
   TimePoint warm_at{};
