A daemon whose copies are outdated reads the store itself

At daemons of a grown fleet a configuration was not in force 2.5 s after its acknowledgement, and servers got requests 2.5 s after they had said that they leave. The cause: a member judged its copies by the life of its leader. A leader that answers Hellos, but is too late to pass changes on, held up all of them for as long as it lived; a leader that was lost left 0.4 s for everything else.

Now a member that cannot show that its copies were complete within the last 1.5 s reads the store, whoever leads. That bounds the age of what a daemon acts on, not the silence of one peer. A watch that waits longer than the new source allows is replaced, since it may have gone silent and its copies would look outdated meanwhile: a new leader kept its watch of 4 s.

--- a/src/entry/store_copies.cc
+++ b/src/entry/store_copies.cc
@@ -12,13 +12,19 @@
 using std::chrono::milliseconds;
 
 // How long watches wait. Those of the leader are short, because a watch that no
-// longer receives events is detected only when it ends. Other daemons watch
-// only while they receive no heartbeats.
+// longer receives events is detected only when it ends, and so are those of a
+// daemon whose copies are out of date. Other daemons watch only while they
+// receive no heartbeats.
 constexpr milliseconds kLeaderWatchWait{500};
 constexpr milliseconds kOwnWatchWait{4000};
 // Time without a heartbeat after which a daemon watches the store itself. The
 // next leader is usually elected earlier.
 constexpr Duration kLeaderTimeout = milliseconds(2000);
+// Age of the copies at which a daemon reads the store itself although its
+// leader is alive: the leader may be too slow to pass changes on. More than a
+// watch of the leader and the longest period of its heartbeats take, and well
+// below the time in which a change has to take effect.
+constexpr Duration kMaxCopyAge = milliseconds(1500);
 // When the leader cannot reach the store, the other daemons probe it in the
 // order of succession, kProbeRankDelay apart. Those with a high rank use the
 // shorter late delays instead, so that all daemons probe within the time in
@@ -82,25 +88,40 @@
 boost::leaf::result<void> StoreCopies::Start(const std::string& address) {
   BOOST_LEAF_CHECK(relay_server_.Listen(address));
   const TimePoint now = loop_.Now();
+  started_at_ = now;
   for (StoreWatcher* it : Watchers()) {
     it->Start(now);
   }
   return {};
 }
 
+bool StoreCopies::AreOutdated() const {
+  // The first copies have as long to arrive as later changes.
+  return loop_.Now() >= std::max(current_at(), started_at_) + kMaxCopyAge;
+}
+
 void StoreCopies::ChooseSource(const LeadershipStatus& leadership) {
   const TimePoint now = loop_.Now();
   const bool leader_alive = now < leadership.leader_last_seen + kLeaderTimeout;
   const bool probes_store =
       leader_store_lost_ &&
       now >= leader_lost_store_at_ + ProbeDelay(leadership.rank);
-  follows_leader_ = !leadership.leads && leader_alive && !probes_store;
+  const bool outdated = AreOutdated();
+  if (follows_leader_ && outdated && !leadership.leads && leader_alive &&
+      !probes_store) {
+    Log(LogLevel::kWarning, "copies_outdated", {{"leader", leader_address_}});
+  }
+  follows_leader_ =
+      !leadership.leads && leader_alive && !probes_store && !outdated;
   if (!leader_alive) {
     leader_store_lost_ = false;
   }
+  const milliseconds watch_wait = leadership.leads || (leader_alive && outdated)
+                                      ? kLeaderWatchWait
+                                      : kOwnWatchWait;
   for (StoreWatcher* it : Watchers()) {
     it->SetSource(follows_leader_ ? WatchSource::kLeader : WatchSource::kStore,
-                  leadership.leads ? kLeaderWatchWait : kOwnWatchWait);
+                  watch_wait);
   }
 }
 
--- a/src/entry/store_copies.h
+++ b/src/entry/store_copies.h
@@ -23,8 +23,8 @@
 // Copies of the configuration, the server entries and the ownership tables. The
 // leader watches the store. The other daemons learn from its heartbeats that
 // something has changed and fetch the changes from the leader. A daemon that
-// receives no heartbeats, or whose leader cannot reach the store for a while,
-// watches the store itself.
+// receives no heartbeats, whose leader cannot reach the store, or whose copies
+// are out of date reads the store itself.
 class StoreCopies {
  public:
   struct Sinks {
@@ -95,6 +95,9 @@
   [[nodiscard]] std::array<const StoreWatcher*, kKinds> Watchers() const {
     return {&config_, &servers_, &ownership_};
   }
+  // Returns whether copies that follow the leader have been out of date for too
+  // long.
+  [[nodiscard]] bool AreOutdated() const;
   // Handles another daemon's request for changes.
   OperatorResponse HandleChangesRequest(const OperatorRequest& request);
   // Fetches the changes from `address` unless the copy already has those up to
@@ -115,6 +118,7 @@
   // Whether a fetch is in flight, by kind.
   std::array<bool, kKinds> fetching_{};
   std::uint64_t relay_failures_ = 0;
+  TimePoint started_at_{};
   bool follows_leader_ = false;
   // From the last heartbeat of a leader.
   std::string leader_address_;
--- a/src/entry/store_watcher.cc
+++ b/src/entry/store_watcher.cc
@@ -141,21 +141,37 @@
 
 void StoreWatcher::SetSource(WatchSource source, milliseconds watch_wait) {
   watch_wait_ = watch_wait;
-  if (std::exchange(source_, source) == source) {
+  const bool switched = std::exchange(source_, source) != source;
+  if (source == WatchSource::kLeader) {
+    switched_to_store_ = false;
     return;
   }
-  switched_to_store_ = source == WatchSource::kStore;
-  if (source == WatchSource::kStore && !in_flight_) {
-    timer_.Set(loop_.Now());
+  const TimePoint now = loop_.Now();
+  // A watch may have stopped receiving events, so one that waits longer than
+  // from now on is replaced.
+  const bool replaced = in_flight_ && watch_until_ > now + watch_wait;
+  if (replaced) {
+    DropCall();
+  }
+  if (!switched && !replaced) {
+    return;
   }
+  switched_to_store_ = true;
+  if (!in_flight_) {
+    timer_.Set(now);
+  }
+}
+
+void StoreWatcher::DropCall() {
+  ++generation_;
+  in_flight_ = false;
 }
 
 void StoreWatcher::Relist() {
   if (source_ != WatchSource::kStore) {
     return;
   }
-  ++generation_;
-  in_flight_ = false;
+  DropCall();
   listed_ = false;
   current_at_ = {};
   timer_.Set(loop_.Now());
@@ -199,8 +215,10 @@
         OnReply(reply, call);
       };
   if (list) {
+    watch_until_ = {};
     platform_.List(kind_, freshness, now + kListTimeout, on_reply);
   } else {
+    watch_until_ = now + wait;
     platform_.Watch(kind_, revision_, wait, on_reply);
   }
 }
--- a/src/entry/store_watcher.h
+++ b/src/entry/store_watcher.h
@@ -133,6 +133,8 @@
   };
 
   void MakeNextCall();
+  // Ignores the reply to the call in flight.
+  void DropCall();
   void Call(bool list);
   void OnReply(const platform::ListReply& reply, const PendingCall& call);
   void ApplyList(const std::vector<platform::Object>& objects,
@@ -171,10 +173,12 @@
   std::string response_;
   std::uint64_t response_since_ = 0;
   std::uint64_t response_at_ = 0;
-  // Incremented by Relist(); replies to calls of an earlier generation are
+  // Incremented by DropCall(); replies to calls of an earlier generation are
   // ignored.
   std::uint64_t generation_ = 0;
   bool in_flight_ = false;
+  // Until when the watch in flight waits; TimePoint{} for a list.
+  TimePoint watch_until_{};
   // The source has changed to the store since the last call.
   bool switched_to_store_ = false;
   net::DeadlineTimer timer_;
