--- a/src/entry/server_choice.cc
+++ b/src/entry/server_choice.cc
@@ -13,8 +13,8 @@
 using std::chrono::milliseconds;
 
 // How long an owner still gets requests after it may have started draining; its
-// keys have usually moved by then. Servers may rely on getting no requests after two
-// seconds.
+// keys have usually moved by then. Servers may rely on getting no requests
+// after two seconds.
 constexpr Duration kMaxDrainingUse = milliseconds(1500);
 // Largest random increase of a score, so that daemons with the same data
 // do not all choose the same server.
