A daemon logs and counts the limits that servers name

The code knew nothing of the header, and no log line or metric told that a server names a limit. A response's limit is parsed and kept; server_limit, server_limit_ended and server_limit_unusable are logged, and limited_servers counts the servers that name one. Nothing is decided by it yet.

--- a/src/entry/entry_daemon.cc
+++ b/src/entry/entry_daemon.cc
@@ -209,6 +209,7 @@
     };
     metrics.Set("in_flight_requests", static_cast<double>(state_->in_flight));
     metrics.Set("held_requests", static_cast<double>(state_->held.size()));
+    metrics.Set("limited_servers", static_cast<double>(state_->limits.size()));
     metrics.Set("members", state_->members());
     metrics.Set("leading", election_.IsLeader(now) ? 1 : 0);
     metrics.Set("leader_epoch",
--- a/src/entry/entry_metrics.cc
+++ b/src/entry/entry_metrics.cc
@@ -56,6 +56,8 @@
                 "Time since the store last answered this daemon."},
     Description{"copy_age_seconds", "gauge",
                 "Time since the copies of the store's objects were complete."},
+    Description{"limited_servers", "gauge",
+                "Servers that name a limit for their requests."},
     Description{"servers", "gauge", "Servers that are known, by service."},
     Description{"slots_known_free", "gauge",
                 "Slots of servers without a request, by service, as reported."},
--- a/src/entry/entry_request.cc
+++ b/src/entry/entry_request.cc
@@ -363,6 +363,8 @@
     case ResponseKind::kServerError:
       break;
   }
+  state_->UpdateLimit(server_,
+                      head.Get(std::string_view(state_->headers.server_limit)));
   response_timer_.Clear();
   if (const auto load =
           head.Get(std::string_view(state_->headers.server_load))) {
@@ -376,6 +378,10 @@
           head.Get(std::string_view(state_->headers.server_load))) {
     report_ = ParseLoadReport(*load);
   }
+  if (const auto limit =
+          head.Get(std::string_view(state_->headers.server_limit))) {
+    state_->UpdateLimit(server_, limit);
+  }
   constexpr int kMisdirected = 421;
   const bool misdirected = head.status == kMisdirected;
   const auto connection = std::exchange(connection_, nullptr);
--- a/src/entry/entry_state.cc
+++ b/src/entry/entry_state.cc
@@ -4,6 +4,8 @@
 #include <chrono>
 #include <utility>
 
+#include "base/log.h"
+
 namespace gentianreach::entry {
 namespace {
 
@@ -105,6 +107,28 @@
   return entry.pool;
 }
 
+void EntryState::UpdateLimit(const ServerId& server,
+                             std::optional<std::string_view> limit) {
+  if (!limit) {
+    if (limits.Clear(server)) {
+      Log(LogLevel::kInfo, "server_limit_ended", {{"server", server.value()}});
+    }
+    return;
+  }
+  const auto per_second = ParseLimit(*limit);
+  if (!per_second) {
+    if (log_budget.Take(loop.Now())) {
+      Log(LogLevel::kWarning, "server_limit_unusable",
+          {{"server", server.value()}, {"limit", *limit}});
+    }
+    return;
+  }
+  if (limits.Set(server, *per_second)) {
+    Log(LogLevel::kInfo, "server_limit",
+        {{"server", server.value()}, {"per_second", *per_second}});
+  }
+}
+
 void EntryState::DropRemovedServers() {
   std::erase_if(pools_, [&](auto& it) {
     if (directory.Find(it.first) != nullptr) {
@@ -112,6 +136,7 @@
     }
     it.second.pool->CloseIdle();
     loads.Forget(it.first);
+    limits.Clear(it.first);
     return true;
   });
 }
--- a/src/entry/entry_state.h
+++ b/src/entry/entry_state.h
@@ -7,7 +7,9 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -19,6 +21,7 @@
 #include "entry/member_count.h"
 #include "entry/ownership_view.h"
 #include "entry/server_directory.h"
+#include "entry/server_limits.h"
 #include "entry/server_loads.h"
 #include "keyspace/key_load.h"
 #include "net/event_loop.h"
@@ -52,6 +55,9 @@
   // Returns the connection pool of a server; creates it if there is none for
   // the server's current address.
   std::shared_ptr<proxy::ServerPool> Pool(const routing::BackendServer& server);
+  // Handles the limit that a response of `server` names, or that it names none.
+  void UpdateLimit(const ServerId& server,
+                   std::optional<std::string_view> limit);
   // Drops the connection pools and loads of servers that have left the
   // directory. Requests in flight keep their pool until they end.
   void DropRemovedServers();
@@ -81,6 +87,7 @@
   std::shared_ptr<routing::HostRoutes> routes;
   ServerDirectory directory;
   ServerLoads loads;
+  ServerLimits limits;
   OwnershipView ownership;
   CrashWatch crashes;
   // Requests that wait for a new owner of their key.
--- a/src/entry/header_names.h
+++ b/src/entry/header_names.h
@@ -18,6 +18,9 @@
   std::string expected_server;
   // Responses: load of the server as "running,waiting,slots".
   std::string server_load;
+  // Responses: number of requests per second that the server takes from all
+  // daemons together.
+  std::string server_limit;
   // Responses: present if the server has not run the request.
   std::string not_run;
   // Requests: the key, a number from 0 to 65535.
--- a/src/entry/server_directory.cc
+++ b/src/entry/server_directory.cc
@@ -5,13 +5,12 @@
 
 namespace gentianreach::entry {
 
-void ServerDirectory::Put(routing::BackendServer server,
-                          TimePoint current_at) {
+void ServerDirectory::Put(routing::BackendServer server, TimePoint current_at) {
   const routing::BackendServer* before = Find(server.id);
   if (server.draining) {
-    server.draining_since =
-        before != nullptr && before->draining ? before->draining_since
-                                              : current_at;
+    server.draining_since = before != nullptr && before->draining
+                                ? before->draining_since
+                                : current_at;
   }
   deferred_removals_.erase(server.id);
   ++changes_;
