All daemons together keep the limit that a server names

The class: a bound on all daemons that each daemon, if at all, keeps for itself; retry budgets and connections were shared, requests were not.

Each daemon now sends an equal part of the limit by a token bucket of one second (ServerLimits). Ways weighed: credits from the leader fit uneven traffic better, but are gone with the leader and cost a round trip; parts for some daemons only would bound bursts of tiny limits in large fleets, but refuse keyed requests at the others. Every attempt takes a token, so retries count. A request for which no server has one goes to another server or is refused at once as not run, with the time of the next token as Retry-After. A response without the header ends the limit.

--- a/src/base/verdict.cc
+++ b/src/base/verdict.cc
@@ -18,6 +18,7 @@
     case Reason::kTooLarge:
       return 413;
     case Reason::kOverload:
+    case Reason::kServerLimit:
     case Reason::kRetryBudget:
       return 429;
     case Reason::kQuarantined:
@@ -75,6 +76,8 @@
       return "draining";
     case Reason::kTooLarge:
       return "too-large";
+    case Reason::kServerLimit:
+      return "server-limit";
     case Reason::kCutOff:
       return "cut-off";
   }
--- a/src/entry/entry_request.cc
+++ b/src/entry/entry_request.cc
@@ -238,8 +238,8 @@
                        .tried = tried_,
                        .time_left = TimeLeft(),
                        .zone = state_->zone},
-                      state_->directory, state_->loads, state_->ownership,
-                      state_->loop.Now());
+                      state_->directory, state_->loads, state_->limits,
+                      state_->ownership, state_->loop.Now());
 }
 
 void EntryRequest::HoldForOwner(const ServerChoice& choice) {
@@ -293,6 +293,7 @@
   response_body_.clear();
   attempt_started_ = state_->loop.Now();
   state_->loads.OnSent(server_);
+  state_->limits.OnSent(server_, attempt_started_);
   pool_->OnStart(connection_.get());
   if (route_->idempotent) {
     const Duration processing_time =
--- a/src/entry/entry_state.cc
+++ b/src/entry/entry_state.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <random>
 #include <utility>
 
 #include "base/log.h"
@@ -37,8 +38,14 @@
     : loop(loop),
       headers(std::move(headers)),
       zone(std::move(zone)),
+      limits(std::random_device{}()),
       bounds_(bounds) {}
 
+void EntryState::SetMembers(std::uint32_t members) {
+  members_.Set(members, loop.Now());
+  limits.SetMembers(members_.value(), loop.Now());
+}
+
 RetryBudget& EntryState::Budget(const std::string& service) {
   const double own_slack =
       std::max(1.0, bounds_.slack * kBudgetShare / std::max(1U, members()));
@@ -123,7 +130,7 @@
     }
     return;
   }
-  if (limits.Set(server, *per_second)) {
+  if (limits.Set(server, *per_second, loop.Now())) {
     Log(LogLevel::kInfo, "server_limit",
         {{"server", server.value()}, {"per_second", *per_second}});
   }
--- a/src/entry/entry_state.h
+++ b/src/entry/entry_state.h
@@ -75,9 +75,9 @@
   [[nodiscard]] std::map<std::string, std::vector<std::uint16_t>> TakeKeys() {
     return std::exchange(unsent_keys_, {});
   }
-  // Sets the number of daemons that share the servers' connections and the
-  // retry budgets.
-  void SetMembers(std::uint32_t members) { members_.Set(members, loop.Now()); }
+  // Sets the number of daemons that share the servers' connections and limits
+  // and the retry budgets.
+  void SetMembers(std::uint32_t members);
   [[nodiscard]] std::uint32_t members() const { return members_.value(); }
 
   net::EventLoop& loop;
--- a/src/entry/server_choice.cc
+++ b/src/entry/server_choice.cc
@@ -75,10 +75,19 @@
   return {.server = &server};
 }
 
+// Returns the refusal of a request that no server takes before `next_send` by
+// the limits that they name.
+ServerChoice RefuseOverLimit(TimePoint next_send, TimePoint now) {
+  return {
+      .reason = Reason::kServerLimit,
+      .retry_after = std::max<Duration>(next_send - now, kRejectedRetryAfter)};
+}
+
 // Returns the owner of the key of a request for a keyed service.
 ServerChoice ChooseOwner(const ChoiceRequest& request,
                          const ServerDirectory& directory,
                          const ServerLoads& loads,
+                         const ServerLimits& limits,
                          const OwnershipView& ownership,
                          TimePoint now) {
   const keyspace::OwnershipTable* table = ownership.Find(request.service.name);
@@ -100,6 +109,10 @@
     // The owner is overloaded or gone: more requests would only be lost.
     return {.reason = Reason::kOverload, .retry_after = kRejectedRetryAfter};
   }
+  const TimePoint next_send = limits.NextSend(server->id, now);
+  if (next_send > now) {
+    return RefuseOverLimit(next_send, now);
+  }
   return Admit(request, *server, loads, now);
 }
 
@@ -121,18 +134,28 @@
 ServerChoice ChooseAny(const ChoiceRequest& request,
                        const ServerDirectory& directory,
                        const ServerLoads& loads,
+                       const ServerLimits& limits,
                        TimePoint now) {
   std::vector<const routing::BackendServer*> healthy;
   std::vector<const routing::BackendServer*> avoided;
+  // The earliest time at which a limited server takes a request.
+  TimePoint next_send = TimePoint::max();
   for (const auto& [id, it] : directory.servers()) {
     if (it.service != request.service.name || it.draining ||
         std::find(request.tried.begin(), request.tried.end(), id) !=
             request.tried.end()) {
       continue;
     }
+    if (const TimePoint at = limits.NextSend(id, now); at > now) {
+      next_send = std::min(next_send, at);
+      continue;
+    }
     (loads.IsAvoided(id, now) ? avoided : healthy).push_back(&it);
   }
   const auto& servers = healthy.empty() ? avoided : healthy;
+  if (servers.empty() && next_send != TimePoint::max()) {
+    return RefuseOverLimit(next_send, now);
+  }
   if (servers.empty()) {
     return {.reason = Reason::kNoServer, .retry_after = kNotReadyRetryAfter};
   }
@@ -153,11 +176,12 @@
 ServerChoice ChooseServer(const ChoiceRequest& request,
                           const ServerDirectory& directory,
                           const ServerLoads& loads,
+                          const ServerLimits& limits,
                           const OwnershipView& ownership,
                           TimePoint now) {
   return request.service.keyed
-             ? ChooseOwner(request, directory, loads, ownership, now)
-             : ChooseAny(request, directory, loads, now);
+             ? ChooseOwner(request, directory, loads, limits, ownership, now)
+             : ChooseAny(request, directory, loads, limits, now);
 }
 
 }  // namespace gentianreach::entry
--- a/src/entry/server_choice.h
+++ b/src/entry/server_choice.h
@@ -10,6 +10,7 @@
 
 #include "entry/ownership_view.h"
 #include "entry/server_directory.h"
+#include "entry/server_limits.h"
 #include "entry/server_loads.h"
 #include "gentianreach/ids.h"
 #include "gentianreach/time.h"
@@ -48,12 +49,14 @@
 };
 
 // Returns the owner of the key for a keyed service, or the best of a random
-// sample of the service's servers otherwise. Refuses a request that the chosen
-// server could not answer in time: under overload, a longer queue would only
-// delay all responses.
+// sample of the service's servers otherwise; servers that may get no request
+// now by the limit that they name are left out. Refuses a request that the
+// chosen server could not answer in time: under overload, a longer queue would
+// only delay all responses.
 [[nodiscard]] ServerChoice ChooseServer(const ChoiceRequest& request,
                                         const ServerDirectory& directory,
                                         const ServerLoads& loads,
+                                        const ServerLimits& limits,
                                         const OwnershipView& ownership,
                                         TimePoint now);
 
--- a/src/entry/server_choice_test.cc
+++ b/src/entry/server_choice_test.cc
@@ -43,7 +43,7 @@
                          .tried = tried,
                          .time_left = milliseconds(2000),
                          .zone = kZone},
-                        directory, loads, ownership, now);
+                        directory, loads, limits, ownership, now);
   }
 
   // Makes server `id` the owner of all keys; `earlier` are the owners whose
@@ -72,6 +72,7 @@
   std::vector<ServerId> tried;
   ServerDirectory directory;
   ServerLoads loads;
+  ServerLimits limits{1};
   OwnershipView ownership;
 
  private:
@@ -184,5 +185,38 @@
   CHECK(max_count < 300);
 }
 
+TEST_CASE("a server over its limit is left out while others take requests") {
+  Fixture fixture;
+  fixture.directory.Put(Server("a"), kNow);
+  fixture.directory.Put(Server("b"), kNow);
+  fixture.limits.Set(ServerId("a"), 1, kNow);
+  fixture.limits.OnSent(ServerId("a"), kNow);
+  for (int i = 0; i < 20; ++i) {
+    const ServerChoice choice = fixture.Choose();
+    REQUIRE(choice.server != nullptr);
+    CHECK(choice.server->id == ServerId("b"));
+  }
+  fixture.limits.Set(ServerId("b"), 1, kNow);
+  fixture.limits.OnSent(ServerId("b"), kNow);
+  const ServerChoice choice = fixture.Choose();
+  CHECK(choice.server == nullptr);
+  CHECK(choice.reason == Reason::kServerLimit);
+  CHECK(fixture.Choose(kNow + choice.retry_after).server != nullptr);
+}
+
+TEST_CASE(
+    "a keyed request is refused at once while its owner is over a limit") {
+  Fixture fixture;
+  fixture.directory.Put(Server("a"), kNow);
+  fixture.SetOwner("a");
+  fixture.limits.Set(ServerId("a"), 1, kNow);
+  fixture.limits.OnSent(ServerId("a"), kNow);
+  const ServerChoice choice = fixture.Choose();
+  CHECK(choice.server == nullptr);
+  CHECK_FALSE(choice.wait);
+  CHECK(choice.reason == Reason::kServerLimit);
+  CHECK(fixture.Choose(kNow + choice.retry_after).server != nullptr);
+}
+
 }  // namespace
 }  // namespace gentianreach::entry
