--- a/src/base/verdict.cc
+++ b/src/base/verdict.cc
@@ -18,7 +18,7 @@
     case Reason::kTooLarge:
       return 413;
     case Reason::kOverload:
-    case Reason::kServerLimit:
+    case Reason::kOverLimit:
     case Reason::kRetryBudget:
       return 429;
     case Reason::kQuarantined:
@@ -76,8 +76,8 @@
       return "draining";
     case Reason::kTooLarge:
       return "too-large";
-    case Reason::kServerLimit:
-      return "server-limit";
+    case Reason::kOverLimit:
+      return "over-limit";
     case Reason::kCutOff:
       return "cut-off";
   }
--- a/src/entry/server_choice.cc
+++ b/src/entry/server_choice.cc
@@ -79,7 +79,7 @@
 // the limits that they name.
 ServerChoice RefuseOverLimit(TimePoint next_send, TimePoint now) {
   return {
-      .reason = Reason::kServerLimit,
+      .reason = Reason::kOverLimit,
       .retry_after = std::max<Duration>(next_send - now, kRejectedRetryAfter)};
 }
 
--- a/src/entry/server_choice_test.cc
+++ b/src/entry/server_choice_test.cc
@@ -200,7 +200,7 @@
   fixture.limits.OnSent(ServerId("b"), kNow);
   const ServerChoice choice = fixture.Choose();
   CHECK(choice.server == nullptr);
-  CHECK(choice.reason == Reason::kServerLimit);
+  CHECK(choice.reason == Reason::kOverLimit);
   CHECK(fixture.Choose(kNow + choice.retry_after).server != nullptr);
 }
 
@@ -214,7 +214,7 @@
   const ServerChoice choice = fixture.Choose();
   CHECK(choice.server == nullptr);
   CHECK_FALSE(choice.wait);
-  CHECK(choice.reason == Reason::kServerLimit);
+  CHECK(choice.reason == Reason::kOverLimit);
   CHECK(fixture.Choose(kNow + choice.retry_after).server != nullptr);
 }
 
--- a/src/entry/server_limits.h
+++ b/src/entry/server_limits.h
@@ -24,8 +24,9 @@
 // response that names it, whoever leads.
 //
 // A part is a token bucket that holds the requests of one second and at least
-// one. All daemons together thus send at most the limit on average, and
-// kBurstTime more of it or one request each, whichever is more, after a pause.
+// one. All daemons together thus send at most the limit on average; after a
+// pause they may send what the limit allows in one second, or one request each,
+// at once.
 class ServerLimits {
  public:
   // `seed` spreads the first requests of daemons that learn of a limit at the
--- a/src/entry/store_watcher.cc
+++ b/src/entry/store_watcher.cc
@@ -202,10 +202,10 @@
   const auto freshness =
       list ? std::exchange(next_list_, platform::Freshness::kCurrent)
            : platform::Freshness::kCurrent;
-  PendingCall call{list, now, now + wait};
-  if (freshness == platform::Freshness::kMayBeStale) {
-    call.current_at = {};
-  }
+  const bool may_be_stale = freshness == platform::Freshness::kMayBeStale;
+  const PendingCall call{.list = list,
+                         .current_at = may_be_stale ? TimePoint{} : now,
+                         .empty_current_at = now + wait};
   const auto on_reply =
       [this, call, generation = generation_](const platform::ListReply& reply) {
         if (generation != generation_) {
--- a/src/proxy/exchange_rules.cc
+++ b/src/proxy/exchange_rules.cc
@@ -116,7 +116,7 @@
     case Reason::kConnectFailed:
     case Reason::kConnectionLost:
     case Reason::kOverload:
-    case Reason::kServerLimit:
+    case Reason::kOverLimit:
     case Reason::kRetryBudget:
     case Reason::kDraining:
     case Reason::kCutOff:
