A list that relayed changes have overtaken is read again

A daemon that starts reads a list that may be seconds old, and gets the copies of another daemon meanwhile. If the list's reply arrived last, it undid them: an older configuration was passed on to others, and a server that drains was taken for a ready one until its entry changed again. The copy kept the later revision, so that nothing corrected it.

A list whose revision is below that of the copy is dropped where the copy has moved on since the call, and read again if the store is the source. A copy that has not moved on still takes an older list, as after a store that went back. store_watcher_test failed before (load 0 instead of 7) and passes.

--- a/src/entry/store_watcher.cc
+++ b/src/entry/store_watcher.cc
@@ -204,6 +204,7 @@
            : platform::Freshness::kCurrent;
   const bool may_be_stale = freshness == platform::Freshness::kMayBeStale;
   const PendingCall call{.list = list,
+                         .revision = revision_,
                          .current_at = may_be_stale ? TimePoint{} : now,
                          .empty_current_at = now + wait};
   const auto on_reply =
@@ -229,6 +230,13 @@
   switch (reply.status) {
     case platform::CallStatus::kOk:
       health_.OnResponse();
+      if (call.list && call.revision < revision_ &&
+          reply.revision < revision_) {
+        // Relayed changes have overtaken the list.
+        switched_to_store_ = source_ == WatchSource::kStore;
+        timer_.Set(now);
+        return;
+      }
       timer_.Set(call.list || reply.objects.empty() ? now
                                                     : now + kWatchBatchDelay);
       if (call.list) {
--- a/src/entry/store_watcher.h
+++ b/src/entry/store_watcher.h
@@ -119,6 +119,8 @@
   // A call to the store, and what its success proves.
   struct PendingCall {
     bool list = false;
+    // Revision of the copy when the call was made.
+    std::uint64_t revision = 0;
     // All changes up to this time are in the reply, or, if a watch returns no
     // changes, up to `empty_current_at`.
     TimePoint current_at{};
--- a/src/entry/store_watcher_test.cc
+++ b/src/entry/store_watcher_test.cc
@@ -148,6 +148,20 @@
   daemons.WaitFor([&] { return daemons.follower.content["s3"] == content; });
 }
 
+TEST_CASE("a list that relayed changes have overtaken does not undo them") {
+  Daemons daemons;
+  Daemons newer;
+  newer.Put("s3", {{"n", 3}, {"load", 7}});
+  const std::size_t calls = daemons.store.calls();
+  daemons.third.watcher.Start(daemons.loop.Now());
+  daemons.WaitFor([&] { return daemons.store.calls() > calls; });
+  REQUIRE_FALSE(daemons.third.watcher.listed());
+  CHECK(Daemons::RelayChanges(newer.leader, daemons.third));
+  // The reply to the list has arrived once a later change has.
+  daemons.Put("s3", {{"n", 3}, {"load", 9}});
+  CHECK(daemons.third.content["s3"]["load"] == 7);
+}
+
 TEST_CASE("damaged changes are not applied") {
   Daemons daemons;
   daemons.Put("s3", {{"n", 3}, {"load", 7}});
