A copy that lost its history takes all objects of another daemon

After the store has dropped its history, a copy has to be listed anew. If the store then turned the daemon away, it asked other daemons only for the changes since its old revision, which it could not apply without a list, and stayed without news until the store took its call. It asks for all objects now. store_watcher_test failed before and passes.

--- a/src/entry/store_watcher.h
+++ b/src/entry/store_watcher.h
@@ -103,7 +103,7 @@
   // Returns the revision to pass to another daemon's ChangesSince(); 0 requests
   // all objects.
   [[nodiscard]] std::uint64_t relay_since() const {
-    return needs_full_copy_ ? 0 : revision_;
+    return listed_ && !needs_full_copy_ ? revision_ : 0;
   }
   // Returns the revision at which the copy last changed.
   [[nodiscard]] std::uint64_t changed_at() const { return changed_at_; }
--- a/src/entry/store_watcher_test.cc
+++ b/src/entry/store_watcher_test.cc
@@ -162,6 +162,16 @@
   CHECK(daemons.third.content["s3"]["load"] == 7);
 }
 
+TEST_CASE("a copy that lost its history takes the objects of another daemon") {
+  Daemons daemons;
+  daemons.follower.watcher.SetSource(WatchSource::kStore,
+                                     std::chrono::milliseconds(1000));
+  daemons.Put("s3", {{"n", 3}, {"load", 7}});
+  daemons.follower.watcher.Relist();
+  CHECK(Daemons::RelayChanges(daemons.leader, daemons.follower));
+  CHECK(daemons.follower.content == daemons.leader.content);
+}
+
 TEST_CASE("damaged changes are not applied") {
   Daemons daemons;
   daemons.Put("s3", {{"n", 3}, {"load", 7}});
