Daemons with outdated copies replace a leader in the order of succession

A fault of the fix for outdated copies: all daemons read the store at the same time, and any of them that hears that the leader has lost it took the lead at once.

A daemon now replaces such a leader only once its turn to probe the store has come. store_copies_test failed before and passes.

--- a/src/entry/store_copies.cc
+++ b/src/entry/store_copies.cc
@@ -103,16 +103,15 @@
 void StoreCopies::ChooseSource(const LeadershipStatus& leadership) {
   const TimePoint now = loop_.Now();
   const bool leader_alive = now < leadership.leader_last_seen + kLeaderTimeout;
-  const bool probes_store =
-      leader_store_lost_ &&
-      now >= leader_lost_store_at_ + ProbeDelay(leadership.rank);
+  probes_store_ = leader_store_lost_ &&
+                  now >= leader_lost_store_at_ + ProbeDelay(leadership.rank);
   const bool outdated = AreOutdated();
   if (follows_leader_ && outdated && !leadership.leads && leader_alive &&
-      !probes_store) {
+      !probes_store_) {
     Log(LogLevel::kWarning, "copies_outdated", {{"leader", leader_address_}});
   }
   follows_leader_ =
-      !leadership.leads && leader_alive && !probes_store && !outdated;
+      !leadership.leads && leader_alive && !probes_store_ && !outdated;
   if (!leader_alive) {
     leader_store_lost_ = false;
   }
@@ -171,7 +170,8 @@
 
 bool StoreCopies::HasLeaderLostStore(const std::string& leader_address) const {
   return leader_address == leader_address_ && leader_store_lost_ &&
-         !health_.lost() && health_.answered_at() > leader_lost_store_at_;
+         probes_store_ && !health_.lost() &&
+         health_.answered_at() > leader_lost_store_at_;
 }
 
 OperatorResponse StoreCopies::HandleChangesRequest(
--- a/src/entry/store_copies.h
+++ b/src/entry/store_copies.h
@@ -75,7 +75,8 @@
   // current source.
   [[nodiscard]] bool MayLackEntries() const;
   // Returns whether the leader at `leader_address` has reported that it cannot
-  // reach the store, while this daemon can.
+  // reach the store, while this daemon can and its turn to replace the leader
+  // has come.
   [[nodiscard]] bool HasLeaderLostStore(
       const std::string& leader_address) const;
   [[nodiscard]] const StoreHealth& health() const { return health_; }
@@ -120,6 +121,9 @@
   std::uint64_t relay_failures_ = 0;
   TimePoint started_at_{};
   bool follows_leader_ = false;
+  // The leader cannot reach the store, and this daemon's turn to probe the
+  // store has come.
+  bool probes_store_ = false;
   // From the last heartbeat of a leader.
   std::string leader_address_;
   bool leader_store_lost_ = false;
--- a/src/entry/store_copies_test.cc
+++ b/src/entry/store_copies_test.cc
@@ -22,6 +22,7 @@
 constexpr Duration kApplyTime = milliseconds(2000);
 // How often the leader's heartbeats arrive.
 constexpr Duration kHeartbeatPeriod = milliseconds(50);
+const std::string kLeader = "127.0.0.1:1";
 // Longer than a watch of a leader waits.
 constexpr Duration kLongerThanWatch = milliseconds(700);
 
@@ -48,17 +49,26 @@
     WaitFor([&] {
       if (loop.Now() >= next_heartbeat) {
         next_heartbeat = loop.Now() + kHeartbeatPeriod;
-        copies_.OnLeaderHeartbeat(
-            {.changed_at = changed_at, .current_at = current_at()});
-        copies_.ChooseSource({.leader_last_seen = loop.Now()});
+        copies_.OnLeaderHeartbeat({.address = kLeader,
+                                   .store_lost = leader_lost_store,
+                                   .changed_at = changed_at,
+                                   .current_at = current_at()});
+        copies_.ChooseSource({.leader_last_seen = loop.Now(), .rank = rank});
       }
       return done();
     });
   }
 
+  [[nodiscard]] bool MayReplaceLeader() const {
+    return copies_.HasLeaderLostStore(kLeader);
+  }
+
   platform::testing::FakeStore store;
   net::EventLoop loop;
   int config = 0;
+  // Position in the order of succession, and what the leader reports.
+  std::uint32_t rank = 0;
+  bool leader_lost_store = false;
 
  private:
   StoreWatcher::Sink Recorder() {
@@ -99,5 +109,21 @@
   CHECK(member.config == 1);
 }
 
+TEST_CASE(
+    "a leader that lost the store is replaced in the order of succession") {
+  Member member(standins::LoopbackBlock() + "2:7002");
+  const TimePoint behind_since = member.loop.Now();
+  const auto behind = [&] { return behind_since; };
+  // The leader falls behind, so that the member reads the store itself.
+  member.FollowUntil(
+      [&] { return member.loop.Now() >= behind_since + kApplyTime; }, behind);
+  member.rank = 3;
+  member.leader_lost_store = true;
+  const TimePoint lost = member.loop.Now();
+  member.FollowUntil([&] { return member.MayReplaceLeader(); }, behind);
+  // Three daemons come first, 250 ms after each other.
+  CHECK(member.loop.Now() >= lost + milliseconds(750));
+}
+
 }  // namespace
 }  // namespace gentianreach::entry
