The age limit of copies follows the period of the heartbeats

In a large fleet heartbeats come every 750 ms, and the copies of a sound daemon are up to 1.4 s old.

The limit is 1 s and a period: 1.75 s with 63 daemons and more, 1.25 s with few, where changes have 2 s.

--- a/src/entry/entry_daemon.cc
+++ b/src/entry/entry_daemon.cc
@@ -430,7 +430,8 @@
     state_->SetLoadCounting(leads);
     copies_.ChooseSource({.leads = leads,
                           .leader_last_seen = link_.leader_last_seen(),
-                          .rank = link_.rank()});
+                          .rank = link_.rank(),
+                          .heartbeat_period = link_.heartbeat_period()});
     UpdateDoubt();
   }
 
--- a/src/entry/member_link.cc
+++ b/src/entry/member_link.cc
@@ -95,9 +95,13 @@
   return {};
 }
 
+std::chrono::milliseconds MemberLink::heartbeat_period() const {
+  return HelloPeriod(members_);
+}
+
 void MemberLink::Tick() {
   const TimePoint now = loop_.Now();
-  const std::chrono::milliseconds period = HelloPeriod(members_);
+  const std::chrono::milliseconds period = heartbeat_period();
   timer_.Set(now + period);
   election_.SetLeaderTimeout(period * kLeaderTimeoutTenths / 10);
   if (!election_.IsLeader(now)) {
--- a/src/entry/member_link.h
+++ b/src/entry/member_link.h
@@ -2,6 +2,7 @@
 #ifndef SRC_ENTRY_MEMBER_LINK_H_
 #define SRC_ENTRY_MEMBER_LINK_H_
 
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -72,6 +73,8 @@
   [[nodiscard]] TimePoint leader_last_seen() const { return leader_last_seen_; }
   // Returns this daemon's position in the order of succession.
   [[nodiscard]] std::uint32_t rank() const { return rank_; }
+  // Returns how often the leader sends heartbeats while nothing changes.
+  [[nodiscard]] std::chrono::milliseconds heartbeat_period() const;
 
   // Called for each heartbeat of the leader.
   std::function<void(const StoreCopyStatus&)> on_leader_heartbeat;
--- a/src/entry/store_copies.cc
+++ b/src/entry/store_copies.cc
@@ -20,11 +20,11 @@
 // Time without a heartbeat after which a daemon watches the store itself. The
 // next leader is usually elected earlier.
 constexpr Duration kLeaderTimeout = milliseconds(2000);
-// Age of the copies at which a daemon reads the store itself although its
-// leader is alive: the leader may be too slow to pass changes on. More than a
-// watch of the leader and the longest period of its heartbeats take, and well
-// below the time in which a change has to take effect.
-constexpr Duration kMaxCopyAge = milliseconds(1500);
+// Age of the copies, in addition to the period of the heartbeats, at which a
+// daemon reads the store itself although its leader is alive: the leader may be
+// too slow to pass changes on. Twice as long as a watch of the leader waits,
+// and well below the time in which a change has to take effect.
+constexpr Duration kMaxCopyAge = milliseconds(1000);
 // When the leader cannot reach the store, the other daemons probe it in the
 // order of succession, kProbeRankDelay apart. Those with a high rank use the
 // shorter late delays instead, so that all daemons probe within the time in
@@ -95,9 +95,10 @@
   return {};
 }
 
-bool StoreCopies::AreOutdated() const {
+bool StoreCopies::AreOutdated(milliseconds heartbeat_period) const {
   // The first copies have as long to arrive as later changes.
-  return loop_.Now() >= std::max(current_at(), started_at_) + kMaxCopyAge;
+  return loop_.Now() >=
+         std::max(current_at(), started_at_) + kMaxCopyAge + heartbeat_period;
 }
 
 void StoreCopies::ChooseSource(const LeadershipStatus& leadership) {
@@ -105,7 +106,7 @@
   const bool leader_alive = now < leadership.leader_last_seen + kLeaderTimeout;
   probes_store_ = leader_store_lost_ &&
                   now >= leader_lost_store_at_ + ProbeDelay(leadership.rank);
-  const bool outdated = AreOutdated();
+  const bool outdated = AreOutdated(leadership.heartbeat_period);
   if (follows_leader_ && outdated && !leadership.leads && leader_alive &&
       !probes_store_) {
     Log(LogLevel::kWarning, "copies_outdated", {{"leader", leader_address_}});
--- a/src/entry/store_copies.h
+++ b/src/entry/store_copies.h
@@ -3,6 +3,7 @@
 #define SRC_ENTRY_STORE_COPIES_H_
 
 #include <array>
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -49,6 +50,8 @@
     TimePoint leader_last_seen;
     // This daemon's position in the order of succession.
     std::uint32_t rank = 0;
+    // How often a leader sends heartbeats while nothing changes.
+    std::chrono::milliseconds heartbeat_period{250};
   };
   // Sets the source of changes. Call it whenever `leadership` changes, and
   // periodically.
@@ -96,9 +99,10 @@
   [[nodiscard]] std::array<const StoreWatcher*, kKinds> Watchers() const {
     return {&config_, &servers_, &ownership_};
   }
-  // Returns whether copies that follow the leader have been out of date for too
-  // long.
-  [[nodiscard]] bool AreOutdated() const;
+  // Returns whether the copies are older than those of a leader that is on
+  // time, whose heartbeats arrive every `heartbeat_period`.
+  [[nodiscard]] bool AreOutdated(
+      std::chrono::milliseconds heartbeat_period) const;
   // Handles another daemon's request for changes.
   OperatorResponse HandleChangesRequest(const OperatorRequest& request);
   // Fetches the changes from `address` unless the copy already has those up to
