A daemon decides and reports whether it has lost its path to all servers

ServerReachability decides it without I/O: failures at three servers, or silence of all, raise a suspicion; probes of the servers that answered last, on new connections, confirm or refute it. The log line server_path and three metrics report the result. Nothing is routed by it yet.

The new setting source_ip binds a daemon's connections to an address, so that the chaos proxy can partition one daemon of several.

--- a/soak/chaos_proxy.cc
+++ b/soak/chaos_proxy.cc
@@ -25,6 +25,7 @@
  public:
   Pair(ChaosProxy& proxy, net::TcpSocket client, net::TcpSocket target)
       : proxy_(proxy),
+        client_ip_(client.PeerAddress()),
         timer_(proxy.loop_, [this] { Forward(); }),
         sides_{Side{std::move(client)}, Side{std::move(target)}} {
     // The client is connected; the connection to the target is in progress.
@@ -59,6 +60,8 @@
     proxy_.pairs_.erase(self);
   }
 
+  [[nodiscard]] const std::string& client_ip() const { return client_ip_; }
+
   // Forwards the bytes that are due, in both directions.
   void Forward() {
     const auto self = shared_from_this();
@@ -132,6 +135,9 @@
   }
 
   [[nodiscard]] bool Passes(std::size_t from) const {
+    if (proxy_.CutOf(client_ip_) == ClientCut::kSilent) {
+      return false;
+    }
     switch (proxy_.mode_) {
       case LinkMode::kPass:
       case LinkMode::kSlow:
@@ -175,6 +181,7 @@
   }
 
   ChaosProxy& proxy_;
+  const std::string client_ip_;
   net::DeadlineTimer timer_;
   std::array<Side, 2> sides_;
 };
@@ -199,7 +206,9 @@
 
 void ChaosProxy::Accept() {
   while (auto client = listener_.Accept()) {
-    if (target_.empty()) {
+    const ClientCut cut = CutOf(client->PeerAddress());
+    if (target_.empty() || cut == ClientCut::kReset ||
+        cut == ClientCut::kNewRefused) {
       client->Abort();
       continue;
     }
@@ -227,6 +236,26 @@
   }
 }
 
+ClientCut ChaosProxy::CutOf(const std::string& client_ip) const {
+  const auto it = cuts_.find(client_ip);
+  return it == cuts_.end() ? ClientCut::kNone : it->second;
+}
+
+void ChaosProxy::SetClientCut(const std::string& client_ip, ClientCut cut) {
+  cuts_[client_ip] = cut;
+  const auto pairs = pairs_;
+  for (const auto& it : pairs) {
+    if (it->client_ip() != client_ip) {
+      continue;
+    }
+    if (cut == ClientCut::kReset) {
+      it->End(true);
+    } else {
+      it->Forward();
+    }
+  }
+}
+
 void ChaosProxy::Reset() {
   const auto pairs = pairs_;
   for (const auto& it : pairs) {
--- a/soak/chaos_proxy.h
+++ b/soak/chaos_proxy.h
@@ -3,6 +3,7 @@
 #define SOAK_CHAOS_PROXY_H_
 
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <set>
 #include <string>
@@ -25,6 +26,14 @@
   kOnlyToClients,  // Forwards nothing to the target.
 };
 
+// How a client's path to the target is partitioned.
+enum class ClientCut : std::uint8_t {
+  kNone,
+  kSilent,      // Nothing is forwarded in either direction.
+  kReset,       // Existing and new connections are reset.
+  kNewRefused,  // Existing connections live on; new ones are reset.
+};
+
 class ChaosProxy {
  public:
   explicit ChaosProxy(net::EventLoop& loop);
@@ -41,6 +50,9 @@
   // address, new connections are reset.
   void SetTarget(const std::string& address);
   void SetMode(LinkMode mode);
+  // Partitions the clients with the IP address `client_ip` from the target, or
+  // ends that.
+  void SetClientCut(const std::string& client_ip, ClientCut cut);
   // Resets all connections.
   void Reset();
 
@@ -48,6 +60,7 @@
   class Pair;
 
   void Accept();
+  [[nodiscard]] ClientCut CutOf(const std::string& client_ip) const;
 
   net::EventLoop& loop_;
   net::TcpSocket listener_;
@@ -55,6 +68,8 @@
   std::string address_;
   std::string target_;
   LinkMode mode_ = LinkMode::kPass;
+  // By IP address.
+  std::map<std::string, ClientCut> cuts_;
   std::set<std::shared_ptr<Pair>> pairs_;
 };
 
--- a/src/entry/entry_daemon.cc
+++ b/src/entry/entry_daemon.cc
@@ -19,6 +19,7 @@
 #include "entry/leader_election.h"
 #include "entry/leader_record.h"
 #include "entry/member_link.h"
+#include "entry/server_prober.h"
 #include "entry/store_copies.h"
 #include "net/deadline_timer.h"
 #include "net/event_loop.h"
@@ -96,12 +97,14 @@
  public:
   explicit Impl(const settings::EntryDaemonT& settings)
       : settings_(settings),
-        platform_(settings.store_address),
+        platform_(settings.store_address, settings.source_ip),
         state_(std::make_shared<EntryState>(
             loop_,
             platform::PlatformHeaders(),
             ZoneName(settings.zone),
-            RetryBounds{settings.retry_ratio, settings.retry_slack})),
+            RetryBounds{settings.retry_ratio, settings.retry_slack},
+            settings.source_ip)),
+        prober_(*state_),
         proxy_(state_),
         self_{settings.name, Incarnation(RandomNumber()),
               settings.member_address},
@@ -210,6 +213,11 @@
     metrics.Set("in_flight_requests", static_cast<double>(state_->in_flight));
     metrics.Set("held_requests", static_cast<double>(state_->held.size()));
     metrics.Set("limited_servers", static_cast<double>(state_->limits.size()));
+    metrics.Set("server_path_lost", state_->reachability.lost() ? 1 : 0);
+    if (state_->reachability.last_answer() != TimePoint{}) {
+      metrics.Set("server_silence_seconds",
+                  seconds(now - state_->reachability.last_answer()));
+    }
     metrics.Set("members", state_->members());
     metrics.Set("leading", election_.IsLeader(now) ? 1 : 0);
     metrics.Set("leader_epoch",
@@ -401,6 +409,41 @@
     }
   }
 
+  // Probes servers if it is in question whether any can be reached.
+  void CheckServerPath() {
+    const auto probes = state_->reachability.TakeProbes(
+        state_->directory.servers(), loop_.Now());
+    for (const ServerId& it : probes) {
+      prober_.Probe(*state_->directory.Find(it),
+                    [this, it](bool answered) { OnProbeEnd(it, answered); });
+    }
+    OnServerPathUpdate();
+  }
+
+  void OnProbeEnd(const ServerId& server, bool answered) {
+    state_->metrics.Count("probes_total", answered ? "outcome=\"answered\""
+                                                   : "outcome=\"failed\"");
+    state_->reachability.OnProbeEnd(server, answered, loop_.Now());
+    OnServerPathUpdate();
+  }
+
+  // Handles a change of whether servers can be reached.
+  void OnServerPathUpdate() {
+    const ServerPath path = state_->reachability.path();
+    const ServerPath before = std::exchange(server_path_, path);
+    if (path == before) {
+      return;
+    }
+    const Duration silence = loop_.Now() - state_->reachability.last_answer();
+    Log(path == ServerPath::kOpen ? LogLevel::kInfo : LogLevel::kWarning,
+        "server_path",
+        {{"path", ToString(path)},
+         {"before", ToString(before)},
+         {"silent_ms", silence / milliseconds(1)},
+         {"servers", state_->directory.servers().size()},
+         {"leading", election_.IsLeader(loop_.Now())}});
+  }
+
   // Schedules heartbeats about changed copies to all members if this daemon is
   // the leader.
   void ScheduleHeartbeats() {
@@ -464,6 +507,7 @@
     SetHousekeepingTimer(now + kHousekeepingPeriod);
     link_.SetStoreCopyStatus(copies_.CopyStatus());
     TakeOverIfLeaderLostStore();
+    CheckServerPath();
     if (const auto suppressed = state_->log_budget.TakeSuppressed();
         suppressed > 0) {
       Log(LogLevel::kWarning, "log_lines_left_out", {{"lines", suppressed}});
@@ -524,6 +568,7 @@
   net::EventLoop loop_;
   platform::PlatformClient platform_;
   std::shared_ptr<EntryState> state_;
+  ServerProber prober_;
   EntryProxy proxy_;
   const Member self_;
   LeaderElection election_;
@@ -540,6 +585,7 @@
   // Since the metrics were last read.
   Duration max_loop_delay_{};
   bool servers_known_ = false;
+  ServerPath server_path_ = ServerPath::kOpen;
 };
 
 EntryDaemon::EntryDaemon(const settings::EntryDaemonT& settings)
--- a/src/entry/entry_request.cc
+++ b/src/entry/entry_request.cc
@@ -42,6 +42,11 @@
 // time if that is longer.
 constexpr int kResponseTimeoutFactor = 5;
 constexpr Duration kMinResponseTimeout = milliseconds(800);
+// A request should be answered within this multiple of the server's expected
+// latency, and within the minimum time if that is longer. Otherwise the path to
+// the servers is in question.
+constexpr int kSilenceFactor = 2;
+constexpr Duration kMinSilence = milliseconds(250);
 
 }  // namespace
 
@@ -295,6 +300,10 @@
   state_->loads.OnSent(server_);
   state_->limits.OnSent(server_, attempt_started_);
   pool_->OnStart(connection_.get());
+  state_->reachability.OnSent(
+      attempt_started_ + std::max(kMinSilence, state_->loads.ExpectedLatency(
+                                                   server, attempt_started_) *
+                                                   kSilenceFactor));
   if (route_->idempotent) {
     const Duration processing_time =
         state_->loads.ProcessingTime(server, attempt_started_);
@@ -341,6 +350,8 @@
 
 void EntryRequest::OnResponseHead() {
   const http::MessageHead& head = connection_->head();
+  state_->reachability.OnAnswer(server_, connection_->opened_at(),
+                                state_->loop.Now());
   switch (ClassifyResponse(head, state_->headers, id_)) {
     case ResponseKind::kWrongRequestId:
       if (++skipped_responses_ <= kMaxSkippedResponses) {
@@ -444,6 +455,7 @@
 void EntryRequest::OnConnectionFailed() {
   const auto connection = std::exchange(connection_, nullptr);
   const bool sent = connection->written();
+  state_->reachability.OnFailure(server_, connection->opened_at());
   response_timer_.Clear();
   if (committed_) {
     EndAttempt(AttemptResult::kBroken);
@@ -489,6 +501,7 @@
   }
   const bool sent = connection_->written();
   const auto connection = std::exchange(connection_, nullptr);
+  state_->reachability.OnFailure(server_, connection->opened_at());
   connection->Abandon();
   attempts_ += sent ? 1 : 0;
   may_have_run_ = may_have_run_ || sent;
--- a/src/entry/entry_state.cc
+++ b/src/entry/entry_state.cc
@@ -34,12 +34,14 @@
 EntryState::EntryState(net::EventLoop& loop,
                        HeaderNames headers,
                        ZoneName zone,
-                       RetryBounds bounds)
+                       RetryBounds bounds,
+                       std::string source_ip)
     : loop(loop),
       headers(std::move(headers)),
       zone(std::move(zone)),
       limits(std::random_device{}()),
-      bounds_(bounds) {}
+      bounds_(bounds),
+      source_ip_(std::move(source_ip)) {}
 
 void EntryState::SetMembers(std::uint32_t members) {
   members_.Set(members, loop.Now());
@@ -93,6 +95,13 @@
                                   std::max(1U, members()));
 }
 
+proxy::ServerConnectionOptions EntryState::ConnectionOptions() const {
+  return {.connect_timeout = kConnectTimeout,
+          .idle_timeout = kIdleTimeout,
+          .accept_until_end = true,
+          .source_ip = source_ip_};
+}
+
 std::shared_ptr<proxy::ServerPool> EntryState::Pool(
     const routing::BackendServer& server) {
   PoolEntry& entry = pools_[server.id];
@@ -102,10 +111,7 @@
     }
     entry.address = server.address;
     entry.pool = std::make_shared<proxy::ServerPool>(
-        loop, server.address, std::nullopt,
-        proxy::ServerConnectionOptions{.connect_timeout = kConnectTimeout,
-                                       .idle_timeout = kIdleTimeout,
-                                       .accept_until_end = true});
+        loop, server.address, std::nullopt, ConnectionOptions());
   }
   entry.pool->SetLimit(
       std::max(kMinConnections, OwnShare(server.service, kConnectionShare)));
@@ -144,6 +150,7 @@
     it.second.pool->CloseIdle();
     loads.Forget(it.first);
     limits.Clear(it.first);
+    reachability.Forget(it.first);
     return true;
   });
 }
--- a/src/entry/entry_state.h
+++ b/src/entry/entry_state.h
@@ -23,6 +23,7 @@
 #include "entry/server_directory.h"
 #include "entry/server_limits.h"
 #include "entry/server_loads.h"
+#include "entry/server_reachability.h"
 #include "keyspace/key_load.h"
 #include "net/event_loop.h"
 #include "policy/retry_budget.h"
@@ -42,11 +43,14 @@
 
 class EntryState {
  public:
-  // `zone` is the availability zone of this daemon.
+  // `zone` is the availability zone of this daemon. Connections to servers are
+  // opened from `source_ip`, or from an address that the system chooses if it
+  // is empty.
   EntryState(net::EventLoop& loop,
              HeaderNames headers,
              ZoneName zone,
-             RetryBounds bounds);
+             RetryBounds bounds,
+             std::string source_ip = {});
   EntryState(const EntryState&) = delete;
   EntryState& operator=(const EntryState&) = delete;
 
@@ -55,6 +59,8 @@
   // Returns the connection pool of a server; creates it if there is none for
   // the server's current address.
   std::shared_ptr<proxy::ServerPool> Pool(const routing::BackendServer& server);
+  // Returns the options of connections to servers.
+  [[nodiscard]] proxy::ServerConnectionOptions ConnectionOptions() const;
   // Handles the limit that a response of `server` names, or that it names none.
   void UpdateLimit(const ServerId& server,
                    std::optional<std::string_view> limit);
@@ -88,6 +94,7 @@
   ServerDirectory directory;
   ServerLoads loads;
   ServerLimits limits;
+  ServerReachability reachability;
   OwnershipView ownership;
   CrashWatch crashes;
   // Requests that wait for a new owner of their key.
@@ -109,6 +116,7 @@
                                      double share) const;
 
   const RetryBounds bounds_;
+  const std::string source_ip_;
   bool counts_key_load_ = false;
   MemberCount members_;
   std::map<std::string, RetryBudget> budgets_;
--- a/src/entry/key_assignment.cc
+++ b/src/entry/key_assignment.cc
@@ -296,7 +296,8 @@
                               Service& service,
                               const keyspace::SendOrder& order) {
   const bool grant = order.kind == keyspace::SendOrder::Kind::kGrant;
-  const auto on_reply = [this, name, order, grant, term = service.term](
+  const auto on_reply = [this, name, order, grant, term = service.term,
+                         sent_at = state_.loop.Now()](
                             const platform::OrderReply& reply) {
     Service* service = Find(name, term);
     if (service == nullptr) {
@@ -315,6 +316,14 @@
            {"outcome", Describe(reply.status)},
            {"error", reply.error}});
     }
+    if (reply.status == platform::OrderStatus::kUnknown ||
+        reply.status == platform::OrderStatus::kConnectionRefused) {
+      state_.reachability.OnFailure(order.server, sent_at);
+    } else {
+      // The connection may have been opened long ago.
+      state_.reachability.OnAnswer(order.server, TimePoint{},
+                                   state_.loop.Now());
+    }
     service->assigner.OnOrderReply(order.order, ToOrderOutcome(reply.status),
                                    reply.handover, state_.loop.Now());
     Run();
--- /dev/null
+++ b/src/entry/server_reachability.cc
@@ -0,0 +1,154 @@
+#include "entry/server_reachability.h"
+
+#include <algorithm>
+#include <chrono>
+#include <iterator>
+
+namespace gentianreach::entry {
+namespace {
+
+using std::chrono::milliseconds;
+
+// Number of servers whose failure raises a suspicion, if there are as many.
+constexpr std::size_t kSuspiciousFailures = 3;
+// Number of servers that are probed to confirm a suspicion.
+constexpr std::size_t kConfirmingProbes = 5;
+// Number of servers that are probed at a time while the path is lost.
+constexpr std::size_t kRecoveryProbes = 2;
+// Shortest time from a refuted suspicion to the next one.
+constexpr Duration kSuspicionPause = std::chrono::seconds(1);
+// Shortest time between two rounds of probes while the path is lost.
+constexpr Duration kRecoveryPeriod = milliseconds(250);
+
+}  // namespace
+
+std::string_view ToString(ServerPath path) {
+  switch (path) {
+    case ServerPath::kOpen:
+      return "open";
+    case ServerPath::kSuspected:
+      return "suspected";
+    case ServerPath::kLost:
+      return "lost";
+  }
+  return "unknown";
+}
+
+void ServerReachability::OnSent(TimePoint due) {
+  answer_due_ = std::min(answer_due_.value_or(due), due);
+}
+
+void ServerReachability::OnAnswer(const ServerId& server,
+                                  TimePoint opened_at,
+                                  TimePoint now) {
+  last_answer_ = now;
+  answer_due_.reset();
+  records_[server].answered_at = now;
+  for (auto& [id, it] : records_) {
+    if (it.failed_connection && *it.failed_connection <= opened_at) {
+      it.failed_connection.reset();
+    }
+  }
+}
+
+void ServerReachability::OnFailure(const ServerId& server,
+                                   TimePoint opened_at) {
+  Record& record = records_[server];
+  record.failed_connection =
+      std::max(record.failed_connection.value_or(opened_at), opened_at);
+}
+
+bool ServerReachability::IsSuspicious(const Servers& servers,
+                                      TimePoint now) const {
+  if (answer_due_ && now >= *answer_due_) {
+    return true;
+  }
+  const auto failed = static_cast<std::size_t>(
+      std::ranges::count_if(records_, [&](const auto& it) {
+        return it.second.failed_connection && servers.contains(it.first);
+      }));
+  return failed > 0 && failed >= std::min(kSuspiciousFailures, servers.size());
+}
+
+template <typename Order>
+std::vector<ServerId> ServerReachability::Pick(const Servers& servers,
+                                               std::size_t n,
+                                               Order order) const {
+  struct Candidate {
+    ServerId id;
+    Record record;
+  };
+  std::vector<Candidate> candidates;
+  for (const auto& [id, it] : servers) {
+    const auto found = records_.find(id);
+    candidates.push_back(
+        {id, found == records_.end() ? Record{} : found->second});
+  }
+  std::ranges::stable_sort(candidates,
+                           [&](const Candidate& a, const Candidate& b) {
+                             return order(a.record, b.record);
+                           });
+  candidates.resize(std::min(n, candidates.size()));
+  std::vector<ServerId> picked;
+  std::ranges::transform(candidates, std::back_inserter(picked),
+                         &Candidate::id);
+  return picked;
+}
+
+std::vector<ServerId> ServerReachability::TakeProbes(const Servers& servers,
+                                                     TimePoint now) {
+  if (pending_probes_ > 0 || now < next_probes_) {
+    return {};
+  }
+  std::vector<ServerId> probes;
+  if (path_ == ServerPath::kLost) {
+    probes =
+        Pick(servers, kRecoveryProbes, [](const Record& a, const Record& b) {
+          return a.probed_at < b.probed_at;
+        });
+    next_probes_ = now + kRecoveryPeriod;
+  } else if (IsSuspicious(servers, now)) {
+    probes =
+        Pick(servers, kConfirmingProbes, [](const Record& a, const Record& b) {
+          return a.answered_at > b.answered_at;
+        });
+    if (!probes.empty()) {
+      path_ = ServerPath::kSuspected;
+    }
+  }
+  for (const ServerId& it : probes) {
+    records_[it].probed_at = now;
+  }
+  pending_probes_ = probes.size();
+  return probes;
+}
+
+void ServerReachability::OnProbeEnd(const ServerId& server,
+                                    bool answered,
+                                    TimePoint now) {
+  pending_probes_ -= pending_probes_ > 0 ? 1 : 0;
+  if (answered) {
+    records_[server].answered_at = now;
+    last_answer_ = now;
+    Reopen(now);
+    return;
+  }
+  if (path_ == ServerPath::kSuspected && pending_probes_ == 0) {
+    path_ = ServerPath::kLost;
+    next_probes_ = now + kRecoveryPeriod;
+  }
+}
+
+void ServerReachability::Reopen(TimePoint now) {
+  if (path_ == ServerPath::kOpen) {
+    return;
+  }
+  path_ = ServerPath::kOpen;
+  answer_due_.reset();
+  next_probes_ = now + kSuspicionPause;
+  for (auto& [id, it] : records_) {
+    it.failed_connection.reset();
+  }
+}
+
+}  // namespace gentianreach::entry
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -74,7 +74,8 @@
 
 }  // namespace
 
-HttpClient::HttpClient() = default;
+HttpClient::HttpClient(std::string source_ip)
+    : source_ip_(std::move(source_ip)) {}
 
 HttpClient::~HttpClient() {
   *alive_ = false;
@@ -92,9 +93,15 @@
   if (known == sessions_.end()) {
     std::erase_if(sessions_,
                   [&](const auto& it) { return it.second.expires_at < now; });
+    // Null if the system chooses the source address.
+    const auto source = GObjectPtr<GSocketAddress>::Adopt(
+        source_ip_.empty()
+            ? nullptr
+            : g_inet_socket_address_new_from_string(source_ip_.c_str(), 0));
     auto session = GObjectPtr<SoupSession>::Adopt(soup_session_new_with_options(
         "max-conns", kMaxConnectionsPerServer, "max-conns-per-host",
-        kMaxConnectionsPerServer, "idle-timeout", kIdleSeconds, nullptr));
+        kMaxConnectionsPerServer, "idle-timeout", kIdleSeconds, "local-address",
+        source.get(), nullptr));
     known = sessions_.emplace(server, Session{std::move(session), {}}).first;
   }
   known->second.expires_at = now + kSessionTimeout;
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -52,7 +52,9 @@
 // the client is destroyed first; pending calls then end without a callback.
 class HttpClient {
  public:
-  HttpClient();
+  // Connects from the local IP address `source_ip`; if it is empty, the system
+  // chooses one.
+  explicit HttpClient(std::string source_ip = {});
   HttpClient(const HttpClient&) = delete;
   HttpClient& operator=(const HttpClient&) = delete;
   ~HttpClient();
@@ -71,6 +73,7 @@
   // Returns the session for the server of `message`.
   SoupSession* SessionFor(SoupMessage* message);
 
+  const std::string source_ip_;
   // By "host:port". Servers do not share a session, since libsoup reads from
   // all idle connections of a session for each call.
   std::map<std::string, Session> sessions_;
--- a/src/net/tcp_socket.cc
+++ b/src/net/tcp_socket.cc
@@ -93,7 +93,8 @@
   return socket;
 }
 
-leaf::result<TcpSocket> TcpSocket::Connect(const std::string& address) {
+leaf::result<TcpSocket> TcpSocket::Connect(const std::string& address,
+                                           const std::string& source_ip) {
   const auto parsed = ParseSocketAddress(address);
   if (!parsed) {
     return leaf::new_error(SocketError{address + ": not an IP:port"});
@@ -103,6 +104,16 @@
   if (!socket.is_open()) {
     return leaf::new_error(SocketError{address + ": " + error.message()});
   }
+  if (!source_ip.empty()) {
+    const auto source = ParseSocketAddress(source_ip + ":0");
+    if (!source) {
+      return leaf::new_error(SocketError{source_ip + ": not an IP address"});
+    }
+    if (g_socket_bind(socket.socket_.get(), source.get(), FALSE, error.out()) ==
+        0) {
+      return leaf::new_error(SocketError{source_ip + ": " + error.message()});
+    }
+  }
   DisableNagle(socket.socket_.get());
   if (g_socket_connect(socket.socket_.get(), parsed.get(), nullptr,
                        error.out()) == 0 &&
--- a/src/net/tcp_socket.h
+++ b/src/net/tcp_socket.h
@@ -57,8 +57,11 @@
   static boost::leaf::result<TcpSocket> Listen(const std::string& address,
                                                bool reuse_port);
   // Starts connecting to `address` ("IP:port"). The socket becomes writable
-  // when FinishConnect() can return the outcome.
-  static boost::leaf::result<TcpSocket> Connect(const std::string& address);
+  // when FinishConnect() can return the outcome. `source_ip` is the local IP
+  // address to connect from; if it is empty, the system chooses one.
+  static boost::leaf::result<TcpSocket> Connect(
+      const std::string& address,
+      const std::string& source_ip = {});
 
   // Returns the next pending connection, or nothing if there is none.
   [[nodiscard]] std::optional<TcpSocket> Accept();
--- a/src/proxy/server_connection.cc
+++ b/src/proxy/server_connection.cc
@@ -28,11 +28,12 @@
                                    ServerConnectionOptions options)
     : loop_(loop),
       on_closed_(std::move(on_closed)),
-      options_(options),
+      options_(std::move(options)),
       timer_(loop, [this] { OnTimer(); }) {}
 
 void ServerConnection::Connect(const std::string& address) {
-  auto socket = net::TcpSocket::Connect(address);
+  opened_at_ = loop_.Now();
+  auto socket = net::TcpSocket::Connect(address, options_.source_ip);
   if (!socket) {
     loop_.Defer(
         [self = shared_from_this()] { self->Fail(ServerFailure::kConnect); });
--- a/src/proxy/server_connection.h
+++ b/src/proxy/server_connection.h
@@ -52,6 +52,8 @@
   // Whether a response without a length is complete when the connection is
   // closed in an orderly way. Otherwise it counts as truncated.
   bool accept_until_end = false;
+  // Local IP address to connect from; empty: chosen by the system.
+  std::string source_ip;
 };
 
 class ServerConnection : public std::enable_shared_from_this<ServerConnection> {
@@ -101,6 +103,8 @@
   [[nodiscard]] bool written() const { return written_; }
   // Returns the number of request bytes that the socket has not accepted yet.
   [[nodiscard]] std::size_t unsent() const { return out_.size(); }
+  // Returns when the connection began to be opened.
+  [[nodiscard]] TimePoint opened_at() const { return opened_at_; }
   // Returns when bytes were last sent or received for the current request.
   [[nodiscard]] TimePoint last_progress() const { return last_progress_; }
   // Returns whether the connection is open and may carry another request.
@@ -152,6 +156,7 @@
   bool response_begun_ = false;
   bool reusable_ = true;
   bool skipping_ = false;
+  TimePoint opened_at_;
   TimePoint last_progress_;
   ServerFailure failure_ = ServerFailure::kNone;
   std::optional<http::ResponseParser> parser_;
--- a/src/routing/routing_config.h
+++ b/src/routing/routing_config.h
@@ -50,6 +50,9 @@
   std::uint32_t max_connections = 100;
   // Whether each key is owned by a single server.
   bool keyed = false;
+  // Target of a GET request that a server answers without running a caller's
+  // request.
+  std::string health_path = "/";
 };
 
 struct RoutingConfig {
