--- a/include/gentianreach/verdict.h
+++ b/include/gentianreach/verdict.h
@@ -19,6 +19,10 @@
 
 namespace gentianreach {
 
+// Headers of a response that state the outcome and its reason.
+inline constexpr std::string_view kVerdictField = "gentianreach-verdict";
+inline constexpr std::string_view kReasonField = "gentianreach-reason";
+
 enum class Outcome : std::uint8_t { kAnswered, kNotRun, kMayHaveRun };
 
 // Why a request ended as it did.
--- a/soak/fleet.cc
+++ b/soak/fleet.cc
@@ -221,7 +221,9 @@
       << "\ncaller_address = " << slot.ip << ":7000"
       << "\nready_address = " << slot.ip << ":7001"
       << "\nmember_address = " << slot.ip << ":7002"
-      << "\nmetrics_address = " << slot.ip << ":7003"
+      << "\nforward_address = " << slot.ip << ":7004"
+      << "\nsource_ip = " << slot.ip << "\nmetrics_address = " << slot.ip
+      << ":7003"
       << "\nseed_addresses = " << seeds
       << "\nstore_address = " << slot.store_proxy->address()
       << "\nlongest_lease_ms = 10000\nretry_ratio = 0.2\nretry_slack = 100"
--- a/src/entry/entry_daemon.cc
+++ b/src/entry/entry_daemon.cc
@@ -19,7 +19,7 @@
 #include "entry/leader_election.h"
 #include "entry/leader_record.h"
 #include "entry/member_link.h"
-#include "entry/server_prober.h"
+#include "entry/server_path_monitor.h"
 #include "entry/store_copies.h"
 #include "net/deadline_timer.h"
 #include "net/event_loop.h"
@@ -104,7 +104,7 @@
             ZoneName(settings.zone),
             RetryBounds{settings.retry_ratio, settings.retry_slack},
             settings.source_ip)),
-        prober_(*state_),
+        path_monitor_(*state_),
         proxy_(state_),
         self_{settings.name, Incarnation(RandomNumber()),
               settings.member_address},
@@ -112,6 +112,7 @@
         link_(loop_,
               self_,
               settings.processor_share,
+              settings.forward_address,
               SeedsOf(settings),
               election_,
               *state_),
@@ -133,6 +134,9 @@
                        link_.members() * kHeartbeatPausePerMember);
           link_.SendLeaderHeartbeats();
         }) {
+    path_monitor_.on_change = [this](ServerPath before) {
+      OnServerPathChange(before);
+    };
     copies_.on_store_change = [this](bool lost) { OnStoreChange(lost); };
     link_.on_membership_update = [this] { OnMembershipUpdate(); };
     link_.on_leader_heartbeat = [this](const StoreCopyStatus& copy_status) {
@@ -147,7 +151,12 @@
   }
 
   boost::leaf::result<void> Start() {
-    BOOST_LEAF_CHECK(proxy_.Listen(settings_.caller_address));
+    BOOST_LEAF_CHECK(
+        proxy_.Listen(settings_.caller_address, RequestOrigin::kCaller));
+    if (!settings_.forward_address.empty()) {
+      BOOST_LEAF_CHECK(
+          proxy_.Listen(settings_.forward_address, RequestOrigin::kDaemon));
+    }
     BOOST_LEAF_CHECK(link_.Open());
     ready_server_.Handle("GET", settings_.ready_path, [this](const auto&) {
       return IsReady() ? OperatorResponse{200, "text/plain", "ready\n"}
@@ -213,11 +222,9 @@
     metrics.Set("in_flight_requests", static_cast<double>(state_->in_flight));
     metrics.Set("held_requests", static_cast<double>(state_->held.size()));
     metrics.Set("limited_servers", static_cast<double>(state_->limits.size()));
-    metrics.Set("server_path_lost", state_->reachability.lost() ? 1 : 0);
-    if (state_->reachability.last_answer() != TimePoint{}) {
-      metrics.Set("server_silence_seconds",
-                  seconds(now - state_->reachability.last_answer()));
-    }
+    path_monitor_.SetMetrics();
+    metrics.Set("relays", static_cast<double>(state_->relays.size()));
+    metrics.Set("cut_members", link_.cut_members());
     metrics.Set("members", state_->members());
     metrics.Set("leading", election_.IsLeader(now) ? 1 : 0);
     metrics.Set("leader_epoch",
@@ -409,39 +416,17 @@
     }
   }
 
-  // Probes servers if it is in question whether any can be reached.
-  void CheckServerPath() {
-    const auto probes = state_->reachability.TakeProbes(
-        state_->directory.servers(), loop_.Now());
-    for (const ServerId& it : probes) {
-      prober_.Probe(*state_->directory.Find(it),
-                    [this, it](bool answered) { OnProbeEnd(it, answered); });
-    }
-    OnServerPathUpdate();
-  }
-
-  void OnProbeEnd(const ServerId& server, bool answered) {
-    state_->metrics.Count("probes_total", answered ? "outcome=\"answered\""
-                                                   : "outcome=\"failed\"");
-    state_->reachability.OnProbeEnd(server, answered, loop_.Now());
-    OnServerPathUpdate();
-  }
-
   // Handles a change of whether servers can be reached.
-  void OnServerPathUpdate() {
-    const ServerPath path = state_->reachability.path();
-    const ServerPath before = std::exchange(server_path_, path);
-    if (path == before) {
-      return;
+  void OnServerPathChange(ServerPath before) {
+    if (state_->reachability.lost()) {
+      state_->relays.Reset();
+      state_->CloseIdleConnections();
+      link_.AnnounceServerPath();
+      proxy_.OnServersLost();
+      state_->held.WakeAll();
+    } else if (before == ServerPath::kLost) {
+      link_.AnnounceServerPath();
     }
-    const Duration silence = loop_.Now() - state_->reachability.last_answer();
-    Log(path == ServerPath::kOpen ? LogLevel::kInfo : LogLevel::kWarning,
-        "server_path",
-        {{"path", ToString(path)},
-         {"before", ToString(before)},
-         {"silent_ms", silence / milliseconds(1)},
-         {"servers", state_->directory.servers().size()},
-         {"leading", election_.IsLeader(loop_.Now())}});
   }
 
   // Schedules heartbeats about changed copies to all members if this daemon is
@@ -479,7 +464,7 @@
   }
 
   void OnMembershipUpdate() {
-    state_->SetMembers(link_.members());
+    state_->SetMembers(link_.members(), link_.cut_members());
     ChooseSource();
     if (!election_timer_.deadline()) {
       RunElection();
@@ -507,7 +492,7 @@
     SetHousekeepingTimer(now + kHousekeepingPeriod);
     link_.SetStoreCopyStatus(copies_.CopyStatus());
     TakeOverIfLeaderLostStore();
-    CheckServerPath();
+    path_monitor_.Check();
     if (const auto suppressed = state_->log_budget.TakeSuppressed();
         suppressed > 0) {
       Log(LogLevel::kWarning, "log_lines_left_out", {{"lines", suppressed}});
@@ -515,7 +500,7 @@
     if (!election_timer_.deadline()) {
       RunElection();
     }
-    state_->SetMembers(link_.members());
+    state_->SetMembers(link_.members(), link_.cut_members());
     ChooseSource();
   }
 
@@ -568,7 +553,7 @@
   net::EventLoop loop_;
   platform::PlatformClient platform_;
   std::shared_ptr<EntryState> state_;
-  ServerProber prober_;
+  ServerPathMonitor path_monitor_;
   EntryProxy proxy_;
   const Member self_;
   LeaderElection election_;
@@ -585,7 +570,6 @@
   // Since the metrics were last read.
   Duration max_loop_delay_{};
   bool servers_known_ = false;
-  ServerPath server_path_ = ServerPath::kOpen;
 };
 
 EntryDaemon::EntryDaemon(const settings::EntryDaemonT& settings)
--- a/src/entry/entry_proxy.cc
+++ b/src/entry/entry_proxy.cc
@@ -9,6 +9,9 @@
 namespace gentianreach::entry {
 namespace {
 
+// How long a connection of another daemon may wait for its next request. The
+// other daemon closes its idle connections earlier.
+constexpr Duration kDaemonIdleTimeout = std::chrono::seconds(60);
 // Limit of callers' connections per daemon. The file descriptor limit of an
 // entry VM allows about twice as many.
 constexpr std::size_t kMaxCallers = 2000;
@@ -23,8 +26,11 @@
 class EntryProxy::Session : public std::enable_shared_from_this<Session> {
  public:
   Session(std::shared_ptr<EntryState> state,
-          std::shared_ptr<proxy::CallerConnection> connection)
-      : state_(std::move(state)), connection_(std::move(connection)) {}
+          std::shared_ptr<proxy::CallerConnection> connection,
+          RequestOrigin origin)
+      : state_(std::move(state)),
+        connection_(std::move(connection)),
+        origin_(origin) {}
 
   void Start(std::function<void(proxy::CallerConnection*)> on_closed) {
     on_closed_ = std::move(on_closed);
@@ -37,6 +43,11 @@
       request_->OnStopDeadline();
     }
   }
+  void OnServersLost() {
+    if (request_) {
+      request_->OnServersLost();
+    }
+  }
   void CloseIfIdle() { connection_->CloseIfIdle(); }
   void Abort() { connection_->Abort(); }
 
@@ -49,7 +60,7 @@
     const bool in_request = request_ && !request_->done();
     if (event == proxy::CallerEvent::kHead ||
         (event == proxy::CallerEvent::kRefused && !in_request)) {
-      request_ = std::make_shared<EntryRequest>(state_, connection_);
+      request_ = std::make_shared<EntryRequest>(state_, connection_, origin_);
     } else if (!in_request) {
       return;
     }
@@ -61,6 +72,7 @@
 
   std::shared_ptr<EntryState> state_;
   std::shared_ptr<proxy::CallerConnection> connection_;
+  const RequestOrigin origin_;
   std::shared_ptr<EntryRequest> request_;
   std::function<void(proxy::CallerConnection*)> on_closed_;
 };
@@ -70,23 +82,34 @@
       stop_timer_(state_->loop, [this] { CheckStopped(); }) {}
 
 EntryProxy::~EntryProxy() {
-  CloseListener();
+  CloseListeners();
   const Sessions sessions = *sessions_;
   for (const auto& [key, it] : sessions) {
     it->Abort();
   }
 }
 
-boost::leaf::result<void> EntryProxy::Listen(const std::string& address) {
-  BOOST_LEAF_AUTO(listener, net::TcpSocket::Listen(address, false));
-  listener_ = std::move(listener);
-  listener_watch_ = state_->loop.Watch(listener_.fd(),
-                                       [this](net::ReadyEvents) { Accept(); });
+boost::leaf::result<void> EntryProxy::Listen(const std::string& address,
+                                             RequestOrigin origin) {
+  BOOST_LEAF_AUTO(socket, net::TcpSocket::Listen(address, false));
+  Listener& listener = listeners_.emplace_back();
+  listener.origin = origin;
+  listener.socket = std::move(socket);
+  listener.watch = state_->loop.Watch(
+      listener.socket.fd(),
+      [this, &listener](net::ReadyEvents) { Accept(listener); });
   return {};
 }
 
-void EntryProxy::Accept() {
-  while (auto socket = listener_.Accept()) {
+void EntryProxy::OnServersLost() {
+  const Sessions sessions = *sessions_;
+  for (const auto& [key, it] : sessions) {
+    it->OnServersLost();
+  }
+}
+
+void EntryProxy::Accept(Listener& listener) {
+  while (auto socket = listener.socket.Accept()) {
     if (sessions_->size() >= kMaxCallers) {
       state_->metrics.Count("callers_turned_away_total");
       socket->Close();
@@ -98,9 +121,12 @@
     }
     auto connection = std::make_shared<proxy::CallerConnection>(
         state_->loop, std::move(*socket), limits.max_header_bytes,
-        proxy::CallerTimeouts{.idle = limits.idle_timeout,
+        proxy::CallerTimeouts{.idle = listener.origin == RequestOrigin::kCaller
+                                          ? Duration(limits.idle_timeout)
+                                          : kDaemonIdleTimeout,
                               .head = limits.header_timeout});
-    const auto session = std::make_shared<Session>(state_, connection);
+    const auto session =
+        std::make_shared<Session>(state_, connection, listener.origin);
     sessions_->emplace(connection.get(), session);
     session->Start([sessions = sessions_](proxy::CallerConnection* it) {
       sessions->erase(it);
@@ -108,12 +134,14 @@
   }
 }
 
-void EntryProxy::CloseListener() {
-  if (!listener_.is_open()) {
-    return;
+void EntryProxy::CloseListeners() {
+  for (Listener& it : listeners_) {
+    if (!it.socket.is_open()) {
+      continue;
+    }
+    state_->loop.Unwatch(it.watch, it.socket.fd());
+    it.socket.Close();
   }
-  state_->loop.Unwatch(listener_watch_, listener_.fd());
-  listener_.Close();
 }
 
 void EntryProxy::Stop(TimePoint accept_until,
@@ -130,10 +158,12 @@
   const TimePoint now = state_->loop.Now();
   if (now >= accept_until_) {
     // Connections in the listener's backlog are accepted before it closes.
-    if (listener_.is_open()) {
-      Accept();
+    for (Listener& it : listeners_) {
+      if (it.socket.is_open()) {
+        Accept(it);
+      }
     }
-    CloseListener();
+    CloseListeners();
     const Sessions sessions = *sessions_;
     for (const auto& [key, it] : sessions) {
       it->CloseIfIdle();
--- a/src/entry/entry_proxy.h
+++ b/src/entry/entry_proxy.h
@@ -1,15 +1,18 @@
-// Accepts callers' connections and creates an EntryRequest for each request.
+// Accepts connections of callers and of daemons that forward requests, and
+// creates an EntryRequest for each request.
 #ifndef SRC_ENTRY_ENTRY_PROXY_H_
 #define SRC_ENTRY_ENTRY_PROXY_H_
 
 #include <cstddef>
 #include <functional>
+#include <list>
 #include <memory>
 #include <string>
 #include <unordered_map>
 
 #include <boost/leaf/result.hpp>
 
+#include "entry/entry_request.h"
 #include "entry/entry_state.h"
 #include "gentianreach/time.h"
 #include "net/deadline_timer.h"
@@ -26,10 +29,17 @@
   EntryProxy(const EntryProxy&) = delete;
   EntryProxy& operator=(const EntryProxy&) = delete;
 
-  // Starts accepting callers at `address` ("IP:port"). Fails with
-  // net::SocketError.
-  boost::leaf::result<void> Listen(const std::string& address);
-  [[nodiscard]] std::uint16_t port() const { return listener_.port(); }
+  // Starts accepting callers or other daemons at `address` ("IP:port"). Fails
+  // with net::SocketError.
+  boost::leaf::result<void> Listen(const std::string& address,
+                                   RequestOrigin origin);
+  // Returns the port of the first address.
+  [[nodiscard]] std::uint16_t port() const {
+    return listeners_.front().socket.port();
+  }
+  // Sends requests that wait for a server another way, because the path to all
+  // servers is lost.
+  void OnServersLost();
 
   // Stops gracefully. Callers are accepted until `accept_until`, since the load
   // balancer notices the stop late; every response closes its connection. At
@@ -45,14 +55,20 @@
   using Sessions =
       std::unordered_map<proxy::CallerConnection*, std::shared_ptr<Session>>;
 
-  void Accept();
-  void CloseListener();
+  struct Listener {
+    RequestOrigin origin = RequestOrigin::kCaller;
+    net::TcpSocket socket;
+    net::EventLoop::WatchId watch = 0;
+  };
+
+  void Accept(Listener& listener);
+  void CloseListeners();
   void CheckStopped();
 
   std::shared_ptr<EntryState> state_;
   std::shared_ptr<Sessions> sessions_ = std::make_shared<Sessions>();
-  net::TcpSocket listener_;
-  net::EventLoop::WatchId listener_watch_ = 0;
+  // References to the elements stay valid.
+  std::list<Listener> listeners_;
   net::DeadlineTimer stop_timer_;
   TimePoint accept_until_{};
   TimePoint stop_deadline_{};
--- a/src/entry/entry_request.cc
+++ b/src/entry/entry_request.cc
@@ -51,9 +51,11 @@
 }  // namespace
 
 EntryRequest::EntryRequest(std::shared_ptr<EntryState> state,
-                           std::shared_ptr<proxy::CallerConnection> caller)
+                           std::shared_ptr<proxy::CallerConnection> caller,
+                           RequestOrigin origin)
     : state_(std::move(state)),
       caller_(std::move(caller)),
+      origin_(origin),
       routes_(state_->routes),
       started_(state_->loop.Now()),
       deadline_(TimePoint::max()),
@@ -119,7 +121,9 @@
   id_ = head.Get(std::string_view(names.request_id)).value_or("");
   if (!routes_) {
     deadline_ = started_ + kNotReadyRetryAfter * 4;
-    Refuse(kUnavailable, Reason::kNone, kNotReadyRetryAfter);
+    Refuse(kUnavailable,
+           origin_ == RequestOrigin::kDaemon ? Reason::kCutOff : Reason::kNone,
+           kNotReadyRetryAfter);
     return;
   }
   routing::RouteEntry* entry =
@@ -136,7 +140,6 @@
   }
   service_ = &routes_->config().services.at(
       route_->split[entry->split.Next()].service);
-  state_->Budget(service_->name).OnRequest(started_);
   if (service_->keyed) {
     const auto text = head.Get(std::string_view(names.key));
     key_ = text ? ParseNumber(*text, keyspace::kKeyCount - 1) : std::nullopt;
@@ -144,7 +147,12 @@
       Refuse(400, Reason::kBadRequest, {});
       return;
     }
-    state_->CountKey(service_->name, *key_);
+  }
+  if (origin_ == RequestOrigin::kDaemon) {
+    state_->metrics.Count("forwarded_requests_total");
+    constexpr std::uint32_t kMaxAttempts = 1000;
+    const auto attempts = head.Get(kAttemptsField);
+    attempts_ = attempts ? ParseNumber(*attempts, kMaxAttempts).value_or(0) : 0;
   }
   caller_->SetDeadline(deadline_);
   if (!caller_->request_complete() && head.Get(http::FieldId::expect)) {
@@ -166,6 +174,10 @@
   if (done_) {
     return;
   }
+  if (const Reason reason = ReasonNotToRelay(); reason != Reason::kNone) {
+    Refuse(kUnavailable, reason, kNotReadyRetryAfter);
+    return;
+  }
   const http::MessageHead& head = caller_->head();
   fingerprint_ = MakeFingerprint(ServiceName(service_->name), head.method,
                                  head.target, DigestBody(body_));
@@ -224,9 +236,14 @@
   if (done_) {
     return;
   }
+  if (state_->reachability.lost()) {
+    Forward();
+    return;
+  }
+  CountOnce();
   const ServerChoice choice = Choose();
   if (choice.wait) {
-    HoldForOwner(choice);
+    Hold(choice);
     return;
   }
   if (choice.server == nullptr) {
@@ -236,6 +253,16 @@
   Send(*choice.server);
 }
 
+void EntryRequest::CountOnce() {
+  if (std::exchange(counted_, true)) {
+    return;
+  }
+  state_->Budget(service_->name).OnRequest(started_);
+  if (key_) {
+    state_->CountKey(service_->name, *key_);
+  }
+}
+
 ServerChoice EntryRequest::Choose() const {
   return ChooseServer({.route = *route_,
                        .service = *service_,
@@ -247,7 +274,7 @@
                       state_->ownership, state_->loop.Now());
 }
 
-void EntryRequest::HoldForOwner(const ServerChoice& choice) {
+void EntryRequest::Hold(const ServerChoice& choice) {
   const TimePoint now = state_->loop.Now();
   if (hold_until_ == TimePoint{}) {
     const Duration objective = route_->latency_objective;
@@ -290,6 +317,7 @@
 void EntryRequest::SendOver(std::shared_ptr<proxy::ServerConnection> connection,
                             const routing::BackendServer& server) {
   pool_ = state_->Pool(server);
+  relay_.clear();
   connection_ = std::move(connection);
   server_ = server.id;
   tried_.push_back(server.id);
@@ -330,6 +358,10 @@
   if (done_ || !connection_) {
     return;
   }
+  if (!relay_.empty()) {
+    OnRelayEvent(event);
+    return;
+  }
   switch (event) {
     case proxy::ServerEvent::kHead:
       OnResponseHead();
@@ -405,8 +437,7 @@
     // The ownership table is outdated, or the owner has no grant yet.
     tried_.clear();
     if (MayRetry(true)) {
-      HoldForOwner(
-          {.reason = Reason::kNotOwner, .retry_after = kNotReadyRetryAfter});
+      Hold({.reason = Reason::kNotOwner, .retry_after = kNotReadyRetryAfter});
       return;
     }
     Refuse(kUnavailable, Reason::kNotOwner, kNotReadyRetryAfter);
@@ -441,7 +472,8 @@
                                              id_) == ResponseKind::kServerError;
   EndAttempt(server_error ? AttemptResult::kServerError
                           : AttemptResult::kAnswered);
-  if (server_error && !committed_ && route_->idempotent && MayRetry(true)) {
+  if (server_error && !committed_ && route_->idempotent &&
+      !state_->reachability.lost() && MayRetry(true)) {
     may_have_run_ = true;
     const ServerChoice choice = service_->keyed ? ServerChoice{} : Choose();
     if (choice.server != nullptr) {
@@ -487,6 +519,12 @@
   if (attempts_ + 1 >= route_->max_attempts) {
     return;
   }
+  if (state_->reachability.lost()) {
+    if (MayRetry(true)) {
+      SendAnotherWay();
+    }
+    return;
+  }
   const ServerChoice choice = Choose();
   // The current attempt is abandoned only if another can start at once.
   auto next = choice.server == nullptr
@@ -511,6 +549,11 @@
 
 void EntryRequest::EndAttempt(AttemptResult result) {
   response_timer_.Clear();
+  if (!relay_.empty()) {
+    EndForward(result == AttemptResult::kCancelled ? RelayResult::kCancelled
+                                                   : RelayResult::kFailed);
+    return;
+  }
   const TimePoint now = state_->loop.Now();
   state_->loads.OnEnd(server_, result, now - attempt_started_, report_, now);
   if (result == AttemptResult::kAnswered ||
@@ -553,91 +596,4 @@
   Refuse(may_have_run_ ? kBadGateway : kUnavailable, reason, retry_after);
 }
 
-void EntryRequest::CommitResponse() {
-  std::string out = BeginForwardedResponse(response_head_, state_->headers);
-  http::AppendFraming(out, http::BodyFraming::kChunked, 0);
-  EndResponseHead(out, KeepsAlive());
-  caller_->Write(std::move(out));
-  committed_ = true;
-}
-
-void EntryRequest::Deliver() {
-  const bool keep_alive = KeepsAlive();
-  std::string out;
-  if (committed_) {
-    http::AppendBodyEnd(out, http::BodyFraming::kChunked);
-  } else {
-    out = ForwardedResponse(response_head_, state_->headers, response_body_,
-                            caller_->head().method == "HEAD", keep_alive);
-  }
-  caller_->Write(std::move(out));
-  state_->metrics.RecordLatency(route_->name, service_->name,
-                                state_->loop.Now() - started_);
-  Finish(response_head_.status, "answered");
-  caller_->FinishResponse(keep_alive);
-}
-
-void EntryRequest::Refuse(int status, Reason reason, Duration retry_after) {
-  if (done_) {
-    return;
-  }
-  StopWaiting();
-  if (may_have_run_ && status == kUnavailable) {
-    status = kBadGateway;
-  }
-  const bool keep_alive = KeepsAlive();
-  const bool has_retry_after =
-      status == kUnavailable && retry_after > Duration(0);
-  std::string out = RefusalResponse(
-      {.status = status,
-       .reason = reason,
-       .request_id = id_,
-       .retry_after = has_retry_after ? std::optional(ClampRetryAfter(
-                                            retry_after, TimeLeft()))
-                                      : std::nullopt,
-       .head_only = caller_->head().method == "HEAD",
-       .keep_alive = keep_alive},
-      state_->headers);
-  caller_->Write(std::move(out));
-  Finish(status, ToString(reason));
-  caller_->FinishResponse(keep_alive);
-}
-
-bool EntryRequest::KeepsAlive() const {
-  return caller_->head().keep_alive && caller_->request_complete() &&
-         !state_->stopping;
-}
-
-void EntryRequest::Finish(int status, std::string_view outcome) {
-  if (done_) {
-    return;
-  }
-  done_ = true;
-  --state_->in_flight;
-  StopWaiting();
-  response_timer_.Clear();
-  const TimePoint now = state_->loop.Now();
-  state_->metrics.Count("requests_total",
-                        "outcome=\"" + std::string(outcome) + "\"");
-  if (state_->log_budget.Take(now)) {
-    Log(LogLevel::kInfo, "request",
-        {{"request", id_},
-         {"route", route_ == nullptr ? "" : route_->name},
-         {"service", service_ == nullptr ? "" : service_->name},
-         {"config", routes_ ? routes_->config().version : 0},
-         {"key", key_ ? static_cast<std::int64_t>(*key_) : -1},
-         {"server", server_.value()},
-         {"attempts", attempts_},
-         {"connects_failed", failed_connects_},
-         {"may_have_run", may_have_run_},
-         {"status", status},
-         {"outcome", outcome},
-         {"ms", (now - started_) / milliseconds(1)},
-         {"left_ms",
-          route_ == nullptr ? 0 : (deadline_ - now) / milliseconds(1)}});
-  }
-  body_ = std::string();
-  response_body_ = std::string();
-}
-
 }  // namespace gentianreach::entry
--- a/src/entry/entry_request.h
+++ b/src/entry/entry_request.h
@@ -21,6 +21,12 @@
 
 namespace gentianreach::entry {
 
+// Who sent a request.
+enum class RequestOrigin : std::uint8_t {
+  kCaller,
+  kDaemon,  // A daemon that has lost its path to the servers.
+};
+
 // Finds the route and a server, makes attempts until one succeeds or no more
 // are allowed, and sends the caller the complete response or a refusal whose
 // status states correctly whether the request may have run.
@@ -29,10 +35,15 @@
 // until it is complete unless it is large. So an incomplete response can still
 // lead to a retry or a correct status. The object keeps itself alive until the
 // request is done.
+//
+// While the daemon has lost its path to all servers, attempts go through other
+// daemons. Those treat a request like one of their own callers, except that
+// they never forward it again: it passes at most two daemons.
 class EntryRequest : public std::enable_shared_from_this<EntryRequest> {
  public:
   EntryRequest(std::shared_ptr<EntryState> state,
-               std::shared_ptr<proxy::CallerConnection> caller);
+               std::shared_ptr<proxy::CallerConnection> caller,
+               RequestOrigin origin);
   ~EntryRequest();
   EntryRequest(const EntryRequest&) = delete;
   EntryRequest& operator=(const EntryRequest&) = delete;
@@ -41,6 +52,9 @@
   void OnCallerEvent(proxy::CallerEvent event);
   // Ends the request at once, because the daemon is about to exit.
   void OnStopDeadline();
+  // Sends the request another way if it waits for a server and may be sent
+  // again, because the path to all servers is lost.
+  void OnServersLost();
   // Returns whether the request has ended.
   [[nodiscard]] bool done() const { return done_; }
 
@@ -54,11 +68,16 @@
   // whether it may have run.
   void GiveUp(Reason reason);
 
-  // Chooses a server and sends the request to it, or holds or refuses it.
+  // Chooses a server and sends the request to it, or holds, forwards or refuses
+  // it.
   void Attempt();
+  // Counts the request where its attempts are made: in the retry budget of its
+  // service and in the load of its key.
+  void CountOnce();
   [[nodiscard]] ServerChoice Choose() const;
-  // Holds the request until its key has a new owner or the hold times out.
-  void HoldForOwner(const ServerChoice& choice);
+  // Holds the request until its key has a new owner, or until the relays are
+  // known, or until the hold times out.
+  void Hold(const ServerChoice& choice);
   void StopWaiting();
 
   void Send(const routing::BackendServer& server);
@@ -73,6 +92,23 @@
   void OnResponseTimeout();
   void EndAttempt(AttemptResult result);
 
+  // Sends the request through another daemon, or holds or refuses it.
+  void Forward();
+  void ForwardThrough(const Relay& relay);
+  // Returns a relay that has not been tried; null if there is none.
+  [[nodiscard]] const Relay* ChooseRelay() const;
+  // Returns why this daemon cannot make attempts for another one, or kNone.
+  [[nodiscard]] Reason ReasonNotToRelay() const;
+  void OnRelayEvent(proxy::ServerEvent event);
+  void OnRelayHead();
+  void OnRelayEnd();
+  void OnRelayFailed();
+  // Passes a relay's refusal on to the caller.
+  void DeliverRefusal();
+  // Abandons the current attempt and makes another one.
+  void SendAnotherWay();
+  void EndForward(RelayResult result);
+
   // Makes another attempt if that is allowed, or refuses the request. `sent`
   // tells whether the last attempt may have reached the server.
   void RetryOrRefuse(bool sent, Reason reason, Duration retry_after);
@@ -93,6 +129,7 @@
 
   std::shared_ptr<EntryState> state_;
   std::shared_ptr<proxy::CallerConnection> caller_;
+  const RequestOrigin origin_;
   // The configuration at the start of the request; kept until its end.
   std::shared_ptr<routing::HostRoutes> routes_;
   const routing::Route* route_ = nullptr;
@@ -105,10 +142,12 @@
   TimePoint deadline_;
   bool done_ = false;
 
-  // The current attempt.
+  // The current attempt, at a server or through a relay.
   std::shared_ptr<proxy::ServerPool> pool_;
   std::shared_ptr<proxy::ServerConnection> connection_;
   ServerId server_;
+  // Name of the relay; empty if the attempt is made by this daemon.
+  std::string relay_;
   TimePoint attempt_started_;
   std::optional<LoadReport> report_;
   int skipped_responses_ = 0;
@@ -116,12 +155,14 @@
 
   // All attempts so far.
   std::vector<ServerId> tried_;
+  std::vector<std::string> tried_relays_;
+  bool counted_ = false;
   std::uint32_t attempts_ = 0;
   std::uint32_t failed_connects_ = 0;
   // Whether a server may have started to run the request.
   bool may_have_run_ = false;
 
-  // Hold until the key has a new owner.
+  // Hold until the key has a new owner or the relays are known.
   std::uint64_t hold_id_ = 0;
   net::DeadlineTimer hold_timer_;
   TimePoint hold_until_{};
--- /dev/null
+++ b/src/entry/entry_request_response.cc
@@ -0,0 +1,129 @@
+// The part of EntryRequest that sends responses and ends requests.
+#include <chrono>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+
+#include "base/log.h"
+#include "entry/entry_request.h"
+#include "entry/message_writer.h"
+#include "http/serializer.h"
+
+namespace gentianreach::entry {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr int kBadGateway = 502;
+constexpr int kUnavailable = 503;
+
+}  // namespace
+
+void EntryRequest::CommitResponse() {
+  std::string out = BeginForwardedResponse(response_head_, state_->headers,
+                                           origin_ == RequestOrigin::kDaemon);
+  http::AppendFraming(out, http::BodyFraming::kChunked, 0);
+  EndResponseHead(out, KeepsAlive());
+  caller_->Write(std::move(out));
+  committed_ = true;
+}
+
+void EntryRequest::Deliver() {
+  const bool keep_alive = KeepsAlive();
+  std::string out;
+  if (committed_) {
+    http::AppendBodyEnd(out, http::BodyFraming::kChunked);
+  } else {
+    out = ForwardedResponse(response_head_, state_->headers, response_body_,
+                            caller_->head().method == "HEAD", keep_alive,
+                            origin_ == RequestOrigin::kDaemon);
+  }
+  caller_->Write(std::move(out));
+  state_->metrics.RecordLatency(route_->name, service_->name,
+                                state_->loop.Now() - started_);
+  Finish(response_head_.status, "answered");
+  caller_->FinishResponse(keep_alive);
+}
+
+void EntryRequest::Refuse(int status, Reason reason, Duration retry_after) {
+  if (done_) {
+    return;
+  }
+  StopWaiting();
+  if (may_have_run_ && status == kUnavailable) {
+    status = kBadGateway;
+  }
+  const bool keep_alive = KeepsAlive();
+  std::optional<Outcome> outcome;
+  if (origin_ == RequestOrigin::kDaemon) {
+    outcome = may_have_run_ ? Outcome::kMayHaveRun : Outcome::kNotRun;
+  }
+  const bool has_retry_after =
+      status == kUnavailable && retry_after > Duration(0);
+  std::string out = RefusalResponse(
+      {.status = status,
+       .reason = reason,
+       .request_id = id_,
+       .retry_after = has_retry_after ? std::optional(ClampRetryAfter(
+                                            retry_after, TimeLeft()))
+                                      : std::nullopt,
+       .head_only = caller_->head().method == "HEAD",
+       .keep_alive = keep_alive,
+       .outcome = outcome},
+      state_->headers);
+  caller_->Write(std::move(out));
+  Finish(status, ToString(reason));
+  caller_->FinishResponse(keep_alive);
+}
+
+bool EntryRequest::KeepsAlive() const {
+  return caller_->head().keep_alive && caller_->request_complete() &&
+         !state_->stopping;
+}
+
+void EntryRequest::Finish(int status, std::string_view outcome) {
+  if (done_) {
+    return;
+  }
+  done_ = true;
+  --state_->in_flight;
+  StopWaiting();
+  response_timer_.Clear();
+  const TimePoint now = state_->loop.Now();
+  state_->metrics.Count("requests_total",
+                        "outcome=\"" + std::string(outcome) + "\"");
+  if (state_->log_budget.Take(now)) {
+    Log(LogLevel::kInfo, "request",
+        {{"request", id_},
+         {"route", route_ == nullptr ? "" : route_->name},
+         {"service", service_ == nullptr ? "" : service_->name},
+         {"config", routes_ ? routes_->config().version : 0},
+         {"key", key_ ? static_cast<std::int64_t>(*key_) : -1},
+         {"server", server_.value()},
+         {"relay", relay_},
+         {"forwarded", origin_ == RequestOrigin::kDaemon},
+         {"attempts", attempts_},
+         {"connects_failed", failed_connects_},
+         {"may_have_run", may_have_run_},
+         {"status", status},
+         {"outcome", outcome},
+         {"ms", (now - started_) / milliseconds(1)},
+         {"left_ms",
+          route_ == nullptr ? 0 : (deadline_ - now) / milliseconds(1)}});
+  }
+  body_ = std::string();
+  response_body_ = std::string();
+}
+
+void EntryRequest::DeliverRefusal() {
+  const bool keep_alive = KeepsAlive();
+  caller_->Write(ForwardedResponse(response_head_, state_->headers,
+                                   response_body_,
+                                   caller_->head().method == "HEAD", keep_alive,
+                                   origin_ == RequestOrigin::kDaemon));
+  Finish(response_head_.status, "refused_by_relay");
+  caller_->FinishResponse(keep_alive);
+}
+
+}  // namespace gentianreach::entry
--- a/src/entry/entry_settings.cc
+++ b/src/entry/entry_settings.cc
@@ -25,6 +25,9 @@
   if (!entry.metrics_address.empty()) {
     checker.RequireAddress("metrics_address", entry.metrics_address);
   }
+  if (!entry.forward_address.empty()) {
+    checker.RequireAddress("forward_address", entry.forward_address);
+  }
   if (!ParseLogLevel(entry.log_level).has_value()) {
     checker.Report("log_level",
                    "expected debug, info, warning or error, not \"" +
--- a/src/entry/entry_state.cc
+++ b/src/entry/entry_state.cc
@@ -26,6 +26,9 @@
 // Share of a server's connections that the daemons use for requests; the leader
 // and daemons that are being replaced need some of the rest.
 constexpr double kConnectionShare = 0.8;
+// Connections to one relay, and how many of them may stay open while idle.
+constexpr std::size_t kMaxRelayConnections = 128;
+constexpr std::size_t kMaxIdleRelayConnections = 32;
 // Share of a server's connections that may stay open while idle.
 constexpr double kIdleShare = 0.6;
 
@@ -43,9 +46,15 @@
       bounds_(bounds),
       source_ip_(std::move(source_ip)) {}
 
-void EntryState::SetMembers(std::uint32_t members) {
+void EntryState::SetMembers(std::uint32_t members, std::uint32_t cut_members) {
   members_.Set(members, loop.Now());
-  limits.SetMembers(members_.value(), loop.Now());
+  cut_members_ = cut_members;
+  limits.SetMembers(senders(), loop.Now());
+}
+
+std::uint32_t EntryState::senders() const {
+  const std::uint32_t members = std::max(1U, members_.value());
+  return members - std::min(cut_members_, members - 1);
 }
 
 RetryBudget& EntryState::Budget(const std::string& service) {
@@ -92,7 +101,7 @@
     }
   }
   return static_cast<std::size_t>(static_cast<double>(connections) * share /
-                                  std::max(1U, members()));
+                                  senders());
 }
 
 proxy::ServerConnectionOptions EntryState::ConnectionOptions() const {
@@ -120,6 +129,24 @@
   return entry.pool;
 }
 
+std::shared_ptr<proxy::ServerPool> EntryState::RelayPool(
+    const std::string& address) {
+  std::shared_ptr<proxy::ServerPool>& pool = relay_pools_[address];
+  if (!pool) {
+    pool = std::make_shared<proxy::ServerPool>(loop, address, std::nullopt,
+                                               ConnectionOptions());
+    pool->SetLimit(kMaxRelayConnections);
+    pool->SetIdleLimit(kMaxIdleRelayConnections);
+  }
+  return pool;
+}
+
+void EntryState::CloseIdleConnections() {
+  for (const auto& [server, it] : pools_) {
+    it.pool->CloseIdle();
+  }
+}
+
 void EntryState::UpdateLimit(const ServerId& server,
                              std::optional<std::string_view> limit) {
   if (!limit) {
--- a/src/entry/entry_state.h
+++ b/src/entry/entry_state.h
@@ -20,6 +20,7 @@
 #include "entry/log_budget.h"
 #include "entry/member_count.h"
 #include "entry/ownership_view.h"
+#include "entry/relays.h"
 #include "entry/server_directory.h"
 #include "entry/server_limits.h"
 #include "entry/server_loads.h"
@@ -61,6 +62,11 @@
   std::shared_ptr<proxy::ServerPool> Pool(const routing::BackendServer& server);
   // Returns the options of connections to servers.
   [[nodiscard]] proxy::ServerConnectionOptions ConnectionOptions() const;
+  // Returns the connection pool of a relay at `address`; creates it if there is
+  // none.
+  std::shared_ptr<proxy::ServerPool> RelayPool(const std::string& address);
+  // Closes the idle connections to all servers.
+  void CloseIdleConnections();
   // Handles the limit that a response of `server` names, or that it names none.
   void UpdateLimit(const ServerId& server,
                    std::optional<std::string_view> limit);
@@ -81,10 +87,13 @@
   [[nodiscard]] std::map<std::string, std::vector<std::uint16_t>> TakeKeys() {
     return std::exchange(unsent_keys_, {});
   }
-  // Sets the number of daemons that share the servers' connections and limits
-  // and the retry budgets.
-  void SetMembers(std::uint32_t members);
+  // Sets the number of daemons, which share the retry budgets, and how many of
+  // them send nothing to servers because they have lost the path to them. The
+  // others share the servers' connections and limits.
+  void SetMembers(std::uint32_t members, std::uint32_t cut_members);
   [[nodiscard]] std::uint32_t members() const { return members_.value(); }
+  // Returns the number of daemons that send requests to servers, at least 1.
+  [[nodiscard]] std::uint32_t senders() const;
 
   net::EventLoop& loop;
   const HeaderNames headers;
@@ -95,6 +104,7 @@
   ServerLoads loads;
   ServerLimits limits;
   ServerReachability reachability;
+  Relays relays;
   OwnershipView ownership;
   CrashWatch crashes;
   // Requests that wait for a new owner of their key.
@@ -119,10 +129,13 @@
   const std::string source_ip_;
   bool counts_key_load_ = false;
   MemberCount members_;
+  std::uint32_t cut_members_ = 0;
   std::map<std::string, RetryBudget> budgets_;
   std::map<std::string, keyspace::KeyLoad> key_loads_;
   std::map<std::string, std::vector<std::uint16_t>> unsent_keys_;
   std::unordered_map<ServerId, PoolEntry> pools_;
+  // By address.
+  std::map<std::string, std::shared_ptr<proxy::ServerPool>> relay_pools_;
 };
 
 }  // namespace gentianreach::entry
--- a/src/entry/member_link.cc
+++ b/src/entry/member_link.cc
@@ -20,6 +20,8 @@
 // Number of members that a heartbeat names: the first in the order of
 // succession.
 constexpr std::size_t kMaxNamedSuccessors = 12;
+// Number of relays that a heartbeat names.
+constexpr std::size_t kMaxNamedRelays = 8;
 
 std::chrono::milliseconds HelloPeriod(std::uint32_t members) {
   return kHelloPeriod *
@@ -74,12 +76,14 @@
 MemberLink::MemberLink(net::EventLoop& loop,
                        Member self,
                        double processor_share,
+                       std::string forward_address,
                        std::vector<std::string> seeds,
                        LeaderElection& election,
                        EntryState& state)
     : loop_(loop),
       self_(std::move(self)),
       processor_share_(processor_share),
+      forward_address_(std::move(forward_address)),
       seeds_(std::move(seeds)),
       election_(election),
       state_(state),
@@ -119,6 +123,7 @@
   std::erase_if(known_members_, [&](const auto& it) {
     return it.second.last_seen + kMemberTimeout < now;
   });
+  UpdateRelays();
   auto members = static_cast<std::uint32_t>(known_members_.size()) + 1;
   if (now < member_count_settled_at_) {
     members = std::max(members, members_);
@@ -141,6 +146,9 @@
   hello.address = self_.address;
   hello.epoch = record.epoch.value();
   hello.processor_share = static_cast<float>(processor_share_);
+  hello.zone = state_.zone.value();
+  hello.forward_address = forward_address_;
+  hello.servers_lost = state_.reachability.lost();
   hello.crashed = ToValues(crashes_.TakeLocalLosses());
   for (auto& [service, keys] : state_.TakeKeys()) {
     auto sample = std::make_unique<wire::KeySampleT>();
@@ -167,6 +175,47 @@
   }
 }
 
+void MemberLink::AnnounceServerPath() {
+  if (election_.IsLeader(loop_.Now())) {
+    UpdateRelays();
+    SendLeaderHeartbeats();
+    return;
+  }
+  SendHello();
+}
+
+void MemberLink::UpdateRelays() {
+  cut_members_ = state_.reachability.lost() ? 1 : 0;
+  for (const auto& [name, it] : known_members_) {
+    cut_members_ += it.servers_lost ? 1 : 0;
+  }
+  if (state_.reachability.lost()) {
+    SetRelays(RelaysFor(self_.name, state_.zone));
+  }
+}
+
+void MemberLink::SetRelays(std::vector<Relay> relays) {
+  const bool were_known = state_.relays.known();
+  state_.relays.Set(std::move(relays));
+  if (!were_known) {
+    state_.held.WakeAll();
+  }
+}
+
+std::vector<Relay> MemberLink::RelaysFor(const std::string& name,
+                                         const ZoneName& zone) const {
+  std::vector<Relay> candidates;
+  if (!state_.reachability.lost() && !forward_address_.empty()) {
+    candidates.push_back({self_.name, forward_address_, state_.zone});
+  }
+  for (const auto& [member, it] : known_members_) {
+    if (!it.servers_lost && !it.forward_address.empty()) {
+      candidates.push_back({member, it.forward_address, it.zone});
+    }
+  }
+  return SelectRelays(candidates, name, zone, kMaxNamedRelays);
+}
+
 void MemberLink::OnHint(const wire::LeaderHintT& hint) {
   if (hint.address.empty()) {
     return;
@@ -192,7 +241,7 @@
   if (replaced.name.empty() || replaced.name == self_.name) {
     return;
   }
-  KnownMember known{replaced, loop_.Now(), 0, {}};
+  KnownMember known{replaced, loop_.Now()};
   SendLeaderHeartbeat(known, Succession(), false);
 }
 
@@ -264,6 +313,10 @@
   known.member = {hello.name, Incarnation(hello.incarnation), hello.address};
   known.last_seen = now;
   known.processor_share = hello.processor_share;
+  known.zone = ZoneName(hello.zone);
+  known.forward_address = hello.forward_address;
+  known.servers_lost = hello.servers_lost;
+  UpdateRelays();
   const auto crashed = ToFingerprints(hello.crashed);
   for (const Fingerprint it : crashed) {
     crashes_.OnRemoteLoss(it, now);
@@ -337,6 +390,17 @@
   heartbeat.may_lack_entries = own_copy_status_.may_lack_entries;
   heartbeat.changed_at = own_copy_status_.changed_at;
   heartbeat.copy_age_ms = AgeOf(own_copy_status_.current_at, loop_.Now());
+  heartbeat.cut_members = cut_members_;
+  heartbeat.names_relays = known.servers_lost;
+  if (known.servers_lost) {
+    for (const Relay& it : RelaysFor(known.member.name, known.zone)) {
+      auto relay = std::make_unique<wire::RelayAddressT>();
+      relay->name = it.name;
+      relay->address = it.address;
+      relay->zone = it.zone.value();
+      heartbeat.relays.push_back(std::move(relay));
+    }
+  }
   heartbeat.crashed = ToValues(std::exchange(known.unsent_crash_reports, {}));
   wire::BodyUnion body;
   body.Set(std::move(heartbeat));
@@ -366,13 +430,21 @@
   }
   rank_ = heartbeat.rank;
   members_ = std::max(1U, heartbeat.members);
+  cut_members_ = heartbeat.cut_members;
+  if (heartbeat.names_relays && state_.reachability.lost()) {
+    std::vector<Relay> relays;
+    for (const auto& it : heartbeat.relays) {
+      relays.push_back({it->name, it->address, ZoneName(it->zone)});
+    }
+    SetRelays(std::move(relays));
+  }
   // If this daemon becomes leader, it notifies the members of this list; the
   // previous leader notifies all the members that it knows.
   known_members_.clear();
-  known_members_[heartbeat.name] = {record.leader, now, 0, {}};
+  known_members_[heartbeat.name] = {record.leader, now};
   for (const auto& it : heartbeat.line) {
     if (it->name != self_.name) {
-      known_members_[it->name] = {{it->name, {}, it->address}, now, 0, {}};
+      known_members_[it->name] = {{it->name, {}, it->address}, now};
     }
   }
   leader_last_seen_ = now;
--- a/src/entry/member_link.h
+++ b/src/entry/member_link.h
@@ -14,6 +14,7 @@
 #include "entry/crash_watch.h"
 #include "entry/entry_state.h"
 #include "entry/leader_election.h"
+#include "entry/relays.h"
 #include "entry_generated.h"
 #include "gentianreach/time.h"
 #include "net/deadline_timer.h"
@@ -50,6 +51,7 @@
   MemberLink(net::EventLoop& loop,
              Member self,
              double processor_share,
+             std::string forward_address,
              std::vector<std::string> seeds,
              LeaderElection& election,
              EntryState& state);
@@ -58,6 +60,9 @@
 
   // Starts to receive at this daemon's address. Fails with net::SocketError.
   boost::leaf::result<void> Open();
+  // Tells the other daemons at once that this one has lost its path to the
+  // servers, or has it again.
+  void AnnounceServerPath();
   // Sends a heartbeat to all members. Call it only on the leader.
   void SendLeaderHeartbeats();
   // Tells all members that this leader steps down.
@@ -69,6 +74,8 @@
 
   // Returns the known number of daemons, including this one.
   [[nodiscard]] std::uint32_t members() const { return members_; }
+  // Returns how many of them have lost their path to the servers.
+  [[nodiscard]] std::uint32_t cut_members() const { return cut_members_; }
   // Returns when the last heartbeat of the current leader arrived.
   [[nodiscard]] TimePoint leader_last_seen() const { return leader_last_seen_; }
   // Returns this daemon's position in the order of succession.
@@ -91,6 +98,10 @@
     TimePoint last_seen;
     double processor_share = 0;
     std::vector<Fingerprint> unsent_crash_reports;
+    // Set only on the leader.
+    ZoneName zone;
+    std::string forward_address;
+    bool servers_lost = false;
   };
 
   void Tick();
@@ -104,6 +115,14 @@
   // Sends the current leader to the members that this daemon knew as leader.
   void SendHintsToMembers();
   void SendHello();
+  // Updates the number of members without a path to the servers, and the relays
+  // of this daemon. Call it only on the leader.
+  void UpdateRelays();
+  // Sets the relays of this daemon; requests that wait for them continue.
+  void SetRelays(std::vector<Relay> relays);
+  // Returns the relays for the daemon `name` in `zone`.
+  [[nodiscard]] std::vector<Relay> RelaysFor(const std::string& name,
+                                             const ZoneName& zone) const;
   void AddSamples(const wire::HelloT& hello);
   void SendLeaderHeartbeat(KnownMember& known,
                            const std::vector<const KnownMember*>& succession,
@@ -118,6 +137,7 @@
   net::EventLoop& loop_;
   const Member self_;
   const double processor_share_;
+  const std::string forward_address_;
   // Addresses to send Hellos to while no leader is known.
   const std::vector<std::string> seeds_;
   LeaderElection& election_;
@@ -133,6 +153,7 @@
   // this time it does not count fewer members than the previous leader did.
   TimePoint member_count_settled_at_{};
   std::uint32_t members_ = 1;
+  std::uint32_t cut_members_ = 0;
   std::uint32_t rank_ = 0;
   StoreCopyStatus own_copy_status_;
   TimePoint leader_last_seen_{};
--- a/src/entry/member_link_test.cc
+++ b/src/entry/member_link_test.cc
@@ -35,10 +35,25 @@
         self{name, Incarnation(1), NewAddress()},
         election(self, {}),
         state_(loop, {}, ZoneName("z"), {}),
-        link(loop, self, 1, {}, election, state_) {
+        link(loop, self, 1, name + ":1", {}, election, state_) {
     REQUIRE(link.Open());
   }
 
+  // Makes this daemon lose its path to the servers.
+  void LoseServers() {
+    const ServerId server("s");
+    const ServerReachability::Servers servers{{server, {}}};
+    state_.reachability.OnFailure(server, loop_.Now());
+    for (const ServerId& it :
+         state_.reachability.TakeProbes(servers, loop_.Now())) {
+      state_.reachability.OnProbeEnd(it, false, loop_.Now());
+    }
+    REQUIRE(state_.reachability.lost());
+    state_.relays.Reset();
+    link.AnnounceServerPath();
+  }
+  [[nodiscard]] const Relays& relays() const { return state_.relays; }
+
   // Answers the pending store call with `record`.
   void ReplyWithRecord(const LeaderRecord& record) {
     REQUIRE(election.Poll(loop_.Now()));
@@ -163,6 +178,16 @@
   });
 }
 
+TEST_CASE("a daemon that has lost its servers learns which daemons forward") {
+  Fleet fleet;
+  Daemon& cut = *fleet.daemons[3];
+  cut.LoseServers();
+  fleet.WaitFor([&] { return cut.relays().known(); });
+  CHECK(cut.relays().size() == 8);
+  fleet.WaitFor([&] { return fleet.daemons[4]->link.cut_members() == 1; });
+  CHECK_FALSE(fleet.daemons[4]->relays().known());
+}
+
 TEST_CASE("a new leader starts with the member count of the old leader") {
   Fleet fleet;
   Daemon& next = *fleet.daemons[5];
--- a/src/entry/message_writer.cc
+++ b/src/entry/message_writer.cc
@@ -26,7 +26,13 @@
       std::chrono::duration_cast<std::chrono::milliseconds>(fields.time_left);
   http::AppendField(out, names.deadline_ms,
                     static_cast<std::uint64_t>(time_left_ms.count()));
-  http::AppendField(out, names.expected_server, fields.server.value());
+  if (!fields.server.value().empty()) {
+    http::AppendField(out, names.expected_server, fields.server.value());
+  }
+  if (fields.forward) {
+    http::AppendField(out, kConfigVersionField, fields.forward->config_version);
+    http::AppendField(out, kAttemptsField, fields.forward->attempts);
+  }
   if (fields.key) {
     http::AppendField(out, names.key, *fields.key);
   }
@@ -41,7 +47,8 @@
 }
 
 std::string BeginForwardedResponse(const http::MessageHead& from_server,
-                                   const HeaderNames& names) {
+                                   const HeaderNames& names,
+                                   bool to_daemon) {
   std::string out;
   http::AppendStatusLine(out, from_server.status, from_server.reason);
   http::AppendForwardedFields(out, from_server);
@@ -50,6 +57,9 @@
       http::AppendField(out, *it, *value);
     }
   }
+  if (to_daemon) {
+    http::AppendField(out, kVerdictField, ToString(Outcome::kAnswered));
+  }
   return out;
 }
 
@@ -64,8 +74,9 @@
                               const HeaderNames& names,
                               std::string_view body,
                               bool head_only,
-                              bool keep_alive) {
-  std::string out = BeginForwardedResponse(from_server, names);
+                              bool keep_alive,
+                              bool to_daemon) {
+  std::string out = BeginForwardedResponse(from_server, names, to_daemon);
   const auto length = from_server.Get(http::FieldId::content_length);
   if (head_only || from_server.status == kNotModified) {
     if (length) {
@@ -92,6 +103,10 @@
   if (refusal.retry_after) {
     http::AppendField(out, "Retry-After", FormatSeconds(*refusal.retry_after));
   }
+  if (refusal.outcome) {
+    http::AppendField(out, kVerdictField, ToString(*refusal.outcome));
+    http::AppendField(out, kReasonField, ToString(refusal.reason));
+  }
   http::AppendField(out, "Content-Type", "text/plain");
   http::AppendField(out, "Content-Length", body.size());
   EndResponseHead(out, refusal.keep_alive);
--- a/src/entry/message_writer.h
+++ b/src/entry/message_writer.h
@@ -17,10 +17,26 @@
 
 namespace gentianreach::entry {
 
-// The header fields that the daemon sets in a request to a server.
+// Header fields of a request that one daemon forwards to another.
+inline constexpr std::string_view kConfigVersionField =
+    "gentianreach-config-version";
+inline constexpr std::string_view kAttemptsField = "gentianreach-attempts";
+
+// What the daemon that forwards a request tells the other one.
+struct ForwardFields {
+  // The other daemon must not use an older configuration.
+  std::uint64_t config_version = 0;
+  // Servers to which the request was sent before.
+  std::uint32_t attempts = 0;
+};
+
+// The header fields that the daemon sets in a request to a server or to another
+// daemon.
 struct RequestFields {
   std::string_view id;  // As sent by the caller; empty if absent.
+  // The only server that may run the request; empty: any.
   ServerId server;
+  std::optional<ForwardFields> forward;
   std::optional<std::uint32_t> key;
   Duration time_left;
   std::size_t body_size = 0;
@@ -33,11 +49,13 @@
                                       const RequestFields& fields);
 
 // Returns the status line and the forwarded header fields of a server's
-// response, without the fields for framing. EndResponseHead() completes the
-// head.
+// response, without the fields for framing. `to_daemon` is set if another
+// daemon has forwarded the request; the verdict is then included.
+// EndResponseHead() completes the head.
 [[nodiscard]] std::string BeginForwardedResponse(
     const http::MessageHead& from_server,
-    const HeaderNames& names);
+    const HeaderNames& names,
+    bool to_daemon);
 // Appends the end of a response head to `out`.
 void EndResponseHead(std::string& out, bool keep_alive);
 
@@ -48,7 +66,8 @@
     const HeaderNames& names,
     std::string_view body,
     bool head_only,
-    bool keep_alive);
+    bool keep_alive,
+    bool to_daemon);
 
 // A response of the daemon itself instead of a server's.
 struct Refusal {
@@ -58,6 +77,8 @@
   std::optional<Duration> retry_after;
   bool head_only = false;
   bool keep_alive = true;
+  // Set for a request that another daemon has forwarded.
+  std::optional<Outcome> outcome;
 };
 
 [[nodiscard]] std::string RefusalResponse(const Refusal& refusal,
--- a/src/entry/server_prober.cc
+++ b/src/entry/server_path_monitor.cc
@@ -1,10 +1,11 @@
-#include "entry/server_prober.h"
+#include "entry/server_path_monitor.h"
 
 #include <chrono>
 #include <memory>
 #include <string>
 #include <utility>
 
+#include "base/log.h"
 #include "http/serializer.h"
 #include "net/deadline_timer.h"
 #include "proxy/server_connection.h"
@@ -70,8 +71,16 @@
 
 }  // namespace
 
-void ServerProber::Probe(const routing::BackendServer& server,
-                         std::function<void(bool answered)> done) {
+void ServerPathMonitor::Check() {
+  const auto probes = state_.reachability.TakeProbes(state_.directory.servers(),
+                                                     state_.loop.Now());
+  for (const ServerId& it : probes) {
+    Probe(*state_.directory.Find(it));
+  }
+  HandleChange();
+}
+
+void ServerPathMonitor::Probe(const routing::BackendServer& server) {
   std::string path = "/";
   if (state_.routes) {
     const auto& services = state_.routes->config().services;
@@ -79,9 +88,46 @@
       path = it->second.health_path;
     }
   }
-  std::make_shared<ProbeSession>(state_.loop, state_.ConnectionOptions(),
-                                 std::move(done))
+  std::make_shared<ProbeSession>(
+      state_.loop, state_.ConnectionOptions(),
+      [this, id = server.id](bool answered) { OnProbeEnd(id, answered); })
       ->Start(server.address, path);
 }
 
+void ServerPathMonitor::OnProbeEnd(const ServerId& server, bool answered) {
+  state_.metrics.Count(
+      "probes_total", answered ? "outcome=\"answered\"" : "outcome=\"failed\"");
+  state_.reachability.OnProbeEnd(server, answered, state_.loop.Now());
+  HandleChange();
+}
+
+void ServerPathMonitor::HandleChange() {
+  const ServerPath path = state_.reachability.path();
+  const ServerPath before = std::exchange(path_, path);
+  if (path == before) {
+    return;
+  }
+  const Duration silence =
+      state_.loop.Now() - state_.reachability.last_answer();
+  Log(path == ServerPath::kOpen ? LogLevel::kInfo : LogLevel::kWarning,
+      "server_path",
+      {{"path", ToString(path)},
+       {"before", ToString(before)},
+       {"silent_ms", silence / std::chrono::milliseconds(1)},
+       {"servers", state_.directory.servers().size()}});
+  if (on_change) {
+    on_change(before);
+  }
+}
+
+void ServerPathMonitor::SetMetrics() {
+  const ServerReachability& reachability = state_.reachability;
+  state_.metrics.Set("server_path_lost", reachability.lost() ? 1 : 0);
+  if (reachability.last_answer() != TimePoint{}) {
+    const std::chrono::duration<double> silence =
+        state_.loop.Now() - reachability.last_answer();
+    state_.metrics.Set("server_silence_seconds", silence.count());
+  }
+}
+
 }  // namespace gentianreach::entry
--- a/src/proxy/exchange_rules.cc
+++ b/src/proxy/exchange_rules.cc
@@ -54,7 +54,7 @@
 
 bool IsNotRunResponse(const http::MessageHead& response) {
   return (response.status == kMisdirected || response.status == kUnavailable) &&
-         response.Get("gentianreach-verdict") == ToString(Outcome::kNotRun);
+         response.Get(kVerdictField) == ToString(Outcome::kNotRun);
 }
 
 Verdict RefusalVerdict(const http::MessageHead& response) {
@@ -62,7 +62,7 @@
     return Verdict::NotRun(Reason::kNotOwner);
   }
   const bool draining =
-      response.Get("gentianreach-reason") == ToString(Reason::kDraining);
+      response.Get(kReasonField) == ToString(Reason::kDraining);
   return Verdict::NotRun(draining ? Reason::kDraining : Reason::kOverload);
 }
 
--- a/src/proxy/message_builder.cc
+++ b/src/proxy/message_builder.cc
@@ -6,8 +6,6 @@
 namespace {
 
 constexpr std::string_view kIdField = "gentianreach-request-id";
-constexpr std::string_view kVerdictField = "gentianreach-verdict";
-constexpr std::string_view kReasonField = "gentianreach-reason";
 constexpr std::string_view kKeyHashField = "gentianreach-key-hash";
 constexpr std::string_view kTokenField = "gentianreach-token";
 constexpr std::string_view kTimeoutField = "gentianreach-timeout-ms";
