A leader that loses its path to the servers is replaced at once

Cause: whether a daemon may lead depended on its path to the store alone. The class: a duty rests on a path that nobody checks.

A leader says in its heartbeats that it has lost the servers. The first in the order of succession that reaches them replaces it as it replaces one that has lost the store; daemons without a path come last in that order.

--- a/src/entry/entry_daemon.cc
+++ b/src/entry/entry_daemon.cc
@@ -448,7 +448,7 @@
   // Starts to replace a leader that cannot reach the store if this daemon can.
   void TakeOverIfLeaderLostStore() {
     if (copies_.HasLeaderLostStore(election_.record().leader.address)) {
-      election_.OnLeaderLostStore(loop_.Now());
+      election_.OnLeaderUnfit(loop_.Now());
     }
   }
 
--- a/src/entry/leader_election.cc
+++ b/src/entry/leader_election.cc
@@ -136,10 +136,10 @@
   if (resigning_ && was_leader) {
     resigned_ = true;
   }
-  takeover_due_ = unchanged_read && (std::exchange(leader_lost_store_, false) ||
+  takeover_due_ = unchanged_read && (std::exchange(leader_unfit_, false) ||
                                      now >= TakeoverTime());
   if (!unchanged_read) {
-    leader_lost_store_ = false;
+    leader_unfit_ = false;
     // Give the new leader the whole timeout for its first heartbeat.
     leader_last_seen_ = now;
     read_since_last_seen_ = false;
@@ -183,12 +183,12 @@
   read_since_last_seen_ = false;
 }
 
-void LeaderElection::OnLeaderLostStore(TimePoint now) {
-  if (!record_known_ || IsSelf(record_.leader) || leader_lost_store_ ||
+void LeaderElection::OnLeaderUnfit(TimePoint now) {
+  if (!record_known_ || IsSelf(record_.leader) || leader_unfit_ ||
       takeover_due_) {
     return;
   }
-  leader_lost_store_ = true;
+  leader_unfit_ = true;
   OnNewerEpochSeen(now);
 }
 
--- a/src/entry/leader_election.h
+++ b/src/entry/leader_election.h
@@ -101,9 +101,9 @@
   // Handles another daemon's report of the leader that it follows. Needed while
   // the store is unreachable, and when a new leader does not know all members.
   void OnHint(const LeaderRecord& record, TimePoint now);
-  // The leader is alive but cannot reach the store, while this daemon can.
-  // Starts to replace it immediately.
-  void OnLeaderLostStore(TimePoint now);
+  // The leader is alive but cannot reach the store or the servers, while this
+  // daemon can. Starts to replace it immediately.
+  void OnLeaderUnfit(TimePoint now);
   // The leader has stepped down.
   void OnLeaderResigned(TimePoint now);
   // Another daemon reported a later epoch. Checks the record in the store as
@@ -165,7 +165,7 @@
   bool takeover_due_ = false;
   // The record was read since the last heartbeat.
   bool read_since_last_seen_ = false;
-  bool leader_lost_store_ = false;
+  bool leader_unfit_ = false;
   bool resigning_ = false;
   bool resigned_ = false;
   std::uint32_t rank_ = 0;
--- a/src/entry/leader_election_test.cc
+++ b/src/entry/leader_election_test.cc
@@ -196,7 +196,7 @@
   store.Serve(a, kStart);
   store.Serve(b, kStart);
   b.OnLeaderHeartbeat(a.record(), 2, kStart);
-  b.OnLeaderLostStore(kStart);
+  b.OnLeaderUnfit(kStart);
   store.Serve(b, kStart);
   CHECK(b.IsLeader(kStart));
   CHECK(b.previous_leader_until() > kStart + seconds(10));
@@ -213,7 +213,7 @@
   }
   for (LeaderElection* it : {&b, &c}) {
     it->OnLeaderHeartbeat(a.record(), 1, kStart);
-    it->OnLeaderLostStore(kStart);
+    it->OnLeaderUnfit(kStart);
   }
   store.Serve(b, kStart);
   REQUIRE(b.IsLeader(kStart));
--- a/src/entry/member_link.cc
+++ b/src/entry/member_link.cc
@@ -22,6 +22,9 @@
 constexpr std::size_t kMaxNamedSuccessors = 12;
 // Number of relays that a heartbeat names.
 constexpr std::size_t kMaxNamedRelays = 8;
+// Wait per position in the order of succession before a daemon replaces a
+// leader that has lost its path to the servers.
+constexpr std::chrono::milliseconds kUnfitRankDelay{250};
 
 std::chrono::milliseconds HelloPeriod(std::uint32_t members) {
   return kHelloPeriod *
@@ -216,6 +219,17 @@
   return SelectRelays(candidates, name, zone, kMaxNamedRelays);
 }
 
+void MemberLink::ReplaceUnfitLeader(bool leader_lost_servers, TimePoint now) {
+  if (!leader_lost_servers || state_.reachability.lost()) {
+    leader_unfit_since_.reset();
+    return;
+  }
+  leader_unfit_since_ = leader_unfit_since_.value_or(now);
+  if (now >= *leader_unfit_since_ + rank_ * kUnfitRankDelay) {
+    election_.OnLeaderUnfit(now);
+  }
+}
+
 void MemberLink::OnHint(const wire::LeaderHintT& hint) {
   if (hint.address.empty()) {
     return;
@@ -358,7 +372,8 @@
   }
   std::stable_sort(succession.begin(), succession.end(),
                    [](const KnownMember* a, const KnownMember* b) {
-                     return a->processor_share > b->processor_share;
+                     return std::pair(!a->servers_lost, a->processor_share) >
+                            std::pair(!b->servers_lost, b->processor_share);
                    });
   return succession;
 }
@@ -390,6 +405,7 @@
   heartbeat.may_lack_entries = own_copy_status_.may_lack_entries;
   heartbeat.changed_at = own_copy_status_.changed_at;
   heartbeat.copy_age_ms = AgeOf(own_copy_status_.current_at, loop_.Now());
+  heartbeat.servers_lost = state_.reachability.lost();
   heartbeat.cut_members = cut_members_;
   heartbeat.names_relays = known.servers_lost;
   if (known.servers_lost) {
@@ -449,6 +465,7 @@
   }
   leader_last_seen_ = now;
   election_.OnLeaderHeartbeat(record, heartbeat.rank, now);
+  ReplaceUnfitLeader(heartbeat.servers_lost, now);
   if (on_leader_heartbeat) {
     on_leader_heartbeat({heartbeat.address, heartbeat.store_lost,
                          heartbeat.may_lack_entries, heartbeat.changed_at,
--- a/src/entry/member_link.h
+++ b/src/entry/member_link.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -123,6 +124,9 @@
   // Returns the relays for the daemon `name` in `zone`.
   [[nodiscard]] std::vector<Relay> RelaysFor(const std::string& name,
                                              const ZoneName& zone) const;
+  // Starts to replace a leader that has lost its path to the servers once the
+  // turn of this daemon has come.
+  void ReplaceUnfitLeader(bool leader_lost_servers, TimePoint now);
   void AddSamples(const wire::HelloT& hello);
   void SendLeaderHeartbeat(KnownMember& known,
                            const std::vector<const KnownMember*>& succession,
@@ -130,8 +134,8 @@
   void Send(const std::string& address, const wire::BodyUnion& body);
   void QueueCrashReports(const std::string& from,
                          const std::vector<Fingerprint>& crashes);
-  // Returns the members in the order of succession, the daemon with the largest
-  // processor share first.
+  // Returns the members in the order of succession: those with a path to the
+  // servers first, and among them the daemon with the largest processor share.
   [[nodiscard]] std::vector<const KnownMember*> Succession() const;
 
   net::EventLoop& loop_;
@@ -155,6 +159,8 @@
   std::uint32_t members_ = 1;
   std::uint32_t cut_members_ = 0;
   std::uint32_t rank_ = 0;
+  // When the leader first reported that it has lost its path to the servers.
+  std::optional<TimePoint> leader_unfit_since_;
   StoreCopyStatus own_copy_status_;
   TimePoint leader_last_seen_{};
 };
--- a/src/entry/member_link_test.cc
+++ b/src/entry/member_link_test.cc
@@ -70,7 +70,7 @@
   // the store at the leader.
   void TakeOverFromLeader() {
     const LeaderRecord previous = election.record();
-    election.OnLeaderLostStore(loop_.Now());
+    election.OnLeaderUnfit(loop_.Now());
     ReplyWithRecord(previous);
     const auto call = election.Poll(loop_.Now());
     REQUIRE(call);
@@ -188,6 +188,47 @@
   CHECK_FALSE(fleet.daemons[4]->relays().known());
 }
 
+TEST_CASE("a leader that has lost its servers names relays and is replaced") {
+  Fleet fleet;
+  Daemon& leader = *fleet.daemons[0];
+  leader.LoseServers();
+  CHECK(leader.relays().size() == 8);
+  // The first in the order of succession asks the store first.
+  Daemon* next = nullptr;
+  fleet.WaitFor([&] {
+    for (const auto& it : fleet.daemons) {
+      if (it.get() != &leader && it->election.Poll(fleet.loop.Now())) {
+        next = it.get();
+        return true;
+      }
+    }
+    return false;
+  });
+  // Until then the leader keeps leading.
+  CHECK(leader.election.IsLeader(fleet.loop.Now()));
+  CHECK(next->Follows(leader));
+}
+
+TEST_CASE("no daemon replaces the leader if all have lost their servers") {
+  Fleet fleet;
+  for (const auto& it : fleet.daemons) {
+    it->LoseServers();
+  }
+  fleet.WaitFor(
+      [&] { return fleet.daemons[0]->link.cut_members() == kManyMembers; });
+  const TimePoint end = fleet.loop.Now() + std::chrono::milliseconds(600);
+  fleet.WaitFor([&] { return fleet.loop.Now() >= end; });
+  for (const auto& it : fleet.daemons) {
+    if (it != fleet.daemons[0]) {
+      CHECK_FALSE(it->election.Poll(fleet.loop.Now()));
+    }
+  }
+  fleet.WaitFor([&] {
+    return fleet.daemons[7]->relays().known() &&
+           fleet.daemons[7]->relays().size() == 0;
+  });
+}
+
 TEST_CASE("a new leader starts with the member count of the old leader") {
   Fleet fleet;
   Daemon& next = *fleet.daemons[5];
