A daemon logs and counts servers that ask for rest or state that they leave

Both are read and reported now; nothing is decided by them yet.

request_rules_test and entry_daemon_test pass.

--- a/src/entry/entry_request.cc
+++ b/src/entry/entry_request.cc
@@ -15,6 +15,7 @@
 
 constexpr int kNotFound = 404;
 constexpr int kTooLarge = 413;
+constexpr int kMisdirected = 421;
 constexpr int kBadGateway = 502;
 constexpr int kUnavailable = 503;
 constexpr int kGatewayTimeout = 504;
@@ -407,26 +408,36 @@
     case ResponseKind::kServerError:
       break;
   }
+  OnServerStatements(head);
   state_->UpdateLimit(server_,
                       head.Get(std::string_view(state_->headers.server_limit)));
   response_timer_.Clear();
-  if (const auto load =
-          head.Get(std::string_view(state_->headers.server_load))) {
-    report_ = ParseLoadReport(*load);
-  }
   response_head_ = head;
 }
 
-void EntryRequest::OnNotRun(const http::MessageHead& head) {
+void EntryRequest::OnServerStatements(const http::MessageHead& head) {
   if (const auto load =
           head.Get(std::string_view(state_->headers.server_load))) {
     report_ = ParseLoadReport(*load);
   }
+  if (head.status == kMisdirected) {
+    // Possibly another server that has got the address since.
+    return;
+  }
+  if (const auto until = RequestedRest(head, state_->loop.Now())) {
+    state_->OnRestRequested(server_, *until);
+  }
+  if (IsLeaving(head, state_->headers)) {
+    state_->OnLeaving(server_);
+  }
+}
+
+void EntryRequest::OnNotRun(const http::MessageHead& head) {
+  OnServerStatements(head);
   if (const auto limit =
           head.Get(std::string_view(state_->headers.server_limit))) {
     state_->UpdateLimit(server_, limit);
   }
-  constexpr int kMisdirected = 421;
   const bool misdirected = head.status == kMisdirected;
   const auto connection = std::exchange(connection_, nullptr);
   connection->Discard(
--- a/src/entry/entry_request.h
+++ b/src/entry/entry_request.h
@@ -87,6 +87,8 @@
   void OnResponseHead();
   void OnResponseBody();
   void OnResponseEnd();
+  // Handles what the server states about itself in a response.
+  void OnServerStatements(const http::MessageHead& head);
   void OnNotRun(const http::MessageHead& head);
   void OnConnectionFailed();
   void OnResponseTimeout();
--- a/src/entry/entry_state.cc
+++ b/src/entry/entry_state.cc
@@ -169,6 +169,22 @@
   }
 }
 
+void EntryState::OnRestRequested(const ServerId& server, TimePoint until) {
+  metrics.Count("rests_requested_total");
+  if (log_budget.Take(loop.Now())) {
+    Log(LogLevel::kInfo, "server_rest",
+        {{"server", server.value()},
+         {"ms", (until - loop.Now()) / std::chrono::milliseconds(1)}});
+  }
+}
+
+void EntryState::OnLeaving(const ServerId& server) {
+  metrics.Count("leaving_responses_total");
+  if (log_budget.Take(loop.Now())) {
+    Log(LogLevel::kInfo, "server_leaving", {{"server", server.value()}});
+  }
+}
+
 void EntryState::DropRemovedServers() {
   std::erase_if(pools_, [&](auto& it) {
     if (directory.Find(it.first) != nullptr) {
--- a/src/entry/entry_state.h
+++ b/src/entry/entry_state.h
@@ -70,6 +70,10 @@
   // Handles the limit that a response of `server` names, or that it names none.
   void UpdateLimit(const ServerId& server,
                    std::optional<std::string_view> limit);
+  // Handles a response of `server` that asks for a rest until `until`.
+  void OnRestRequested(const ServerId& server, TimePoint until);
+  // Handles a response of `server` that states that the server leaves.
+  void OnLeaving(const ServerId& server);
   // Drops the connection pools and loads of servers that have left the
   // directory. Requests in flight keep their pool until they end.
   void DropRemovedServers();
--- a/src/entry/header_names.h
+++ b/src/entry/header_names.h
@@ -21,6 +21,8 @@
   // Responses: number of requests per second that the server takes from all
   // daemons together.
   std::string server_limit;
+  // Responses: "1" if the server is about to leave and wants no new requests.
+  std::string server_leaving;
   // Responses: present if the server has not run the request.
   std::string not_run;
   // Requests: the key, a number from 0 to 65535.
--- a/src/entry/request_rules.cc
+++ b/src/entry/request_rules.cc
@@ -30,6 +30,9 @@
 // leaves a margin.
 constexpr double kRetryAfterShare = 0.3;
 
+// Longest rest of a server that is granted.
+constexpr std::chrono::hours kMaxRest{1};
+
 // Returns whether a response with `status` may report that the request has not
 // run.
 bool MayReportNotRun(int status) {
@@ -64,6 +67,28 @@
                                        : ResponseKind::kFinal;
 }
 
+std::optional<TimePoint> RequestedRest(const http::MessageHead& head,
+                                       TimePoint now) {
+  const auto text = head.Get("Retry-After");
+  if (head.status != kUnavailable || !text) {
+    return std::nullopt;
+  }
+  double seconds = 0;
+  const auto [end, ec] =
+      std::from_chars(text->data(), text->data() + text->size(), seconds);
+  if (ec != std::errc() || end != text->data() + text->size() ||
+      !(seconds > 0)) {
+    return std::nullopt;
+  }
+  const std::chrono::duration<double> rest(seconds);
+  return now + std::chrono::ceil<Duration>(
+                   std::min<std::chrono::duration<double>>(rest, kMaxRest));
+}
+
+bool IsLeaving(const http::MessageHead& head, const HeaderNames& names) {
+  return head.Get(std::string_view(names.server_leaving)) == "1";
+}
+
 TimePoint RequestDeadline(const http::MessageHead& head,
                           const HeaderNames& names,
                           const routing::Route& route,
--- a/src/entry/request_rules.h
+++ b/src/entry/request_rules.h
@@ -29,6 +29,17 @@
                                             const HeaderNames& names,
                                             std::string_view request_id);
 
+// Returns until when a server that answered at `now` wants no requests from
+// this daemon: the end of the Retry-After of a 503, or nullopt. Only a number
+// of seconds is understood; an hour is the most.
+[[nodiscard]] std::optional<TimePoint> RequestedRest(
+    const http::MessageHead& head,
+    TimePoint now);
+
+// Returns whether a response states that its server is about to leave.
+[[nodiscard]] bool IsLeaving(const http::MessageHead& head,
+                             const HeaderNames& names);
+
 // Returns the time by which the caller must have a response: the caller's
 // deadline or the end of the route's timeout, whichever is sooner.
 [[nodiscard]] TimePoint RequestDeadline(const http::MessageHead& head,
--- a/src/entry/request_rules_test.cc
+++ b/src/entry/request_rules_test.cc
@@ -122,5 +122,24 @@
   CHECK_FALSE(ParseNumber("", 65535).has_value());
 }
 
+TEST_CASE("a rest is the Retry-After of a 503 in seconds") {
+  const TimePoint now(std::chrono::seconds(10));
+  const auto rest = [&](int status, const char* retry_after) {
+    http::MessageHead head;
+    head.status = status;
+    head.Add(http::FieldId::retry_after, "Retry-After", retry_after);
+    return RequestedRest(head, now);
+  };
+  CHECK(rest(503, "3") == now + std::chrono::seconds(3));
+  CHECK(rest(503, "0.25") == now + milliseconds(250));
+  CHECK(rest(503, "1e30") == now + std::chrono::hours(1));
+  CHECK_FALSE(rest(429, "3"));
+  for (const char* it :
+       {"", "0", "-1", "nan", "3 s", "Fri, 04 Dec 2026 11:20:19 GMT"}) {
+    CAPTURE(it);
+    CHECK_FALSE(rest(503, it));
+  }
+}
+
 }  // namespace
 }  // namespace gentianreach::entry
