A server that asks for a rest gets one

Cause: the Retry-After of a server's 503 was not read. A rejection only worsened the server's score for 1.5 s, and the owner of a key or the last server is chosen without a comparison of scores. The class: a server's wish that the choice of servers does not know.

A rest is kept beside the limits that servers name, so that ServerLimits tells when a server may get its next request. First tries, retries, requests for keys and the last server left all ask that already: other servers take the requests, or they are refused at once with the rest as Retry-After. A rest ends with its server's incarnation.

--- a/include/gentianreach/verdict.h
+++ b/include/gentianreach/verdict.h
@@ -44,7 +44,7 @@
   kQuarantined,     // The request is known to crash servers.
   kDraining,        // The server or the daemon is shutting down.
   kTooLarge,        // The request body exceeds the limit.
-  kOverLimit,       // The server takes no more requests per second.
+  kOverLimit,       // The server wants no more requests for some time.
   kCutOff,          // The daemon is too isolated to route safely.
 };
 
--- a/src/entry/entry_daemon.cc
+++ b/src/entry/entry_daemon.cc
@@ -222,6 +222,8 @@
     metrics.Set("in_flight_requests", static_cast<double>(state_->in_flight));
     metrics.Set("held_requests", static_cast<double>(state_->held.size()));
     metrics.Set("limited_servers", static_cast<double>(state_->limits.size()));
+    metrics.Set("resting_servers",
+                static_cast<double>(state_->limits.CountResting(now)));
     path_monitor_.SetMetrics();
     metrics.Set("relays", static_cast<double>(state_->relays.size()));
     metrics.Set("cut_members", link_.cut_members());
@@ -345,6 +347,9 @@
            {"life", server->incarnation.value()},
            {"revision", object.revision}});
     }
+    if (before != nullptr && before->incarnation != server->incarnation) {
+      state_->limits.Forget(server->id);
+    }
     state_->directory.Put(*server, copies_.servers_current_at());
   }
 
--- a/src/entry/entry_metrics.cc
+++ b/src/entry/entry_metrics.cc
@@ -76,6 +76,8 @@
                 "Requests taken from other daemons."},
     Description{"probes_total", "counter",
                 "Probes of the path to the servers by how they ended."},
+    Description{"resting_servers", "gauge",
+                "Servers that have asked this daemon for a rest."},
     Description{"servers", "gauge", "Servers that are known, by service."},
     Description{"slots_known_free", "gauge",
                 "Slots of servers without a request, by service, as reported."},
--- a/src/entry/entry_state.cc
+++ b/src/entry/entry_state.cc
@@ -171,6 +171,7 @@
 
 void EntryState::OnRestRequested(const ServerId& server, TimePoint until) {
   metrics.Count("rests_requested_total");
+  limits.SetRest(server, until);
   if (log_budget.Take(loop.Now())) {
     Log(LogLevel::kInfo, "server_rest",
         {{"server", server.value()},
@@ -192,7 +193,7 @@
     }
     it.second.pool->CloseIdle();
     loads.Forget(it.first);
-    limits.Clear(it.first);
+    limits.Forget(it.first);
     reachability.Forget(it.first);
     return true;
   });
--- a/src/entry/server_choice.cc
+++ b/src/entry/server_choice.cc
@@ -76,7 +76,7 @@
 }
 
 // Returns the refusal of a request that no server takes before `next_send` by
-// the limits that they name.
+// the limits that they name and the rests that they ask for.
 ServerChoice RefuseOverLimit(TimePoint next_send, TimePoint now) {
   return {
       .reason = Reason::kOverLimit,
@@ -138,7 +138,7 @@
                        TimePoint now) {
   std::vector<const routing::BackendServer*> healthy;
   std::vector<const routing::BackendServer*> avoided;
-  // The earliest time at which a limited server takes a request.
+  // The earliest time at which a limited or resting server takes a request.
   TimePoint next_send = TimePoint::max();
   for (const auto& [id, it] : directory.servers()) {
     if (it.service != request.service.name || it.draining ||
--- a/src/entry/server_choice.h
+++ b/src/entry/server_choice.h
@@ -50,9 +50,9 @@
 
 // Returns the owner of the key for a keyed service, or the best of a random
 // sample of the service's servers otherwise; servers that may get no request
-// now by the limit that they name are left out. Refuses a request that the
-// chosen server could not answer in time: under overload, a longer queue would
-// only delay all responses.
+// now by the limit that they name or the rest that they ask for are left out.
+// Refuses a request that the chosen server could not answer in time: under
+// overload, a longer queue would only delay all responses.
 [[nodiscard]] ServerChoice ChooseServer(const ChoiceRequest& request,
                                         const ServerDirectory& directory,
                                         const ServerLoads& loads,
--- a/src/entry/server_limits.cc
+++ b/src/entry/server_limits.cc
@@ -59,6 +59,21 @@
   return buckets_.erase(server) > 0;
 }
 
+void ServerLimits::SetRest(const ServerId& server, TimePoint until) {
+  TimePoint& end = rests_[server];
+  end = std::max(end, until);
+}
+
+void ServerLimits::Forget(const ServerId& server) {
+  buckets_.erase(server);
+  rests_.erase(server);
+}
+
+std::size_t ServerLimits::CountResting(TimePoint now) const {
+  return static_cast<std::size_t>(std::ranges::count_if(
+      rests_, [&](const auto& it) { return it.second > now; }));
+}
+
 void ServerLimits::OnSent(const ServerId& server, TimePoint now) {
   const auto it = buckets_.find(server);
   if (it == buckets_.end()) {
@@ -69,12 +84,17 @@
 }
 
 TimePoint ServerLimits::NextSend(const ServerId& server, TimePoint now) const {
+  TimePoint next = now;
+  if (const auto rest = rests_.find(server); rest != rests_.end()) {
+    next = std::max(next, rest->second);
+  }
   const auto it = buckets_.find(server);
   if (it == buckets_.end()) {
-    return now;
+    return next;
   }
   const Seconds wait((1 - TokensAt(it->second, now)) / Rate(it->second));
-  return now + std::chrono::ceil<Duration>(std::max(wait, Seconds(0)));
+  return std::max(
+      next, now + std::chrono::ceil<Duration>(std::max(wait, Seconds(0))));
 }
 
 double ServerLimits::Rate(const Bucket& bucket) const {
--- a/src/entry/server_limits.h
+++ b/src/entry/server_limits.h
@@ -1,5 +1,5 @@
-// Limits that servers name for the requests of all daemons together, and this
-// daemon's share of them.
+// Limits that servers name for the requests of all daemons together, with this
+// daemon's share of them, and rests that servers ask of this daemon.
 #ifndef SRC_ENTRY_SERVER_LIMITS_H_
 #define SRC_ENTRY_SERVER_LIMITS_H_
 
@@ -19,6 +19,8 @@
 // nullopt if `text` is anything else.
 [[nodiscard]] std::optional<double> ParseLimit(std::string_view text);
 
+// A rest binds only the daemon that the server has asked.
+//
 // Each daemon sends a server an equal part of the requests that it takes. The
 // parts need no messages between the daemons, so that a limit holds from the
 // response that names it, whoever leads.
@@ -38,8 +40,12 @@
   // `server` takes `per_second` requests per second from all daemons together.
   // Returns whether that is news.
   bool Set(const ServerId& server, double per_second, TimePoint now);
-  // `server` names no limit any more, or is gone. Returns whether it had one.
+  // `server` names no limit any more. Returns whether it had one.
   bool Clear(const ServerId& server);
+  // `server` wants no requests from this daemon until `until`.
+  void SetRest(const ServerId& server, TimePoint until);
+  // `server` is gone, or has started again.
+  void Forget(const ServerId& server);
   // Counts a request that is sent to `server`.
   void OnSent(const ServerId& server, TimePoint now);
 
@@ -48,6 +54,8 @@
   [[nodiscard]] TimePoint NextSend(const ServerId& server, TimePoint now) const;
   // Returns the number of servers that name a limit.
   [[nodiscard]] std::size_t size() const { return buckets_.size(); }
+  // Returns the number of servers that have a rest.
+  [[nodiscard]] std::size_t CountResting(TimePoint now) const;
 
  private:
   struct Bucket {
@@ -64,6 +72,8 @@
   std::minstd_rand generator_;
   std::uint32_t members_ = 1;
   std::unordered_map<ServerId, Bucket> buckets_;
+  // Ends of rests; some may be over.
+  std::unordered_map<ServerId, TimePoint> rests_;
 };
 
 }  // namespace gentianreach::entry
--- a/src/entry/server_limits_test.cc
+++ b/src/entry/server_limits_test.cc
@@ -147,5 +147,32 @@
   CHECK(shared <= 2 * alone + milliseconds(1));
 }
 
+TEST_CASE("a rest lasts until its end, whatever limit the server names") {
+  ServerLimits limits(1);
+  limits.SetRest(kServer, kStart + seconds(3));
+  CHECK(limits.NextSend(kServer, kStart) == kStart + seconds(3));
+  limits.Set(kServer, 1000, kStart);
+  CHECK(limits.NextSend(kServer, kStart) == kStart + seconds(3));
+  limits.Clear(kServer);
+  CHECK(limits.NextSend(kServer, kStart) == kStart + seconds(3));
+  CHECK(limits.CountResting(kStart) == 1);
+  CHECK(limits.NextSend(kServer, kStart + seconds(3)) == kStart + seconds(3));
+  CHECK(limits.CountResting(kStart + seconds(3)) == 0);
+}
+
+TEST_CASE("a shorter rest does not end a longer one") {
+  ServerLimits limits(1);
+  limits.SetRest(kServer, kStart + seconds(3));
+  limits.SetRest(kServer, kStart + seconds(1));
+  CHECK(limits.NextSend(kServer, kStart) == kStart + seconds(3));
+}
+
+TEST_CASE("a server that has started again has no rest") {
+  ServerLimits limits(1);
+  limits.SetRest(kServer, kStart + seconds(3));
+  limits.Forget(kServer);
+  CHECK(limits.NextSend(kServer, kStart) == kStart);
+}
+
 }  // namespace
 }  // namespace gentianreach::entry
