A server that states that it leaves counts as draining

Servers that had stated in their responses that they leave got 5 to 38 of 40 requests later than 2 s after that, and kept their keys (server_leaving_test).

Cause: Server-Leaving was not read; only a server's entry told that it drains, and some servers never write that.

The statement marks the incarnation as draining in the directory, whatever its entry says, until it starts again. Members report it to the leader, which moves the keys. A relay names the server and its incarnation to the daemon that forwarded the request, which passes the statement on to the caller and must keep to it as well.

server_leaving_test passes: no arrival after 2 s in all three cases, the key has moved. server_directory_test has two cases more.

--- a/src/entry/entry_daemon.cc
+++ b/src/entry/entry_daemon.cc
@@ -137,6 +137,10 @@
     path_monitor_.on_change = [this](ServerPath before) {
       OnServerPathChange(before);
     };
+    // Deferred, since a request may be in the middle of its response.
+    state_->on_server_leaving = [this] {
+      loop_.Defer([this] { OnServersChanged(); });
+    };
     copies_.on_store_change = [this](bool lost) { OnStoreChange(lost); };
     link_.on_membership_update = [this] { OnMembershipUpdate(); };
     link_.on_leader_heartbeat = [this](const StoreCopyStatus& copy_status) {
@@ -222,6 +226,8 @@
     metrics.Set("in_flight_requests", static_cast<double>(state_->in_flight));
     metrics.Set("held_requests", static_cast<double>(state_->held.size()));
     metrics.Set("limited_servers", static_cast<double>(state_->limits.size()));
+    metrics.Set("leaving_servers",
+                static_cast<double>(state_->directory.leaving().size()));
     metrics.Set("resting_servers",
                 static_cast<double>(state_->limits.CountResting(now)));
     path_monitor_.SetMetrics();
--- a/src/entry/entry_request.cc
+++ b/src/entry/entry_request.cc
@@ -143,17 +143,17 @@
       route_->split[entry->split.Next()].service);
   if (service_->keyed) {
     const auto text = head.Get(std::string_view(names.key));
-    key_ = text ? ParseNumber(*text, keyspace::kKeyCount - 1) : std::nullopt;
-    if (!key_) {
+    const auto key =
+        text ? ParseNumber(*text, keyspace::kKeyCount - 1) : std::nullopt;
+    if (!key) {
       Refuse(400, Reason::kBadRequest, {});
       return;
     }
+    key_ = static_cast<std::uint32_t>(*key);
   }
   if (origin_ == RequestOrigin::kDaemon) {
     state_->metrics.Count("forwarded_requests_total");
-    constexpr std::uint32_t kMaxAttempts = 1000;
-    const auto attempts = head.Get(kAttemptsField);
-    attempts_ = attempts ? ParseNumber(*attempts, kMaxAttempts).value_or(0) : 0;
+    attempts_ = AttemptsBefore(head);
   }
   caller_->SetDeadline(deadline_);
   if (!caller_->request_complete() && head.Get(http::FieldId::expect)) {
@@ -321,6 +321,7 @@
   relay_.clear();
   connection_ = std::move(connection);
   server_ = server.id;
+  incarnation_ = server.incarnation;
   tried_.push_back(server.id);
   report_.reset();
   skipped_responses_ = 0;
@@ -428,7 +429,7 @@
     state_->OnRestRequested(server_, *until);
   }
   if (IsLeaving(head, state_->headers)) {
-    state_->OnLeaving(server_);
+    state_->OnLeaving(server_, incarnation_);
   }
 }
 
--- a/src/entry/entry_request.h
+++ b/src/entry/entry_request.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "entry/entry_state.h"
+#include "entry/message_writer.h"
 #include "entry/request_rules.h"
 #include "entry/server_choice.h"
 #include "gentianreach/verdict.h"
@@ -103,6 +104,8 @@
   [[nodiscard]] Reason ReasonNotToRelay() const;
   void OnRelayEvent(proxy::ServerEvent event);
   void OnRelayHead();
+  // Handles what the response of a relay tells about the server.
+  void OnRelayedServer();
   void OnRelayEnd();
   void OnRelayFailed();
   // Passes a relay's refusal on to the caller.
@@ -124,6 +127,8 @@
   // Ends the request with a response of the daemon's own.
   void Refuse(int status, Reason reason, Duration retry_after);
   void Finish(int status, std::string_view outcome);
+  // Returns the server that has answered if another daemon wants to know.
+  [[nodiscard]] std::optional<RelayedServer> Relayed() const;
   [[nodiscard]] bool KeepsAlive() const;
   [[nodiscard]] Duration TimeLeft() const;
   // Returns the largest request body that is accepted.
@@ -148,6 +153,7 @@
   std::shared_ptr<proxy::ServerPool> pool_;
   std::shared_ptr<proxy::ServerConnection> connection_;
   ServerId server_;
+  Incarnation incarnation_;
   // Name of the relay; empty if the attempt is made by this daemon.
   std::string relay_;
   TimePoint attempt_started_;
--- a/src/entry/entry_request_forwarding.cc
+++ b/src/entry/entry_request_forwarding.cc
@@ -2,7 +2,6 @@
 #include <algorithm>
 #include <chrono>
 #include <cstddef>
-#include <limits>
 #include <string>
 #include <utility>
 
@@ -33,10 +32,7 @@
     return Reason::kDraining;
   }
   const auto text = caller_->head().Get(kConfigVersionField);
-  const std::uint64_t version =
-      text ? ParseNumber(*text, std::numeric_limits<std::uint32_t>::max())
-                 .value_or(0)
-           : 0;
+  const std::uint64_t version = text ? ParseNumber(*text).value_or(0) : 0;
   const bool is_outdated = routes_->config().version < version;
   return is_outdated || state_->reachability.lost() ? Reason::kCutOff
                                                     : Reason::kNone;
@@ -116,6 +112,7 @@
   const auto id = head.Get(std::string_view(state_->headers.request_id));
   if (id.value_or("") == id_ && head.Get(kVerdictField)) {
     response_head_ = head;
+    OnRelayedServer();
     return;
   }
   // Not the response of a daemon to this request.
@@ -126,6 +123,20 @@
   Refuse(kBadGateway, Reason::kTruncated, {});
 }
 
+void EntryRequest::OnRelayedServer() {
+  const auto server = response_head_.Get(kServerField);
+  const auto text = response_head_.Get(kIncarnationField);
+  const auto incarnation = text ? ParseNumber(*text) : std::nullopt;
+  if (!server || !incarnation) {
+    return;
+  }
+  server_ = ServerId(std::string(*server));
+  incarnation_ = Incarnation(*incarnation);
+  if (IsLeaving(response_head_, state_->headers)) {
+    state_->OnLeaving(server_, incarnation_);
+  }
+}
+
 void EntryRequest::OnRelayEnd() {
   const auto connection = std::exchange(connection_, nullptr);
   pool_->Release(connection);
--- a/src/entry/entry_request_response.cc
+++ b/src/entry/entry_request_response.cc
@@ -21,8 +21,8 @@
 }  // namespace
 
 void EntryRequest::CommitResponse() {
-  std::string out = BeginForwardedResponse(response_head_, state_->headers,
-                                           origin_ == RequestOrigin::kDaemon);
+  std::string out =
+      BeginForwardedResponse(response_head_, state_->headers, Relayed());
   http::AppendFraming(out, http::BodyFraming::kChunked, 0);
   EndResponseHead(out, KeepsAlive());
   caller_->Write(std::move(out));
@@ -37,7 +37,7 @@
   } else {
     out = ForwardedResponse(response_head_, state_->headers, response_body_,
                             caller_->head().method == "HEAD", keep_alive,
-                            origin_ == RequestOrigin::kDaemon);
+                            Relayed());
   }
   caller_->Write(std::move(out));
   state_->metrics.RecordLatency(route_->name, service_->name,
@@ -77,6 +77,13 @@
   caller_->FinishResponse(keep_alive);
 }
 
+std::optional<RelayedServer> EntryRequest::Relayed() const {
+  if (origin_ == RequestOrigin::kCaller) {
+    return std::nullopt;
+  }
+  return RelayedServer{server_, incarnation_};
+}
+
 bool EntryRequest::KeepsAlive() const {
   return caller_->head().keep_alive && caller_->request_complete() &&
          !state_->stopping;
@@ -118,10 +125,9 @@
 
 void EntryRequest::DeliverRefusal() {
   const bool keep_alive = KeepsAlive();
-  caller_->Write(ForwardedResponse(response_head_, state_->headers,
-                                   response_body_,
-                                   caller_->head().method == "HEAD", keep_alive,
-                                   origin_ == RequestOrigin::kDaemon));
+  caller_->Write(
+      ForwardedResponse(response_head_, state_->headers, response_body_,
+                        caller_->head().method == "HEAD", keep_alive));
   Finish(response_head_.status, "refused_by_relay");
   caller_->FinishResponse(keep_alive);
 }
--- a/src/entry/entry_state.cc
+++ b/src/entry/entry_state.cc
@@ -179,10 +179,14 @@
   }
 }
 
-void EntryState::OnLeaving(const ServerId& server) {
-  metrics.Count("leaving_responses_total");
-  if (log_budget.Take(loop.Now())) {
-    Log(LogLevel::kInfo, "server_leaving", {{"server", server.value()}});
+void EntryState::OnLeaving(const ServerId& server, Incarnation incarnation) {
+  if (!directory.MarkLeaving(server, incarnation, loop.Now())) {
+    return;
+  }
+  Log(LogLevel::kInfo, "server_leaving",
+      {{"server", server.value()}, {"life", incarnation.value()}});
+  if (on_server_leaving) {
+    on_server_leaving();
   }
 }
 
--- a/src/entry/entry_state.h
+++ b/src/entry/entry_state.h
@@ -5,6 +5,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -72,8 +73,8 @@
                    std::optional<std::string_view> limit);
   // Handles a response of `server` that asks for a rest until `until`.
   void OnRestRequested(const ServerId& server, TimePoint until);
-  // Handles a response of `server` that states that the server leaves.
-  void OnLeaving(const ServerId& server);
+  // An incarnation of `server` has stated that it leaves.
+  void OnLeaving(const ServerId& server, Incarnation incarnation);
   // Drops the connection pools and loads of servers that have left the
   // directory. Requests in flight keep their pool until they end.
   void DropRemovedServers();
@@ -115,6 +116,8 @@
   proxy::HeldRequestQueue held;
   EntryMetrics metrics;
   LogBudget log_budget;
+  // Called when a server counts as draining because it has stated so.
+  std::function<void()> on_server_leaving;
   std::size_t in_flight = 0;
   bool stopping = false;
 
--- a/src/entry/member_link.cc
+++ b/src/entry/member_link.cc
@@ -167,6 +167,12 @@
         std::chrono::duration<float, std::milli>(it.total).count();
     hello.servers.push_back(std::move(sample));
   }
+  for (const auto& [server, it] : state_.directory.leaving()) {
+    auto leaving = std::make_unique<wire::LeavingServerT>();
+    leaving->server = server.value();
+    leaving->incarnation = it.incarnation.value();
+    hello.leaving.push_back(std::move(leaving));
+  }
   wire::BodyUnion body;
   body.Set(std::move(hello));
   if (is_known) {
@@ -337,6 +343,9 @@
   }
   QueueCrashReports(hello.name, crashed);
   AddSamples(hello);
+  for (const auto& it : hello.leaving) {
+    state_.OnLeaving(ServerId(it->server), Incarnation(it->incarnation));
+  }
   SendLeaderHeartbeat(known, Succession(), false);
 }
 
--- a/src/entry/message_writer.cc
+++ b/src/entry/message_writer.cc
@@ -1,6 +1,7 @@
 #include "entry/message_writer.h"
 
 #include <chrono>
+#include <limits>
 
 #include "entry/request_rules.h"
 #include "http/serializer.h"
@@ -46,9 +47,18 @@
   return out;
 }
 
-std::string BeginForwardedResponse(const http::MessageHead& from_server,
-                                   const HeaderNames& names,
-                                   bool to_daemon) {
+std::uint32_t AttemptsBefore(const http::MessageHead& head) {
+  const auto text = head.Get(kAttemptsField);
+  const auto attempts =
+      text ? ParseNumber(*text, std::numeric_limits<std::uint32_t>::max())
+           : std::nullopt;
+  return static_cast<std::uint32_t>(attempts.value_or(0));
+}
+
+std::string BeginForwardedResponse(
+    const http::MessageHead& from_server,
+    const HeaderNames& names,
+    const std::optional<RelayedServer>& relayed) {
   std::string out;
   http::AppendStatusLine(out, from_server.status, from_server.reason);
   http::AppendForwardedFields(out, from_server);
@@ -57,8 +67,10 @@
       http::AppendField(out, *it, *value);
     }
   }
-  if (to_daemon) {
+  if (relayed) {
     http::AppendField(out, kVerdictField, ToString(Outcome::kAnswered));
+    http::AppendField(out, kServerField, relayed->server.value());
+    http::AppendField(out, kIncarnationField, relayed->incarnation.value());
   }
   return out;
 }
@@ -75,8 +87,8 @@
                               std::string_view body,
                               bool head_only,
                               bool keep_alive,
-                              bool to_daemon) {
-  std::string out = BeginForwardedResponse(from_server, names, to_daemon);
+                              const std::optional<RelayedServer>& relayed) {
+  std::string out = BeginForwardedResponse(from_server, names, relayed);
   const auto length = from_server.Get(http::FieldId::content_length);
   if (head_only || from_server.status == kNotModified) {
     if (length) {
--- a/src/entry/message_writer.h
+++ b/src/entry/message_writer.h
@@ -17,10 +17,14 @@
 
 namespace gentianreach::entry {
 
-// Header fields of a request that one daemon forwards to another.
+// Header fields of a request that one daemon forwards to another, and of its
+// response: the server that has answered.
 inline constexpr std::string_view kConfigVersionField =
     "gentianreach-config-version";
 inline constexpr std::string_view kAttemptsField = "gentianreach-attempts";
+inline constexpr std::string_view kServerField = "gentianreach-server";
+inline constexpr std::string_view kIncarnationField =
+    "gentianreach-incarnation";
 
 // What the daemon that forwards a request tells the other one.
 struct ForwardFields {
@@ -30,6 +34,9 @@
   std::uint32_t attempts = 0;
 };
 
+// Returns the number of servers to which a forwarded request was sent before.
+[[nodiscard]] std::uint32_t AttemptsBefore(const http::MessageHead& head);
+
 // The header fields that the daemon sets in a request to a server or to another
 // daemon.
 struct RequestFields {
@@ -48,14 +55,21 @@
                                       const HeaderNames& names,
                                       const RequestFields& fields);
 
+// The server whose response a relay returns to another daemon.
+struct RelayedServer {
+  ServerId server;
+  Incarnation incarnation;
+};
+
 // Returns the status line and the forwarded header fields of a server's
-// response, without the fields for framing. `to_daemon` is set if another
-// daemon has forwarded the request; the verdict is then included.
+// response, without the fields for framing. `relayed` is set if another
+// daemon has forwarded the request; the verdict and the server are then
+// included.
 // EndResponseHead() completes the head.
 [[nodiscard]] std::string BeginForwardedResponse(
     const http::MessageHead& from_server,
     const HeaderNames& names,
-    bool to_daemon);
+    const std::optional<RelayedServer>& relayed = {});
 // Appends the end of a response head to `out`.
 void EndResponseHead(std::string& out, bool keep_alive);
 
@@ -67,7 +81,7 @@
     std::string_view body,
     bool head_only,
     bool keep_alive,
-    bool to_daemon);
+    const std::optional<RelayedServer>& relayed = {});
 
 // A response of the daemon itself instead of a server's.
 struct Refusal {
--- a/src/entry/request_rules.cc
+++ b/src/entry/request_rules.cc
@@ -104,9 +104,9 @@
   return now + timeout;
 }
 
-std::optional<std::uint32_t> ParseNumber(std::string_view text,
-                                         std::uint32_t max) {
-  std::uint32_t number = 0;
+std::optional<std::uint64_t> ParseNumber(std::string_view text,
+                                         std::uint64_t max) {
+  std::uint64_t number = 0;
   const char* last = text.data() + text.size();
   const auto [end, ec] = std::from_chars(text.data(), last, number);
   if (ec != std::errc() || end != last || number > max) {
--- a/src/entry/request_rules.h
+++ b/src/entry/request_rules.h
@@ -4,6 +4,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <limits>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -49,8 +50,9 @@
 
 // Returns the decimal number in `text`, or nullopt if `text` is anything else
 // or the number is above `max`.
-[[nodiscard]] std::optional<std::uint32_t> ParseNumber(std::string_view text,
-                                                       std::uint32_t max);
+[[nodiscard]] std::optional<std::uint64_t> ParseNumber(
+    std::string_view text,
+    std::uint64_t max = std::numeric_limits<std::uint64_t>::max());
 
 // Returns the highest expected latency at which a request is still sent.
 // Sending more would only lengthen the server's queue and delay later requests
--- a/src/entry/server_directory.cc
+++ b/src/entry/server_directory.cc
@@ -1,9 +1,16 @@
 #include "entry/server_directory.h"
 
 #include <algorithm>
+#include <chrono>
 #include <utility>
 
 namespace gentianreach::entry {
+namespace {
+
+// How long the statement of a server that is gone is kept.
+constexpr Duration kLeavingKept = std::chrono::minutes(10);
+
+}  // namespace
 
 void ServerDirectory::Put(routing::BackendServer server, TimePoint current_at) {
   const routing::BackendServer* before = Find(server.id);
@@ -12,6 +19,12 @@
                                 ? before->draining_since
                                 : current_at;
   }
+  const auto leaving = leaving_.find(server.id);
+  if (leaving != leaving_.end() &&
+      leaving->second.incarnation != server.incarnation) {
+    leaving_.erase(leaving);
+  }
+  ApplyLeaving(server);
   deferred_removals_.erase(server.id);
   ++changes_;
   servers_[server.id] = std::move(server);
@@ -31,6 +44,35 @@
   deferred_removals_.erase(id);
 }
 
+bool ServerDirectory::MarkLeaving(const ServerId& id,
+                                  Incarnation incarnation,
+                                  TimePoint now) {
+  const auto it = servers_.find(id);
+  if (it == servers_.end() || it->second.incarnation != incarnation ||
+      !leaving_.try_emplace(id, Leaving{incarnation, now}).second) {
+    return false;
+  }
+  ApplyLeaving(it->second);
+  ++changes_;
+  // Entries of servers that have left may come back after an outage of the
+  // store, but not much later.
+  std::erase_if(leaving_, [&](const auto& it) {
+    return !servers_.contains(it.first) && it.second.since + kLeavingKept < now;
+  });
+  return true;
+}
+
+void ServerDirectory::ApplyLeaving(routing::BackendServer& server) const {
+  const auto it = leaving_.find(server.id);
+  if (it == leaving_.end()) {
+    return;
+  }
+  server.draining_since =
+      server.draining ? std::min(server.draining_since, it->second.since)
+                      : it->second.since;
+  server.draining = true;
+}
+
 void ServerDirectory::RemoveOthers(const std::vector<ServerId>& present) {
   std::vector<ServerId> absent;
   for (const auto& [id, server] : servers_) {
--- a/src/entry/server_directory.h
+++ b/src/entry/server_directory.h
@@ -27,6 +27,20 @@
   // Removes all entries that are not among `present`.
   void RemoveOthers(const std::vector<ServerId>& present);
 
+  // The incarnation of `id` has stated that it leaves, whatever its entry says:
+  // it counts as draining since `now` at the latest. Returns whether that is
+  // news.
+  bool MarkLeaving(const ServerId& id, Incarnation incarnation, TimePoint now);
+  // A server that has stated that it leaves.
+  struct Leaving {
+    Incarnation incarnation;
+    TimePoint since;
+  };
+  // Returns the servers that have stated that they leave.
+  [[nodiscard]] const std::map<ServerId, Leaving>& leaving() const {
+    return leaving_;
+  }
+
   // Sets whether removals are deferred. If not, removes the servers whose
   // removal was deferred; returns whether there were any.
   bool SetRemovalsDeferred(bool deferred);
@@ -41,7 +55,11 @@
   [[nodiscard]] std::uint64_t changes() const { return changes_; }
 
  private:
+  // Applies the statement that `server` leaves, if there is one.
+  void ApplyLeaving(routing::BackendServer& server) const;
+
   std::map<ServerId, routing::BackendServer> servers_;
+  std::map<ServerId, Leaving> leaving_;
   // Servers whose removal is deferred.
   std::set<ServerId> deferred_removals_;
   bool removals_deferred_ = false;
--- a/src/entry/server_directory_test.cc
+++ b/src/entry/server_directory_test.cc
@@ -53,5 +53,38 @@
   CHECK(directory.Find(ServerId("a"))->draining_since == kNow);
 }
 
+TEST_CASE("a server that states that it leaves drains until it starts again") {
+  const TimePoint later = kNow + std::chrono::seconds(1);
+  ServerDirectory directory;
+  routing::BackendServer server = Server("a");
+  server.incarnation = Incarnation(1);
+  directory.Put(server, kNow);
+  CHECK(directory.MarkLeaving(server.id, Incarnation(1), kNow));
+  CHECK_FALSE(directory.MarkLeaving(server.id, Incarnation(1), later));
+  // Its entry does not say so, or says so later, or expires and comes back.
+  directory.Put(server, later);
+  CHECK(directory.Find(server.id)->draining);
+  server.draining = true;
+  directory.Put(server, later);
+  CHECK(directory.Find(server.id)->draining_since == kNow);
+  directory.Remove(server.id);
+  server.draining = false;
+  directory.Put(server, later);
+  CHECK(directory.Find(server.id)->draining);
+  server.incarnation = Incarnation(2);
+  directory.Put(server, later);
+  CHECK_FALSE(directory.Find(server.id)->draining);
+}
+
+TEST_CASE("a late statement of an earlier incarnation has no effect") {
+  ServerDirectory directory;
+  routing::BackendServer server = Server("a");
+  server.incarnation = Incarnation(2);
+  directory.Put(server, kNow);
+  CHECK_FALSE(directory.MarkLeaving(server.id, Incarnation(1), kNow));
+  CHECK_FALSE(directory.Find(server.id)->draining);
+  CHECK_FALSE(directory.MarkLeaving(ServerId("b"), Incarnation(1), kNow));
+}
+
 }  // namespace
 }  // namespace gentianreach::entry
