The soak cuts daemons off from all servers

One, several or all daemons lose all servers at the same time, silently, by resets, or so that only new connections fail. Cuts have a random sequence of their own, so that the other faults of a seed stay as they were.

--- a/soak/fault_plan.cc
+++ b/soak/fault_plan.cc
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <cmath>
 #include <map>
+#include <numeric>
 #include <random>
 #include <utility>
 
@@ -32,7 +33,17 @@
     "pause-server",        "pause-store",         "store-busy",
     "store-loses-answers", "store-drops-history", "change-config",
     "slow-link",           "silent-link",         "one-way-link",
-    "reset-link"};
+    "reset-link",          "cut-daemon"};
+constexpr std::array<const char*, 4> kCutNames = {"none", "silent", "reset",
+                                                  "new-refused"};
+// Mean time between two cuts of daemons from all servers, and the range of
+// their durations: from shorter to longer than a daemon takes to notice one.
+constexpr double kMeanCutIntervalMs = 3000;
+constexpr double kMinCutMs = 200;
+constexpr double kMaxCutMs = 7000;
+// Cuts have a random sequence of their own, so that the other faults of a seed
+// do not depend on them.
+constexpr std::uint64_t kCutSequence = 0x9e3779b97f4a7c15;
 constexpr std::array<const char*, 3> kLinkNames = {
     "callers-to-daemon", "daemon-to-store", "daemons-to-server"};
 
@@ -43,7 +54,7 @@
 
   Fault Draw(TimePoint at) {
     Fault fault;
-    fault.kind = static_cast<FaultKind>(Index(kFaultKinds));
+    fault.kind = static_cast<FaultKind>(Index(kFaultKinds - 1));
     fault.link = static_cast<LinkKind>(Index(kLinkNames.size()));
     const bool of_server =
         IsServerFault(fault.kind) ||
@@ -58,13 +69,33 @@
     return fault;
   }
 
+  // Returns a cut of some daemons that begins at `at`: a fault for each of
+  // them.
+  std::vector<Fault> DrawCut(TimePoint at) {
+    Fault fault{.kind = FaultKind::kCutDaemon,
+                .cut = static_cast<ClientCut>(1 + Index(kCutNames.size() - 1)),
+                .begins = at,
+                .ends = at + DrawDuration(kMinCutMs, kMaxCutMs)};
+    std::vector<std::size_t> daemons(shape_.daemons);
+    std::iota(daemons.begin(), daemons.end(), 0);
+    std::ranges::shuffle(daemons, random_);
+    daemons.resize(1 + Index(shape_.daemons));
+    std::vector<Fault> cut;
+    for (const std::size_t it : daemons) {
+      fault.target = it;
+      cut.push_back(fault);
+    }
+    return cut;
+  }
+  Duration DrawCutInterval() {
+    return Millis(
+        std::exponential_distribution<double>(1 / kMeanCutIntervalMs)(random_));
+  }
+
   // Sets the start time and duration of `fault`.
   void Place(Fault& fault, TimePoint at) {
-    // Durations are uniform on a logarithmic scale.
-    std::uniform_real_distribution<double> magnitude(std::log(kMinDurationMs),
-                                                     std::log(kMaxDurationMs));
     fault.begins = at;
-    fault.ends = at + Millis(std::exp(magnitude(random_)));
+    fault.ends = at + DrawDuration(kMinDurationMs, kMaxDurationMs);
   }
 
   Duration DrawInterval() {
@@ -84,6 +115,12 @@
     return std::chrono::duration_cast<Duration>(
         std::chrono::duration<double, std::milli>(ms));
   }
+  // Returns a duration that is uniform on a logarithmic scale.
+  Duration DrawDuration(double min_ms, double max_ms) {
+    std::uniform_real_distribution<double> magnitude(std::log(min_ms),
+                                                     std::log(max_ms));
+    return Millis(std::exp(magnitude(random_)));
+  }
   std::size_t Index(std::size_t size) {
     return std::uniform_int_distribution<std::size_t>(0, size - 1)(random_);
   }
@@ -119,7 +156,7 @@
 }
 
 bool IsLinkFault(FaultKind kind) {
-  return kind >= FaultKind::kSlowLink;
+  return kind >= FaultKind::kSlowLink && kind <= FaultKind::kResetLink;
 }
 
 std::vector<Fault> MakePlan(std::uint64_t seed,
@@ -144,6 +181,15 @@
     free_at[resource] = fault.ends + kRepeatPause;
     plan.push_back(fault);
   }
+  Planner cuts(seed ^ kCutSequence, shape);
+  for (TimePoint at = begin + cuts.DrawCutInterval(); at < end;) {
+    for (Fault& it : cuts.DrawCut(at)) {
+      it.ends = std::min(it.ends, end);
+      plan.push_back(it);
+      at = it.ends;
+    }
+    at += cuts.DrawCutInterval() + kRepeatPause;
+  }
   std::ranges::stable_sort(plan, {}, &Fault::begins);
   return plan;
 }
@@ -161,6 +207,10 @@
     text += std::string(" link=") +
             kLinkNames[static_cast<std::size_t>(fault.link)];
   }
+  if (fault.kind == FaultKind::kCutDaemon) {
+    text +=
+        std::string(" cut=") + kCutNames[static_cast<std::size_t>(fault.cut)];
+  }
   return text;
 }
 
--- a/soak/fault_plan.h
+++ b/soak/fault_plan.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "gentianreach/time.h"
+#include "soak/chaos_proxy.h"
 
 namespace gentianreach::soak {
 
@@ -31,9 +32,11 @@
   kSilentLink,
   kOneWayLink,
   kResetLink,
+  // A daemon is cut off from all servers.
+  kCutDaemon,
 };
 inline constexpr std::size_t kFaultKinds =
-    static_cast<std::size_t>(FaultKind::kResetLink) + 1;
+    static_cast<std::size_t>(FaultKind::kCutDaemon) + 1;
 
 // The connections that a link fault affects.
 enum class LinkKind : std::uint8_t {
@@ -48,6 +51,8 @@
   std::size_t target = 0;
   // Used by link faults only.
   LinkKind link = LinkKind::kCallersToDaemon;
+  // Used by kCutDaemon only.
+  ClientCut cut = ClientCut::kNone;
   TimePoint begins;
   TimePoint ends;
 };
@@ -58,7 +63,8 @@
   std::size_t servers = 6;
 };
 
-// Returns the faults between `begin` and `end`, sorted by start time. Faults
+// Returns the faults between `begin` and `end`, sorted by start time. Cuts of
+// daemons affect one, several or all of them at the same time. Other faults
 // may overlap, and some repeat soon on the same target. A process gets no
 // signal for a new fault before its earlier fault has ended.
 [[nodiscard]] std::vector<Fault> MakePlan(std::uint64_t seed,
--- a/soak/fleet.cc
+++ b/soak/fleet.cc
@@ -149,6 +149,9 @@
   slot.ready = false;
   slot.front_proxy = MakeProxy();
   slot.front_proxy->SetMode(slot.mode);
+  for (const DaemonSlot& it : daemons_) {
+    slot.front_proxy->SetClientCut(it.ip, it.cut);
+  }
   std::vector<std::string> arguments = {Program("server_program"),
                                         "--id",
                                         slot.id,
@@ -311,6 +314,9 @@
     case FaultKind::kChangeConfig:
       ChangeConfig();
       break;
+    case FaultKind::kCutDaemon:
+      CutDaemon(fault.target, fault.cut);
+      break;
     case FaultKind::kSlowLink:
     case FaultKind::kSilentLink:
     case FaultKind::kOneWayLink:
@@ -320,6 +326,13 @@
   }
 }
 
+void Fleet::CutDaemon(std::size_t i, ClientCut cut) {
+  daemons_[i].cut = cut;
+  for (const ServerSlot& it : servers_) {
+    it.front_proxy->SetClientCut(daemons_[i].ip, cut);
+  }
+}
+
 void Fleet::BeginLinkFault(const Fault& fault) {
   if (fault.link == LinkKind::kCallersToDaemon) {
     AddDisturbance(fault.target, fault);
@@ -376,6 +389,9 @@
     case FaultKind::kPauseServer:
       SignalServer(fault.target, SIGCONT);
       break;
+    case FaultKind::kCutDaemon:
+      CutDaemon(fault.target, ClientCut::kNone);
+      break;
     case FaultKind::kPauseStore:
       store_->Signal(SIGCONT);
       break;
--- a/soak/fleet.h
+++ b/soak/fleet.h
@@ -76,6 +76,8 @@
     // Proxies for connections from callers and to the store.
     std::unique_ptr<ChaosProxy> front_proxy;
     std::unique_ptr<ChaosProxy> store_proxy;
+    // How its connections to the servers are cut.
+    ClientCut cut = ClientCut::kNone;
     // A terminating signal has been sent.
     bool ending = false;
   };
@@ -107,6 +109,8 @@
   void StartDaemon(std::size_t i);
   void OnDaemonExit(std::size_t i, int status);
   void ChangeConfig();
+  // Sets how the connections of a daemon to all servers are cut.
+  void CutDaemon(std::size_t i, ClientCut cut);
   void AddDisturbance(std::size_t daemon, const Fault& fault);
   void BeginLinkFault(const Fault& fault);
   void SetMode(const Fault& fault, LinkMode mode);
