A relay that gives a request back states how often it was sent

A relay that lost its own path after an attempt had been rejected gave the request back as not tried, so the next relay could send it to more servers than the route allows, without a token of the retry budget. Found by reading.

A relay's refusal states the number of servers, and the daemon counts them. Requests that wait for relays also continue when the path is open again. server_cut_test passes.

--- a/src/entry/entry_daemon.cc
+++ b/src/entry/entry_daemon.cc
@@ -437,6 +437,7 @@
       state_->held.WakeAll();
     } else if (before == ServerPath::kLost) {
       link_.AnnounceServerPath();
+      state_->held.WakeAll();
     }
   }
 
--- a/src/entry/entry_request.cc
+++ b/src/entry/entry_request.cc
@@ -153,7 +153,7 @@
   }
   if (origin_ == RequestOrigin::kDaemon) {
     state_->metrics.Count("forwarded_requests_total");
-    attempts_ = AttemptsBefore(head);
+    attempts_ = StatedAttempts(head);
   }
   caller_->SetDeadline(deadline_);
   if (!caller_->request_complete() && head.Get(http::FieldId::expect)) {
--- a/src/entry/entry_request_forwarding.cc
+++ b/src/entry/entry_request_forwarding.cc
@@ -148,8 +148,11 @@
   const auto reason = response_head_.Get(kReasonField);
   const bool unable = reason == ToString(Reason::kCutOff) ||
                       reason == ToString(Reason::kDraining);
-  if (response_head_.status == kUnavailable && unable) {
-    // The relay has not sent the request to any server.
+  const std::uint32_t attempts = StatedAttempts(response_head_);
+  const bool sent = attempts > attempts_;
+  attempts_ = std::max(attempts_, attempts);
+  if (response_head_.status == kUnavailable && unable &&
+      (!sent || MayRetry(true))) {
     EndForward(RelayResult::kUnable);
     Attempt();
     return;
--- a/src/entry/entry_request_response.cc
+++ b/src/entry/entry_request_response.cc
@@ -70,7 +70,8 @@
                                       : std::nullopt,
        .head_only = caller_->head().method == "HEAD",
        .keep_alive = keep_alive,
-       .outcome = outcome},
+       .outcome = outcome,
+       .attempts = attempts_},
       state_->headers);
   caller_->Write(std::move(out));
   Finish(status, ToString(reason));
--- a/src/entry/message_writer.cc
+++ b/src/entry/message_writer.cc
@@ -47,7 +47,7 @@
   return out;
 }
 
-std::uint32_t AttemptsBefore(const http::MessageHead& head) {
+std::uint32_t StatedAttempts(const http::MessageHead& head) {
   const auto text = head.Get(kAttemptsField);
   const auto attempts =
       text ? ParseNumber(*text, std::numeric_limits<std::uint32_t>::max())
@@ -118,6 +118,7 @@
   if (refusal.outcome) {
     http::AppendField(out, kVerdictField, ToString(*refusal.outcome));
     http::AppendField(out, kReasonField, ToString(refusal.reason));
+    http::AppendField(out, kAttemptsField, refusal.attempts);
   }
   http::AppendField(out, "Content-Type", "text/plain");
   http::AppendField(out, "Content-Length", body.size());
--- a/src/entry/message_writer.h
+++ b/src/entry/message_writer.h
@@ -34,8 +34,9 @@
   std::uint32_t attempts = 0;
 };
 
-// Returns the number of servers to which a forwarded request was sent before.
-[[nodiscard]] std::uint32_t AttemptsBefore(const http::MessageHead& head);
+// Returns the number of servers to which a forwarded request was sent so far,
+// as the head of the request or of its refusal states it; 0 by default.
+[[nodiscard]] std::uint32_t StatedAttempts(const http::MessageHead& head);
 
 // The header fields that the daemon sets in a request to a server or to another
 // daemon.
@@ -91,8 +92,10 @@
   std::optional<Duration> retry_after;
   bool head_only = false;
   bool keep_alive = true;
-  // Set for a request that another daemon has forwarded.
+  // Set for a request that another daemon has forwarded: the outcome, and the
+  // number of servers to which the request was sent.
   std::optional<Outcome> outcome;
+  std::uint32_t attempts = 0;
 };
 
 [[nodiscard]] std::string RefusalResponse(const Refusal& refusal,
