A relay checks its configuration before it looks for the route

A relay with an older configuration than the daemon that forwarded answered 404 for a route that it did not know yet, and the caller got that as final.

The version and the relay's own path are checked before the route. A daemon that only suspects to have lost its path does not replace a leader that has. AssignerOptionsFor moves to key_assignment, GiveUp to the responses.

--- a/src/entry/entry_daemon.cc
+++ b/src/entry/entry_daemon.cc
@@ -55,8 +55,6 @@
 constexpr Duration kAcceptWhileStopping = milliseconds(2600);
 // Time between the last responses and the end of the grace period.
 constexpr Duration kStopMargin = milliseconds(550);
-// Upper limit of the lease of grants, even if servers allow longer ones.
-constexpr milliseconds kLongestUsefulLease{6000};
 // Name of the leader record in the store.
 constexpr const char* kLeaderObject = "entry";
 
@@ -81,16 +79,6 @@
   return ((std::uint64_t{device()} << 32) | device()) >> 12;
 }
 
-keyspace::AssignerOptions AssignerOptionsOf(
-    const settings::EntryDaemonT& settings) {
-  keyspace::AssignerOptions options;
-  const milliseconds longest(
-      static_cast<std::int64_t>(settings.longest_lease_ms));
-  options.lease = std::min(longest, kLongestUsefulLease);
-  options.renew_period = options.lease / 4;
-  return options;
-}
-
 }  // namespace
 
 class EntryDaemon::Impl {
@@ -116,7 +104,11 @@
               SeedsOf(settings),
               election_,
               *state_),
-        assignment_(*state_, election_, platform_, AssignerOptionsOf(settings)),
+        assignment_(*state_,
+                    election_,
+                    platform_,
+                    AssignerOptionsFor(milliseconds(
+                        static_cast<std::int64_t>(settings.longest_lease_ms)))),
         copies_(loop_,
                 platform_,
                 {.config = {[this](const auto& it) { OnConfig(it); },
--- a/src/entry/entry_request.cc
+++ b/src/entry/entry_request.cc
@@ -18,7 +18,6 @@
 constexpr int kMisdirected = 421;
 constexpr int kBadGateway = 502;
 constexpr int kUnavailable = 503;
-constexpr int kGatewayTimeout = 504;
 
 // Responses up to this size are buffered until they are complete.
 constexpr std::size_t kMaxBufferedBytes = 256 * 1024;
@@ -120,11 +119,19 @@
   const http::MessageHead& head = caller_->head();
   const HeaderNames& names = state_->headers;
   id_ = head.Get(std::string_view(names.request_id)).value_or("");
+  if (origin_ == RequestOrigin::kDaemon) {
+    state_->metrics.Count("forwarded_requests_total");
+    attempts_ = StatedAttempts(head);
+    not_relayed_ = ReasonNotToRelay();
+    if (not_relayed_ != Reason::kNone) {
+      // Refused once its body has been read, so that the connection can stay.
+      deadline_ = started_ + kNotReadyRetryAfter * 4;
+      return;
+    }
+  }
   if (!routes_) {
     deadline_ = started_ + kNotReadyRetryAfter * 4;
-    Refuse(kUnavailable,
-           origin_ == RequestOrigin::kDaemon ? Reason::kCutOff : Reason::kNone,
-           kNotReadyRetryAfter);
+    Refuse(kUnavailable, Reason::kNone, kNotReadyRetryAfter);
     return;
   }
   routing::RouteEntry* entry =
@@ -151,10 +158,6 @@
     }
     key_ = static_cast<std::uint32_t>(*key);
   }
-  if (origin_ == RequestOrigin::kDaemon) {
-    state_->metrics.Count("forwarded_requests_total");
-    attempts_ = StatedAttempts(head);
-  }
   caller_->SetDeadline(deadline_);
   if (!caller_->request_complete() && head.Get(http::FieldId::expect)) {
     caller_->Write("HTTP/1.1 100 Continue\r\n\r\n");
@@ -162,7 +165,7 @@
 }
 
 void EntryRequest::OnBody() {
-  if (done_) {
+  if (done_ || not_relayed_ != Reason::kNone) {
     return;
   }
   body_.append(caller_->body());
@@ -175,8 +178,8 @@
   if (done_) {
     return;
   }
-  if (const Reason reason = ReasonNotToRelay(); reason != Reason::kNone) {
-    Refuse(kUnavailable, reason, kNotReadyRetryAfter);
+  if (not_relayed_ != Reason::kNone) {
+    Refuse(kUnavailable, not_relayed_, kNotReadyRetryAfter);
     return;
   }
   const http::MessageHead& head = caller_->head();
@@ -208,31 +211,6 @@
   }
 }
 
-void EntryRequest::GiveUp(Reason reason) {
-  if (committed_) {
-    // Part of the response has been sent, so no other status can follow.
-    if (const auto connection = std::exchange(connection_, nullptr)) {
-      connection->Abandon();
-      EndAttempt(AttemptResult::kCancelled);
-    }
-    Finish(0, "broken_off");
-    caller_->Abort();
-    return;
-  }
-  if (!connection_) {
-    Refuse(may_have_run_ ? kGatewayTimeout : kUnavailable, reason, {});
-    return;
-  }
-  const bool sent = connection_->written();
-  const auto connection = std::exchange(connection_, nullptr);
-  connection->Abandon();
-  may_have_run_ = may_have_run_ || sent;
-  const bool unresponsive =
-      state_->loads.last_response(server_) < attempt_started_;
-  EndAttempt(unresponsive ? AttemptResult::kBroken : AttemptResult::kCancelled);
-  Refuse(may_have_run_ ? kGatewayTimeout : kUnavailable, reason, {});
-}
-
 void EntryRequest::Attempt() {
   if (done_) {
     return;
--- a/src/entry/entry_request.h
+++ b/src/entry/entry_request.h
@@ -100,7 +100,8 @@
   void ForwardThrough(const Relay& relay);
   // Returns a relay that has not been tried; null if there is none.
   [[nodiscard]] const Relay* ChooseRelay() const;
-  // Returns why this daemon cannot make attempts for another one, or kNone.
+  // Returns why this daemon cannot make attempts for the one that has forwarded
+  // the request, or kNone.
   [[nodiscard]] Reason ReasonNotToRelay() const;
   void OnRelayEvent(proxy::ServerEvent event);
   void OnRelayHead();
@@ -141,6 +142,8 @@
   std::shared_ptr<routing::HostRoutes> routes_;
   const routing::Route* route_ = nullptr;
   const routing::Service* service_ = nullptr;
+  // Why the request of another daemon is refused; kNone if it is not.
+  Reason not_relayed_ = Reason::kNone;
   std::string id_;
   std::string body_;
   std::optional<std::uint32_t> key_;
--- a/src/entry/entry_request_forwarding.cc
+++ b/src/entry/entry_request_forwarding.cc
@@ -25,15 +25,12 @@
 }  // namespace
 
 Reason EntryRequest::ReasonNotToRelay() const {
-  if (origin_ == RequestOrigin::kCaller) {
-    return Reason::kNone;
-  }
   if (state_->stopping) {
     return Reason::kDraining;
   }
   const auto text = caller_->head().Get(kConfigVersionField);
   const std::uint64_t version = text ? ParseNumber(*text).value_or(0) : 0;
-  const bool is_outdated = routes_->config().version < version;
+  const bool is_outdated = !routes_ || routes_->config().version < version;
   return is_outdated || state_->reachability.lost() ? Reason::kCutOff
                                                     : Reason::kNone;
 }
--- a/src/entry/entry_request_response.cc
+++ b/src/entry/entry_request_response.cc
@@ -17,9 +17,35 @@
 
 constexpr int kBadGateway = 502;
 constexpr int kUnavailable = 503;
+constexpr int kGatewayTimeout = 504;
 
 }  // namespace
 
+void EntryRequest::GiveUp(Reason reason) {
+  if (committed_) {
+    // Part of the response has been sent, so no other status can follow.
+    if (const auto connection = std::exchange(connection_, nullptr)) {
+      connection->Abandon();
+      EndAttempt(AttemptResult::kCancelled);
+    }
+    Finish(0, "broken_off");
+    caller_->Abort();
+    return;
+  }
+  if (!connection_) {
+    Refuse(may_have_run_ ? kGatewayTimeout : kUnavailable, reason, {});
+    return;
+  }
+  const bool sent = connection_->written();
+  const auto connection = std::exchange(connection_, nullptr);
+  connection->Abandon();
+  may_have_run_ = may_have_run_ || sent;
+  const bool unresponsive =
+      state_->loads.last_response(server_) < attempt_started_;
+  EndAttempt(unresponsive ? AttemptResult::kBroken : AttemptResult::kCancelled);
+  Refuse(may_have_run_ ? kGatewayTimeout : kUnavailable, reason, {});
+}
+
 void EntryRequest::CommitResponse() {
   std::string out =
       BeginForwardedResponse(response_head_, state_->headers, Relayed());
--- a/src/entry/key_assignment.cc
+++ b/src/entry/key_assignment.cc
@@ -16,6 +16,8 @@
 constexpr Duration kStoreTimeout = milliseconds(1500);
 // Delay before the next attempt after a failed store call.
 constexpr Duration kStoreRetryDelay = milliseconds(400);
+// Upper limit of the lease of grants, even if servers allow longer ones.
+constexpr milliseconds kLongestUsefulLease{6000};
 // How often the assigner receives the servers' capacity, which changes with
 // each load report. Equal to the period with which the assigner balances load.
 constexpr Duration kCapacityRefresh = milliseconds(500);
@@ -62,6 +64,13 @@
 
 }  // namespace
 
+keyspace::AssignerOptions AssignerOptionsFor(milliseconds longest_lease) {
+  keyspace::AssignerOptions options;
+  options.lease = std::min(longest_lease, kLongestUsefulLease);
+  options.renew_period = options.lease / 4;
+  return options;
+}
+
 KeyAssignment::KeyAssignment(EntryState& state,
                              LeaderElection& election,
                              platform::PlatformClient& platform,
--- a/src/entry/key_assignment.h
+++ b/src/entry/key_assignment.h
@@ -3,6 +3,7 @@
 #ifndef SRC_ENTRY_KEY_ASSIGNMENT_H_
 #define SRC_ENTRY_KEY_ASSIGNMENT_H_
 
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -17,6 +18,10 @@
 
 namespace gentianreach::entry {
 
+// Returns the options for servers that grant leases of up to `longest_lease`.
+[[nodiscard]] keyspace::AssignerOptions AssignerOptionsFor(
+    std::chrono::milliseconds longest_lease);
+
 class KeyAssignment {
  public:
   KeyAssignment(EntryState& state,
--- a/src/entry/member_link.cc
+++ b/src/entry/member_link.cc
@@ -234,7 +234,8 @@
     return;
   }
   leader_unfit_since_ = leader_unfit_since_.value_or(now);
-  if (now >= *leader_unfit_since_ + rank_ * kUnfitRankDelay) {
+  if (state_.reachability.path() == ServerPath::kOpen &&
+      now >= *leader_unfit_since_ + rank_ * kUnfitRankDelay) {
     election_.OnLeaderUnfit(now);
   }
 }
--- a/src/entry/message_writer.h
+++ b/src/entry/message_writer.h
@@ -63,9 +63,8 @@
 };
 
 // Returns the status line and the forwarded header fields of a server's
-// response, without the fields for framing. `relayed` is set if another
-// daemon has forwarded the request; the verdict and the server are then
-// included.
+// response, without the fields for framing. `relayed` is set if another daemon
+// has forwarded the request; the verdict and the server are then included.
 // EndResponseHead() completes the head.
 [[nodiscard]] std::string BeginForwardedResponse(
     const http::MessageHead& from_server,
