--- a/src/entry/server_reachability.cc
+++ b/src/entry/server_reachability.cc
@@ -44,18 +44,19 @@
   last_answer_ = now;
   answer_due_.reset();
   records_[server].answered_at = now;
-  for (auto& [id, it] : records_) {
-    if (it.failed_connection && *it.failed_connection <= opened_at) {
-      it.failed_connection.reset();
-    }
-  }
+  std::erase_if(failed_connections_,
+                [&](const auto& it) { return it.second <= opened_at; });
 }
 
 void ServerReachability::OnFailure(const ServerId& server,
                                    TimePoint opened_at) {
-  Record& record = records_[server];
-  record.failed_connection =
-      std::max(record.failed_connection.value_or(opened_at), opened_at);
+  TimePoint& failed = failed_connections_[server];
+  failed = std::max(failed, opened_at);
+}
+
+void ServerReachability::Forget(const ServerId& server) {
+  records_.erase(server);
+  failed_connections_.erase(server);
 }
 
 bool ServerReachability::IsSuspicious(const Servers& servers,
@@ -63,10 +64,9 @@
   if (answer_due_ && now >= *answer_due_) {
     return true;
   }
-  const auto failed = static_cast<std::size_t>(
-      std::ranges::count_if(records_, [&](const auto& it) {
-        return it.second.failed_connection && servers.contains(it.first);
-      }));
+  const auto failed = static_cast<std::size_t>(std::ranges::count_if(
+      failed_connections_,
+      [&](const auto& it) { return servers.contains(it.first); }));
   return failed > 0 && failed >= std::min(kSuspiciousFailures, servers.size());
 }
 
@@ -146,9 +146,7 @@
   path_ = ServerPath::kOpen;
   answer_due_.reset();
   next_probes_ = now + kSuspicionPause;
-  for (auto& [id, it] : records_) {
-    it.failed_connection.reset();
-  }
+  failed_connections_.clear();
 }
 
 }  // namespace gentianreach::entry
--- a/src/entry/server_reachability.h
+++ b/src/entry/server_reachability.h
@@ -48,7 +48,7 @@
   // request got no answer in time.
   void OnFailure(const ServerId& server, TimePoint opened_at);
   // `server` no longer exists.
-  void Forget(const ServerId& server) { records_.erase(server); }
+  void Forget(const ServerId& server);
 
   // Returns the servers to probe now, of those that exist. Each probe must end
   // in a call of OnProbeEnd().
@@ -66,8 +66,6 @@
   struct Record {
     TimePoint answered_at{};
     TimePoint probed_at{};
-    // When the connection that failed last was opened.
-    std::optional<TimePoint> failed_connection;
   };
 
   [[nodiscard]] bool IsSuspicious(const Servers& servers, TimePoint now) const;
@@ -79,6 +77,9 @@
   void Reopen(TimePoint now);
 
   std::map<ServerId, Record> records_;
+  // When the connections were opened that failed last, by server. Usually
+  // empty, since it is searched for each answer.
+  std::map<ServerId, TimePoint> failed_connections_;
   ServerPath path_ = ServerPath::kOpen;
   TimePoint last_answer_{};
   // The earliest time by which a request sent since then should be answered.
