A new leader waits for all earlier leaders that may still act

Callers saw two servers run requests for one key when leaders followed each other within 12 s. A leader that is frozen, or cut off from the store and the other daemons but not from the servers, may send orders until its lease ends. A new leader remembered only the one that it replaced: where that one had resigned, had restarted or was heard again, it waited for nobody, although a leader before may still act. It then cleared earlier owners too soon.

The leader record now lists the earlier leaders that may still act. A takeover carries the list on, with the replaced leader; a resigning leader leaves it; a restarted daemon finds it. One leaves the list when another incarnation of it or its message in the current epoch is heard, and all do once their lease has been waited for. Records without the list are read as before; heartbeats and hints carry no list, so terms are compared by epoch and leader.

Before the change, leader_election_test failed in three cases:

leader_election_test.cc:292: CHECK( c.previous_leader_until() >= kLeaseEndOfA ) leader_election_test.cc:301: CHECK( b.previous_leader_until() >= kLeaseEndOfA ) leader_election_test.cc:312: CHECK( c.previous_leader_until() >= kLeaseEndOfA )

--- a/src/entry/leader_election.cc
+++ b/src/entry/leader_election.cc
@@ -33,15 +33,10 @@
     }
   } else if (IsSelf(record_.leader)) {
     if (resigning_) {
-      call = ElectionCall{.kind = ElectionCall::Kind::kReplace,
-                          .record = {record_.epoch, {}},
-                          .revision = revision_};
+      call = Rewrite({}, now);
     } else if (must_verify_ || now >= verified_at_ + options_.verify_period) {
-      // Writes the same content: succeeds only if no other daemon has replaced
-      // the record.
-      call = ElectionCall{.kind = ElectionCall::Kind::kReplace,
-                          .record = record_,
-                          .revision = revision_};
+      // Succeeds only if no other daemon has replaced the record.
+      call = Rewrite(record_.leader, now);
     }
   } else if (resigning_) {
     resigned_ = true;
@@ -75,10 +70,29 @@
                                       rank_ * options_.read_rank_delay);
 }
 
-ElectionCall LeaderElection::TakeOver() {
-  replaced_leader_ = record_.leader;
+ElectionCall LeaderElection::TakeOver() const {
+  LeaderRecord next{record_.epoch.Next(), self_, record_.earlier_leaders};
+  // Earlier incarnations of the replaced leader and of this daemon have ended,
+  // and a daemon does not wait for earlier terms of its own.
+  std::erase_if(next.earlier_leaders, [&](const Member& it) {
+    return it.name == record_.leader.name || it.name == self_.name;
+  });
+  if (!record_.leader.name.empty() && record_.leader.name != self_.name) {
+    next.earlier_leaders.push_back(record_.leader);
+  }
+  return {.kind = ElectionCall::Kind::kReplace,
+          .record = std::move(next),
+          .revision = revision_};
+}
+
+ElectionCall LeaderElection::Rewrite(const Member& leader,
+                                     TimePoint now) const {
+  LeaderRecord record{record_.epoch, leader};
+  if (now < previous_leader_until_) {
+    record.earlier_leaders = replaced_leaders_;
+  }
   return {.kind = ElectionCall::Kind::kReplace,
-          .record = {record_.epoch.Next(), self_},
+          .record = std::move(record),
           .revision = revision_};
 }
 
@@ -118,17 +132,16 @@
   const LeaderRecord previous = record_;
   const bool was_leader = was_known && IsSelf(previous.leader);
   const bool unchanged_read = call->kind == ElectionCall::Kind::kRead &&
-                              was_known && *record == previous &&
+                              was_known && record->IsSameTerm(previous) &&
                               !IsSelf(record->leader);
   Adopt(*record, revision, now);
   if (IsSelf(record_.leader)) {
     if (!was_leader) {
-      // The previous leader's lease counts from a call that was sent before
-      // this one took effect. An earlier incarnation of this daemon no longer
-      // runs.
-      const bool ended =
-          replaced_leader_.name.empty() || replaced_leader_.name == self_.name;
-      previous_leader_until_ = ended ? now : now + options_.leader_lease;
+      // The leases of previous leaders count from calls that were sent before
+      // this one took effect.
+      replaced_leaders_ = record_.earlier_leaders;
+      previous_leader_until_ =
+          replaced_leaders_.empty() ? now : now + options_.leader_lease;
     }
     verified_at_ = sent_at_;
     return;
@@ -206,9 +219,11 @@
                                        Incarnation incarnation,
                                        Epoch epoch,
                                        TimePoint now) {
-  if (name == replaced_leader_.name &&
-      (incarnation != replaced_leader_.incarnation || epoch == record_.epoch)) {
-    replaced_leader_ = {};
+  const auto removed = std::erase_if(replaced_leaders_, [&](const Member& it) {
+    return name == it.name &&
+           (incarnation != it.incarnation || epoch == record_.epoch);
+  });
+  if (removed > 0 && replaced_leaders_.empty()) {
     previous_leader_until_ = std::min(previous_leader_until_, now);
   }
 }
--- a/src/entry/leader_election.h
+++ b/src/entry/leader_election.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "gentianreach/ids.h"
 #include "gentianreach/time.h"
@@ -27,7 +28,14 @@
 struct LeaderRecord {
   Epoch epoch;
   Member leader;
+  // Earlier leaders that may not have noticed yet that they were replaced, at
+  // most one per name. Known from the store only: heartbeats and hints do not
+  // carry them.
+  std::vector<Member> earlier_leaders;
 
+  [[nodiscard]] bool IsSameTerm(const LeaderRecord& other) const {
+    return epoch == other.epoch && leader == other.leader;
+  }
   bool operator==(const LeaderRecord&) const = default;
 };
 
@@ -77,7 +85,8 @@
 //
 // Two daemons may both act as leader for a while. Conditional writes to the
 // store and the fencing tokens of the grants make that safe. A new leader
-// learns from previous_leader_until() how long its predecessor may still act.
+// learns from previous_leader_until() how long its predecessors may still act:
+// the record lists all of them that may.
 class LeaderElection {
  public:
   LeaderElection(Member self, ElectionOptions options);
@@ -111,7 +120,7 @@
   void OnNewerEpochSeen(TimePoint now);
   // Handles a message of a daemon that follows the leader of `epoch`. The
   // replaced leader no longer acts if the sender is a different incarnation of
-  // it, or if the replaced leader itself now follows this daemon.
+  // it, or if the replaced leader itself now follows the current leader.
   void OnFollowerMessage(const std::string& name,
                          Incarnation incarnation,
                          Epoch epoch,
@@ -127,15 +136,15 @@
   // Returns whether this daemon is the leader, is not stepping down, and its
   // lease has not expired.
   [[nodiscard]] bool IsLeader(TimePoint now) const;
-  // Returns the time until which a previous leader may still act.
+  // Returns the time until which previous leaders may still act.
   [[nodiscard]] TimePoint previous_leader_until() const {
     return previous_leader_until_;
   }
   [[nodiscard]] const LeaderRecord& record() const { return record_; }
-  // Returns the leader that this daemon has replaced, for as long as it may not
-  // have noticed. The name is empty if there is none.
-  [[nodiscard]] const Member& replaced_leader() const {
-    return replaced_leader_;
+  // Returns the leaders before this daemon's term that may not have noticed yet
+  // that they were replaced.
+  [[nodiscard]] const std::vector<Member>& replaced_leaders() const {
+    return replaced_leaders_;
   }
   // Returns whether the current leader is known.
   [[nodiscard]] bool knows_leader() const {
@@ -146,7 +155,10 @@
  private:
   [[nodiscard]] bool IsSelf(const Member& member) const;
   void Adopt(const LeaderRecord& record, std::uint64_t revision, TimePoint now);
-  ElectionCall TakeOver();
+  // Returns the call that writes the record of this daemon's next term.
+  [[nodiscard]] ElectionCall TakeOver() const;
+  // Returns the call that writes `leader` to the record of the current term.
+  [[nodiscard]] ElectionCall Rewrite(const Member& leader, TimePoint now) const;
   // Returns when this daemon replaces the leader if no heartbeat arrives.
   [[nodiscard]] TimePoint TakeoverTime() const;
   // Returns when this daemon reads the record if no heartbeat arrives.
@@ -177,9 +189,9 @@
   // While leader: when the last store call that confirmed it was sent. The
   // lease is counted from there.
   TimePoint verified_at_{};
-  // The leader that this daemon last tried to replace. Cleared once that
-  // incarnation is known not to act any more.
-  Member replaced_leader_;
+  // Leaders before this daemon's term. One is removed once that incarnation is
+  // known not to act any more.
+  std::vector<Member> replaced_leaders_;
   TimePoint previous_leader_until_{};
 };
 
--- a/src/entry/leader_election_test.cc
+++ b/src/entry/leader_election_test.cc
@@ -262,5 +262,91 @@
   CHECK(a.record() == later);
 }
 
+// `a` leads and is replaced by `b` at kStart + 2 s, which it does not notice,
+// so that it may act until kLeaseEndOfA.
+constexpr Duration kLeaderLease = ElectionOptions{}.leader_lease;
+const TimePoint kReplacementOfA = kStart + seconds(2);
+const TimePoint kLeaseEndOfA = kReplacementOfA + kLeaderLease;
+
+struct UnawareLeader {
+  UnawareLeader() {
+    store.Serve(a, kStart);
+    store.Serve(b, kStart);
+    store.Serve(b, kReplacementOfA);
+    REQUIRE(b.IsLeader(kReplacementOfA));
+  }
+
+  Store store;
+  LeaderElection a = Daemon("a");
+  LeaderElection b = Daemon("b");
+};
+
+TEST_CASE("the successor of a leader that resigns waits for earlier leaders") {
+  UnawareLeader chain;
+  const TimePoint later = kReplacementOfA + seconds(1);
+  chain.b.Resign();
+  chain.store.Serve(chain.b, later);
+  LeaderElection c = Daemon("c");
+  chain.store.Serve(c, later);
+  REQUIRE(c.IsLeader(later));
+  CHECK(c.previous_leader_until() >= kLeaseEndOfA);
+}
+
+TEST_CASE("a restarted leader waits for leaders before its earlier term") {
+  UnawareLeader chain;
+  const TimePoint later = kReplacementOfA + seconds(1);
+  LeaderElection b = Daemon("b", 2);
+  chain.store.Serve(b, later);
+  REQUIRE(b.IsLeader(later));
+  CHECK(b.previous_leader_until() >= kLeaseEndOfA);
+}
+
+TEST_CASE("a restart of the replaced leader does not end the wait for others") {
+  UnawareLeader chain;
+  LeaderElection c = Daemon("c");
+  chain.store.Serve(c, kReplacementOfA);
+  const TimePoint later = kReplacementOfA + seconds(2);
+  chain.store.Serve(c, later);
+  REQUIRE(c.IsLeader(later));
+  c.OnFollowerMessage("b", Incarnation(2), c.record().epoch, later);
+  CHECK(c.previous_leader_until() >= kLeaseEndOfA);
+  // Neither does a message of `a` from the term before.
+  c.OnFollowerMessage("a", Incarnation(1), Epoch(2), later);
+  CHECK(c.previous_leader_until() >= kLeaseEndOfA);
+  c.OnFollowerMessage("a", Incarnation(1), c.record().epoch, later);
+  CHECK(c.previous_leader_until() == later);
+}
+
+TEST_CASE("earlier leaders are listed until their lease has been waited for") {
+  UnawareLeader chain;
+  chain.store.Serve(chain.b, kLeaseEndOfA - seconds(1));
+  REQUIRE(chain.store.record);
+  CHECK(chain.store.record->earlier_leaders.size() == 1);
+  chain.store.Serve(chain.b, kLeaseEndOfA + seconds(3));
+  CHECK(chain.b.IsLeader(kLeaseEndOfA + seconds(3)));
+  CHECK(chain.store.record->earlier_leaders.empty());
+}
+
+TEST_CASE("a daemon that knows its leader from heartbeats can replace it") {
+  UnawareLeader chain;
+  LeaderElection c = Daemon("c");
+  c.OnLeaderHeartbeat({Epoch(2), {"b", Incarnation(1), "b:1"}}, 0,
+                      kReplacementOfA);
+  const TimePoint later = kReplacementOfA + seconds(1);
+  chain.store.Serve(c, later);
+  REQUIRE(c.IsLeader(later));
+  CHECK(c.replaced_leaders().size() == 2);
+}
+
+TEST_CASE("a daemon does not wait for earlier terms of its own") {
+  UnawareLeader chain;
+  const TimePoint later = kReplacementOfA + seconds(1);
+  chain.b.Resign();
+  chain.store.Serve(chain.b, later);
+  chain.store.Serve(chain.a, later);
+  REQUIRE(chain.a.IsLeader(later));
+  CHECK(chain.a.previous_leader_until() == later);
+}
+
 }  // namespace
 }  // namespace gentianreach::entry
--- a/src/entry/leader_record.cc
+++ b/src/entry/leader_record.cc
@@ -2,19 +2,41 @@
 
 namespace gentianreach::entry {
 
+namespace {
+
+nlohmann::json EncodeMember(const Member& member) {
+  return {{"name", member.name},
+          {"life", member.incarnation.value()},
+          {"address", member.address}};
+}
+
+Member DecodeMember(const nlohmann::json& content) {
+  return {content.at("name").get<std::string>(),
+          Incarnation(content.at("life").get<std::uint64_t>()),
+          content.at("address").get<std::string>()};
+}
+
+}  // namespace
+
 nlohmann::json EncodeLeader(const LeaderRecord& record) {
-  return {{"epoch", record.epoch.value()},
-          {"name", record.leader.name},
-          {"life", record.leader.incarnation.value()},
-          {"address", record.leader.address}};
+  nlohmann::json content = EncodeMember(record.leader);
+  content["epoch"] = record.epoch.value();
+  content["earlier"] = nlohmann::json::array();
+  for (const Member& it : record.earlier_leaders) {
+    content["earlier"].push_back(EncodeMember(it));
+  }
+  return content;
 }
 
 std::optional<LeaderRecord> DecodeLeader(const nlohmann::json& content) {
   try {
-    return LeaderRecord{Epoch(content.at("epoch").get<std::uint64_t>()),
-                        {content.at("name").get<std::string>(),
-                         Incarnation(content.at("life").get<std::uint64_t>()),
-                         content.at("address").get<std::string>()}};
+    LeaderRecord record{Epoch(content.at("epoch").get<std::uint64_t>()),
+                        DecodeMember(content)};
+    // Records of versions without the list lack the field.
+    for (const auto& it : content.value("earlier", nlohmann::json::array())) {
+      record.earlier_leaders.push_back(DecodeMember(it));
+    }
+    return record;
   } catch (const nlohmann::json::exception&) {
     return std::nullopt;
   }
--- a/src/entry/member_link.cc
+++ b/src/entry/member_link.cc
@@ -119,7 +119,7 @@
   if (!std::exchange(was_leader_, true)) {
     member_count_settled_at_ = now + kMemberTimeout;
   }
-  NotifyReplacedLeader();
+  NotifyReplacedLeaders();
   QueueCrashReports(self_.name, crashes_.TakeLocalLosses());
   // The leader has already counted its own samples, so they are discarded.
   static_cast<void>(state_.loads.TakeSamples());
@@ -247,10 +247,10 @@
   const LeaderRecord record{
       Epoch(hint.epoch),
       {hint.name, Incarnation(hint.incarnation), hint.address}};
-  const bool was_followed = election_.record() == record;
+  const bool was_followed = election_.record().IsSameTerm(record);
   const bool was_leader = election_.IsLeader(loop_.Now());
   election_.OnHint(record, loop_.Now());
-  if (was_followed || election_.record() != record) {
+  if (was_followed || !election_.record().IsSameTerm(record)) {
     return;
   }
   if (was_leader) {
@@ -260,13 +260,11 @@
   SendHello();
 }
 
-void MemberLink::NotifyReplacedLeader() {
-  const Member& replaced = election_.replaced_leader();
-  if (replaced.name.empty() || replaced.name == self_.name) {
-    return;
+void MemberLink::NotifyReplacedLeaders() {
+  for (const Member& it : election_.replaced_leaders()) {
+    KnownMember known{it, loop_.Now()};
+    SendLeaderHeartbeat(known, Succession(), false);
   }
-  KnownMember known{replaced, loop_.Now()};
-  SendLeaderHeartbeat(known, Succession(), false);
 }
 
 void MemberLink::SendHintsToMembers() {
@@ -491,7 +489,7 @@
   for (auto& [name, it] : known_members_) {
     SendLeaderHeartbeat(it, succession, false);
   }
-  NotifyReplacedLeader();
+  NotifyReplacedLeaders();
 }
 
 void MemberLink::AnnounceResignation() {
--- a/src/entry/member_link.h
+++ b/src/entry/member_link.h
@@ -111,8 +111,8 @@
   void OnLeaderHeartbeat(const wire::LeaderHeartbeatT& heartbeat);
   void OnHint(const wire::LeaderHintT& hint);
   void SendHint(const std::string& address);
-  // Sends a heartbeat to the leader that this daemon has replaced.
-  void NotifyReplacedLeader();
+  // Sends a heartbeat to each replaced leader, which may send no Hello.
+  void NotifyReplacedLeaders();
   // Sends the current leader to the members that this daemon knew as leader.
   void SendHintsToMembers();
   void SendHello();
--- a/src/entry/member_link_test.cc
+++ b/src/entry/member_link_test.cc
@@ -178,6 +178,22 @@
   });
 }
 
+TEST_CASE("a new leader tells all earlier leaders that they were replaced") {
+  net::EventLoop loop;
+  Daemon first(loop, "first");
+  Daemon second(loop, "second");
+  Daemon third(loop, "third");
+  first.TakeLead(1);
+  second.TakeLead(2);
+  third.ReplyWithRecord({Epoch(2), second.self, {first.self}});
+  third.TakeOverFromLeader();
+  const TimePoint end = loop.Now() + kTestTimeout;
+  while (!first.Follows(third) || !second.Follows(third)) {
+    REQUIRE(loop.Now() < end);
+    loop.RunOnce(true);
+  }
+}
+
 TEST_CASE("a daemon that has lost its servers learns which daemons forward") {
   Fleet fleet;
   Daemon& cut = *fleet.daemons[3];
