A source_ip that is no IP address is rejected when settings are read

Every connection to a server then failed, while the HTTP client ignored the setting without a log line and reached the store from whatever address the system chose.

Nothing checked the value, and three places parsed it in two ways: "[::1]" was an address for connections to servers and none for the HTTP client. One parser, net::ParseIpAddress, now serves the settings, TcpSocket::Connect and HttpClient. The settings report the line and the value; an HttpClient that is given such a value by other means fails its calls with the error, which the store watcher logs.

--- a/src/entry/entry_settings.cc
+++ b/src/entry/entry_settings.cc
@@ -4,6 +4,7 @@
 #include <string>
 
 #include "base/log.h"
+#include "net/socket_address.h"
 #include "settings/builder.h"
 #include "settings/document.h"
 #include "settings/schema.h"
@@ -28,6 +29,10 @@
   if (!entry.forward_address.empty()) {
     checker.RequireAddress("forward_address", entry.forward_address);
   }
+  if (!entry.source_ip.empty() && !net::ParseIpAddress(entry.source_ip)) {
+    checker.Report("source_ip",
+                   "expected an IP address, not \"" + entry.source_ip + "\"");
+  }
   if (!ParseLogLevel(entry.log_level).has_value()) {
     checker.Report("log_level",
                    "expected debug, info, warning or error, not \"" +
--- a/src/entry/entry_settings_test.cc
+++ b/src/entry/entry_settings_test.cc
@@ -53,5 +53,28 @@
   CHECK(names("store_address"));
 }
 
+TEST_CASE("a source_ip that is no IP address is reported with its line") {
+  for (const char* it : {"nowhere", "10.0.0", "10.0.0.1:0", "[::1]", "::1%",
+                         "010.0.0.1", "10.0.0.1, 10.0.0.2"}) {
+    CAPTURE(it);
+    const auto result = LoadEntrySettings(
+        std::string(kValid) + "source_ip = " + it + "\n", "e.ini");
+    CHECK(result.entry == nullptr);
+    REQUIRE(result.errors.size() == 1);
+    CHECK(result.errors[0].line == 10);
+    CHECK(ToString(result.errors[0]).find("source_ip") != std::string::npos);
+  }
+}
+
+TEST_CASE("a source_ip may be an IPv4 or IPv6 address or empty") {
+  for (const char* it : {"10.0.0.1", "127.0.0.1", "::1", "fd00::7", ""}) {
+    CAPTURE(it);
+    const auto result = LoadEntrySettings(
+        std::string(kValid) + "source_ip = " + it + "\n", "e.ini");
+    REQUIRE(result.entry != nullptr);
+    CHECK(result.entry->source_ip == it);
+  }
+}
+
 }  // namespace
 }  // namespace gentianreach::entry
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "base/timer.h"
+#include "net/socket_address.h"
 
 namespace gentianreach {
 namespace {
@@ -58,6 +59,14 @@
   return response;
 }
 
+// Ends a call that could not be sent.
+void FailUnsent(const HttpCallback& done, std::string error) {
+  HttpResponse response;
+  response.error = std::move(error);
+  response.may_have_arrived = false;
+  done(std::move(response));
+}
+
 void OnDone(GObject* session, GAsyncResult* result, gpointer data) {
   const std::unique_ptr<PendingCall> call(static_cast<PendingCall*>(data));
   GError* raw_error = nullptr;
@@ -75,7 +84,8 @@
 }  // namespace
 
 HttpClient::HttpClient(std::string source_ip)
-    : source_ip_(std::move(source_ip)) {}
+    : source_ip_(std::move(source_ip)),
+      source_address_(net::ParseIpAddress(source_ip_)) {}
 
 HttpClient::~HttpClient() {
   *alive_ = false;
@@ -93,15 +103,10 @@
   if (known == sessions_.end()) {
     std::erase_if(sessions_,
                   [&](const auto& it) { return it.second.expires_at < now; });
-    // Null if the system chooses the source address.
-    const auto source = GObjectPtr<GSocketAddress>::Adopt(
-        source_ip_.empty()
-            ? nullptr
-            : g_inet_socket_address_new_from_string(source_ip_.c_str(), 0));
     auto session = GObjectPtr<SoupSession>::Adopt(soup_session_new_with_options(
         "max-conns", kMaxConnectionsPerServer, "max-conns-per-host",
         kMaxConnectionsPerServer, "idle-timeout", kIdleSeconds, "local-address",
-        source.get(), nullptr));
+        source_address_.get(), nullptr));
     known = sessions_.emplace(server, Session{std::move(session), {}}).first;
   }
   known->second.expires_at = now + kSessionTimeout;
@@ -109,13 +114,14 @@
 }
 
 void HttpClient::Send(HttpCall call, HttpCallback done) {
+  if (!source_ip_.empty() && !source_address_) {
+    FailUnsent(done, source_ip_ + ": not an IP address");
+    return;
+  }
   SoupMessage* message =
       soup_message_new(call.method.c_str(), call.url.c_str());
   if (message == nullptr) {
-    HttpResponse response;
-    response.error = "not a URL: " + call.url;
-    response.may_have_arrived = false;
-    done(std::move(response));
+    FailUnsent(done, "not a URL: " + call.url);
     return;
   }
   auto pending = std::make_unique<PendingCall>();
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -53,7 +53,7 @@
 class HttpClient {
  public:
   // Connects from the local IP address `source_ip`; if it is empty, the system
-  // chooses one.
+  // chooses one. If it is no IP address, all calls fail.
   explicit HttpClient(std::string source_ip = {});
   HttpClient(const HttpClient&) = delete;
   HttpClient& operator=(const HttpClient&) = delete;
@@ -74,6 +74,8 @@
   SoupSession* SessionFor(SoupMessage* message);
 
   const std::string source_ip_;
+  // Null if `source_ip_` is empty or no IP address.
+  const GObjectPtr<GSocketAddress> source_address_;
   // By "host:port". Servers do not share a session, since libsoup reads from
   // all idle connections of a session for each call.
   std::map<std::string, Session> sessions_;
--- a/src/net/http_client_test.cc
+++ b/src/net/http_client_test.cc
@@ -74,5 +74,14 @@
   CHECK(g_receive_calls < servers.size());
 }
 
+TEST_CASE("a call from a source that is no IP address fails and says so") {
+  const Server server(1);
+  HttpClient client("nowhere");
+  const HttpResponse response = client.SendAndWait(server.Call());
+  CHECK(response.status == 0);
+  CHECK(response.error == "nowhere: not an IP address");
+  CHECK_FALSE(response.may_have_arrived);
+}
+
 }  // namespace
 }  // namespace gentianreach
--- a/src/net/socket_address.cc
+++ b/src/net/socket_address.cc
@@ -1,12 +1,16 @@
 #include "net/socket_address.h"
 
 #include <charconv>
-#include <cstdint>
-#include <string>
 #include <system_error>
 
 namespace gentianreach::net {
 
+GObjectPtr<GSocketAddress> ParseIpAddress(const std::string& ip,
+                                          std::uint16_t port) {
+  return GObjectPtr<GSocketAddress>::Adopt(
+      g_inet_socket_address_new_from_string(ip.c_str(), port));
+}
+
 GObjectPtr<GSocketAddress> ParseSocketAddress(std::string_view address) {
   const std::size_t colon = address.rfind(':');
   if (colon == std::string_view::npos) {
@@ -23,8 +27,7 @@
   if (ec != std::errc() || end != digits.data() + digits.size()) {
     return {};
   }
-  return GObjectPtr<GSocketAddress>::Adopt(
-      g_inet_socket_address_new_from_string(std::string(ip).c_str(), port));
+  return ParseIpAddress(std::string(ip), port);
 }
 
 }  // namespace gentianreach::net
--- a/src/net/tcp_socket.cc
+++ b/src/net/tcp_socket.cc
@@ -105,7 +105,7 @@
     return leaf::new_error(SocketError{address + ": " + error.message()});
   }
   if (!source_ip.empty()) {
-    const auto source = ParseSocketAddress(source_ip + ":0");
+    const auto source = ParseIpAddress(source_ip);
     if (!source) {
       return leaf::new_error(SocketError{source_ip + ": not an IP address"});
     }
