Limits and rests of servers are read by one function

RequestedRest parsed the decimal of Retry-After with the same lines as ParseLimit that of a limit; they differed in what they did with "inf". Both now call ParseDecimal, which stands beside ParseNumber. Only RequestedRest takes "inf", as its longest rest of an hour; ParseLimit refuses it. What either accepts is unchanged: the cases of both tests pass as they were, and "inf" as a rest and the words ParseDecimal refuses are tested besides (request_rules_test, server_limits_test).

--- a/src/entry/request_rules.cc
+++ b/src/entry/request_rules.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <cmath>
 #include <cstdio>
 #include <limits>
 #include <system_error>
@@ -73,14 +74,11 @@
   if (head.status != kUnavailable || !text) {
     return std::nullopt;
   }
-  double seconds = 0;
-  const auto [end, ec] =
-      std::from_chars(text->data(), text->data() + text->size(), seconds);
-  if (ec != std::errc() || end != text->data() + text->size() ||
-      !(seconds > 0)) {
+  const auto seconds = ParseDecimal(*text);
+  if (!seconds || *seconds == 0) {
     return std::nullopt;
   }
-  const std::chrono::duration<double> rest(seconds);
+  const std::chrono::duration<double> rest(*seconds);
   return now + std::chrono::ceil<Duration>(
                    std::min<std::chrono::duration<double>>(rest, kMaxRest));
 }
@@ -115,6 +113,17 @@
   return number;
 }
 
+std::optional<double> ParseDecimal(std::string_view text) {
+  double number = 0;
+  const char* last = text.data() + text.size();
+  const auto [end, ec] = std::from_chars(text.data(), last, number);
+  if (ec != std::errc() || end != last || std::isnan(number) ||
+      std::signbit(number)) {
+    return std::nullopt;
+  }
+  return number;
+}
+
 Duration MaxExpectedLatency(const routing::Route& route,
                             Duration processing,
                             Duration time_left) {
--- a/src/entry/request_rules.h
+++ b/src/entry/request_rules.h
@@ -54,6 +54,10 @@
     std::string_view text,
     std::uint64_t max = std::numeric_limits<std::uint64_t>::max());
 
+// Returns the decimal number in `text`, which may be infinite ("inf"), or
+// nullopt if `text` is anything else or the number is negative.
+[[nodiscard]] std::optional<double> ParseDecimal(std::string_view text);
+
 // Returns the highest expected latency at which a request is still sent.
 // Sending more would only lengthen the server's queue and delay later requests
 // too.
--- a/src/entry/request_rules_test.cc
+++ b/src/entry/request_rules_test.cc
@@ -1,6 +1,7 @@
 #include "entry/request_rules.h"
 
 #include <chrono>
+#include <limits>
 #include <string>
 
 #include <doctest/doctest.h>
@@ -122,6 +123,16 @@
   CHECK_FALSE(ParseNumber("", 65535).has_value());
 }
 
+TEST_CASE("ParseDecimal accepts only decimal numbers that are not negative") {
+  CHECK(ParseDecimal("0") == 0);
+  CHECK(ParseDecimal("21.5") == 21.5);
+  CHECK(ParseDecimal("inf") == std::numeric_limits<double>::infinity());
+  for (const char* it : {"", "-1", "-0", "-inf", "nan", "-nan", "1e400", "3/s",
+                         " 3", "3 ", "3,5", "+3"}) {
+    CHECK_MESSAGE(!ParseDecimal(it), it);
+  }
+}
+
 TEST_CASE("a rest is the Retry-After of a 503 in seconds") {
   const TimePoint now(std::chrono::seconds(10));
   const auto rest = [&](int status, const char* retry_after) {
@@ -133,6 +144,7 @@
   CHECK(rest(503, "3") == now + std::chrono::seconds(3));
   CHECK(rest(503, "0.25") == now + milliseconds(250));
   CHECK(rest(503, "1e30") == now + std::chrono::hours(1));
+  CHECK(rest(503, "inf") == now + std::chrono::hours(1));
   CHECK_FALSE(rest(429, "3"));
   for (const char* it :
        {"", "0", "-1", "nan", "3 s", "Fri, 04 Dec 2026 11:20:19 GMT"}) {
--- a/src/entry/server_limits.cc
+++ b/src/entry/server_limits.cc
@@ -1,10 +1,11 @@
 #include "entry/server_limits.h"
 
 #include <algorithm>
-#include <charconv>
 #include <chrono>
 #include <cmath>
 
+#include "entry/request_rules.h"
+
 namespace gentianreach::entry {
 namespace {
 
@@ -19,14 +20,8 @@
 }  // namespace
 
 std::optional<double> ParseLimit(std::string_view text) {
-  double limit = 0;
-  const auto [end, ec] =
-      std::from_chars(text.data(), text.data() + text.size(), limit);
-  if (ec != std::errc() || end != text.data() + text.size() ||
-      !std::isfinite(limit) || std::signbit(limit)) {
-    return std::nullopt;
-  }
-  return limit;
+  const auto limit = ParseDecimal(text);
+  return limit && std::isfinite(*limit) ? limit : std::nullopt;
 }
 
 void ServerLimits::SetMembers(std::uint32_t members, TimePoint now) {
