A server that leaves stays leaving until it starts again

What callers saw: a request could reach a server seconds after it had said that it leaves. Cause: reports of a server to the store may land after newer ones, and the daemon took every state of an entry for the newest. An older "ready" ended a drain, brought a removed server back, and a report of an earlier incarnation replaced the entry of the later one, which RangeAssigner::HasEnded then took for ended. Where spec and status are written by separate calls, the status of one incarnation also counted for the other.

Servers number their reports (`seq`, anew with each `born`), and nothing read the numbers. ServerDirectory::Put now ignores a report that is older than the one it has or had within the last ten minutes, and an entry that drains counts as the statement that the incarnation leaves. A report without number or incarnation counts as before.

That the incident had this cause is not shown.

--- a/src/entry/entry_daemon.cc
+++ b/src/entry/entry_daemon.cc
@@ -330,13 +330,25 @@
     if (!server) {
       Log(LogLevel::kWarning, "server_entry_unusable",
           {{"server", object.name}, {"why", why}});
-      state_->directory.Remove(ServerId(object.name));
+      state_->directory.Remove(ServerId(object.name), now);
       return;
     }
     const routing::BackendServer* before = state_->directory.Find(server->id);
-    if (before == nullptr || before->draining != server->draining ||
-        before->incarnation != server->incarnation ||
-        before->address != server->address) {
+    const bool restarted =
+        before != nullptr && before->incarnation != server->incarnation;
+    const bool changed = before == nullptr || restarted ||
+                         before->draining != server->draining ||
+                         before->address != server->address;
+    if (!state_->directory.Put(*server, copies_.servers_current_at())) {
+      Log(LogLevel::kWarning, "server_report_outdated",
+          {{"server", object.name},
+           {"draining", server->draining},
+           {"life", server->incarnation.value()},
+           {"report", server->report_number.value_or(0)},
+           {"revision", object.revision}});
+      return;
+    }
+    if (changed) {
       Log(LogLevel::kInfo, "server",
           {{"server", object.name},
            {"service", server->service},
@@ -345,10 +357,9 @@
            {"life", server->incarnation.value()},
            {"revision", object.revision}});
     }
-    if (before != nullptr && before->incarnation != server->incarnation) {
+    if (restarted) {
       state_->limits.Forget(server->id);
     }
-    state_->directory.Put(*server, copies_.servers_current_at());
   }
 
   void OnServerList(const std::vector<platform::Object>& objects) {
@@ -360,7 +371,7 @@
       present.emplace_back(it.name);
       PutServer(it);
     }
-    state_->directory.RemoveOthers(present);
+    state_->directory.RemoveOthers(present, loop_.Now());
     servers_known_ = true;
     OnServersChanged();
   }
@@ -373,7 +384,7 @@
       }
       Log(LogLevel::kInfo, "server_removed",
           {{"server", it.name}, {"revision", it.revision}});
-      state_->directory.Remove(ServerId(it.name));
+      state_->directory.Remove(ServerId(it.name), loop_.Now());
     }
     OnServersChanged();
   }
@@ -414,7 +425,8 @@
   }
 
   void UpdateDoubt() {
-    if (state_->directory.SetRemovalsDeferred(copies_.MayLackEntries())) {
+    if (state_->directory.SetRemovalsDeferred(copies_.MayLackEntries(),
+                                              loop_.Now())) {
       OnServersChanged();
     }
   }
--- a/src/entry/server_directory.cc
+++ b/src/entry/server_directory.cc
@@ -7,32 +7,43 @@
 namespace gentianreach::entry {
 namespace {
 
-// How long the statement of a server that is gone is kept.
-constexpr Duration kLeavingKept = std::chrono::minutes(10);
+// How long the last report of a removed server is kept. Its entry may come back
+// after an outage of the store, but not much later.
+constexpr Duration kRemovedKept = std::chrono::minutes(10);
 
 }  // namespace
 
-void ServerDirectory::Put(routing::BackendServer server, TimePoint current_at) {
+bool ServerDirectory::Put(routing::BackendServer server, TimePoint current_at) {
+  if (IsOutdated(server)) {
+    return false;
+  }
   const routing::BackendServer* before = Find(server.id);
   if (server.draining) {
     server.draining_since = before != nullptr && before->draining
                                 ? before->draining_since
                                 : current_at;
   }
+  if (const auto it = leaving_.find(server.id);
+      it != leaving_.end() && it->second.incarnation != server.incarnation) {
+    leaving_.erase(it);
+  }
+  // A server of unknown incarnation may have started again since.
+  if (server.draining && server.incarnation != Incarnation{}) {
+    leaving_.try_emplace(server.id,
+                         Leaving{server.incarnation, server.draining_since});
+  }
   if (const auto it = leaving_.find(server.id); it != leaving_.end()) {
-    if (it->second.incarnation == server.incarnation) {
-      it->second.entry_drains = server.draining;
-    } else {
-      leaving_.erase(it);
-    }
+    it->second.entry_drains = server.draining;
   }
   ApplyLeaving(server);
   deferred_removals_.erase(server.id);
+  removed_.erase(server.id);
   ++changes_;
   servers_[server.id] = std::move(server);
+  return true;
 }
 
-void ServerDirectory::Remove(const ServerId& id) {
+void ServerDirectory::Remove(const ServerId& id, TimePoint now) {
   const auto it = servers_.find(id);
   if (it == servers_.end()) {
     return;
@@ -41,9 +52,45 @@
     deferred_removals_.insert(id);
     return;
   }
+  Erase(id, now);
+  deferred_removals_.erase(id);
+}
+
+std::optional<ServerDirectory::Report> ServerDirectory::LastReport(
+    const ServerId& id) const {
+  if (const routing::BackendServer* it = Find(id)) {
+    return Report{it->incarnation, it->report_number};
+  }
+  const auto it = removed_.find(id);
+  return it == removed_.end() ? std::nullopt
+                              : std::optional(it->second.last_report);
+}
+
+bool ServerDirectory::IsOutdated(const routing::BackendServer& server) const {
+  const auto last = LastReport(server.id);
+  if (!last || last->incarnation == Incarnation{} ||
+      server.incarnation == Incarnation{}) {
+    return false;
+  }
+  if (server.incarnation != last->incarnation) {
+    return server.incarnation < last->incarnation;
+  }
+  return server.report_number && last->number &&
+         *server.report_number < *last->number;
+}
+
+void ServerDirectory::Erase(const ServerId& id, TimePoint now) {
+  const auto it = servers_.find(id);
+  removed_[id] = {{it->second.incarnation, it->second.report_number}, now};
   servers_.erase(it);
   ++changes_;
-  deferred_removals_.erase(id);
+  std::erase_if(removed_, [&](const auto& removed) {
+    return removed.second.removed_at + kRemovedKept < now;
+  });
+  std::erase_if(leaving_, [&](const auto& leaving) {
+    return !servers_.contains(leaving.first) &&
+           !removed_.contains(leaving.first);
+  });
 }
 
 bool ServerDirectory::MarkLeaving(const ServerId& id,
@@ -56,11 +103,6 @@
   }
   ApplyLeaving(it->second);
   ++changes_;
-  // Entries of servers that have left may come back after an outage of the
-  // store, but not much later.
-  std::erase_if(leaving_, [&](const auto& it) {
-    return !servers_.contains(it.first) && it.second.since + kLeavingKept < now;
-  });
   return true;
 }
 
@@ -75,7 +117,8 @@
   server.draining = true;
 }
 
-void ServerDirectory::RemoveOthers(const std::vector<ServerId>& present) {
+void ServerDirectory::RemoveOthers(const std::vector<ServerId>& present,
+                                   TimePoint now) {
   std::vector<ServerId> absent;
   for (const auto& [id, server] : servers_) {
     if (std::find(present.begin(), present.end(), id) == present.end()) {
@@ -83,20 +126,19 @@
     }
   }
   for (const ServerId& it : absent) {
-    Remove(it);
+    Remove(it, now);
   }
 }
 
-bool ServerDirectory::SetRemovalsDeferred(bool deferred) {
+bool ServerDirectory::SetRemovalsDeferred(bool deferred, TimePoint now) {
   removals_deferred_ = deferred;
   if (deferred || deferred_removals_.empty()) {
     return false;
   }
   for (const ServerId& it : deferred_removals_) {
-    servers_.erase(it);
+    Erase(it, now);
   }
   deferred_removals_.clear();
-  ++changes_;
   return true;
 }
 
--- a/src/entry/server_directory.h
+++ b/src/entry/server_directory.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <vector>
 
@@ -19,17 +20,20 @@
 class ServerDirectory {
  public:
   // Adds or replaces an entry. The entries before it were complete up to
-  // `current_at`, so a server that drains may have done so since then.
-  void Put(routing::BackendServer server, TimePoint current_at);
-  // Handles the removal of an entry. A draining server is always removed at
-  // once.
-  void Remove(const ServerId& id);
+  // `current_at`, so a server that drains may have done so since then. Returns
+  // false, without effect, if a later state of the server is known: its reports
+  // may reach the store out of order.
+  bool Put(routing::BackendServer server, TimePoint current_at);
+  // Handles the removal of an entry at `now`. A draining server is always
+  // removed at once.
+  void Remove(const ServerId& id, TimePoint now);
   // Removes all entries that are not among `present`.
-  void RemoveOthers(const std::vector<ServerId>& present);
+  void RemoveOthers(const std::vector<ServerId>& present, TimePoint now);
 
   // The incarnation of `id` has stated that it leaves, whatever its entry says:
-  // it counts as draining since `now` at the latest. Returns whether that is
-  // news.
+  // it counts as draining since `now` at the latest, until the server starts
+  // again. Returns whether that is news. An entry that drains is such a
+  // statement, too.
   bool MarkLeaving(const ServerId& id, Incarnation incarnation, TimePoint now);
   // A server that has stated that it leaves.
   struct Leaving {
@@ -45,7 +49,7 @@
 
   // Sets whether removals are deferred. If not, removes the servers whose
   // removal was deferred; returns whether there were any.
-  bool SetRemovalsDeferred(bool deferred);
+  bool SetRemovalsDeferred(bool deferred, TimePoint now);
 
   // Returns the servers, sorted by id.
   [[nodiscard]] const std::map<ServerId, routing::BackendServer>& servers()
@@ -57,10 +61,30 @@
   [[nodiscard]] std::uint64_t changes() const { return changes_; }
 
  private:
+  // A report on the state of a server.
+  struct Report {
+    Incarnation incarnation;
+    std::optional<std::uint64_t> number;
+  };
+  struct RemovedServer {
+    Report last_report;
+    TimePoint removed_at;
+  };
+
+  // Returns whether a later report than that of `server` is known.
+  [[nodiscard]] bool IsOutdated(const routing::BackendServer& server) const;
+  // Returns the last known report of a server.
+  [[nodiscard]] std::optional<Report> LastReport(const ServerId& id) const;
+  // Removes an entry, which exists.
+  void Erase(const ServerId& id, TimePoint now);
   // Applies the statement that `server` leaves, if there is one.
   void ApplyLeaving(routing::BackendServer& server) const;
 
   std::map<ServerId, routing::BackendServer> servers_;
+  // Servers whose entries were removed not long ago, as outdated reports may
+  // still create them again.
+  std::map<ServerId, RemovedServer> removed_;
+  // Of servers with an entry and of removed servers.
   std::map<ServerId, Leaving> leaving_;
   // Servers whose removal is deferred.
   std::set<ServerId> deferred_removals_;
--- a/src/entry/server_directory_test.cc
+++ b/src/entry/server_directory_test.cc
@@ -1,6 +1,8 @@
 #include "entry/server_directory.h"
 
 #include <chrono>
+#include <cstdint>
+#include <optional>
 
 #include <doctest/doctest.h>
 
@@ -19,7 +21,7 @@
 TEST_CASE("a removed entry is gone at once unless removals are deferred") {
   ServerDirectory directory;
   directory.Put(Server("a"), kNow);
-  directory.Remove(ServerId("a"));
+  directory.Remove(ServerId("a"), kNow);
   CHECK(directory.Find(ServerId("a")) == nullptr);
 }
 
@@ -28,11 +30,11 @@
   ServerDirectory directory;
   directory.Put(Server("a"), kNow);
   directory.Put(Server("b"), kNow);
-  CHECK_FALSE(directory.SetRemovalsDeferred(true));
-  directory.RemoveOthers({});
+  CHECK_FALSE(directory.SetRemovalsDeferred(true, kNow));
+  directory.RemoveOthers({}, kNow);
   CHECK(directory.Find(ServerId("a")) != nullptr);
   directory.Put(Server("b"), kNow);
-  CHECK(directory.SetRemovalsDeferred(false));
+  CHECK(directory.SetRemovalsDeferred(false, kNow));
   CHECK(directory.Find(ServerId("a")) == nullptr);
   CHECK(directory.Find(ServerId("b")) != nullptr);
 }
@@ -41,8 +43,8 @@
     "a draining server is removed at once even if removals are deferred") {
   ServerDirectory directory;
   directory.Put(Server("a", true), kNow);
-  directory.SetRemovalsDeferred(true);
-  directory.Remove(ServerId("a"));
+  directory.SetRemovalsDeferred(true, kNow);
+  directory.Remove(ServerId("a"), kNow);
   CHECK(directory.Find(ServerId("a")) == nullptr);
 }
 
@@ -67,7 +69,7 @@
   server.draining = true;
   directory.Put(server, later);
   CHECK(directory.Find(server.id)->draining_since == kNow);
-  directory.Remove(server.id);
+  directory.Remove(server.id, kNow);
   server.draining = false;
   directory.Put(server, later);
   CHECK(directory.Find(server.id)->draining);
@@ -86,5 +88,60 @@
   CHECK_FALSE(directory.MarkLeaving(ServerId("b"), Incarnation(1), kNow));
 }
 
+routing::BackendServer Report(std::uint64_t incarnation,
+                              std::optional<std::uint64_t> number,
+                              bool draining = false) {
+  routing::BackendServer server = Server("a", draining);
+  server.incarnation = Incarnation(incarnation);
+  server.report_number = number;
+  return server;
+}
+
+TEST_CASE("an older report of a server does not end its draining") {
+  ServerDirectory directory;
+  CHECK(directory.Put(Report(1, 4), kNow));
+  CHECK(directory.Put(Report(1, 6, true), kNow));
+  CHECK_FALSE(directory.Put(Report(1, 5), kNow));
+  CHECK(directory.Find(ServerId("a"))->draining);
+}
+
+TEST_CASE("an older report does not bring a removed server back") {
+  ServerDirectory directory;
+  directory.Put(Report(1, 6, true), kNow);
+  directory.Remove(ServerId("a"), kNow);
+  CHECK_FALSE(directory.Put(Report(1, 5), kNow));
+  CHECK(directory.Find(ServerId("a")) == nullptr);
+  CHECK(directory.Put(Report(2, 1), kNow));
+  CHECK(directory.Find(ServerId("a")) != nullptr);
+}
+
+TEST_CASE("a report of an earlier incarnation does not replace a later one") {
+  ServerDirectory directory;
+  directory.Put(Report(2, 1), kNow);
+  CHECK_FALSE(directory.Put(Report(1, 9), kNow));
+  CHECK(directory.Find(ServerId("a"))->incarnation == Incarnation(2));
+}
+
+TEST_CASE("a server whose entry drains does so until it starts again") {
+  ServerDirectory directory;
+  directory.Put(Report(1, std::nullopt, true), kNow);
+  directory.Put(Report(1, std::nullopt), kNow + std::chrono::seconds(1));
+  CHECK(directory.Find(ServerId("a"))->draining);
+  CHECK(directory.Find(ServerId("a"))->draining_since == kNow);
+  directory.Put(Report(2, 1), kNow + std::chrono::seconds(1));
+  CHECK_FALSE(directory.Find(ServerId("a"))->draining);
+}
+
+TEST_CASE("reports that cannot be ordered count") {
+  ServerDirectory directory;
+  directory.Put(Report(1, 4), kNow);
+  // The state changed, the number did not.
+  CHECK(directory.Put(Report(1, 4, true), kNow));
+  // The number or the incarnation is unknown.
+  CHECK(directory.Put(Report(1, std::nullopt), kNow));
+  CHECK(directory.Put(Report(0, 9), kNow));
+  CHECK(directory.Put(Report(0, 1), kNow));
+}
+
 }  // namespace
 }  // namespace gentianreach::entry
--- a/src/routing/backend_server.h
+++ b/src/routing/backend_server.h
@@ -3,6 +3,7 @@
 #define SRC_ROUTING_BACKEND_SERVER_H_
 
 #include <cstdint>
+#include <optional>
 #include <string>
 
 #include "gentianreach/ids.h"
@@ -14,6 +15,9 @@
   ServerId id;
   // Distinguishes the incarnations of a server, which keep its id.
   Incarnation incarnation;
+  // Number of the report that this state is from, which grows within an
+  // incarnation; nullopt if unknown.
+  std::optional<std::uint64_t> report_number;
   std::string address;  // "IP:port"
   std::string service;
   ZoneName zone;
