A lease counts from as late as its order may arrive, or from its reply

Callers saw two servers hold keys for up to some hundred milliseconds. A lease was taken to begin at most 150 ms after its order was sent, but the order is given up only after 400 ms: a connection that is slow to open, a full queue or a link that heals within that time delivers it later than assumed.

A grant that is in flight or was given up now counts until its deadline plus the transit time. A reply proves that the order has arrived, so an answered grant counts from there; it is the later of both bounds that holds while other orders are open. Orders of former leaders are derived from previous_leader_until_ instead of being found by equal values. A silent server keeps its keys 400 ms longer, 6.79 s after the last renewal; one that answered its last renewal keeps them 150 ms less.

The test of older orders at a move had the bound of the old assumption, 6.39 s, and now has 6.79 s, with nothing granted 10 ms before.

The random test now also holds orders up until their deadline, and has a third leader that takes over while the first, cut off from the store, is active.

--- a/src/keyspace/range_assigner.cc
+++ b/src/keyspace/range_assigner.cc
@@ -40,10 +40,7 @@
   states_.clear();
   for (const OwnedRange& it : table_.ranges) {
     RangeState state;
-    // Orders of previous leaders, and of this one from before it reread the
-    // table, may be in flight.
-    state.orders.held_until = LatestLeaseEnd(previous_leader_until_);
-    state.orders.may_execute_until = state.orders.held_until;
+    state.orders.sent_before = true;
     EarlierOwnerState earlier;
     earlier.orders = state.orders;
     earlier.begun_by_other_leader = true;
@@ -60,23 +57,7 @@
   if (previous_leader_until_ <= until) {
     return;
   }
-  const TimePoint before = LatestLeaseEnd(previous_leader_until_);
-  const TimePoint after = LatestLeaseEnd(until);
   previous_leader_until_ = until;
-  const auto shorten = [&](OrderState* state) {
-    if (state->held_until == before) {
-      state->held_until = after;
-    }
-    if (state->may_execute_until == before) {
-      state->may_execute_until = after;
-    }
-  };
-  for (RangeState& it : states_) {
-    shorten(&it.orders);
-    for (EarlierOwnerState& earlier : it.earlier) {
-      shorten(&earlier.orders);
-    }
-  }
   next_poll_at_ = begun_at_;
 }
 
@@ -148,10 +129,43 @@
   return candidates;
 }
 
+TimePoint RangeAssigner::LeaseEnd(TimePoint arrived_at) const {
+  return arrived_at + std::chrono::duration_cast<Duration>(
+                          options_.lease * options_.max_clock_drift_factor);
+}
+
 TimePoint RangeAssigner::LatestLeaseEnd(TimePoint sent_at) const {
-  return sent_at + options_.max_transit_time +
-         std::chrono::duration_cast<Duration>(options_.lease *
-                                              options_.max_clock_drift_factor);
+  return LeaseEnd(sent_at + options_.order_timeout + options_.max_transit_time);
+}
+
+TimePoint RangeAssigner::HeldUntil(const OrderState& orders) const {
+  TimePoint until = orders.held_until;
+  if (orders.sent_before) {
+    until = std::max(until, LatestLeaseEnd(previous_leader_until_));
+  }
+  if (orders.in_flight != 0 && orders.purpose != OrderPurpose::kRelease) {
+    until = std::max(until, LatestLeaseEnd(orders.sent_at));
+  }
+  return until;
+}
+
+TimePoint RangeAssigner::MayExecuteUntil(const OrderState& orders) const {
+  return orders.sent_before ? std::max(orders.may_execute_until,
+                                       LatestLeaseEnd(previous_leader_until_))
+                            : orders.may_execute_until;
+}
+
+void RangeAssigner::MergeOrders(const OrderState& part,
+                                OrderState* orders) const {
+  orders->held_until = std::max(orders->held_until, HeldUntil(part));
+  orders->may_execute_until =
+      std::max(orders->may_execute_until, MayExecuteUntil(part));
+  orders->sent_before = orders->sent_before || part.sent_before;
+  if (part.in_flight != 0) {
+    // The reply to this order will be ignored.
+    orders->may_execute_until =
+        std::max(orders->may_execute_until, LatestLeaseEnd(part.sent_at));
+  }
 }
 
 void RangeAssigner::OnWritten(TimePoint now) {
@@ -191,18 +205,9 @@
         state.earlier.resize(range.earlier.size());
       } else {
         // A merged range takes the most conservative state of its parts.
-        OrderState& orders = state.orders;
-        orders.held_until =
-            std::max(orders.held_until, known.orders.held_until);
-        orders.may_execute_until =
-            std::max(orders.may_execute_until, known.orders.may_execute_until);
-        orders.renewed_at =
-            std::min(orders.renewed_at, known.orders.renewed_at);
-        if (known.orders.in_flight != 0) {
-          // The reply to this order will be ignored.
-          orders.may_execute_until = std::max(
-              orders.may_execute_until, LatestLeaseEnd(known.orders.sent_at));
-        }
+        MergeOrders(known.orders, &state.orders);
+        state.orders.renewed_at =
+            std::min(state.orders.renewed_at, known.orders.renewed_at);
       }
       first = false;
       continue;
@@ -210,13 +215,7 @@
     if (old.owner.IsServerIncarnation(range.owner.server,
                                       range.owner.incarnation)) {
       // Same owner with a new token.
-      state.orders.held_until = known.orders.held_until;
-      state.orders.may_execute_until = known.orders.may_execute_until;
-      if (known.orders.in_flight != 0) {
-        state.orders.may_execute_until =
-            std::max(state.orders.may_execute_until,
-                     LatestLeaseEnd(known.orders.sent_at));
-      }
+      MergeOrders(known.orders, &state.orders);
     }
     // The same write may have changed the token of the current owner, but not
     // those of earlier ones.
@@ -248,13 +247,23 @@
     if (state->in_flight != order) {
       return false;
     }
+    const bool grant = state->purpose != OrderPurpose::kRelease;
+    const bool answered = outcome != OrderOutcome::kUnknown &&
+                          outcome != OrderOutcome::kConnectionRefused;
+    if (grant) {
+      // An answered grant has arrived before its reply.
+      state->held_until = std::max(
+          state->held_until,
+          answered ? std::min(LeaseEnd(now), LatestLeaseEnd(state->sent_at))
+                   : LatestLeaseEnd(state->sent_at));
+    }
     state->in_flight = 0;
     if (outcome == OrderOutcome::kUnknown) {
       // A reset connection is reported long before the order's deadline, so
       // the retry waits for the full time-out.
       state->next_attempt_at =
           std::max(now, state->sent_at + options_.order_timeout);
-      if (state->purpose != OrderPurpose::kRelease) {
+      if (grant) {
         state->may_execute_until =
             std::max(state->may_execute_until, LatestLeaseEnd(state->sent_at));
       }
@@ -368,7 +377,7 @@
     return;
   }
   // Only renewals can wait: no server holds the other keys.
-  if (range.moving() || state.orders.held_until <= now) {
+  if (range.moving() || HeldUntil(state.orders) <= now) {
     SendOwnerGrant(i, now, actions);
     return;
   }
@@ -412,7 +421,6 @@
   state->in_flight = ++last_order_;
   state->purpose = purpose;
   state->sent_at = now;
-  state->held_until = std::max(state->held_until, LatestLeaseEnd(now));
   actions->emplace_back(SendOrder{.kind = SendOrder::Kind::kGrant,
                                   .order = state->in_flight,
                                   .server = to.server,
@@ -432,11 +440,11 @@
   const Owner& owner = range.earlier[k];
   EarlierOwnerState& earlier = states_[i].earlier[k];
   OrderState& orders = earlier.orders;
-  if (earlier.cleared || HasEnded(owner) || orders.held_until <= now) {
+  if (earlier.cleared || HasEnded(owner) || HeldUntil(orders) <= now) {
     earlier.cleared = true;
     return true;
   }
-  SchedulePoll(orders.held_until);
+  SchedulePoll(HeldUntil(orders));
   const std::string address = LastKnownAddress(owner);
   if (orders.in_flight != 0 || address.empty()) {
     return false;
@@ -445,7 +453,7 @@
     SchedulePoll(orders.next_attempt_at);
     return false;
   }
-  if (!earlier.fenced && orders.may_execute_until > now) {
+  if (!earlier.fenced && MayExecuteUntil(orders) > now) {
     // With several earlier owners it is not known which of them holds the
     // keys. A fencing grant to any other would create a second holder.
     if (range.earlier.size() > 1 || earlier.begun_by_other_leader ||
--- a/src/keyspace/range_assigner.h
+++ b/src/keyspace/range_assigner.h
@@ -40,7 +40,9 @@
   // Upper bound on how much longer a lease lasts by a server's clock than by
   // the leader's: 2% for a slow clock, and 2% as a margin.
   double max_clock_drift_factor = 1.04;
-  // Upper bound on the time from sending an order to its arrival.
+  // Upper bound on the time that an order is on its way. Since the sender may
+  // hold it up until it gives it up, it arrives at the latest this long after
+  // its deadline.
   std::chrono::milliseconds max_transit_time{150};
   // Interval between rebalancing rounds.
   std::chrono::milliseconds balance_period{500};
@@ -159,11 +161,15 @@
 
   // State of the orders to one owner for one range.
   struct OrderState {
-    // Until then a grant may be in force at the server; TimePoint{} if none was
-    // sent.
+    // Until then a grant that was answered or given up may be in force at the
+    // server; TimePoint{} if there is none. See HeldUntil().
     TimePoint held_until{};
-    // Until then the server may execute an order that had no reply.
+    // Until then the server may execute an order of this leader that had no
+    // reply. See MayExecuteUntil().
     TimePoint may_execute_until{};
+    // Orders of previous leaders, or of this one from before it reread the
+    // table, may be in force or in flight; see previous_leader_until_.
+    bool sent_before = false;
     // When the last successful grant was sent.
     TimePoint renewed_at{};
     TimePoint next_attempt_at{};
@@ -205,8 +211,17 @@
   [[nodiscard]] bool HasEnded(const Owner& owner) const;
   [[nodiscard]] bool MayOwn(const Owner& owner) const;
   [[nodiscard]] std::vector<Candidate> Candidates() const;
+  // Returns the latest end of a lease that began at `arrived_at`.
+  [[nodiscard]] TimePoint LeaseEnd(TimePoint arrived_at) const;
   // Returns the latest time at which a grant sent at `sent_at` can be in force.
   [[nodiscard]] TimePoint LatestLeaseEnd(TimePoint sent_at) const;
+  // Returns the time until which the server may hold the keys by any grant.
+  [[nodiscard]] TimePoint HeldUntil(const OrderState& orders) const;
+  // Returns the time until which the server may execute an order without a
+  // reply.
+  [[nodiscard]] TimePoint MayExecuteUntil(const OrderState& orders) const;
+  // Adds the orders of `part` to `orders`, whose own order in flight remains.
+  void MergeOrders(const OrderState& part, OrderState* orders) const;
   [[nodiscard]] RangeState StateAfterWrite(const OwnedRange& range) const;
   void SchedulePoll(TimePoint at) {
     next_poll_at_ = std::min(next_poll_at_, at);
--- a/src/keyspace/range_assigner_random_test.cc
+++ b/src/keyspace/range_assigner_random_test.cc
@@ -1,6 +1,7 @@
 // Randomized simulation of leaders and servers in virtual time. Orders are
 // reordered, lost and executed late; servers drain, disappear from discovery
-// and restart; a second leader takes over while the first is still active.
+// and restart; a second and a third leader take over while the first is still
+// active.
 #include "keyspace/range_assigner.h"
 
 #include <algorithm>
@@ -27,6 +28,10 @@
 constexpr std::uint32_t kSampleStep = 512;
 constexpr std::size_t kSampledKeys = kKeyCount / kSampleStep;
 constexpr Duration kLeaderTerm = seconds(15);
+constexpr Duration kSecondTerm = seconds(4);
+// An order may arrive this long after it was given up.
+constexpr milliseconds kTransitTime{140};
+constexpr milliseconds kReplyTime{2};
 
 // A server that enforces tokens and leases and executes every order it gets.
 struct FakeServer {
@@ -47,7 +52,11 @@
   double late = 0;
   // Probability that an order takes up to 140 ms to arrive.
   double reordered = 0;
+  // Probability that an order may arrive as late as when it is given up.
+  double held_up = 0;
   bool second_leader = false;
+  // The first leader loses the store, and the second one leads for kSecondTerm.
+  bool third_leader = false;
 };
 
 class Simulation {
@@ -63,14 +72,18 @@
     StartLeader(now_);
     const TimePoint end = now_ + time;
     const TimePoint second_at = now_ + time / 2;
-    bool second_started = false;
     while (now_ < end) {
       Step();
-      if (faults_.second_leader && !second_started && now_ >= second_at) {
-        second_started = true;
-        StartLeader(now_ + kLeaderTerm);
+      if (faults_.second_leader && leaders_.size() == 1 && now_ >= second_at) {
         // The first leader is active until its term ends.
         leaders_[0]->active_until = now_ + kLeaderTerm;
+        leaders_[0]->store_lost = faults_.third_leader;
+        StartLeader(leaders_[0]->active_until);
+      }
+      if (faults_.third_leader && leaders_.size() == 2 &&
+          now_ >= second_at + kSecondTerm) {
+        leaders_[1]->active_until = now_;
+        StartLeader(leaders_[0]->active_until);
       }
     }
   }
@@ -98,6 +111,7 @@
     TimePoint previous_leader_until{};
     Epoch epoch;
     bool begun = false;
+    bool store_lost = false;
   };
 
   bool WithProbability(double p) {
@@ -189,6 +203,9 @@
   }
 
   void Write(Leader& leader, const OwnershipTable& table) {
+    if (leader.store_lost) {
+      return;
+    }
     Schedule(now_ + milliseconds(4), [this, &leader, table] {
       if (leader.revision != revision_) {
         leader.assigner.OnWriteFailed(now_);
@@ -204,21 +221,28 @@
 
   void Send(Leader& leader, const SendOrder& order) {
     const TimePoint sent = now_;
-    const Duration transit_time =
+    Duration transit_time =
         WithProbability(faults_.reordered)
-            ? RandomDuration(milliseconds(1), milliseconds(140))
+            ? RandomDuration(milliseconds(1), kTransitTime)
             : RandomDuration(milliseconds(1), milliseconds(3));
+    if (faults_.held_up > 0 && WithProbability(faults_.held_up)) {
+      transit_time =
+          RandomDuration(milliseconds(1), order.deadline - sent + kTransitTime);
+    }
     const bool late = WithProbability(faults_.late);
     const TimePoint arrives = sent + transit_time;
+    const bool answered = !late && arrives + kReplyTime <= order.deadline;
     const Duration execution_delay =
         late ? RandomDuration(seconds(2), seconds(12)) : Duration(0);
-    Schedule(arrives, [this, &leader, order, execution_delay] {
+    Schedule(arrives, [this, &leader, order, execution_delay, answered] {
       const TimePoint arrived = now_;
       if (execution_delay == Duration(0)) {
         const auto outcome = Execute(order, arrived);
-        Schedule(now_ + milliseconds(2), [this, &leader, order, outcome] {
-          leader.assigner.OnOrderReply(order.order, outcome, "h", now_);
-        });
+        if (answered) {
+          Schedule(now_ + kReplyTime, [this, &leader, order, outcome] {
+            leader.assigner.OnOrderReply(order.order, outcome, "h", now_);
+          });
+        }
         return;
       }
       // Orders that a process has delayed are lost when it ends.
@@ -229,7 +253,7 @@
         }
       });
     });
-    if (late) {
+    if (!answered) {
       Schedule(order.deadline, [this, &leader, order] {
         leader.assigner.OnOrderReply(order.order, OrderOutcome::kUnknown, "",
                                      now_);
@@ -343,6 +367,28 @@
   CheckSeeds({.late = 0.3, .reordered = 0.2}, 15);
 }
 
+TEST_CASE(
+    "a key never has two holders when orders arrive as late as their "
+    "deadline") {
+  CheckSeeds({.late = 0.1, .reordered = 0.2, .held_up = 0.2}, 15);
+}
+
+TEST_CASE(
+    "a key never has two holders when orders of two leaders are held up") {
+  CheckSeeds(
+      {.late = 0.1, .reordered = 0.2, .held_up = 0.2, .second_leader = true},
+      15);
+}
+
+TEST_CASE(
+    "a key never has two holders while a leader before the last is active") {
+  CheckSeeds({.late = 0.15,
+              .reordered = 0.2,
+              .second_leader = true,
+              .third_leader = true},
+             15);
+}
+
 TEST_CASE("a key never has two holders while two leaders are active") {
   CheckSeeds({.late = 0.15, .reordered = 0.2, .second_leader = true}, 15);
 }
--- a/src/keyspace/range_assigner_test.cc
+++ b/src/keyspace/range_assigner_test.cc
@@ -131,12 +131,67 @@
   REQUIRE(leader.assigner.Begin(table, Epoch(2), long_ago, kStart));
   leader.assigner.OnPreviousLeadersEnded(long_ago);
   leader.assigner.SetServers({Server("b")}, kStart);
-  CHECK(leader.Orders(kStart + seconds(5)).empty());
-  // 6 s lease, 4% clock drift and 150 ms transit time: 6.39 s.
-  const auto orders = leader.Orders(kStart + milliseconds(6500));
+  // 6 s lease, 4% clock drift, 400 ms until the order is given up and 150 ms
+  // transit time: 6.79 s.
+  CHECK(leader.Orders(kStart + milliseconds(6780)).empty());
+  const auto orders = leader.Orders(kStart + milliseconds(6800));
   CHECK(Find(orders, SendOrder::Kind::kGrant, "b") != nullptr);
 }
 
+// Returns whether `b` gets keys at `now` from a leader whose releases of `a`
+// are not answered.
+bool GrantsToB(Leader& leader, TimePoint now) {
+  return Find(leader.Orders(now), SendOrder::Kind::kGrant, "b") != nullptr;
+}
+
+// A leader that has granted all keys to `a` at kStart, and that no previous
+// leader's orders hold up.
+Leader LeaderWithGrantToA() {
+  Leader leader;
+  REQUIRE(leader.assigner.Begin(TableWithOwner(OwnerOf("a", 10)), Epoch(2),
+                                kStart - seconds(20), kStart - seconds(10)));
+  leader.assigner.SetServers({Server("a"), Server("b")}, kStart);
+  const auto grants = leader.Orders(kStart);
+  REQUIRE(grants.size() == 1);
+  leader.assigner.OnOrderReply(grants[0].order, OrderOutcome::kDone, "",
+                               kStart);
+  return leader;
+}
+
+TEST_CASE("a lease counts from the reply to its grant") {
+  Leader leader = LeaderWithGrantToA();
+  leader.assigner.SetServers({Server("b")}, kStart);
+  // 6 s lease and 4% clock drift.
+  CHECK_FALSE(GrantsToB(leader, kStart + milliseconds(6230)));
+  CHECK(GrantsToB(leader, kStart + milliseconds(6250)));
+}
+
+TEST_CASE("an unanswered renewal may arrive as late as it is given up") {
+  const TimePoint sent = kStart + seconds(2);
+  const auto grants_to_b = [&](TimePoint now) {
+    Leader leader = LeaderWithGrantToA();
+    const auto renewals = leader.Orders(sent);
+    REQUIRE(renewals.size() == 1);
+    leader.assigner.OnOrderReply(renewals[0].order, OrderOutcome::kUnknown, "",
+                                 renewals[0].deadline);
+    leader.assigner.SetServers({Server("b")}, renewals[0].deadline);
+    return GrantsToB(leader, now);
+  };
+  // 6 s lease, 4% clock drift, 400 ms until the order is given up and 150 ms
+  // transit time.
+  CHECK_FALSE(grants_to_b(sent + milliseconds(6780)));
+  CHECK(grants_to_b(sent + milliseconds(6800)));
+}
+
+TEST_CASE("a renewal in flight counts although an earlier one was answered") {
+  Leader leader = LeaderWithGrantToA();
+  const TimePoint sent = kStart + seconds(2);
+  REQUIRE(leader.Orders(sent).size() == 1);
+  leader.assigner.SetServers({Server("b")}, sent);
+  CHECK_FALSE(GrantsToB(leader, sent + milliseconds(6780)));
+  CHECK(GrantsToB(leader, sent + milliseconds(6800)));
+}
+
 TEST_CASE("keys move immediately when another server has the owner's address") {
   Leader leader;
   REQUIRE(leader.assigner.Begin(TableWithOwner(OwnerOf("a", 10)), Epoch(1),
