Logs say how long a leader waits, how old copies were and how keys were cleared

No decision changes.

Two holders: lead_taken and assigner_begins name the replaced leader and for how long it may still act, and replaced_leader_ended when it is known not to. Orders have the epoch and the time until the reply; fencing grants and the first grant of a move are logged, with how each earlier owner was cleared.

Request to a leaving server: a server line has the source and age of the copy and since when the owner counts as draining; a removal says whether it is deferred, also one found by a list; copies_source says why the source changes; counters for requests to draining owners and for deferred removals.

--- a/src/base/log.h
+++ b/src/base/log.h
@@ -7,7 +7,10 @@
 #ifndef SRC_BASE_LOG_H_
 #define SRC_BASE_LOG_H_
 
+#include <algorithm>
+#include <chrono>
 #include <concepts>
+#include <cstdint>
 #include <initializer_list>
 #include <optional>
 #include <span>
@@ -16,6 +19,8 @@
 #include <utility>
 #include <vector>
 
+#include "gentianreach/time.h"
+
 namespace gentianreach {
 
 enum class LogLevel : std::uint8_t { kDebug, kInfo, kWarning, kError };
@@ -45,6 +50,14 @@
   std::string value_;
 };
 
+// Returns the whole milliseconds from `begin` to `end`, for a field; 0 if `end`
+// is not later.
+[[nodiscard]] inline std::int64_t MillisecondsBetween(TimePoint begin,
+                                                      TimePoint end) {
+  const Duration elapsed = std::max(Duration(0), end - begin);
+  return elapsed / std::chrono::milliseconds(1);
+}
+
 // The destination of log lines.
 enum class LogTarget : std::uint8_t {
   kStandardError,
--- a/src/base/log_test.cc
+++ b/src/base/log_test.cc
@@ -1,5 +1,7 @@
 #include "base/log.h"
 
+#include <chrono>
+
 #include <doctest/doctest.h>
 
 namespace gentianreach {
@@ -17,6 +19,13 @@
         "event=renewed server=s1 ms=12 ok=true");
 }
 
+TEST_CASE("a time that has passed is 0 ms away") {
+  const TimePoint begin(std::chrono::seconds(1));
+  const TimePoint end = begin + std::chrono::microseconds(2900);
+  CHECK(MillisecondsBetween(begin, end) == 2);
+  CHECK(MillisecondsBetween(end, begin) == 0);
+}
+
 TEST_CASE("only the four level names are parsed as levels") {
   CHECK(ParseLogLevel("warning") == LogLevel::kWarning);
   CHECK_FALSE(ParseLogLevel("loud").has_value());
--- a/src/entry/entry_daemon.cc
+++ b/src/entry/entry_daemon.cc
@@ -220,6 +220,9 @@
     metrics.Set("limited_servers", static_cast<double>(state_->limits.size()));
     metrics.Set("leaving_servers",
                 static_cast<double>(state_->directory.leaving().size()));
+    metrics.Set(
+        "deferred_removals",
+        static_cast<double>(state_->directory.deferred_removals().size()));
     metrics.Set("resting_servers",
                 static_cast<double>(state_->limits.CountResting(now)));
     path_monitor_.SetMetrics();
@@ -253,43 +256,10 @@
                 state_->routes
                     ? static_cast<double>(state_->routes->config().version)
                     : 0);
-    SetServiceMetrics(now);
+    state_->SetServiceMetrics();
     return {200, "text/plain; version=0.0.4", metrics.Text()};
   }
 
-  void SetServiceMetrics(TimePoint now) {
-    if (!state_->routes) {
-      return;
-    }
-    EntryMetrics& metrics = state_->metrics;
-    for (const auto& [name, service] : state_->routes->config().services) {
-      const std::string label = "service=\"" + name + "\"";
-      double servers = 0;
-      double free = 0;
-      for (const auto& [id, it] : state_->directory.servers()) {
-        if (it.service != name) {
-          continue;
-        }
-        ++servers;
-        free +=
-            it.slots * std::max(0.0, 1 - state_->loads.Utilization(it, now));
-      }
-      metrics.Set("servers", servers, label);
-      metrics.Set("slots_known_free", free, label);
-      metrics.Set("retries_left", state_->Budget(name).Left(now), label);
-      const auto* table = state_->ownership.Find(name);
-      if (table == nullptr) {
-        continue;
-      }
-      metrics.Set("ranges", static_cast<double>(table->ranges.size()), label);
-      metrics.Set(
-          "ranges_moving",
-          static_cast<double>(std::ranges::count_if(
-              table->ranges, [](const auto& it) { return it.moving(); })),
-          label);
-    }
-  }
-
   void OnConfig(const std::vector<platform::Object>& objects) {
     for (const platform::Object& it : objects) {
       if (it.name != "main" || it.deleted) {
@@ -334,21 +304,39 @@
       return;
     }
     const routing::BackendServer* before = state_->directory.Find(server->id);
-    if (before == nullptr || before->draining != server->draining ||
-        before->incarnation != server->incarnation ||
-        before->address != server->address) {
-      Log(LogLevel::kInfo, "server",
-          {{"server", object.name},
-           {"service", server->service},
-           {"address", server->address},
-           {"draining", server->draining},
-           {"life", server->incarnation.value()},
-           {"revision", object.revision}});
-    }
+    const bool changed = before == nullptr ||
+                         before->draining != server->draining ||
+                         before->incarnation != server->incarnation ||
+                         before->address != server->address;
     if (before != nullptr && before->incarnation != server->incarnation) {
       state_->limits.Forget(server->id);
     }
-    state_->directory.Put(*server, copies_.servers_current_at());
+    const TimePoint current_at = copies_.servers_current_at();
+    state_->directory.Put(*server, current_at);
+    if (!changed) {
+      return;
+    }
+    const routing::BackendServer& after = *state_->directory.Find(server->id);
+    Log(LogLevel::kInfo, "server",
+        {{"server", object.name},
+         {"service", server->service},
+         {"address", server->address},
+         {"draining", server->draining},
+         {"draining_ms",
+          after.draining ? MillisecondsBetween(after.draining_since, now) : 0},
+         {"life", server->incarnation.value()},
+         {"revision", object.revision},
+         {"source", copies_.follows_leader() ? "leader" : "store"},
+         {"copy_age_ms", MillisecondsBetween(current_at, now)}});
+  }
+
+  // `revision` is that of the removal, or 0 if a list lacks the server.
+  void LogRemoval(const ServerId& id, std::uint64_t revision) {
+    const auto& deferred = state_->directory.deferred_removals();
+    Log(LogLevel::kInfo, "server_removed",
+        {{"server", id.value()},
+         {"revision", revision},
+         {"deferred", deferred.contains(id)}});
   }
 
   void OnServerList(const std::vector<platform::Object>& objects) {
@@ -360,7 +348,9 @@
       present.emplace_back(it.name);
       PutServer(it);
     }
-    state_->directory.RemoveOthers(present);
+    for (const ServerId& it : state_->directory.RemoveOthers(present)) {
+      LogRemoval(it, 0);
+    }
     servers_known_ = true;
     OnServersChanged();
   }
@@ -371,9 +361,9 @@
         PutServer(it);
         continue;
       }
-      Log(LogLevel::kInfo, "server_removed",
-          {{"server", it.name}, {"revision", it.revision}});
-      state_->directory.Remove(ServerId(it.name));
+      const ServerId id(it.name);
+      state_->directory.Remove(id);
+      LogRemoval(id, it.revision);
     }
     OnServersChanged();
   }
@@ -414,9 +404,14 @@
   }
 
   void UpdateDoubt() {
-    if (state_->directory.SetRemovalsDeferred(copies_.MayLackEntries())) {
-      OnServersChanged();
+    const auto deferred = state_->directory.deferred_removals();
+    if (!state_->directory.SetRemovalsDeferred(copies_.MayLackEntries())) {
+      return;
     }
+    for (const ServerId& it : deferred) {
+      Log(LogLevel::kInfo, "deferred_removal_done", {{"server", it.value()}});
+    }
+    OnServersChanged();
   }
 
   // Handles a change of whether servers can be reached.
@@ -526,7 +521,10 @@
       if (led != election_.IsLeader(now)) {
         Log(LogLevel::kInfo, led ? "lead_lost" : "lead_taken",
             {{"epoch", election_.record().epoch.value()},
-             {"leader", election_.record().leader.name}});
+             {"leader", election_.record().leader.name},
+             {"replaced", election_.replaced_leader().name},
+             {"wait_ms",
+              MillisecondsBetween(now, election_.previous_leader_until())}});
         ChooseSource();
         ScheduleHeartbeats();
       }
--- a/src/entry/entry_metrics_test.cc
+++ b/src/entry/entry_metrics_test.cc
@@ -20,12 +20,19 @@
   metrics.Count("requests_total", "outcome=\"answered\"");
   metrics.Count("requests_total", "outcome=\"answered\"", 2);
   metrics.Count("requests_total", "outcome=\"overload\"");
+  metrics.Count("requests_to_draining_total");
+  metrics.Set("deferred_removals", 2);
   metrics.Set("members", 63);
   metrics.Set("leader_silence_seconds", 0.25);
   const std::string text = metrics.Text();
   CHECK(HasLine(text, "# TYPE gentianreach_requests_total counter"));
   CHECK(HasLine(text, "gentianreach_requests_total{outcome=\"answered\"} 3"));
   CHECK(HasLine(text, "gentianreach_requests_total{outcome=\"overload\"} 1"));
+  CHECK(
+      HasLine(text, "# TYPE gentianreach_requests_to_draining_total counter"));
+  CHECK(HasLine(text, "gentianreach_requests_to_draining_total 1"));
+  CHECK(HasLine(text, "# TYPE gentianreach_deferred_removals gauge"));
+  CHECK(HasLine(text, "gentianreach_deferred_removals 2"));
   CHECK(HasLine(text, "gentianreach_members 63"));
   CHECK(HasLine(text, "gentianreach_leader_silence_seconds 0.250"));
   CHECK(text.find("# TYPE gentianreach_requests_total") ==
--- a/src/entry/entry_request.cc
+++ b/src/entry/entry_request.cc
@@ -305,6 +305,9 @@
   skipped_responses_ = 0;
   response_body_.clear();
   attempt_started_ = state_->loop.Now();
+  if (server.draining) {
+    state_->metrics.Count("requests_to_draining_total");
+  }
   state_->loads.OnSent(server_);
   state_->limits.OnSent(server_, attempt_started_);
   pool_->OnStart(connection_.get());
--- a/src/entry/entry_state.cc
+++ b/src/entry/entry_state.cc
@@ -203,4 +203,35 @@
   });
 }
 
+void EntryState::SetServiceMetrics() {
+  const TimePoint now = loop.Now();
+  if (!routes) {
+    return;
+  }
+  for (const auto& [name, service] : routes->config().services) {
+    const std::string label = "service=\"" + name + "\"";
+    double servers = 0;
+    double free = 0;
+    for (const auto& [id, it] : directory.servers()) {
+      if (it.service != name) {
+        continue;
+      }
+      ++servers;
+      free += it.slots * std::max(0.0, 1 - loads.Utilization(it, now));
+    }
+    metrics.Set("servers", servers, label);
+    metrics.Set("slots_known_free", free, label);
+    metrics.Set("retries_left", Budget(name).Left(now), label);
+    const auto* table = ownership.Find(name);
+    if (table == nullptr) {
+      continue;
+    }
+    metrics.Set("ranges", static_cast<double>(table->ranges.size()), label);
+    metrics.Set("ranges_moving",
+                static_cast<double>(std::ranges::count_if(
+                    table->ranges, [](const auto& it) { return it.moving(); })),
+                label);
+  }
+}
+
 }  // namespace gentianreach::entry
--- a/src/entry/entry_state.h
+++ b/src/entry/entry_state.h
@@ -78,6 +78,8 @@
   // Drops the connection pools and loads of servers that have left the
   // directory. Requests in flight keep their pool until they end.
   void DropRemovedServers();
+  // Sets the metrics of each service.
+  void SetServiceMetrics();
   // Returns the load counts of a keyed service.
   keyspace::KeyLoad& Load(const std::string& service) {
     return key_loads_[service];
--- a/src/entry/key_assignment.cc
+++ b/src/entry/key_assignment.cc
@@ -44,6 +44,28 @@
   return "";
 }
 
+const char* Describe(keyspace::Clearance clearance) {
+  switch (clearance) {
+    case keyspace::Clearance::kReleased:
+      return "released";
+    case keyspace::Clearance::kEnded:
+      return "ended";
+    case keyspace::Clearance::kLeaseOver:
+      return "lease_over";
+  }
+  return "";
+}
+
+// Returns each server with how it was cleared.
+std::string Describe(const std::vector<keyspace::ClearedOwner>& cleared) {
+  std::string text;
+  for (const auto& it : cleared) {
+    text += (text.empty() ? "" : ",") + it.server.value() + ":" +
+            Describe(it.clearance);
+  }
+  return text;
+}
+
 keyspace::OrderOutcome ToOrderOutcome(platform::OrderStatus status) {
   switch (status) {
     case platform::OrderStatus::kDone:
@@ -227,7 +249,9 @@
         Log(LogLevel::kInfo, "assigner_begins",
             {{"service", name},
              {"epoch", election_.record().epoch.value()},
-             {"revision", service->revision}});
+             {"revision", service->revision},
+             {"wait_ms",
+              MillisecondsBetween(now, election_.previous_leader_until())}});
         service->begun =
             service->assigner.Begin(std::move(table), election_.record().epoch,
                                     election_.previous_leader_until(), now);
@@ -305,7 +329,17 @@
                               Service& service,
                               const keyspace::SendOrder& order) {
   const bool grant = order.kind == keyspace::SendOrder::Kind::kGrant;
-  const auto on_reply = [this, name, order, grant, term = service.term,
+  const std::uint64_t epoch = election_.record().epoch.value();
+  if (!order.cleared.empty()) {
+    Log(LogLevel::kInfo, "keys_moved",
+        {{"service", name},
+         {"epoch", epoch},
+         {"server", order.server.value()},
+         {"keys", Describe(order.range)},
+         {"token", order.token.value()},
+         {"earlier", Describe(order.cleared)}});
+  }
+  const auto on_reply = [this, name, order, grant, epoch, term = service.term,
                          sent_at = state_.loop.Now()](
                             const platform::OrderReply& reply) {
     Service* service = Find(name, term);
@@ -315,14 +349,18 @@
     state_.metrics.Count(
         "order_replies_total",
         std::string("outcome=\"") + Describe(reply.status) + "\"");
-    if (!grant || reply.status != platform::OrderStatus::kDone) {
+    if (!grant || order.fencing || !order.cleared.empty() ||
+        reply.status != platform::OrderStatus::kDone) {
       Log(LogLevel::kInfo, "order",
           {{"kind", grant ? "grant" : "release"},
+           {"fencing", order.fencing},
            {"service", name},
+           {"epoch", epoch},
            {"server", order.server.value()},
            {"keys", Describe(order.range)},
            {"token", order.token.value()},
            {"outcome", Describe(reply.status)},
+           {"ms", MillisecondsBetween(sent_at, state_.loop.Now())},
            {"error", reply.error}});
     }
     if (reply.status == platform::OrderStatus::kUnknown ||
--- a/src/entry/member_link.cc
+++ b/src/entry/member_link.cc
@@ -6,6 +6,8 @@
 #include <limits>
 #include <utility>
 
+#include "base/log.h"
+
 namespace gentianreach::entry {
 namespace {
 
@@ -320,8 +322,13 @@
 
 void MemberLink::OnHello(const wire::HelloT& hello) {
   const TimePoint now = loop_.Now();
+  const bool waits = !election_.replaced_leader().name.empty();
   election_.OnFollowerMessage(hello.name, Incarnation(hello.incarnation),
                               Epoch(hello.epoch), now);
+  if (waits && election_.replaced_leader().name.empty()) {
+    Log(LogLevel::kInfo, "replaced_leader_ended",
+        {{"leader", hello.name}, {"life", hello.incarnation}});
+  }
   if (!election_.IsLeader(now)) {
     // The sender knows no leader, or follows one that has been replaced.
     if (Epoch(hello.epoch) < election_.record().epoch) {
--- a/src/entry/server_directory.cc
+++ b/src/entry/server_directory.cc
@@ -75,7 +75,8 @@
   server.draining = true;
 }
 
-void ServerDirectory::RemoveOthers(const std::vector<ServerId>& present) {
+std::vector<ServerId> ServerDirectory::RemoveOthers(
+    const std::vector<ServerId>& present) {
   std::vector<ServerId> absent;
   for (const auto& [id, server] : servers_) {
     if (std::find(present.begin(), present.end(), id) == present.end()) {
@@ -85,6 +86,7 @@
   for (const ServerId& it : absent) {
     Remove(it);
   }
+  return absent;
 }
 
 bool ServerDirectory::SetRemovalsDeferred(bool deferred) {
--- a/src/entry/server_directory.h
+++ b/src/entry/server_directory.h
@@ -24,8 +24,8 @@
   // Handles the removal of an entry. A draining server is always removed at
   // once.
   void Remove(const ServerId& id);
-  // Removes all entries that are not among `present`.
-  void RemoveOthers(const std::vector<ServerId>& present);
+  // Removes all entries that are not among `present`. Returns their ids.
+  std::vector<ServerId> RemoveOthers(const std::vector<ServerId>& present);
 
   // The incarnation of `id` has stated that it leaves, whatever its entry says:
   // it counts as draining since `now` at the latest. Returns whether that is
@@ -47,6 +47,11 @@
   // removal was deferred; returns whether there were any.
   bool SetRemovalsDeferred(bool deferred);
 
+  // Returns the servers whose removal is deferred.
+  [[nodiscard]] const std::set<ServerId>& deferred_removals() const {
+    return deferred_removals_;
+  }
+
   // Returns the servers, sorted by id.
   [[nodiscard]] const std::map<ServerId, routing::BackendServer>& servers()
       const {
@@ -62,7 +67,6 @@
 
   std::map<ServerId, routing::BackendServer> servers_;
   std::map<ServerId, Leaving> leaving_;
-  // Servers whose removal is deferred.
   std::set<ServerId> deferred_removals_;
   bool removals_deferred_ = false;
   std::uint64_t changes_ = 0;
--- a/src/entry/server_directory_test.cc
+++ b/src/entry/server_directory_test.cc
@@ -29,12 +29,15 @@
   directory.Put(Server("a"), kNow);
   directory.Put(Server("b"), kNow);
   CHECK_FALSE(directory.SetRemovalsDeferred(true));
-  directory.RemoveOthers({});
+  CHECK(directory.RemoveOthers({}).size() == 2);
   CHECK(directory.Find(ServerId("a")) != nullptr);
+  CHECK(directory.deferred_removals().contains(ServerId("a")));
   directory.Put(Server("b"), kNow);
+  CHECK_FALSE(directory.deferred_removals().contains(ServerId("b")));
   CHECK(directory.SetRemovalsDeferred(false));
   CHECK(directory.Find(ServerId("a")) == nullptr);
   CHECK(directory.Find(ServerId("b")) != nullptr);
+  CHECK(directory.deferred_removals().empty());
 }
 
 TEST_CASE(
--- a/src/entry/store_copies.cc
+++ b/src/entry/store_copies.cc
@@ -111,8 +111,20 @@
       !probes_store_) {
     Log(LogLevel::kWarning, "copies_outdated", {{"leader", leader_address_}});
   }
-  follows_leader_ =
-      !leadership.leads && leader_alive && !probes_store_ && !outdated;
+  const bool followed_leader =
+      std::exchange(follows_leader_, !leadership.leads && leader_alive &&
+                                         !probes_store_ && !outdated);
+  if (followed_leader != follows_leader_) {
+    Log(LogLevel::kInfo, "copies_source",
+        {{"source", follows_leader_ ? "leader" : "store"},
+         {"reason", follows_leader_    ? "leader_alive"
+                    : leadership.leads ? "leads"
+                    : !leader_alive    ? "leader_silent"
+                    : probes_store_    ? "leader_lost_store"
+                                       : "outdated"},
+         {"leader", leader_address_},
+         {"copy_age_ms", MillisecondsBetween(current_at(), now)}});
+  }
   if (!leader_alive) {
     leader_store_lost_ = false;
   }
--- a/src/entry/store_copies.h
+++ b/src/entry/store_copies.h
@@ -82,6 +82,8 @@
   // has come.
   [[nodiscard]] bool HasLeaderLostStore(
       const std::string& leader_address) const;
+  // Returns whether changes come from the leader, not from the store.
+  [[nodiscard]] bool follows_leader() const { return follows_leader_; }
   [[nodiscard]] const StoreHealth& health() const { return health_; }
   // Returns the number of fetches of changes that failed.
   [[nodiscard]] std::uint64_t relay_failures() const { return relay_failures_; }
--- a/src/keyspace/range_assigner.cc
+++ b/src/keyspace/range_assigner.cc
@@ -286,7 +286,7 @@
       if (earlier.orders.purpose != OrderPurpose::kRelease) {
         continue;
       }
-      earlier.cleared = true;
+      earlier.cleared = Clearance::kReleased;
       if (!handover.empty()) {
         it.handover = handover;
       }
@@ -398,6 +398,14 @@
             FindIncarnation(range.owner)->address,
             state.granted ? std::string() : state.handover,
             OrderPurpose::kRenewal, &state.orders, now, actions);
+  if (state.granted) {
+    return;
+  }
+  auto& order = std::get<SendOrder>(actions->back());
+  for (std::size_t k = 0; k < range.earlier.size(); ++k) {
+    order.cleared.push_back(
+        {range.earlier[k].server, state.earlier[k].cleared.value()});
+  }
 }
 
 void RangeAssigner::SendGrant(const OwnedRange& range,
@@ -413,15 +421,17 @@
   state->purpose = purpose;
   state->sent_at = now;
   state->held_until = std::max(state->held_until, LatestLeaseEnd(now));
-  actions->emplace_back(SendOrder{.kind = SendOrder::Kind::kGrant,
-                                  .order = state->in_flight,
-                                  .server = to.server,
-                                  .address = address,
-                                  .range = range.range,
-                                  .token = token,
-                                  .lease = options_.lease,
-                                  .handover = handover,
-                                  .deadline = now + options_.order_timeout});
+  actions->emplace_back(
+      SendOrder{.kind = SendOrder::Kind::kGrant,
+                .order = state->in_flight,
+                .server = to.server,
+                .address = address,
+                .range = range.range,
+                .token = token,
+                .lease = options_.lease,
+                .handover = handover,
+                .fencing = purpose == OrderPurpose::kFencingGrant,
+                .deadline = now + options_.order_timeout});
 }
 
 bool RangeAssigner::PollEarlier(std::size_t i,
@@ -432,8 +442,12 @@
   const Owner& owner = range.earlier[k];
   EarlierOwnerState& earlier = states_[i].earlier[k];
   OrderState& orders = earlier.orders;
-  if (earlier.cleared || HasEnded(owner) || orders.held_until <= now) {
-    earlier.cleared = true;
+  if (!earlier.cleared && HasEnded(owner)) {
+    earlier.cleared = Clearance::kEnded;
+  } else if (!earlier.cleared && orders.held_until <= now) {
+    earlier.cleared = Clearance::kLeaseOver;
+  }
+  if (earlier.cleared) {
     return true;
   }
   SchedulePoll(orders.held_until);
--- a/src/keyspace/range_assigner.h
+++ b/src/keyspace/range_assigner.h
@@ -62,6 +62,21 @@
   OwnershipTable table;
 };
 
+// How it is known that an earlier owner no longer holds the keys.
+enum class Clearance : std::uint8_t {
+  kReleased,   // It has confirmed a release.
+  kEnded,      // Its incarnation has ended.
+  kLeaseOver,  // All grants to it have expired.
+};
+
+// An earlier owner that was cleared.
+struct ClearedOwner {
+  ServerId server;
+  Clearance clearance = Clearance::kReleased;
+
+  bool operator==(const ClearedOwner&) const = default;
+};
+
 // Asks the caller to send a grant or a release and to call OnOrderReply(). No
 // order may be sent once the leadership has ended.
 struct SendOrder {
@@ -74,6 +89,10 @@
   Token token;
   std::chrono::milliseconds lease{};  // Grants only.
   std::string handover;               // Grants only.
+  // Whether this is a fencing grant to an earlier owner.
+  bool fencing = false;
+  // The earlier owners, in the grant that completes a move.
+  std::vector<ClearedOwner> cleared;
   TimePoint deadline;
 };
 
@@ -182,7 +201,7 @@
     bool begun_by_other_leader = false;
     Token fencing_token;  // Of the latest fencing grant.
     bool fenced = false;
-    bool cleared = false;
+    std::optional<Clearance> cleared;
   };
   struct RangeState {
     OrderState orders;
--- a/src/keyspace/range_assigner_test.cc
+++ b/src/keyspace/range_assigner_test.cc
@@ -66,6 +66,11 @@
   return it == orders.end() ? nullptr : &*it;
 }
 
+std::vector<ClearedOwner> ClearedBy(const std::string& server,
+                                    Clearance clearance) {
+  return {{ServerId(server), clearance}};
+}
+
 TEST_CASE("a table written by a later leader is not taken over") {
   Leader leader;
   OwnershipTable table = TableWithOwner(OwnerOf("a", 10));
@@ -118,6 +123,7 @@
   REQUIRE(grant != nullptr);
   CHECK(grant->handover == "warm");
   CHECK(grant->token > release->token);
+  CHECK(grant->cleared == ClearedBy("a", Clearance::kReleased));
 }
 
 TEST_CASE(
@@ -134,7 +140,9 @@
   CHECK(leader.Orders(kStart + seconds(5)).empty());
   // 6 s lease, 4% clock drift and 150 ms transit time: 6.39 s.
   const auto orders = leader.Orders(kStart + milliseconds(6500));
-  CHECK(Find(orders, SendOrder::Kind::kGrant, "b") != nullptr);
+  const SendOrder* grant = Find(orders, SendOrder::Kind::kGrant, "b");
+  REQUIRE(grant != nullptr);
+  CHECK(grant->cleared == ClearedBy("a", Clearance::kLeaseOver));
 }
 
 TEST_CASE("keys move immediately when another server has the owner's address") {
@@ -148,7 +156,9 @@
                                kStart);
   const auto orders = leader.Orders(kStart);
   CHECK(Find(orders, SendOrder::Kind::kGrant, "a") == nullptr);
-  CHECK(Find(orders, SendOrder::Kind::kGrant, "b") != nullptr);
+  const SendOrder* grant = Find(orders, SendOrder::Kind::kGrant, "b");
+  REQUIRE(grant != nullptr);
+  CHECK(grant->cleared == ClearedBy("a", Clearance::kEnded));
 }
 
 TEST_CASE(
@@ -174,6 +184,28 @@
   CHECK(Find(orders, SendOrder::Kind::kGrant, "b") != nullptr);
 }
 
+TEST_CASE("a grant that only precedes a release is marked as a fencing grant") {
+  Leader leader;
+  // Orders of a previous leader may be outstanding.
+  REQUIRE(leader.assigner.Begin(TableWithOwner(OwnerOf("a", 10)), Epoch(2),
+                                kStart, kStart));
+  leader.assigner.SetServers({Server("a", true), Server("b")}, kStart);
+  const auto renewals = leader.Orders(kStart);
+  REQUIRE(renewals.size() == 1);
+  CHECK_FALSE(renewals[0].fencing);
+  leader.assigner.OnOrderReply(renewals[0].order, OrderOutcome::kDone, "",
+                               kStart);
+  const auto fencing = leader.Orders(kStart);
+  REQUIRE(fencing.size() == 1);
+  CHECK(fencing[0].kind == SendOrder::Kind::kGrant);
+  CHECK(fencing[0].fencing);
+  leader.assigner.OnOrderReply(fencing[0].order, OrderOutcome::kDone, "",
+                               kStart);
+  const auto releases = leader.Orders(kStart);
+  REQUIRE(releases.size() == 1);
+  CHECK_FALSE(releases[0].fencing);
+}
+
 TEST_CASE("keys that were to return to a server wait for its old lease") {
   Leader leader;
   REQUIRE(leader.assigner.Begin(TableWithOwner(OwnerOf("a", 10)), Epoch(1),
