--- a/src/entry/member_link.cc
+++ b/src/entry/member_link.cc
@@ -6,6 +6,8 @@
 #include <limits>
 #include <utility>
 
+#include "base/log.h"
+
 namespace gentianreach::entry {
 namespace {
 
@@ -318,8 +320,13 @@
 
 void MemberLink::OnHello(const wire::HelloT& hello) {
   const TimePoint now = loop_.Now();
+  const std::size_t earlier = election_.replaced_leaders().size();
   election_.OnFollowerMessage(hello.name, Incarnation(hello.incarnation),
                               Epoch(hello.epoch), now);
+  if (election_.replaced_leaders().size() < earlier) {
+    Log(LogLevel::kInfo, "replaced_leader_ended",
+        {{"leader", hello.name}, {"life", hello.incarnation}});
+  }
   if (!election_.IsLeader(now)) {
     // The sender knows no leader, or follows one that has been replaced.
     if (Epoch(hello.epoch) < election_.record().epoch) {
--- a/src/entry/server_directory.cc
+++ b/src/entry/server_directory.cc
@@ -117,8 +117,9 @@
   server.draining = true;
 }
 
-void ServerDirectory::RemoveOthers(const std::vector<ServerId>& present,
-                                   TimePoint now) {
+std::vector<ServerId> ServerDirectory::RemoveOthers(
+    const std::vector<ServerId>& present,
+    TimePoint now) {
   std::vector<ServerId> absent;
   for (const auto& [id, server] : servers_) {
     if (std::find(present.begin(), present.end(), id) == present.end()) {
@@ -128,6 +129,7 @@
   for (const ServerId& it : absent) {
     Remove(it, now);
   }
+  return absent;
 }
 
 bool ServerDirectory::SetRemovalsDeferred(bool deferred, TimePoint now) {
--- a/src/entry/server_directory.h
+++ b/src/entry/server_directory.h
@@ -27,8 +27,9 @@
   // Handles the removal of an entry at `now`. A draining server is always
   // removed at once.
   void Remove(const ServerId& id, TimePoint now);
-  // Removes all entries that are not among `present`.
-  void RemoveOthers(const std::vector<ServerId>& present, TimePoint now);
+  // Removes all entries that are not among `present`. Returns their ids.
+  std::vector<ServerId> RemoveOthers(const std::vector<ServerId>& present,
+                                     TimePoint now);
 
   // The incarnation of `id` has stated that it leaves, whatever its entry says:
   // it counts as draining since `now` at the latest, until the server starts
@@ -51,6 +52,11 @@
   // removal was deferred; returns whether there were any.
   bool SetRemovalsDeferred(bool deferred, TimePoint now);
 
+  // Returns the servers whose removal is deferred.
+  [[nodiscard]] const std::set<ServerId>& deferred_removals() const {
+    return deferred_removals_;
+  }
+
   // Returns the servers, sorted by id.
   [[nodiscard]] const std::map<ServerId, routing::BackendServer>& servers()
       const {
@@ -86,7 +92,6 @@
   std::map<ServerId, RemovedServer> removed_;
   // Of servers with an entry and of removed servers.
   std::map<ServerId, Leaving> leaving_;
-  // Servers whose removal is deferred.
   std::set<ServerId> deferred_removals_;
   bool removals_deferred_ = false;
   std::uint64_t changes_ = 0;
--- a/src/entry/server_directory_test.cc
+++ b/src/entry/server_directory_test.cc
@@ -31,12 +31,15 @@
   directory.Put(Server("a"), kNow);
   directory.Put(Server("b"), kNow);
   CHECK_FALSE(directory.SetRemovalsDeferred(true, kNow));
-  directory.RemoveOthers({}, kNow);
+  CHECK(directory.RemoveOthers({}, kNow).size() == 2);
   CHECK(directory.Find(ServerId("a")) != nullptr);
+  CHECK(directory.deferred_removals().contains(ServerId("a")));
   directory.Put(Server("b"), kNow);
+  CHECK_FALSE(directory.deferred_removals().contains(ServerId("b")));
   CHECK(directory.SetRemovalsDeferred(false, kNow));
   CHECK(directory.Find(ServerId("a")) == nullptr);
   CHECK(directory.Find(ServerId("b")) != nullptr);
+  CHECK(directory.deferred_removals().empty());
 }
 
 TEST_CASE(
--- a/src/keyspace/range_assigner.cc
+++ b/src/keyspace/range_assigner.cc
@@ -295,7 +295,7 @@
       if (earlier.orders.purpose != OrderPurpose::kRelease) {
         continue;
       }
-      earlier.cleared = true;
+      earlier.cleared = Clearance::kReleased;
       if (!handover.empty()) {
         it.handover = handover;
       }
@@ -407,6 +407,14 @@
             FindIncarnation(range.owner)->address,
             state.granted ? std::string() : state.handover,
             OrderPurpose::kRenewal, &state.orders, now, actions);
+  if (state.granted) {
+    return;
+  }
+  auto& order = std::get<SendOrder>(actions->back());
+  for (std::size_t k = 0; k < range.earlier.size(); ++k) {
+    order.cleared.push_back(
+        {range.earlier[k].server, state.earlier[k].cleared.value()});
+  }
 }
 
 void RangeAssigner::SendGrant(const OwnedRange& range,
@@ -421,15 +429,17 @@
   state->in_flight = ++last_order_;
   state->purpose = purpose;
   state->sent_at = now;
-  actions->emplace_back(SendOrder{.kind = SendOrder::Kind::kGrant,
-                                  .order = state->in_flight,
-                                  .server = to.server,
-                                  .address = address,
-                                  .range = range.range,
-                                  .token = token,
-                                  .lease = options_.lease,
-                                  .handover = handover,
-                                  .deadline = now + options_.order_timeout});
+  actions->emplace_back(
+      SendOrder{.kind = SendOrder::Kind::kGrant,
+                .order = state->in_flight,
+                .server = to.server,
+                .address = address,
+                .range = range.range,
+                .token = token,
+                .lease = options_.lease,
+                .handover = handover,
+                .fencing = purpose == OrderPurpose::kFencingGrant,
+                .deadline = now + options_.order_timeout});
 }
 
 bool RangeAssigner::PollEarlier(std::size_t i,
@@ -440,8 +450,12 @@
   const Owner& owner = range.earlier[k];
   EarlierOwnerState& earlier = states_[i].earlier[k];
   OrderState& orders = earlier.orders;
-  if (earlier.cleared || HasEnded(owner) || HeldUntil(orders) <= now) {
-    earlier.cleared = true;
+  if (!earlier.cleared && HasEnded(owner)) {
+    earlier.cleared = Clearance::kEnded;
+  } else if (!earlier.cleared && HeldUntil(orders) <= now) {
+    earlier.cleared = Clearance::kLeaseOver;
+  }
+  if (earlier.cleared) {
     return true;
   }
   SchedulePoll(HeldUntil(orders));
