--- a/src/keyspace/range_assigner_test.cc
+++ b/src/keyspace/range_assigner_test.cc
@@ -19,6 +19,12 @@
   return {ServerId(id), Incarnation(1), id + ":1", draining, 1};
 }
 
+AssignerServer ServerAt(const std::string& id,
+                        std::uint64_t incarnation,
+                        const std::string& address) {
+  return {ServerId(id), Incarnation(incarnation), address, false, 1};
+}
+
 Owner OwnerOf(const std::string& id, std::uint64_t token) {
   return {ServerId(id), Incarnation(1), Token(token)};
 }
@@ -174,6 +180,37 @@
   CHECK(Find(orders, SendOrder::Kind::kGrant, "b") != nullptr);
 }
 
+// Guards against two holders: a grant of the previous leader may have reached
+// the restarted server.
+TEST_CASE(
+    "a restart does not end the lease of an owner whose address is unknown") {
+  Leader leader;
+  REQUIRE(leader.assigner.Begin(TableWithOwner(OwnerOf("a", 10)), Epoch(2),
+                                kStart, kStart));
+  leader.assigner.SetServers({ServerAt("a", 2, "a:1"), Server("b")}, kStart);
+  CHECK(leader.Orders(kStart + seconds(5)).empty());
+  // 6 s lease, 4% clock drift and 150 ms transit time: 6.39 s.
+  const auto orders = leader.Orders(kStart + milliseconds(6500));
+  CHECK(Find(orders, SendOrder::Kind::kGrant, "a") != nullptr);
+  CHECK(Find(orders, SendOrder::Kind::kGrant, "b") != nullptr);
+}
+
+TEST_CASE("keys move immediately when a server restarts at another address") {
+  Leader leader;
+  REQUIRE(leader.assigner.Begin(TableWithOwner(OwnerOf("a", 10)), Epoch(1),
+                                kStart, kStart));
+  leader.assigner.SetServers({Server("a")}, kStart);
+  const auto grants = leader.Orders(kStart);
+  REQUIRE(grants.size() == 1);
+  leader.assigner.OnOrderReply(grants[0].order, OrderOutcome::kDone, "",
+                               kStart);
+  leader.assigner.SetServers({ServerAt("a", 2, "a:2")}, kStart);
+  const auto orders = leader.Orders(kStart);
+  REQUIRE(orders.size() == 1);
+  CHECK(orders[0].kind == SendOrder::Kind::kGrant);
+  CHECK(orders[0].address == "a:2");
+}
+
 TEST_CASE("keys that were to return to a server wait for its old lease") {
   Leader leader;
   REQUIRE(leader.assigner.Begin(TableWithOwner(OwnerOf("a", 10)), Epoch(1),
