An earlier incarnation in discovery does not end its successor

Callers could see two servers run requests for one key.

The late report of a server's earlier start may replace its entry in discovery. RangeAssigner::HasEnded() took any other incarnation at another address for proof that the owner had ended, also one that had started before it, and the keys were granted to another server while the owner held them.

The new unit test, before: an earlier incarnation in discovery does not end the owner's lease CHECK( Find(orders, SendOrder::Kind::kGrant, "b") == nullptr ) is NOT correct! values: CHECK( 0x563c88d78ff0 == nullptr ) The randomized test now also restarts servers at other addresses and lists earlier incarnations, in a case of its own, so that the runs of the other cases stay the same.

Now only a later incarnation is proof: starts of one id follow each other.

--- a/src/keyspace/range_assigner.cc
+++ b/src/keyspace/range_assigner.cc
@@ -126,11 +126,11 @@
   if (ended_.contains({owner.server, owner.incarnation})) {
     return true;
   }
-  // Another incarnation with the same id is also proof, if it is known to have
+  // A later incarnation with the same id is also proof, if it is known to have
   // another address: orders to the old address cannot reach it.
   const auto it = servers_.find(owner.server);
   const std::string address = LastKnownAddress(owner);
-  return it != servers_.end() && it->second.incarnation != owner.incarnation &&
+  return it != servers_.end() && owner.incarnation < it->second.incarnation &&
          !address.empty() && it->second.address != address;
 }
 
--- a/src/keyspace/range_assigner_random_test.cc
+++ b/src/keyspace/range_assigner_random_test.cc
@@ -1,6 +1,7 @@
 // Randomized simulation of leaders and servers in virtual time. Orders are
 // reordered, lost and executed late; servers drain, disappear from discovery
-// and restart; a second leader takes over while the first is still active.
+// and restart, also at another address; discovery lists earlier incarnations; a
+// second leader takes over while the first is still active.
 #include "keyspace/range_assigner.h"
 
 #include <algorithm>
@@ -32,6 +33,11 @@
 struct FakeServer {
   ServerId id;
   Incarnation incarnation{1};
+  std::string address;
+  // What discovery listed before the last restart, and until when it does so
+  // again.
+  AssignerServer earlier;
+  TimePoint earlier_listed_until{};
   bool listed = true;
   bool draining = false;
   std::array<Token, kSampledKeys> highest_token{};
@@ -48,6 +54,11 @@
   // Probability that an order takes up to 140 ms to arrive.
   double reordered = 0;
   bool second_leader = false;
+  // Probability that a server restarts at another address.
+  double readdressed = 0;
+  // Probability per step that discovery lists an earlier incarnation for up to
+  // 3 s.
+  double earlier_listed = 0;
 };
 
 class Simulation {
@@ -56,6 +67,7 @@
       : random_(seed), faults_(faults) {
     for (std::size_t i = 0; i < kServerCount; ++i) {
       servers_[i].id = ServerId("s" + std::to_string(i));
+      servers_[i].address = servers_[i].id.value() + ":1";
     }
   }
 
@@ -157,7 +169,17 @@
     if (WithProbability(0.0008)) {
       server.listed = !server.listed;
     }
+    if (faults_.earlier_listed > 0 && WithProbability(faults_.earlier_listed) &&
+        server.earlier.id == server.id) {
+      server.earlier_listed_until =
+          now_ + RandomDuration(milliseconds(100), seconds(3));
+    }
     if (WithProbability(0.0004)) {
+      server.earlier = Listed(server);
+      if (faults_.readdressed > 0 && WithProbability(faults_.readdressed)) {
+        server.address = server.id.value() + ":" +
+                         std::to_string(server.incarnation.value() + 1);
+      }
       // A restarted server holds no keys and remembers no tokens.
       server.incarnation = server.incarnation.Next();
       server.highest_token = {};
@@ -167,6 +189,10 @@
     }
   }
 
+  static AssignerServer Listed(const FakeServer& server) {
+    return {server.id, server.incarnation, server.address, server.draining, 1};
+  }
+
   void PollLeader(Leader& leader) {
     if (now_ >= leader.active_until || !leader.begun) {
       return;
@@ -174,8 +200,8 @@
     std::vector<AssignerServer> known;
     for (const FakeServer& it : servers_) {
       if (it.listed) {
-        known.push_back(
-            {it.id, it.incarnation, it.id.value() + ":1", it.draining, 1});
+        known.push_back(now_ < it.earlier_listed_until ? it.earlier
+                                                       : Listed(it));
       }
     }
     leader.assigner.SetServers(known, now_);
@@ -214,6 +240,11 @@
         late ? RandomDuration(seconds(2), seconds(12)) : Duration(0);
     Schedule(arrives, [this, &leader, order, execution_delay] {
       const TimePoint arrived = now_;
+      if (Find(order.server).address != order.address) {
+        leader.assigner.OnOrderReply(
+            order.order, OrderOutcome::kConnectionRefused, "", now_);
+        return;
+      }
       if (execution_delay == Duration(0)) {
         const auto outcome = Execute(order, arrived);
         Schedule(now_ + milliseconds(2), [this, &leader, order, outcome] {
@@ -347,5 +378,15 @@
   CheckSeeds({.late = 0.15, .reordered = 0.2, .second_leader = true}, 15);
 }
 
+TEST_CASE(
+    "a key never has two holders while servers restart at other addresses") {
+  CheckSeeds({.late = 0.15,
+              .reordered = 0.2,
+              .second_leader = true,
+              .readdressed = 0.5,
+              .earlier_listed = 0.002},
+             15);
+}
+
 }  // namespace
 }  // namespace gentianreach::keyspace
--- a/src/keyspace/range_assigner_test.cc
+++ b/src/keyspace/range_assigner_test.cc
@@ -195,6 +195,30 @@
   CHECK(Find(orders, SendOrder::Kind::kGrant, "b") != nullptr);
 }
 
+// Guards against two holders: the late report of an earlier start may replace
+// the entry of an owner that runs.
+TEST_CASE(
+    "an earlier incarnation in discovery does not end the owner's lease") {
+  Leader leader;
+  Owner owner = OwnerOf("a", 10);
+  owner.incarnation = Incarnation(2);
+  REQUIRE(
+      leader.assigner.Begin(TableWithOwner(owner), Epoch(1), kStart, kStart));
+  leader.assigner.SetServers({ServerAt("a", 2, "a:2"), Server("b")}, kStart);
+  const auto grants = leader.Orders(kStart);
+  REQUIRE(grants.size() == 1);
+  leader.assigner.OnOrderReply(grants[0].order, OrderOutcome::kDone, "",
+                               kStart);
+  const TimePoint now = kStart + seconds(1);
+  leader.assigner.SetServers({ServerAt("a", 1, "a:1"), Server("b")}, now);
+  const auto orders = leader.Orders(now);
+  CHECK(Find(orders, SendOrder::Kind::kGrant, "b") == nullptr);
+  // The only grant is the fencing grant to the owner.
+  const SendOrder* fencing_grant = Find(orders, SendOrder::Kind::kGrant, "a");
+  REQUIRE(fencing_grant != nullptr);
+  CHECK(fencing_grant->address == "a:2");
+}
+
 TEST_CASE("keys move immediately when a server restarts at another address") {
   Leader leader;
   REQUIRE(leader.assigner.Begin(TableWithOwner(OwnerOf("a", 10)), Epoch(1),
