An entry of an unknown service does not end the server at its address

Two servers held the same keys until the first one's lease had run out.

Discovery may hold entries of other writers, which name no server; one kind has a service that the configuration does not have. KeyAssignment reported the address and incarnation of such an entry to the assigner as those of a newer server, and the assigner took that for proof that the owner at that address had ended.

platform/foreign_entry_test.cc, before: an entry of an unknown service does not end the owner of keys CHECK_FALSE( both_held ) is NOT correct! values: CHECK_FALSE( true )

Now only entries of configured services are proof. If a service is still unknown because the configuration is old, keys wait for the end of the lease.

--- a/src/entry/key_assignment.cc
+++ b/src/entry/key_assignment.cc
@@ -151,7 +151,12 @@
   if (!changed) {
     return;
   }
+  const auto& services = state_.routes->config().services;
   for (const auto& [id, it] : state_.directory.servers()) {
+    // An entry of an unknown service may come from another writer.
+    if (!services.contains(it.service)) {
+      continue;
+    }
     service.assigner.OnAddressInUse(it.address, id, it.incarnation);
   }
 }
