The soak asks every daemon for each route and key that it expects

The check "not all requests are served in time after the last fault" counted routes and keys that nobody had asked for: load callers draw at random.

A caller for each daemon now stays at it and asks for all that it has not served, in turn, until it has; likewise after the start.

--- a/soak/caller.cc
+++ b/soak/caller.cc
@@ -30,9 +30,13 @@
 
 }  // namespace
 
-Caller::Caller(CallerContext& context, std::size_t index, std::uint64_t seed)
+Caller::Caller(CallerContext& context,
+               Role role,
+               std::size_t index,
+               std::uint64_t seed)
     : context_(context),
-      name_("c" + std::to_string(index)),
+      role_(role),
+      name_((role == Role::kLoad ? "c" : "p") + std::to_string(index)),
       random_(seed + index),
       preferred_daemon_(index % context.daemons.size()),
       daemon_(preferred_daemon_),
@@ -91,12 +95,31 @@
   }
 }
 
+std::optional<RequestTarget> Caller::NextTarget() {
+  if (role_ == Role::kProbe) {
+    return context_.expected.Next(daemon_);
+  }
+  RequestTarget target;
+  target.kind = context_.kinds[random_() % context_.kinds.size()];
+  if (target.kind.keyed) {
+    target.key = context_.keys[random_() % context_.keys.size()];
+  }
+  return target;
+}
+
 void Caller::SendNext() {
   if (context_.stopped) {
     CloseSocket();
     return;
   }
-  const RequestKind& kind = context_.kinds[random_() % context_.kinds.size()];
+  const auto target = NextTarget();
+  if (!target) {
+    CloseSocket();
+    timer_.Clear();
+    return;
+  }
+  target_ = *target;
+  const RequestKind& kind = target_.kind;
   request_ = {};
   request_.id = name_ + "-" + std::to_string(++sent_);
   request_.method = kind.idempotent ? "GET" : "POST";
@@ -105,7 +128,6 @@
   request_.daemon = daemon_;
   request_.sent = context_.loop.Now();
   request_.deadline = request_.sent + kDeadline;
-  target_ = kind.path_prefix;
   if (!kind.idempotent) {
     request_.body.assign(random_() % kMaxBodyBytes, 'x');
   }
@@ -115,10 +137,9 @@
   http::AppendField(text, names.request_id, request_.id);
   http::AppendField(text, names.deadline_ms,
                     static_cast<std::uint64_t>(kDeadline.count()));
-  if (kind.keyed) {
-    request_.key = context_.keys[random_() % context_.keys.size()];
-    target_ += std::to_string(*request_.key);
-    http::AppendField(text, names.key, std::uint64_t{*request_.key});
+  if (target_.key) {
+    request_.key = target_.key;
+    http::AppendField(text, names.key, std::uint64_t{*target_.key});
   }
   if (!kind.idempotent) {
     http::AppendField(text, "Content-Length",
@@ -185,7 +206,7 @@
   response.at = context_.loop.Now();
   context_.checker.OnResponse(request_.id, response);
   if (response.status == 200) {
-    context_.on_success(daemon_, target_, request_.sent);
+    context_.expected.OnSuccess(daemon_, target_, request_.sent);
   }
   if (!head_.keep_alive) {
     OnEnd();
@@ -205,8 +226,10 @@
     context_.checker.OnNoResponse(request_.id, context_.loop.Now());
   }
   CloseSocket();
-  // The next connection goes to a random daemon, as behind a load balancer.
-  daemon_ = random_() % context_.daemons.size();
+  if (role_ == Role::kLoad) {
+    // The next connection goes to a random daemon, as behind a load balancer.
+    daemon_ = random_() % context_.daemons.size();
+  }
   timer_.Set(context_.loop.Now() + kPauseAfterFailure);
 }
 
--- a/soak/caller.h
+++ b/soak/caller.h
@@ -5,8 +5,8 @@
 
 #include <cstddef>
 #include <cstdint>
-#include <functional>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -17,17 +17,11 @@
 #include "net/event_loop.h"
 #include "net/output_buffer.h"
 #include "net/tcp_socket.h"
+#include "soak/expected_requests.h"
 #include "soak/promise_checker.h"
 
 namespace gentianreach::soak {
 
-// Properties of the requests for one route.
-struct RequestKind {
-  std::string path_prefix;
-  bool keyed = false;
-  bool idempotent = true;
-};
-
 // State shared by all callers of a soak run.
 struct CallerContext {
   net::EventLoop& loop;
@@ -37,22 +31,33 @@
   std::vector<RequestKind> kinds;
   // Keys of keyed requests. A small set, so that each key is used often.
   std::vector<std::uint32_t> keys;
-  // Called for each response with status 200. `target` is the path prefix,
-  // followed by the key for keyed requests.
-  std::function<
-      void(std::size_t daemon, const std::string& target, TimePoint sent)>
-      on_success;
+  // Updated for each response with status 200.
+  ExpectedRequests expected;
   bool stopped = false;
 };
 
 // Sends requests until `CallerContext::stopped` is set.
 class Caller : public std::enable_shared_from_this<Caller> {
  public:
-  // `index` identifies the caller and selects its preferred daemon.
-  Caller(CallerContext& context, std::size_t index, std::uint64_t seed);
+  enum class Role : std::uint8_t {
+    // Sends random requests, to a random daemon after a failure.
+    kLoad,
+    // Sends what its preferred daemon is expected to serve until it has, and
+    // then ends.
+    kProbe,
+  };
+
+  // `index` identifies the caller among those of its role and selects its
+  // preferred daemon.
+  Caller(CallerContext& context,
+         Role role,
+         std::size_t index,
+         std::uint64_t seed);
   void Start();
 
  private:
+  // Returns what to ask for next; std::nullopt if the caller is done.
+  std::optional<RequestTarget> NextTarget();
   void Connect();
   void OnReady(net::ReadyEvents events);
   void SendNext();
@@ -66,6 +71,7 @@
   void OnTimer();
 
   CallerContext& context_;
+  const Role role_;
   const std::string name_;
   std::mt19937_64 random_;
   const std::size_t preferred_daemon_;
@@ -79,7 +85,7 @@
   bool connected_ = false;
   bool awaiting_response_ = false;
   SentRequest request_;
-  std::string target_;
+  RequestTarget target_;
   std::uint64_t sent_ = 0;
   std::string received_;
   std::unique_ptr<http::ResponseParser> parser_;
--- a/soak/soak.cc
+++ b/soak/soak.cc
@@ -8,9 +8,7 @@
 #include <fstream>
 #include <iostream>
 #include <memory>
-#include <set>
 #include <string>
-#include <utility>
 #include <vector>
 
 #include <CLI/CLI.hpp>
@@ -78,10 +76,6 @@
     for (std::uint32_t key = kFirstKey; key <= UINT16_MAX; key += kKeyStep) {
       callers_.keys.push_back(key);
     }
-    callers_.on_success = [this](std::size_t daemon, const std::string& target,
-                                 TimePoint sent) {
-      OnSuccess(daemon, target, sent);
-    };
   }
 
   // Returns whether the run found no failure.
@@ -128,14 +122,15 @@
     fleet_.StartAll(options_.shape);
     callers_.daemons = fleet_.CallerAddresses();
     for (std::size_t i = 0; i < kCallersPerDaemon * fleet_.daemons(); ++i) {
-      running_callers_.push_back(
-          std::make_shared<Caller>(callers_, i, options_.seed));
+      running_callers_.push_back(std::make_shared<Caller>(
+          callers_, Caller::Role::kLoad, i, options_.seed));
       running_callers_.back()->Start();
     }
     check_timer_.Set(loop_.Now() + kCheckPeriod);
     ExpectAllServed();
-    if (!Await([this] { return unserved_.empty(); })) {
-      Fail("not all requests are served after the start: " + FirstUnserved());
+    if (!Await([this] { return callers_.expected.AllServed(); })) {
+      Fail("not all requests are served after the start: " +
+           callers_.expected.DescribeUnserved());
       return false;
     }
     return true;
@@ -163,44 +158,25 @@
         [&] { return loop_.Now() >= active_version || HasFailed(); });
     callers_.kinds.push_back({fleet_.newest_route(), false, true});
     ExpectAllServed();
-    loop_.RunUntil(
-        [&] { return unserved_.empty() || loop_.Now() >= end || HasFailed(); });
-    if (!unserved_.empty() && !HasFailed()) {
+    loop_.RunUntil([&] {
+      return callers_.expected.AllServed() || loop_.Now() >= end || HasFailed();
+    });
+    if (!callers_.expected.AllServed() && !HasFailed()) {
       Fail("not all requests are served in time after the last fault: " +
-           FirstUnserved());
+           callers_.expected.DescribeUnserved());
     }
   }
 
-  // Expects each daemon to serve each kind of request and each key from now on.
+  // Expects each daemon to serve each kind of request and each key from now on,
+  // and asks each for all of them.
   void ExpectAllServed() {
-    unserved_.clear();
-    expected_from_ = loop_.Now();
+    callers_.expected.Expect(fleet_.daemons(), callers_.kinds, callers_.keys,
+                             loop_.Now());
     for (std::size_t i = 0; i < fleet_.daemons(); ++i) {
-      for (const RequestKind& kind : callers_.kinds) {
-        if (!kind.keyed) {
-          unserved_.emplace(i, kind.path_prefix);
-          continue;
-        }
-        for (const std::uint32_t key : callers_.keys) {
-          unserved_.emplace(i, kind.path_prefix + std::to_string(key));
-        }
-      }
-    }
-  }
-  void OnSuccess(std::size_t daemon,
-                 const std::string& target,
-                 TimePoint sent) {
-    if (sent >= expected_from_) {
-      unserved_.erase({daemon, target});
-    }
-  }
-  [[nodiscard]] std::string FirstUnserved() const {
-    if (unserved_.empty()) {
-      return "nothing";
+      running_callers_.push_back(std::make_shared<Caller>(
+          callers_, Caller::Role::kProbe, probes_++, options_.seed));
+      running_callers_.back()->Start();
     }
-    return std::to_string(unserved_.size()) + " of them, first " +
-           unserved_.begin()->second + " by d" +
-           std::to_string(unserved_.begin()->first);
   }
 
   void Check() {
@@ -244,9 +220,8 @@
   CallerContext callers_;
   std::vector<std::shared_ptr<Caller>> running_callers_;
   net::DeadlineTimer check_timer_;
-  // Expected daemon and target pairs without a success since `expected_from_`.
-  std::set<std::pair<std::size_t, std::string>> unserved_;
-  TimePoint expected_from_{};
+  // Probes started.
+  std::size_t probes_ = 0;
   std::vector<std::string> failures_;
 };
 
