The end of the shell does not hang up the processes of a soak

The processes were in the process group of the soak. When a shell exits and leaves a group of its session without a parent there, the kernel sends SIGHUP to the group if any member is stopped, and a soak stops servers by SIGSTOP. The stand-ins have no handler for it.

Each process now has a session of its own, whose only group has been without a parent in its session from the start.

--- a/soak/process.cc
+++ b/soak/process.cc
@@ -1,6 +1,7 @@
 #include "soak/process.h"
 
 #include <sys/prctl.h>
+#include <unistd.h>
 
 #include <csignal>
 #include <utility>
@@ -8,8 +9,11 @@
 namespace gentianreach::soak {
 namespace {
 
-void KillWhenParentExits(gpointer /*data*/) {
+void SetUpChild(gpointer /*data*/) {
   prctl(PR_SET_PDEATHSIG, SIGKILL);
+  // The kernel hangs up a process group with stopped members when the shell of
+  // its session exits.
+  setsid();
 }
 
 }  // namespace
@@ -25,8 +29,8 @@
   }
   const auto launcher =
       GObjectPtr<GSubprocessLauncher>::Adopt(g_subprocess_launcher_new(flags));
-  g_subprocess_launcher_set_child_setup(launcher.get(), &KillWhenParentExits,
-                                        nullptr, nullptr);
+  g_subprocess_launcher_set_child_setup(launcher.get(), &SetUpChild, nullptr,
+                                        nullptr);
   if (!output_file.empty()) {
     g_subprocess_launcher_set_stdout_file_path(launcher.get(),
                                                output_file.c_str());
--- a/soak/process.h
+++ b/soak/process.h
@@ -30,7 +30,8 @@
 
   // Starts a process with the command line `arguments`. Its standard output
   // goes to `output_file`, or to `on_line` if that is empty; its standard error
-  // is inherited. The kernel kills the process when the soak exits.
+  // is inherited. It has a session of its own. The kernel kills it when the
+  // soak exits.
   static boost::leaf::result<std::unique_ptr<Process>> Start(
       const std::vector<std::string>& arguments,
       const std::string& output_file,
