--- a/src/keyspace/range_assigner_test.cc
+++ b/src/keyspace/range_assigner_test.cc
@@ -19,6 +19,12 @@
   return {ServerId(id), Incarnation(1), id + ":1", draining, 1};
 }
 
+AssignerServer ServerAt(const std::string& id,
+                        std::uint64_t incarnation,
+                        const std::string& address) {
+  return {ServerId(id), Incarnation(incarnation), address, false, 1};
+}
+
 Owner OwnerOf(const std::string& id, std::uint64_t token) {
   return {ServerId(id), Incarnation(1), Token(token)};
 }
@@ -261,6 +267,62 @@
   CHECK_FALSE(releases[0].fencing);
 }
 
+// Guards against two holders: a grant of the previous leader may have reached
+// the restarted server.
+TEST_CASE(
+    "a restart does not end the lease of an owner whose address is unknown") {
+  Leader leader;
+  REQUIRE(leader.assigner.Begin(TableWithOwner(OwnerOf("a", 10)), Epoch(2),
+                                kStart, kStart));
+  leader.assigner.SetServers({ServerAt("a", 2, "a:1"), Server("b")}, kStart);
+  // 6 s lease, 4% clock drift, 400 ms until the order is given up and 150 ms
+  // transit time: 6.79 s.
+  CHECK(leader.Orders(kStart + milliseconds(6780)).empty());
+  const auto orders = leader.Orders(kStart + milliseconds(6800));
+  CHECK(Find(orders, SendOrder::Kind::kGrant, "a") != nullptr);
+  CHECK(Find(orders, SendOrder::Kind::kGrant, "b") != nullptr);
+}
+
+// Guards against two holders: the late report of an earlier start may replace
+// the entry of an owner that runs.
+TEST_CASE(
+    "an earlier incarnation in discovery does not end the owner's lease") {
+  Leader leader;
+  Owner owner = OwnerOf("a", 10);
+  owner.incarnation = Incarnation(2);
+  REQUIRE(
+      leader.assigner.Begin(TableWithOwner(owner), Epoch(1), kStart, kStart));
+  leader.assigner.SetServers({ServerAt("a", 2, "a:2"), Server("b")}, kStart);
+  const auto grants = leader.Orders(kStart);
+  REQUIRE(grants.size() == 1);
+  leader.assigner.OnOrderReply(grants[0].order, OrderOutcome::kDone, "",
+                               kStart);
+  const TimePoint now = kStart + seconds(1);
+  leader.assigner.SetServers({ServerAt("a", 1, "a:1"), Server("b")}, now);
+  const auto orders = leader.Orders(now);
+  CHECK(Find(orders, SendOrder::Kind::kGrant, "b") == nullptr);
+  // The only grant is the fencing grant to the owner.
+  const SendOrder* fencing_grant = Find(orders, SendOrder::Kind::kGrant, "a");
+  REQUIRE(fencing_grant != nullptr);
+  CHECK(fencing_grant->address == "a:2");
+}
+
+TEST_CASE("keys move immediately when a server restarts at another address") {
+  Leader leader;
+  REQUIRE(leader.assigner.Begin(TableWithOwner(OwnerOf("a", 10)), Epoch(1),
+                                kStart, kStart));
+  leader.assigner.SetServers({Server("a")}, kStart);
+  const auto grants = leader.Orders(kStart);
+  REQUIRE(grants.size() == 1);
+  leader.assigner.OnOrderReply(grants[0].order, OrderOutcome::kDone, "",
+                               kStart);
+  leader.assigner.SetServers({ServerAt("a", 2, "a:2")}, kStart);
+  const auto orders = leader.Orders(kStart);
+  REQUIRE(orders.size() == 1);
+  CHECK(orders[0].kind == SendOrder::Kind::kGrant);
+  CHECK(orders[0].address == "a:2");
+}
+
 TEST_CASE("keys that were to return to a server wait for its old lease") {
   Leader leader;
   REQUIRE(leader.assigner.Begin(TableWithOwner(OwnerOf("a", 10)), Epoch(1),
