--- a/src/entry/store_copies_test.cc
+++ b/src/entry/store_copies_test.cc
@@ -109,6 +109,22 @@
   CHECK(member.config == 1);
 }
 
+TEST_CASE("a member whose connections went silent learns of changes in time") {
+  Member member(standins::LoopbackBlock() + "3:7002");
+  const TimePoint followed_until = member.loop.Now() + kLongerThanWatch;
+  member.FollowUntil([&] { return member.loop.Now() >= followed_until; },
+                     [&] { return member.loop.Now(); });
+  member.store.SilenceConnections();
+  member.store.Put("config", "main", 1);
+  const TimePoint changed = member.loop.Now();
+  member.FollowUntil(
+      [&] {
+        return member.config == 1 || member.loop.Now() > changed + kApplyTime;
+      },
+      [&] { return changed; });
+  CHECK(member.config == 1);
+}
+
 TEST_CASE(
     "a leader that lost the store is replaced in the order of succession") {
   Member member(standins::LoopbackBlock() + "2:7002");
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -133,6 +133,9 @@
     soup_message_set_request_body_from_bytes(message, call.content_type.c_str(),
                                              body.get());
   }
+  if (call.new_connection) {
+    soup_message_add_flags(message, SOUP_MESSAGE_NEW_CONNECTION);
+  }
   GCancellable* cancellable = pending->cancellable.get();
   pending->timer.Set(call.deadline,
                      [cancellable] { g_cancellable_cancel(cancellable); });
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -28,6 +28,8 @@
   // The call is cancelled at this point.
   TimePoint deadline;
   std::string content_type = "application/octet-stream";
+  // Sends the call on a new connection, since open ones may have gone silent.
+  bool new_connection = false;
   // Name of the response header that HttpResponse::header returns; empty: none.
   std::string wanted_header;
 };
