An entry request abandons an attempt and sends a response in one place each

OnResponseTimeout repeated the part of SendAnotherWay that closes the connection and counts the attempt; both now call AbandonAttempt, and each still ends the attempt with its own result. DeliverRefusal repeated Deliver except for the outcome and the latency; both are SendResponse now, and the default arguments that only DeliverRefusal used are gone.

Callers see the same.

--- a/src/entry/entry_request.cc
+++ b/src/entry/entry_request.cc
@@ -527,14 +527,19 @@
     state_->Pool(*choice.server)->Release(next);
     return;
   }
-  const bool sent = connection_->written();
+  state_->reachability.OnFailure(server_, connection_->opened_at());
+  AbandonAttempt();
+  EndAttempt(AttemptResult::kBroken);
+  SendOver(std::move(next), *choice.server);
+}
+
+bool EntryRequest::AbandonAttempt() {
   const auto connection = std::exchange(connection_, nullptr);
-  state_->reachability.OnFailure(server_, connection->opened_at());
+  const bool sent = connection->written();
   connection->Abandon();
   attempts_ += sent ? 1 : 0;
   may_have_run_ = may_have_run_ || sent;
-  EndAttempt(AttemptResult::kBroken);
-  SendOver(std::move(next), *choice.server);
+  return sent;
 }
 
 void EntryRequest::EndAttempt(AttemptResult result) {
--- a/src/entry/entry_request.h
+++ b/src/entry/entry_request.h
@@ -93,6 +93,9 @@
   void OnNotRun(const http::MessageHead& head);
   void OnConnectionFailed();
   void OnResponseTimeout();
+  // Closes the connection of the current attempt and counts the attempt if it
+  // was sent. Returns whether it was.
+  bool AbandonAttempt();
   void EndAttempt(AttemptResult result);
 
   // Sends the request through another daemon, or holds or refuses it.
@@ -109,8 +112,6 @@
   void OnRelayedServer();
   void OnRelayEnd();
   void OnRelayFailed();
-  // Passes a relay's refusal on to the caller.
-  void DeliverRefusal();
   // Abandons the current attempt and makes another one.
   void SendAnotherWay();
   void EndForward(RelayResult result);
@@ -121,8 +122,11 @@
   // Returns whether another attempt is allowed. If so, and if `sent`, takes it
   // from the retry budget.
   [[nodiscard]] bool MayRetry(bool sent);
-  // Sends the caller the response, or the end of one sent in parts.
+  // Sends the caller the answer of a server.
   void Deliver();
+  // Sends the caller the received response, or the end of one sent in parts,
+  // and ends the request with `outcome`.
+  void SendResponse(std::string_view outcome);
   // Starts sending a response that is too large to buffer; rules out retries.
   void CommitResponse();
   // Ends the request with a response of the daemon's own.
--- a/src/entry/entry_request_forwarding.cc
+++ b/src/entry/entry_request_forwarding.cc
@@ -159,7 +159,7 @@
     Refuse(kBadGateway, Reason::kConnectionLost, {});
     return;
   }
-  DeliverRefusal();
+  SendResponse("refused_by_relay");
 }
 
 void EntryRequest::OnRelayFailed() {
@@ -196,11 +196,7 @@
 }
 
 void EntryRequest::SendAnotherWay() {
-  const auto connection = std::exchange(connection_, nullptr);
-  const bool sent = connection->written();
-  connection->Abandon();
-  attempts_ += sent ? 1 : 0;
-  may_have_run_ = may_have_run_ || sent;
+  const bool sent = AbandonAttempt();
   EndAttempt(sent ? AttemptResult::kBroken : AttemptResult::kUnreachable);
   Attempt();
 }
--- a/src/entry/entry_request_response.cc
+++ b/src/entry/entry_request_response.cc
@@ -56,6 +56,12 @@
 }
 
 void EntryRequest::Deliver() {
+  state_->metrics.RecordLatency(route_->name, service_->name,
+                                state_->loop.Now() - started_);
+  SendResponse("answered");
+}
+
+void EntryRequest::SendResponse(std::string_view outcome) {
   const bool keep_alive = KeepsAlive();
   std::string out;
   if (committed_) {
@@ -66,9 +72,7 @@
                             Relayed());
   }
   caller_->Write(std::move(out));
-  state_->metrics.RecordLatency(route_->name, service_->name,
-                                state_->loop.Now() - started_);
-  Finish(response_head_.status, "answered");
+  Finish(response_head_.status, outcome);
   caller_->FinishResponse(keep_alive);
 }
 
@@ -150,13 +154,4 @@
   response_body_ = std::string();
 }
 
-void EntryRequest::DeliverRefusal() {
-  const bool keep_alive = KeepsAlive();
-  caller_->Write(
-      ForwardedResponse(response_head_, state_->headers, response_body_,
-                        caller_->head().method == "HEAD", keep_alive));
-  Finish(response_head_.status, "refused_by_relay");
-  caller_->FinishResponse(keep_alive);
-}
-
 }  // namespace gentianreach::entry
--- a/src/entry/message_writer.h
+++ b/src/entry/message_writer.h
@@ -69,7 +69,7 @@
 [[nodiscard]] std::string BeginForwardedResponse(
     const http::MessageHead& from_server,
     const HeaderNames& names,
-    const std::optional<RelayedServer>& relayed = {});
+    const std::optional<RelayedServer>& relayed);
 // Appends the end of a response head to `out`.
 void EndResponseHead(std::string& out, bool keep_alive);
 
@@ -81,7 +81,7 @@
     std::string_view body,
     bool head_only,
     bool keep_alive,
-    const std::optional<RelayedServer>& relayed = {});
+    const std::optional<RelayedServer>& relayed);
 
 // A response of the daemon itself instead of a server's.
 struct Refusal {
