A cancelled call is dropped by the kernel too

Grants arrived after their sender had given them up: HttpClient cancelled a call by closing its connection in order, so that the kernel went on sending what it held, for minutes if the path to the server was interrupted. Such a grant gave keys to a server after its lease was counted as over.

The connections of HttpClient are now reset when they are closed. This goes for all calls: the response of a call that ended well has been read, and whoever gave up a call wants nothing of it sent later.

Before the change:

http_client_test.cc:144: nothing of a call is sent after its deadline ERROR: CHECK( received.reset ) is NOT correct!

--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "base/timer.h"
+#include "net/tcp_socket.h"
 
 namespace gentianreach {
 namespace {
@@ -72,6 +73,20 @@
                             call->wanted_header));
 }
 
+// The kernel would otherwise go on sending a cancelled call, for minutes if the
+// path to the server is interrupted.
+void OnNetworkEvent(SoupMessage* /*message*/,
+                    GSocketClientEvent event,
+                    GIOStream* connection,
+                    gpointer /*data*/) {
+  if (event == G_SOCKET_CLIENT_CONNECTED &&
+      G_IS_SOCKET_CONNECTION(connection)) {
+    GSocket* socket =
+        g_socket_connection_get_socket(G_SOCKET_CONNECTION(connection));
+    net::ResetOnClose(g_socket_get_fd(socket));
+  }
+}
+
 }  // namespace
 
 HttpClient::HttpClient(std::string source_ip)
@@ -118,6 +133,8 @@
     done(std::move(response));
     return;
   }
+  g_signal_connect(message, "network-event", G_CALLBACK(&OnNetworkEvent),
+                   nullptr);
   auto pending = std::make_unique<PendingCall>();
   pending->client_alive = alive_;
   pending->message = GObjectPtr<SoupMessage>::Adopt(message);
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -25,7 +25,8 @@
   std::string url;
   std::vector<std::pair<std::string, std::string>> headers;
   std::string body;
-  // The call is cancelled at this point.
+  // The call is cancelled at this point. Nothing of it that is unsent then will
+  // be sent.
   TimePoint deadline;
   std::string content_type = "application/octet-stream";
   // Name of the response header that HttpResponse::header returns; empty: none.
--- a/src/net/http_client_test.cc
+++ b/src/net/http_client_test.cc
@@ -74,5 +74,76 @@
   CHECK(g_receive_calls < servers.size());
 }
 
+// A server that accepts connections and does not read from them until asked.
+class StalledServer {
+ public:
+  explicit StalledServer(int host)
+      : address_(standins::LoopbackBlock() + std::to_string(host)),
+        listener_(GObjectPtr<GSocket>::Adopt(g_socket_new(G_SOCKET_FAMILY_IPV4,
+                                                          G_SOCKET_TYPE_STREAM,
+                                                          G_SOCKET_PROTOCOL_TCP,
+                                                          nullptr))) {
+    const auto local = GObjectPtr<GSocketAddress>::Adopt(
+        g_inet_socket_address_new_from_string(address_.c_str(), kPort));
+    REQUIRE(g_socket_bind(listener_.get(), local.get(), TRUE, nullptr));
+    REQUIRE(g_socket_listen(listener_.get(), nullptr));
+  }
+
+  [[nodiscard]] std::string Url() const {
+    return "http://" + address_ + ":" + std::to_string(kPort) + "/";
+  }
+
+  struct Received {
+    std::size_t bytes = 0;
+    bool reset = false;
+  };
+  // Reads the first connection to its end.
+  [[nodiscard]] Received ReadAll() const {
+    Received received;
+    const auto connection = GObjectPtr<GSocket>::Adopt(
+        g_socket_accept(listener_.get(), nullptr, nullptr));
+    REQUIRE(connection);
+    g_socket_set_timeout(connection.get(), kReadTimeoutSeconds);
+    std::vector<char> buf(1 << 16);
+    GError* raw_error = nullptr;
+    gssize n = 0;
+    do {
+      n = g_socket_receive(connection.get(), buf.data(), buf.size(), nullptr,
+                           &raw_error);
+      received.bytes += n > 0 ? static_cast<std::size_t>(n) : 0;
+    } while (n > 0);
+    const GErrorPtr error(raw_error);
+    received.reset = n < 0 && g_error_matches(error.get(), G_IO_ERROR,
+                                              G_IO_ERROR_CONNECTION_CLOSED);
+    return received;
+  }
+
+ private:
+  static constexpr guint16 kPort = 7004;
+  static constexpr guint kReadTimeoutSeconds = 30;
+
+  const std::string address_;
+  const GObjectPtr<GSocket> listener_;
+};
+
+TEST_CASE("nothing of a call is sent after its deadline") {
+  const StalledServer server(201);
+  HttpClient client;
+  HttpCall call;
+  call.method = "POST";
+  call.url = server.Url();
+  // More than the buffers of both sockets hold.
+  call.body.assign(std::size_t{64} << 20, 'x');
+  call.deadline = MonotonicClock().Now() + std::chrono::milliseconds(200);
+  const std::size_t size = call.body.size();
+  CHECK(client.SendAndWait(std::move(call)).status == 0);
+  // libsoup closes the connection in a later iteration.
+  while (g_main_context_iteration(nullptr, FALSE) != FALSE) {
+  }
+  const auto received = server.ReadAll();
+  CHECK(received.reset);
+  CHECK(received.bytes < size);
+}
+
 }  // namespace
 }  // namespace gentianreach
--- a/src/net/tcp_socket.cc
+++ b/src/net/tcp_socket.cc
@@ -183,6 +183,11 @@
   g_socket_shutdown(socket_.get(), FALSE, TRUE, nullptr);
 }
 
+void ResetOnClose(int fd) {
+  const linger reset{.l_onoff = 1, .l_linger = 0};
+  setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+}
+
 void TcpSocket::Close() {
   if (socket_) {
     g_socket_close(socket_.get(), nullptr);
@@ -194,8 +199,7 @@
   if (!socket_) {
     return;
   }
-  const linger reset{.l_onoff = 1, .l_linger = 0};
-  setsockopt(fd(), SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+  ResetOnClose(fd());
   Close();
 }
 
--- a/src/net/tcp_socket.h
+++ b/src/net/tcp_socket.h
@@ -105,6 +105,10 @@
   std::unique_ptr<GSocket, Unref> socket_;
 };
 
+// Makes closing the socket reset its connection, so that the kernel drops data
+// that has not reached the peer.
+void ResetOnClose(int fd);
+
 }  // namespace gentianreach::net
 
 #endif  // SRC_NET_TCP_SOCKET_H_
