A grant without an answer counts from when it was given up

An order counted as given up at its deadline. A leader that is busy or was frozen gives it up later, and the order may arrive until then; one whose connection was reset is given up earlier, and its keys waited for nothing.

The reply of an order tells when it was given up, and nothing of it is sent afterwards. The lease now counts from there, plus the transit time.

Before the change:

range_assigner_test.cc:186: an unanswered renewal may arrive as late as it is given up, 900 ms after it was sent: CHECK_FALSE( grants_to_b(given_up + milliseconds(6380)) ) range_assigner_test.cc:187, 50 ms after it was sent: CHECK( grants_to_b(given_up + milliseconds(6400)) )

--- a/src/keyspace/range_assigner.cc
+++ b/src/keyspace/range_assigner.cc
@@ -250,12 +250,12 @@
     const bool grant = state->purpose != OrderPurpose::kRelease;
     const bool answered = outcome != OrderOutcome::kUnknown &&
                           outcome != OrderOutcome::kConnectionRefused;
+    // An answered order has arrived before its reply; of one that was given up
+    // nothing is sent any more.
+    const TimePoint lease_end =
+        LeaseEnd(answered ? now : now + options_.max_transit_time);
     if (grant) {
-      // An answered grant has arrived before its reply.
-      state->held_until = std::max(
-          state->held_until,
-          answered ? std::min(LeaseEnd(now), LatestLeaseEnd(state->sent_at))
-                   : LatestLeaseEnd(state->sent_at));
+      state->held_until = std::max(state->held_until, lease_end);
     }
     state->in_flight = 0;
     if (outcome == OrderOutcome::kUnknown) {
@@ -265,7 +265,7 @@
           std::max(now, state->sent_at + options_.order_timeout);
       if (grant) {
         state->may_execute_until =
-            std::max(state->may_execute_until, LatestLeaseEnd(state->sent_at));
+            std::max(state->may_execute_until, lease_end);
       }
     } else if (outcome != OrderOutcome::kDone) {
       state->next_attempt_at = now + options_.order_timeout;
--- a/src/keyspace/range_assigner_test.cc
+++ b/src/keyspace/range_assigner_test.cc
@@ -168,19 +168,24 @@
 
 TEST_CASE("an unanswered renewal may arrive as late as it is given up") {
   const TimePoint sent = kStart + seconds(2);
-  const auto grants_to_b = [&](TimePoint now) {
-    Leader leader = LeaderWithGrantToA();
-    const auto renewals = leader.Orders(sent);
-    REQUIRE(renewals.size() == 1);
-    leader.assigner.OnOrderReply(renewals[0].order, OrderOutcome::kUnknown, "",
-                                 renewals[0].deadline);
-    leader.assigner.SetServers({Server("b")}, renewals[0].deadline);
-    return GrantsToB(leader, now);
-  };
-  // 6 s lease, 4% clock drift, 400 ms until the order is given up and 150 ms
-  // transit time.
-  CHECK_FALSE(grants_to_b(sent + milliseconds(6780)));
-  CHECK(grants_to_b(sent + milliseconds(6800)));
+  // At the deadline, early because of a reset, and late by a busy leader.
+  for (const auto given_up_after :
+       {milliseconds(400), milliseconds(50), milliseconds(900)}) {
+    CAPTURE(given_up_after.count());
+    const TimePoint given_up = sent + given_up_after;
+    const auto grants_to_b = [&](TimePoint now) {
+      Leader leader = LeaderWithGrantToA();
+      const auto renewals = leader.Orders(sent);
+      REQUIRE(renewals.size() == 1);
+      leader.assigner.OnOrderReply(renewals[0].order, OrderOutcome::kUnknown,
+                                   "", given_up);
+      leader.assigner.SetServers({Server("b")}, given_up);
+      return GrantsToB(leader, now);
+    };
+    // 6 s lease, 4% clock drift and 150 ms transit time.
+    CHECK_FALSE(grants_to_b(given_up + milliseconds(6380)));
+    CHECK(grants_to_b(given_up + milliseconds(6400)));
+  }
 }
 
 TEST_CASE("a renewal in flight counts although an earlier one was answered") {
