A daemon reads all kinds at once when the store answers again

Cause: the calls of three watchers fail together when the store or the connections to it are lost, and each failure doubled the delay before the next call, so that it began at its longest, 0.8 s. The kinds that waited for their turn also stayed asleep for up to 0.8 s after another one had been answered. With the 0.95 s after which a silent watch ends, a daemon was behind by up to 2.5 s although new connections worked at once. Servers that drain allow 2 s.

The delay doubles with each call that is made while the store is away, and an answer wakes all watchers.

--- a/src/entry/store_copies.cc
+++ b/src/entry/store_copies.cc
@@ -71,6 +71,11 @@
                  platform::Freshness::kMayBeStale,
                  std::move(sinks.ownership)) {
   health_.on_change = [this](bool lost) {
+    if (!lost) {
+      for (StoreWatcher* it : Watchers()) {
+        it->OnStoreBack();
+      }
+    }
     if (on_store_change) {
       on_store_change(lost);
     }
--- a/src/entry/store_copies_test.cc
+++ b/src/entry/store_copies_test.cc
@@ -59,6 +59,23 @@
     });
   }
 
+  // Runs as the leader until `done` returns true.
+  void LeadUntil(const std::function<bool()>& done) {
+    WaitFor([&] {
+      copies_.ChooseSource({.leads = true});
+      return done();
+    });
+  }
+  // Leaves `count` idle connections to the store.
+  void OpenConnections(int count) {
+    int open = count;
+    for (int i = 0; i < count; ++i) {
+      client_.Read(platform::ObjectKind::kLeadership, "entry",
+                   loop.Now() + kTestTimeout, [&](const auto&) { --open; });
+    }
+    WaitFor([&] { return open == 0; });
+  }
+
   [[nodiscard]] bool MayReplaceLeader() const {
     return copies_.HasLeaderLostStore(kLeader);
   }
@@ -125,6 +142,17 @@
   CHECK(member.config == 1);
 }
 
+TEST_CASE("a leader whose connections went silent learns of changes in time") {
+  Member member(standins::LoopbackBlock() + "4:7002");
+  member.store.SilenceConnections();
+  member.store.Put("config", "main", 1);
+  const TimePoint changed = member.loop.Now();
+  member.LeadUntil([&] {
+    return member.config == 1 || member.loop.Now() > changed + kApplyTime;
+  });
+  CHECK(member.config == 1);
+}
+
 TEST_CASE(
     "a leader that lost the store is replaced in the order of succession") {
   Member member(standins::LoopbackBlock() + "2:7002");
--- a/src/entry/store_watcher.cc
+++ b/src/entry/store_watcher.cc
@@ -22,9 +22,7 @@
 constexpr Duration kWatchBatchDelay = milliseconds(200);
 // Timeout of a list.
 constexpr Duration kListTimeout = milliseconds(1500);
-// Delay between calls while the store is unreachable; doubles up to the
-// longest.
-constexpr Duration kFirstRetryDelay = milliseconds(200);
+// Longest delay between calls while the store is unreachable.
 constexpr Duration kLongestRetryDelay = milliseconds(800);
 // Live servers write their entries again within about two seconds after the
 // store has recovered. An entry that is still missing then belongs to a server
@@ -78,7 +76,7 @@
 
 void StoreHealth::OnResponse() {
   answered_at_ = loop_.Now();
-  retry_delay_ = Duration(0);
+  retry_delay_ = kFirstRetryDelay;
   next_call_at_ = {};
   if (!std::exchange(lost_, false)) {
     return;
@@ -90,8 +88,6 @@
 }
 
 void StoreHealth::OnFailure() {
-  retry_delay_ = std::clamp<Duration>(retry_delay_ * 2, kFirstRetryDelay,
-                                      kLongestRetryDelay);
   next_call_at_ = loop_.Now() + retry_delay_;
   if (std::exchange(lost_, true)) {
     return;
@@ -119,6 +115,9 @@
   }
   if (now >= next_call_at_) {
     next_call_at_ = now + retry_delay_;
+    // Calls that were in flight when the store was lost also fail, but say
+    // nothing about how long it will be away.
+    retry_delay_ = std::min(retry_delay_ * 2, kLongestRetryDelay);
     return now;
   }
   return next_call_at_;
@@ -177,6 +176,12 @@
   timer_.Set(loop_.Now());
 }
 
+void StoreWatcher::OnStoreBack() {
+  if (!in_flight_) {
+    timer_.Set(loop_.Now());
+  }
+}
+
 void StoreWatcher::MakeNextCall() {
   if (in_flight_ || (source_ == WatchSource::kLeader && listed_)) {
     return;
--- a/src/entry/store_watcher.h
+++ b/src/entry/store_watcher.h
@@ -3,6 +3,7 @@
 #define SRC_ENTRY_STORE_WATCHER_H_
 
 #include <algorithm>
+#include <chrono>
 #include <cstdint>
 #include <deque>
 #include <functional>
@@ -47,9 +48,12 @@
   std::function<void()> on_history_gone;
 
  private:
+  static constexpr Duration kFirstRetryDelay = std::chrono::milliseconds(200);
+
   net::EventLoop& loop_;
   bool lost_ = false;
-  Duration retry_delay_{};
+  // Delay between calls while the store is unreachable; doubles with each call.
+  Duration retry_delay_ = kFirstRetryDelay;
   TimePoint next_call_at_{};
   TimePoint answered_at_{};
   TimePoint recovered_at_{};
@@ -85,6 +89,8 @@
   // Sets where changes come from and how long a watch waits for them. A watch
   // that no longer receives events is detected only after that wait.
   void SetSource(WatchSource source, std::chrono::milliseconds watch_wait);
+  // The store is reachable again: makes the next call at once.
+  void OnStoreBack();
   // Reads all objects again if the store is the source.
   void Relist();
   // Updates the copy with an object that this daemon has just written.
