After a lost call the store is reached on new connections

Cause: once a call to the store has failed, later calls took other open connections of the pool, such as those of the election. If all of them had gone silent, each call hung for its whole timeout, and the watchers that were woken by the first success lost the store again.

When the store counts as lost, the daemon forgets its open connections to it. Calls in flight keep theirs.

--- a/src/entry/store_copies_test.cc
+++ b/src/entry/store_copies_test.cc
@@ -153,6 +153,18 @@
   CHECK(member.config == 1);
 }
 
+TEST_CASE("a leader with many silent connections learns of changes in time") {
+  Member member(standins::LoopbackBlock() + "5:7002");
+  member.OpenConnections(6);
+  member.store.SilenceConnections();
+  member.store.Put("config", "main", 1);
+  const TimePoint changed = member.loop.Now();
+  member.LeadUntil([&] {
+    return member.config == 1 || member.loop.Now() > changed + kApplyTime;
+  });
+  CHECK(member.config == 1);
+}
+
 TEST_CASE(
     "a leader that lost the store is replaced in the order of succession") {
   Member member(standins::LoopbackBlock() + "2:7002");
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -63,6 +63,9 @@
 
   // Starts a call.
   void Send(HttpCall call, HttpCallback done);
+  // Later calls to `server` ("host:port") open new connections, because the
+  // open ones may have gone silent. Calls in flight keep theirs.
+  void ForgetConnections(const std::string& server) { sessions_.erase(server); }
   // Sends a call and runs the main context until it has ended.
   [[nodiscard]] HttpResponse SendAndWait(HttpCall call);
 
