--- a/src/entry/store_copies.cc
+++ b/src/entry/store_copies.cc
@@ -70,7 +70,14 @@
                  platform::ObjectKind::kOwnership,
                  platform::Freshness::kMayBeStale,
                  std::move(sinks.ownership)) {
-  health_.on_change = [this](bool lost) {
+  health_.on_change = [this, &platform](bool lost) {
+    if (lost) {
+      platform.ForgetStoreConnections();
+    } else {
+      for (StoreWatcher* it : Watchers()) {
+        it->OnStoreBack();
+      }
+    }
     if (on_store_change) {
       on_store_change(lost);
     }
