The store calls of the election are made beside the record's conversion

RunElection's translation of calls moves to leader_record, which converts the record already. No change of behaviour.

--- a/src/entry/entry_daemon.cc
+++ b/src/entry/entry_daemon.cc
@@ -55,8 +55,6 @@
 constexpr Duration kAcceptWhileStopping = milliseconds(2600);
 // Time between the last responses and the end of the grace period.
 constexpr Duration kStopMargin = milliseconds(550);
-// Name of the leader record in the store.
-constexpr const char* kLeaderObject = "entry";
 
 // Returns the addresses at which the seeds receive datagrams, which have the
 // same port as this daemon's.
@@ -545,21 +543,8 @@
       assignment_.Run();
       RunElection();
     };
-    const TimePoint deadline = loop_.Now() + kElectionTimeout;
-    const auto kind = platform::ObjectKind::kLeadership;
-    switch (call->kind) {
-      case ElectionCall::Kind::kRead:
-        platform_.Read(kind, kLeaderObject, deadline, on_reply);
-        break;
-      case ElectionCall::Kind::kCreate:
-        platform_.Create(kind, kLeaderObject, EncodeLeader(call->record),
-                         deadline, on_reply);
-        break;
-      case ElectionCall::Kind::kReplace:
-        platform_.Replace(kind, kLeaderObject, call->revision,
-                          EncodeLeader(call->record), deadline, on_reply);
-        break;
-    }
+    SendElectionCall(platform_, *call, loop_.Now() + kElectionTimeout,
+                     on_reply);
   }
 
   const settings::EntryDaemonT settings_;
--- a/src/entry/leader_record.cc
+++ b/src/entry/leader_record.cc
@@ -1,9 +1,14 @@
 #include "entry/leader_record.h"
 
+#include <utility>
+
 namespace gentianreach::entry {
 
 namespace {
 
+// Name of the leader record in the store.
+constexpr const char* kLeaderObject = "entry";
+
 nlohmann::json EncodeMember(const Member& member) {
   return {{"name", member.name},
           {"life", member.incarnation.value()},
@@ -59,4 +64,24 @@
   return ElectionOutcome::kUnavailable;
 }
 
+void SendElectionCall(platform::PlatformClient& platform,
+                      const ElectionCall& call,
+                      TimePoint deadline,
+                      std::function<void(platform::ObjectReply)> done) {
+  const auto kind = platform::ObjectKind::kLeadership;
+  switch (call.kind) {
+    case ElectionCall::Kind::kRead:
+      platform.Read(kind, kLeaderObject, deadline, std::move(done));
+      break;
+    case ElectionCall::Kind::kCreate:
+      platform.Create(kind, kLeaderObject, EncodeLeader(call.record), deadline,
+                      std::move(done));
+      break;
+    case ElectionCall::Kind::kReplace:
+      platform.Replace(kind, kLeaderObject, call.revision,
+                       EncodeLeader(call.record), deadline, std::move(done));
+      break;
+  }
+}
+
 }  // namespace gentianreach::entry
--- a/src/entry/leader_record.h
+++ b/src/entry/leader_record.h
@@ -1,12 +1,15 @@
-// Conversion of the leader record to and from its form in the store.
+// Conversion of the leader record to and from its form in the store, and the
+// store calls that the election requests.
 #ifndef SRC_ENTRY_LEADER_RECORD_H_
 #define SRC_ENTRY_LEADER_RECORD_H_
 
+#include <functional>
 #include <optional>
 
 #include <nlohmann/json.hpp>
 
 #include "entry/leader_election.h"
+#include "gentianreach/time.h"
 #include "platform/platform_client.h"
 
 namespace gentianreach::entry {
