--- a/src/keyspace/range_assigner.h
+++ b/src/keyspace/range_assigner.h
@@ -124,9 +124,9 @@
   // Replaces the set of servers reported by discovery.
   void SetServers(std::vector<AssignerServer> servers, TimePoint now);
 
-  // Reports that discovery lists `incarnation` of `server`, of any service, at
-  // `address`. Other servers with a lower incarnation at this address have
-  // ended.
+  // Reports that discovery lists `incarnation` of `server`, of any configured
+  // service, at `address`. Other servers with a lower incarnation at this
+  // address have ended.
   void OnAddressInUse(const std::string& address,
                       const ServerId& server,
                       Incarnation incarnation);
