--- a/src/keyspace/range_assigner_random_test.cc
+++ b/src/keyspace/range_assigner_random_test.cc
@@ -384,6 +384,7 @@
     "a key never has two holders while a leader before the last is active") {
   CheckSeeds({.late = 0.15,
               .reordered = 0.2,
+              .held_up = 0.1,
               .second_leader = true,
               .third_leader = true},
              15);
