TCP sockets are opened in one place, and one function gives an address's IP

TcpSocket::Listen and Connect parsed the address, made the socket and worded both errors with the same eight lines; TcpSocket::Open does it for both. TcpSocket::PeerAddress and UdpSocket::address turned a socket address into the text of its IP each in its own way: net::IpText. The smart pointer that tcp_socket.cc declared for addresses was a second GObjectPtr and is gone.

Errors and their words are unchanged.

--- a/src/net/socket_address.cc
+++ b/src/net/socket_address.cc
@@ -1,6 +1,7 @@
 #include "net/socket_address.h"
 
 #include <charconv>
+#include <memory>
 #include <system_error>
 
 namespace gentianreach::net {
@@ -30,4 +31,15 @@
   return ParseIpAddress(std::string(ip), port);
 }
 
+std::string IpText(GSocketAddress* address) {
+  if (address == nullptr || !G_IS_INET_SOCKET_ADDRESS(address)) {
+    return {};
+  }
+  const std::unique_ptr<gchar, decltype(&g_free)> text(
+      g_inet_address_to_string(
+          g_inet_socket_address_get_address(G_INET_SOCKET_ADDRESS(address))),
+      g_free);
+  return text.get();
+}
+
 }  // namespace gentianreach::net
--- a/src/net/socket_address.h
+++ b/src/net/socket_address.h
@@ -21,6 +21,9 @@
 [[nodiscard]] GObjectPtr<GSocketAddress> ParseSocketAddress(
     std::string_view address);
 
+// Returns the IP address in `address`, or an empty string if there is none.
+[[nodiscard]] std::string IpText(GSocketAddress* address);
+
 }  // namespace gentianreach::net
 
 #endif  // SRC_NET_SOCKET_ADDRESS_H_
--- a/src/net/tcp_socket.cc
+++ b/src/net/tcp_socket.cc
@@ -15,11 +15,6 @@
 
 constexpr gint kListenBacklog = 1024;
 
-struct UnrefObject {
-  void operator()(gpointer it) const { g_object_unref(it); }
-};
-using AddressPtr = std::unique_ptr<GSocketAddress, UnrefObject>;
-
 // Owns a GError that a GIO call may set.
 class ErrorSlot {
  public:
@@ -53,74 +48,71 @@
   return {IoStatus::kFailed, 0};
 }
 
-GSocket* NewSocket(GSocketAddress* address, ErrorSlot& error) {
-  GSocket* socket =
-      g_socket_new(g_socket_address_get_family(address), G_SOCKET_TYPE_STREAM,
-                   G_SOCKET_PROTOCOL_TCP, error.out());
-  if (socket != nullptr) {
-    g_socket_set_blocking(socket, FALSE);
-  }
-  return socket;
-}
-
 void DisableNagle(GSocket* socket) {
   g_socket_set_option(socket, IPPROTO_TCP, TCP_NODELAY, 1, nullptr);
 }
 
 }  // namespace
 
-leaf::result<TcpSocket> TcpSocket::Listen(const std::string& address,
-                                          bool reuse_port) {
-  const auto parsed = ParseSocketAddress(address);
+// A socket and the parsed form of the address that it is for.
+struct TcpSocket::Opened {
+  TcpSocket socket;
+  GObjectPtr<GSocketAddress> address;
+};
+
+leaf::result<TcpSocket::Opened> TcpSocket::Open(const std::string& address) {
+  auto parsed = ParseSocketAddress(address);
   if (!parsed) {
     return leaf::new_error(SocketError{address + ": not an IP:port"});
   }
   ErrorSlot error;
-  TcpSocket socket(NewSocket(parsed.get(), error));
+  TcpSocket socket(g_socket_new(g_socket_address_get_family(parsed.get()),
+                                G_SOCKET_TYPE_STREAM, G_SOCKET_PROTOCOL_TCP,
+                                error.out()));
   if (!socket.is_open()) {
     return leaf::new_error(SocketError{address + ": " + error.message()});
   }
+  g_socket_set_blocking(socket.socket_.get(), FALSE);
+  return Opened{std::move(socket), std::move(parsed)};
+}
+
+leaf::result<TcpSocket> TcpSocket::Listen(const std::string& address,
+                                          bool reuse_port) {
+  BOOST_LEAF_AUTO(opened, Open(address));
+  GSocket* socket = opened.socket.socket_.get();
   if (reuse_port) {
-    g_socket_set_option(socket.socket_.get(), SOL_SOCKET, SO_REUSEPORT, 1,
-                        nullptr);
+    g_socket_set_option(socket, SOL_SOCKET, SO_REUSEPORT, 1, nullptr);
   }
-  g_socket_set_listen_backlog(socket.socket_.get(), kListenBacklog);
-  if (g_socket_bind(socket.socket_.get(), parsed.get(), TRUE, error.out()) ==
-          0 ||
-      g_socket_listen(socket.socket_.get(), error.out()) == 0) {
+  g_socket_set_listen_backlog(socket, kListenBacklog);
+  ErrorSlot error;
+  if (g_socket_bind(socket, opened.address.get(), TRUE, error.out()) == 0 ||
+      g_socket_listen(socket, error.out()) == 0) {
     return leaf::new_error(SocketError{address + ": " + error.message()});
   }
-  return socket;
+  return std::move(opened.socket);
 }
 
 leaf::result<TcpSocket> TcpSocket::Connect(const std::string& address,
                                            const std::string& source_ip) {
-  const auto parsed = ParseSocketAddress(address);
-  if (!parsed) {
-    return leaf::new_error(SocketError{address + ": not an IP:port"});
-  }
+  BOOST_LEAF_AUTO(opened, Open(address));
+  GSocket* socket = opened.socket.socket_.get();
   ErrorSlot error;
-  TcpSocket socket(NewSocket(parsed.get(), error));
-  if (!socket.is_open()) {
-    return leaf::new_error(SocketError{address + ": " + error.message()});
-  }
   if (!source_ip.empty()) {
     const auto source = ParseIpAddress(source_ip);
     if (!source) {
       return leaf::new_error(SocketError{source_ip + ": not an IP address"});
     }
-    if (g_socket_bind(socket.socket_.get(), source.get(), FALSE, error.out()) ==
-        0) {
+    if (g_socket_bind(socket, source.get(), FALSE, error.out()) == 0) {
       return leaf::new_error(SocketError{source_ip + ": " + error.message()});
     }
   }
-  DisableNagle(socket.socket_.get());
-  if (g_socket_connect(socket.socket_.get(), parsed.get(), nullptr,
-                       error.out()) == 0 &&
+  DisableNagle(socket);
+  if (g_socket_connect(socket, opened.address.get(), nullptr, error.out()) ==
+          0 &&
       !error.Matches(G_IO_ERROR_PENDING)) {
     return leaf::new_error(SocketError{address + ": " + error.message()});
   }
-  return socket;
+  return std::move(opened.socket);
 }
 
 std::optional<TcpSocket> TcpSocket::Accept() {
@@ -200,19 +192,14 @@
 }
 
 std::string TcpSocket::PeerAddress() const {
-  const AddressPtr address(g_socket_get_remote_address(socket_.get(), nullptr));
-  if (!address || !G_IS_INET_SOCKET_ADDRESS(address.get())) {
-    return {};
-  }
-  GInetAddress* inet =
-      g_inet_socket_address_get_address(G_INET_SOCKET_ADDRESS(address.get()));
-  const std::unique_ptr<gchar, decltype(&g_free)> text(
-      g_inet_address_to_string(inet), g_free);
-  return text.get();
+  const auto address = GObjectPtr<GSocketAddress>::Adopt(
+      g_socket_get_remote_address(socket_.get(), nullptr));
+  return IpText(address.get());
 }
 
 std::uint16_t TcpSocket::port() const {
-  const AddressPtr address(g_socket_get_local_address(socket_.get(), nullptr));
+  const auto address = GObjectPtr<GSocketAddress>::Adopt(
+      g_socket_get_local_address(socket_.get(), nullptr));
   if (!address || !G_IS_INET_SOCKET_ADDRESS(address.get())) {
     return 0;
   }
--- a/src/net/tcp_socket.h
+++ b/src/net/tcp_socket.h
@@ -100,7 +100,11 @@
   struct Unref {
     void operator()(GSocket* it) const { g_object_unref(it); }
   };
+  struct Opened;
+
   explicit TcpSocket(GSocket* socket) : socket_(socket) {}
+  // Returns a new socket for `address` that is neither bound nor connected.
+  static boost::leaf::result<Opened> Open(const std::string& address);
 
   std::unique_ptr<GSocket, Unref> socket_;
 };
--- a/src/net/udp_socket.cc
+++ b/src/net/udp_socket.cc
@@ -43,11 +43,9 @@
   if (!address) {
     return {};
   }
-  auto* inet = G_INET_SOCKET_ADDRESS(address.get());
-  gchar* ip = g_inet_address_to_string(g_inet_socket_address_get_address(inet));
-  std::string text = ip;
-  g_free(ip);
-  return text + ":" + std::to_string(g_inet_socket_address_get_port(inet));
+  return IpText(address.get()) + ":" +
+         std::to_string(g_inet_socket_address_get_port(
+             G_INET_SOCKET_ADDRESS(address.get())));
 }
 
 void UdpSocket::Send(const std::string& address,
