--- a/src/entry/leader_record.h
+++ b/src/entry/leader_record.h
@@ -22,6 +22,12 @@
 // Returns the election outcome that corresponds to the status of a store call.
 [[nodiscard]] ElectionOutcome ToElectionOutcome(platform::CallStatus status);
 
+// Makes `call` and passes its reply to `done`. The call fails at `deadline`.
+void SendElectionCall(platform::PlatformClient& platform,
+                      const ElectionCall& call,
+                      TimePoint deadline,
+                      std::function<void(platform::ObjectReply)> done);
+
 }  // namespace gentianreach::entry
 
 #endif  // SRC_ENTRY_LEADER_RECORD_H_
