Removals are deferred only after a loss that lets entries expire

What callers saw: members could use a server for seconds after its entry was removed. A leader whose call to the store failed once reported for the next 2 s that entries may be missing, and its members deferred every removal until then, although the store had answered them and the servers all along. A leader that lost its connection every 2 s kept a gone server in use without end.

Entries expire after three report periods without a report, one of which may have passed before the loss. So a loss of less than two periods, from the last answer, lets no entry of a live server expire; the period comes from the platform's settings (`server_report_ms`, default 500 ms). A loss before the servers have registered again extends the time as before.

Before: store_watcher_test.cc:192: ERROR: CHECK_FALSE( health.MayLackEntries() ) is NOT correct! store_watcher_test.cc:194: ERROR: CHECK_FALSE( health.MayLackEntries() ) is NOT correct! After: all tests of store_watcher_test pass. That the incident had this cause is not shown.

--- a/src/entry/entry_daemon.cc
+++ b/src/entry/entry_daemon.cc
@@ -73,6 +73,14 @@
   return seeds;
 }
 
+// Returns for how long the store has to be away at least until entries of live
+// servers expire. Entries expire after three report periods without a report,
+// one of which may have passed before.
+Duration ShortestExpiry(double server_report_ms) {
+  return 2 * std::chrono::duration_cast<Duration>(
+                 std::chrono::duration<double, std::milli>(server_report_ms));
+}
+
 std::uint64_t RandomNumber() {
   // 52 bits: JSON numbers of that size are exact in every implementation.
   std::random_device device;
@@ -111,6 +119,7 @@
                         static_cast<std::int64_t>(settings.longest_lease_ms)))),
         copies_(loop_,
                 platform_,
+                ShortestExpiry(settings.server_report_ms),
                 {.config = {[this](const auto& it) { OnConfig(it); },
                             [this](const auto& it) { OnConfig(it); }},
                  .servers = {[this](const auto& it) { OnServerList(it); },
--- a/src/entry/store_copies.cc
+++ b/src/entry/store_copies.cc
@@ -49,9 +49,10 @@
 
 StoreCopies::StoreCopies(net::EventLoop& loop,
                          platform::PlatformClient& platform,
+                         Duration shortest_expiry,
                          Sinks sinks)
     : loop_(loop),
-      health_(loop),
+      health_(loop, shortest_expiry),
       config_(loop,
               platform,
               health_,
--- a/src/entry/store_copies.h
+++ b/src/entry/store_copies.h
@@ -34,8 +34,11 @@
     StoreWatcher::Sink ownership;
   };
 
+  // While the store cannot be reached for less than `shortest_expiry`, no entry
+  // of a live server expires.
   StoreCopies(net::EventLoop& loop,
               platform::PlatformClient& platform,
+              Duration shortest_expiry,
               Sinks sinks);
   StoreCopies(const StoreCopies&) = delete;
   StoreCopies& operator=(const StoreCopies&) = delete;
--- a/src/entry/store_copies_test.cc
+++ b/src/entry/store_copies_test.cc
@@ -20,6 +20,8 @@
 constexpr Duration kTestTimeout = std::chrono::seconds(30);
 // Time within which a change has to take effect at every daemon.
 constexpr Duration kApplyTime = milliseconds(2000);
+// Shortest loss of the store during which entries may expire.
+constexpr Duration kShortestExpiry = milliseconds(1000);
 // How often the leader's heartbeats arrive.
 constexpr Duration kHeartbeatPeriod = milliseconds(50);
 const std::string kLeader = "127.0.0.1:1";
@@ -32,6 +34,7 @@
   explicit Member(const std::string& address)
       : copies_(loop,
                 client_,
+                kShortestExpiry,
                 {.config = Recorder(),
                  .servers = Ignore(),
                  .ownership = Ignore()}) {
--- a/src/entry/store_watcher.cc
+++ b/src/entry/store_watcher.cc
@@ -75,13 +75,16 @@
 }  // namespace
 
 void StoreHealth::OnResponse() {
+  const bool lacked_entries = lost_ && MayLackEntries();
   answered_at_ = loop_.Now();
   retry_delay_ = kFirstRetryDelay;
   next_call_at_ = {};
   if (!std::exchange(lost_, false)) {
     return;
   }
-  recovered_at_ = answered_at_;
+  if (lacked_entries) {
+    entries_lacking_until_ = answered_at_ + kReregistrationTime;
+  }
   if (on_change) {
     on_change(false);
   }
@@ -98,8 +101,12 @@
 }
 
 bool StoreHealth::MayLackEntries() const {
-  return lost_ || (recovered_at_ != TimePoint{} &&
-                   loop_.Now() < recovered_at_ + kReregistrationTime);
+  const TimePoint now = loop_.Now();
+  if (!lost_) {
+    return now < entries_lacking_until_;
+  }
+  return answered_at_ < entries_lacking_until_ ||
+         now >= answered_at_ + shortest_expiry_;
 }
 
 void StoreHealth::OnHistoryGone() {
--- a/src/entry/store_watcher.h
+++ b/src/entry/store_watcher.h
@@ -25,7 +25,10 @@
 // watcher at a time makes a call, since every call has a cost.
 class StoreHealth {
  public:
-  explicit StoreHealth(net::EventLoop& loop) : loop_(loop) {}
+  // While the store cannot be reached for less than `shortest_expiry`, no entry
+  // of a live server expires.
+  StoreHealth(net::EventLoop& loop, Duration shortest_expiry)
+      : loop_(loop), shortest_expiry_(shortest_expiry) {}
 
   void OnResponse();
   void OnFailure();
@@ -40,7 +43,8 @@
   // Returns the time of the last response of the store.
   [[nodiscard]] TimePoint answered_at() const { return answered_at_; }
   // Returns whether entries of live servers may be missing: while the store is
-  // unreachable, and after that until servers have had time to register again.
+  // unreachable for so long that they expire, and after that until servers have
+  // had time to register again.
   [[nodiscard]] bool MayLackEntries() const;
 
   // Called when the store becomes unreachable and when it recovers.
@@ -51,12 +55,14 @@
   static constexpr Duration kFirstRetryDelay = std::chrono::milliseconds(200);
 
   net::EventLoop& loop_;
+  const Duration shortest_expiry_;
   bool lost_ = false;
   // Delay between calls while the store is unreachable; doubles with each call.
   Duration retry_delay_ = kFirstRetryDelay;
   TimePoint next_call_at_{};
   TimePoint answered_at_{};
-  TimePoint recovered_at_{};
+  // Until when servers may not have registered again after a loss.
+  TimePoint entries_lacking_until_{};
 };
 
 // Where a watcher gets changes from.
--- a/src/entry/store_watcher_test.cc
+++ b/src/entry/store_watcher_test.cc
@@ -19,12 +19,15 @@
 // Limit for each wait of a test; much longer than needed.
 constexpr Duration kTestTimeout = std::chrono::seconds(30);
 
+// Shortest loss of the store during which entries may expire.
+constexpr Duration kShortestExpiry = std::chrono::milliseconds(100);
+
 // A daemon's copy of the server entries.
 class Copy {
  public:
   Copy(net::EventLoop& loop, FakeStore& store, WatchSource source)
       : client_(store.address()),
-        health_(loop),
+        health_(loop, kShortestExpiry),
         watcher(loop,
                 client_,
                 health_,
@@ -172,6 +175,46 @@
   CHECK(daemons.follower.content == daemons.leader.content);
 }
 
+// Runs the loop for `duration`.
+void RunFor(net::EventLoop& loop, Duration duration) {
+  const TimePoint end = loop.Now() + duration;
+  while (loop.Now() < end) {
+    loop.RunOnce(false);
+  }
+}
+
+TEST_CASE("a short loss of the store lets no entry of a live server expire") {
+  net::EventLoop loop;
+  StoreHealth health(loop, kShortestExpiry);
+  health.OnResponse();
+  health.OnFailure();
+  CHECK(health.lost());
+  CHECK_FALSE(health.MayLackEntries());
+  health.OnResponse();
+  CHECK_FALSE(health.MayLackEntries());
+}
+
+TEST_CASE("entries may be missing during and after a long loss of the store") {
+  net::EventLoop loop;
+  StoreHealth health(loop, kShortestExpiry);
+  health.OnResponse();
+  health.OnFailure();
+  RunFor(loop, kShortestExpiry);
+  CHECK(health.MayLackEntries());
+  health.OnResponse();
+  CHECK(health.MayLackEntries());
+  // A loss before the servers have registered again extends that time.
+  health.OnFailure();
+  CHECK(health.MayLackEntries());
+}
+
+TEST_CASE("entries may be missing if the store has never answered") {
+  net::EventLoop loop;
+  StoreHealth health(loop, kShortestExpiry);
+  health.OnFailure();
+  CHECK(health.MayLackEntries());
+}
+
 TEST_CASE("damaged changes are not applied") {
   Daemons daemons;
   daemons.Put("s3", {{"n", 3}, {"load", 7}});
