--- a/src/entry/entry_request.cc
+++ b/src/entry/entry_request.cc
@@ -7,17 +7,19 @@
 #include "base/log.h"
 #include "entry/message_writer.h"
 #include "http/serializer.h"
+#include "http/status.h"
 
 namespace gentianreach::entry {
 namespace {
 
 using std::chrono::milliseconds;
 
-constexpr int kNotFound = 404;
-constexpr int kTooLarge = 413;
-constexpr int kMisdirected = 421;
-constexpr int kBadGateway = 502;
-constexpr int kUnavailable = 503;
+using http::status::kBadGateway;
+using http::status::kBadRequest;
+using http::status::kMisdirected;
+using http::status::kNotFound;
+using http::status::kTooLarge;
+using http::status::kUnavailable;
 
 // Responses up to this size are buffered until they are complete.
 constexpr std::size_t kMaxBufferedBytes = 256 * 1024;
@@ -153,7 +155,7 @@
     const auto key =
         text ? ParseNumber(*text, keyspace::kKeyCount - 1) : std::nullopt;
     if (!key) {
-      Refuse(400, Reason::kBadRequest, {});
+      Refuse(kBadRequest, Reason::kBadRequest, {});
       return;
     }
     key_ = static_cast<std::uint32_t>(*key);
--- a/src/entry/entry_request_forwarding.cc
+++ b/src/entry/entry_request_forwarding.cc
@@ -7,14 +7,15 @@
 
 #include "entry/entry_request.h"
 #include "entry/message_writer.h"
+#include "http/status.h"
 
 namespace gentianreach::entry {
 namespace {
 
 using std::chrono::milliseconds;
 
-constexpr int kBadGateway = 502;
-constexpr int kUnavailable = 503;
+using http::status::kBadGateway;
+using http::status::kUnavailable;
 
 // Relays that are tried per request.
 constexpr std::size_t kMaxRelays = 3;
--- a/src/entry/entry_request_response.cc
+++ b/src/entry/entry_request_response.cc
@@ -9,15 +9,16 @@
 #include "entry/entry_request.h"
 #include "entry/message_writer.h"
 #include "http/serializer.h"
+#include "http/status.h"
 
 namespace gentianreach::entry {
 namespace {
 
 using std::chrono::milliseconds;
 
-constexpr int kBadGateway = 502;
-constexpr int kUnavailable = 503;
-constexpr int kGatewayTimeout = 504;
+using http::status::kBadGateway;
+using http::status::kGatewayTimeout;
+using http::status::kUnavailable;
 
 }  // namespace
 
--- a/src/entry/message_writer.cc
+++ b/src/entry/message_writer.cc
@@ -5,12 +5,13 @@
 
 #include "entry/request_rules.h"
 #include "http/serializer.h"
+#include "http/status.h"
 
 namespace gentianreach::entry {
 namespace {
 
-constexpr int kNoContent = 204;
-constexpr int kNotModified = 304;
+using http::status::kNoContent;
+using http::status::kNotModified;
 
 }  // namespace
 
--- a/src/entry/request_rules.cc
+++ b/src/entry/request_rules.cc
@@ -7,16 +7,18 @@
 #include <limits>
 #include <system_error>
 
+#include "http/status.h"
+
 namespace gentianreach::entry {
 namespace {
 
 using std::chrono::milliseconds;
 
-constexpr int kBadRequest = 400;
-constexpr int kMisdirected = 421;
-constexpr int kTooManyRequests = 429;
-constexpr int kInternalError = 500;
-constexpr int kUnavailable = 503;
+using http::status::kBadRequest;
+using http::status::kInternalError;
+using http::status::kMisdirected;
+using http::status::kTooManyRequests;
+using http::status::kUnavailable;
 
 // Requests are sent up to an expected latency of this multiple of the route's
 // latency objective: the estimate is rough, and a response slightly after the
--- /dev/null
+++ b/src/http/status.h
@@ -0,0 +1,25 @@
+// HTTP status codes.
+#ifndef SRC_HTTP_STATUS_H_
+#define SRC_HTTP_STATUS_H_
+
+namespace gentianreach::http::status {
+
+inline constexpr int kOk = 200;
+inline constexpr int kCreated = 201;
+inline constexpr int kNoContent = 204;
+inline constexpr int kNotModified = 304;
+inline constexpr int kBadRequest = 400;
+inline constexpr int kNotFound = 404;
+inline constexpr int kConflict = 409;
+inline constexpr int kGone = 410;
+inline constexpr int kTooLarge = 413;
+inline constexpr int kMisdirected = 421;
+inline constexpr int kTooManyRequests = 429;
+inline constexpr int kInternalError = 500;
+inline constexpr int kBadGateway = 502;
+inline constexpr int kUnavailable = 503;
+inline constexpr int kGatewayTimeout = 504;
+
+}  // namespace gentianreach::http::status
+
+#endif  // SRC_HTTP_STATUS_H_
