Only a message of the current term ends the wait for an earlier leader

A Hello of an earlier incarnation of a replaced leader that was late on its way ended the wait for it, although the incarnation that led later may still act: incarnations are random numbers, so that another one is not known to be a newer one. A message with the current epoch can come only from a daemon that follows it. A leader that restarted is waited for one heartbeat longer. Found in the review, by reading; unit tests pass.

--- a/src/entry/leader_election.cc
+++ b/src/entry/leader_election.cc
@@ -216,12 +216,10 @@
 }
 
 void LeaderElection::OnFollowerMessage(const std::string& name,
-                                       Incarnation incarnation,
                                        Epoch epoch,
                                        TimePoint now) {
   const auto removed = std::erase_if(replaced_leaders_, [&](const Member& it) {
-    return name == it.name &&
-           (incarnation != it.incarnation || epoch == record_.epoch);
+    return name == it.name && epoch == record_.epoch;
   });
   if (removed > 0 && replaced_leaders_.empty()) {
     previous_leader_until_ = std::min(previous_leader_until_, now);
--- a/src/entry/leader_election.h
+++ b/src/entry/leader_election.h
@@ -118,13 +118,10 @@
   // Another daemon reported a later epoch. Checks the record in the store as
   // soon as possible.
   void OnNewerEpochSeen(TimePoint now);
-  // Handles a message of a daemon that follows the leader of `epoch`. The
-  // replaced leader no longer acts if the sender is a different incarnation of
-  // it, or if the replaced leader itself now follows the current leader.
-  void OnFollowerMessage(const std::string& name,
-                         Incarnation incarnation,
-                         Epoch epoch,
-                         TimePoint now);
+  // Handles a message of a daemon that follows the leader of `epoch`. A
+  // replaced leader no longer acts if it, or its next incarnation, follows the
+  // current one. Messages of earlier terms may be late.
+  void OnFollowerMessage(const std::string& name, Epoch epoch, TimePoint now);
   // Sets ElectionOptions::leader_timeout, which depends on the period of the
   // heartbeats.
   void SetLeaderTimeout(std::chrono::milliseconds leader_timeout) {
--- a/src/entry/leader_election_test.cc
+++ b/src/entry/leader_election_test.cc
@@ -112,7 +112,7 @@
   store.Serve(a, verified);
   CHECK_FALSE(a.IsLeader(verified));
   // Once it follows the new leader, its lease need not be waited for.
-  b.OnFollowerMessage("a", Incarnation(1), b.record().epoch, verified);
+  b.OnFollowerMessage("a", b.record().epoch, verified);
   CHECK(b.previous_leader_until() == verified);
 }
 
@@ -308,12 +308,12 @@
   const TimePoint later = kReplacementOfA + seconds(2);
   chain.store.Serve(c, later);
   REQUIRE(c.IsLeader(later));
-  c.OnFollowerMessage("b", Incarnation(2), c.record().epoch, later);
+  c.OnFollowerMessage("b", c.record().epoch, later);
   CHECK(c.previous_leader_until() >= kLeaseEndOfA);
   // Neither does a message of `a` from the term before.
-  c.OnFollowerMessage("a", Incarnation(1), Epoch(2), later);
+  c.OnFollowerMessage("a", Epoch(2), later);
   CHECK(c.previous_leader_until() >= kLeaseEndOfA);
-  c.OnFollowerMessage("a", Incarnation(1), c.record().epoch, later);
+  c.OnFollowerMessage("a", c.record().epoch, later);
   CHECK(c.previous_leader_until() == later);
 }
 
--- a/src/entry/member_link.cc
+++ b/src/entry/member_link.cc
@@ -321,8 +321,7 @@
 void MemberLink::OnHello(const wire::HelloT& hello) {
   const TimePoint now = loop_.Now();
   const std::size_t earlier = election_.replaced_leaders().size();
-  election_.OnFollowerMessage(hello.name, Incarnation(hello.incarnation),
-                              Epoch(hello.epoch), now);
+  election_.OnFollowerMessage(hello.name, Epoch(hello.epoch), now);
   if (election_.replaced_leaders().size() < earlier) {
     Log(LogLevel::kInfo, "replaced_leader_ended",
         {{"leader", hello.name}, {"life", hello.incarnation}});
