Ranges that were merged wait no longer than their parts for previous leaders

Merging wrote the bound for orders of previous leaders into the fields of the merged range, so that it stayed when those were known to have ended: up to 12 s longer for a dead owner's keys. The mark that such orders may exist carries the bound already. Found in the review; unit and random tests pass.

--- a/src/keyspace/range_assigner.cc
+++ b/src/keyspace/range_assigner.cc
@@ -158,14 +158,15 @@
 
 void RangeAssigner::MergeOrders(const OrderState& part,
                                 OrderState* orders) const {
-  orders->held_until = std::max(orders->held_until, HeldUntil(part));
+  orders->held_until = std::max(orders->held_until, part.held_until);
   orders->may_execute_until =
-      std::max(orders->may_execute_until, MayExecuteUntil(part));
+      std::max(orders->may_execute_until, part.may_execute_until);
   orders->sent_before = orders->sent_before || part.sent_before;
   if (part.in_flight != 0) {
     // The reply to this order will be ignored.
-    orders->may_execute_until =
-        std::max(orders->may_execute_until, LatestLeaseEnd(part.sent_at));
+    const TimePoint lease_end = LatestLeaseEnd(part.sent_at);
+    orders->held_until = std::max(orders->held_until, lease_end);
+    orders->may_execute_until = std::max(orders->may_execute_until, lease_end);
   }
 }
 
