A lower incarnation counts if it still reports after 30 s

A server whose clock was set back between two starts has a lower incarnation, and all its reports were ignored for good. Late reports of an earlier start arrive within the time for which the store holds writes up. Found in the review; server_directory_test failed before (the report was refused at any time).

--- a/src/entry/server_directory.cc
+++ b/src/entry/server_directory.cc
@@ -10,6 +10,10 @@
 // How long the last report of a removed server is kept. Its entry may come back
 // after an outage of the store, but not much later.
 constexpr Duration kRemovedKept = std::chrono::minutes(10);
+// How much later than newer ones a report may reach the store. Later reports
+// count, since the clock by which a server numbers its incarnations may have
+// been set back.
+constexpr Duration kMaxReportDelay = std::chrono::seconds(30);
 
 }  // namespace
 
@@ -59,17 +63,17 @@
 std::optional<ServerDirectory::Report> ServerDirectory::LastReport(
     const ServerId& id) const {
   if (const routing::BackendServer* it = Find(id)) {
-    return Report{it->incarnation, it->report_number};
+    return Report{it->incarnation, it->report_number, it->reported_at};
   }
   const auto it = removed_.find(id);
-  return it == removed_.end() ? std::nullopt
-                              : std::optional(it->second.last_report);
+  return it == removed_.end() ? std::nullopt : std::optional(it->second);
 }
 
 bool ServerDirectory::IsOutdated(const routing::BackendServer& server) const {
   const auto last = LastReport(server.id);
   if (!last || last->incarnation == Incarnation{} ||
-      server.incarnation == Incarnation{}) {
+      server.incarnation == Incarnation{} ||
+      last->known_at + kMaxReportDelay < server.reported_at) {
     return false;
   }
   if (server.incarnation != last->incarnation) {
@@ -81,11 +85,11 @@
 
 void ServerDirectory::Erase(const ServerId& id, TimePoint now) {
   const auto it = servers_.find(id);
-  removed_[id] = {{it->second.incarnation, it->second.report_number}, now};
+  removed_[id] = {it->second.incarnation, it->second.report_number, now};
   servers_.erase(it);
   ++changes_;
   std::erase_if(removed_, [&](const auto& removed) {
-    return removed.second.removed_at + kRemovedKept < now;
+    return removed.second.known_at + kRemovedKept < now;
   });
   std::erase_if(leaving_, [&](const auto& leaving) {
     return !servers_.contains(leaving.first) &&
--- a/src/entry/server_directory.h
+++ b/src/entry/server_directory.h
@@ -71,10 +71,8 @@
   struct Report {
     Incarnation incarnation;
     std::optional<std::uint64_t> number;
-  };
-  struct RemovedServer {
-    Report last_report;
-    TimePoint removed_at;
+    // Until when it was the last one known.
+    TimePoint known_at;
   };
 
   // Returns whether a later report than that of `server` is known.
@@ -89,7 +87,7 @@
   std::map<ServerId, routing::BackendServer> servers_;
   // Servers whose entries were removed not long ago, as outdated reports may
   // still create them again.
-  std::map<ServerId, RemovedServer> removed_;
+  std::map<ServerId, Report> removed_;
   // Of servers with an entry and of removed servers.
   std::map<ServerId, Leaving> leaving_;
   std::set<ServerId> deferred_removals_;
--- a/src/entry/server_directory_test.cc
+++ b/src/entry/server_directory_test.cc
@@ -97,6 +97,7 @@
   routing::BackendServer server = Server("a", draining);
   server.incarnation = Incarnation(incarnation);
   server.report_number = number;
+  server.reported_at = kNow;
   return server;
 }
 
@@ -118,6 +119,18 @@
   CHECK(directory.Find(ServerId("a")) != nullptr);
 }
 
+// Guards against a server that is ignored for good once its clock was set back.
+TEST_CASE("a lower incarnation counts if it still reports much later") {
+  ServerDirectory directory;
+  directory.Put(Report(2, 1), kNow);
+  routing::BackendServer server = Report(1, 1);
+  server.reported_at = kNow + std::chrono::seconds(20);
+  CHECK_FALSE(directory.Put(server, kNow));
+  server.reported_at = kNow + std::chrono::seconds(40);
+  CHECK(directory.Put(server, kNow));
+  CHECK(directory.Find(server.id)->incarnation == Incarnation(1));
+}
+
 TEST_CASE("a report of an earlier incarnation does not replace a later one") {
   ServerDirectory directory;
   directory.Put(Report(2, 1), kNow);
--- a/src/routing/backend_server.h
+++ b/src/routing/backend_server.h
@@ -18,6 +18,8 @@
   // Number of the report that this state is from, which grows within an
   // incarnation; nullopt if unknown.
   std::optional<std::uint64_t> report_number;
+  // When this daemon got that report.
+  TimePoint reported_at{};
   std::string address;  // "IP:port"
   std::string service;
   ZoneName zone;
