--- a/src/entry/entry_daemon.cc
+++ b/src/entry/entry_daemon.cc
@@ -529,12 +529,18 @@
     }
     const auto on_reply = [this](const platform::ObjectReply& reply) {
       std::optional<LeaderRecord> record;
+      auto outcome = ToElectionOutcome(reply.status);
       if (reply.object) {
         record = DecodeLeader(reply.object->content());
+        if (!record) {
+          Log(LogLevel::kError, "leader_record_unreadable",
+              {{"revision", reply.object->revision}});
+          outcome = ElectionOutcome::kUnavailable;
+        }
       }
       const TimePoint now = loop_.Now();
       const bool led = election_.IsLeader(now);
-      election_.OnReply(ToElectionOutcome(reply.status), record,
+      election_.OnReply(outcome, record,
                         reply.object ? reply.object->revision : 0, now);
       if (led != election_.IsLeader(now)) {
         Log(LogLevel::kInfo, led ? "lead_lost" : "lead_taken",
