After a call without a response a server is reached on new connections

What held for the store holds for orders, relays and the election: once a call on an open connection got no response, the next ones took other connections of the pool that may have gone silent as well, each for its whole timeout. HttpClient forgets them itself now, so that the special call for the store is gone. store_copies_test (silent connections) and all unit tests pass.

--- a/src/entry/store_copies.cc
+++ b/src/entry/store_copies.cc
@@ -71,10 +71,8 @@
                  platform::ObjectKind::kOwnership,
                  platform::Freshness::kMayBeStale,
                  std::move(sinks.ownership)) {
-  health_.on_change = [this, &platform](bool lost) {
-    if (lost) {
-      platform.ForgetStoreConnections();
-    } else {
+  health_.on_change = [this](bool lost) {
+    if (!lost) {
       for (StoreWatcher* it : Watchers()) {
         it->OnStoreBack();
       }
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -18,16 +18,6 @@
 // connections have been closed by then.
 constexpr Duration kSessionTimeout = std::chrono::seconds(2 * kIdleSeconds);
 
-// A pending call. Owned by its libsoup operation.
-struct PendingCall {
-  std::shared_ptr<bool> client_alive;
-  GObjectPtr<SoupMessage> message;
-  GObjectPtr<GCancellable> cancellable;
-  Timer timer;
-  std::string wanted_header;
-  HttpCallback done;
-};
-
 bool NeverConnected(const GError& error) {
   return error.domain == G_RESOLVER_ERROR ||
          g_error_matches(&error, G_IO_ERROR, G_IO_ERROR_CONNECTION_REFUSED) ||
@@ -68,20 +58,6 @@
   done(std::move(response));
 }
 
-void OnDone(GObject* session, GAsyncResult* result, gpointer data) {
-  const std::unique_ptr<PendingCall> call(static_cast<PendingCall*>(data));
-  GError* raw_error = nullptr;
-  const GBytesPtr bytes(soup_session_send_and_read_finish(SOUP_SESSION(session),
-                                                          result, &raw_error));
-  const GErrorPtr error(raw_error);
-  call->timer.Cancel();
-  if (!*call->client_alive) {
-    return;
-  }
-  call->done(ToHttpResponse(call->message.get(), bytes.get(), error.get(),
-                            call->wanted_header));
-}
-
 // The kernel would otherwise go on sending a cancelled call, for minutes if the
 // path to the server is interrupted.
 void OnNetworkEvent(SoupMessage* /*message*/,
@@ -98,6 +74,37 @@
 
 }  // namespace
 
+struct HttpClient::PendingCall {
+  // Valid while `client_alive` is true.
+  HttpClient* client = nullptr;
+  std::shared_ptr<bool> client_alive;
+  GObjectPtr<SoupMessage> message;
+  GObjectPtr<GCancellable> cancellable;
+  Timer timer;
+  std::string wanted_header;
+  HttpCallback done;
+};
+
+void HttpClient::OnDone(GObject* session, GAsyncResult* result, gpointer data) {
+  const std::unique_ptr<PendingCall> call(static_cast<PendingCall*>(data));
+  GError* raw_error = nullptr;
+  const GBytesPtr bytes(soup_session_send_and_read_finish(SOUP_SESSION(session),
+                                                          result, &raw_error));
+  const GErrorPtr error(raw_error);
+  call->timer.Cancel();
+  if (!*call->client_alive) {
+    return;
+  }
+  HttpResponse response = ToHttpResponse(call->message.get(), bytes.get(),
+                                         error.get(), call->wanted_header);
+  if (response.status == 0 && response.may_have_arrived) {
+    std::erase_if(call->client->sessions_, [&](const auto& it) {
+      return it.second.session.get() == SOUP_SESSION(session);
+    });
+  }
+  call->done(std::move(response));
+}
+
 HttpClient::HttpClient(std::string source_ip)
     : source_ip_(std::move(source_ip)),
       source_address_(net::ParseIpAddress(source_ip_)) {}
@@ -142,6 +149,7 @@
   g_signal_connect(message, "network-event", G_CALLBACK(&OnNetworkEvent),
                    nullptr);
   auto pending = std::make_unique<PendingCall>();
+  pending->client = this;
   pending->client_alive = alive_;
   pending->message = GObjectPtr<SoupMessage>::Adopt(message);
   pending->cancellable = GObjectPtr<GCancellable>::Adopt(g_cancellable_new());
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -53,6 +53,8 @@
 // Sends calls on the main context of the thread that created it, and must be
 // used on that thread only. Each call runs its callback exactly once, unless
 // the client is destroyed first; pending calls then end without a callback.
+// After a call without a response, later calls to that server open new
+// connections, since the open ones may have gone silent, too.
 class HttpClient {
  public:
   // Connects from the local IP address `source_ip`; if it is empty, the system
@@ -64,18 +66,20 @@
 
   // Starts a call.
   void Send(HttpCall call, HttpCallback done);
-  // Later calls to `server` ("host:port") open new connections, because the
-  // open ones may have gone silent. Calls in flight keep theirs.
-  void ForgetConnections(const std::string& server) { sessions_.erase(server); }
   // Sends a call and runs the main context until it has ended.
   [[nodiscard]] HttpResponse SendAndWait(HttpCall call);
 
  private:
+  // A pending call. Owned by its libsoup operation.
+  struct PendingCall;
   struct Session {
     GObjectPtr<SoupSession> session;
     TimePoint expires_at;
   };
 
+  // Ends the call `data`.
+  static void OnDone(GObject* session, GAsyncResult* result, gpointer data);
+
   // Returns the session for the server of `message`.
   SoupSession* SessionFor(SoupMessage* message);
 
