--- a/src/entry/store_watcher.cc
+++ b/src/entry/store_watcher.cc
@@ -347,9 +347,13 @@
 
 bool StoreWatcher::IsNewer(const platform::Object& object) const {
   const auto known = objects_.find(object.name);
-  // The daemon's own writes are already in the copy; see Put().
-  return object.deleted || known == objects_.end() ||
-         known->second.revision < object.revision;
+  if (known == objects_.end()) {
+    return true;
+  }
+  // The daemon's own writes are already in the copy; see Put(). A removal may
+  // bear the revision of the last change of the object.
+  return object.deleted ? known->second.revision <= object.revision
+                        : known->second.revision < object.revision;
 }
 
 void StoreWatcher::Put(const platform::Object& object) {
