--- a/src/entry/entry_daemon.cc
+++ b/src/entry/entry_daemon.cc
@@ -14,6 +14,7 @@
 #include "base/log.h"
 #include "daemon/operator_server.h"
 #include "entry/entry_proxy.h"
+#include "entry/entry_settings.h"
 #include "entry/entry_state.h"
 #include "entry/key_assignment.h"
 #include "entry/leader_election.h"
@@ -25,7 +26,6 @@
 #include "net/event_loop.h"
 #include "platform/decode.h"
 #include "platform/platform_client.h"
-#include "settings/document.h"
 
 namespace gentianreach::entry {
 namespace {
@@ -58,29 +58,6 @@
 // Name of the leader record in the store.
 constexpr const char* kLeaderObject = "entry";
 
-// Returns the addresses at which the seeds receive datagrams, which have the
-// same port as this daemon's.
-std::vector<std::string> SeedsOf(const settings::EntryDaemonT& settings) {
-  const std::string& own = settings.member_address;
-  const std::string port = own.substr(own.rfind(':'));
-  std::vector<std::string> seeds;
-  for (const std::string& it : settings::SplitList(settings.seed_addresses)) {
-    const std::string seed = it.substr(0, it.rfind(':')) + port;
-    if (seed != own) {
-      seeds.push_back(seed);
-    }
-  }
-  return seeds;
-}
-
-// Returns for how long the store has to be away at least until entries of live
-// servers expire. Entries expire after three report periods without a report,
-// one of which may have passed before.
-Duration ShortestExpiry(double server_report_ms) {
-  return 2 * std::chrono::duration_cast<Duration>(
-                 std::chrono::duration<double, std::milli>(server_report_ms));
-}
-
 std::uint64_t RandomNumber() {
   // 52 bits: JSON numbers of that size are exact in every implementation.
   std::random_device device;
@@ -119,7 +96,7 @@
                         static_cast<std::int64_t>(settings.longest_lease_ms)))),
         copies_(loop_,
                 platform_,
-                ShortestExpiry(settings.server_report_ms),
+                ShortestExpiry(settings),
                 {.config = {[this](const auto& it) { OnConfig(it); },
                             [this](const auto& it) { OnConfig(it); }},
                  .servers = {[this](const auto& it) { OnServerList(it); },
--- a/src/entry/entry_settings.cc
+++ b/src/entry/entry_settings.cc
@@ -1,5 +1,6 @@
 #include "entry/entry_settings.h"
 
+#include <chrono>
 #include <optional>
 #include <string>
 
@@ -67,4 +68,25 @@
   return result;
 }
 
+std::vector<std::string> SeedsOf(const settings::EntryDaemonT& settings) {
+  const std::string& own = settings.member_address;
+  const std::string port = own.substr(own.rfind(':'));
+  std::vector<std::string> seeds;
+  for (const std::string& it : settings::SplitList(settings.seed_addresses)) {
+    const std::string seed = it.substr(0, it.rfind(':')) + port;
+    if (seed != own) {
+      seeds.push_back(seed);
+    }
+  }
+  return seeds;
+}
+
+Duration ShortestExpiry(const settings::EntryDaemonT& settings) {
+  // Entries expire after three report periods without a report, one of which
+  // may have passed before.
+  return 2 * std::chrono::duration_cast<Duration>(
+                 std::chrono::duration<double, std::milli>(
+                     settings.server_report_ms));
+}
+
 }  // namespace gentianreach::entry
--- a/src/entry/entry_settings.h
+++ b/src/entry/entry_settings.h
@@ -3,10 +3,12 @@
 #define SRC_ENTRY_ENTRY_SETTINGS_H_
 
 #include <memory>
+#include <string>
 #include <string_view>
 #include <vector>
 
 #include "gentianreach/settings.h"
+#include "gentianreach/time.h"
 #include "settings_generated.h"
 
 namespace gentianreach::entry {
@@ -22,6 +24,15 @@
 [[nodiscard]] EntrySettingsResult LoadEntrySettings(std::string_view text,
                                                     std::string_view file);
 
+// Returns the addresses at which the seeds receive datagrams, which have the
+// same port as this daemon's.
+[[nodiscard]] std::vector<std::string> SeedsOf(
+    const settings::EntryDaemonT& settings);
+
+// Returns how long the store has to be away at least until entries of live
+// servers expire.
+[[nodiscard]] Duration ShortestExpiry(const settings::EntryDaemonT& settings);
+
 }  // namespace gentianreach::entry
 
 #endif  // SRC_ENTRY_ENTRY_SETTINGS_H_
--- a/src/entry/entry_settings_test.cc
+++ b/src/entry/entry_settings_test.cc
@@ -1,6 +1,7 @@
 #include "entry/entry_settings.h"
 
 #include <algorithm>
+#include <chrono>
 #include <string>
 
 #include <doctest/doctest.h>
@@ -26,6 +27,7 @@
   CHECK(result.entry->ready_path == "/ready");
   CHECK(result.entry->log_level == "info");
   CHECK(result.entry->stop_grace_s == 6);
+  CHECK(ShortestExpiry(*result.entry) == std::chrono::seconds(1));
 }
 
 TEST_CASE("each error contains the number of its line") {
