Only changes up to a leader's report confirm that report

Cause: a member that fetched changes took its copy for complete up to the time that the leader's heartbeat had named, also if the process that answered at that address had replaced the reporting one and had an older copy. A drain then counted from a time that was too late, by which the owner was used longer.

The copy is confirmed only if it reaches the revision of the report.

Before: store_copies_test.cc:172: ERROR: CHECK( member.current_at() < reported ) is NOT correct! After: the test passes. That the incident had this cause is not shown.

--- a/src/entry/store_copies.cc
+++ b/src/entry/store_copies.cc
@@ -213,7 +213,7 @@
   call.url = "http://" + address + kRelayPath + "?kind=" + kRelayKinds[kind] +
              "&since=" + std::to_string(watcher->relay_since());
   call.deadline = loop_.Now() + kRelayTimeout;
-  relay_client_.Send(std::move(call), [this, kind, watcher,
+  relay_client_.Send(std::move(call), [this, kind, watcher, changed_at,
                                        current_at](const HttpResponse& reply) {
     fetching_[kind] = false;
     if (reply.status != 200) {
@@ -222,7 +222,9 @@
           {{"kind", kRelayKinds[kind]}, {"error", reply.error}});
       return;
     }
-    if (watcher->ApplyChanges(reply.body)) {
+    // The process that replied may have replaced the one that reported.
+    if (watcher->ApplyChanges(reply.body) &&
+        watcher->relay_since() >= changed_at) {
       watcher->ConfirmCurrent(current_at);
     }
   });
--- a/src/entry/store_copies_test.cc
+++ b/src/entry/store_copies_test.cc
@@ -69,6 +69,21 @@
       return done();
     });
   }
+  // Handles a heartbeat of a leader at `address` that reports changes up to
+  // `revision`, which its copies contain up to `current_at`, and waits until
+  // the changes are fetched.
+  void FetchFrom(const std::string& address,
+                 std::uint64_t revision,
+                 TimePoint current_at) {
+    copies_.ChooseSource({.leader_last_seen = loop.Now()});
+    copies_.OnLeaderHeartbeat({.address = address,
+                               .changed_at = {revision, revision, revision},
+                               .current_at = current_at});
+    const TimePoint end = loop.Now() + kLongerThanWatch;
+    WaitFor([&] { return loop.Now() >= end; });
+  }
+  [[nodiscard]] TimePoint current_at() const { return copies_.current_at(); }
+
   // Leaves `count` idle connections to the store.
   void OpenConnections(int count) {
     int open = count;
@@ -145,6 +160,18 @@
   CHECK(member.config == 1);
 }
 
+TEST_CASE(
+    "changes of a process that replaced the leader prove no later state") {
+  const std::string address = standins::LoopbackBlock() + "7:7002";
+  Member replacement(address);
+  Member member(standins::LoopbackBlock() + "6:7002");
+  // The leader reported a change that the copies of its successor lack.
+  constexpr std::uint64_t kLaterRevision = 1000;
+  const TimePoint reported = member.loop.Now() + kTestTimeout;
+  member.FetchFrom(address, kLaterRevision, reported);
+  CHECK(member.current_at() < reported);
+}
+
 TEST_CASE("a leader whose connections went silent learns of changes in time") {
   Member member(standins::LoopbackBlock() + "4:7002");
   member.store.SilenceConnections();
