A late removal does not undo a newer entry

A watch that was in flight when the source changed returned a removal that relayed changes had overtaken, and the entry was missing until its next change. With the check taken out: store_watcher_test.cc:160: CHECK( daemons.follower.content.contains("s3") ) is NOT correct!

--- a/src/entry/store_watcher_test.cc
+++ b/src/entry/store_watcher_test.cc
@@ -151,6 +151,15 @@
   daemons.WaitFor([&] { return daemons.follower.content["s3"] == content; });
 }
 
+TEST_CASE("a late removal does not undo a newer entry") {
+  Daemons daemons;
+  daemons.follower.watcher.Put({"s3", 1000, false, {{"spec", {{"n", 3}}}}});
+  daemons.store.Remove("servers", "s3");
+  daemons.WaitFor([&] { return !daemons.leader.content.contains("s3"); });
+  CHECK(Daemons::RelayChanges(daemons.leader, daemons.follower));
+  CHECK(daemons.follower.content.contains("s3"));
+}
+
 TEST_CASE("a list that relayed changes have overtaken does not undo them") {
   Daemons daemons;
   Daemons newer;
