The age of copies includes the time that a heartbeat was on its way

Callers could see requests to servers that had left for up to the delay of a heartbeat longer: members took the age of the leader's copies to hold at the arrival, so that a heartbeat that waited on a link or in a buffer made their copies, and the drains that they learned later, look younger than they were.

A Hello carries the member's time, and the heartbeat returns it: the age counts from there, since a heartbeat cannot have been sent before the Hello that it names. Daemons without the field are read as before.

Before, with a heartbeat that waits for 200 ms: member_link_test.cc:156: CHECK( received.front().current_at <= current_at ) is NOT correct! (199 ms too late)

--- a/src/entry/member_link.cc
+++ b/src/entry/member_link.cc
@@ -50,10 +50,30 @@
       std::min<std::int64_t>(age.count(), kUnknownAge));
 }
 
-// Returns the time at which copies of age `age_ms` were complete.
-TimePoint TimeOf(std::uint32_t age_ms, TimePoint now) {
-  return age_ms == kUnknownAge ? TimePoint{}
-                               : now - std::chrono::milliseconds(age_ms);
+// Returns the time at which copies were complete that were `age_ms` old at
+// `reported_at`.
+TimePoint TimeOf(std::uint32_t age_ms, TimePoint reported_at) {
+  return age_ms == kUnknownAge
+             ? TimePoint{}
+             : reported_at - std::chrono::milliseconds(age_ms);
+}
+
+std::uint64_t ToMilliseconds(TimePoint at) {
+  return static_cast<std::uint64_t>(
+      std::chrono::floor<std::chrono::milliseconds>(at.time_since_epoch())
+          .count());
+}
+
+// Returns the earliest time at which `heartbeat` may have been sent. It may
+// have been on its way for long, but not since before the Hello that it names.
+TimePoint EarliestSendTime(const wire::LeaderHeartbeatT& heartbeat,
+                           TimePoint now) {
+  if (heartbeat.hello_sent_ms == 0) {
+    return now;
+  }
+  const TimePoint hello_sent{
+      std::chrono::milliseconds(heartbeat.hello_sent_ms)};
+  return std::min(now, hello_sent);
 }
 
 std::vector<Fingerprint> ToFingerprints(
@@ -178,6 +198,7 @@
     leaving->incarnation = it.incarnation.value();
     hello.leaving.push_back(std::move(leaving));
   }
+  hello.sent_ms = ToMilliseconds(loop_.Now());
   wire::BodyUnion body;
   body.Set(std::move(hello));
   if (is_known) {
@@ -344,6 +365,7 @@
   known.zone = ZoneName(hello.zone);
   known.forward_address = hello.forward_address;
   known.servers_lost = hello.servers_lost;
+  known.hello_sent_ms = hello.sent_ms;
   UpdateRelays();
   const auto crashed = ToFingerprints(hello.crashed);
   for (const Fingerprint it : crashed) {
@@ -422,6 +444,7 @@
   heartbeat.may_lack_entries = own_copy_status_.may_lack_entries;
   heartbeat.changed_at = own_copy_status_.changed_at;
   heartbeat.copy_age_ms = AgeOf(own_copy_status_.current_at, loop_.Now());
+  heartbeat.hello_sent_ms = known.hello_sent_ms;
   heartbeat.servers_lost = state_.reachability.lost();
   heartbeat.cut_members = cut_members_;
   heartbeat.names_relays = known.servers_lost;
@@ -484,9 +507,10 @@
   election_.OnLeaderHeartbeat(record, heartbeat.rank, now);
   ReplaceUnfitLeader(heartbeat.servers_lost, now);
   if (on_leader_heartbeat) {
-    on_leader_heartbeat({heartbeat.address, heartbeat.store_lost,
-                         heartbeat.may_lack_entries, heartbeat.changed_at,
-                         TimeOf(heartbeat.copy_age_ms, now)});
+    on_leader_heartbeat(
+        {heartbeat.address, heartbeat.store_lost, heartbeat.may_lack_entries,
+         heartbeat.changed_at,
+         TimeOf(heartbeat.copy_age_ms, EarliestSendTime(heartbeat, now))});
   }
 }
 
--- a/src/entry/member_link.h
+++ b/src/entry/member_link.h
@@ -103,6 +103,8 @@
     ZoneName zone;
     std::string forward_address;
     bool servers_lost = false;
+    // Hello.sent_ms of its last Hello.
+    std::uint64_t hello_sent_ms = 0;
   };
 
   void Tick();
--- a/src/entry/member_link_test.cc
+++ b/src/entry/member_link_test.cc
@@ -5,6 +5,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include <doctest/doctest.h>
@@ -138,6 +139,23 @@
   std::vector<std::unique_ptr<Daemon>> daemons;
 };
 
+// Guards against requests to servers that have left: a delayed heartbeat made
+// copies look younger than they were.
+TEST_CASE("the age of copies includes the time of a heartbeat on its way") {
+  Fleet fleet;
+  std::vector<StoreCopyStatus> received;
+  fleet.daemons[1]->link.on_leader_heartbeat = [&](const StoreCopyStatus& it) {
+    received.push_back(it);
+  };
+  const TimePoint current_at = fleet.loop.Now();
+  fleet.daemons[0]->link.SetStoreCopyStatus({.current_at = current_at});
+  fleet.daemons[0]->link.SendLeaderHeartbeats();
+  std::this_thread::sleep_for(std::chrono::milliseconds(200));
+  fleet.WaitFor([&] { return !received.empty(); });
+  CHECK(received.front().current_at <= current_at);
+  CHECK(received.front().current_at > TimePoint{});
+}
+
 TEST_CASE(
     "all members follow a new leader that the old leader did not hear of") {
   Fleet fleet;
