A leader forgets earlier leaders once their lease has been waited for

It sent heartbeats to all of them for its whole term, also to addresses where nobody answers, and worked out the order of succession for each. Found in the review; leader_election_test checks that the list is empty.

--- a/src/entry/leader_election.cc
+++ b/src/entry/leader_election.cc
@@ -142,6 +142,8 @@
       replaced_leaders_ = record_.earlier_leaders;
       previous_leader_until_ =
           replaced_leaders_.empty() ? now : now + options_.leader_lease;
+    } else if (now >= previous_leader_until_) {
+      replaced_leaders_.clear();
     }
     verified_at_ = sent_at_;
     return;
--- a/src/entry/leader_election_test.cc
+++ b/src/entry/leader_election_test.cc
@@ -325,6 +325,7 @@
   chain.store.Serve(chain.b, kLeaseEndOfA + seconds(3));
   CHECK(chain.b.IsLeader(kLeaseEndOfA + seconds(3)));
   CHECK(chain.store.record->earlier_leaders.empty());
+  CHECK(chain.b.replaced_leaders().empty());
 }
 
 TEST_CASE("a daemon that knows its leader from heartbeats can replace it") {
--- a/src/entry/member_link.cc
+++ b/src/entry/member_link.cc
@@ -284,9 +284,10 @@
 }
 
 void MemberLink::NotifyReplacedLeaders() {
+  const auto succession = Succession();
   for (const Member& it : election_.replaced_leaders()) {
     KnownMember known{it, loop_.Now()};
-    SendLeaderHeartbeat(known, Succession(), false);
+    SendLeaderHeartbeat(known, succession, false);
   }
 }
 
