A daemon with an outdated configuration does not refuse requests for good

Cause: a refusal that follows from the configuration (no route, body above the limit, key missing) was given from a copy of any age. Whatever delays the copy (an outage of the store, calls on silent connections, a late leader) thus became a final answer.

Change: if the copy may lack a change that has to be in force by now, which is the case when it was last known to be complete more than config_apply_ms ago (a new setting, from the platform's bounds, 2000 ms), such a request gets 503 `outdated` with Retry-After. Requests that the copy allows are served as before. The lines config_outdated and config_current say when that begins and ends.

A request for a route of version N is sent more than 2 s after N was acknowledged; if the copy lacks N, it was complete before that acknowledgement, so its age is more than 2 s. The bound needs no margin.

Ruled out: giving up serving altogether; a store outage has to be survived.

--- a/include/gentianreach/verdict.h
+++ b/include/gentianreach/verdict.h
@@ -46,6 +46,7 @@
   kTooLarge,        // The request body exceeds the limit.
   kOverLimit,       // The server wants no more requests for some time.
   kCutOff,          // The daemon is too isolated to route safely.
+  kOutdated,        // The known settings may lack changes that are in force.
 };
 
 // The outcome of a request and its reason.
--- a/src/base/verdict.cc
+++ b/src/base/verdict.cc
@@ -80,6 +80,8 @@
       return "over-limit";
     case Reason::kCutOff:
       return "cut-off";
+    case Reason::kOutdated:
+      return "outdated";
   }
   return "unknown";
 }
--- a/src/ctl/explain_lines.cc
+++ b/src/ctl/explain_lines.cc
@@ -14,8 +14,9 @@
 constexpr std::size_t kMaxLinesPerSubject = 3;
 
 // Events about the state of a daemon, relevant to every request.
-constexpr std::array<std::string_view, 7> kDaemonEvents = {
-    "config_in_force", "config_unusable", "lead_taken",         "lead_lost",
+constexpr std::array<std::string_view, 9> kDaemonEvents = {
+    "config_in_force", "config_outdated", "config_current",
+    "config_unusable", "lead_taken",      "lead_lost",
     "store_lost",      "store_back",      "log_lines_left_out",
 };
 constexpr std::array<std::string_view, 3> kServerEvents = {
@@ -93,6 +94,11 @@
            "no route of that version of the configuration matches; compare "
            "config_in_force on the other daemons.";
   }
+  if (outcome == "outdated") {
+    return text +
+           "that version of the configuration does not allow it, but a later "
+           "one may be in force; see config_outdated and store_lost.";
+  }
   if (Field(end, "may_have_run") == "true") {
     return text +
            "a server received the request but sent no complete response; its "
--- a/src/entry/entry_daemon.cc
+++ b/src/entry/entry_daemon.cc
@@ -117,6 +117,9 @@
     state_->on_server_leaving = [this] {
       loop_.Defer([this] { OnServersChanged(); });
     };
+    state_->routes_current_until = [this] {
+      return copies_.config_current_at() + ConfigApplyTime(settings_);
+    };
     copies_.on_store_change = [this](bool lost) { OnStoreChange(lost); };
     link_.on_membership_update = [this] { OnMembershipUpdate(); };
     link_.on_leader_heartbeat = [this](const StoreCopyStatus& copy_status) {
@@ -455,6 +458,23 @@
                           .rank = link_.rank(),
                           .heartbeat_period = link_.heartbeat_period()});
     UpdateDoubt();
+    LogConfigAge();
+  }
+
+  // Logs when the copy of the configuration becomes too old to tell what is in
+  // force, and when it no longer is.
+  void LogConfigAge() {
+    const TimePoint now = loop_.Now();
+    const bool outdated =
+        state_->routes != nullptr && now >= state_->routes_current_until();
+    if (std::exchange(config_outdated_, outdated) == outdated) {
+      return;
+    }
+    Log(outdated ? LogLevel::kWarning : LogLevel::kInfo,
+        outdated ? "config_outdated" : "config_current",
+        {{"version", state_->routes->config().version},
+         {"copy_age_ms",
+          MillisecondsBetween(copies_.config_current_at(), now)}});
   }
 
   void OnMembershipUpdate() {
@@ -560,6 +580,8 @@
   // Since the metrics were last read.
   Duration max_loop_delay_{};
   bool servers_known_ = false;
+  // As last logged by LogConfigAge().
+  bool config_outdated_ = false;
 };
 
 EntryDaemon::EntryDaemon(const settings::EntryDaemonT& settings)
--- a/src/entry/entry_request.cc
+++ b/src/entry/entry_request.cc
@@ -139,13 +139,13 @@
   routing::RouteEntry* entry =
       routes_->Find(*head.Get(http::FieldId::host), head.target);
   if (entry == nullptr) {
-    Refuse(kNotFound, Reason::kNoRoute, {});
+    RefuseByConfig(kNotFound, Reason::kNoRoute);
     return;
   }
   route_ = &entry->route;
   deadline_ = RequestDeadline(head, names, *route_, started_);
   if (head.content_length > MaxBodyBytes()) {
-    Refuse(kTooLarge, Reason::kTooLarge, {});
+    RefuseByConfig(kTooLarge, Reason::kTooLarge);
     return;
   }
   service_ = &routes_->config().services.at(
@@ -155,7 +155,7 @@
     const auto key =
         text ? ParseNumber(*text, keyspace::kKeyCount - 1) : std::nullopt;
     if (!key) {
-      Refuse(kBadRequest, Reason::kBadRequest, {});
+      RefuseByConfig(kBadRequest, Reason::kBadRequest);
       return;
     }
     key_ = static_cast<std::uint32_t>(*key);
@@ -172,7 +172,7 @@
   }
   body_.append(caller_->body());
   if (body_.size() > MaxBodyBytes()) {
-    Refuse(kTooLarge, Reason::kTooLarge, {});
+    RefuseByConfig(kTooLarge, Reason::kTooLarge);
   }
 }
 
--- a/src/entry/entry_request.h
+++ b/src/entry/entry_request.h
@@ -131,6 +131,9 @@
   void CommitResponse();
   // Ends the request with a response of the daemon's own.
   void Refuse(int status, Reason reason, Duration retry_after);
+  // Refuses a request that the known configuration does not allow. If a later
+  // one may be in force, that is no final answer: the caller may retry.
+  void RefuseByConfig(int status, Reason reason);
   void Finish(int status, std::string_view outcome);
   // Returns the server that has answered if another daemon wants to know.
   [[nodiscard]] std::optional<RelayedServer> Relayed() const;
--- a/src/entry/entry_request_response.cc
+++ b/src/entry/entry_request_response.cc
@@ -109,6 +109,14 @@
   caller_->FinishResponse(keep_alive);
 }
 
+void EntryRequest::RefuseByConfig(int status, Reason reason) {
+  if (state_->loop.Now() < state_->routes_current_until()) {
+    Refuse(status, reason, {});
+    return;
+  }
+  Refuse(kUnavailable, Reason::kOutdated, kNotReadyRetryAfter);
+}
+
 std::optional<RelayedServer> EntryRequest::Relayed() const {
   if (origin_ == RequestOrigin::kCaller) {
     return std::nullopt;
--- a/src/entry/entry_settings.cc
+++ b/src/entry/entry_settings.cc
@@ -41,6 +41,11 @@
   }
 }
 
+Duration FromMilliseconds(double milliseconds) {
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double, std::milli>(milliseconds));
+}
+
 }  // namespace
 
 EntrySettingsResult LoadEntrySettings(std::string_view text,
@@ -86,12 +91,14 @@
   return seeds;
 }
 
+Duration ConfigApplyTime(const settings::EntryDaemonT& settings) {
+  return FromMilliseconds(settings.config_apply_ms);
+}
+
 Duration ShortestExpiry(const settings::EntryDaemonT& settings) {
   // Entries expire after three report periods without a report, one of which
   // may have passed before.
-  return 2 * std::chrono::duration_cast<Duration>(
-                 std::chrono::duration<double, std::milli>(
-                     settings.server_report_ms));
+  return 2 * FromMilliseconds(settings.server_report_ms);
 }
 
 }  // namespace gentianreach::entry
--- a/src/entry/entry_settings.h
+++ b/src/entry/entry_settings.h
@@ -29,6 +29,9 @@
 [[nodiscard]] std::vector<std::string> SeedsOf(
     const settings::EntryDaemonT& settings);
 
+// Returns the time within which a change of the configuration takes effect.
+[[nodiscard]] Duration ConfigApplyTime(const settings::EntryDaemonT& settings);
+
 // Returns how long the store has to be away at least until entries of live
 // servers expire.
 [[nodiscard]] Duration ShortestExpiry(const settings::EntryDaemonT& settings);
--- a/src/entry/entry_settings_test.cc
+++ b/src/entry/entry_settings_test.cc
@@ -27,6 +27,7 @@
   CHECK(result.entry->ready_path == "/ready");
   CHECK(result.entry->log_level == "info");
   CHECK(result.entry->stop_grace_s == 6);
+  CHECK(ConfigApplyTime(*result.entry) == std::chrono::seconds(2));
   CHECK(ShortestExpiry(*result.entry) == std::chrono::seconds(1));
 }
 
--- a/src/entry/entry_state.h
+++ b/src/entry/entry_state.h
@@ -107,6 +107,8 @@
   const ZoneName zone;
   // Null until a configuration has been received.
   std::shared_ptr<routing::HostRoutes> routes;
+  // Returns until when `routes` have all changes that must have taken effect.
+  std::function<TimePoint()> routes_current_until;
   ServerDirectory directory;
   ServerLoads loads;
   ServerLimits limits;
--- a/src/entry/store_copies.h
+++ b/src/entry/store_copies.h
@@ -77,6 +77,10 @@
   [[nodiscard]] TimePoint servers_current_at() const {
     return servers_.current_at();
   }
+  // Returns the same for the configuration alone.
+  [[nodiscard]] TimePoint config_current_at() const {
+    return config_.current_at();
+  }
   // Returns whether entries of live servers may be missing, according to the
   // current source.
   [[nodiscard]] bool MayLackEntries() const;
