Tests read the datagrams and relayed changes of the version before

They pass on the code as it is: an upgrade needed no change of messages or copies.

A heartbeat of that version does not name the Hello that it answers, so copies count as old as it says plus nothing for the time on its way; that stays open.

--- a/src/entry/member_link_test.cc
+++ b/src/entry/member_link_test.cc
@@ -1,16 +1,20 @@
 #include "entry/member_link.h"
 
+#include <charconv>
 #include <chrono>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <thread>
 #include <vector>
 
 #include <doctest/doctest.h>
 #include <boost/leaf/handle_errors.hpp>
 
+#include "net/udp_socket.h"
 #include "standins/loopback_block.h"
 
 namespace gentianreach::entry {
@@ -139,6 +143,71 @@
   std::vector<std::unique_ptr<Daemon>> daemons;
 };
 
+// Datagrams of the version before Hellos and heartbeats named a time, in
+// hexadecimal: the Hello of member "m" in term 1, and a heartbeat of leader
+// "old" in term 9.
+constexpr std::string_view kOlderHello =
+    "0c00000008000c000700080008000000000000011c000000180028000400180008002000"
+    "0c000000000000001000140018000000540000003c000000cdcc4c3e2c00000014000000"
+    "050000000000000001000000000000000e0000003132372e302e302e313a373030330000"
+    "010000007a0000000e0000003132372e302e302e313a373030320000010000006d000000";
+constexpr std::string_view kOlderHeartbeat =
+    "100000000000000008000e000700080008000000000000022400000000001e0030000400"
+    "1c00240008000c00100000000000000000001400000018001e0000006000000001000000"
+    "440000000c0000001c000000960000000300000000000000090000000000000000000000"
+    "03000000280000000000000029000000000000002a00000000000000000000000e000000"
+    "3132372e302e302e313a373030320000030000006f6c6400";
+
+// Sends the datagram `hexadecimal` to `daemon`.
+void SendDatagram(net::EventLoop& loop,
+                  const Daemon& daemon,
+                  std::string_view hexadecimal) {
+  std::vector<std::uint8_t> bytes(hexadecimal.size() / 2);
+  for (std::size_t i = 0; i < bytes.size(); ++i) {
+    const std::string_view digits = hexadecimal.substr(2 * i, 2);
+    std::from_chars(digits.begin(), digits.end(), bytes[i], 16);
+  }
+  net::UdpSocket socket(loop);
+  REQUIRE(socket.Open("127.0.0.1:0", [](auto) {}));
+  socket.Send(daemon.self.address, bytes);
+}
+
+TEST_CASE("a leader counts members of the version before") {
+  net::EventLoop loop;
+  Daemon leader(loop, "a");
+  leader.TakeLead(1);
+  const TimePoint end = loop.Now() + kTestTimeout;
+  while (leader.link.members() != 2) {
+    SendDatagram(loop, leader, kOlderHello);
+    REQUIRE(loop.Now() < end);
+    loop.RunOnce(true);
+  }
+}
+
+TEST_CASE("a member follows a leader of the version before and its copies") {
+  net::EventLoop loop;
+  Daemon member(loop, "a");
+  std::optional<StoreCopyStatus> received;
+  member.link.on_leader_heartbeat = [&](const StoreCopyStatus& it) {
+    received = it;
+  };
+  const TimePoint start = loop.Now();
+  while (!received) {
+    SendDatagram(loop, member, kOlderHeartbeat);
+    REQUIRE(loop.Now() < start + kTestTimeout);
+    loop.RunOnce(true);
+  }
+  CHECK(member.election.record().leader ==
+        Member{"old", Incarnation(3), "127.0.0.1:7002"});
+  CHECK(member.election.record().epoch == Epoch(9));
+  CHECK(member.link.members() == 12);
+  CHECK(member.link.rank() == 1);
+  CHECK(received->changed_at == std::vector<std::uint64_t>{40, 41, 42});
+  const Duration age = std::chrono::milliseconds(150);
+  CHECK(received->current_at >= start - age);
+  CHECK(received->current_at <= loop.Now() - age);
+}
+
 // Guards against requests to servers that have left: a delayed heartbeat made
 // copies look younger than they were.
 TEST_CASE("the age of copies includes the time of a heartbeat on its way") {
--- a/src/entry/store_watcher_test.cc
+++ b/src/entry/store_watcher_test.cc
@@ -7,6 +7,7 @@
 
 #include <doctest/doctest.h>
 
+#include "base/gzip.h"
 #include "platform/testing/fake_store.h"
 
 namespace gentianreach::entry {
@@ -224,6 +225,24 @@
   CHECK(health.MayLackEntries());
 }
 
+TEST_CASE("changes that the version before relays are applied") {
+  FakeStore store;
+  net::EventLoop loop;
+  Copy follower(loop, store, WatchSource::kLeader);
+  REQUIRE(follower.watcher.ApplyChanges(Compress(
+      R"({"listed":true,"objects":[{"deleted":false,"name":"s1","object":)"
+      R"({"metadata":{"name":"s1","rev":40},"spec":{"load":1,"n":1}},)"
+      R"("revision":40}],"revision":41,"whole":true})")));
+  CHECK(follower.content["s1"]["load"] == 1);
+  CHECK(follower.watcher.relay_since() == 41);
+  REQUIRE(follower.watcher.ApplyChanges(Compress(
+      R"({"listed":true,"objects":[{"deleted":false,"from":40,"name":"s1",)"
+      R"("patch":{"metadata":{"rev":42},"spec":{"load":2}},"revision":42}],)"
+      R"("revision":43,"whole":false})")));
+  CHECK(follower.content["s1"] == json{{"load", 2}, {"n", 1}});
+  CHECK(follower.watcher.relay_since() == 43);
+}
+
 TEST_CASE("damaged changes are not applied") {
   Daemons daemons;
   daemons.Put("s3", {{"n", 3}, {"load", 7}});
