SetRemovalsDeferred returns the ids of the removed servers

Behaviour is unchanged; server_directory_test now checks which ids are returned instead of whether there were any.

--- a/src/entry/entry_daemon.cc
+++ b/src/entry/entry_daemon.cc
@@ -401,15 +401,14 @@
   }
 
   void UpdateDoubt() {
-    const auto deferred = state_->directory.deferred_removals();
-    if (!state_->directory.SetRemovalsDeferred(copies_.MayLackEntries(),
-                                               loop_.Now())) {
-      return;
-    }
-    for (const ServerId& it : deferred) {
+    const auto removed = state_->directory.SetRemovalsDeferred(
+        copies_.MayLackEntries(), loop_.Now());
+    for (const ServerId& it : removed) {
       Log(LogLevel::kInfo, "deferred_removal_done", {{"server", it.value()}});
     }
-    OnServersChanged();
+    if (!removed.empty()) {
+      OnServersChanged();
+    }
   }
 
   // Handles a change of whether servers can be reached.
@@ -461,20 +460,18 @@
     LogConfigAge();
   }
 
-  // Logs when the copy of the configuration becomes too old to tell what is in
-  // force, and when it no longer is.
+  // Logs when the configuration becomes outdated, and when it no longer is.
   void LogConfigAge() {
     const TimePoint now = loop_.Now();
     const bool outdated =
         state_->routes != nullptr && now >= state_->routes_current_until();
-    if (std::exchange(config_outdated_, outdated) == outdated) {
-      return;
+    if (std::exchange(config_was_outdated_, outdated) != outdated) {
+      Log(outdated ? LogLevel::kWarning : LogLevel::kInfo,
+          outdated ? "config_outdated" : "config_current",
+          {{"version", state_->routes->config().version},
+           {"copy_age_ms",
+            MillisecondsBetween(copies_.config_current_at(), now)}});
     }
-    Log(outdated ? LogLevel::kWarning : LogLevel::kInfo,
-        outdated ? "config_outdated" : "config_current",
-        {{"version", state_->routes->config().version},
-         {"copy_age_ms",
-          MillisecondsBetween(copies_.config_current_at(), now)}});
   }
 
   void OnMembershipUpdate() {
@@ -580,8 +577,7 @@
   // Since the metrics were last read.
   Duration max_loop_delay_{};
   bool servers_known_ = false;
-  // As last logged by LogConfigAge().
-  bool config_outdated_ = false;
+  bool config_was_outdated_ = false;
 };
 
 EntryDaemon::EntryDaemon(const settings::EntryDaemonT& settings)
--- a/src/entry/server_directory.cc
+++ b/src/entry/server_directory.cc
@@ -136,16 +136,17 @@
   return absent;
 }
 
-bool ServerDirectory::SetRemovalsDeferred(bool deferred, TimePoint now) {
+std::set<ServerId> ServerDirectory::SetRemovalsDeferred(bool deferred,
+                                                        TimePoint now) {
   removals_deferred_ = deferred;
-  if (deferred || deferred_removals_.empty()) {
-    return false;
+  if (deferred) {
+    return {};
   }
-  for (const ServerId& it : deferred_removals_) {
+  const auto removed = std::exchange(deferred_removals_, {});
+  for (const ServerId& it : removed) {
     Erase(it, now);
   }
-  deferred_removals_.clear();
-  return true;
+  return removed;
 }
 
 const routing::BackendServer* ServerDirectory::Find(const ServerId& id) const {
--- a/src/entry/server_directory.h
+++ b/src/entry/server_directory.h
@@ -49,8 +49,8 @@
   }
 
   // Sets whether removals are deferred. If not, removes the servers whose
-  // removal was deferred; returns whether there were any.
-  bool SetRemovalsDeferred(bool deferred, TimePoint now);
+  // removal was deferred, and returns their ids.
+  std::set<ServerId> SetRemovalsDeferred(bool deferred, TimePoint now);
 
   // Returns the servers whose removal is deferred.
   [[nodiscard]] const std::set<ServerId>& deferred_removals() const {
--- a/src/entry/server_directory_test.cc
+++ b/src/entry/server_directory_test.cc
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <cstdint>
 #include <optional>
+#include <set>
 
 #include <doctest/doctest.h>
 
@@ -30,13 +31,13 @@
   ServerDirectory directory;
   directory.Put(Server("a"), kNow);
   directory.Put(Server("b"), kNow);
-  CHECK_FALSE(directory.SetRemovalsDeferred(true, kNow));
+  CHECK(directory.SetRemovalsDeferred(true, kNow).empty());
   CHECK(directory.RemoveOthers({}, kNow).size() == 2);
   CHECK(directory.Find(ServerId("a")) != nullptr);
   CHECK(directory.deferred_removals().contains(ServerId("a")));
   directory.Put(Server("b"), kNow);
   CHECK_FALSE(directory.deferred_removals().contains(ServerId("b")));
-  CHECK(directory.SetRemovalsDeferred(false, kNow));
+  CHECK(directory.SetRemovalsDeferred(false, kNow) == std::set{ServerId("a")});
   CHECK(directory.Find(ServerId("a")) == nullptr);
   CHECK(directory.Find(ServerId("b")) != nullptr);
   CHECK(directory.deferred_removals().empty());
