--- a/src/entry/server_directory.cc
+++ b/src/entry/server_directory.cc
@@ -142,7 +142,7 @@
   if (deferred) {
     return {};
   }
-  const auto removed = std::exchange(deferred_removals_, {});
+  std::set<ServerId> removed = std::exchange(deferred_removals_, {});
   for (const ServerId& it : removed) {
     Erase(it, now);
   }
