A reply to an order costs the leader work for its range only

Cause: RangeAssigner::Poll() looked at every range and planned a table after each reply. Change: RangeSchedule keeps when each range is due, replies find their ranges by order, and tables are planned when something has changed or a round of balancing is due. Lost ranges are reassigned with one table of loads, and addresses are looked up by an index. Tables are 250 us a range apart, since each is passed on to all daemons.

--- a/src/keyspace/range_assigner.cc
+++ b/src/keyspace/range_assigner.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cstddef>
+#include <iterator>
 #include <utility>
 
 #include "keyspace/fencing_tokens.h"
@@ -47,10 +48,40 @@
     state.earlier.assign(it.earlier.size(), earlier);
     states_.push_back(std::move(state));
   }
-  next_poll_at_ = now;
+  OnNewTable();
   return true;
 }
 
+void RangeAssigner::OnNewTable() {
+  schedule_.Reset(states_.size());
+  pacer_.Reset(states_.size());
+  waiting_ranges_.clear();
+  for (std::size_t i = 0; i < states_.size(); ++i) {
+    const RangeState& it = states_[i];
+    if (it.orders.in_flight != 0) {
+      waiting_ranges_.emplace(it.orders.in_flight, i);
+    }
+    for (const EarlierOwnerState& earlier : it.earlier) {
+      if (earlier.orders.in_flight != 0) {
+        waiting_ranges_.emplace(earlier.orders.in_flight, i);
+      }
+    }
+  }
+  PollAllRanges();
+}
+
+void RangeAssigner::PollAllRanges() {
+  schedule_.AddAll(TimePoint{});
+  plan_due_ = true;
+  next_poll_at_ = TimePoint{};
+}
+
+void RangeAssigner::OnEnded(const ServerIncarnation& incarnation) {
+  if (ended_.insert(incarnation).second) {
+    PollAllRanges();
+  }
+}
+
 void RangeAssigner::OnPreviousLeadersEnded(TimePoint ended_at) {
   // This leader itself may have sent orders until it reread the table.
   const TimePoint until = std::max(ended_at, begun_at_);
@@ -58,34 +89,51 @@
     return;
   }
   previous_leader_until_ = until;
-  next_poll_at_ = begun_at_;
+  PollAllRanges();
 }
 
 void RangeAssigner::SetServers(std::vector<AssignerServer> servers,
                                TimePoint now) {
-  servers_.clear();
+  const auto before = std::exchange(servers_, {});
   for (AssignerServer& it : servers) {
-    const ServerId id = it.id;
-    std::string& address = addresses_[{id, it.incarnation}];
+    const ServerIncarnation incarnation(it.id, it.incarnation);
+    std::string& address = addresses_[incarnation];
     if (address.empty()) {
       last_server_at_ = now;
     }
-    address = it.address;
-    servers_.emplace(id, std::move(it));
+    if (address != it.address) {
+      incarnations_at_[address].erase(incarnation);
+      incarnations_at_[it.address].insert(incarnation);
+      address = it.address;
+    }
+    servers_.emplace(it.id, std::move(it));
   }
   if (!servers_.empty() && first_server_at_ == TimePoint{}) {
     first_server_at_ = now;
   }
-  next_poll_at_ = now;
+  // A change of the capacity alone matters only to the next round of balancing.
+  const bool same =
+      std::ranges::equal(before, servers_, [](const auto& a, const auto& b) {
+        return a.first == b.first &&
+               a.second.incarnation == b.second.incarnation &&
+               a.second.address == b.second.address &&
+               a.second.draining == b.second.draining;
+      });
+  if (!same) {
+    PollAllRanges();
+  }
 }
 
 void RangeAssigner::OnAddressInUse(const std::string& address,
                                    const ServerId& server,
                                    Incarnation incarnation) {
-  for (const auto& [server_incarnation, held] : addresses_) {
-    if (held == address && server_incarnation.first != server &&
-        server_incarnation.second < incarnation) {
-      ended_.insert(server_incarnation);
+  const auto known = incarnations_at_.find(address);
+  if (known == incarnations_at_.end()) {
+    return;
+  }
+  for (const ServerIncarnation& it : known->second) {
+    if (it.first != server && it.second < incarnation) {
+      OnEnded(it);
     }
   }
 }
@@ -184,7 +232,9 @@
   states_ = std::move(states);
   has_table_ = true;
   takeover_written_ = true;
-  next_poll_at_ = now;
+  plan_at_ = now + std::chrono::floor<milliseconds>(
+                       options_.table_pause_per_range * std::ssize(states_));
+  OnNewTable();
 }
 
 // Returns the state of `range` of the planned table, derived from the ranges of
@@ -245,65 +295,85 @@
                                  OrderOutcome outcome,
                                  const std::string& handover,
                                  TimePoint now) {
-  const auto record_reply = [&](OrderState* state) {
-    if (state->in_flight != order) {
-      return false;
-    }
-    const bool grant = state->purpose != OrderPurpose::kRelease;
-    const bool answered = outcome != OrderOutcome::kUnknown &&
-                          outcome != OrderOutcome::kConnectionRefused;
-    // An answered order has arrived before its reply; of one that was given up
-    // nothing is sent any more.
-    const TimePoint lease_end =
-        LeaseEnd(answered ? now : now + options_.max_transit_time);
+  const auto [first, last] = waiting_ranges_.equal_range(order);
+  std::vector<std::size_t> ranges;
+  for (auto it = first; it != last; ++it) {
+    ranges.push_back(it->second);
+  }
+  waiting_ranges_.erase(first, last);
+  for (const std::size_t it : ranges) {
+    OnRangeReply(it, order, outcome, handover, now);
+    schedule_.Add(it, now);
+  }
+  next_poll_at_ = std::min(next_poll_at_, now);
+}
+
+bool RangeAssigner::RecordReply(std::uint64_t order,
+                                OrderOutcome outcome,
+                                TimePoint now,
+                                OrderState* state) const {
+  if (state->in_flight != order) {
+    return false;
+  }
+  const bool grant = state->purpose != OrderPurpose::kRelease;
+  const bool answered = outcome != OrderOutcome::kUnknown &&
+                        outcome != OrderOutcome::kConnectionRefused;
+  // An answered order has arrived before its reply; of one that was given up
+  // nothing is sent any more.
+  const TimePoint lease_end =
+      LeaseEnd(answered ? now : now + options_.max_transit_time);
+  if (grant) {
+    state->held_until = std::max(state->held_until, lease_end);
+  }
+  state->in_flight = 0;
+  if (outcome == OrderOutcome::kUnknown) {
+    // A reset connection is reported long before the order's deadline, so the
+    // retry waits for the full time-out.
+    state->next_attempt_at =
+        std::max(now, state->sent_at + options_.order_timeout);
     if (grant) {
-      state->held_until = std::max(state->held_until, lease_end);
+      state->may_execute_until = std::max(state->may_execute_until, lease_end);
     }
-    state->in_flight = 0;
-    if (outcome == OrderOutcome::kUnknown) {
-      // A reset connection is reported long before the order's deadline, so
-      // the retry waits for the full time-out.
-      state->next_attempt_at =
-          std::max(now, state->sent_at + options_.order_timeout);
-      if (grant) {
-        state->may_execute_until =
-            std::max(state->may_execute_until, lease_end);
-      }
-    } else if (outcome != OrderOutcome::kDone) {
-      state->next_attempt_at = now + options_.order_timeout;
+  } else if (outcome != OrderOutcome::kDone) {
+    state->next_attempt_at = now + options_.order_timeout;
+  }
+  return true;
+}
+
+void RangeAssigner::OnRangeReply(std::size_t i,
+                                 std::uint64_t order,
+                                 OrderOutcome outcome,
+                                 const std::string& handover,
+                                 TimePoint now) {
+  RangeState& state = states_[i];
+  if (RecordReply(order, outcome, now, &state.orders)) {
+    OnGrantReply(table_.ranges[i].owner, outcome, &state);
+    plan_due_ = plan_due_ || state.needs_new_token ||
+                (state.granted && table_.ranges[i].moving());
+  }
+  for (std::size_t k = 0; k < state.earlier.size(); ++k) {
+    EarlierOwnerState& earlier = state.earlier[k];
+    if (!RecordReply(order, outcome, now, &earlier.orders)) {
+      continue;
     }
-    return true;
-  };
-  for (std::size_t i = 0; i < states_.size(); ++i) {
-    RangeState& it = states_[i];
-    if (record_reply(&it.orders)) {
-      OnGrantReply(table_.ranges[i].owner, outcome, &it);
+    if (outcome == OrderOutcome::kOtherServer) {
+      const Owner& owner = table_.ranges[i].earlier[k];
+      OnEnded({owner.server, owner.incarnation});
     }
-    for (std::size_t k = 0; k < it.earlier.size(); ++k) {
-      EarlierOwnerState& earlier = it.earlier[k];
-      if (!record_reply(&earlier.orders)) {
-        continue;
-      }
-      if (outcome == OrderOutcome::kOtherServer) {
-        const Owner& owner = table_.ranges[i].earlier[k];
-        ended_.insert({owner.server, owner.incarnation});
-      }
-      if (outcome != OrderOutcome::kDone) {
-        continue;
-      }
-      if (earlier.orders.purpose == OrderPurpose::kFencingGrant) {
-        earlier.fenced = true;
-      }
-      if (earlier.orders.purpose != OrderPurpose::kRelease) {
-        continue;
-      }
-      earlier.cleared = Clearance::kReleased;
-      if (!handover.empty()) {
-        it.handover = handover;
-      }
+    if (outcome != OrderOutcome::kDone) {
+      continue;
+    }
+    if (earlier.orders.purpose == OrderPurpose::kFencingGrant) {
+      earlier.fenced = true;
+    }
+    if (earlier.orders.purpose != OrderPurpose::kRelease) {
+      continue;
+    }
+    earlier.cleared = Clearance::kReleased;
+    if (!handover.empty()) {
+      state.handover = handover;
     }
   }
-  next_poll_at_ = now;
 }
 
 void RangeAssigner::OnGrantReply(const Owner& owner,
@@ -319,7 +389,7 @@
       state->needs_new_token = true;
       break;
     case OrderOutcome::kOtherServer:
-      ended_.insert({owner.server, owner.incarnation});
+      OnEnded({owner.server, owner.incarnation});
       break;
     case OrderOutcome::kConnectionRefused:
       state->needs_new_token = state->granted;
@@ -341,25 +411,45 @@
   if (!begun_) {
     return actions;
   }
-  std::vector<DueRenewal> due;
-  for (std::size_t i = 0; takeover_written_ && i < table_.ranges.size(); ++i) {
-    PollRange(i, now, &due, &actions);
+  if (takeover_written_) {
+    for (const std::size_t it : schedule_.TakeDue(now)) {
+      PollRange(it, now, &actions);
+    }
+    for (const std::size_t it : pacer_.Take(now)) {
+      schedule_.Remove(it);
+      SendOwnerGrant(it, now, &actions);
+    }
   }
-  SendRenewals(std::move(due), now, &actions);
-  if (!planned_ && now >= plan_at_) {
+  if (!planned_ && now >= plan_at_ && (plan_due_ || now >= next_balance_)) {
+    ++work_.tables_planned;
+    // The first table waits for servers that have not registered yet.
+    plan_due_ = !has_table_;
     planned_ = Plan(load, now);
     if (planned_) {
       actions.emplace_back(WriteTable{*planned_});
     }
   }
-  SchedulePoll(now + options_.balance_period);
+  next_poll_at_ = DeadlineAfterPoll(now);
   return actions;
 }
 
+TimePoint RangeAssigner::DeadlineAfterPoll(TimePoint now) const {
+  TimePoint at = now + options_.balance_period;
+  if (takeover_written_) {
+    at = std::min({at, schedule_.next_at(), pacer_.next_at()});
+  }
+  const TimePoint plan_at = std::max(plan_at_, FirstTableTime());
+  if (!planned_ && plan_due_ && plan_at > now) {
+    at = std::min(at, plan_at);
+  }
+  return at;
+}
+
 void RangeAssigner::PollRange(std::size_t i,
                               TimePoint now,
-                              std::vector<DueRenewal>* due,
                               std::vector<AssignerAction>* actions) {
+  ++work_.ranges_polled;
+  pacer_.Remove(i);
   const OwnedRange& range = table_.ranges[i];
   RangeState& state = states_[i];
   bool cleared = true;
@@ -375,29 +465,17 @@
       state.granted ? state.orders.renewed_at + options_.renew_period : now,
       state.orders.next_attempt_at);
   if (due_at > now) {
-    SchedulePoll(due_at);
+    schedule_.Add(i, due_at);
     return;
   }
   // Only renewals can wait: no server holds the other keys.
-  if (range.moving() || HeldUntil(state.orders) <= now) {
+  const TimePoint held_until = HeldUntil(state.orders);
+  if (range.moving() || held_until <= now) {
     SendOwnerGrant(i, now, actions);
     return;
   }
-  due->push_back({due_at, i});
-}
-
-void RangeAssigner::SendRenewals(std::vector<DueRenewal> due,
-                                 TimePoint now,
-                                 std::vector<AssignerAction>* actions) {
-  const std::size_t n = due.size();
-  const std::vector<std::size_t> ranges =
-      pacer_.Take(std::move(due), table_.ranges.size(), now);
-  for (const std::size_t it : ranges) {
-    SendOwnerGrant(it, now, actions);
-  }
-  if (ranges.size() < n) {
-    SchedulePoll(pacer_.next_at());
-  }
+  pacer_.Add(i, due_at);
+  schedule_.Add(i, held_until);
 }
 
 void RangeAssigner::SendOwnerGrant(std::size_t i,
@@ -405,7 +483,7 @@
                                    std::vector<AssignerAction>* actions) {
   const OwnedRange& range = table_.ranges[i];
   RangeState& state = states_[i];
-  SendGrant(range, range.owner, range.owner.token,
+  SendGrant(i, range.owner, range.owner.token,
             FindIncarnation(range.owner)->address,
             state.granted ? std::string() : state.handover,
             OrderPurpose::kRenewal, &state.orders, now, actions);
@@ -419,7 +497,17 @@
   }
 }
 
-void RangeAssigner::SendGrant(const OwnedRange& range,
+void RangeAssigner::StartOrder(std::size_t i,
+                               OrderPurpose purpose,
+                               TimePoint now,
+                               OrderState* state) {
+  state->in_flight = ++last_order_;
+  state->purpose = purpose;
+  state->sent_at = now;
+  waiting_ranges_.emplace(state->in_flight, i);
+}
+
+void RangeAssigner::SendGrant(std::size_t i,
                               const Owner& to,
                               Token token,
                               const std::string& address,
@@ -428,15 +516,13 @@
                               OrderState* state,
                               TimePoint now,
                               std::vector<AssignerAction>* actions) {
-  state->in_flight = ++last_order_;
-  state->purpose = purpose;
-  state->sent_at = now;
+  StartOrder(i, purpose, now, state);
   actions->emplace_back(
       SendOrder{.kind = SendOrder::Kind::kGrant,
                 .order = state->in_flight,
                 .server = to.server,
                 .address = address,
-                .range = range.range,
+                .range = table_.ranges[i].range,
                 .token = token,
                 .lease = options_.lease,
                 .handover = handover,
@@ -460,16 +546,17 @@
   if (earlier.cleared) {
     return true;
   }
-  SchedulePoll(HeldUntil(orders));
+  schedule_.Add(i, HeldUntil(orders));
   const std::string address = LastKnownAddress(owner);
   if (orders.in_flight != 0 || address.empty()) {
     return false;
   }
   if (orders.next_attempt_at > now) {
-    SchedulePoll(orders.next_attempt_at);
+    schedule_.Add(i, orders.next_attempt_at);
     return false;
   }
   if (!earlier.fenced && MayExecuteUntil(orders) > now) {
+    schedule_.Add(i, MayExecuteUntil(orders));
     // With several earlier owners it is not known which of them holds the
     // keys. A fencing grant to any other would create a second holder.
     if (range.earlier.size() > 1 || earlier.begun_by_other_leader ||
@@ -479,13 +566,11 @@
     ++earlier.fencing_grants_sent;
     earlier.fencing_token =
         FencingToken(range.owner.token, earlier.fencing_grants_sent);
-    SendGrant(range, owner, earlier.fencing_token, address, "",
+    SendGrant(i, owner, earlier.fencing_token, address, "",
               OrderPurpose::kFencingGrant, &orders, now, actions);
     return false;
   }
-  orders.in_flight = ++last_order_;
-  orders.purpose = OrderPurpose::kRelease;
-  orders.sent_at = now;
+  StartOrder(i, OrderPurpose::kRelease, now, &orders);
   orders.next_attempt_at = now + options_.order_timeout;
   const Token token = earlier.fenced ? earlier.fencing_token : owner.token;
   actions->emplace_back(SendOrder{.kind = SendOrder::Kind::kRelease,
--- a/src/keyspace/range_assigner.h
+++ b/src/keyspace/range_assigner.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <unordered_map>
 #include <utility>
 #include <variant>
 #include <vector>
@@ -17,6 +18,7 @@
 #include "keyspace/key_load.h"
 #include "keyspace/key_range.h"
 #include "keyspace/ownership_table.h"
+#include "keyspace/range_schedule.h"
 #include "keyspace/rebalancer.h"
 #include "keyspace/renewal_pacer.h"
 
@@ -46,6 +48,9 @@
   std::chrono::milliseconds max_transit_time{150};
   // Interval between rebalancing rounds.
   std::chrono::milliseconds balance_period{500};
+  // Shortest time between two tables, per range: each table is passed on to all
+  // daemons.
+  std::chrono::microseconds table_pause_per_range{250};
 };
 
 // A server of the service as reported by discovery.
@@ -100,6 +105,12 @@
 
 using AssignerAction = std::variant<WriteTable, SendOrder>;
 
+// How much an assigner has done so far.
+struct AssignerWork {
+  std::uint64_t ranges_polled = 0;
+  std::uint64_t tables_planned = 0;
+};
+
 enum class OrderOutcome : std::uint8_t {
   kDone,
   kHigherToken,
@@ -124,6 +135,9 @@
 // A new leader writes the table once before its first order, so that a write by
 // the previous leader, which could start a move, fails.
 //
+// A reply costs only the work for its range; a new table, changed servers and a
+// round of balancing cost work for all ranges.
+//
 // Servers may execute orders late, and the previous leader may still be sending
 // orders. If such orders may be outstanding, a release is preceded by a fencing
 // grant: a grant of the same keys to the same server with a token reserved for
@@ -159,6 +173,8 @@
   void OnWriteFailed(TimePoint retry_at) {
     planned_.reset();
     plan_at_ = retry_at;
+    plan_due_ = true;
+    next_poll_at_ = std::min(next_poll_at_, retry_at);
   }
   void OnOrderReply(std::uint64_t order,
                     OrderOutcome outcome,
@@ -173,6 +189,7 @@
   [[nodiscard]] TimePoint NextDeadline() const { return next_poll_at_; }
 
   [[nodiscard]] const OwnershipTable& table() const { return table_; }
+  [[nodiscard]] const AssignerWork& work() const { return work_; }
 
  private:
   using ServerIncarnation = std::pair<ServerId, Incarnation>;
@@ -242,18 +259,39 @@
   // Adds the orders of `part` to `orders`, whose own order in flight remains.
   void MergeOrders(const OrderState& part, OrderState* orders) const;
   [[nodiscard]] RangeState StateAfterWrite(const OwnedRange& range) const;
-  void SchedulePoll(TimePoint at) {
-    next_poll_at_ = std::min(next_poll_at_, at);
-  }
+  // Sets up the schedules for the states of a new table.
+  void OnNewTable();
+  // The incarnation is proven to have ended.
+  void OnEnded(const ServerIncarnation& incarnation);
+  // All ranges are due, and a table may have to be planned.
+  void PollAllRanges();
+  // Returns when Poll() is due after it has been called at `now`.
+  [[nodiscard]] TimePoint DeadlineAfterPoll(TimePoint now) const;
+  // Returns when the first table is due: once no server has registered for a
+  // while.
+  [[nodiscard]] TimePoint FirstTableTime() const;
 
-  // Adds the orders for range `i` to `actions`, and its renewal to `due`.
+  // Adds the orders for range `i` to `actions`, or its renewal to the pacer.
   void PollRange(std::size_t i,
                  TimePoint now,
-                 std::vector<DueRenewal>* due,
                  std::vector<AssignerAction>* actions);
-  void SendRenewals(std::vector<DueRenewal> due,
-                    TimePoint now,
-                    std::vector<AssignerAction>* actions);
+  // Handles a reply to an order for range `i` of the owner or an earlier owner.
+  void OnRangeReply(std::size_t i,
+                    std::uint64_t order,
+                    OrderOutcome outcome,
+                    const std::string& handover,
+                    TimePoint now);
+  // Records the reply in the state of its order. Returns false if `state` is
+  // that of another one.
+  bool RecordReply(std::uint64_t order,
+                   OrderOutcome outcome,
+                   TimePoint now,
+                   OrderState* state) const;
+  // Starts an order for range `i`.
+  void StartOrder(std::size_t i,
+                  OrderPurpose purpose,
+                  TimePoint now,
+                  OrderState* state);
   // Sends a grant of range `i` to its owner.
   void SendOwnerGrant(std::size_t i,
                       TimePoint now,
@@ -263,7 +301,7 @@
                    std::size_t k,
                    TimePoint now,
                    std::vector<AssignerAction>* actions);
-  void SendGrant(const OwnedRange& range,
+  void SendGrant(std::size_t i,
                  const Owner& to,
                  Token token,
                  const std::string& address,
@@ -291,13 +329,22 @@
   bool takeover_written_ = false;
   OwnershipTable table_;
   std::vector<RangeState> states_;  // One per range of table_.
+  // When PollRange() has to be called for each range.
+  RangeSchedule schedule_;
   RenewalPacer pacer_;
+  // Indices of the ranges that wait for the reply to an order. Parts of a range
+  // that was split wait for the same one.
+  std::unordered_multimap<std::uint64_t, std::size_t> waiting_ranges_;
+  // Something has changed that a new table may be needed for.
+  bool plan_due_ = false;
   std::optional<OwnershipTable> planned_;
   std::map<ServerId, AssignerServer> servers_;
   // Addresses of all incarnations seen. A server that discovery no longer lists
   // may still hold keys and confirm a release; another server gets its address
   // only after it has ended.
   std::map<ServerIncarnation, std::string> addresses_;
+  // The same by address.
+  std::map<std::string, std::set<ServerIncarnation>> incarnations_at_;
   // Incarnations that are proven to have ended.
   std::set<ServerIncarnation> ended_;
   TimePoint first_server_at_{};
@@ -308,6 +355,7 @@
   TimePoint next_balance_{};
   TimePoint next_poll_at_ = TimePoint::max();
   std::uint64_t last_order_ = 0;
+  AssignerWork work_;
 };
 
 }  // namespace gentianreach::keyspace
--- a/src/keyspace/range_assigner_plan.cc
+++ b/src/keyspace/range_assigner_plan.cc
@@ -60,12 +60,16 @@
 
 }  // namespace
 
+TimePoint RangeAssigner::FirstTableTime() const {
+  return has_table_ ? TimePoint{}
+                    : std::min(last_server_at_ + kRegistrationQuietPeriod,
+                               first_server_at_ + kMaxRegistrationPeriod);
+}
+
 std::optional<OwnershipTable> RangeAssigner::Plan(const KeyLoad& load,
                                                   TimePoint now) {
   if (!has_table_) {
-    const bool settled = now >= last_server_at_ + kRegistrationQuietPeriod ||
-                         now >= first_server_at_ + kMaxRegistrationPeriod;
-    if (servers_.empty() || !settled) {
+    if (servers_.empty() || now < FirstTableTime()) {
       return std::nullopt;
     }
     const std::vector<Candidate> candidates = Candidates();
@@ -118,13 +122,17 @@
   if (candidates.empty()) {
     return;
   }
+  std::vector<double> loads;
   for (std::size_t i = 0; i < plan->ranges.size(); ++i) {
     const OwnedRange range = plan->ranges[i];
     if (MayOwn(range.owner)) {
       continue;
     }
+    if (loads.empty()) {
+      loads = LoadsOf(candidates, *plan, load);
+    }
     for (const Transfer& it :
-         ReassignRange(range.range, *plan, candidates, load)) {
+         ReassignRange(range.range, candidates, load, &loads)) {
       i = SplitOut(&plan->ranges, i, it.range);
       OwnedRange& moved = plan->ranges[i];
       moved.earlier.push_back(moved.owner);
--- a/src/keyspace/rebalancer.cc
+++ b/src/keyspace/rebalancer.cc
@@ -23,6 +23,10 @@
 // A server is underloaded if its load per capacity is below this fraction of
 // the mean.
 constexpr double kUnderloadFactor = 0.4;
+// Counts of requests scatter around their mean, all the more the fewer requests
+// a server gets. A difference counts only if it exceeds this many standard
+// deviations: with hundreds of servers, many scatter by two by chance.
+constexpr double kSignificantDeviations = 3.5;
 // A key that would overload any server moves only to a server that is faster
 // than its owner by this factor and close to the highest capacity.
 constexpr double kMinSpeedup = 1.5;
@@ -154,16 +158,22 @@
   return partition;
 }
 
+std::vector<double> LoadsOf(const std::vector<Candidate>& candidates,
+                            const OwnershipTable& table,
+                            const KeyLoad& load) {
+  return CandidateLoads(AssignedRanges(table, candidates), candidates.size(),
+                        load);
+}
+
 std::vector<Transfer> ReassignRange(const KeyRange& range,
-                                    const OwnershipTable& table,
                                     const std::vector<Candidate>& candidates,
-                                    const KeyLoad& load) {
+                                    const KeyLoad& load,
+                                    std::vector<double>* candidate_loads) {
   std::vector<Transfer> transfers;
   if (candidates.empty()) {
     return transfers;
   }
-  std::vector<double> loads = CandidateLoads(AssignedRanges(table, candidates),
-                                             candidates.size(), load);
+  std::vector<double>& loads = *candidate_loads;
   double total = LoadOf(range, load);
   for (const double it : loads) {
     total += it;
@@ -192,6 +202,13 @@
 
 namespace {
 
+// Returns by how much a load with the mean `mean` differs from it by chance.
+// The requests are independent of each other, and the exponential decay of the
+// counts halves their variance.
+double Scatter(double mean) {
+  return kSignificantDeviations * std::sqrt(mean / 2);
+}
+
 // The donor and the receiver of a transfer, as indices of candidates.
 struct TransferPair {
   std::size_t from = 0;
@@ -222,8 +239,10 @@
   const double mean = total / TotalCapacity(candidates);
   const double from_share = mean * candidates[pair.from].capacity;
   const double to_share = mean * candidates[pair.to].capacity;
-  const bool overloaded = loads[pair.from] > kOverloadFactor * from_share;
-  const bool underloaded = loads[pair.to] < kUnderloadFactor * to_share;
+  const bool overloaded = loads[pair.from] > kOverloadFactor * from_share &&
+                          loads[pair.from] - from_share > Scatter(from_share);
+  const bool underloaded = loads[pair.to] < kUnderloadFactor * to_share &&
+                           to_share - loads[pair.to] > Scatter(to_share);
   if ((overloaded || underloaded) && pair.from != pair.to) {
     pair.target_load =
         std::min(loads[pair.from] - from_share, to_share - loads[pair.to]);
--- a/src/keyspace/rebalancer.h
+++ b/src/keyspace/rebalancer.h
@@ -31,13 +31,20 @@
 [[nodiscard]] std::vector<Transfer> PartitionByCapacity(
     const std::vector<Candidate>& candidates);
 
+// Returns the load that each of `candidates` has by the ranges that it owns.
+[[nodiscard]] std::vector<double> LoadsOf(
+    const std::vector<Candidate>& candidates,
+    const OwnershipTable& table,
+    const KeyLoad& load);
+
 // Returns the transfers that move `range` away from an owner that can no longer
 // serve it. The range is split if its load is too high for one new owner.
+// `candidate_loads` are those of LoadsOf(); the load of `range` is added.
 [[nodiscard]] std::vector<Transfer> ReassignRange(
     const KeyRange& range,
-    const OwnershipTable& table,
     const std::vector<Candidate>& candidates,
-    const KeyLoad& load);
+    const KeyLoad& load,
+    std::vector<double>* candidate_loads);
 
 // Returns up to `max_transfers` transfers that even out the load; apply them in
 // order. Each moves the narrowest suitable range from the server with the
--- a/src/keyspace/rebalancer_test.cc
+++ b/src/keyspace/rebalancer_test.cc
@@ -1,11 +1,17 @@
 #include "keyspace/rebalancer.h"
 
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
 #include <map>
+#include <random>
 #include <string>
 #include <vector>
 
 #include <doctest/doctest.h>
 
+#include "keyspace/fencing_tokens.h"
+
 namespace gentianreach::keyspace {
 namespace {
 
@@ -193,7 +199,8 @@
                {{50000, 65535}, ServerId("lost"), Incarnation(1)}});
   KeyLoad load;
   AddEvenLoad(load, {0, kKeyCount - 1}, 6000);
-  const auto transfers = ReassignRange({50000, 65535}, table, servers, load);
+  std::vector<double> loads = LoadsOf(servers, table, load);
+  const auto transfers = ReassignRange({50000, 65535}, servers, load, &loads);
   std::uint32_t next = 50000;
   std::map<ServerId, int> receivers;
   for (const Transfer& it : transfers) {
@@ -214,5 +221,47 @@
   CHECK(Rebalance(table, servers, load, 5).empty());
 }
 
+TEST_CASE("requests that scatter by chance over many servers move no keys") {
+  constexpr std::size_t kManyServers = 350;
+  // Each server gets four requests a second.
+  constexpr std::chrono::milliseconds kRound{500};
+  constexpr int kRequestsPerRound = 2 * kManyServers;
+  constexpr std::size_t kRounds = 80;
+  std::vector<Candidate> servers;
+  for (std::size_t i = 0; i < kManyServers; ++i) {
+    servers.push_back({ServerId("s" + std::to_string(i)), Incarnation(1), 1});
+  }
+  OwnershipTable table;
+  for (const Transfer& it : PartitionByCapacity(servers)) {
+    table.ranges.push_back(
+        {it.range, {it.server, it.incarnation, AllocateToken(&table)}, {}});
+  }
+  std::minstd_rand generator(1);
+  std::uniform_int_distribution<std::uint32_t> any_key(0, kKeyCount - 1);
+  KeyLoad load;
+  TimePoint now{std::chrono::seconds(1000)};
+  std::size_t moves = 0;
+  for (std::size_t round = 0; round < kRounds; ++round) {
+    for (int i = 0; i < kRequestsPerRound; ++i) {
+      load.Add(any_key(generator));
+    }
+    now += kRound;
+    load.Decay(now);
+    // The first rounds fill the counts.
+    if (round >= kRounds / 4) {
+      moves += Rebalance(table, servers, load, kManyServers).size();
+    }
+  }
+  CHECK(moves < kRounds);
+  // A server with several times its share gives keys up.
+  const KeyRange hot = table.ranges[7].range;
+  for (std::uint32_t i = 0; i < 36; ++i) {
+    load.Add(hot.first + i * hot.width() / 36);
+  }
+  const auto transfers = Rebalance(table, servers, load, kManyServers);
+  REQUIRE_FALSE(transfers.empty());
+  CHECK(hot.Contains(transfers[0].range.first));
+}
+
 }  // namespace
 }  // namespace gentianreach::keyspace
