Requests of callers that have left are not sent; uploads have a memory limit

Cause: a late event loop read a request together with the end of its connection and sent it all the same; bodies had a limit each, but none together; a refused upload lost its answer, since the daemon closed one second after it. Change: before each attempt the caller's connection and the deadline are checked. BodyMemory bounds the bodies of all requests to a quarter of memory_mb; what does not fit is refused at once as not run. A closing connection lingers while the caller still sends, at most 10 s.

--- a/src/entry/entry_metrics.cc
+++ b/src/entry/entry_metrics.cc
@@ -44,6 +44,8 @@
     Description{"log_lines_dropped_total", "counter",
                 "Log lines that the reader of standard output did not take."},
     Description{"in_flight_requests", "gauge", "Requests without an answer."},
+    Description{"request_body_bytes", "gauge",
+                "Memory reserved for the bodies of requests."},
     Description{"held_requests", "gauge",
                 "Requests that wait for an owner of their key."},
     Description{"members", "gauge", "Daemons that share servers and budgets."},
--- a/src/entry/entry_request.cc
+++ b/src/entry/entry_request.cc
@@ -25,6 +25,9 @@
 constexpr std::size_t kMaxBufferedBytes = 256 * 1024;
 // Largest request body; it is buffered until the request ends, for retries.
 constexpr std::uint64_t kMaxBodyBytes = 16 * 1024 * 1024;
+// Memory reserved per byte of a body: the body, and its copy in the connection
+// to the server while it is sent.
+constexpr std::uint64_t kBodyCopies = 2;
 // Unsent bytes for the caller above which reading from the server is paused.
 constexpr std::size_t kMaxUnsentBytes = 64 * 1024;
 // Responses to other requests that are skipped per attempt.
@@ -71,6 +74,20 @@
 
 EntryRequest::~EntryRequest() {
   StopWaiting();
+  state_->body_memory.Release(reserved_body_);
+}
+
+bool EntryRequest::ReserveBody(std::uint64_t bytes) {
+  const std::uint64_t wanted = bytes * kBodyCopies;
+  if (wanted <= reserved_body_) {
+    return true;
+  }
+  if (!state_->body_memory.Reserve(wanted - reserved_body_)) {
+    Refuse(kUnavailable, Reason::kOverload, kRejectedRetryAfter);
+    return false;
+  }
+  reserved_body_ = wanted;
+  return true;
 }
 
 std::uint64_t EntryRequest::MaxBodyBytes() const {
@@ -160,6 +177,9 @@
     }
     key_ = static_cast<std::uint32_t>(*key);
   }
+  if (!ReserveBody(head.content_length)) {
+    return;
+  }
   caller_->SetDeadline(deadline_);
   if (!caller_->request_complete() && head.Get(http::FieldId::expect)) {
     caller_->Write("HTTP/1.1 100 Continue\r\n\r\n");
@@ -173,7 +193,9 @@
   body_.append(caller_->body());
   if (body_.size() > MaxBodyBytes()) {
     RefuseByConfig(kTooLarge, Reason::kTooLarge);
+    return;
   }
+  ReserveBody(body_.size());
 }
 
 void EntryRequest::OnBodyEnd() {
@@ -217,6 +239,15 @@
   if (done_) {
     return;
   }
+  // The event loop may be late, so that neither has been reported yet.
+  if (caller_->HasLeft()) {
+    caller_->Abort();
+    return;
+  }
+  if (TimeLeft() <= Duration(0)) {
+    GiveUp(Reason::kDeadline);
+    return;
+  }
   if (state_->reachability.lost()) {
     Forward();
     return;
--- a/src/entry/entry_request.h
+++ b/src/entry/entry_request.h
@@ -139,6 +139,9 @@
   [[nodiscard]] std::optional<RelayedServer> Relayed() const;
   [[nodiscard]] bool KeepsAlive() const;
   [[nodiscard]] Duration TimeLeft() const;
+  // Reserves memory for a body of `bytes`. If there is none, refuses the
+  // request and returns false.
+  bool ReserveBody(std::uint64_t bytes);
   // Returns the largest request body that is accepted.
   [[nodiscard]] std::uint64_t MaxBodyBytes() const;
 
@@ -153,6 +156,8 @@
   Reason not_relayed_ = Reason::kNone;
   std::string id_;
   std::string body_;
+  // Bytes of EntryState::body_memory.
+  std::uint64_t reserved_body_ = 0;
   std::optional<std::uint32_t> key_;
   Fingerprint fingerprint_;
   TimePoint started_;
--- a/src/entry/entry_request_response.cc
+++ b/src/entry/entry_request_response.cc
@@ -160,6 +160,7 @@
           route_ == nullptr ? 0 : (deadline_ - now) / milliseconds(1)}});
   }
   body_ = std::string();
+  state_->body_memory.Release(std::exchange(reserved_body_, 0));
   response_body_ = std::string();
 }
 
--- a/src/entry/entry_settings.cc
+++ b/src/entry/entry_settings.cc
@@ -95,6 +95,13 @@
   return FromMilliseconds(settings.config_apply_ms);
 }
 
+std::uint64_t BodyBytes(const settings::EntryDaemonT& settings) {
+  constexpr double kBytesPerMb = 1 << 20;
+  constexpr double kBodyShare = 0.25;
+  return static_cast<std::uint64_t>(settings.memory_mb * kBodyShare *
+                                    kBytesPerMb);
+}
+
 Duration ShortestExpiry(const settings::EntryDaemonT& settings) {
   // Entries expire after three report periods without a report, one of which
   // may have passed before.
--- a/src/entry/entry_settings.h
+++ b/src/entry/entry_settings.h
@@ -29,6 +29,9 @@
 [[nodiscard]] std::vector<std::string> SeedsOf(
     const settings::EntryDaemonT& settings);
 
+// Returns how many bytes the bodies of all requests may take together.
+[[nodiscard]] std::uint64_t BodyBytes(const settings::EntryDaemonT& settings);
+
 // Returns the time within which a change of the configuration takes effect.
 [[nodiscard]] Duration ConfigApplyTime(const settings::EntryDaemonT& settings);
 
--- a/src/entry/entry_state.cc
+++ b/src/entry/entry_state.cc
@@ -38,11 +38,13 @@
                        HeaderNames headers,
                        ZoneName zone,
                        RetryBounds bounds,
-                       std::string source_ip)
+                       std::string source_ip,
+                       std::uint64_t body_bytes)
     : loop(loop),
       headers(std::move(headers)),
       zone(std::move(zone)),
       limits(std::random_device{}()),
+      body_memory(body_bytes),
       bounds_(bounds),
       source_ip_(std::move(source_ip)) {}
 
--- a/src/entry/entry_state.h
+++ b/src/entry/entry_state.h
@@ -15,6 +15,7 @@
 #include <utility>
 #include <vector>
 
+#include "entry/body_memory.h"
 #include "entry/crash_watch.h"
 #include "entry/entry_metrics.h"
 #include "entry/header_names.h"
@@ -45,14 +46,18 @@
 
 class EntryState {
  public:
+  // Memory that request bodies may take unless the settings say otherwise.
+  static constexpr std::uint64_t kDefaultBodyBytes = 64 << 20;
+
   // `zone` is the availability zone of this daemon. Connections to servers are
   // opened from `source_ip`, or from an address that the system chooses if it
-  // is empty.
+  // is empty. The bodies of all requests may take `body_bytes` together.
   EntryState(net::EventLoop& loop,
              HeaderNames headers,
              ZoneName zone,
              RetryBounds bounds,
-             std::string source_ip = {});
+             std::string source_ip = {},
+             std::uint64_t body_bytes = kDefaultBodyBytes);
   EntryState(const EntryState&) = delete;
   EntryState& operator=(const EntryState&) = delete;
 
@@ -116,6 +121,7 @@
   Relays relays;
   OwnershipView ownership;
   CrashWatch crashes;
+  BodyMemory body_memory;
   // Requests that wait for a new owner of their key.
   proxy::HeldRequestQueue held;
   EntryMetrics metrics;
--- a/src/net/tcp_socket.cc
+++ b/src/net/tcp_socket.cc
@@ -3,7 +3,9 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
+#include <sys/types.h>
 
+#include <cerrno>
 #include <utility>
 
 #include "net/socket_address.h"
@@ -154,6 +156,17 @@
   return g_socket_condition_check(socket_.get(), kCondition) == 0;
 }
 
+bool TcpSocket::PeerHasClosed() {
+  if (!socket_) {
+    return true;
+  }
+  char next = 0;
+  const ssize_t n = recv(g_socket_get_fd(socket_.get()), &next, sizeof(next),
+                         MSG_PEEK | MSG_DONTWAIT);
+  return n == 0 ||
+         (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
+}
+
 PathState TcpSocket::QueryPath() {
   constexpr gint kProbeSeconds = 1;
   g_socket_set_option(socket_.get(), IPPROTO_TCP, TCP_KEEPIDLE, kProbeSeconds,
--- a/src/net/tcp_socket.h
+++ b/src/net/tcp_socket.h
@@ -72,6 +72,8 @@
   IoResult Receive(std::span<char> out);
   // Sends as much of `data` as the socket accepts.
   IoResult Send(std::string_view data);
+  // Returns whether the connection has ended and all received data is read.
+  [[nodiscard]] bool PeerHasClosed();
   // Returns whether neither data nor an end of the stream is ready to be read.
   [[nodiscard]] bool HasNothingToRead();
 
--- a/src/proxy/caller_connection.cc
+++ b/src/proxy/caller_connection.cc
@@ -1,5 +1,6 @@
 #include "proxy/caller_connection.h"
 
+#include <algorithm>
 #include <chrono>
 #include <utility>
 
@@ -8,9 +9,12 @@
 
 using namespace std::chrono_literals;
 
-// How long a closing connection waits for the caller to close its side. Closing
-// earlier could send a reset that destroys the last response.
+// How long a closing connection waits for the caller to send more or to close
+// its side, and how long at most. Closing earlier could send a reset that
+// destroys the last response: a caller may read it only after its whole request
+// has been sent.
 constexpr Duration kLingerTimeout = 1s;
+constexpr Duration kMaxLingerTime = 10s;
 // The next pipelined request is not started while more bytes than this are
 // unsent.
 constexpr std::size_t kMaxUnsentBytes = 64 * 1024;
@@ -102,6 +106,10 @@
   OnEndOfStream();
 }
 
+bool CallerConnection::HasLeft() {
+  return hung_up_ || socket_.PeerHasClosed();
+}
+
 void CallerConnection::CloseIfIdle() {
   if (phase_ == Phase::kIdle && pending_.empty() && out_.size() == 0 &&
       socket_.HasNothingToRead()) {
@@ -176,6 +184,7 @@
 
 void CallerConnection::OnReceived(std::string_view data) {
   if (phase_ == Phase::kLingering) {
+    timer_.Set(std::min(loop_.Now() + kLingerTimeout, linger_until_));
     return;
   }
   pending_.append(data);
@@ -313,7 +322,9 @@
   phase_ = Phase::kLingering;
   pending_.clear();
   socket_.ShutdownSend();
-  timer_.Set(loop_.Now() + kLingerTimeout);
+  const TimePoint now = loop_.Now();
+  linger_until_ = now + kMaxLingerTime;
+  timer_.Set(now + kLingerTimeout);
   loop_.Defer([self = shared_from_this()] { self->ReadAvailable(); });
 }
 
--- a/src/proxy/caller_connection.h
+++ b/src/proxy/caller_connection.h
@@ -69,6 +69,9 @@
   [[nodiscard]] const http::Refusal& refusal() const { return refusal_; }
   // Returns whether the whole request has been read.
   [[nodiscard]] bool request_complete() const { return parser_->done(); }
+  // Returns whether the caller has closed the connection, even if that has not
+  // been reported yet.
+  [[nodiscard]] bool HasLeft();
   // Returns a hash of the caller's IP address.
   [[nodiscard]] std::uint64_t peer_hash() const { return peer_hash_; }
 
@@ -132,6 +135,7 @@
   Sink sink_;
   net::DeadlineTimer timer_;
   Phase phase_ = Phase::kIdle;
+  TimePoint linger_until_{};
   bool readable_ = false;
   bool hung_up_ = false;
   bool paused_ = false;
