--- /dev/null
+++ b/src/entry/copy_source.h
@@ -0,0 +1,88 @@
+// The choice of where a daemon gets changes of the store's objects from.
+#ifndef SRC_ENTRY_COPY_SOURCE_H_
+#define SRC_ENTRY_COPY_SOURCE_H_
+
+#include <chrono>
+#include <cstdint>
+#include <string_view>
+
+#include "gentianreach/time.h"
+
+namespace gentianreach::entry {
+
+enum class CopySource : std::uint8_t {
+  kStore,
+  kLeader,  // Heartbeats tell of changes, which the leader or a mirror passes
+            // on.
+  kPeers,   // Members that are first in the order of succession.
+};
+
+// Returns the name of the source in log lines.
+[[nodiscard]] std::string_view ToString(CopySource source);
+
+// What the choice of the source depends on.
+struct LeadershipStatus {
+  bool leads = false;
+  TimePoint leader_last_seen;
+  // This daemon's position in the order of succession.
+  std::uint32_t rank = 0;
+  // How often a leader sends heartbeats while nothing changes.
+  std::chrono::milliseconds heartbeat_period{250};
+};
+
+// Decides which daemons read the store, so that the number of its calls does
+// not grow with the fleet.
+//
+// In steady state only the leader does. When heartbeats stay away or the copies
+// get old, kReaders daemons read it at once, and the others ask these. They
+// read it themselves only if that does not help, so that a daemon that has no
+// path to the others still has its copies in time. A daemon that has never
+// heard of a leader reads the store.
+class CopySourceChooser {
+ public:
+  // A change of the configuration has to take effect within `config_apply`.
+  explicit CopySourceChooser(Duration config_apply)
+      : config_apply_(config_apply) {}
+
+  // Number of daemons, the first in the order of succession, that may read the
+  // store at the same time.
+  static constexpr std::uint32_t kReaders = 12;
+
+  // Handles a heartbeat of a leader that has or has not lost the store.
+  void OnLeaderHeartbeat(bool leader_lost_store, TimePoint now);
+
+  // Chooses the source of copies that are complete up to `current_at`. The
+  // daemon has followed the store since `started_at`.
+  CopySource Choose(const LeadershipStatus& leadership,
+                    TimePoint started_at,
+                    TimePoint current_at,
+                    TimePoint now);
+
+  // The results of the last Choose(): the leader's heartbeats arrive; the
+  // copies are older than those of a leader that is on time; the leader has
+  // lost the store, and this daemon's turn to probe it has come.
+  [[nodiscard]] bool leader_alive() const { return leader_alive_; }
+  [[nodiscard]] bool outdated() const { return outdated_; }
+  [[nodiscard]] bool probes_store() const { return probes_store_; }
+  // Whether the last heartbeat said that the leader has lost the store, and
+  // when a heartbeat said so first.
+  [[nodiscard]] bool leader_lost_store() const { return leader_lost_store_; }
+  [[nodiscard]] TimePoint leader_lost_store_at() const {
+    return leader_lost_store_at_;
+  }
+
+ private:
+  const Duration config_apply_;
+  bool leader_alive_ = false;
+  bool outdated_ = false;
+  bool probes_store_ = false;
+  bool leader_lost_store_ = false;
+  TimePoint leader_lost_store_at_{};
+  // Until when current copies of the peers are waited for; TimePoint{}: the
+  // copies are current.
+  TimePoint peers_due_at_{};
+};
+
+}  // namespace gentianreach::entry
+
+#endif  // SRC_ENTRY_COPY_SOURCE_H_
--- /dev/null
+++ b/src/entry/copy_source_test.cc
@@ -0,0 +1,103 @@
+#include "entry/copy_source.h"
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+
+#include <doctest/doctest.h>
+
+namespace gentianreach::entry {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr TimePoint kStart = TimePoint(seconds(1000));
+constexpr milliseconds kPeriod{750};
+// Time within which a change of the configuration has to take effect.
+constexpr milliseconds kApplyTime{3000};
+constexpr std::uint32_t kFleet = 295;
+
+// Returns the number of `members` for which `reads` returns true.
+std::uint32_t Count(std::uint32_t members,
+                    const std::function<bool(std::uint32_t rank)>& reads) {
+  std::uint32_t n = 0;
+  for (std::uint32_t rank = 0; rank < members; ++rank) {
+    n += reads(rank) ? 1 : 0;
+  }
+  return n;
+}
+
+// Returns the sources that a daemon uses at `now`, polled every 100 ms since
+// kStart, when the last heartbeat arrived. Its copies are complete up to
+// `current_at(t)` at any time `t`.
+CopySource SourceAfterSilence(
+    std::uint32_t rank,
+    TimePoint now,
+    const std::function<TimePoint(TimePoint)>& current_at) {
+  CopySourceChooser chooser(kApplyTime);
+  CopySource source = CopySource::kLeader;
+  for (TimePoint t = kStart; t <= now; t += milliseconds(100)) {
+    source = chooser.Choose(
+        {.leader_last_seen = kStart, .rank = rank, .heartbeat_period = kPeriod},
+        kStart, current_at(t), t);
+  }
+  return source;
+}
+
+TEST_CASE("a daemon that knows no leader reads the store") {
+  CopySourceChooser chooser(kApplyTime);
+  CHECK(chooser.Choose({}, kStart, TimePoint{}, kStart) == CopySource::kStore);
+}
+
+TEST_CASE("few daemons read the store while the leader is silent") {
+  const TimePoint now = kStart + seconds(10);
+  const auto reads = [&](std::uint32_t rank) {
+    // The peers that read the store have current copies.
+    return SourceAfterSilence(rank, now, [](TimePoint t) { return t; }) ==
+           CopySource::kStore;
+  };
+  CHECK(Count(1, reads) == 1);
+  CHECK(Count(12, reads) == 12);
+  CHECK(Count(63, reads) == CopySourceChooser::kReaders);
+  CHECK(Count(kFleet, reads) == CopySourceChooser::kReaders);
+  CHECK(Count(1000, reads) == CopySourceChooser::kReaders);
+}
+
+TEST_CASE("a daemon whose peers have nothing current reads the store in time") {
+  const auto never = [](TimePoint) { return kStart; };
+  for (const std::uint32_t rank : {0U, 12U, 294U}) {
+    // The rest of the time is for the call itself.
+    CHECK(SourceAfterSilence(rank, kStart + kApplyTime - milliseconds(400),
+                             never) == CopySource::kStore);
+  }
+}
+
+TEST_CASE("few daemons probe the store at once when the leader has lost it") {
+  const auto probes = [](std::uint32_t rank, Duration after) {
+    CopySourceChooser chooser(kApplyTime);
+    chooser.OnLeaderHeartbeat(true, kStart);
+    const TimePoint now = kStart + after;
+    chooser.Choose({.leader_last_seen = now, .rank = rank}, kStart, now, now);
+    return chooser.probes_store();
+  };
+  CHECK(Count(kFleet, [&](auto it) { return probes(it, seconds(0)); }) == 1);
+  CHECK(Count(kFleet, [&](auto it) { return probes(it, milliseconds(250)); }) ==
+        2);
+  CHECK(Count(kFleet, [&](auto it) { return probes(it, seconds(2)); }) == 12);
+  // If none of them reaches it, the others look as well.
+  CHECK(Count(kFleet, [&](auto it) { return probes(it, seconds(15)); }) ==
+        kFleet);
+}
+
+TEST_CASE("a daemon follows the leader again once its heartbeats are back") {
+  CopySourceChooser chooser(kApplyTime);
+  const TimePoint late = kStart + seconds(5);
+  CHECK(chooser.Choose({.leader_last_seen = kStart}, kStart, late, late) ==
+        CopySource::kStore);
+  CHECK(chooser.Choose({.leader_last_seen = late}, kStart, late, late) ==
+        CopySource::kLeader);
+}
+
+}  // namespace
+}  // namespace gentianreach::entry
--- a/src/entry/entry_daemon.cc
+++ b/src/entry/entry_daemon.cc
@@ -74,7 +74,8 @@
             platform::PlatformHeaders(),
             ZoneName(settings.zone),
             RetryBounds{settings.retry_ratio, settings.retry_slack},
-            settings.source_ip)),
+            settings.source_ip,
+            BodyBytes(settings))),
         path_monitor_(*state_),
         proxy_(state_),
         self_{settings.name, Incarnation(RandomNumber()),
@@ -95,6 +96,7 @@
         copies_(loop_,
                 platform_,
                 ShortestExpiry(settings),
+                ConfigApplyTime(settings),
                 {.config = {[this](const auto& it) { OnConfig(it); },
                             [this](const auto& it) { OnConfig(it); }},
                  .servers = {[this](const auto& it) { OnServerList(it); },
@@ -203,6 +205,8 @@
       return std::chrono::duration<double>(it).count();
     };
     metrics.Set("in_flight_requests", static_cast<double>(state_->in_flight));
+    metrics.Set("request_body_bytes",
+                static_cast<double>(state_->body_memory.used()));
     metrics.Set("held_requests", static_cast<double>(state_->held.size()));
     metrics.Set("limited_servers", static_cast<double>(state_->limits.size()));
     metrics.Set("leaving_servers",
@@ -322,7 +326,7 @@
           after.draining ? MillisecondsBetween(after.draining_since, now) : 0},
          {"life", server->incarnation.value()},
          {"revision", object.revision},
-         {"source", copies_.follows_leader() ? "leader" : "store"},
+         {"source", ToString(copies_.source())},
          {"copy_age_ms", MillisecondsBetween(current_at, now)}});
   }
 
@@ -474,8 +478,15 @@
     }
   }
 
+  // Until the number of daemons is known, the state assumes a large one.
+  void UpdateMembers() {
+    if (link_.knows_members()) {
+      state_->SetMembers(link_.members(), link_.cut_members());
+    }
+  }
+
   void OnMembershipUpdate() {
-    state_->SetMembers(link_.members(), link_.cut_members());
+    UpdateMembers();
     ChooseSource();
     if (!election_timer_.deadline()) {
       RunElection();
@@ -511,7 +522,7 @@
     if (!election_timer_.deadline()) {
       RunElection();
     }
-    state_->SetMembers(link_.members(), link_.cut_members());
+    UpdateMembers();
     ChooseSource();
   }
 
--- a/src/entry/key_assignment.cc
+++ b/src/entry/key_assignment.cc
@@ -186,16 +186,13 @@
 std::vector<keyspace::AssignerServer> KeyAssignment::Servers(
     const std::string& service) const {
   std::vector<keyspace::AssignerServer> servers;
-  for (const auto& [id, it] : state_.directory.servers()) {
-    if (it.service != service) {
-      continue;
-    }
-    servers.push_back(
-        {.id = id,
-         .incarnation = it.incarnation,
-         .address = it.address,
-         .draining = it.draining,
-         .capacity = state_.loads.Capacity(it, state_.loop.Now())});
+  const TimePoint now = state_.loop.Now();
+  for (const routing::BackendServer* it : state_.directory.OfService(service)) {
+    servers.push_back({.id = it->id,
+                       .incarnation = it->incarnation,
+                       .address = it->address,
+                       .draining = it->draining,
+                       .capacity = state_.loads.Capacity(*it, now)});
   }
   return servers;
 }
--- a/src/entry/member_count.h
+++ b/src/entry/member_count.h
@@ -35,8 +35,8 @@
   // retry budget, because retries granted within the window still count.
   static constexpr Duration kFallDelay = std::chrono::seconds(10);
 
-  // Deployments of the users have up to about 75 daemons.
-  static constexpr std::uint32_t kAssumedMembers = 64;
+  // Deployments of the users have up to a few hundred daemons.
+  static constexpr std::uint32_t kAssumedMembers = 512;
 
   std::uint32_t members_ = kAssumedMembers;
   TimePoint fall_ignored_until_{};
--- a/src/entry/member_link.cc
+++ b/src/entry/member_link.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "base/log.h"
+#include "entry/succession.h"
 
 namespace gentianreach::entry {
 namespace {
@@ -27,6 +28,9 @@
 // Wait per position in the order of succession before a daemon replaces a
 // leader that has lost its path to the servers.
 constexpr std::chrono::milliseconds kUnfitRankDelay{250};
+// Time that mirrors have to fetch a change before the members that fetch it
+// from them are told of it.
+constexpr std::chrono::milliseconds kMirrorHeadStart{100};
 
 std::chrono::milliseconds HelloPeriod(std::uint32_t members) {
   return kHelloPeriod *
@@ -114,7 +118,8 @@
       state_(state),
       crashes_(state.crashes),
       socket_(loop),
-      timer_(loop, [this] { Tick(); }) {}
+      timer_(loop, [this] { Tick(); }),
+      mirrored_timer_(loop, [this] { SendHeartbeatsToMirrored(); }) {}
 
 boost::leaf::result<void> MemberLink::Open() {
   BOOST_LEAF_CHECK(socket_.Open(
@@ -145,9 +150,10 @@
   QueueCrashReports(self_.name, crashes_.TakeLocalLosses());
   // The leader has already counted its own samples, so they are discarded.
   static_cast<void>(state_.loads.TakeSamples());
-  std::erase_if(known_members_, [&](const auto& it) {
+  const auto timed_out = std::erase_if(known_members_, [&](const auto& it) {
     return it.second.last_seen + kMemberTimeout < now;
   });
+  succession_outdated_ = succession_outdated_ || timed_out > 0;
   UpdateRelays();
   auto members = static_cast<std::uint32_t>(known_members_.size()) + 1;
   if (now < member_count_settled_at_) {
@@ -284,10 +290,10 @@
 }
 
 void MemberLink::NotifyReplacedLeaders() {
-  const auto succession = Succession();
   for (const Member& it : election_.replaced_leaders()) {
     KnownMember known{it, loop_.Now()};
-    SendLeaderHeartbeat(known, succession, false);
+    known.rank = static_cast<std::uint32_t>(known_members_.size());
+    SendLeaderHeartbeat(known, false);
   }
 }
 
@@ -325,7 +331,9 @@
   const auto* datagram = flatbuffers::GetRoot<wire::Datagram>(data.data());
   if (const auto* hello = datagram->body_as_Hello()) {
     OnHello(*std::unique_ptr<wire::HelloT>(hello->UnPack()));
-  } else if (const auto* heartbeat = datagram->body_as_LeaderHeartbeat()) {
+    return;
+  }
+  if (const auto* heartbeat = datagram->body_as_LeaderHeartbeat()) {
     OnLeaderHeartbeat(
         *std::unique_ptr<wire::LeaderHeartbeatT>(heartbeat->UnPack()));
   } else if (const auto* hint = datagram->body_as_LeaderHint()) {
@@ -359,7 +367,11 @@
     election_.OnNewerEpochSeen(now);
     return;
   }
-  KnownMember& known = known_members_[hello.name];
+  const auto [found, is_new] = known_members_.try_emplace(hello.name);
+  KnownMember& known = found->second;
+  const bool changed = is_new || known.member.address != hello.address ||
+                       known.processor_share != hello.processor_share ||
+                       known.servers_lost != hello.servers_lost;
   known.member = {hello.name, Incarnation(hello.incarnation), hello.address};
   known.last_seen = now;
   known.processor_share = hello.processor_share;
@@ -367,7 +379,10 @@
   known.forward_address = hello.forward_address;
   known.servers_lost = hello.servers_lost;
   known.hello_sent_ms = hello.sent_ms;
-  UpdateRelays();
+  if (changed) {
+    succession_outdated_ = true;
+    UpdateRelays();
+  }
   const auto crashed = ToFingerprints(hello.crashed);
   for (const Fingerprint it : crashed) {
     crashes_.OnRemoteLoss(it, now);
@@ -377,7 +392,8 @@
   for (const auto& it : hello.leaving) {
     state_.OnLeaving(ServerId(it->server), Incarnation(it->incarnation));
   }
-  SendLeaderHeartbeat(known, Succession(), false);
+  UpdateSuccession();
+  SendLeaderHeartbeat(known, false);
 }
 
 void MemberLink::AddSamples(const wire::HelloT& hello) {
@@ -397,6 +413,9 @@
 
 void MemberLink::QueueCrashReports(const std::string& from,
                                    const std::vector<Fingerprint>& crashes) {
+  if (crashes.empty()) {
+    return;
+  }
   for (auto& [name, it] : known_members_) {
     if (name != from) {
       it.unsent_crash_reports.insert(it.unsent_crash_reports.end(),
@@ -405,33 +424,51 @@
   }
 }
 
-std::vector<const MemberLink::KnownMember*> MemberLink::Succession() const {
-  std::vector<const KnownMember*> succession;
-  for (const auto& [name, it] : known_members_) {
-    succession.push_back(&it);
+void MemberLink::UpdateSuccession() {
+  if (!std::exchange(succession_outdated_, false)) {
+    return;
+  }
+  std::vector<KnownMember*> known;
+  std::vector<SuccessionMember> members;
+  for (auto& [name, it] : known_members_) {
+    known.push_back(&it);
+    members.push_back({name, it.zone, it.processor_share, it.servers_lost});
+  }
+  const Succession plan = PlanSuccession(members);
+  succession_.clear();
+  for (const std::size_t it : plan.order) {
+    known[it]->rank = static_cast<std::uint32_t>(succession_.size());
+    known[it]->mirror = plan.mirrors[it]
+                            ? known[*plan.mirrors[it]]->member.address
+                            : std::string();
+    succession_.push_back(known[it]);
+  }
+}
+
+void MemberLink::SetStoreCopyStatus(StoreCopyStatus copy_status) {
+  own_copy_status_ = std::move(copy_status);
+  // Without a change there is nothing that the mirrors could lack.
+  if (mirrored_copy_status_.changed_at == own_copy_status_.changed_at) {
+    mirrored_copy_status_ = own_copy_status_;
+    return;
   }
-  std::stable_sort(succession.begin(), succession.end(),
-                   [](const KnownMember* a, const KnownMember* b) {
-                     return std::pair(!a->servers_lost, a->processor_share) >
-                            std::pair(!b->servers_lost, b->processor_share);
-                   });
-  return succession;
+  // Needs no copies, so that it need not wait for the mirrors.
+  mirrored_copy_status_.store_lost = own_copy_status_.store_lost;
+  mirrored_copy_status_.may_lack_entries = own_copy_status_.may_lack_entries;
 }
 
-void MemberLink::SendLeaderHeartbeat(
-    KnownMember& known,
-    const std::vector<const KnownMember*>& succession,
-    bool resigning) {
+void MemberLink::SendLeaderHeartbeat(KnownMember& known, bool resigning) {
+  const StoreCopyStatus& status =
+      known.mirror.empty() ? own_copy_status_ : mirrored_copy_status_;
   wire::LeaderHeartbeatT heartbeat;
   heartbeat.name = self_.name;
   heartbeat.incarnation = self_.incarnation.value();
   heartbeat.epoch = election_.record().epoch.value();
   heartbeat.address = self_.address;
   heartbeat.members = members_;
-  heartbeat.rank = static_cast<std::uint32_t>(
-      std::distance(succession.begin(),
-                    std::find(succession.begin(), succession.end(), &known)));
-  for (const KnownMember* it : succession) {
+  heartbeat.rank = known.rank;
+  heartbeat.mirror = known.mirror;
+  for (const KnownMember* it : succession_) {
     if (heartbeat.line.size() == kMaxNamedSuccessors) {
       break;
     }
@@ -441,10 +478,10 @@
     heartbeat.line.push_back(std::move(address));
   }
   heartbeat.resigning = resigning;
-  heartbeat.store_lost = own_copy_status_.store_lost;
-  heartbeat.may_lack_entries = own_copy_status_.may_lack_entries;
-  heartbeat.changed_at = own_copy_status_.changed_at;
-  heartbeat.copy_age_ms = AgeOf(own_copy_status_.current_at, loop_.Now());
+  heartbeat.store_lost = status.store_lost;
+  heartbeat.may_lack_entries = status.may_lack_entries;
+  heartbeat.changed_at = status.changed_at;
+  heartbeat.copy_age_ms = AgeOf(status.current_at, loop_.Now());
   heartbeat.hello_sent_ms = known.hello_sent_ms;
   heartbeat.servers_lost = state_.reachability.lost();
   heartbeat.cut_members = cut_members_;
@@ -499,34 +536,68 @@
   // previous leader notifies all the members that it knows.
   known_members_.clear();
   known_members_[heartbeat.name] = {record.leader, now};
+  std::vector<std::string> peers;
   for (const auto& it : heartbeat.line) {
     if (it->name != self_.name) {
+      peers.push_back(it->address);
       known_members_[it->name] = {{it->name, {}, it->address}, now};
     }
   }
+  succession_outdated_ = true;
   leader_last_seen_ = now;
   election_.OnLeaderHeartbeat(record, heartbeat.rank, now);
   ReplaceUnfitLeader(heartbeat.servers_lost, now);
   if (on_leader_heartbeat) {
     on_leader_heartbeat(
-        {heartbeat.address, heartbeat.store_lost, heartbeat.may_lack_entries,
-         heartbeat.changed_at,
-         TimeOf(heartbeat.copy_age_ms, EarliestSendTime(heartbeat, now))});
+        {heartbeat.address, heartbeat.mirror, heartbeat.store_lost,
+         heartbeat.may_lack_entries, heartbeat.changed_at,
+         TimeOf(heartbeat.copy_age_ms, EarliestSendTime(heartbeat, now)),
+         std::move(peers)});
   }
 }
 
 void MemberLink::SendLeaderHeartbeats() {
-  const auto succession = Succession();
+  UpdateSuccession();
+  announced_copy_status_ = own_copy_status_;
+  bool has_mirrored = false;
   for (auto& [name, it] : known_members_) {
-    SendLeaderHeartbeat(it, succession, false);
+    if (!it.mirror.empty()) {
+      has_mirrored = true;
+      continue;
+    }
+    SendLeaderHeartbeat(it, false);
   }
   NotifyReplacedLeaders();
+  if (has_mirrored && !mirrored_timer_.deadline()) {
+    StartMirrorHeadStart();
+  }
+}
+
+void MemberLink::StartMirrorHeadStart() {
+  next_mirrored_copy_status_ = announced_copy_status_;
+  mirrored_timer_.Set(loop_.Now() + kMirrorHeadStart);
+}
+
+void MemberLink::SendHeartbeatsToMirrored() {
+  if (!election_.IsLeader(loop_.Now())) {
+    return;
+  }
+  mirrored_copy_status_ = next_mirrored_copy_status_;
+  SetStoreCopyStatus(own_copy_status_);
+  for (auto& [name, it] : known_members_) {
+    if (!it.mirror.empty()) {
+      SendLeaderHeartbeat(it, false);
+    }
+  }
+  if (announced_copy_status_.changed_at != mirrored_copy_status_.changed_at) {
+    StartMirrorHeadStart();
+  }
 }
 
 void MemberLink::AnnounceResignation() {
-  const auto succession = Succession();
+  UpdateSuccession();
   for (auto& [name, it] : known_members_) {
-    SendLeaderHeartbeat(it, succession, true);
+    SendLeaderHeartbeat(it, true);
   }
 }
 
--- a/src/entry/member_link.h
+++ b/src/entry/member_link.h
@@ -29,6 +29,8 @@
 struct StoreCopyStatus {
   // Where other daemons can fetch the copies, as "IP:port".
   std::string address;
+  // The daemon from which this one is to fetch them instead; empty: none.
+  std::string mirror;
   // The leader cannot reach the store.
   bool store_lost = false;
   // Entries of live servers may be missing after an outage of the store.
@@ -38,6 +40,9 @@
   std::vector<std::uint64_t> changed_at;
   // All changes up to this time are in the copies; TimePoint{}: unknown.
   TimePoint current_at{};
+  // Addresses of the first members in the order of succession, without the
+  // daemon that receives the status. They have copies, too.
+  std::vector<std::string> peers;
 };
 
 // Tells the daemons whether their leader is alive, the revisions of its copies,
@@ -64,15 +69,19 @@
   // Tells the other daemons at once that this one has lost its path to the
   // servers, or has it again.
   void AnnounceServerPath();
-  // Sends a heartbeat to all members. Call it only on the leader.
+  // Sends a heartbeat to all members; those that fetch copies from a mirror get
+  // it later than the mirrors. Call it only on the leader.
   void SendLeaderHeartbeats();
   // Tells all members that this leader steps down.
   void AnnounceResignation();
   // Sets what the heartbeats of this daemon report while it leads.
-  void SetStoreCopyStatus(StoreCopyStatus copy_status) {
-    own_copy_status_ = std::move(copy_status);
-  }
+  void SetStoreCopyStatus(StoreCopyStatus copy_status);
 
+  // Returns whether the number of daemons is known: this one leads, or a leader
+  // has reported it.
+  [[nodiscard]] bool knows_members() const {
+    return was_leader_ || leader_last_seen_ != TimePoint{};
+  }
   // Returns the known number of daemons, including this one.
   [[nodiscard]] std::uint32_t members() const { return members_; }
   // Returns how many of them have lost their path to the servers.
@@ -105,6 +114,10 @@
     bool servers_lost = false;
     // Hello.sent_ms of its last Hello.
     std::uint64_t hello_sent_ms = 0;
+    // Set by UpdateSuccession().
+    std::uint32_t rank = 0;
+    // Address of its mirror; empty: none.
+    std::string mirror;
   };
 
   void Tick();
@@ -130,15 +143,16 @@
   // turn of this daemon has come.
   void ReplaceUnfitLeader(bool leader_lost_servers, TimePoint now);
   void AddSamples(const wire::HelloT& hello);
-  void SendLeaderHeartbeat(KnownMember& known,
-                           const std::vector<const KnownMember*>& succession,
-                           bool resigning);
+  void SendLeaderHeartbeat(KnownMember& known, bool resigning);
+  // Sends a heartbeat to the members that fetch copies from a mirror.
+  void SendHeartbeatsToMirrored();
+  // Lets the mirrors fetch what they have just been told of.
+  void StartMirrorHeadStart();
   void Send(const std::string& address, const wire::BodyUnion& body);
   void QueueCrashReports(const std::string& from,
                          const std::vector<Fingerprint>& crashes);
-  // Returns the members in the order of succession: those with a path to the
-  // servers first, and among them the daemon with the largest processor share.
-  [[nodiscard]] std::vector<const KnownMember*> Succession() const;
+  // Updates the order of succession if the members have changed.
+  void UpdateSuccession();
 
   net::EventLoop& loop_;
   const Member self_;
@@ -154,6 +168,11 @@
   // By name. On the leader: the members that have sent a Hello. On the others:
   // the leader, and the members that its last heartbeat named.
   std::map<std::string, KnownMember> known_members_;
+  // The known members in the order of succession.
+  std::vector<const KnownMember*> succession_;
+  bool succession_outdated_ = true;
+  // When the members that fetch copies from a mirror get their heartbeat.
+  net::DeadlineTimer mirrored_timer_;
   bool was_leader_ = false;
   // A new leader receives the first Hellos of its members one by one. Until
   // this time it does not count fewer members than the previous leader did.
@@ -164,6 +183,12 @@
   // When the leader first reported that it has lost its path to the servers.
   std::optional<TimePoint> leader_unfit_since_;
   StoreCopyStatus own_copy_status_;
+  // What the mirrors were told last.
+  StoreCopyStatus announced_copy_status_;
+  // What the members that fetch copies from a mirror are told: a status that
+  // the mirrors have had time to catch up with, and the one after it.
+  StoreCopyStatus mirrored_copy_status_;
+  StoreCopyStatus next_mirrored_copy_status_;
   TimePoint leader_last_seen_{};
 };
 
--- a/src/entry/server_choice.cc
+++ b/src/entry/server_choice.cc
@@ -140,17 +140,17 @@
   std::vector<const routing::BackendServer*> avoided;
   // The earliest time at which a limited or resting server takes a request.
   TimePoint next_send = TimePoint::max();
-  for (const auto& [id, it] : directory.servers()) {
-    if (it.service != request.service.name || it.draining ||
-        std::find(request.tried.begin(), request.tried.end(), id) !=
-            request.tried.end()) {
+  for (const routing::BackendServer* it :
+       directory.OfService(request.service.name)) {
+    if (it->draining || std::find(request.tried.begin(), request.tried.end(),
+                                  it->id) != request.tried.end()) {
       continue;
     }
-    if (const TimePoint at = limits.NextSend(id, now); at > now) {
+    if (const TimePoint at = limits.NextSend(it->id, now); at > now) {
       next_send = std::min(next_send, at);
       continue;
     }
-    (loads.IsAvoided(id, now) ? avoided : healthy).push_back(&it);
+    (loads.IsAvoided(it->id, now) ? avoided : healthy).push_back(it);
   }
   const auto& servers = healthy.empty() ? avoided : healthy;
   if (servers.empty() && next_send != TimePoint::max()) {
--- a/src/entry/server_directory.cc
+++ b/src/entry/server_directory.cc
@@ -124,9 +124,10 @@
 std::vector<ServerId> ServerDirectory::RemoveOthers(
     const std::vector<ServerId>& present,
     TimePoint now) {
+  const std::set<ServerId> kept(present.begin(), present.end());
   std::vector<ServerId> absent;
   for (const auto& [id, server] : servers_) {
-    if (std::find(present.begin(), present.end(), id) == present.end()) {
+    if (!kept.contains(id)) {
       absent.push_back(id);
     }
   }
@@ -149,6 +150,19 @@
   return removed;
 }
 
+const std::vector<const routing::BackendServer*>& ServerDirectory::OfService(
+    const std::string& service) const {
+  if (std::exchange(indexed_changes_, changes_) != changes_) {
+    index_.clear();
+    for (const auto& [id, it] : servers_) {
+      index_[it.service].push_back(&it);
+    }
+  }
+  static const std::vector<const routing::BackendServer*> kNone;
+  const auto it = index_.find(service);
+  return it == index_.end() ? kNone : it->second;
+}
+
 const routing::BackendServer* ServerDirectory::Find(const ServerId& id) const {
   const auto it = servers_.find(id);
   return it == servers_.end() ? nullptr : &it->second;
--- a/src/entry/server_directory.h
+++ b/src/entry/server_directory.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <string>
 #include <vector>
 
 #include "gentianreach/ids.h"
@@ -63,6 +64,10 @@
     return servers_;
   }
   [[nodiscard]] const routing::BackendServer* Find(const ServerId& id) const;
+  // Returns the servers of a service, sorted by id. Valid until the entries
+  // change.
+  [[nodiscard]] const std::vector<const routing::BackendServer*>& OfService(
+      const std::string& service) const;
   // Returns a number that grows with each change of the entries.
   [[nodiscard]] std::uint64_t changes() const { return changes_; }
 
@@ -93,6 +98,10 @@
   std::set<ServerId> deferred_removals_;
   bool removals_deferred_ = false;
   std::uint64_t changes_ = 0;
+  // By service, as of `indexed_changes_`; see OfService().
+  mutable std::map<std::string, std::vector<const routing::BackendServer*>>
+      index_;
+  mutable std::uint64_t indexed_changes_ = 0;
 };
 
 }  // namespace gentianreach::entry
--- a/src/entry/store_copies.cc
+++ b/src/entry/store_copies.cc
@@ -2,8 +2,11 @@
 
 #include <algorithm>
 #include <chrono>
+#include <iterator>
 #include <utility>
 
+#include <nlohmann/json.hpp>
+
 #include "base/log.h"
 
 namespace gentianreach::entry {
@@ -17,39 +20,28 @@
 // receive no heartbeats.
 constexpr milliseconds kLeaderWatchWait{500};
 constexpr milliseconds kOwnWatchWait{4000};
-// Time without a heartbeat after which a daemon watches the store itself. The
-// next leader is usually elected earlier.
-constexpr Duration kLeaderTimeout = milliseconds(2000);
-// Age of the copies, in addition to the period of the heartbeats, at which a
-// daemon reads the store itself although its leader is alive: the leader may be
-// too slow to pass changes on. Twice as long as a watch of the leader waits,
-// and well below the time in which a change has to take effect.
-constexpr Duration kMaxCopyAge = milliseconds(1000);
-// When the leader cannot reach the store, the other daemons probe it in the
-// order of succession, kProbeRankDelay apart. Those with a high rank use the
-// shorter late delays instead, so that all daemons probe within the time in
-// which a change has to take effect.
-constexpr Duration kProbeRankDelay = milliseconds(250);
-constexpr Duration kLateProbeBase = milliseconds(1000);
-constexpr Duration kLateProbeRankDelay = milliseconds(15);
-// Path and kinds of the requests for changes, and their timeout.
+// Paths of the requests for changes and for the state of the copies, kinds of
+// the objects, and timeouts. A mirror has little time, since the leader is
+// asked after it.
 constexpr const char* kRelayPath = "/changes";
+constexpr const char* kStatusPath = "/copies";
 constexpr std::array<const char*, 3> kRelayKinds = {"config", "servers",
                                                     "ownership"};
 constexpr Duration kRelayTimeout = milliseconds(1200);
-
-// Returns how long after the leader's report the daemon with `rank` starts to
-// probe the store.
-Duration ProbeDelay(std::uint32_t rank) {
-  return std::min(rank * kProbeRankDelay,
-                  kLateProbeBase + rank * kLateProbeRankDelay);
-}
+constexpr Duration kMirrorTimeout = milliseconds(400);
+constexpr Duration kPeerTimeout = milliseconds(300);
+// How long a mirror that has failed is not used.
+constexpr Duration kMirrorAvoidance = std::chrono::seconds(3);
+// Time between two questions to peers, and the number of peers asked.
+constexpr Duration kPeerPollPeriod = milliseconds(200);
+constexpr std::size_t kPolledPeers = 2;
 
 }  // namespace
 
 StoreCopies::StoreCopies(net::EventLoop& loop,
                          platform::PlatformClient& platform,
                          Duration shortest_expiry,
+                         Duration config_apply,
                          Sinks sinks)
     : loop_(loop),
       health_(loop, shortest_expiry),
@@ -70,7 +62,9 @@
                  health_,
                  platform::ObjectKind::kOwnership,
                  platform::Freshness::kMayBeStale,
-                 std::move(sinks.ownership)) {
+                 std::move(sinks.ownership)),
+      chooser_(config_apply),
+      peer_timer_(loop, [this] { PollPeers(); }) {
   health_.on_change = [this](bool lost) {
     if (!lost) {
       for (StoreWatcher* it : Watchers()) {
@@ -89,6 +83,8 @@
   relay_server_.Handle("GET", kRelayPath, [this](const auto& request) {
     return HandleChangesRequest(request);
   });
+  relay_server_.Handle("GET", kStatusPath,
+                       [this](const auto&) { return HandleStatusRequest(); });
 }
 
 boost::leaf::result<void> StoreCopies::Start(const std::string& address) {
@@ -101,66 +97,123 @@
   return {};
 }
 
-bool StoreCopies::AreOutdated(milliseconds heartbeat_period) const {
-  // The first copies have as long to arrive as later changes.
-  return loop_.Now() >=
-         std::max(current_at(), started_at_) + kMaxCopyAge + heartbeat_period;
-}
-
 void StoreCopies::ChooseSource(const LeadershipStatus& leadership) {
   const TimePoint now = loop_.Now();
-  const bool leader_alive = now < leadership.leader_last_seen + kLeaderTimeout;
-  probes_store_ = leader_store_lost_ &&
-                  now >= leader_lost_store_at_ + ProbeDelay(leadership.rank);
-  const bool outdated = AreOutdated(leadership.heartbeat_period);
-  if (follows_leader_ && outdated && !leadership.leads && leader_alive &&
-      !probes_store_) {
-    Log(LogLevel::kWarning, "copies_outdated", {{"leader", leader_address_}});
-  }
-  const bool followed_leader =
-      std::exchange(follows_leader_, !leadership.leads && leader_alive &&
-                                         !probes_store_ && !outdated);
-  if (followed_leader != follows_leader_) {
-    Log(LogLevel::kInfo, "copies_source",
-        {{"source", follows_leader_ ? "leader" : "store"},
-         {"reason", follows_leader_    ? "leader_alive"
-                    : leadership.leads ? "leads"
-                    : !leader_alive    ? "leader_silent"
-                    : probes_store_    ? "leader_lost_store"
-                                       : "outdated"},
+  const CopySource before = std::exchange(
+      source_, chooser_.Choose(leadership, started_at_, current_at(), now));
+  const bool outdated = chooser_.outdated();
+  if (before != source_) {
+    const bool behind = before == CopySource::kLeader && outdated &&
+                        chooser_.leader_alive() && !leadership.leads;
+    Log(behind ? LogLevel::kWarning : LogLevel::kInfo, "copies_source",
+        {{"source", ToString(source_)},
+         {"reason", source_ == CopySource::kLeader ? "leader_alive"
+                    : leadership.leads             ? "leads"
+                    : !chooser_.leader_alive()     ? "leader_silent"
+                    : chooser_.probes_store()      ? "leader_lost_store"
+                                                   : "outdated"},
          {"leader", leader_address_},
          {"copy_age_ms", MillisecondsBetween(current_at(), now)}});
+    if (source_ == CopySource::kPeers) {
+      PollPeers();
+    }
   }
-  if (!leader_alive) {
-    leader_store_lost_ = false;
-  }
-  const milliseconds watch_wait = leadership.leads || (leader_alive && outdated)
-                                      ? kLeaderWatchWait
-                                      : kOwnWatchWait;
-  for (StoreWatcher* it : Watchers()) {
-    it->SetSource(follows_leader_ ? WatchSource::kLeader : WatchSource::kStore,
-                  watch_wait);
-  }
+  const milliseconds watch_wait =
+      leadership.leads || (chooser_.leader_alive() && outdated)
+          ? kLeaderWatchWait
+          : kOwnWatchWait;
+  const WatchSource source = source_ == CopySource::kStore
+                                 ? WatchSource::kStore
+                                 : WatchSource::kLeader;
+  config_.SetSource(source, watch_wait);
+  servers_.SetSource(source, watch_wait);
+  ownership_.SetSource(leadership.leads ? WatchSource::kLeader : source,
+                       watch_wait);
+  leads_ = leadership.leads;
 }
 
 void StoreCopies::OnLeaderHeartbeat(const StoreCopyStatus& copy_status) {
-  if (copy_status.store_lost && !leader_store_lost_) {
-    leader_lost_store_at_ = loop_.Now();
-  }
+  chooser_.OnLeaderHeartbeat(copy_status.store_lost, loop_.Now());
   leader_address_ = copy_status.address;
-  leader_store_lost_ = copy_status.store_lost;
-  leader_lacks_entries_ = copy_status.may_lack_entries;
+  mirror_ = copy_status.mirror;
+  peers_ = copy_status.peers;
+  source_lacks_entries_ = copy_status.may_lack_entries;
   for (std::size_t i = 0; i < std::min(copy_status.changed_at.size(), kKinds);
        ++i) {
-    FetchChanges(i, copy_status.address, copy_status.changed_at[i],
-                 copy_status.current_at);
+    FetchFromLeader(i, copy_status.changed_at[i], copy_status.current_at);
+  }
+}
+
+void StoreCopies::FetchFromLeader(std::size_t kind,
+                                  std::uint64_t changed_at,
+                                  TimePoint current_at) {
+  const TimePoint now = loop_.Now();
+  if (mirror_.empty() || now < mirror_avoided_until_) {
+    FetchChanges(kind, leader_address_, changed_at, current_at,
+                 now + kRelayTimeout);
+    return;
+  }
+  const auto on_end = [this, kind, changed_at, current_at](bool has_changes) {
+    if (has_changes) {
+      return;
+    }
+    const TimePoint now = loop_.Now();
+    mirror_avoided_until_ = now + kMirrorAvoidance;
+    FetchChanges(kind, leader_address_, changed_at, current_at,
+                 now + kRelayTimeout);
+  };
+  FetchChanges(kind, mirror_, changed_at, current_at, now + kMirrorTimeout,
+               on_end);
+}
+
+void StoreCopies::PollPeers() {
+  if (source_ != CopySource::kPeers) {
+    return;
+  }
+  const TimePoint now = loop_.Now();
+  peer_timer_.Set(now + kPeerPollPeriod);
+  std::vector<std::string> asked;
+  std::sample(peers_.begin(), peers_.end(), std::back_inserter(asked),
+              kPolledPeers, generator_);
+  for (const std::string& it : asked) {
+    HttpCall call;
+    call.url = "http://" + it + kStatusPath;
+    call.deadline = now + kPeerTimeout;
+    relay_client_.Send(std::move(call),
+                       [this, it, now](const HttpResponse& reply) {
+                         if (reply.status == 200) {
+                           OnPeerStatus(it, reply.body, now);
+                         }
+                       });
+  }
+}
+
+void StoreCopies::OnPeerStatus(const std::string& address,
+                               const std::string& status,
+                               TimePoint asked_at) {
+  if (source_ != CopySource::kPeers) {
+    return;
+  }
+  try {
+    const auto json = nlohmann::json::parse(status);
+    const milliseconds age(json.at("age_ms").get<std::int64_t>());
+    const auto changed_at =
+        json.at("changed_at").get<std::vector<std::uint64_t>>();
+    source_lacks_entries_ = json.at("may_lack_entries").get<bool>();
+    for (std::size_t i = 0; i < std::min(changed_at.size(), kKinds); ++i) {
+      FetchChanges(i, address, changed_at[i], asked_at - age,
+                   loop_.Now() + kMirrorTimeout);
+    }
+  } catch (const nlohmann::json::exception& error) {
+    Log(LogLevel::kWarning, "peer_status_unusable",
+        {{"peer", address}, {"error", error.what()}});
   }
 }
 
 void StoreCopies::OnPeerWithCopies(const std::string& address) {
   for (std::size_t i = 0; i < kKinds; ++i) {
     if (!Watchers()[i]->listed()) {
-      FetchChanges(i, address, 1, TimePoint{});
+      FetchChanges(i, address, 1, TimePoint{}, loop_.Now() + kRelayTimeout);
     }
   }
 }
@@ -176,21 +229,23 @@
 }
 
 TimePoint StoreCopies::current_at() const {
-  TimePoint current_at = TimePoint::max();
-  for (const StoreWatcher* it : Watchers()) {
-    current_at = std::min(current_at, it->current_at());
-  }
-  return current_at;
+  // Only the leader writes the ownership tables, and its writes fail once
+  // another daemon has written them.
+  const TimePoint ownership_current_at =
+      leads_ && ownership_.listed() ? loop_.Now() : ownership_.current_at();
+  return std::min(
+      {config_.current_at(), servers_.current_at(), ownership_current_at});
 }
 
 bool StoreCopies::MayLackEntries() const {
-  return follows_leader_ ? leader_lacks_entries_ : health_.MayLackEntries();
+  return source_ == CopySource::kStore ? health_.MayLackEntries()
+                                       : source_lacks_entries_;
 }
 
 bool StoreCopies::HasLeaderLostStore(const std::string& leader_address) const {
-  return leader_address == leader_address_ && leader_store_lost_ &&
-         probes_store_ && !health_.lost() &&
-         health_.answered_at() > leader_lost_store_at_;
+  return leader_address == leader_address_ && chooser_.leader_lost_store() &&
+         chooser_.probes_store() && !health_.lost() &&
+         health_.answered_at() > chooser_.leader_lost_store_at();
 }
 
 OperatorResponse StoreCopies::HandleChangesRequest(
@@ -206,10 +261,26 @@
   return {404, "application/json", R"({"error":"no such kind"})"};
 }
 
+OperatorResponse StoreCopies::HandleStatusRequest() {
+  const StoreCopyStatus status = CopyStatus();
+  if (status.current_at == TimePoint{}) {
+    return {503, "application/json", R"({"error":"no copies yet"})"};
+  }
+  const auto age = std::chrono::ceil<milliseconds>(
+      std::max(loop_.Now() - status.current_at, Duration(0)));
+  return {200, "application/json",
+          nlohmann::json{{"age_ms", age.count()},
+                         {"changed_at", status.changed_at},
+                         {"may_lack_entries", MayLackEntries()}}
+              .dump()};
+}
+
 void StoreCopies::FetchChanges(std::size_t kind,
                                const std::string& address,
                                std::uint64_t changed_at,
-                               TimePoint current_at) {
+                               TimePoint current_at,
+                               TimePoint deadline,
+                               std::function<void(bool)> done) {
   StoreWatcher* watcher = Watchers()[kind];
   if (watcher->relay_since() >= changed_at) {
     watcher->ConfirmCurrent(current_at);
@@ -222,22 +293,29 @@
   HttpCall call;
   call.url = "http://" + address + kRelayPath + "?kind=" + kRelayKinds[kind] +
              "&since=" + std::to_string(watcher->relay_since());
-  call.deadline = loop_.Now() + kRelayTimeout;
-  relay_client_.Send(std::move(call), [this, kind, watcher, changed_at,
-                                       current_at](const HttpResponse& reply) {
+  call.deadline = deadline;
+  const auto on_reply = [this, kind, address, watcher, changed_at, current_at,
+                         done = std::move(done)](const HttpResponse& reply) {
     fetching_[kind] = false;
     if (reply.status != 200) {
       ++relay_failures_;
       Log(LogLevel::kWarning, "relay_failed",
-          {{"kind", kRelayKinds[kind]}, {"error", reply.error}});
-      return;
+          {{"kind", kRelayKinds[kind]},
+           {"from", address},
+           {"error", reply.error}});
     }
     // The process that replied may have replaced the one that reported.
-    if (watcher->ApplyChanges(reply.body) &&
-        watcher->relay_since() >= changed_at) {
+    const bool has_changes = reply.status == 200 &&
+                             watcher->ApplyChanges(reply.body) &&
+                             watcher->relay_since() >= changed_at;
+    if (has_changes) {
       watcher->ConfirmCurrent(current_at);
     }
-  });
+    if (done) {
+      done(has_changes);
+    }
+  };
+  relay_client_.Send(std::move(call), on_reply);
 }
 
 }  // namespace gentianreach::entry
--- a/src/entry/store_copies.h
+++ b/src/entry/store_copies.h
@@ -7,14 +7,18 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <random>
 #include <string>
+#include <vector>
 
 #include <boost/leaf/result.hpp>
 
 #include "daemon/operator_server.h"
+#include "entry/copy_source.h"
 #include "entry/member_link.h"
 #include "entry/store_watcher.h"
 #include "gentianreach/time.h"
+#include "net/deadline_timer.h"
 #include "net/event_loop.h"
 #include "net/http_client.h"
 #include "platform/platform_client.h"
@@ -35,10 +39,12 @@
   };
 
   // While the store cannot be reached for less than `shortest_expiry`, no entry
-  // of a live server expires.
+  // of a live server expires. A change of the configuration has to take effect
+  // within `config_apply`.
   StoreCopies(net::EventLoop& loop,
               platform::PlatformClient& platform,
               Duration shortest_expiry,
+              Duration config_apply,
               Sinks sinks);
   StoreCopies(const StoreCopies&) = delete;
   StoreCopies& operator=(const StoreCopies&) = delete;
@@ -47,15 +53,6 @@
   // ("IP:port"). Fails with ListenError.
   boost::leaf::result<void> Start(const std::string& address);
 
-  // What the choice of the source depends on.
-  struct LeadershipStatus {
-    bool leads = false;
-    TimePoint leader_last_seen;
-    // This daemon's position in the order of succession.
-    std::uint32_t rank = 0;
-    // How often a leader sends heartbeats while nothing changes.
-    std::chrono::milliseconds heartbeat_period{250};
-  };
   // Sets the source of changes. Call it whenever `leadership` changes, and
   // periodically.
   void ChooseSource(const LeadershipStatus& leadership);
@@ -89,8 +86,8 @@
   // has come.
   [[nodiscard]] bool HasLeaderLostStore(
       const std::string& leader_address) const;
-  // Returns whether changes come from the leader, not from the store.
-  [[nodiscard]] bool follows_leader() const { return follows_leader_; }
+  // Returns where changes come from.
+  [[nodiscard]] CopySource source() const { return source_; }
   [[nodiscard]] const StoreHealth& health() const { return health_; }
   // Returns the number of fetches of changes that failed.
   [[nodiscard]] std::uint64_t relay_failures() const { return relay_failures_; }
@@ -108,19 +105,31 @@
   [[nodiscard]] std::array<const StoreWatcher*, kKinds> Watchers() const {
     return {&config_, &servers_, &ownership_};
   }
-  // Returns whether the copies are older than those of a leader that is on
-  // time, whose heartbeats arrive every `heartbeat_period`.
-  [[nodiscard]] bool AreOutdated(
-      std::chrono::milliseconds heartbeat_period) const;
   // Handles another daemon's request for changes.
   OperatorResponse HandleChangesRequest(const OperatorRequest& request);
+  // Handles another daemon's question for the state of the copies.
+  OperatorResponse HandleStatusRequest();
+  // Asks some of the peers for the state of their copies.
+  void PollPeers();
+  // Fetches what the peer at `address` has more. Its status was requested at
+  // `asked_at`.
+  void OnPeerStatus(const std::string& address,
+                    const std::string& status,
+                    TimePoint asked_at);
+  // Fetches changes from a mirror or, if it has failed, from the leader.
+  void FetchFromLeader(std::size_t kind,
+                       std::uint64_t changed_at,
+                       TimePoint current_at);
   // Fetches the changes from `address` unless the copy already has those up to
   // revision `changed_at`. That copy then contains all changes up to
-  // `current_at`.
+  // `current_at`. `done`, if set, receives whether it has those changes now; it
+  // is not called if a fetch was in flight already.
   void FetchChanges(std::size_t kind,
                     const std::string& address,
                     std::uint64_t changed_at,
-                    TimePoint current_at);
+                    TimePoint current_at,
+                    TimePoint deadline,
+                    std::function<void(bool)> done = {});
 
   net::EventLoop& loop_;
   StoreHealth health_;
@@ -133,15 +142,19 @@
   std::array<bool, kKinds> fetching_{};
   std::uint64_t relay_failures_ = 0;
   TimePoint started_at_{};
-  bool follows_leader_ = false;
-  // The leader cannot reach the store, and this daemon's turn to probe the
-  // store has come.
-  bool probes_store_ = false;
+  CopySourceChooser chooser_;
+  CopySource source_ = CopySource::kStore;
+  bool leads_ = false;
   // From the last heartbeat of a leader.
   std::string leader_address_;
-  bool leader_store_lost_ = false;
-  bool leader_lacks_entries_ = false;
-  TimePoint leader_lost_store_at_{};
+  std::string mirror_;
+  std::vector<std::string> peers_;
+  // Whether the leader or the last peer may lack entries.
+  bool source_lacks_entries_ = false;
+  // A mirror that has failed is not used until then.
+  TimePoint mirror_avoided_until_{};
+  std::minstd_rand generator_{std::random_device{}()};
+  net::DeadlineTimer peer_timer_;
 };
 
 }  // namespace gentianreach::entry
--- a/src/entry/store_copies_test.cc
+++ b/src/entry/store_copies_test.cc
@@ -27,6 +27,8 @@
 const std::string kLeader = "127.0.0.1:1";
 // Longer than a watch of a leader waits.
 constexpr Duration kLongerThanWatch = milliseconds(700);
+// Time for which the calls of a daemon are counted.
+constexpr std::chrono::seconds kObservedTime{3};
 
 // A daemon's copies, and the leader's heartbeats that it receives.
 class Member {
@@ -35,6 +37,7 @@
       : copies_(loop,
                 client_,
                 kShortestExpiry,
+                kApplyTime,
                 {.config = Recorder(),
                  .servers = Ignore(),
                  .ownership = Ignore()}) {
@@ -211,5 +214,101 @@
   CHECK(member.loop.Now() >= lost + milliseconds(750));
 }
 
+TEST_CASE("a leader makes few calls while nothing changes") {
+  Member leader(standins::LoopbackBlock() + "8:7002");
+  const std::size_t before = leader.store.calls();
+  const TimePoint end = leader.loop.Now() + kObservedTime;
+  leader.LeadUntil([&] { return leader.loop.Now() >= end; });
+  // Two kinds of objects are watched, each with two watches a second.
+  CHECK(leader.store.calls() - before <=
+        4 * (kObservedTime / std::chrono::seconds(1)) + 2);
+}
+
+// Two daemons of a large fleet that share a store and whose leader is silent.
+class LeaderlessPair {
+ public:
+  LeaderlessPair()
+      : reader_(loop, reader_client_, kShortestExpiry, kApplyTime, Ignore()),
+        other_(loop, other_client_, kShortestExpiry, kApplyTime, Record()) {
+    const std::string reader_address = standins::LoopbackBlock() + "9:7002";
+    REQUIRE(reader_.Start(reader_address));
+    REQUIRE(other_.Start(standins::LoopbackBlock() + "10:7002"));
+    RunUntil([&] {
+      return reader_.current_at() != TimePoint{} &&
+             other_.CopyStatus().changed_at.size() == 3;
+    });
+    other_.OnLeaderHeartbeat({.address = kLeader,
+                              .changed_at = {0, 0, 0},
+                              .current_at = loop.Now(),
+                              .peers = {reader_address}});
+    last_heartbeat_ = loop.Now();
+    other_.ChooseSource({.leader_last_seen = last_heartbeat_, .rank = kRank});
+  }
+
+  // The reader, which reads the store, has the lowest rank.
+  void RunUntil(const std::function<bool()>& done) {
+    const TimePoint end = loop.Now() + kTestTimeout;
+    while (!done()) {
+      REQUIRE(loop.Now() < end);
+      reader_.ChooseSource({.leads = true});
+      if (last_heartbeat_ != TimePoint{}) {
+        other_.ChooseSource(
+            {.leader_last_seen = last_heartbeat_, .rank = kRank});
+      }
+      loop.RunOnce(false);
+    }
+  }
+  void RunFor(Duration time) {
+    const TimePoint end = loop.Now() + time;
+    RunUntil([&] { return loop.Now() >= end; });
+  }
+  [[nodiscard]] std::uint64_t calls_of_other() const {
+    return other_client_.store_calls();
+  }
+
+  platform::testing::FakeStore store;
+  net::EventLoop loop;
+  int config = 0;
+
+ private:
+  static constexpr std::uint32_t kRank = 100;
+
+  static StoreCopies::Sinks Ignore() {
+    const StoreWatcher::Sink sink{[](const auto&) {}, [](const auto&) {}};
+    return {sink, sink, sink};
+  }
+  StoreCopies::Sinks Record() {
+    StoreCopies::Sinks sinks = Ignore();
+    const auto record = [this](const std::vector<platform::Object>& objects) {
+      for (const platform::Object& it : objects) {
+        config = it.content().get<int>();
+      }
+    };
+    sinks.config = {record, record};
+    return sinks;
+  }
+
+  platform::PlatformClient reader_client_{store.address()};
+  platform::PlatformClient other_client_{store.address()};
+  StoreCopies reader_;
+  StoreCopies other_;
+  TimePoint last_heartbeat_{};
+};
+
+TEST_CASE("without a leader a daemon of a large fleet asks its peers") {
+  LeaderlessPair pair;
+  // The leader is silent for long enough that its members do without it.
+  pair.RunFor(std::chrono::seconds(3));
+  const std::uint64_t before = pair.calls_of_other();
+  pair.store.Put("config", "main", 7);
+  const TimePoint changed = pair.loop.Now();
+  pair.RunUntil([&] {
+    return pair.config == 7 || pair.loop.Now() > changed + kApplyTime;
+  });
+  CHECK(pair.config == 7);
+  pair.RunFor(kObservedTime);
+  CHECK(pair.calls_of_other() == before);
+}
+
 }  // namespace
 }  // namespace gentianreach::entry
--- a/src/entry/store_watcher.cc
+++ b/src/entry/store_watcher.cc
@@ -20,6 +20,9 @@
 // several changes at once. Well below the time within which a change has to
 // take effect.
 constexpr Duration kWatchBatchDelay = milliseconds(200);
+// Delay of the watch after the first list. A daemon that has just started
+// usually knows a leader by then, and needs no watch of its own.
+constexpr Duration kFirstWatchDelay = milliseconds(1000);
 // Timeout of a list.
 constexpr Duration kListTimeout = milliseconds(1500);
 // Longest delay between calls while the store is unreachable.
@@ -146,7 +149,7 @@
       timer_(loop, [this] { MakeNextCall(); }) {}
 
 void StoreWatcher::SetSource(WatchSource source, milliseconds watch_wait) {
-  watch_wait_ = watch_wait;
+  const bool hurried = watch_wait < std::exchange(watch_wait_, watch_wait);
   const bool switched = std::exchange(source_, source) != source;
   if (source == WatchSource::kLeader) {
     switched_to_store_ = false;
@@ -160,6 +163,9 @@
     DropCall();
   }
   if (!switched && !replaced) {
+    if (hurried && listed_ && !in_flight_) {
+      timer_.Set(now);
+    }
     return;
   }
   switched_to_store_ = true;
@@ -210,7 +216,9 @@
   // While the store is unreachable, watches wait only briefly, so that its
   // recovery is detected soon.
   constexpr milliseconds kProbeWait{1};
-  const milliseconds wait = health_.lost() ? kProbeWait : watch_wait_;
+  const milliseconds wait = health_.lost()       ? kProbeWait
+                            : changed_last_call_ ? watch_wait_ / 2
+                                                 : watch_wait_;
   const auto freshness =
       list ? std::exchange(next_list_, platform::Freshness::kCurrent)
            : platform::Freshness::kCurrent;
@@ -239,6 +247,7 @@
 void StoreWatcher::OnReply(const platform::ListReply& reply,
                            const PendingCall& call) {
   const TimePoint now = loop_.Now();
+  changed_last_call_ = !call.list && !reply.objects.empty();
   switch (reply.status) {
     case platform::CallStatus::kOk:
       health_.OnResponse();
@@ -249,8 +258,12 @@
         timer_.Set(now);
         return;
       }
-      timer_.Set(call.list || reply.objects.empty() ? now
-                                                    : now + kWatchBatchDelay);
+      if (call.list && revision_ == 0) {
+        timer_.Set(now + kFirstWatchDelay);
+      } else {
+        timer_.Set(call.list || reply.objects.empty() ? now
+                                                      : now + kWatchBatchDelay);
+      }
       if (call.list) {
         ApplyList(reply.objects, reply.revision);
         ConfirmCurrent(call.current_at);
--- a/src/entry/store_watcher.h
+++ b/src/entry/store_watcher.h
@@ -191,6 +191,9 @@
   // ignored.
   std::uint64_t generation_ = 0;
   bool in_flight_ = false;
+  // The last call was a watch that returned changes. It proves only that the
+  // copy was complete when it was sent, so the next one is shorter.
+  bool changed_last_call_ = false;
   // Until when the watch in flight waits; TimePoint{} for a list.
   TimePoint watch_until_{};
   // The source has changed to the store since the last call.
