--- a/src/entry/entry_daemon.cc
+++ b/src/entry/entry_daemon.cc
@@ -20,6 +20,7 @@
 #include "entry/leader_election.h"
 #include "entry/leader_record.h"
 #include "entry/member_link.h"
+#include "entry/server_entries.h"
 #include "entry/server_path_monitor.h"
 #include "entry/store_copies.h"
 #include "net/deadline_timer.h"
@@ -37,6 +38,7 @@
 // Delay of the event loop from which on it is logged. Orders to servers time
 // out after twice this time.
 constexpr Duration kLoggedLoopDelay = milliseconds(200);
+constexpr Duration kStoreCallsLogPeriod = std::chrono::minutes(1);
 // Timeout of store calls for the election.
 constexpr Duration kElectionTimeout = milliseconds(1500);
 // Daemons of a deployment start at the same time. Their first election calls
@@ -76,6 +78,7 @@
             RetryBounds{settings.retry_ratio, settings.retry_slack},
             settings.source_ip,
             BodyBytes(settings))),
+        entries_(*state_),
         path_monitor_(*state_),
         proxy_(state_),
         self_{settings.name, Incarnation(RandomNumber()),
@@ -155,6 +158,7 @@
     }
     BOOST_LEAF_CHECK(copies_.Start(settings_.member_address));
     const TimePoint now = loop_.Now();
+    store_calls_logged_at_ = now;
     SetHousekeepingTimer(now + kHousekeepingPeriod);
     // Daemons with a small processor share let others become leader.
     const Duration low_share_delay =
@@ -237,6 +241,12 @@
     }
     metrics.Set("store_calls_total",
                 static_cast<double>(platform_.store_calls()));
+    for (const auto& [kind_and_call, n] : platform_.store_call_counts()) {
+      metrics.Set("store_calls_by_kind_total", static_cast<double>(n),
+                  "kind=\"" + std::string(ToString(kind_and_call.first)) +
+                      "\",call=\"" +
+                      std::string(ToString(kind_and_call.second)) + "\"");
+    }
     metrics.Set("relay_failures_total",
                 static_cast<double>(copies_.relay_failures()));
     metrics.Set("event_loop_delay_seconds",
@@ -281,91 +291,16 @@
     assignment_.Run();
   }
 
-  // Updates the directory with a server entry. Removes a server whose entry is
-  // invalid.
-  void PutServer(const platform::Object& object) {
-    std::string why;
-    const TimePoint now = loop_.Now();
-    const auto server =
-        platform::DecodeServer(object.name, object.document, now, &why);
-    if (!server) {
-      Log(LogLevel::kWarning, "server_entry_unusable",
-          {{"server", object.name}, {"why", why}});
-      state_->directory.Remove(ServerId(object.name), now);
-      return;
-    }
-    const routing::BackendServer* before = state_->directory.Find(server->id);
-    const bool restarted =
-        before != nullptr && before->incarnation != server->incarnation;
-    const bool changed = before == nullptr || restarted ||
-                         before->draining != server->draining ||
-                         before->address != server->address;
-    const TimePoint current_at = copies_.servers_current_at();
-    if (!state_->directory.Put(*server, current_at)) {
-      Log(LogLevel::kWarning, "server_report_outdated",
-          {{"server", object.name},
-           {"draining", server->draining},
-           {"life", server->incarnation.value()},
-           {"report", server->report_number.value_or(0)},
-           {"revision", object.revision}});
-      return;
-    }
-    if (restarted) {
-      state_->limits.Forget(server->id);
-    }
-    if (!changed) {
-      return;
-    }
-    const routing::BackendServer& after = *state_->directory.Find(server->id);
-    Log(LogLevel::kInfo, "server",
-        {{"server", object.name},
-         {"service", server->service},
-         {"address", server->address},
-         {"draining", server->draining},
-         {"draining_ms",
-          after.draining ? MillisecondsBetween(after.draining_since, now) : 0},
-         {"life", server->incarnation.value()},
-         {"revision", object.revision},
-         {"source", ToString(copies_.source())},
-         {"copy_age_ms", MillisecondsBetween(current_at, now)}});
-  }
-
-  // `revision` is that of the removal, or 0 if a list lacks the server.
-  void LogRemoval(const ServerId& id, std::uint64_t revision) {
-    const auto& deferred = state_->directory.deferred_removals();
-    Log(LogLevel::kInfo, "server_removed",
-        {{"server", id.value()},
-         {"revision", revision},
-         {"deferred", deferred.contains(id)}});
-  }
-
   void OnServerList(const std::vector<platform::Object>& objects) {
-    std::vector<ServerId> present;
-    for (const platform::Object& it : objects) {
-      if (it.deleted) {
-        continue;
-      }
-      present.emplace_back(it.name);
-      PutServer(it);
-    }
-    for (const ServerId& it :
-         state_->directory.RemoveOthers(present, loop_.Now())) {
-      LogRemoval(it, 0);
-    }
+    entries_.ApplyList(objects, copies_.servers_current_at(),
+                       ToString(copies_.source()));
     servers_known_ = true;
     OnServersChanged();
   }
 
   void OnServerEvents(const std::vector<platform::Object>& objects) {
-    for (const platform::Object& it : objects) {
-      if (!it.deleted) {
-        PutServer(it);
-        continue;
-      }
-      const ServerId id(it.name);
-      state_->directory.Remove(id, loop_.Now());
-      LogRemoval(id, it.revision);
-    }
+    entries_.ApplyEvents(objects, copies_.servers_current_at(),
+                         ToString(copies_.source()));
     OnServersChanged();
   }
 
@@ -508,8 +443,26 @@
     }
   }
 
+  // Logs how many calls of each kind this daemon has made to the store.
+  void LogStoreCalls() {
+    std::string counts;
+    for (const auto& [kind_and_call, n] : platform_.store_call_counts()) {
+      counts += counts.empty() ? "" : ",";
+      counts += ToString(kind_and_call.first);
+      counts += "_";
+      counts += ToString(kind_and_call.second);
+      counts += ":" + std::to_string(n);
+    }
+    Log(LogLevel::kInfo, "store_calls",
+        {{"total", platform_.store_calls()}, {"counts", counts}});
+  }
+
   void RunHousekeeping() {
     const TimePoint now = loop_.Now();
+    if (now >= store_calls_logged_at_ + kStoreCallsLogPeriod) {
+      store_calls_logged_at_ = now;
+      LogStoreCalls();
+    }
     RecordLoopDelay(now - housekeeping_due_);
     SetHousekeepingTimer(now + kHousekeepingPeriod);
     link_.SetStoreCopyStatus(copies_.CopyStatus());
@@ -571,6 +524,7 @@
   net::EventLoop loop_;
   platform::PlatformClient platform_;
   std::shared_ptr<EntryState> state_;
+  ServerEntries entries_;
   ServerPathMonitor path_monitor_;
   EntryProxy proxy_;
   const Member self_;
@@ -585,6 +539,7 @@
   net::DeadlineTimer heartbeat_timer_;
   TimePoint next_heartbeat_{};
   TimePoint housekeeping_due_{};
+  TimePoint store_calls_logged_at_{};
   // Since the metrics were last read.
   Duration max_loop_delay_{};
   bool servers_known_ = false;
--- a/src/entry/entry_metrics.cc
+++ b/src/entry/entry_metrics.cc
@@ -41,6 +41,8 @@
     Description{"callers_turned_away_total", "counter",
                 "Connections of callers beyond those that a daemon takes."},
     Description{"store_calls_total", "counter", "Calls to the store."},
+    Description{"store_calls_by_kind_total", "counter",
+                "Calls to the store by kind of object and call."},
     Description{"log_lines_dropped_total", "counter",
                 "Log lines that the reader of standard output did not take."},
     Description{"in_flight_requests", "gauge", "Requests without an answer."},
--- a/src/entry/store_copies_test.cc
+++ b/src/entry/store_copies_test.cc
@@ -1,5 +1,10 @@
 #include "entry/store_copies.h"
 
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
 #include <chrono>
 #include <functional>
 #include <string>
@@ -224,12 +229,122 @@
         4 * (kObservedTime / std::chrono::seconds(1)) + 2);
 }
 
+// Ignores all changes.
+StoreCopies::Sinks IgnoreAll() {
+  const StoreWatcher::Sink sink{[](const auto&) {}, [](const auto&) {}};
+  return {sink, sink, sink};
+}
+
+// Keeps the content of the last configuration in `config`.
+StoreCopies::Sinks RecordConfig(int* config) {
+  StoreCopies::Sinks sinks = IgnoreAll();
+  const auto record = [config](const std::vector<platform::Object>& objects) {
+    for (const platform::Object& it : objects) {
+      *config = it.content().get<int>();
+    }
+  };
+  sinks.config = {record, record};
+  return sinks;
+}
+
+// A leader and a member that follows it.
+class LeaderAndMember {
+ public:
+  LeaderAndMember(const std::string& leader_address,
+                  const std::string& member_address)
+      : leader_address_(leader_address),
+        leader_(loop, leader_client_, kShortestExpiry, kApplyTime, IgnoreAll()),
+        member_(loop,
+                member_client_,
+                kShortestExpiry,
+                kApplyTime,
+                RecordConfig(&config)) {
+    REQUIRE(leader_.Start(leader_address));
+    REQUIRE(member_.Start(member_address));
+  }
+
+  void RunUntil(const std::function<bool()>& done) {
+    const TimePoint end = loop.Now() + kTestTimeout;
+    while (!done()) {
+      REQUIRE(loop.Now() < end);
+      leader_.ChooseSource({.leads = true});
+      if (loop.Now() >= next_heartbeat_) {
+        next_heartbeat_ = loop.Now() + kHeartbeatPeriod;
+        StoreCopyStatus status = leader_.CopyStatus();
+        status.address = leader_address_;
+        status.mirror = mirror;
+        member_.OnLeaderHeartbeat(status);
+        member_.ChooseSource({.leader_last_seen = loop.Now(), .rank = 100});
+      }
+      loop.RunOnce(false);
+    }
+  }
+
+  platform::testing::FakeStore store;
+  net::EventLoop loop;
+  int config = 0;
+  // From which the member fetches changes; empty: from the leader.
+  std::string mirror;
+
+ private:
+  const std::string leader_address_;
+  platform::PlatformClient leader_client_{store.address()};
+  platform::PlatformClient member_client_{store.address()};
+  StoreCopies leader_;
+  StoreCopies member_;
+  TimePoint next_heartbeat_{};
+};
+
+// An address that accepts connections and never answers, as a daemon does whose
+// connections have gone silent.
+class SilentPeer {
+ public:
+  explicit SilentPeer(const std::string& ip)
+      : fd_(socket(AF_INET, SOCK_STREAM, 0)), address_(ip + ":7002") {
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(7002);
+    REQUIRE(inet_pton(AF_INET, ip.c_str(), &address.sin_addr) == 1);
+    REQUIRE(bind(fd_, reinterpret_cast<const sockaddr*>(&address),
+                 sizeof(address)) == 0);
+    REQUIRE(listen(fd_, SOMAXCONN) == 0);
+  }
+  SilentPeer(const SilentPeer&) = delete;
+  SilentPeer& operator=(const SilentPeer&) = delete;
+  ~SilentPeer() { close(fd_); }
+
+  [[nodiscard]] const std::string& address() const { return address_; }
+
+ private:
+  int fd_;
+  std::string address_;
+};
+
+TEST_CASE("a change is in force in time although the mirror is silent") {
+  const std::string leader_address = standins::LoopbackBlock() + "11:7002";
+  LeaderAndMember fleet(leader_address, standins::LoopbackBlock() + "12:7002");
+  const SilentPeer mirror(standins::LoopbackBlock() + "13");
+  fleet.mirror = mirror.address();
+  for (int version = 1; version <= 3; ++version) {
+    fleet.store.Put("config", "main", version);
+    const TimePoint changed = fleet.loop.Now();
+    fleet.RunUntil([&] {
+      return fleet.config == version || fleet.loop.Now() > changed + kApplyTime;
+    });
+    CHECK(fleet.config == version);
+  }
+}
+
 // Two daemons of a large fleet that share a store and whose leader is silent.
 class LeaderlessPair {
  public:
   LeaderlessPair()
-      : reader_(loop, reader_client_, kShortestExpiry, kApplyTime, Ignore()),
-        other_(loop, other_client_, kShortestExpiry, kApplyTime, Record()) {
+      : reader_(loop, reader_client_, kShortestExpiry, kApplyTime, IgnoreAll()),
+        other_(loop,
+               other_client_,
+               kShortestExpiry,
+               kApplyTime,
+               RecordConfig(&config)) {
     const std::string reader_address = standins::LoopbackBlock() + "9:7002";
     REQUIRE(reader_.Start(reader_address));
     REQUIRE(other_.Start(standins::LoopbackBlock() + "10:7002"));
@@ -273,21 +388,6 @@
  private:
   static constexpr std::uint32_t kRank = 100;
 
-  static StoreCopies::Sinks Ignore() {
-    const StoreWatcher::Sink sink{[](const auto&) {}, [](const auto&) {}};
-    return {sink, sink, sink};
-  }
-  StoreCopies::Sinks Record() {
-    StoreCopies::Sinks sinks = Ignore();
-    const auto record = [this](const std::vector<platform::Object>& objects) {
-      for (const platform::Object& it : objects) {
-        config = it.content().get<int>();
-      }
-    };
-    sinks.config = {record, record};
-    return sinks;
-  }
-
   platform::PlatformClient reader_client_{store.address()};
   platform::PlatformClient other_client_{store.address()};
   StoreCopies reader_;
--- a/src/entry/store_watcher.cc
+++ b/src/entry/store_watcher.cc
@@ -38,20 +38,6 @@
 // about 100 KB with 230 servers.
 constexpr std::size_t kMaxRelayedBytes = 64 << 20;
 
-const char* KindName(platform::ObjectKind kind) {
-  switch (kind) {
-    case platform::ObjectKind::kServers:
-      return "servers";
-    case platform::ObjectKind::kConfig:
-      return "config";
-    case platform::ObjectKind::kLeadership:
-      return "leadership";
-    case platform::ObjectKind::kOwnership:
-      return "ownership";
-  }
-  return "";
-}
-
 // Returns a change in the form that is relayed to other daemons: as a merge
 // patch of the previous object if possible, else as the whole object.
 nlohmann::json EncodeChange(const platform::Object* before,
@@ -277,12 +263,12 @@
     case platform::CallStatus::kHistoryGone:
       health_.OnResponse();
       Log(LogLevel::kWarning, "store_history_gone",
-          {{"kind", KindName(kind_)}, {"revision", revision_}});
+          {{"kind", platform::ToString(kind_)}, {"revision", revision_}});
       health_.OnHistoryGone();
       return;
     default:
       Log(LogLevel::kWarning, "store_call_failed",
-          {{"kind", KindName(kind_)},
+          {{"kind", platform::ToString(kind_)},
            {"call", call.list ? "list" : "watch"},
            {"error", reply.error}});
       health_.OnFailure();
@@ -436,14 +422,15 @@
   const auto text = Decompress(data, kMaxRelayedBytes);
   if (!text) {
     Log(LogLevel::kWarning, "relayed_changes_unusable",
-        {{"kind", KindName(kind_)}, {"error", "cannot be decompressed"}});
+        {{"kind", platform::ToString(kind_)},
+         {"error", "cannot be decompressed"}});
     return false;
   }
   try {
     return ApplyDecodedChanges(nlohmann::json::parse(*text));
   } catch (const nlohmann::json::exception& error) {
     Log(LogLevel::kWarning, "relayed_changes_unusable",
-        {{"kind", KindName(kind_)}, {"error", error.what()}});
+        {{"kind", platform::ToString(kind_)}, {"error", error.what()}});
     return false;
   }
 }
@@ -473,7 +460,7 @@
     const auto object = DecodeEntry(it);
     if (!object) {
       Log(LogLevel::kWarning, "relayed_change_misfits",
-          {{"kind", KindName(kind_)},
+          {{"kind", platform::ToString(kind_)},
            {"object", it.at("name").get<std::string>()},
            {"revision", revision_}});
       needs_full_copy_ = true;
