Balancing finds overloaded servers behind slow ones that look worse by chance

Cause: the donor was the server with the highest load per capacity; if that one's load was no sign of overload, the round ended. A receiver also had to be below its share, which in a large fleet few are by much. Change: the donor is the most loaded of those that are overloaded, and a receiver may take a fifth of its share beyond it.

--- a/src/keyspace/rebalancer.cc
+++ b/src/keyspace/rebalancer.cc
@@ -23,10 +23,14 @@
 // A server is underloaded if its load per capacity is below this fraction of
 // the mean.
 constexpr double kUnderloadFactor = 0.4;
+// Part of its share that a server takes over from an overloaded one even if it
+// has its share already: in a large fleet no server is far below it, and one
+// that has slightly more is not overloaded yet.
+constexpr double kSpareShare = 0.2;
 // Counts of requests scatter around their mean, all the more the fewer requests
 // a server gets. A difference counts only if it exceeds this many standard
-// deviations: with hundreds of servers, many scatter by two by chance.
-constexpr double kSignificantDeviations = 3.5;
+// deviations: of hundreds of servers, several differ by two of them.
+constexpr double kSignificantDeviations = 3.0;
 // A key that would overload any server moves only to a server that is faster
 // than its owner by this factor and close to the highest capacity.
 constexpr double kMinSpeedup = 1.5;
@@ -217,35 +221,64 @@
   double target_load = 0;
 };
 
-// Returns the servers with the highest and the lowest load per capacity.
-// Servers in `excluded_donors` are not considered as donors.
+// Returns the index of the server with the highest load per capacity that
+// `may_give` is true for, or nullopt if there is none.
+template <typename Predicate>
+std::optional<std::size_t> FindDonor(const std::vector<double>& loads,
+                                     const std::vector<Candidate>& candidates,
+                                     Predicate may_give) {
+  std::optional<std::size_t> donor;
+  double highest = -1;
+  for (std::size_t i = 0; i < candidates.size(); ++i) {
+    const double relative = loads[i] / candidates[i].capacity;
+    if (relative > highest && may_give(i)) {
+      highest = relative;
+      donor = i;
+    }
+  }
+  return donor;
+}
+
+// Returns the server with the highest load per capacity among those that are
+// overloaded, and the one with the lowest. If no server is overloaded but one
+// is underloaded, any server may be the donor. Servers in `excluded_donors` are
+// not considered as donors.
 TransferPair FindTransferPair(const std::vector<double>& loads,
                               const std::vector<Candidate>& candidates,
                               const std::set<std::size_t>& excluded_donors) {
   TransferPair pair;
   double total = 0;
-  double highest = -1;
   for (std::size_t i = 0; i < candidates.size(); ++i) {
     total += loads[i];
-    const double relative = loads[i] / candidates[i].capacity;
-    if (relative > highest && !excluded_donors.contains(i)) {
-      highest = relative;
-      pair.from = i;
-    }
-    if (relative < loads[pair.to] / candidates[pair.to].capacity) {
+    if (loads[i] / candidates[i].capacity <
+        loads[pair.to] / candidates[pair.to].capacity) {
       pair.to = i;
     }
   }
   const double mean = total / TotalCapacity(candidates);
-  const double from_share = mean * candidates[pair.from].capacity;
-  const double to_share = mean * candidates[pair.to].capacity;
-  const bool overloaded = loads[pair.from] > kOverloadFactor * from_share &&
-                          loads[pair.from] - from_share > Scatter(from_share);
+  const auto share = [&](std::size_t i) {
+    return mean * candidates[i].capacity;
+  };
+  const auto may_give = [&](std::size_t i) {
+    return i != pair.to && !excluded_donors.contains(i);
+  };
+  auto donor = FindDonor(loads, candidates, [&](std::size_t i) {
+    return may_give(i) && loads[i] > kOverloadFactor * share(i) &&
+           loads[i] - share(i) > Scatter(share(i));
+  });
+  const double to_share = share(pair.to);
   const bool underloaded = loads[pair.to] < kUnderloadFactor * to_share &&
                            to_share - loads[pair.to] > Scatter(to_share);
-  if ((overloaded || underloaded) && pair.from != pair.to) {
+  const bool donor_overloaded = donor.has_value();
+  if (!donor && underloaded) {
+    donor = FindDonor(loads, candidates, may_give);
+  }
+  if (donor) {
+    pair.from = *donor;
     pair.target_load =
-        std::min(loads[pair.from] - from_share, to_share - loads[pair.to]);
+        std::min(loads[*donor] - share(*donor),
+                 std::max(to_share - loads[pair.to],
+                          donor_overloaded ? kSpareShare * to_share : 0));
   }
   return pair;
 }
