Owners that are asked for more than they can answer admit a part at once

Change: the leader, which knows what all daemons are asked for, computes every 500 ms which part of the requests each overloaded owner can answer, and names it in its heartbeats. The rest is refused at once, with Retry-After.

--- a/src/entry/key_assignment.cc
+++ b/src/entry/key_assignment.cc
@@ -6,6 +6,7 @@
 #include <variant>
 
 #include "base/log.h"
+#include "keyspace/owner_shares.h"
 
 namespace gentianreach::entry {
 namespace {
@@ -127,9 +128,32 @@
     }
     RunService(name, found->second);
   }
+  if (now >= next_shares_) {
+    next_shares_ = now + kCapacityRefresh;
+    UpdateAdmissionShares(now);
+  }
   running_ = false;
 }
 
+void KeyAssignment::UpdateAdmissionShares(TimePoint now) {
+  std::map<ServerId, double> shares;
+  for (const auto& [name, service] : services_) {
+    if (!service.begun) {
+      continue;
+    }
+    std::vector<keyspace::Candidate> owners;
+    for (const routing::BackendServer* it : state_.directory.OfService(name)) {
+      owners.push_back(
+          {it->id, it->incarnation, state_.loads.Capacity(*it, now)});
+    }
+    for (const keyspace::OwnerShare& it : keyspace::FindOwnerShares(
+             service.assigner.table(), owners, state_.Load(name))) {
+      shares[it.server] = it.share;
+    }
+  }
+  state_.loads.SetAdmissionShares(std::move(shares), now);
+}
+
 void KeyAssignment::RunService(const std::string& name, Service& service) {
   const TimePoint now = state_.loop.Now();
   if (!service.begun) {
