--- a/src/entry/key_assignment.cc
+++ b/src/entry/key_assignment.cc
@@ -23,6 +23,10 @@
 // each load report. Equal to the period with which the assigner balances load.
 constexpr Duration kCapacityRefresh = milliseconds(500);
 
+// In a smaller fleet each daemon asks a loaded server so often that it knows
+// its queue from the responses, which is better than a share.
+constexpr std::uint32_t kMinMembersForShares = 48;
+
 std::string Describe(const keyspace::KeyRange& range) {
   return std::to_string(range.first) + "-" + std::to_string(range.last);
 }
@@ -137,6 +141,10 @@
 
 void KeyAssignment::UpdateAdmissionShares(TimePoint now) {
   std::map<ServerId, double> shares;
+  if (state_.members() < kMinMembersForShares) {
+    state_.loads.SetAdmissionShares(std::move(shares), now);
+    return;
+  }
   for (const auto& [name, service] : services_) {
     if (!service.begun) {
       continue;
