Members with a mirror are told of copies that do not change; fewer copies of lists

Cause, found by reading: what members with a mirror were told was updated only by a change after they had joined. Until then they knew no age of their copies, and would have turned to the store. Change: the status is updated once the mirrors have been told and had their head start. Objects are moved out of parsed lists, and lists are compared by pointer. Measured: the new case of member_link_test failed before (30 s without the status).

--- a/src/entry/member_link.cc
+++ b/src/entry/member_link.cc
@@ -450,8 +450,12 @@
 
 void MemberLink::SetStoreCopyStatus(StoreCopyStatus copy_status) {
   own_copy_status_ = std::move(copy_status);
-  // Without a change there is nothing that the mirrors could lack.
-  if (mirrored_copy_status_.changed_at == own_copy_status_.changed_at) {
+  // The mirrors lack nothing if there is no change, or if they have been told
+  // of it and have had their head start.
+  const bool told =
+      announced_copy_status_.changed_at == own_copy_status_.changed_at &&
+      !mirrored_timer_.deadline();
+  if (told || mirrored_copy_status_.changed_at == own_copy_status_.changed_at) {
     mirrored_copy_status_ = own_copy_status_;
     return;
   }
--- a/src/entry/member_link_test.cc
+++ b/src/entry/member_link_test.cc
@@ -6,6 +6,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <thread>
@@ -143,6 +144,39 @@
   std::vector<std::unique_ptr<Daemon>> daemons;
 };
 
+TEST_CASE("members that joined later are told which copies their mirror has") {
+  net::EventLoop loop;
+  std::vector<std::unique_ptr<Daemon>> daemons;
+  for (std::size_t i = 0; i < kManyMembers; ++i) {
+    daemons.push_back(std::make_unique<Daemon>(loop, "d" + std::to_string(i)));
+  }
+  Daemon& leader = *daemons[0];
+  const std::vector<std::uint64_t> changed_at{7, 8, 9};
+  leader.TakeLead(1);
+  leader.link.SetStoreCopyStatus({.changed_at = changed_at});
+  leader.link.SendLeaderHeartbeats();
+  // The copies do not change after that.
+  std::set<std::string> told;
+  bool has_mirror = false;
+  for (std::size_t i = 1; i < kManyMembers; ++i) {
+    Daemon& member = *daemons[i];
+    member.ReplyWithRecord(leader.election.record());
+    member.link.on_leader_heartbeat = [&](const StoreCopyStatus& it) {
+      if (it.changed_at == changed_at && it.current_at != TimePoint{}) {
+        told.insert(member.self.name);
+        has_mirror = has_mirror || !it.mirror.empty();
+      }
+    };
+  }
+  const TimePoint end = loop.Now() + kTestTimeout;
+  while (told.size() + 1 < kManyMembers || !has_mirror) {
+    REQUIRE(loop.Now() < end);
+    leader.link.SetStoreCopyStatus(
+        {.changed_at = changed_at, .current_at = loop.Now()});
+    loop.RunOnce(true);
+  }
+}
+
 // Datagrams of the version before Hellos and heartbeats named a time, in
 // hexadecimal: the Hello of member "m" in term 1, and a heartbeat of leader
 // "old" in term 9.
--- a/src/entry/store_watcher.cc
+++ b/src/entry/store_watcher.cc
@@ -2,8 +2,11 @@
 
 #include <algorithm>
 #include <chrono>
+#include <map>
 #include <optional>
+#include <string_view>
 #include <utility>
+#include <vector>
 
 #include "base/gzip.h"
 #include "base/log.h"
@@ -297,23 +300,28 @@
 
 void StoreWatcher::ApplyList(const std::vector<platform::Object>& objects,
                              std::uint64_t revision) {
-  std::map<std::string, platform::Object> present;
+  // By pointer: a list of all servers is too large for copies.
+  std::map<std::string_view, const platform::Object*> present;
   for (const platform::Object& it : objects) {
     if (!it.deleted) {
-      present.emplace(it.name, it);
+      present.emplace(it.name, &it);
     }
   }
   // Objects that are missing are relayed as deleted.
-  std::vector<platform::Object> changed;
+  std::vector<platform::Object> missing;
   for (const auto& [name, it] : objects_) {
     if (!present.contains(name)) {
-      changed.push_back(it);
-      changed.back().deleted = true;
+      missing.push_back(it);
+      missing.back().deleted = true;
     }
   }
+  std::vector<const platform::Object*> changed;
+  for (const platform::Object& it : missing) {
+    changed.push_back(&it);
+  }
   for (const auto& [name, it] : present) {
-    const auto known = objects_.find(name);
-    if (known == objects_.end() || known->second.revision != it.revision) {
+    const auto known = objects_.find(it->name);
+    if (known == objects_.end() || known->second.revision != it->revision) {
       changed.push_back(it);
     }
   }
@@ -323,8 +331,8 @@
   listed_ = true;
   needs_full_copy_ = false;
   revision_ = std::max(revision_, revision);
-  for (const platform::Object& it : changed) {
-    RecordChange(it, revision_);
+  for (const platform::Object* it : changed) {
+    RecordChange(*it, revision_);
   }
   sink_.on_list(objects);
 }
@@ -396,13 +404,13 @@
 }
 
 std::optional<platform::Object> StoreWatcher::DecodeEntry(
-    const nlohmann::json& entry) const {
+    nlohmann::json entry) const {
   platform::Object object{entry.at("name").get<std::string>(),
                           entry.at("revision").get<std::uint64_t>(),
                           entry.at("deleted").get<bool>(),
                           {}};
   if (entry.contains("object")) {
-    object.document = entry.at("object");
+    object.document = std::move(entry.at("object"));
     return object;
   }
   if (object.deleted) {
@@ -435,7 +443,7 @@
   }
 }
 
-bool StoreWatcher::ApplyDecodedChanges(const nlohmann::json& changes) {
+bool StoreWatcher::ApplyDecodedChanges(nlohmann::json changes) {
   const auto revision = changes.at("revision").get<std::uint64_t>();
   const bool full = changes.at("whole").get<bool>();
   // Changes of a daemon whose copy is older than this one are ignored.
@@ -445,8 +453,8 @@
   }
   if (full) {
     std::vector<platform::Object> objects;
-    for (const auto& it : changes.at("objects")) {
-      if (auto object = DecodeEntry(it)) {
+    for (auto& it : changes.at("objects")) {
+      if (auto object = DecodeEntry(std::move(it))) {
         objects.push_back(*std::move(object));
       }
     }
--- a/src/entry/store_watcher.h
+++ b/src/entry/store_watcher.h
@@ -156,13 +156,13 @@
   void ApplyEvents(const std::vector<platform::Object>& objects,
                    std::uint64_t revision);
   void RecordChange(const platform::Object& object, std::uint64_t revision);
-  bool ApplyDecodedChanges(const nlohmann::json& changes);
+  bool ApplyDecodedChanges(nlohmann::json changes);
   // Returns whether `object` is newer than the copy's state of it.
   [[nodiscard]] bool IsNewer(const platform::Object& object) const;
   // Returns the object that `entry` of another daemon's changes describes, or
   // nullopt if `entry` is a patch of a revision that the copy does not have.
   [[nodiscard]] std::optional<platform::Object> DecodeEntry(
-      const nlohmann::json& entry) const;
+      nlohmann::json entry) const;
 
   net::EventLoop& loop_;
   platform::PlatformClient& platform_;
