--- a/src/entry/server_directory.cc
+++ b/src/entry/server_directory.cc
@@ -158,9 +158,7 @@
       index_[it.service].push_back(&it);
     }
   }
-  static const std::vector<const routing::BackendServer*> kNone;
-  const auto it = index_.find(service);
-  return it == index_.end() ? kNone : it->second;
+  return index_[service];
 }
 
 const routing::BackendServer* ServerDirectory::Find(const ServerId& id) const {
--- a/src/entry/store_watcher.cc
+++ b/src/entry/store_watcher.cc
@@ -316,6 +316,7 @@
     }
   }
   std::vector<const platform::Object*> changed;
+  changed.reserve(missing.size() + present.size());
   for (const platform::Object& it : missing) {
     changed.push_back(&it);
   }
