--- a/src/keyspace/key_load.cc
+++ b/src/keyspace/key_load.cc
@@ -22,8 +22,7 @@
     return;
   }
   const std::chrono::duration<double> elapsed = now - decayed_at_;
-  const auto factor =
-      static_cast<float>(std::exp(-elapsed / kTimeConstant));
+  const auto factor = static_cast<float>(std::exp(-elapsed / kTimeConstant));
   decayed_at_ = now;
   for (float& it : counts_) {
     it *= factor;
