--- a/src/entry/key_assignment.cc
+++ b/src/entry/key_assignment.cc
@@ -6,7 +6,6 @@
 #include <variant>
 
 #include "base/log.h"
-#include "keyspace/owner_shares.h"
 
 namespace gentianreach::entry {
 namespace {
@@ -23,10 +22,6 @@
 // each load report. Equal to the period with which the assigner balances load.
 constexpr Duration kCapacityRefresh = milliseconds(500);
 
-// In a smaller fleet each daemon asks a loaded server so often that it knows
-// its queue from the responses, which is better than a share.
-constexpr std::uint32_t kMinMembersForShares = 48;
-
 std::string Describe(const keyspace::KeyRange& range) {
   return std::to_string(range.first) + "-" + std::to_string(range.last);
 }
@@ -132,36 +127,9 @@
     }
     RunService(name, found->second);
   }
-  if (now >= next_shares_) {
-    next_shares_ = now + kCapacityRefresh;
-    UpdateAdmissionShares(now);
-  }
   running_ = false;
 }
 
-void KeyAssignment::UpdateAdmissionShares(TimePoint now) {
-  std::map<ServerId, double> shares;
-  if (state_.members() < kMinMembersForShares) {
-    state_.loads.SetAdmissionShares(std::move(shares), now);
-    return;
-  }
-  for (const auto& [name, service] : services_) {
-    if (!service.begun) {
-      continue;
-    }
-    std::vector<keyspace::Candidate> owners;
-    for (const routing::BackendServer* it : state_.directory.OfService(name)) {
-      owners.push_back(
-          {it->id, it->incarnation, state_.loads.Capacity(*it, now)});
-    }
-    for (const keyspace::OwnerShare& it : keyspace::FindOwnerShares(
-             service.assigner.table(), owners, state_.Load(name))) {
-      shares[it.server] = it.share;
-    }
-  }
-  state_.loads.SetAdmissionShares(std::move(shares), now);
-}
-
 void KeyAssignment::RunService(const std::string& name, Service& service) {
   const TimePoint now = state_.loop.Now();
   if (!service.begun) {
--- a/src/entry/key_assignment.h
+++ b/src/entry/key_assignment.h
@@ -72,8 +72,6 @@
   // Updates the assigner's servers if the directory has changed or their
   // capacity is due for a refresh.
   void UpdateServers(const std::string& name, Service& service, TimePoint now);
-  // Updates the parts of the requests that overloaded owners admit.
-  void UpdateAdmissionShares(TimePoint now);
   // Returns the service, or null if `term` has ended.
   Service* Find(const std::string& name, std::uint64_t term);
   [[nodiscard]] std::vector<keyspace::AssignerServer> Servers(
@@ -85,7 +83,6 @@
   const keyspace::AssignerOptions options_;
   std::map<std::string, Service> services_;
   std::uint64_t last_term_ = 0;
-  TimePoint next_shares_{};
   bool running_ = false;
   net::DeadlineTimer timer_;
 };
--- a/src/entry/member_link.cc
+++ b/src/entry/member_link.cc
@@ -23,9 +23,6 @@
 // Number of members that a heartbeat names: the first in the order of
 // succession.
 constexpr std::size_t kMaxNamedSuccessors = 12;
-// Number of overloaded servers that a heartbeat names; more do not fit into a
-// datagram.
-constexpr std::size_t kMaxNamedShares = 24;
 // Number of relays that a heartbeat names.
 constexpr std::size_t kMaxNamedRelays = 8;
 // Wait per position in the order of succession before a daemon replaces a
@@ -502,15 +499,6 @@
       heartbeat.relays.push_back(std::move(relay));
     }
   }
-  for (const auto& [server, share] : state_.loads.admission_shares()) {
-    if (heartbeat.owner_shares.size() == kMaxNamedShares) {
-      break;
-    }
-    auto named = std::make_unique<wire::OwnerShareT>();
-    named->server = server.value();
-    named->share = static_cast<float>(share);
-    heartbeat.owner_shares.push_back(std::move(named));
-  }
   heartbeat.crashed = ToValues(std::exchange(known.unsent_crash_reports, {}));
   wire::BodyUnion body;
   body.Set(std::move(heartbeat));
@@ -560,11 +548,6 @@
     }
   }
   succession_outdated_ = true;
-  std::map<ServerId, double> shares;
-  for (const auto& it : heartbeat.owner_shares) {
-    shares[ServerId(it->server)] = std::clamp<double>(it->share, 0, 1);
-  }
-  state_.loads.SetAdmissionShares(std::move(shares), now);
   leader_last_seen_ = now;
   election_.OnLeaderHeartbeat(record, heartbeat.rank, now);
   ReplaceUnfitLeader(heartbeat.servers_lost, now);
--- a/src/entry/server_choice.cc
+++ b/src/entry/server_choice.cc
@@ -16,9 +16,6 @@
 // keys have usually moved by then. Servers may rely on getting no requests
 // after two seconds.
 constexpr Duration kMaxDrainingUse = milliseconds(1500);
-// Retry-After where the owner of a key is asked for more than it can answer.
-// That lasts until keys have moved or become cooler.
-constexpr Duration kHotOwnerRetryAfter = milliseconds(600);
 // Largest random increase of a score, so that daemons with the same data
 // do not all choose the same server.
 constexpr double kScoreJitter = 0.15;
@@ -112,10 +109,6 @@
     // The owner is overloaded or gone: more requests would only be lost.
     return {.reason = Reason::kOverload, .retry_after = kRejectedRetryAfter};
   }
-  const double share = loads.AdmissionShare(server->id, now);
-  if (share < 1 && !std::bernoulli_distribution(share)(Generator())) {
-    return {.reason = Reason::kOverload, .retry_after = kHotOwnerRetryAfter};
-  }
   const TimePoint next_send = limits.NextSend(server->id, now);
   if (next_send > now) {
     return RefuseOverLimit(next_send, now);
--- a/src/entry/server_choice_test.cc
+++ b/src/entry/server_choice_test.cc
@@ -148,28 +148,6 @@
   CHECK_FALSE(f.Choose().wait);
 }
 
-TEST_CASE("an overloaded owner gets its share of the requests") {
-  Fixture f;
-  f.directory.Put(Server("a"), kNow);
-  f.SetOwner("a");
-  f.loads.SetAdmissionShares({{ServerId("a"), 0.25}}, kNow);
-  constexpr int kRequests = 1000;
-  int admitted = 0;
-  for (int i = 0; i < kRequests; ++i) {
-    const ServerChoice choice = f.Choose();
-    admitted += choice.server != nullptr ? 1 : 0;
-    if (choice.server == nullptr) {
-      CHECK(choice.reason == Reason::kOverload);
-      CHECK(choice.retry_after > Duration(0));
-    }
-  }
-  CHECK(admitted > kRequests / 5);
-  CHECK(admitted < kRequests * 3 / 10);
-  // Without news of the leader, the share no longer holds.
-  const TimePoint later = kNow + std::chrono::seconds(10);
-  CHECK(f.loads.AdmissionShare(ServerId("a"), later) == 1);
-}
-
 TEST_CASE("a server that was tried is not chosen again") {
   Fixture f;
   f.directory.Put(Server("a"), kNow);
@@ -208,36 +186,36 @@
 }
 
 TEST_CASE("a server over its limit is left out while others take requests") {
-  Fixture f;
-  f.directory.Put(Server("a"), kNow);
-  f.directory.Put(Server("b"), kNow);
-  f.limits.Set(ServerId("a"), 1, kNow);
-  f.limits.OnSent(ServerId("a"), kNow);
+  Fixture fixture;
+  fixture.directory.Put(Server("a"), kNow);
+  fixture.directory.Put(Server("b"), kNow);
+  fixture.limits.Set(ServerId("a"), 1, kNow);
+  fixture.limits.OnSent(ServerId("a"), kNow);
   for (int i = 0; i < 20; ++i) {
-    const ServerChoice choice = f.Choose();
+    const ServerChoice choice = fixture.Choose();
     REQUIRE(choice.server != nullptr);
     CHECK(choice.server->id == ServerId("b"));
   }
-  f.limits.Set(ServerId("b"), 1, kNow);
-  f.limits.OnSent(ServerId("b"), kNow);
-  const ServerChoice choice = f.Choose();
+  fixture.limits.Set(ServerId("b"), 1, kNow);
+  fixture.limits.OnSent(ServerId("b"), kNow);
+  const ServerChoice choice = fixture.Choose();
   CHECK(choice.server == nullptr);
   CHECK(choice.reason == Reason::kOverLimit);
-  CHECK(f.Choose(kNow + choice.retry_after).server != nullptr);
+  CHECK(fixture.Choose(kNow + choice.retry_after).server != nullptr);
 }
 
 TEST_CASE(
     "a keyed request is refused at once while its owner is over a limit") {
-  Fixture f;
-  f.directory.Put(Server("a"), kNow);
-  f.SetOwner("a");
-  f.limits.Set(ServerId("a"), 1, kNow);
-  f.limits.OnSent(ServerId("a"), kNow);
-  const ServerChoice choice = f.Choose();
+  Fixture fixture;
+  fixture.directory.Put(Server("a"), kNow);
+  fixture.SetOwner("a");
+  fixture.limits.Set(ServerId("a"), 1, kNow);
+  fixture.limits.OnSent(ServerId("a"), kNow);
+  const ServerChoice choice = fixture.Choose();
   CHECK(choice.server == nullptr);
   CHECK_FALSE(choice.wait);
   CHECK(choice.reason == Reason::kOverLimit);
-  CHECK(f.Choose(kNow + choice.retry_after).server != nullptr);
+  CHECK(fixture.Choose(kNow + choice.retry_after).server != nullptr);
 }
 
 }  // namespace
--- a/src/entry/server_loads.cc
+++ b/src/entry/server_loads.cc
@@ -246,14 +246,6 @@
   return server.slots / ProcessingSeconds(Find(server.id), now);
 }
 
-double ServerLoads::AdmissionShare(const ServerId& server,
-                                   TimePoint now) const {
-  const auto it = admission_shares_.find(server);
-  return it == admission_shares_.end() || now >= admission_shares_until_
-             ? 1
-             : it->second;
-}
-
 TimePoint ServerLoads::last_response(const ServerId& server) const {
   const State* state = Find(server);
   return state == nullptr ? TimePoint{} : state->last_response;
--- a/src/entry/server_loads.h
+++ b/src/entry/server_loads.h
@@ -2,9 +2,7 @@
 #ifndef SRC_ENTRY_SERVER_LOADS_H_
 #define SRC_ENTRY_SERVER_LOADS_H_
 
-#include <chrono>
 #include <cstdint>
-#include <map>
 #include <optional>
 #include <string_view>
 #include <unordered_map>
@@ -99,19 +97,6 @@
   // Returns how many requests per second the server can complete.
   [[nodiscard]] double Capacity(const routing::BackendServer& server,
                                 TimePoint now) const;
-  // Sets the parts of the requests for the keys of overloaded servers that are
-  // admitted; all other servers admit all requests. Expires after
-  // kAdmissionSharesKept.
-  void SetAdmissionShares(std::map<ServerId, double> shares, TimePoint now) {
-    admission_shares_ = std::move(shares);
-    admission_shares_until_ = now + kAdmissionSharesKept;
-  }
-  // Returns the part of the requests for its keys that the server admits.
-  [[nodiscard]] double AdmissionShare(const ServerId& server,
-                                      TimePoint now) const;
-  [[nodiscard]] const std::map<ServerId, double>& admission_shares() const {
-    return admission_shares_;
-  }
   // Returns the time of the server's last response to any request.
   [[nodiscard]] TimePoint last_response(const ServerId& server) const;
 
@@ -145,12 +130,7 @@
 
   void AddProcessingSample(State& state, double seconds, TimePoint now);
 
-  // Several periods of the leader's heartbeats, which repeat the shares.
-  static constexpr Duration kAdmissionSharesKept = std::chrono::seconds(3);
-
   std::unordered_map<ServerId, State> states_;
-  std::map<ServerId, double> admission_shares_;
-  TimePoint admission_shares_until_{};
   std::unordered_map<ServerId, Sample> samples_;
   // Average over all servers, used for those without samples; 0 if unknown.
   double average_processing_s_ = 0;
--- a/src/keyspace/key_load.h
+++ b/src/keyspace/key_load.h
@@ -2,7 +2,6 @@
 #ifndef SRC_KEYSPACE_KEY_LOAD_H_
 #define SRC_KEYSPACE_KEY_LOAD_H_
 
-#include <chrono>
 #include <cstdint>
 #include <vector>
 
@@ -14,13 +13,6 @@
 // Counts requests per key with exponential decay.
 class KeyLoad {
  public:
-  // Time constant of the decay: at a steady rate, a count is the number of
-  // requests in this time. Long enough to collect a few hundred requests in the
-  // smallest deployments, short enough to follow keys that are hot for only
-  // several seconds.
-  static constexpr std::chrono::duration<double> kTimeConstant =
-      std::chrono::seconds(3);
-
   KeyLoad() : counts_(kKeyCount, 0.0F) {}
 
   // Counts one request for `key`.
