--- /dev/null
+++ b/src/entry/datagram_fields.h
@@ -0,0 +1,37 @@
+// Conversions between fields of the datagrams of entry daemons and the types of
+// the program.
+#ifndef SRC_ENTRY_DATAGRAM_FIELDS_H_
+#define SRC_ENTRY_DATAGRAM_FIELDS_H_
+
+#include <cstdint>
+#include <vector>
+
+#include "entry/crash_watch.h"
+#include "entry_generated.h"
+#include "gentianreach/time.h"
+
+namespace gentianreach::entry {
+
+// Returns the age of copies that were complete at `current_at`, in
+// milliseconds. TimePoint{}, an unknown time, has an age of its own.
+[[nodiscard]] std::uint32_t AgeOf(TimePoint current_at, TimePoint now);
+// Returns the time at which copies were complete that were `age_ms` old at
+// `reported_at`.
+[[nodiscard]] TimePoint TimeOf(std::uint32_t age_ms, TimePoint reported_at);
+
+// Returns milliseconds of the sender's own clock.
+[[nodiscard]] std::uint64_t ToMilliseconds(TimePoint at);
+// Returns the earliest time at which `heartbeat` may have been sent. It may
+// have been on its way for long, but not since before the Hello that it names.
+[[nodiscard]] TimePoint EarliestSendTime(
+    const wire::LeaderHeartbeatT& heartbeat,
+    TimePoint now);
+
+[[nodiscard]] std::vector<Fingerprint> ToFingerprints(
+    const std::vector<std::uint64_t>& values);
+[[nodiscard]] std::vector<std::uint64_t> ToValues(
+    const std::vector<Fingerprint>& fingerprints);
+
+}  // namespace gentianreach::entry
+
+#endif  // SRC_ENTRY_DATAGRAM_FIELDS_H_
--- a/src/entry/entry_request.cc
+++ b/src/entry/entry_request.cc
@@ -23,11 +23,6 @@
 
 // Responses up to this size are buffered until they are complete.
 constexpr std::size_t kMaxBufferedBytes = 256 * 1024;
-// Largest request body; it is buffered until the request ends, for retries.
-constexpr std::uint64_t kMaxBodyBytes = 16 * 1024 * 1024;
-// Memory reserved per byte of a body: the body, and its copy in the connection
-// to the server while it is sent.
-constexpr std::uint64_t kBodyCopies = 2;
 // Unsent bytes for the caller above which reading from the server is paused.
 constexpr std::size_t kMaxUnsentBytes = 64 * 1024;
 // Responses to other requests that are skipped per attempt.
@@ -77,23 +72,6 @@
   state_->body_memory.Release(reserved_body_);
 }
 
-bool EntryRequest::ReserveBody(std::uint64_t bytes) {
-  const std::uint64_t wanted = bytes * kBodyCopies;
-  if (wanted <= reserved_body_) {
-    return true;
-  }
-  if (!state_->body_memory.Reserve(wanted - reserved_body_)) {
-    Refuse(kUnavailable, Reason::kOverload, kRejectedRetryAfter);
-    return false;
-  }
-  reserved_body_ = wanted;
-  return true;
-}
-
-std::uint64_t EntryRequest::MaxBodyBytes() const {
-  return std::min(routes_->config().limits.max_body_bytes, kMaxBodyBytes);
-}
-
 Duration EntryRequest::TimeLeft() const {
   return deadline_ - state_->loop.Now();
 }
@@ -186,36 +164,6 @@
   }
 }
 
-void EntryRequest::OnBody() {
-  if (done_ || not_relayed_ != Reason::kNone) {
-    return;
-  }
-  body_.append(caller_->body());
-  if (body_.size() > MaxBodyBytes()) {
-    RefuseByConfig(kTooLarge, Reason::kTooLarge);
-    return;
-  }
-  ReserveBody(body_.size());
-}
-
-void EntryRequest::OnBodyEnd() {
-  if (done_) {
-    return;
-  }
-  if (not_relayed_ != Reason::kNone) {
-    Refuse(kUnavailable, not_relayed_, kNotReadyRetryAfter);
-    return;
-  }
-  const http::MessageHead& head = caller_->head();
-  fingerprint_ = MakeFingerprint(ServiceName(service_->name), head.method,
-                                 head.target, DigestBody(body_));
-  if (state_->crashes.IsRefused(fingerprint_, started_)) {
-    Refuse(kUnavailable, Reason::kQuarantined, {});
-    return;
-  }
-  Attempt();
-}
-
 void EntryRequest::OnRefused() {
   const http::Refusal& refusal = caller_->refusal();
   Refuse(refusal.status, Reason::kBadRequest, {});
--- a/src/entry/member_link.cc
+++ b/src/entry/member_link.cc
@@ -2,11 +2,10 @@
 
 #include <algorithm>
 #include <chrono>
-#include <iterator>
-#include <limits>
 #include <utility>
 
 #include "base/log.h"
+#include "entry/datagram_fields.h"
 #include "entry/succession.h"
 
 namespace gentianreach::entry {
@@ -36,70 +35,10 @@
   return kHelloPeriod *
          std::clamp(members / kMembersPerHelloPeriod, 1U, kMaxHelloPeriods);
 }
+
 // A member that has not sent a Hello for this time is no longer counted.
 constexpr Duration kMemberTimeout = std::chrono::seconds(3);
 
-// Age of copies of which no time is known at which they were complete.
-constexpr std::uint32_t kUnknownAge = std::numeric_limits<std::uint32_t>::max();
-
-// Returns the age of copies that were complete at `current_at`, in
-// milliseconds.
-std::uint32_t AgeOf(TimePoint current_at, TimePoint now) {
-  if (current_at == TimePoint{}) {
-    return kUnknownAge;
-  }
-  const auto age = std::chrono::ceil<std::chrono::milliseconds>(
-      std::max(now - current_at, Duration(0)));
-  return static_cast<std::uint32_t>(
-      std::min<std::int64_t>(age.count(), kUnknownAge));
-}
-
-// Returns the time at which copies were complete that were `age_ms` old at
-// `reported_at`.
-TimePoint TimeOf(std::uint32_t age_ms, TimePoint reported_at) {
-  return age_ms == kUnknownAge
-             ? TimePoint{}
-             : reported_at - std::chrono::milliseconds(age_ms);
-}
-
-std::uint64_t ToMilliseconds(TimePoint at) {
-  return static_cast<std::uint64_t>(
-      std::chrono::floor<std::chrono::milliseconds>(at.time_since_epoch())
-          .count());
-}
-
-// Returns the earliest time at which `heartbeat` may have been sent. It may
-// have been on its way for long, but not since before the Hello that it names.
-TimePoint EarliestSendTime(const wire::LeaderHeartbeatT& heartbeat,
-                           TimePoint now) {
-  if (heartbeat.hello_sent_ms == 0) {
-    return now;
-  }
-  const TimePoint hello_sent{
-      std::chrono::milliseconds(heartbeat.hello_sent_ms)};
-  return std::min(now, hello_sent);
-}
-
-std::vector<Fingerprint> ToFingerprints(
-    const std::vector<std::uint64_t>& values) {
-  std::vector<Fingerprint> fingerprints;
-  fingerprints.reserve(values.size());
-  for (const std::uint64_t it : values) {
-    fingerprints.push_back({it});
-  }
-  return fingerprints;
-}
-
-std::vector<std::uint64_t> ToValues(
-    const std::vector<Fingerprint>& fingerprints) {
-  std::vector<std::uint64_t> values;
-  values.reserve(fingerprints.size());
-  for (const Fingerprint it : fingerprints) {
-    values.push_back(it.value);
-  }
-  return values;
-}
-
 }  // namespace
 
 MemberLink::MemberLink(net::EventLoop& loop,
