--- a/src/entry/store_copies.cc
+++ b/src/entry/store_copies.cc
@@ -105,7 +105,10 @@
   if (before != source_) {
     const bool behind = before == CopySource::kLeader && outdated &&
                         chooser_.leader_alive() && !leadership.leads;
-    Log(behind ? LogLevel::kWarning : LogLevel::kInfo, "copies_source",
+    if (behind) {
+      Log(LogLevel::kWarning, "copies_outdated", {{"leader", leader_address_}});
+    }
+    Log(LogLevel::kInfo, "copies_source",
         {{"source", ToString(source_)},
          {"reason", source_ == CopySource::kLeader ? "leader_alive"
                     : leadership.leads             ? "leads"
