A leader does not use the order of succession of an earlier term

Cause: the order of succession points to the known members. A daemon that had led, followed another leader and led again told replaced leaders of it before it was updated, and read members that were gone. Change: whatever changes the members clears the order, and each heartbeat updates it.

--- a/src/entry/member_link.cc
+++ b/src/entry/member_link.cc
@@ -92,7 +92,9 @@
   const auto timed_out = std::erase_if(known_members_, [&](const auto& it) {
     return it.second.last_seen + kMemberTimeout < now;
   });
-  succession_outdated_ = succession_outdated_ || timed_out > 0;
+  if (timed_out > 0) {
+    InvalidateSuccession();
+  }
   UpdateRelays();
   auto members = static_cast<std::uint32_t>(known_members_.size()) + 1;
   if (now < member_count_settled_at_) {
@@ -319,7 +321,7 @@
   known.servers_lost = hello.servers_lost;
   known.hello_sent_ms = hello.sent_ms;
   if (changed) {
-    succession_outdated_ = true;
+    InvalidateSuccession();
     UpdateRelays();
   }
   const auto crashed = ToFingerprints(hello.crashed);
@@ -331,7 +333,6 @@
   for (const auto& it : hello.leaving) {
     state_.OnLeaving(ServerId(it->server), Incarnation(it->incarnation));
   }
-  UpdateSuccession();
   SendLeaderHeartbeat(known, false);
 }
 
@@ -401,6 +402,7 @@
 }
 
 void MemberLink::SendLeaderHeartbeat(KnownMember& known, bool resigning) {
+  UpdateSuccession();
   const StoreCopyStatus& status =
       known.mirror.empty() ? own_copy_status_ : mirrored_copy_status_;
   wire::LeaderHeartbeatT heartbeat;
@@ -477,6 +479,7 @@
   }
   // If this daemon becomes leader, it notifies the members of this list; the
   // previous leader notifies all the members that it knows.
+  InvalidateSuccession();
   known_members_.clear();
   known_members_[heartbeat.name] = {record.leader, now};
   std::vector<std::string> peers;
@@ -486,7 +489,6 @@
       known_members_[it->name] = {{it->name, {}, it->address}, now};
     }
   }
-  succession_outdated_ = true;
   leader_last_seen_ = now;
   election_.OnLeaderHeartbeat(record, heartbeat.rank, now);
   ReplaceUnfitLeader(heartbeat.servers_lost, now);
--- a/src/entry/member_link.h
+++ b/src/entry/member_link.h
@@ -151,7 +151,12 @@
   void Send(const std::string& address, const wire::BodyUnion& body);
   void QueueCrashReports(const std::string& from,
                          const std::vector<Fingerprint>& crashes);
-  // Updates the order of succession if the members have changed.
+  // The members have changed or are about to: `succession_` is not used until
+  // UpdateSuccession() has updated it.
+  void InvalidateSuccession() {
+    succession_.clear();
+    succession_outdated_ = true;
+  }
   void UpdateSuccession();
 
   net::EventLoop& loop_;
--- a/src/entry/member_link_test.cc
+++ b/src/entry/member_link_test.cc
@@ -144,6 +144,36 @@
   std::vector<std::unique_ptr<Daemon>> daemons;
 };
 
+TEST_CASE("a leader that led before tells a replaced leader its present line") {
+  net::EventLoop loop;
+  Daemon first(loop, "a");
+  Daemon second(loop, "b");
+  Daemon member(loop, "c");
+  const auto run_until = [&](const std::function<bool()>& done) {
+    const TimePoint end = loop.Now() + kTestTimeout;
+    while (!done()) {
+      REQUIRE(loop.Now() < end);
+      loop.RunOnce(true);
+    }
+  };
+  first.TakeLead(1);
+  second.ReplyWithRecord(first.election.record());
+  member.ReplyWithRecord(first.election.record());
+  run_until([&] { return first.link.members() == 3; });
+  second.TakeOverFromLeader();
+  run_until([&] { return first.Follows(second) && member.Follows(second); });
+  std::optional<StoreCopyStatus> told;
+  second.link.on_leader_heartbeat = [&](const StoreCopyStatus& it) {
+    told = it;
+  };
+  first.TakeOverFromLeader();
+  run_until([&] { return told.has_value() && second.Follows(first); });
+  // The leader has replaced the members that it knew in its first term.
+  for (const std::string& it : told->peers) {
+    CHECK((it == member.self.address || it == first.self.address));
+  }
+}
+
 TEST_CASE("members that joined later are told which copies their mirror has") {
   net::EventLoop loop;
   std::vector<std::unique_ptr<Daemon>> daemons;
