One copy of what the change had written twice

Read once more: the set-up of a large service in two tests and of a partitioned table in one, the fetch from the leader, and the age of copies, which datagram_fields has already. No behaviour is meant to change.

--- a/src/entry/copy_source_test.cc
+++ b/src/entry/copy_source_test.cc
@@ -28,7 +28,7 @@
   return n;
 }
 
-// Returns the sources that a daemon uses at `now`, polled every 100 ms since
+// Returns the source that a daemon uses at `now`, polled every 100 ms since
 // kStart, when the last heartbeat arrived. Its copies are complete up to
 // `current_at(t)` at any time `t`.
 CopySource SourceAfterSilence(
--- a/src/entry/entry_state.cc
+++ b/src/entry/entry_state.cc
@@ -212,16 +212,12 @@
   }
   for (const auto& [name, service] : routes->config().services) {
     const std::string label = "service=\"" + name + "\"";
-    double servers = 0;
+    const auto& servers = directory.OfService(name);
     double free = 0;
-    for (const auto& [id, it] : directory.servers()) {
-      if (it.service != name) {
-        continue;
-      }
-      ++servers;
-      free += it.slots * std::max(0.0, 1 - loads.Utilization(it, now));
+    for (const routing::BackendServer* it : servers) {
+      free += it->slots * std::max(0.0, 1 - loads.Utilization(*it, now));
     }
-    metrics.Set("servers", servers, label);
+    metrics.Set("servers", static_cast<double>(servers.size()), label);
     metrics.Set("slots_known_free", free, label);
     metrics.Set("retries_left", Budget(name).Left(now), label);
     const auto* table = ownership.Find(name);
--- a/src/entry/member_link.cc
+++ b/src/entry/member_link.cc
@@ -540,7 +540,6 @@
 }
 
 void MemberLink::AnnounceResignation() {
-  UpdateSuccession();
   for (auto& [name, it] : known_members_) {
     SendLeaderHeartbeat(it, true);
   }
--- a/src/entry/member_link.h
+++ b/src/entry/member_link.h
@@ -151,12 +151,14 @@
   void Send(const std::string& address, const wire::BodyUnion& body);
   void QueueCrashReports(const std::string& from,
                          const std::vector<Fingerprint>& crashes);
-  // The members have changed or are about to: `succession_` is not used until
-  // UpdateSuccession() has updated it.
+  // Call it whenever members are added, removed or change: `succession_` points
+  // to them, and is empty until the next UpdateSuccession().
   void InvalidateSuccession() {
     succession_.clear();
     succession_outdated_ = true;
   }
+  // Updates the order of succession, and each member's rank and mirror, if it
+  // has been invalidated.
   void UpdateSuccession();
 
   net::EventLoop& loop_;
--- a/src/entry/store_copies.cc
+++ b/src/entry/store_copies.cc
@@ -8,6 +8,7 @@
 #include <nlohmann/json.hpp>
 
 #include "base/log.h"
+#include "entry/datagram_fields.h"
 
 namespace gentianreach::entry {
 namespace {
@@ -150,23 +151,23 @@
 void StoreCopies::FetchFromLeader(std::size_t kind,
                                   std::uint64_t changed_at,
                                   TimePoint current_at) {
-  const TimePoint now = loop_.Now();
-  if (mirror_.empty() || now < mirror_avoided_until_) {
+  const auto ask_leader = [this, kind, changed_at, current_at] {
     FetchChanges(kind, leader_address_, changed_at, current_at,
-                 now + kRelayTimeout);
+                 loop_.Now() + kRelayTimeout);
+  };
+  if (mirror_.empty() || loop_.Now() < mirror_avoided_until_) {
+    ask_leader();
     return;
   }
-  const auto on_end = [this, kind, changed_at, current_at](bool has_changes) {
+  const auto on_end = [this, ask_leader](bool has_changes) {
     if (has_changes) {
       return;
     }
-    const TimePoint now = loop_.Now();
-    mirror_avoided_until_ = now + kMirrorAvoidance;
-    FetchChanges(kind, leader_address_, changed_at, current_at,
-                 now + kRelayTimeout);
+    mirror_avoided_until_ = loop_.Now() + kMirrorAvoidance;
+    ask_leader();
   };
-  FetchChanges(kind, mirror_, changed_at, current_at, now + kMirrorTimeout,
-               on_end);
+  FetchChanges(kind, mirror_, changed_at, current_at,
+               loop_.Now() + kMirrorTimeout, on_end);
 }
 
 void StoreCopies::PollPeers() {
@@ -199,12 +200,13 @@
   }
   try {
     const auto json = nlohmann::json::parse(status);
-    const milliseconds age(json.at("age_ms").get<std::int64_t>());
+    const TimePoint current_at =
+        TimeOf(json.at("age_ms").get<std::uint32_t>(), asked_at);
     const auto changed_at =
         json.at("changed_at").get<std::vector<std::uint64_t>>();
     source_lacks_entries_ = json.at("may_lack_entries").get<bool>();
     for (std::size_t i = 0; i < std::min(changed_at.size(), kKinds); ++i) {
-      FetchChanges(i, address, changed_at[i], asked_at - age,
+      FetchChanges(i, address, changed_at[i], current_at,
                    loop_.Now() + kMirrorTimeout);
     }
   } catch (const nlohmann::json::exception& error) {
@@ -269,10 +271,8 @@
   if (status.current_at == TimePoint{}) {
     return {503, "application/json", R"({"error":"no copies yet"})"};
   }
-  const auto age = std::chrono::ceil<milliseconds>(
-      std::max(loop_.Now() - status.current_at, Duration(0)));
   return {200, "application/json",
-          nlohmann::json{{"age_ms", age.count()},
+          nlohmann::json{{"age_ms", AgeOf(status.current_at, loop_.Now())},
                          {"changed_at", status.changed_at},
                          {"may_lack_entries", MayLackEntries()}}
               .dump()};
--- a/src/entry/store_watcher.cc
+++ b/src/entry/store_watcher.cc
@@ -405,7 +405,7 @@
 }
 
 std::optional<platform::Object> StoreWatcher::DecodeEntry(
-    nlohmann::json entry) const {
+    nlohmann::json& entry) const {
   platform::Object object{entry.at("name").get<std::string>(),
                           entry.at("revision").get<std::uint64_t>(),
                           entry.at("deleted").get<bool>(),
@@ -455,7 +455,7 @@
   if (full) {
     std::vector<platform::Object> objects;
     for (auto& it : changes.at("objects")) {
-      if (auto object = DecodeEntry(std::move(it))) {
+      if (auto object = DecodeEntry(it)) {
         objects.push_back(*std::move(object));
       }
     }
@@ -464,7 +464,7 @@
   }
   revision_ = revision;
   std::vector<platform::Object> changed;
-  for (const auto& it : changes.at("objects")) {
+  for (auto& it : changes.at("objects")) {
     // Applied one by one, since a later entry may be a patch of an earlier one.
     const auto object = DecodeEntry(it);
     if (!object) {
--- a/src/entry/store_watcher.h
+++ b/src/entry/store_watcher.h
@@ -160,9 +160,10 @@
   // Returns whether `object` is newer than the copy's state of it.
   [[nodiscard]] bool IsNewer(const platform::Object& object) const;
   // Returns the object that `entry` of another daemon's changes describes, or
-  // nullopt if `entry` is a patch of a revision that the copy does not have.
+  // nullopt if `entry` is a patch of a revision that the copy does not have. A
+  // whole object is moved out of `entry`.
   [[nodiscard]] std::optional<platform::Object> DecodeEntry(
-      nlohmann::json entry) const;
+      nlohmann::json& entry) const;
 
   net::EventLoop& loop_;
   platform::PlatformClient& platform_;
--- a/src/keyspace/range_assigner_load_test.cc
+++ b/src/keyspace/range_assigner_load_test.cc
@@ -11,6 +11,7 @@
 #include <doctest/doctest.h>
 
 #include "keyspace/range_assigner.h"
+#include "keyspace/testing/large_service.h"
 
 namespace gentianreach::keyspace {
 namespace {
@@ -32,22 +33,11 @@
 class BusyLeader {
  public:
   BusyLeader() {
-    std::vector<AssignerServer> servers;
-    for (std::size_t i = 0; i < kServers; ++i) {
-      const std::string id = "s" + std::to_string(i);
-      servers.push_back({ServerId(id), Incarnation(1), id + ":1", false, 1});
+    std::vector<AssignerServer> servers = testing::ServersOf(kServers);
+    OwnershipTable table = testing::EvenTable(kRanges, servers);
+    for (const OwnedRange& it : table.ranges) {
+      renewed_at_[it.range.first] = kStart;
     }
-    OwnershipTable table;
-    table.epoch = Epoch(1);
-    for (std::uint32_t i = 0; i < kRanges; ++i) {
-      table.ranges.push_back(
-          {{static_cast<std::uint32_t>(i * kKeyCount / kRanges),
-            static_cast<std::uint32_t>((i + 1) * kKeyCount / kRanges - 1)},
-           {servers[i % kServers].id, Incarnation(1), Token(i + 1)},
-           {}});
-      renewed_at_[table.ranges.back().range.first] = kStart;
-    }
-    table.next_token = Token(kRanges + 1);
     REQUIRE(assigner_.Begin(std::move(table), Epoch(2), kStart, kStart));
     assigner_.SetServers(std::move(servers), kStart);
   }
--- a/src/keyspace/range_assigner_work_test.cc
+++ b/src/keyspace/range_assigner_work_test.cc
@@ -5,13 +5,14 @@
 #include <cstddef>
 #include <cstdint>
 #include <deque>
-#include <string>
+#include <utility>
 #include <variant>
 #include <vector>
 
 #include <doctest/doctest.h>
 
 #include "keyspace/range_assigner.h"
+#include "keyspace/testing/large_service.h"
 
 namespace gentianreach::keyspace {
 namespace {
@@ -25,38 +26,15 @@
 constexpr TimePoint kStart = TimePoint(seconds(1000));
 constexpr Duration kRoundTrip = milliseconds(4);
 
-std::vector<AssignerServer> Servers(double capacity) {
-  std::vector<AssignerServer> servers;
-  for (std::size_t i = 0; i < kServers; ++i) {
-    const std::string id = "s" + std::to_string(i);
-    servers.push_back(
-        {ServerId(id), Incarnation(1), id + ":1", false, capacity});
-  }
-  return servers;
-}
-
-OwnershipTable Table() {
-  OwnershipTable table;
-  table.epoch = Epoch(1);
-  for (std::uint32_t i = 0; i < kRanges; ++i) {
-    table.ranges.push_back(
-        {{static_cast<std::uint32_t>(i * kKeyCount / kRanges),
-          static_cast<std::uint32_t>((i + 1) * kKeyCount / kRanges - 1)},
-         {ServerId("s" + std::to_string(i % kServers)), Incarnation(1),
-          Token(i + 1)},
-         {}});
-  }
-  table.next_token = Token(kRanges + 1);
-  return table;
-}
-
 // A leader whose servers answer every order. It is polled as the daemon does
 // it: at its deadlines and after each reply.
 class SteadyLeader {
  public:
   SteadyLeader() {
-    REQUIRE(assigner.Begin(Table(), Epoch(2), kStart, kStart));
-    assigner.SetServers(Servers(1), kStart);
+    std::vector<AssignerServer> servers = testing::ServersOf(kServers);
+    REQUIRE(assigner.Begin(testing::EvenTable(kRanges, servers), Epoch(2),
+                           kStart, kStart));
+    assigner.SetServers(std::move(servers), kStart);
   }
 
   void RunUntil(TimePoint end) {
@@ -123,7 +101,7 @@
   const std::uint64_t before = leader.assigner.work().ranges_polled;
   const std::size_t replies_before = leader.replies;
   for (int i = 0; i < 100; ++i) {
-    leader.assigner.SetServers(Servers(1 + i), leader.now);
+    leader.assigner.SetServers(testing::ServersOf(kServers, 1 + i), leader.now);
     leader.RunUntil(leader.now + milliseconds(1));
   }
   CHECK(leader.assigner.work().ranges_polled - before <=
--- a/src/keyspace/rebalancer_test.cc
+++ b/src/keyspace/rebalancer_test.cc
@@ -221,6 +221,16 @@
   CHECK(Rebalance(table, servers, load, 5).empty());
 }
 
+// Returns the first table of a service with `servers`.
+OwnershipTable PartitionedTable(const std::vector<Candidate>& servers) {
+  OwnershipTable table;
+  for (const Transfer& it : PartitionByCapacity(servers)) {
+    table.ranges.push_back(
+        {it.range, {it.server, it.incarnation, AllocateToken(&table)}, {}});
+  }
+  return table;
+}
+
 TEST_CASE("requests that scatter by chance over many servers move no keys") {
   constexpr std::size_t kManyServers = 350;
   // Each server gets four requests a second.
@@ -231,11 +241,7 @@
   for (std::size_t i = 0; i < kManyServers; ++i) {
     servers.push_back({ServerId("s" + std::to_string(i)), Incarnation(1), 1});
   }
-  OwnershipTable table;
-  for (const Transfer& it : PartitionByCapacity(servers)) {
-    table.ranges.push_back(
-        {it.range, {it.server, it.incarnation, AllocateToken(&table)}, {}});
-  }
+  const OwnershipTable table = PartitionedTable(servers);
   std::minstd_rand generator(1);
   std::uniform_int_distribution<std::uint32_t> any_key(0, kKeyCount - 1);
   KeyLoad load;
@@ -264,11 +270,7 @@
     servers.push_back({ServerId("s" + std::to_string(i)), Incarnation(1),
                        i == kSlow ? 0.1 : 1});
   }
-  OwnershipTable table;
-  for (const Transfer& it : PartitionByCapacity(servers)) {
-    table.ranges.push_back(
-        {it.range, {it.server, it.incarnation, AllocateToken(&table)}, {}});
-  }
+  const OwnershipTable table = PartitionedTable(servers);
   KeyLoad load;
   AddEvenLoad(load, {0, kKeyCount - 1}, 4300);
   // Three requests are more than twice the share of the slow server, but no
