--- a/src/entry/member_link_test.cc
+++ b/src/entry/member_link_test.cc
@@ -248,6 +248,31 @@
   }
 }
 
+TEST_CASE("a leader uses no members of its earlier term") {
+  net::EventLoop loop;
+  Daemon leader(loop, "a");
+  const auto send_until = [&](std::string_view datagram,
+                              const std::function<bool()>& done) {
+    const TimePoint end = loop.Now() + kTestTimeout;
+    while (!done()) {
+      SendDatagram(loop, leader, datagram);
+      REQUIRE(loop.Now() < end);
+      loop.RunOnce(true);
+    }
+  };
+  leader.TakeLead(1);
+  send_until(kOlderHello, [&] { return leader.link.members() == 2; });
+  send_until(kOlderHeartbeat,
+             [&] { return leader.election.record().epoch == Epoch(9); });
+  // It tells the leader that it replaces before any member has sent a Hello.
+  leader.TakeOverFromLeader();
+  const TimePoint end = loop.Now() + 3 * leader.link.heartbeat_period();
+  while (loop.Now() < end) {
+    loop.RunOnce(true);
+  }
+  CHECK(leader.election.replaced_leaders().size() == 1);
+}
+
 TEST_CASE("a member follows a leader of the version before and its copies") {
   net::EventLoop loop;
   Daemon member(loop, "a");
