The age of the server entries at each send is measured and logged

A late send could not be explained from logs: neither how old the entries were that decided it, nor how long it took from that to the first byte. Histograms by source, a line with the counts every 5 s, and a line for sends that are late for a connection that had to be opened. drain_ms takes the platform's bound into the settings; it is only logged against so far. No decision changes. The sending part of EntryRequest has a file of its own.

--- a/src/entry/entry_daemon.cc
+++ b/src/entry/entry_daemon.cc
@@ -13,6 +13,7 @@
 
 #include "base/log.h"
 #include "daemon/operator_server.h"
+#include "entry/copy_age_log.h"
 #include "entry/entry_proxy.h"
 #include "entry/entry_settings.h"
 #include "entry/entry_state.h"
@@ -39,6 +40,7 @@
 // out after twice this time.
 constexpr Duration kLoggedLoopDelay = milliseconds(200);
 constexpr Duration kStoreCallsLogPeriod = std::chrono::minutes(1);
+constexpr Duration kSendAgesLogPeriod = std::chrono::seconds(5);
 // Timeout of store calls for the election.
 constexpr Duration kElectionTimeout = milliseconds(1500);
 // Daemons of a deployment start at the same time. Their first election calls
@@ -125,6 +127,10 @@
     state_->routes_current_until = [this] {
       return copies_.config_current_at() + ConfigApplyTime(settings_);
     };
+    state_->entries_status = [this] {
+      return EntriesStatus{copies_.servers_current_at(),
+                           ToString(copies_.source())};
+    };
     copies_.on_store_change = [this](bool lost) { OnStoreChange(lost); };
     link_.on_membership_update = [this] { OnMembershipUpdate(); };
     link_.on_leader_heartbeat = [this](const StoreCopyStatus& copy_status) {
@@ -159,6 +165,7 @@
     BOOST_LEAF_CHECK(copies_.Start(settings_.member_address));
     const TimePoint now = loop_.Now();
     store_calls_logged_at_ = now;
+    send_ages_logged_at_ = now;
     SetHousekeepingTimer(now + kHousekeepingPeriod);
     // Daemons with a small processor share let others become leader.
     const Duration low_share_delay =
@@ -396,20 +403,22 @@
                           .rank = link_.rank(),
                           .heartbeat_period = link_.heartbeat_period()});
     UpdateDoubt();
-    LogConfigAge();
+    LogCopyAges();
   }
 
-  // Logs when the configuration becomes outdated, and when it no longer is.
-  void LogConfigAge() {
+  // Logs when copies become outdated, and when they no longer are.
+  void LogCopyAges() {
     const TimePoint now = loop_.Now();
-    const bool outdated =
-        state_->routes != nullptr && now >= state_->routes_current_until();
-    if (std::exchange(config_was_outdated_, outdated) != outdated) {
-      Log(outdated ? LogLevel::kWarning : LogLevel::kInfo,
-          outdated ? "config_outdated" : "config_current",
-          {{"version", state_->routes->config().version},
-           {"copy_age_ms",
-            MillisecondsBetween(copies_.config_current_at(), now)}});
+    if (state_->routes != nullptr) {
+      config_age_log_.Update(
+          copies_.config_current_at(), state_->routes_current_until(),
+          {"version", state_->routes->config().version}, now);
+    }
+    if (servers_known_) {
+      const EntriesStatus entries = state_->entries_status();
+      entries_age_log_.Update(entries.current_at,
+                              entries.current_at + DrainTime(settings_),
+                              {"source", entries.source}, now);
     }
   }
 
@@ -443,6 +452,14 @@
     }
   }
 
+  // Logs how old the server entries were that decided the last sends.
+  void LogSendAges() {
+    const std::string counts = state_->send_ages.Take();
+    if (!counts.empty()) {
+      Log(LogLevel::kInfo, "send_ages", {{"counts", counts}});
+    }
+  }
+
   // Logs how many calls of each kind this daemon has made to the store.
   void LogStoreCalls() {
     std::string counts;
@@ -463,6 +480,10 @@
       store_calls_logged_at_ = now;
       LogStoreCalls();
     }
+    if (now >= send_ages_logged_at_ + kSendAgesLogPeriod) {
+      send_ages_logged_at_ = now;
+      LogSendAges();
+    }
     RecordLoopDelay(now - housekeeping_due_);
     SetHousekeepingTimer(now + kHousekeepingPeriod);
     link_.SetStoreCopyStatus(copies_.CopyStatus());
@@ -540,10 +561,12 @@
   TimePoint next_heartbeat_{};
   TimePoint housekeeping_due_{};
   TimePoint store_calls_logged_at_{};
+  TimePoint send_ages_logged_at_{};
   // Since the metrics were last read.
   Duration max_loop_delay_{};
   bool servers_known_ = false;
-  bool config_was_outdated_ = false;
+  CopyAgeLog config_age_log_{"config"};
+  CopyAgeLog entries_age_log_{"entries"};
 };
 
 EntryDaemon::EntryDaemon(const settings::EntryDaemonT& settings)
--- a/src/entry/entry_metrics.cc
+++ b/src/entry/entry_metrics.cc
@@ -15,12 +15,14 @@
 namespace bh = boost::histogram;
 
 constexpr std::string_view kPrefix = "gentianreach_";
-// Latency histogram: 24 bins of equal width on a logarithmic scale, from the
-// fastest responses over the network to beyond the longest deadlines.
+// Histograms: 24 bins of equal width on a logarithmic scale, from the fastest
+// responses over the network to beyond the longest deadlines.
 constexpr unsigned kBinCount = 24;
 constexpr double kMinSeconds = 0.001;
 constexpr double kMaxSeconds = 20;
 constexpr std::string_view kLatency = "request_duration_seconds";
+constexpr std::string_view kEntriesAge = "send_entries_age_seconds";
+constexpr std::string_view kSendDelay = "send_delay_seconds";
 
 struct Description {
   std::string_view name;
@@ -97,6 +99,10 @@
     Description{"config_version", "gauge", "Version in force; 0: none."},
     Description{kLatency, "histogram",
                 "Time from a request's head to its answer."},
+    Description{kEntriesAge, "histogram",
+                "Age of the server entries when a request was sent by them."},
+    Description{kSendDelay, "histogram",
+                "Time from the choice of a server to the first byte sent."},
 };
 
 const Description& DescriptionOf(std::string_view name) {
@@ -111,6 +117,30 @@
       << kPrefix << name << " " << it.type << "\n";
 }
 
+// Writes the buckets, the sum and the count of a histogram.
+void AppendTimes(std::ostream& out,
+                 const std::string& name,
+                 const std::string& labels,
+                 const auto& histogram,
+                 double sum_seconds) {
+  const std::string bucket_labels = labels.empty() ? "" : labels + ",";
+  const std::string total_labels = labels.empty() ? "" : "{" + labels + "}";
+  std::uint64_t count = 0;
+  for (auto&& bin : bh::indexed(histogram, bh::coverage::all)) {
+    count += static_cast<std::uint64_t>(*bin);
+    const double upper = bin.bin().upper();
+    out << kPrefix << name << "_bucket{" << bucket_labels << "le=\"";
+    if (std::isinf(upper)) {
+      out << "+Inf";
+    } else {
+      out << upper;
+    }
+    out << "\"} " << count << "\n";
+  }
+  out << kPrefix << name << "_sum" << total_labels << " " << sum_seconds << "\n"
+      << kPrefix << name << "_count" << total_labels << " " << count << "\n";
+}
+
 }  // namespace
 
 void EntryMetrics::Count(std::string_view name,
@@ -127,25 +157,39 @@
   values_[std::string(name)][std::string(label)] = value;
 }
 
-void EntryMetrics::RecordLatency(const std::string& route,
-                                 const std::string& service,
-                                 Duration latency) {
-  const std::string labels =
-      "route=\"" + route + "\",service=\"" + service + "\"";
-  auto it = latencies_.find(labels);
-  if (it == latencies_.end()) {
-    it = latencies_
+void EntryMetrics::RecordTime(std::string_view name,
+                              const std::string& labels,
+                              Duration time) {
+  auto& by_labels = times_[std::string(name)];
+  auto it = by_labels.find(labels);
+  if (it == by_labels.end()) {
+    it = by_labels
              .emplace(labels,
-                      Latencies{bh::make_histogram(
+                      Times{bh::make_histogram(
                           bh::axis::regular<double, bh::axis::transform::log>(
                               kBinCount, kMinSeconds, kMaxSeconds))})
              .first;
   }
-  const double seconds = std::chrono::duration<double>(latency).count();
+  const double seconds = std::chrono::duration<double>(time).count();
   it->second.histogram(seconds);
   it->second.sum_seconds += seconds;
 }
 
+void EntryMetrics::RecordLatency(const std::string& route,
+                                 const std::string& service,
+                                 Duration latency) {
+  RecordTime(kLatency, "route=\"" + route + "\",service=\"" + service + "\"",
+             latency);
+}
+
+void EntryMetrics::RecordEntriesAge(std::string_view source, Duration age) {
+  RecordTime(kEntriesAge, "source=\"" + std::string(source) + "\"", age);
+}
+
+void EntryMetrics::RecordSendDelay(Duration delay) {
+  RecordTime(kSendDelay, {}, delay);
+}
+
 std::string EntryMetrics::Text() const {
   std::ostringstream out;
   for (const auto& [name, by_label] : values_) {
@@ -161,27 +205,12 @@
           << "\n";
     }
   }
-  if (latencies_.empty()) {
-    return out.str();
-  }
-  AppendDescription(out, kLatency);
   out << std::defaultfloat << std::setprecision(6);
-  for (const auto& [labels, it] : latencies_) {
-    std::uint64_t count = 0;
-    for (auto&& bin : bh::indexed(it.histogram, bh::coverage::all)) {
-      count += static_cast<std::uint64_t>(*bin);
-      const double upper = bin.bin().upper();
-      out << kPrefix << kLatency << "_bucket{" << labels << ",le=\"";
-      if (std::isinf(upper)) {
-        out << "+Inf";
-      } else {
-        out << upper;
-      }
-      out << "\"} " << count << "\n";
+  for (const auto& [name, by_labels] : times_) {
+    AppendDescription(out, name);
+    for (const auto& [labels, it] : by_labels) {
+      AppendTimes(out, name, labels, it.histogram, it.sum_seconds);
     }
-    out << kPrefix << kLatency << "_sum{" << labels << "} " << it.sum_seconds
-        << "\n"
-        << kPrefix << kLatency << "_count{" << labels << "} " << count << "\n";
   }
   return out.str();
 }
--- a/src/entry/entry_metrics.h
+++ b/src/entry/entry_metrics.h
@@ -28,6 +28,11 @@
   void RecordLatency(const std::string& route,
                      const std::string& service,
                      Duration latency);
+  // Records how old the server entries from `source` were when a request was
+  // sent by them.
+  void RecordEntriesAge(std::string_view source, Duration age);
+  // Records the time from the choice of a server to the first byte sent to it.
+  void RecordSendDelay(Duration delay);
 
   // Returns all metrics in the text exposition format of Prometheus.
   [[nodiscard]] std::string Text() const;
@@ -39,15 +44,19 @@
           1,
           1.0,
           2.0)));
-  struct Latencies {
+  struct Times {
     Histogram histogram;
     double sum_seconds = 0;
   };
 
+  void RecordTime(std::string_view name,
+                  const std::string& labels,
+                  Duration time);
+
   // By name, then by label.
   std::map<std::string, std::map<std::string, double>, std::less<>> values_;
-  // By labels.
-  std::map<std::string, Latencies> latencies_;
+  // By name, then by labels.
+  std::map<std::string, std::map<std::string, Times>, std::less<>> times_;
 };
 
 }  // namespace gentianreach::entry
--- a/src/entry/entry_request.cc
+++ b/src/entry/entry_request.cc
@@ -37,16 +37,6 @@
 // A request waits for an owner for at least the latency objective divided by
 // this, and longer if it could still be answered within the objective.
 constexpr int kMinHoldDivisor = 2;
-// An idempotent request is retried at another server if there is no response
-// within this multiple of the server's processing time, or within the minimum
-// time if that is longer.
-constexpr int kResponseTimeoutFactor = 5;
-constexpr Duration kMinResponseTimeout = milliseconds(800);
-// A request should be answered within this multiple of the server's expected
-// latency, and within the minimum time if that is longer. Otherwise the path to
-// the servers is in question.
-constexpr int kSilenceFactor = 2;
-constexpr Duration kMinSilence = milliseconds(250);
 
 }  // namespace
 
@@ -265,58 +255,6 @@
   hold_timer_.Clear();
 }
 
-void EntryRequest::Send(const routing::BackendServer& server) {
-  auto connection = state_->Pool(server)->Acquire();
-  if (!connection) {
-    Refuse(kUnavailable, Reason::kOverload, kRejectedRetryAfter);
-    return;
-  }
-  SendOver(std::move(connection), server);
-}
-
-void EntryRequest::SendOver(std::shared_ptr<proxy::ServerConnection> connection,
-                            const routing::BackendServer& server) {
-  pool_ = state_->Pool(server);
-  relay_.clear();
-  connection_ = std::move(connection);
-  server_ = server.id;
-  incarnation_ = server.incarnation;
-  tried_.push_back(server.id);
-  report_.reset();
-  skipped_responses_ = 0;
-  response_body_.clear();
-  attempt_started_ = state_->loop.Now();
-  if (server.draining) {
-    state_->metrics.Count("requests_to_draining_total");
-  }
-  state_->loads.OnSent(server_);
-  state_->limits.OnSent(server_, attempt_started_);
-  pool_->OnStart(connection_.get());
-  state_->reachability.OnSent(
-      attempt_started_ + std::max(kMinSilence, state_->loads.ExpectedLatency(
-                                                   server, attempt_started_) *
-                                                   kSilenceFactor));
-  if (route_->idempotent) {
-    const Duration processing_time =
-        state_->loads.ProcessingTime(server, attempt_started_);
-    response_timer_.Set(attempt_started_ +
-                        std::max(kMinResponseTimeout,
-                                 processing_time * kResponseTimeoutFactor));
-  }
-  const auto left = std::max<Duration>(TimeLeft(), milliseconds(1));
-  connection_->Start(RequestHead(caller_->head(), state_->headers,
-                                 {.id = id_,
-                                  .server = server.id,
-                                  .key = key_,
-                                  .time_left = left,
-                                  .body_size = body_.size()}) +
-                         body_,
-                     caller_->head().method == "HEAD", true,
-                     [self = shared_from_this()](proxy::ServerEvent event) {
-                       self->OnServerEvent(event);
-                     });
-}
-
 void EntryRequest::OnServerEvent(proxy::ServerEvent event) {
   const auto self = shared_from_this();
   if (done_ || !connection_) {
@@ -337,6 +275,7 @@
       OnResponseEnd();
       break;
     case proxy::ServerEvent::kDrained:
+      RecordSendDelay();
       break;
     case proxy::ServerEvent::kFailed:
       OnConnectionFailed();
--- a/src/entry/entry_request.h
+++ b/src/entry/entry_request.h
@@ -84,6 +84,11 @@
   void Send(const routing::BackendServer& server);
   void SendOver(std::shared_ptr<proxy::ServerConnection> connection,
                 const routing::BackendServer& server);
+  // Records the age of the server entries that decide the current attempt.
+  void RecordEntriesAge();
+  // Records, once for each attempt, when its first bytes were sent if the
+  // connection had to be opened.
+  void RecordSendDelay();
   void OnServerEvent(proxy::ServerEvent event);
   void OnResponseHead();
   void OnResponseBody();
@@ -172,6 +177,7 @@
   // Name of the relay; empty if the attempt is made by this daemon.
   std::string relay_;
   TimePoint attempt_started_;
+  bool send_delay_recorded_ = false;
   std::optional<LoadReport> report_;
   int skipped_responses_ = 0;
   net::DeadlineTimer response_timer_;
--- /dev/null
+++ b/src/entry/entry_request_sending.cc
@@ -0,0 +1,110 @@
+// The part of EntryRequest that sends requests to servers.
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+#include "base/log.h"
+#include "entry/entry_request.h"
+#include "entry/message_writer.h"
+#include "http/status.h"
+
+namespace gentianreach::entry {
+namespace {
+
+using std::chrono::milliseconds;
+
+using http::status::kUnavailable;
+
+// An idempotent request is retried at another server if there is no response
+// within this multiple of the server's processing time, or within the minimum
+// time if that is longer.
+constexpr int kResponseTimeoutFactor = 5;
+constexpr Duration kMinResponseTimeout = milliseconds(800);
+// A request should be answered within this multiple of the server's expected
+// latency, and within the minimum time if that is longer. Otherwise the path to
+// the servers is in question.
+constexpr int kSilenceFactor = 2;
+constexpr Duration kMinSilence = milliseconds(250);
+
+// Time from the choice of a server to the first byte above which it is logged.
+constexpr Duration kLoggedSendDelay = milliseconds(200);
+
+}  // namespace
+
+void EntryRequest::Send(const routing::BackendServer& server) {
+  auto connection = state_->Pool(server)->Acquire();
+  if (!connection) {
+    Refuse(kUnavailable, Reason::kOverload, kRejectedRetryAfter);
+    return;
+  }
+  SendOver(std::move(connection), server);
+}
+
+void EntryRequest::SendOver(std::shared_ptr<proxy::ServerConnection> connection,
+                            const routing::BackendServer& server) {
+  pool_ = state_->Pool(server);
+  relay_.clear();
+  connection_ = std::move(connection);
+  server_ = server.id;
+  incarnation_ = server.incarnation;
+  tried_.push_back(server.id);
+  report_.reset();
+  skipped_responses_ = 0;
+  response_body_.clear();
+  attempt_started_ = state_->loop.Now();
+  send_delay_recorded_ = false;
+  if (server.draining) {
+    state_->metrics.Count("requests_to_draining_total");
+  }
+  RecordEntriesAge();
+  state_->loads.OnSent(server_);
+  state_->limits.OnSent(server_, attempt_started_);
+  pool_->OnStart(connection_.get());
+  state_->reachability.OnSent(
+      attempt_started_ + std::max(kMinSilence, state_->loads.ExpectedLatency(
+                                                   server, attempt_started_) *
+                                                   kSilenceFactor));
+  if (route_->idempotent) {
+    const Duration processing_time =
+        state_->loads.ProcessingTime(server, attempt_started_);
+    response_timer_.Set(attempt_started_ +
+                        std::max(kMinResponseTimeout,
+                                 processing_time * kResponseTimeoutFactor));
+  }
+  const auto left = std::max<Duration>(TimeLeft(), milliseconds(1));
+  connection_->Start(RequestHead(caller_->head(), state_->headers,
+                                 {.id = id_,
+                                  .server = server.id,
+                                  .key = key_,
+                                  .time_left = left,
+                                  .body_size = body_.size()}) +
+                         body_,
+                     caller_->head().method == "HEAD", true,
+                     [self = shared_from_this()](proxy::ServerEvent event) {
+                       self->OnServerEvent(event);
+                     });
+}
+
+void EntryRequest::RecordEntriesAge() {
+  const EntriesStatus entries = state_->entries_status();
+  const Duration age = attempt_started_ - entries.current_at;
+  state_->metrics.RecordEntriesAge(entries.source, age);
+  state_->send_ages.Record(entries.source, age);
+}
+
+void EntryRequest::RecordSendDelay() {
+  if (std::exchange(send_delay_recorded_, true)) {
+    return;
+  }
+  const TimePoint now = state_->loop.Now();
+  const Duration delay = now - attempt_started_;
+  state_->metrics.RecordSendDelay(delay);
+  if (delay >= kLoggedSendDelay && state_->log_budget.Take(now)) {
+    Log(LogLevel::kWarning, "sent_late",
+        {{"request", id_},
+         {"server", server_.value()},
+         {"ms", delay / milliseconds(1)}});
+  }
+}
+
+}  // namespace gentianreach::entry
--- a/src/entry/entry_settings.cc
+++ b/src/entry/entry_settings.cc
@@ -95,6 +95,10 @@
   return FromMilliseconds(settings.config_apply_ms);
 }
 
+Duration DrainTime(const settings::EntryDaemonT& settings) {
+  return FromMilliseconds(settings.drain_ms);
+}
+
 std::uint64_t BodyBytes(const settings::EntryDaemonT& settings) {
   constexpr double kBytesPerMb = 1 << 20;
   constexpr double kBodyShare = 0.25;
--- a/src/entry/entry_settings.h
+++ b/src/entry/entry_settings.h
@@ -35,6 +35,9 @@
 // Returns the time within which a change of the configuration takes effect.
 [[nodiscard]] Duration ConfigApplyTime(const settings::EntryDaemonT& settings);
 
+// Returns the time after which a server that leaves gets no more requests.
+[[nodiscard]] Duration DrainTime(const settings::EntryDaemonT& settings);
+
 // Returns how long the store has to be away at least until entries of live
 // servers expire.
 [[nodiscard]] Duration ShortestExpiry(const settings::EntryDaemonT& settings);
--- a/src/entry/entry_state.h
+++ b/src/entry/entry_state.h
@@ -23,6 +23,7 @@
 #include "entry/member_count.h"
 #include "entry/ownership_view.h"
 #include "entry/relays.h"
+#include "entry/send_ages.h"
 #include "entry/server_directory.h"
 #include "entry/server_limits.h"
 #include "entry/server_loads.h"
@@ -44,6 +45,14 @@
   double slack = 50;
 };
 
+// What is known about the copy of the server entries.
+struct EntriesStatus {
+  // Up to when it contains all changes of the store; TimePoint{}: not known.
+  TimePoint current_at;
+  // Where its changes come from.
+  std::string_view source;
+};
+
 class EntryState {
  public:
   // Memory that request bodies may take unless the settings say otherwise.
@@ -114,6 +123,7 @@
   std::shared_ptr<routing::HostRoutes> routes;
   // Returns until when `routes` have all changes that must have taken effect.
   std::function<TimePoint()> routes_current_until;
+  std::function<EntriesStatus()> entries_status;
   ServerDirectory directory;
   ServerLoads loads;
   ServerLimits limits;
@@ -125,6 +135,7 @@
   // Requests that wait for a new owner of their key.
   proxy::HeldRequestQueue held;
   EntryMetrics metrics;
+  SendAges send_ages;
   LogBudget log_budget;
   // Called when a server counts as draining because it has stated so.
   std::function<void()> on_server_leaving;
