A test in virtual time of how old the entries may be that decide a send

FleetCopiesSim plays 12 to 1,000 members with the daemon's own choice of source, order of succession, directory and choice of servers; heartbeats, mirrors, the leader, peers and the store are lossy, silent or slow for all or some of them, and loops are late. Sends that reach a server later than its drain allows are counted unless the member's own calls of the store have failed, as it cannot know then.

--- /dev/null
+++ b/src/entry/fleet_copies_sim.h
@@ -0,0 +1,589 @@
+// Simulation of how the server entries reach the daemons of a fleet, in virtual
+// time, for tests.
+#ifndef SRC_ENTRY_FLEET_COPIES_SIM_H_
+#define SRC_ENTRY_FLEET_COPIES_SIM_H_
+
+#include <algorithm>
+#include <array>
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "entry/copy_source.h"
+#include "entry/ownership_view.h"
+#include "entry/server_choice.h"
+#include "entry/server_directory.h"
+#include "entry/server_limits.h"
+#include "entry/server_loads.h"
+#include "entry/succession.h"
+#include "routing/routing_config.h"
+
+namespace gentianreach::entry {
+
+// What a member uses to learn of changes. Each can fail by itself.
+enum class Hop : std::uint8_t { kHeartbeat, kMirror, kLeader, kPeer, kStore };
+inline constexpr std::size_t kHops = 5;
+
+// What happens to the messages of a hop.
+enum class HopFault : std::uint8_t {
+  kNone,
+  kLossy,   // Some get no response.
+  kSilent,  // None gets a response.
+  kSlow,    // Responses take up to kMaxSlowness longer.
+};
+
+// Member 0 leads all the time and reaches the store; so do the other members
+// unless the hops of a member are given faults. The decisions are those of the
+// daemon's own classes; what is simulated are the messages and their timeouts,
+// and the loops of the daemons, which may be late.
+//
+// Every member keeps sending requests to servers, some of which drain. The
+// simulation records the sends that reach a server later than it may rely on.
+class FleetCopiesSim {
+ public:
+  struct Options {
+    std::size_t members = 12;
+    // Time after which a server that drains gets no more requests.
+    std::chrono::milliseconds drain{2000};
+    // Time within which a change of the configuration takes effect.
+    std::chrono::milliseconds config_apply{2000};
+    // How late the loops of the members may be.
+    std::chrono::milliseconds max_loop_delay{20};
+    unsigned seed = 1;
+  };
+
+  // What the members did while the faults lasted.
+  struct Result {
+    std::uint64_t sends = 0;
+    // Sends that reached a server too late, by members whose own calls of the
+    // store had not failed since their copies were complete.
+    std::uint64_t late_sends = 0;
+    Duration latest{};
+    std::uint64_t store_lists = 0;
+  };
+
+  explicit FleetCopiesSim(const Options& options)
+      : options_(options),
+        random_(options.seed),
+        hello_period_(kHelloPeriod *
+                      std::clamp<std::int64_t>(
+                          static_cast<std::int64_t>(options.members / 24),
+                          1,
+                          3)) {
+    for (std::size_t i = 0; i < options.members; ++i) {
+      members_.push_back(std::make_unique<Member>(options_));
+      AddServers(*members_.back());
+    }
+    PlanMirrors();
+    PlanDrains();
+  }
+
+  // Sets the fault of a hop of member `index` from kFaultsBegin to kFaultsEnd.
+  void SetFault(std::size_t index, Hop hop, HopFault fault) {
+    members_[index]->faults[static_cast<std::size_t>(hop)] = fault;
+  }
+
+  Result Run() {
+    At(kStart, [this] { WatchAsLeader(false); });
+    for (std::size_t i = 1; i < members_.size(); ++i) {
+      At(kStart + RandomDelay(hello_period_), [this, i] { SendHello(i); });
+      At(kStart + RandomDelay(kHousekeepingPeriod), [this, i] { Check(i); });
+    }
+    for (std::size_t i = 0; i < members_.size(); ++i) {
+      At(kStart + RandomDelay(kSendPeriod), [this, i] { SendRequest(i); });
+    }
+    while (!events_.empty() && events_.begin()->first < kEnd) {
+      auto node = events_.extract(events_.begin());
+      now_ = node.key();
+      node.mapped()();
+    }
+    return result_;
+  }
+
+ private:
+  using milliseconds = std::chrono::milliseconds;
+  using seconds = std::chrono::seconds;
+
+  static constexpr TimePoint kStart = TimePoint(seconds(1000));
+  static constexpr TimePoint kFaultsBegin = kStart + seconds(4);
+  static constexpr TimePoint kFaultsEnd = kStart + seconds(14);
+  static constexpr TimePoint kEnd = kStart + seconds(18);
+  static constexpr std::size_t kServers = 40;
+  static constexpr std::size_t kZones = 5;
+  static constexpr std::uint32_t kKeysPerServer =
+      keyspace::kKeyCount / kServers;
+  // Times of the daemon; see member_link.cc, entry_daemon.cc, store_copies.cc
+  // and store_watcher.cc.
+  static constexpr milliseconds kHelloPeriod{250};
+  static constexpr milliseconds kHousekeepingPeriod{100};
+  static constexpr milliseconds kMirrorHeadStart{100};
+  static constexpr milliseconds kMirrorTimeout{400};
+  static constexpr milliseconds kMirrorAvoidance{3000};
+  static constexpr milliseconds kRelayTimeout{1200};
+  static constexpr milliseconds kPeerTimeout{300};
+  static constexpr milliseconds kPeerPollPeriod{200};
+  static constexpr std::size_t kPolledPeers = 2;
+  static constexpr milliseconds kListTimeout{1500};
+  static constexpr milliseconds kBatchDelay{200};
+  static constexpr milliseconds kLeaderWatchWait{500};
+  static constexpr milliseconds kOwnWatchWait{4000};
+  static constexpr milliseconds kRetryDelay{400};
+  // The world around it.
+  static constexpr milliseconds kSendPeriod{100};
+  static constexpr milliseconds kNetworkDelay{2};
+  static constexpr milliseconds kMaxSlowness{1400};
+  static constexpr double kLossRate = 0.5;
+  // A member with a tenth of a processor takes this long to read all entries.
+  static constexpr milliseconds kMaxListTime{300};
+
+  struct Member {
+    explicit Member(const Options& options) : chooser(options.config_apply) {}
+
+    std::array<HopFault, kHops> faults{};
+    CopySourceChooser chooser;
+    ServerDirectory directory;
+    ServerLoads loads;
+    ServerLimits limits{1};
+    CopySource source = CopySource::kLeader;
+    // Number of drains that the copy contains.
+    std::size_t drains = 0;
+    TimePoint current_at = kStart;
+    TimePoint leader_last_seen = kStart;
+    std::uint32_t rank = 0;
+    std::optional<std::size_t> mirror;
+    TimePoint mirror_avoided_until{};
+    TimePoint polled_at{};
+    bool fetching = false;
+    bool reading_store = false;
+    // When a call of the store last failed.
+    TimePoint store_failed_at{};
+    milliseconds list_time{20};
+  };
+
+  // What the leader's heartbeats tell of its copies.
+  struct Status {
+    std::size_t drains = 0;
+    TimePoint current_at;
+  };
+
+  void At(TimePoint time, std::function<void()> fn) {
+    events_.emplace(time, std::move(fn));
+  }
+  Duration RandomDelay(Duration max) {
+    return Duration(
+        std::uniform_int_distribution<std::int64_t>(0, max.count())(random_));
+  }
+  // Returns when the loop of a member gets to what is due now.
+  TimePoint LoopTime() { return now_ + RandomDelay(options_.max_loop_delay); }
+
+  static std::string ServerName(std::size_t number) {
+    return "s" + std::to_string(number);
+  }
+  static routing::BackendServer Server(std::size_t number, bool draining) {
+    routing::BackendServer server;
+    server.id = ServerId(ServerName(number));
+    server.incarnation = Incarnation(1);
+    server.service = number % 2 == 0 ? "plain" : "keyed";
+    server.zone = ZoneName("z" + std::to_string(number % kZones));
+    server.slots = 3;
+    server.draining = draining;
+    return server;
+  }
+
+  void AddServers(Member& member) {
+    for (std::size_t i = 0; i < kServers; ++i) {
+      member.directory.Put(Server(i, false), kStart);
+    }
+    member.list_time =
+        milliseconds(20) +
+        std::chrono::duration_cast<milliseconds>(RandomDelay(kMaxListTime));
+  }
+
+  void PlanMirrors() {
+    std::vector<SuccessionMember> known;
+    for (std::size_t i = 1; i < members_.size(); ++i) {
+      known.push_back({std::to_string(i),
+                       ZoneName("z" + std::to_string(i % kZones)),
+                       i <= 3 * kZones ? 0.5 : 0.1});
+    }
+    const Succession plan = PlanSuccession(known);
+    for (std::size_t rank = 0; rank < plan.order.size(); ++rank) {
+      const std::size_t it = plan.order[rank];
+      members_[it + 1]->rank = static_cast<std::uint32_t>(rank);
+      if (plan.mirrors[it]) {
+        members_[it + 1]->mirror = *plan.mirrors[it] + 1;
+      }
+      if (rank < CopySourceChooser::kReaders) {
+        peers_.push_back(it + 1);
+      }
+    }
+  }
+
+  // All servers but two of each kind drain, one after the other.
+  void PlanDrains() {
+    for (std::size_t i = 0; i < kServers; ++i) {
+      ready_.push_back(i);
+      acks_.push_back(TimePoint::max());
+    }
+    std::shuffle(ready_.begin(), ready_.end(), random_);
+    for (std::size_t i = 0; i + 4 < kServers; ++i) {
+      drains_.push_back(kFaultsBegin +
+                        RandomDelay(kFaultsEnd + seconds(2) - kFaultsBegin));
+    }
+    std::sort(drains_.begin(), drains_.end());
+    for (std::size_t i = 0; i < drains_.size(); ++i) {
+      acks_[ready_[i]] = drains_[i];
+    }
+  }
+
+  // Returns how many drains the store had acknowledged at `time`.
+  [[nodiscard]] std::size_t DrainsAt(TimePoint time) const {
+    return static_cast<std::size_t>(
+        std::upper_bound(drains_.begin(), drains_.end(), time) -
+        drains_.begin());
+  }
+
+  // Returns the time until the response to a message of `member`, or nullopt if
+  // there is none.
+  std::optional<Duration> ResponseTime(const Member& member,
+                                       Hop hop,
+                                       Duration usual) {
+    const bool faulty = now_ >= kFaultsBegin && now_ < kFaultsEnd;
+    switch (faulty ? member.faults[static_cast<std::size_t>(hop)]
+                   : HopFault::kNone) {
+      case HopFault::kNone:
+        return usual;
+      case HopFault::kLossy:
+        return std::bernoulli_distribution(kLossRate)(random_)
+                   ? std::nullopt
+                   : std::optional<Duration>(usual);
+      case HopFault::kSilent:
+        return std::nullopt;
+      case HopFault::kSlow:
+        return usual + RandomDelay(kMaxSlowness);
+    }
+    return usual;
+  }
+
+  // Sends a message that is answered or times out, as the loop of the sender
+  // sees it.
+  void Call(const Member& member,
+            Hop hop,
+            Duration usual,
+            Duration timeout,
+            std::function<void(bool answered)> done) {
+    const auto time = ResponseTime(member, hop, usual);
+    const bool answered = time && *time < timeout;
+    At(now_ + (answered ? *time : timeout) +
+           RandomDelay(options_.max_loop_delay),
+       [done = std::move(done), answered] { done(answered); });
+  }
+
+  // Applies the copy of another process with `drains` drains.
+  void Apply(Member& member, std::size_t drains) {
+    for (std::size_t i = member.drains; i < drains; ++i) {
+      member.directory.Put(Server(ready_[i], true), member.current_at);
+    }
+    member.drains = std::max(member.drains, drains);
+  }
+  static void ConfirmCurrent(Member& member, TimePoint at) {
+    member.current_at = std::max(member.current_at, at);
+  }
+
+  void WatchAsLeader(bool changed_before) {
+    Member& leader = *members_[0];
+    const TimePoint sent = now_;
+    const Duration wait =
+        changed_before ? kLeaderWatchWait / 2 : kLeaderWatchWait;
+    const TimePoint next = leader.drains < drains_.size()
+                               ? std::max(drains_[leader.drains], sent)
+                               : TimePoint::max();
+    const bool changed = next < sent + wait;
+    At((changed ? next : sent + wait) + kNetworkDelay,
+       [this, sent, wait, changed] {
+         Member& member = *members_[0];
+         Apply(member, DrainsAt(now_ - kNetworkDelay / 2));
+         ConfirmCurrent(member, changed ? sent : sent + wait);
+         if (changed) {
+           ScheduleHeartbeats();
+         }
+         At(now_ + (changed ? kBatchDelay : milliseconds(0)),
+            [this, changed] { WatchAsLeader(changed); });
+       });
+  }
+
+  [[nodiscard]] Status LeaderStatus() const {
+    return {members_[0]->drains, members_[0]->current_at};
+  }
+
+  // The leader tells of a change: first the mirrors and the members without
+  // one, later the others.
+  void ScheduleHeartbeats() {
+    if (heartbeats_due_ > now_) {
+      return;
+    }
+    heartbeats_due_ = std::max(now_, next_heartbeats_);
+    At(heartbeats_due_, [this] {
+      next_heartbeats_ =
+          now_ + std::max<Duration>(milliseconds(40),
+                                    milliseconds(2) * members_.size());
+      heartbeats_due_ = {};
+      SendHeartbeats(false, LeaderStatus());
+      At(now_ + kMirrorHeadStart, [this, status = LeaderStatus()] {
+        mirrored_status_ = status;
+        SendHeartbeats(true, status);
+      });
+    });
+  }
+  void SendHeartbeats(bool mirrored, Status status) {
+    for (std::size_t i = 1; i < members_.size(); ++i) {
+      if (members_[i]->mirror.has_value() == mirrored) {
+        SendHeartbeat(i, status);
+      }
+    }
+  }
+  void SendHeartbeat(std::size_t index, Status status) {
+    const auto time =
+        ResponseTime(*members_[index], Hop::kHeartbeat, kNetworkDelay);
+    if (time) {
+      At(now_ + *time + RandomDelay(options_.max_loop_delay),
+         [this, index, status] { OnHeartbeat(index, status); });
+    }
+  }
+  // The response to a Hello.
+  void SendHello(std::size_t index) {
+    At(LoopTime() + hello_period_, [this, index] { SendHello(index); });
+    const Status status = LeaderStatus();
+    const bool told = mirrored_status_.drains == status.drains;
+    SendHeartbeat(index,
+                  !members_[index]->mirror || told ? status : mirrored_status_);
+  }
+
+  void OnHeartbeat(std::size_t index, Status status) {
+    Member& member = *members_[index];
+    member.leader_last_seen = now_;
+    if (member.drains >= status.drains) {
+      ConfirmCurrent(member, status.current_at);
+      return;
+    }
+    if (std::exchange(member.fetching, true)) {
+      return;
+    }
+    if (!member.mirror || now_ < member.mirror_avoided_until) {
+      FetchFrom(member, *members_[0], Hop::kLeader, kRelayTimeout, status, {});
+      return;
+    }
+    FetchFrom(member, *members_[*member.mirror], Hop::kMirror, kMirrorTimeout,
+              status, [this, &member, status] {
+                member.mirror_avoided_until = now_ + kMirrorAvoidance;
+                FetchFrom(member, *members_[0], Hop::kLeader, kRelayTimeout,
+                          status, {});
+              });
+  }
+  // Fetches the changes from another member; calls `otherwise` if it has failed
+  // to.
+  void FetchFrom(Member& member,
+                 const Member& source,
+                 Hop hop,
+                 Duration timeout,
+                 Status status,
+                 std::function<void()> otherwise) {
+    Call(member, hop, 2 * kNetworkDelay + member.list_time / 10, timeout,
+         [this, &member, &source, status,
+          otherwise = std::move(otherwise)](bool answered) {
+           if (answered) {
+             Apply(member, source.drains);
+           }
+           if (answered && member.drains >= status.drains) {
+             ConfirmCurrent(member, status.current_at);
+           } else if (otherwise) {
+             otherwise();
+             return;
+           }
+           member.fetching = false;
+         });
+  }
+
+  // The housekeeping of a member.
+  void Check(std::size_t index) {
+    Member& member = *members_[index];
+    At(LoopTime() + kHousekeepingPeriod, [this, index] { Check(index); });
+    member.source =
+        member.chooser.Choose({.leader_last_seen = member.leader_last_seen,
+                               .rank = member.rank,
+                               .heartbeat_period = hello_period_},
+                              kStart, member.current_at, now_);
+    if (member.source == CopySource::kPeers &&
+        now_ >= member.polled_at + kPeerPollPeriod) {
+      PollPeers(member);
+    }
+    if (member.source == CopySource::kStore) {
+      ReadStore(member, true);
+    }
+  }
+
+  void PollPeers(Member& member) {
+    member.polled_at = now_;
+    for (std::size_t i = 0; i < std::min(kPolledPeers, peers_.size()); ++i) {
+      const Member& peer =
+          *members_[peers_[std::uniform_int_distribution<std::size_t>(
+              0, peers_.size() - 1)(random_)]];
+      if (&peer == &member) {
+        continue;
+      }
+      Call(member, Hop::kPeer, 2 * kNetworkDelay, kPeerTimeout,
+           [this, &member, &peer, asked_at = now_](bool answered) {
+             if (answered) {
+               OnPeerStatus(member, peer, asked_at);
+             }
+           });
+    }
+  }
+  void OnPeerStatus(Member& member, const Member& peer, TimePoint asked_at) {
+    const Status status{peer.drains, std::min(peer.current_at, asked_at)};
+    if (member.drains >= status.drains) {
+      ConfirmCurrent(member, status.current_at);
+      return;
+    }
+    if (!std::exchange(member.fetching, true)) {
+      FetchFrom(member, peer, Hop::kPeer, kMirrorTimeout, status, {});
+    }
+  }
+
+  // Lists the store, and watches it as long as that is the source.
+  void ReadStore(Member& member, bool list) {
+    if (std::exchange(member.reading_store, true)) {
+      return;
+    }
+    result_.store_lists += list ? 1 : 0;
+    const TimePoint sent = now_;
+    const Duration wait = list ? Duration(0) : WatchWait(member);
+    // A watch ends at the first change.
+    const TimePoint change = !list && member.drains < drains_.size()
+                                 ? std::max(drains_[member.drains], sent)
+                                 : TimePoint::max();
+    const bool changed = change < sent + wait;
+    const Duration usual = kNetworkDelay + (list ? Duration(member.list_time)
+                                            : changed ? change - sent
+                                                      : wait);
+    const Duration timeout = list ? kListTimeout : wait + milliseconds(700);
+    Call(member, Hop::kStore, usual, timeout,
+         [this, &member, sent, wait, changed](bool answered) {
+           member.reading_store = false;
+           if (answered) {
+             Apply(member,
+                   DrainsAt(changed ? now_ - kNetworkDelay : sent + wait));
+             ConfirmCurrent(member, changed ? sent : sent + wait);
+           } else {
+             member.store_failed_at = now_;
+           }
+           const Duration pause = !answered ? kRetryDelay
+                                  : changed ? kBatchDelay
+                                            : milliseconds(0);
+           At(now_ + pause, [this, &member, answered] {
+             if (member.source == CopySource::kStore) {
+               ReadStore(member, !answered);
+             }
+           });
+         });
+  }
+  [[nodiscard]] Duration WatchWait(const Member& member) const {
+    return member.chooser.leader_alive() ? kLeaderWatchWait : kOwnWatchWait;
+  }
+
+  void SendRequest(std::size_t index) {
+    Member& member = *members_[index];
+    At(LoopTime() + kSendPeriod, [this, index] { SendRequest(index); });
+    const auto key =
+        std::uniform_int_distribution<std::uint32_t>(0, kServers - 1)(random_);
+    const bool keyed = key % 2 == 1;
+    const ServerChoice choice = Choose(member, keyed, key * kKeysPerServer);
+    if (choice.server != nullptr) {
+      OnSent(member, choice.server->id);
+    }
+  }
+
+  ServerChoice Choose(const Member& member, bool keyed, std::uint32_t key) {
+    static const routing::Route route = [] {
+      routing::Route it;
+      it.timeout = seconds(2);
+      it.latency_objective = milliseconds(600);
+      return it;
+    }();
+    static const routing::Service plain{.name = "plain"};
+    static const routing::Service keyed_service{.name = "keyed", .keyed = true};
+    static const OwnershipView ownership = Ownership();
+    static const std::vector<ServerId> tried;
+    static const ZoneName zone("z0");
+    return ChooseServer({.route = route,
+                         .service = keyed ? keyed_service : plain,
+                         .key = key,
+                         .tried = tried,
+                         .time_left = seconds(2),
+                         .zone = zone},
+                        member.directory, member.loads, member.limits,
+                        ownership, now_);
+  }
+
+  // Each server owns the keys that follow the multiple of kKeysPerServer with
+  // its number.
+  static OwnershipView Ownership() {
+    keyspace::OwnershipTable table;
+    for (std::size_t i = 0; i < kServers; ++i) {
+      const auto first = static_cast<std::uint32_t>(i) * kKeysPerServer;
+      const auto last = i + 1 == kServers ? keyspace::kKeyCount - 1
+                                          : first + kKeysPerServer - 1;
+      table.ranges.push_back(
+          {{first, last},
+           {ServerId(ServerName(i)), Incarnation(1), Token(1)},
+           {}});
+    }
+    OwnershipView view;
+    view.Put("keyed", 1, std::move(table));
+    return view;
+  }
+
+  void OnSent(const Member& member, const ServerId& server) {
+    ++result_.sends;
+    const auto number = std::stoul(server.value().substr(1));
+    const TimePoint arrival = now_ + kNetworkDelay;
+    const bool cannot_know = member.store_failed_at > member.current_at;
+    if (arrival <= acks_[number] || arrival - acks_[number] <= options_.drain ||
+        cannot_know) {
+      return;
+    }
+    ++result_.late_sends;
+    result_.latest =
+        std::max<Duration>(result_.latest, arrival - acks_[number]);
+  }
+
+  const Options options_;
+  std::mt19937 random_;
+  std::multimap<TimePoint, std::function<void()>> events_;
+  TimePoint now_ = kStart;
+  const std::chrono::milliseconds hello_period_;
+  std::vector<std::unique_ptr<Member>> members_;
+  // The members that others may ask for copies.
+  std::vector<std::size_t> peers_;
+  // The servers in the order in which they drain; the last ones do not.
+  std::vector<std::size_t> ready_;
+  // When the store acknowledges the drains, in this order and by server.
+  std::vector<TimePoint> drains_;
+  std::vector<TimePoint> acks_;
+  TimePoint heartbeats_due_{};
+  TimePoint next_heartbeats_{};
+  Status mirrored_status_{0, kStart};
+  Result result_;
+};
+
+}  // namespace gentianreach::entry
+
+#endif  // SRC_ENTRY_FLEET_COPIES_SIM_H_
