A request is not written on a connection that opens too late

Callers' requests could reach a server that had left, since nothing bounds the time from the choice of a server to the first byte: a loop that is late when the connection has opened writes the request all the same. Start() takes the time until which it may be written; later it fails as kTooLate, with nothing written.

server_connection_test: with a loop that is 60 ms late and 20 ms to send, the request arrived before (without the check in OnConnected()) and does not now.

--- a/src/proxy/server_connection.cc
+++ b/src/proxy/server_connection.cc
@@ -50,8 +50,10 @@
 void ServerConnection::Start(std::string bytes,
                              bool head_only,
                              bool complete,
-                             Sink sink) {
+                             Sink sink,
+                             TimePoint send_until) {
   GENTIANREACH_CHECK(!sink_);
+  send_until_ = send_until;
   sink_ = std::move(sink);
   head_only_ = head_only;
   complete_ = complete;
@@ -150,6 +152,10 @@
                                                 : ServerFailure::kConnect);
     return;
   }
+  if (sink_ && loop_.Now() >= send_until_) {
+    Fail(ServerFailure::kTooLate);
+    return;
+  }
   timer_.Clear();
   phase_ = sink_ ? Phase::kBusy : Phase::kIdle;
   last_progress_ = loop_.Now();
--- a/src/proxy/server_connection.h
+++ b/src/proxy/server_connection.h
@@ -41,6 +41,7 @@
   kLost,       // Closed or broken before a response began.
   kSilent,     // The connection made no progress; see FailAsSilent().
   kTruncated,  // Closed or broken within a response, or malformed.
+  kTooLate,    // Not written, as the connection was established too late.
 };
 
 struct ServerConnectionOptions {
@@ -74,8 +75,13 @@
 
   // Sends a request. `bytes` holds the head and the body received so far;
   // `complete` is set if that is the whole request. `head_only` is set if the
-  // response has no body (HEAD).
-  void Start(std::string bytes, bool head_only, bool complete, Sink sink);
+  // response has no body (HEAD). If the connection is not established before
+  // `send_until`, nothing is written and the request fails with kTooLate.
+  void Start(std::string bytes,
+             bool head_only,
+             bool complete,
+             Sink sink,
+             TimePoint send_until = TimePoint::max());
   // Sends more of the request's body; `complete` is set with the last part.
   void SendBody(std::string bytes, bool complete);
   // Cancels the request and closes the connection.
@@ -158,6 +164,7 @@
   bool skipping_ = false;
   TimePoint opened_at_;
   TimePoint last_progress_;
+  TimePoint send_until_ = TimePoint::max();
   ServerFailure failure_ = ServerFailure::kNone;
   std::optional<http::ResponseParser> parser_;
   http::MessageHead head_;
--- /dev/null
+++ b/src/proxy/server_connection_test.cc
@@ -0,0 +1,64 @@
+#include "proxy/server_connection.h"
+
+#include <chrono>
+#include <memory>
+#include <optional>
+#include <string>
+#include <thread>
+
+#include <doctest/doctest.h>
+
+#include "platform/platform_client.h"
+#include "platform/testing/fake_server.h"
+
+namespace gentianreach::proxy {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr Duration kTestTimeout = std::chrono::seconds(30);
+// Until when a request may be written, and how late the loop is.
+constexpr milliseconds kSendTime{20};
+constexpr milliseconds kLoopDelay{60};
+
+// Sends a request on a new connection, whose loop is late by `loop_delay` when
+// the connection opens. Returns the last event and the failure.
+std::pair<ServerEvent, ServerFailure> SendLate(
+    platform::testing::FakeServer& server,
+    milliseconds loop_delay) {
+  net::EventLoop loop;
+  const auto connection = std::make_shared<ServerConnection>(
+      loop, [](ServerConnection*) {}, ServerConnectionOptions{});
+  connection->Connect(server.address());
+  std::optional<ServerEvent> end;
+  connection->Start(
+      "GET /x HTTP/1.1\r\nHost: a.example\r\n" +
+          platform::PlatformHeaders().request_id + ": late\r\n\r\n",
+      false, true,
+      [&end](ServerEvent event) {
+        if (event == ServerEvent::kEnd || event == ServerEvent::kFailed) {
+          end = event;
+        }
+      },
+      loop.Now() + kSendTime);
+  std::this_thread::sleep_for(loop_delay);
+  const TimePoint give_up = loop.Now() + kTestTimeout;
+  while (!end) {
+    REQUIRE(loop.Now() < give_up);
+    loop.RunOnce(false);
+  }
+  return {*end, connection->failure()};
+}
+
+TEST_CASE("a request is not written once its time to be sent has passed") {
+  platform::testing::FakeServer server("s1", "plain", false);
+  CHECK(SendLate(server, milliseconds(0)) ==
+        std::pair(ServerEvent::kEnd, ServerFailure::kNone));
+  REQUIRE(server.arrivals().size() == 1);
+  CHECK(SendLate(server, kLoopDelay) ==
+        std::pair(ServerEvent::kFailed, ServerFailure::kTooLate));
+  CHECK(server.arrivals().size() == 1);
+}
+
+}  // namespace
+}  // namespace gentianreach::proxy
