A send is decided by entries that are younger than the drain bound

Callers' requests reached servers that had left: a daemon whose copies came late, by any hop between the store and it, went on choosing servers by them, and no check asked how old they were (late_drain_random_test; on the large site members learned of drains up to 5.8 s after the first one, by copies that were 2.3 to 3.3 s old).

The daemon that sends now enforces the bound itself: DrainBound allows sends by entries that are complete up to T until T + drain_ms - 300 ms, and the choice carries that time to the connection, which writes nothing later. It holds at any size of the fleet and whatever happens on the way, as it depends on nothing but the age of the copy. Otherwise the request is refused as not run, 503 'outdated' with Retry-After.

While the store cannot be reached there is nothing newer, and it acknowledges nothing: a daemon whose own call has failed since its copies were complete goes on serving by them; so it does for 3 s by the word of its leader, longer if peers confirm that.

So that entries do not count as outdated without need, the first list of servers is a current one, and a daemon that reads the store by itself watches the entries for at most half the allowed age instead of 4 s; a daemon that leads from its start watches at once.

--- a/src/entry/copy_source.cc
+++ b/src/entry/copy_source.cc
@@ -13,11 +13,23 @@
 constexpr Duration kLeaderTimeout = milliseconds(2000);
 // A daemon turns elsewhere although its leader is alive, which may be too slow
 // to pass changes on, once its copies are too old: so old that this time is
-// left until a change has to be in force, but older at least than those of a
-// leader that is on time. They are up to twice as old as a watch of the leader
-// waits, and a period of its heartbeats.
+// left until they are of no use, but older at least than those of a leader that
+// is on time. They are up to twice as old as a watch of the leader waits, and a
+// period of its heartbeats.
 constexpr Duration kSwitchTime = milliseconds(750);
 constexpr Duration kLeaderCopyAge = milliseconds(1000);
+// How long a leader's word that it has lost the store counts by itself. In this
+// time a daemon finds out from the readers, or is told that it is not so.
+constexpr Duration kLeaderWordTime = milliseconds(3000);
+// How long a peer's report counts. This many have to confirm the leader's word,
+// one after the other.
+constexpr Duration kPeerWordTime = milliseconds(2500);
+constexpr std::uint32_t kAgreeingPeers = 3;
+// How long watches of the server entries wait: those of the leader and of a
+// daemon that it passes nothing on to, and those of others at most and at
+// least.
+constexpr milliseconds kShortWatchWait{500};
+constexpr milliseconds kLongestWatchWait{4000};
 // How long a daemon waits for current copies of its peers.
 constexpr Duration kPeerPatience = milliseconds(300);
 // When the leader cannot reach the store, the readers probe it in the order of
@@ -65,18 +77,49 @@
   leader_lost_store_ = leader_lost_store;
 }
 
+void CopySourceChooser::OnPeerStatus(bool peer_lost_store, TimePoint now) {
+  peer_report_at_ = now;
+  lost_peers_in_a_row_ = peer_lost_store ? lost_peers_in_a_row_ + 1 : 0;
+}
+
+bool CopySourceChooser::HaveOthersLostStore(TimePoint now) const {
+  const bool leader_says_so = leader_alive_ && leader_lost_store_;
+  const bool is_news = now < leader_lost_store_at_ + kLeaderWordTime;
+  const bool peers_agree = lost_peers_in_a_row_ >= kAgreeingPeers &&
+                           now < peer_report_at_ + kPeerWordTime;
+  return leader_says_so && (is_news || peers_agree);
+}
+
+bool CopySourceChooser::IsStoreLost(TimePoint current_at,
+                                    TimePoint call_failed_at,
+                                    TimePoint now) const {
+  return call_failed_at > current_at || HaveOthersLostStore(now);
+}
+
+milliseconds CopySourceChooser::EntriesWatchWait() const {
+  if (leads_ || (leader_alive_ && outdated_)) {
+    return kShortWatchWait;
+  }
+  // After a change, the copy is as old as one and a half watches and the delay
+  // between them.
+  const auto wait = std::chrono::duration_cast<milliseconds>(max_copy_age_ / 2 -
+                                                             milliseconds(250));
+  return std::clamp(wait, kShortWatchWait, kLongestWatchWait);
+}
+
 CopySource CopySourceChooser::Choose(const LeadershipStatus& leadership,
                                      TimePoint started_at,
                                      TimePoint current_at,
                                      TimePoint now) {
+  leads_ = leadership.leads;
   leader_alive_ = now < leadership.leader_last_seen + kLeaderTimeout;
   probes_store_ = leader_lost_store_ &&
                   now >= leader_lost_store_at_ + ProbeDelay(leadership.rank);
-  const Duration max_age =
-      std::max<Duration>(config_apply_ - kSwitchTime,
-                         kLeaderCopyAge + leadership.heartbeat_period);
   // The first copies have as long to arrive as later changes.
-  outdated_ = now >= std::max(current_at, started_at) + max_age;
+  const Duration switch_age =
+      std::max<Duration>(max_copy_age_ - kSwitchTime,
+                         kLeaderCopyAge + leadership.heartbeat_period);
+  outdated_ = now >= std::max(current_at, started_at) + switch_age;
   if (!leader_alive_) {
     leader_lost_store_ = false;
   }
@@ -92,7 +135,9 @@
     return CopySource::kLeader;
   }
   const bool has_peers = leadership.rank >= kReaders;
-  const bool waits_for_peers = !outdated_ || now < peers_due_at_;
+  // A call would only tell what the others have found out already.
+  const bool waits_for_peers =
+      !outdated_ || now < peers_due_at_ || HaveOthersLostStore(now);
   return has_peers && !probes_store_ && waits_for_peers ? CopySource::kPeers
                                                         : CopySource::kStore;
 }
--- a/src/entry/copy_source.h
+++ b/src/entry/copy_source.h
@@ -40,9 +40,10 @@
 // heard of a leader reads the store.
 class CopySourceChooser {
  public:
-  // A change of the configuration has to take effect within `config_apply`.
-  explicit CopySourceChooser(Duration config_apply)
-      : config_apply_(config_apply) {}
+  // Copies that are older than `max_copy_age` are of no use: changes that they
+  // lack must have taken effect.
+  explicit CopySourceChooser(Duration max_copy_age)
+      : max_copy_age_(max_copy_age) {}
 
   // Number of daemons, the first in the order of succession, that may read the
   // store at the same time.
@@ -51,6 +52,9 @@
   // Handles a heartbeat of a leader that has or has not lost the store.
   void OnLeaderHeartbeat(bool leader_lost_store, TimePoint now);
 
+  // Handles a peer's report that it has or has not lost the store.
+  void OnPeerStatus(bool peer_lost_store, TimePoint now);
+
   // Chooses the source of copies that are complete up to `current_at`. The
   // daemon has followed the store since `started_at`.
   CopySource Choose(const LeadershipStatus& leadership,
@@ -64,6 +68,20 @@
   [[nodiscard]] bool leader_alive() const { return leader_alive_; }
   [[nodiscard]] bool outdated() const { return outdated_; }
   [[nodiscard]] bool probes_store() const { return probes_store_; }
+  // Returns whether copies that are complete up to `current_at` cannot be
+  // renewed because the store cannot be reached: this daemon's own call has
+  // failed since, at `call_failed_at`, or those that it would get them from
+  // have lost the store.
+  [[nodiscard]] bool IsStoreLost(TimePoint current_at,
+                                 TimePoint call_failed_at,
+                                 TimePoint now) const;
+  // Returns whether the leader says that it has lost the store, and has said so
+  // only lately, or peers say the same. Peers alone may have lost it by faults
+  // of their own.
+  [[nodiscard]] bool HaveOthersLostStore(TimePoint now) const;
+  // Returns how long a watch of the server entries waits for changes. It proves
+  // that they are complete only when it ends.
+  [[nodiscard]] std::chrono::milliseconds EntriesWatchWait() const;
   // Whether the last heartbeat said that the leader has lost the store, and
   // when a heartbeat said so first.
   [[nodiscard]] bool leader_lost_store() const { return leader_lost_store_; }
@@ -72,12 +90,16 @@
   }
 
  private:
-  const Duration config_apply_;
+  const Duration max_copy_age_;
+  bool leads_ = false;
   bool leader_alive_ = false;
   bool outdated_ = false;
   bool probes_store_ = false;
   bool leader_lost_store_ = false;
   TimePoint leader_lost_store_at_{};
+  // How many reports of peers in a row said so, and when the last one arrived.
+  std::uint32_t lost_peers_in_a_row_ = 0;
+  TimePoint peer_report_at_{};
   // Until when current copies of the peers are waited for; TimePoint{}: the
   // copies are current.
   TimePoint peers_due_at_{};
--- a/src/entry/copy_source_test.cc
+++ b/src/entry/copy_source_test.cc
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <cstdint>
 #include <functional>
+#include <vector>
 
 #include <doctest/doctest.h>
 
@@ -14,7 +15,7 @@
 
 constexpr TimePoint kStart = TimePoint(seconds(1000));
 constexpr milliseconds kPeriod{750};
-// Time within which a change of the configuration has to take effect.
+// Age at which copies are of no use.
 constexpr milliseconds kApplyTime{3000};
 constexpr std::uint32_t kFleet = 295;
 
@@ -99,5 +100,55 @@
         CopySource::kLeader);
 }
 
+TEST_CASE("a daemon knows by its own failed call that the store is lost") {
+  const CopySourceChooser chooser(kApplyTime);
+  const TimePoint now = kStart + seconds(5);
+  CHECK_FALSE(chooser.IsStoreLost(kStart, TimePoint{}, now));
+  CHECK(chooser.IsStoreLost(kStart, kStart + seconds(1), now));
+  // The copies have been renewed since.
+  CHECK_FALSE(
+      chooser.IsStoreLost(kStart + seconds(2), kStart + seconds(1), now));
+}
+
+TEST_CASE("the leader's word that the store is lost counts for some seconds") {
+  CopySourceChooser chooser(kApplyTime);
+  const auto is_lost = [&](Duration after) {
+    const TimePoint now = kStart + after;
+    chooser.OnLeaderHeartbeat(true, now);
+    chooser.Choose({.leader_last_seen = now, .rank = 100}, kStart, kStart, now);
+    return chooser.IsStoreLost(kStart, TimePoint{}, now);
+  };
+  CHECK(is_lost(seconds(0)));
+  CHECK(is_lost(milliseconds(2900)));
+  CHECK_FALSE(is_lost(milliseconds(3000)));
+}
+
+TEST_CASE("a member goes by its peers only if several confirm the leader") {
+  CopySourceChooser chooser(kApplyTime);
+  // Long after the leader's report first came.
+  const TimePoint now = kStart + seconds(10);
+  const auto is_lost = [&](TimePoint at) {
+    chooser.Choose({.leader_last_seen = at, .rank = 100}, kStart, kStart, at);
+    return chooser.IsStoreLost(kStart, TimePoint{}, at);
+  };
+  const auto peers_report = [&](std::vector<bool> reports) {
+    for (const bool it : reports) {
+      chooser.OnPeerStatus(it, now);
+    }
+  };
+  peers_report({true, true, true});
+  CHECK_FALSE(is_lost(now));
+  chooser.OnLeaderHeartbeat(true, kStart);
+  CHECK(is_lost(now));
+  CHECK(is_lost(now + milliseconds(2400)));
+  CHECK_FALSE(is_lost(now + milliseconds(2500)));
+  peers_report({false, true, true});
+  CHECK_FALSE(is_lost(now));
+  peers_report({true});
+  CHECK(is_lost(now));
+  chooser.OnLeaderHeartbeat(false, now);
+  CHECK_FALSE(is_lost(now));
+}
+
 }  // namespace
 }  // namespace gentianreach::entry
--- /dev/null
+++ b/src/entry/drain_bound.h
@@ -0,0 +1,75 @@
+// How long copies of the server entries may decide where requests are sent.
+#ifndef SRC_ENTRY_DRAIN_BOUND_H_
+#define SRC_ENTRY_DRAIN_BOUND_H_
+
+#include <algorithm>
+#include <chrono>
+#include <string_view>
+
+#include "gentianreach/time.h"
+#include "routing/backend_server.h"
+
+namespace gentianreach::entry {
+
+// What is known about the copy of the server entries.
+struct EntriesStatus {
+  // Up to when it contains all changes of the store; TimePoint{}: not known.
+  TimePoint current_at;
+  // The store cannot be reached, as far as this daemon can find out, so that
+  // there is no newer copy.
+  bool store_lost = false;
+  // Where its changes come from.
+  std::string_view source;
+};
+
+// Decides until when a daemon may send requests to a server that may have left.
+//
+// A server that leaves relies on getting no request once its drain time has
+// passed since the store acknowledged that it leaves. A copy that is complete
+// up to a time T shows all servers that had left by T, so the others may be
+// used until T plus the drain time, less the time that a request is on its way.
+// The daemon that sends enforces this when it writes the first byte. So it does
+// not matter how many hops the copy has passed, nor what happened on them: a
+// copy that is late makes requests fail as not run, never arrive late.
+//
+// Only while the store cannot be reached, older copies go on being used. It
+// acknowledges nothing then, and without them all service would end.
+class DrainBound {
+ public:
+  explicit DrainBound(Duration drain) : drain_(drain) {}
+
+  // Returns the age from which on a copy decides no more sends.
+  [[nodiscard]] Duration max_entries_age() const {
+    return drain_ - kTransitTime;
+  }
+  // Returns until when a copy with the status `entries` may decide a send.
+  [[nodiscard]] TimePoint EntriesUntil(const EntriesStatus& entries) const {
+    return entries.store_lost ? TimePoint::max()
+                              : entries.current_at + max_entries_age();
+  }
+  // Returns until when requests may be written to `server` by that copy.
+  [[nodiscard]] TimePoint SendUntil(const routing::BackendServer& server,
+                                    const EntriesStatus& entries) const {
+    const TimePoint entries_until = EntriesUntil(entries);
+    if (!server.draining) {
+      return entries_until;
+    }
+    return std::min(
+        entries_until,
+        server.draining_since + std::min(kMaxDrainingUse, max_entries_age()));
+  }
+
+ private:
+  // Time from the first byte of a request until it reaches the server, with one
+  // retransmission of a lost packet.
+  static constexpr Duration kTransitTime = std::chrono::milliseconds(300);
+  // How long an owner still gets requests after it may have started draining;
+  // its keys have usually moved by then.
+  static constexpr Duration kMaxDrainingUse = std::chrono::milliseconds(1500);
+
+  const Duration drain_;
+};
+
+}  // namespace gentianreach::entry
+
+#endif  // SRC_ENTRY_DRAIN_BOUND_H_
--- a/src/entry/entry_daemon.cc
+++ b/src/entry/entry_daemon.cc
@@ -76,6 +76,7 @@
             platform::PlatformHeaders(),
             ZoneName(settings.zone),
             RetryBounds{settings.retry_ratio, settings.retry_slack},
+            DrainBound(DrainTime(settings)),
             settings.source_ip,
             BodyBytes(settings))),
         entries_(*state_),
@@ -126,7 +127,7 @@
       return copies_.config_current_at() + ConfigApplyTime(settings_);
     };
     state_->entries_status = [this] {
-      return EntriesStatus{copies_.servers_current_at(),
+      return EntriesStatus{copies_.servers_current_at(), copies_.IsStoreLost(),
                            ToString(copies_.source())};
     };
     copies_.on_store_change = [this](bool lost) { OnStoreChange(lost); };
@@ -418,12 +419,13 @@
     }
     const EntriesStatus entries = state_->entries_status();
     const bool entries_outdated =
-        servers_known_ && now >= entries.current_at + DrainTime(settings_);
+        servers_known_ && now >= state_->drain_bound.EntriesUntil(entries);
     if (std::exchange(entries_were_outdated_, entries_outdated) !=
         entries_outdated) {
       Log(entries_outdated ? LogLevel::kWarning : LogLevel::kInfo,
           entries_outdated ? "entries_outdated" : "entries_current",
           {{"source", entries.source},
+           {"store_lost", entries.store_lost},
            {"copy_age_ms", MillisecondsBetween(entries.current_at, now)}});
     }
   }
--- a/src/entry/entry_request.cc
+++ b/src/entry/entry_request.cc
@@ -200,7 +200,7 @@
     Refuse(kUnavailable, choice.reason, choice.retry_after);
     return;
   }
-  Send(*choice.server);
+  Send(choice);
 }
 
 void EntryRequest::CountOnce() {
@@ -220,8 +220,7 @@
                        .tried = tried_,
                        .time_left = TimeLeft(),
                        .zone = state_->zone},
-                      state_->directory, state_->loads, state_->limits,
-                      state_->ownership, state_->loop.Now());
+                      state_->known_servers(), state_->loop.Now());
 }
 
 void EntryRequest::Hold(const ServerChoice& choice) {
@@ -390,7 +389,7 @@
     may_have_run_ = true;
     const ServerChoice choice = service_->keyed ? ServerChoice{} : Choose();
     if (choice.server != nullptr) {
-      Send(*choice.server);
+      Send(choice);
       return;
     }
   }
@@ -400,6 +399,12 @@
 void EntryRequest::OnConnectionFailed() {
   const auto connection = std::exchange(connection_, nullptr);
   const bool sent = connection->written();
+  if (connection->failure() == proxy::ServerFailure::kTooLate) {
+    // The server is as good as before, but it may have left.
+    EndAttempt(AttemptResult::kCancelled);
+    RetryOrRefuse(false, Reason::kOutdated, kNotReadyRetryAfter);
+    return;
+  }
   state_->reachability.OnFailure(server_, connection->opened_at());
   response_timer_.Clear();
   if (committed_) {
@@ -453,7 +458,7 @@
   state_->reachability.OnFailure(server_, connection_->opened_at());
   AbandonAttempt();
   EndAttempt(AttemptResult::kBroken);
-  SendOver(std::move(next), *choice.server);
+  SendOver(std::move(next), choice);
 }
 
 bool EntryRequest::AbandonAttempt() {
--- a/src/entry/entry_request.h
+++ b/src/entry/entry_request.h
@@ -81,9 +81,9 @@
   void Hold(const ServerChoice& choice);
   void StopWaiting();
 
-  void Send(const routing::BackendServer& server);
+  void Send(const ServerChoice& choice);
   void SendOver(std::shared_ptr<proxy::ServerConnection> connection,
-                const routing::BackendServer& server);
+                const ServerChoice& choice);
   // Records the age of the server entries that decide the current attempt.
   void RecordEntriesAge();
   // Records, once for each attempt, when its first bytes were sent if the
--- a/src/entry/entry_request_sending.cc
+++ b/src/entry/entry_request_sending.cc
@@ -31,17 +31,18 @@
 
 }  // namespace
 
-void EntryRequest::Send(const routing::BackendServer& server) {
-  auto connection = state_->Pool(server)->Acquire();
+void EntryRequest::Send(const ServerChoice& choice) {
+  auto connection = state_->Pool(*choice.server)->Acquire();
   if (!connection) {
     Refuse(kUnavailable, Reason::kOverload, kRejectedRetryAfter);
     return;
   }
-  SendOver(std::move(connection), server);
+  SendOver(std::move(connection), choice);
 }
 
 void EntryRequest::SendOver(std::shared_ptr<proxy::ServerConnection> connection,
-                            const routing::BackendServer& server) {
+                            const ServerChoice& choice) {
+  const routing::BackendServer& server = *choice.server;
   pool_ = state_->Pool(server);
   relay_.clear();
   connection_ = std::move(connection);
@@ -72,17 +73,19 @@
                                  processing_time * kResponseTimeoutFactor));
   }
   const auto left = std::max<Duration>(TimeLeft(), milliseconds(1));
-  connection_->Start(RequestHead(caller_->head(), state_->headers,
-                                 {.id = id_,
-                                  .server = server.id,
-                                  .key = key_,
-                                  .time_left = left,
-                                  .body_size = body_.size()}) +
-                         body_,
-                     caller_->head().method == "HEAD", true,
-                     [self = shared_from_this()](proxy::ServerEvent event) {
-                       self->OnServerEvent(event);
-                     });
+  connection_->Start(
+      RequestHead(caller_->head(), state_->headers,
+                  {.id = id_,
+                   .server = server.id,
+                   .key = key_,
+                   .time_left = left,
+                   .body_size = body_.size()}) +
+          body_,
+      caller_->head().method == "HEAD", true,
+      [self = shared_from_this()](proxy::ServerEvent event) {
+        self->OnServerEvent(event);
+      },
+      choice.send_until);
 }
 
 void EntryRequest::RecordEntriesAge() {
--- a/src/entry/entry_state.h
+++ b/src/entry/entry_state.h
@@ -17,6 +17,7 @@
 
 #include "entry/body_memory.h"
 #include "entry/crash_watch.h"
+#include "entry/drain_bound.h"
 #include "entry/entry_metrics.h"
 #include "entry/header_names.h"
 #include "entry/log_budget.h"
@@ -24,6 +25,7 @@
 #include "entry/ownership_view.h"
 #include "entry/relays.h"
 #include "entry/send_ages.h"
+#include "entry/server_choice.h"
 #include "entry/server_directory.h"
 #include "entry/server_limits.h"
 #include "entry/server_loads.h"
@@ -45,14 +47,6 @@
   double slack = 50;
 };
 
-// What is known about the copy of the server entries.
-struct EntriesStatus {
-  // Up to when it contains all changes of the store; TimePoint{}: not known.
-  TimePoint current_at;
-  // Where its changes come from.
-  std::string_view source;
-};
-
 class EntryState {
  public:
   // Memory that request bodies may take unless the settings say otherwise.
@@ -65,6 +59,7 @@
              HeaderNames headers,
              ZoneName zone,
              RetryBounds bounds,
+             DrainBound drain_bound,
              std::string source_ip = {},
              std::uint64_t body_bytes = kDefaultBodyBytes);
   EntryState(const EntryState&) = delete;
@@ -92,6 +87,10 @@
   // Drops the connection pools and loads of servers that have left the
   // directory. Requests in flight keep their pool until they end.
   void DropRemovedServers();
+  // Returns what is known of the servers.
+  [[nodiscard]] KnownServers known_servers() const {
+    return {directory, loads, limits, ownership, drain_bound, entries_status()};
+  }
   // Sets the metrics of each service.
   void SetServiceMetrics();
   // Returns the load counts of a keyed service.
@@ -119,6 +118,7 @@
   net::EventLoop& loop;
   const HeaderNames headers;
   const ZoneName zone;
+  const DrainBound drain_bound;
   // Null until a configuration has been received.
   std::shared_ptr<routing::HostRoutes> routes;
   // Returns until when `routes` have all changes that must have taken effect.
--- a/src/entry/fleet_copies_sim.h
+++ b/src/entry/fleet_copies_sim.h
@@ -57,6 +57,9 @@
     std::chrono::milliseconds config_apply{2000};
     // How late the loops of the members may be.
     std::chrono::milliseconds max_loop_delay{20};
+    // The store turns the leader away while the faults last, and no other
+    // member takes the lead.
+    bool leader_loses_store = false;
     unsigned seed = 1;
   };
 
@@ -67,11 +70,14 @@
     // store had not failed since their copies were complete.
     std::uint64_t late_sends = 0;
     Duration latest{};
+    // Requests refused since the entries were outdated.
+    std::uint64_t refused = 0;
     std::uint64_t store_lists = 0;
   };
 
   explicit FleetCopiesSim(const Options& options)
       : options_(options),
+        drain_bound_(options.drain),
         random_(options.seed),
         hello_period_(kHelloPeriod *
                       std::clamp<std::int64_t>(
@@ -134,7 +140,6 @@
   static constexpr milliseconds kListTimeout{1500};
   static constexpr milliseconds kBatchDelay{200};
   static constexpr milliseconds kLeaderWatchWait{500};
-  static constexpr milliseconds kOwnWatchWait{4000};
   static constexpr milliseconds kRetryDelay{400};
   // The world around it.
   static constexpr milliseconds kSendPeriod{100};
@@ -172,6 +177,7 @@
   struct Status {
     std::size_t drains = 0;
     TimePoint current_at;
+    bool store_lost = false;
   };
 
   void At(TimePoint time, std::function<void()> fn) {
@@ -301,6 +307,17 @@
   void WatchAsLeader(bool changed_before) {
     Member& leader = *members_[0];
     const TimePoint sent = now_;
+    if (options_.leader_loses_store && now_ >= kFaultsBegin &&
+        now_ < kFaultsEnd) {
+      At(now_ + kLeaderWatchWait, [this] {
+        members_[0]->store_failed_at = now_;
+        leader_lost_store_ = true;
+        ScheduleHeartbeats();
+        WatchAsLeader(false);
+      });
+      return;
+    }
+    leader_lost_store_ = false;
     const Duration wait =
         changed_before ? kLeaderWatchWait / 2 : kLeaderWatchWait;
     const TimePoint next = leader.drains < drains_.size()
@@ -321,7 +338,7 @@
   }
 
   [[nodiscard]] Status LeaderStatus() const {
-    return {members_[0]->drains, members_[0]->current_at};
+    return {members_[0]->drains, members_[0]->current_at, leader_lost_store_};
   }
 
   // The leader tells of a change: first the mirrors and the members without
@@ -370,6 +387,7 @@
   void OnHeartbeat(std::size_t index, Status status) {
     Member& member = *members_[index];
     member.leader_last_seen = now_;
+    member.chooser.OnLeaderHeartbeat(status.store_lost, now_);
     if (member.drains >= status.drains) {
       ConfirmCurrent(member, status.current_at);
       return;
@@ -442,6 +460,8 @@
       Call(member, Hop::kPeer, 2 * kNetworkDelay, kPeerTimeout,
            [this, &member, &peer, asked_at = now_](bool answered) {
              if (answered) {
+               member.chooser.OnPeerStatus(
+                   peer.store_failed_at > peer.current_at, now_);
                OnPeerStatus(member, peer, asked_at);
              }
            });
@@ -465,7 +485,8 @@
     }
     result_.store_lists += list ? 1 : 0;
     const TimePoint sent = now_;
-    const Duration wait = list ? Duration(0) : WatchWait(member);
+    const Duration wait =
+        list ? Duration(0) : Duration(member.chooser.EntriesWatchWait());
     // A watch ends at the first change.
     const TimePoint change = !list && member.drains < drains_.size()
                                  ? std::max(drains_[member.drains], sent)
@@ -495,10 +516,6 @@
            });
          });
   }
-  [[nodiscard]] Duration WatchWait(const Member& member) const {
-    return member.chooser.leader_alive() ? kLeaderWatchWait : kOwnWatchWait;
-  }
-
   void SendRequest(std::size_t index) {
     Member& member = *members_[index];
     At(LoopTime() + kSendPeriod, [this, index] { SendRequest(index); });
@@ -509,6 +526,7 @@
     if (choice.server != nullptr) {
       OnSent(member, choice.server->id);
     }
+    result_.refused += choice.reason == Reason::kOutdated ? 1 : 0;
   }
 
   ServerChoice Choose(const Member& member, bool keyed, std::uint32_t key) {
@@ -529,8 +547,15 @@
                          .tried = tried,
                          .time_left = seconds(2),
                          .zone = zone},
-                        member.directory, member.loads, member.limits,
-                        ownership, now_);
+                        {member.directory, member.loads, member.limits,
+                         ownership, drain_bound_, EntriesOf(member)},
+                        now_);
+  }
+
+  [[nodiscard]] EntriesStatus EntriesOf(const Member& member) const {
+    return {.current_at = member.current_at,
+            .store_lost = member.chooser.IsStoreLost(
+                member.current_at, member.store_failed_at, now_)};
   }
 
   // Each server owns the keys that follow the multiple of kKeysPerServer with
@@ -566,6 +591,7 @@
   }
 
   const Options options_;
+  const DrainBound drain_bound_;
   std::mt19937 random_;
   std::multimap<TimePoint, std::function<void()>> events_;
   TimePoint now_ = kStart;
@@ -581,6 +607,7 @@
   TimePoint heartbeats_due_{};
   TimePoint next_heartbeats_{};
   Status mirrored_status_{0, kStart};
+  bool leader_lost_store_ = false;
   Result result_;
 };
 
--- a/src/entry/member_link_test.cc
+++ b/src/entry/member_link_test.cc
@@ -23,6 +23,8 @@
 
 // Limit for each wait of a test; much longer than needed.
 constexpr Duration kTestTimeout = std::chrono::seconds(30);
+// Time after which a server that leaves gets no more requests.
+constexpr std::chrono::seconds kDrainTime{2};
 // More than the number of members that a heartbeat names.
 constexpr std::size_t kManyMembers = 20;
 
@@ -40,7 +42,7 @@
       : loop_(loop),
         self{name, Incarnation(1), NewAddress()},
         election(self, {}),
-        state_(loop, {}, ZoneName("z"), {}),
+        state_(loop, {}, ZoneName("z"), {}, DrainBound(kDrainTime)),
         link(loop, self, 1, name + ":1", {}, election, state_) {
     REQUIRE(link.Open());
   }
--- a/src/entry/server_choice.cc
+++ b/src/entry/server_choice.cc
@@ -12,10 +12,6 @@
 
 using std::chrono::milliseconds;
 
-// How long an owner still gets requests after it may have started draining; its
-// keys have usually moved by then. Servers may rely on getting no requests
-// after two seconds.
-constexpr Duration kMaxDrainingUse = milliseconds(1500);
 // Largest random increase of a score, so that daemons with the same data
 // do not all choose the same server.
 constexpr double kScoreJitter = 0.15;
@@ -62,8 +58,9 @@
 // Returns `server`, or a refusal if it is full or could not respond in time.
 ServerChoice Admit(const ChoiceRequest& request,
                    const routing::BackendServer& server,
-                   const ServerLoads& loads,
+                   const KnownServers& known,
                    TimePoint now) {
+  const ServerLoads& loads = known.loads;
   const Duration expected = loads.ExpectedLatency(server, now);
   const Duration max_latency = MaxExpectedLatency(
       request.route, loads.ProcessingTime(server, now), request.time_left);
@@ -72,7 +69,8 @@
             .retry_after = std::max<Duration>(expected - max_latency,
                                               kRejectedRetryAfter)};
   }
-  return {.server = &server};
+  return {.server = &server,
+          .send_until = known.drain_bound.SendUntil(server, known.entries)};
 }
 
 // Returns the refusal of a request that no server takes before `next_send` by
@@ -85,35 +83,34 @@
 
 // Returns the owner of the key of a request for a keyed service.
 ServerChoice ChooseOwner(const ChoiceRequest& request,
-                         const ServerDirectory& directory,
-                         const ServerLoads& loads,
-                         const ServerLimits& limits,
-                         const OwnershipView& ownership,
+                         const KnownServers& known,
                          TimePoint now) {
-  const keyspace::OwnershipTable* table = ownership.Find(request.service.name);
+  const keyspace::OwnershipTable* table =
+      known.ownership.Find(request.service.name);
   if (table == nullptr) {
     return {.reason = Reason::kNoOwner, .retry_after = kNotReadyRetryAfter};
   }
   const keyspace::OwnedRange& range = table->Find(*request.key);
-  const routing::BackendServer* server = directory.Find(range.owner.server);
-  const bool known =
+  const routing::BackendServer* server =
+      known.directory.Find(range.owner.server);
+  const bool is_listed =
       server != nullptr && server->incarnation == range.owner.incarnation;
-  const bool drained = known && server->draining &&
-                       now > server->draining_since + kMaxDrainingUse;
-  if (range.moving() || !known || drained) {
+  const bool drained =
+      is_listed && now >= known.drain_bound.SendUntil(*server, known.entries);
+  if (range.moving() || !is_listed || drained) {
     return {.reason = Reason::kNoOwner,
             .retry_after = kNotReadyRetryAfter,
             .wait = true};
   }
-  if (loads.IsAvoided(server->id, now)) {
+  if (known.loads.IsAvoided(server->id, now)) {
     // The owner is overloaded or gone: more requests would only be lost.
     return {.reason = Reason::kOverload, .retry_after = kRejectedRetryAfter};
   }
-  const TimePoint next_send = limits.NextSend(server->id, now);
+  const TimePoint next_send = known.limits.NextSend(server->id, now);
   if (next_send > now) {
     return RefuseOverLimit(next_send, now);
   }
-  return Admit(request, *server, loads, now);
+  return Admit(request, *server, known, now);
 }
 
 // Returns the score of a server; the lowest score is best.
@@ -132,25 +129,23 @@
 // Returns the best server for a request without a key. Servers that are avoided
 // after failures are used only if there are no others.
 ServerChoice ChooseAny(const ChoiceRequest& request,
-                       const ServerDirectory& directory,
-                       const ServerLoads& loads,
-                       const ServerLimits& limits,
+                       const KnownServers& known,
                        TimePoint now) {
   std::vector<const routing::BackendServer*> healthy;
   std::vector<const routing::BackendServer*> avoided;
   // The earliest time at which a limited or resting server takes a request.
   TimePoint next_send = TimePoint::max();
   for (const routing::BackendServer* it :
-       directory.OfService(request.service.name)) {
+       known.directory.OfService(request.service.name)) {
     if (it->draining || std::find(request.tried.begin(), request.tried.end(),
                                   it->id) != request.tried.end()) {
       continue;
     }
-    if (const TimePoint at = limits.NextSend(it->id, now); at > now) {
+    if (const TimePoint at = known.limits.NextSend(it->id, now); at > now) {
       next_send = std::min(next_send, at);
       continue;
     }
-    (loads.IsAvoided(it->id, now) ? avoided : healthy).push_back(it);
+    (known.loads.IsAvoided(it->id, now) ? avoided : healthy).push_back(it);
   }
   const auto& servers = healthy.empty() ? avoided : healthy;
   if (servers.empty() && next_send != TimePoint::max()) {
@@ -162,26 +157,25 @@
   const routing::BackendServer* best = nullptr;
   double best_score = std::numeric_limits<double>::max();
   for (const routing::BackendServer* it : Sample(servers, request.zone)) {
-    const double score = Score(request, *it, loads, now);
+    const double score = Score(request, *it, known.loads, now);
     if (score < best_score) {
       best_score = score;
       best = it;
     }
   }
-  return Admit(request, *best, loads, now);
+  return Admit(request, *best, known, now);
 }
 
 }  // namespace
 
 ServerChoice ChooseServer(const ChoiceRequest& request,
-                          const ServerDirectory& directory,
-                          const ServerLoads& loads,
-                          const ServerLimits& limits,
-                          const OwnershipView& ownership,
+                          const KnownServers& known,
                           TimePoint now) {
-  return request.service.keyed
-             ? ChooseOwner(request, directory, loads, limits, ownership, now)
-             : ChooseAny(request, directory, loads, limits, now);
+  if (now >= known.drain_bound.EntriesUntil(known.entries)) {
+    return {.reason = Reason::kOutdated, .retry_after = kNotReadyRetryAfter};
+  }
+  return request.service.keyed ? ChooseOwner(request, known, now)
+                               : ChooseAny(request, known, now);
 }
 
 }  // namespace gentianreach::entry
--- a/src/entry/server_choice.h
+++ b/src/entry/server_choice.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <vector>
 
+#include "entry/drain_bound.h"
 #include "entry/ownership_view.h"
 #include "entry/server_directory.h"
 #include "entry/server_limits.h"
@@ -36,9 +37,22 @@
   const ZoneName& zone;
 };
 
+// What a daemon knows of the servers.
+struct KnownServers {
+  const ServerDirectory& directory;
+  const ServerLoads& loads;
+  const ServerLimits& limits;
+  const OwnershipView& ownership;
+  const DrainBound& drain_bound;
+  // The status of the copy that `directory` holds.
+  EntriesStatus entries;
+};
+
 // The chosen server, or the reason why there is none.
 struct ServerChoice {
   const routing::BackendServer* server = nullptr;
+  // Until when the request may be written to the server.
+  TimePoint send_until{};
   Reason reason = Reason::kNone;
   // Time after which a retry is likely to succeed; set only if `server` is
   // null.
@@ -52,12 +66,10 @@
 // sample of the service's servers otherwise; servers that may get no request
 // now by the limit that they name or the rest that they ask for are left out.
 // Refuses a request that the chosen server could not answer in time: under
-// overload, a longer queue would only delay all responses.
+// overload, a longer queue would only delay all responses. Refuses all requests
+// while the entries are too old to tell which servers have left.
 [[nodiscard]] ServerChoice ChooseServer(const ChoiceRequest& request,
-                                        const ServerDirectory& directory,
-                                        const ServerLoads& loads,
-                                        const ServerLimits& limits,
-                                        const OwnershipView& ownership,
+                                        const KnownServers& known,
                                         TimePoint now);
 
 }  // namespace gentianreach::entry
--- a/src/entry/server_choice_test.cc
+++ b/src/entry/server_choice_test.cc
@@ -37,13 +37,14 @@
   }
 
   ServerChoice Choose(TimePoint now = kNow) const {
-    return ChooseServer({.route = route,
-                         .service = service,
-                         .key = 7,
-                         .tried = tried,
-                         .time_left = milliseconds(2000),
-                         .zone = kZone},
-                        directory, loads, limits, ownership, now);
+    return ChooseServer(
+        {.route = route,
+         .service = service,
+         .key = 7,
+         .tried = tried,
+         .time_left = milliseconds(2000),
+         .zone = kZone},
+        {directory, loads, limits, ownership, drain_bound, entries}, now);
   }
 
   // Makes server `id` the owner of all keys; `earlier` are the owners whose
@@ -74,6 +75,9 @@
   ServerLoads loads;
   ServerLimits limits{1};
   OwnershipView ownership;
+  DrainBound drain_bound{milliseconds(2000)};
+  // By default the entries are current at all times.
+  EntriesStatus entries{.current_at = kNow + std::chrono::hours(1)};
 
  private:
   std::uint64_t revision_ = 0;
--- a/src/entry/store_copies.cc
+++ b/src/entry/store_copies.cc
@@ -36,13 +36,15 @@
 // Time between two questions to peers, and the number of peers asked.
 constexpr Duration kPeerPollPeriod = milliseconds(200);
 constexpr std::size_t kPolledPeers = 2;
+// The same time while the peers have lost the store.
+constexpr Duration kLostPeerPollPeriod = milliseconds(1000);
 
 }  // namespace
 
 StoreCopies::StoreCopies(net::EventLoop& loop,
                          platform::PlatformClient& platform,
                          Duration shortest_expiry,
-                         Duration config_apply,
+                         Duration max_copy_age,
                          Sinks sinks)
     : loop_(loop),
       health_(loop, shortest_expiry),
@@ -56,7 +58,7 @@
                platform,
                health_,
                platform::ObjectKind::kServers,
-               platform::Freshness::kMayBeStale,
+               platform::Freshness::kCurrent,
                std::move(sinks.servers)),
       ownership_(loop,
                  platform,
@@ -64,7 +66,7 @@
                  platform::ObjectKind::kOwnership,
                  platform::Freshness::kMayBeStale,
                  std::move(sinks.ownership)),
-      chooser_(config_apply),
+      chooser_(max_copy_age),
       peer_timer_(loop, [this] { PollPeers(); }) {
   health_.on_change = [this](bool lost) {
     if (!lost) {
@@ -122,17 +124,15 @@
       PollPeers();
     }
   }
-  const milliseconds watch_wait =
-      leadership.leads || (chooser_.leader_alive() && outdated)
-          ? kLeaderWatchWait
-          : kOwnWatchWait;
+  const bool urgent = leadership.leads || (chooser_.leader_alive() && outdated);
+  const milliseconds watch_wait = urgent ? kLeaderWatchWait : kOwnWatchWait;
   const WatchSource source = source_ == CopySource::kStore
                                  ? WatchSource::kStore
                                  : WatchSource::kLeader;
-  config_.SetSource(source, watch_wait);
-  servers_.SetSource(source, watch_wait);
+  config_.SetSource(source, watch_wait, urgent);
+  servers_.SetSource(source, chooser_.EntriesWatchWait(), urgent);
   ownership_.SetSource(leadership.leads ? WatchSource::kLeader : source,
-                       watch_wait);
+                       watch_wait, urgent);
   leads_ = leadership.leads;
 }
 
@@ -175,7 +175,8 @@
     return;
   }
   const TimePoint now = loop_.Now();
-  peer_timer_.Set(now + kPeerPollPeriod);
+  peer_timer_.Set(now + (chooser_.HaveOthersLostStore(now) ? kLostPeerPollPeriod
+                                                           : kPeerPollPeriod));
   std::vector<std::string> asked;
   std::sample(peers_.begin(), peers_.end(), std::back_inserter(asked),
               kPolledPeers, generator_);
@@ -205,6 +206,8 @@
     const auto changed_at =
         json.at("changed_at").get<std::vector<std::uint64_t>>();
     source_lacks_entries_ = json.at("may_lack_entries").get<bool>();
+    // Earlier versions do not tell.
+    chooser_.OnPeerStatus(json.value("store_lost", false), loop_.Now());
     for (std::size_t i = 0; i < std::min(changed_at.size(), kKinds); ++i) {
       FetchChanges(i, address, changed_at[i], current_at,
                    loop_.Now() + kMirrorTimeout);
@@ -274,7 +277,8 @@
   return {200, "application/json",
           nlohmann::json{{"age_ms", AgeOf(status.current_at, loop_.Now())},
                          {"changed_at", status.changed_at},
-                         {"may_lack_entries", MayLackEntries()}}
+                         {"may_lack_entries", MayLackEntries()},
+                         {"store_lost", HasCallFailed()}}
               .dump()};
 }
 
--- a/src/entry/store_copies.h
+++ b/src/entry/store_copies.h
@@ -39,12 +39,12 @@
   };
 
   // While the store cannot be reached for less than `shortest_expiry`, no entry
-  // of a live server expires. A change of the configuration has to take effect
-  // within `config_apply`.
+  // of a live server expires. Copies that are older than `max_copy_age` are of
+  // no use; see CopySourceChooser.
   StoreCopies(net::EventLoop& loop,
               platform::PlatformClient& platform,
               Duration shortest_expiry,
-              Duration config_apply,
+              Duration max_copy_age,
               Sinks sinks);
   StoreCopies(const StoreCopies&) = delete;
   StoreCopies& operator=(const StoreCopies&) = delete;
@@ -78,6 +78,12 @@
   [[nodiscard]] TimePoint config_current_at() const {
     return config_.current_at();
   }
+  // Returns whether the server entries cannot be renewed because the store
+  // cannot be reached, as far as this daemon can find out.
+  [[nodiscard]] bool IsStoreLost() const {
+    return chooser_.IsStoreLost(servers_.current_at(), health_.failed_at(),
+                                loop_.Now());
+  }
   // Returns whether entries of live servers may be missing, according to the
   // current source.
   [[nodiscard]] bool MayLackEntries() const;
@@ -105,6 +111,11 @@
   [[nodiscard]] std::array<const StoreWatcher*, kKinds> Watchers() const {
     return {&config_, &servers_, &ownership_};
   }
+  // Returns whether a call of this daemon has failed since the server entries
+  // were complete.
+  [[nodiscard]] bool HasCallFailed() const {
+    return health_.failed_at() > servers_.current_at();
+  }
   // Handles another daemon's request for changes.
   OperatorResponse HandleChangesRequest(const OperatorRequest& request);
   // Handles another daemon's question for the state of the copies.
--- a/src/entry/store_watcher.cc
+++ b/src/entry/store_watcher.cc
@@ -83,7 +83,8 @@
 }
 
 void StoreHealth::OnFailure() {
-  next_call_at_ = loop_.Now() + retry_delay_;
+  failed_at_ = loop_.Now();
+  next_call_at_ = failed_at_ + retry_delay_;
   if (std::exchange(lost_, true)) {
     return;
   }
@@ -137,8 +138,11 @@
       watch_wait_(kFirstWatchWait),
       timer_(loop, [this] { MakeNextCall(); }) {}
 
-void StoreWatcher::SetSource(WatchSource source, milliseconds watch_wait) {
-  const bool hurried = watch_wait < std::exchange(watch_wait_, watch_wait);
+void StoreWatcher::SetSource(WatchSource source,
+                             milliseconds watch_wait,
+                             bool urgent) {
+  watch_wait_ = watch_wait;
+  const bool hurried = !std::exchange(urgent_, urgent) && urgent;
   const bool switched = std::exchange(source_, source) != source;
   if (source == WatchSource::kLeader) {
     switched_to_store_ = false;
@@ -247,7 +251,7 @@
         timer_.Set(now);
         return;
       }
-      if (call.list && revision_ == 0) {
+      if (call.list && revision_ == 0 && !urgent_) {
         timer_.Set(now + kFirstWatchDelay);
       } else {
         timer_.Set(call.list || reply.objects.empty() ? now
--- a/src/entry/store_watcher.h
+++ b/src/entry/store_watcher.h
@@ -40,6 +40,8 @@
   // are deferred by the retry delay.
   [[nodiscard]] TimePoint ReserveNextCall();
   [[nodiscard]] bool lost() const { return lost_; }
+  // Returns when a call last failed; TimePoint{}: never.
+  [[nodiscard]] TimePoint failed_at() const { return failed_at_; }
   // Returns the time of the last response of the store.
   [[nodiscard]] TimePoint answered_at() const { return answered_at_; }
   // Returns whether entries of live servers may be missing: while the store is
@@ -61,6 +63,7 @@
   Duration retry_delay_ = kFirstRetryDelay;
   TimePoint next_call_at_{};
   TimePoint answered_at_{};
+  TimePoint failed_at_{};
   // Until when servers may not have registered again after a loss.
   TimePoint entries_lacking_until_{};
 };
@@ -93,8 +96,12 @@
   // Starts to read the store at `at`.
   void Start(TimePoint at) { timer_.Set(at); }
   // Sets where changes come from and how long a watch waits for them. A watch
-  // that no longer receives events is detected only after that wait.
-  void SetSource(WatchSource source, std::chrono::milliseconds watch_wait);
+  // that no longer receives events is detected only after that wait. `urgent`
+  // is set if there is no other way to a current copy, so that calls are made
+  // without delay.
+  void SetSource(WatchSource source,
+                 std::chrono::milliseconds watch_wait,
+                 bool urgent = false);
   // The store is reachable again: makes the next call at once.
   void OnStoreBack();
   // Reads all objects again if the store is the source.
@@ -173,6 +180,7 @@
   platform::Freshness next_list_;
   WatchSource source_ = WatchSource::kStore;
   std::chrono::milliseconds watch_wait_;
+  bool urgent_ = false;
   bool listed_ = false;
   std::uint64_t revision_ = 0;
   std::uint64_t changed_at_ = 0;
