Relayed changes apply to members that know more than their sender did

The class: a retry that is dearer than the call that failed, so that the overload feeds itself.

A patch to a state that the copy has, or that it has already passed, is no reason for a whole copy. What a daemon learns from a list, which skips states, it relays as whole objects.

store_watcher_test: both new cases failed before (whole copy requested; change not applied). The case of a patch that does not apply had a copy with a newer state than the change, and expected that to be undone; it now has one in between, which still needs a whole copy.

--- a/src/entry/store_watcher.cc
+++ b/src/entry/store_watcher.cc
@@ -284,10 +284,12 @@
 }
 
 void StoreWatcher::RecordChange(const platform::Object& object,
-                                std::uint64_t revision) {
+                                std::uint64_t revision,
+                                ChangeForm form) {
   const auto known = objects_.find(object.name);
   const platform::Object* before =
-      known == objects_.end() ? nullptr : &known->second;
+      form == ChangeForm::kWhole || known == objects_.end() ? nullptr
+                                                            : &known->second;
   // Also kept while another daemon leads, since this one may become the leader.
   changes_.push_back({revision, EncodeChange(before, object)});
   if (object.deleted) {
@@ -336,8 +338,10 @@
   listed_ = true;
   needs_full_copy_ = false;
   revision_ = std::max(revision_, revision);
+  // Other daemons may know states between the two of this copy, so that a patch
+  // would not apply there.
   for (const platform::Object* it : changed) {
-    RecordChange(*it, revision_);
+    RecordChange(*it, revision_, ChangeForm::kWhole);
   }
   sink_.on_list(objects);
 }
@@ -348,7 +352,7 @@
   std::vector<platform::Object> changed;
   for (const platform::Object& it : objects) {
     if (IsNewer(it)) {
-      RecordChange(it, revision_);
+      RecordChange(it, revision_, ChangeForm::kPatch);
       changed.push_back(it);
     }
   }
@@ -375,7 +379,8 @@
   }
   // The copy may be incomplete up to the object's revision, so `revision_`
   // stays; but daemons that follow this copy have to see the change.
-  RecordChange(object, std::max(revision_, object.revision));
+  RecordChange(object, std::max(revision_, object.revision),
+               ChangeForm::kPatch);
   sink_.on_events({object});
 }
 
@@ -408,6 +413,19 @@
   return response_;
 }
 
+bool StoreWatcher::HasStateOf(const nlohmann::json& entry,
+                              std::uint64_t complete_to) const {
+  // A removal may bear the revision of the last change of the object.
+  if (entry.at("deleted").get<bool>()) {
+    return false;
+  }
+  const auto revision = entry.at("revision").get<std::uint64_t>();
+  const auto known = objects_.find(entry.at("name").get<std::string>());
+  // An object that a complete copy lacks has been removed since.
+  return known == objects_.end() ? revision <= complete_to
+                                 : revision <= known->second.revision;
+}
+
 std::optional<platform::Object> StoreWatcher::DecodeEntry(
     nlohmann::json& entry) const {
   platform::Object object{entry.at("name").get<std::string>(),
@@ -466,9 +484,12 @@
     ApplyList(objects, revision);
     return true;
   }
-  revision_ = revision;
+  const std::uint64_t complete_to = std::exchange(revision_, revision);
   std::vector<platform::Object> changed;
   for (auto& it : changes.at("objects")) {
+    if (HasStateOf(it, complete_to)) {
+      continue;
+    }
     // Applied one by one, since a later entry may be a patch of an earlier one.
     const auto object = DecodeEntry(it);
     if (!object) {
@@ -480,7 +501,7 @@
       break;
     }
     if (IsNewer(*object)) {
-      RecordChange(*object, revision);
+      RecordChange(*object, revision, ChangeForm::kPatch);
       changed.push_back(*object);
     }
   }
--- a/src/entry/store_watcher.h
+++ b/src/entry/store_watcher.h
@@ -162,10 +162,20 @@
                  std::uint64_t revision);
   void ApplyEvents(const std::vector<platform::Object>& objects,
                    std::uint64_t revision);
-  void RecordChange(const platform::Object& object, std::uint64_t revision);
+  // Whether a change is relayed as a patch of the state before it, which is
+  // smaller, or as the whole object, which applies to any state.
+  enum class ChangeForm : std::uint8_t { kPatch, kWhole };
+  void RecordChange(const platform::Object& object,
+                    std::uint64_t revision,
+                    ChangeForm form);
   bool ApplyDecodedChanges(nlohmann::json changes);
   // Returns whether `object` is newer than the copy's state of it.
   [[nodiscard]] bool IsNewer(const platform::Object& object) const;
+  // Returns whether the copy, which was complete up to revision `complete_to`,
+  // has the state that `entry` of another daemon's changes describes, or a
+  // later one.
+  [[nodiscard]] bool HasStateOf(const nlohmann::json& entry,
+                                std::uint64_t complete_to) const;
   // Returns the object that `entry` of another daemon's changes describes, or
   // nullopt if `entry` is a patch of a revision that the copy does not have. A
   // whole object is moved out of `entry`.
