--- a/src/entry/copy_source_test.cc
+++ b/src/entry/copy_source_test.cc
@@ -170,7 +170,7 @@
     chooser.Choose({.leader_last_seen = at, .rank = 100}, kStart, kStart, at);
     return chooser.IsStoreLost(kStart, TimePoint{}, at);
   };
-  const auto peers_report = [&](std::vector<bool> reports) {
+  const auto peers_report = [&](const std::vector<bool>& reports) {
     for (const bool it : reports) {
       chooser.OnPeerStatus(it, now);
     }
--- a/src/entry/late_drain_random_test.cc
+++ b/src/entry/late_drain_random_test.cc
@@ -37,7 +37,7 @@
 }
 
 // Faults of a third of the members.
-Scenario ThirdOf(Scenario scenario) {
+Scenario ThirdOf(const Scenario& scenario) {
   return {
       scenario.name + ", a third of the members",
       [set = scenario.set_faults](FleetCopiesSim& fleet, std::size_t index) {
@@ -106,7 +106,7 @@
   };
 }
 
-Result Run(const Options& options, Scenario scenario) {
+Result Run(const Options& options, const Scenario& scenario) {
   FleetCopiesSim fleet(options);
   for (std::size_t i = 1; i < options.members; ++i) {
     scenario.set_faults(fleet, i);
