One copy of the condition and the waits of watches; one end of a watch in the model

StoreCopies and CopySourceChooser each had the waits of 500 ms and 4 s and the condition for the short one; the chooser has them now, and needs_store() says the condition. The model of the fleet computed the end of a watch twice and kept a count that nothing read.

--- a/src/entry/copy_source.cc
+++ b/src/entry/copy_source.cc
@@ -29,11 +29,6 @@
 // one after the other.
 constexpr Duration kPeerWordTime = milliseconds(2500);
 constexpr std::uint32_t kAgreeingPeers = 3;
-// How long watches of the server entries wait: those of the leader and of a
-// daemon that it passes nothing on to, and those of others at most and at
-// least.
-constexpr milliseconds kShortWatchWait{500};
-constexpr milliseconds kLongestWatchWait{4000};
 // The heartbeat period grows by the shortest one with each kMembersPerPeriod
 // members, up to kMaxPeriods of them.
 constexpr std::uint32_t kMembersPerPeriod = 24;
@@ -116,7 +111,7 @@
 }
 
 milliseconds CopySourceChooser::EntriesWatchWait() const {
-  if (leads_ || (leader_alive_ && outdated_)) {
+  if (needs_store()) {
     return kShortWatchWait;
   }
   // After a change, the copy is as old as one and a half watches and the delay
--- a/src/entry/copy_source.h
+++ b/src/entry/copy_source.h
@@ -30,6 +30,12 @@
 [[nodiscard]] std::chrono::milliseconds HeartbeatPeriod(std::uint32_t members,
                                                         Duration max_copy_age);
 
+// How long watches wait. Those of the leader and of a daemon that it passes
+// nothing on to are short, because a watch that no longer receives events is
+// detected only when it ends.
+inline constexpr std::chrono::milliseconds kShortWatchWait{500};
+inline constexpr std::chrono::milliseconds kLongestWatchWait{4000};
+
 // What the choice of the source depends on.
 struct LeadershipStatus {
   bool leads = false;
@@ -91,6 +97,11 @@
   // only lately, or peers say the same. Peers alone may have lost it by faults
   // of their own.
   [[nodiscard]] bool HaveOthersLostStore(TimePoint now) const;
+  // Returns whether the store is the only way to current copies: this daemon
+  // leads, or the leader is alive and passes nothing on.
+  [[nodiscard]] bool needs_store() const {
+    return leads_ || (leader_alive_ && outdated_);
+  }
   // Returns how long a watch of the server entries waits for changes. It proves
   // that they are complete only when it ends.
   [[nodiscard]] std::chrono::milliseconds EntriesWatchWait() const;
--- a/src/entry/fleet_copies_sim.h
+++ b/src/entry/fleet_copies_sim.h
@@ -72,7 +72,6 @@
     Duration latest{};
     // Requests refused since the entries were outdated.
     std::uint64_t refused = 0;
-    std::uint64_t store_lists = 0;
   };
 
   explicit FleetCopiesSim(const Options& options)
@@ -136,7 +135,6 @@
   static constexpr std::size_t kPolledPeers = 2;
   static constexpr milliseconds kListTimeout{1500};
   static constexpr milliseconds kBatchDelay{200};
-  static constexpr milliseconds kLeaderWatchWait{500};
   static constexpr milliseconds kRetryDelay{400};
   // The world around it.
   static constexpr milliseconds kSendPeriod{100};
@@ -256,6 +254,13 @@
         drains_.begin());
   }
 
+  // Returns when a watch of `member` that begins now sees a change.
+  [[nodiscard]] TimePoint NextChange(const Member& member) const {
+    return member.drains < drains_.size()
+               ? std::max(drains_[member.drains], now_)
+               : TimePoint::max();
+  }
+
   // Returns the time until the response to a message of `member`, or nullopt if
   // there is none.
   std::optional<Duration> ResponseTime(const Member& member,
@@ -308,7 +313,7 @@
     const TimePoint sent = now_;
     if (options_.leader_loses_store && now_ >= kFaultsBegin &&
         now_ < kFaultsEnd) {
-      At(now_ + kLeaderWatchWait, [this] {
+      At(now_ + kShortWatchWait, [this] {
         members_[0]->store_failed_at = now_;
         leader_lost_store_ = true;
         ScheduleHeartbeats();
@@ -318,22 +323,19 @@
     }
     leader_lost_store_ = false;
     const Duration wait =
-        changed_before ? kLeaderWatchWait / 2 : kLeaderWatchWait;
-    const TimePoint next = leader.drains < drains_.size()
-                               ? std::max(drains_[leader.drains], sent)
-                               : TimePoint::max();
-    const bool changed = next < sent + wait;
-    At((changed ? next : sent + wait) + kNetworkDelay,
-       [this, sent, wait, changed] {
-         Member& member = *members_[0];
-         Apply(member, DrainsAt(now_ - kNetworkDelay / 2));
-         ConfirmCurrent(member, changed ? sent : sent + wait);
-         if (changed) {
-           ScheduleHeartbeats();
-         }
-         At(now_ + (changed ? kBatchDelay : milliseconds(0)),
-            [this, changed] { WatchAsLeader(changed); });
-       });
+        changed_before ? kShortWatchWait / 2 : kShortWatchWait;
+    const TimePoint end = std::min(NextChange(leader), sent + wait);
+    const bool changed = end < sent + wait;
+    At(end + kNetworkDelay, [this, sent, wait, changed] {
+      Member& member = *members_[0];
+      Apply(member, DrainsAt(now_ - kNetworkDelay / 2));
+      ConfirmCurrent(member, changed ? sent : sent + wait);
+      if (changed) {
+        ScheduleHeartbeats();
+      }
+      At(now_ + (changed ? kBatchDelay : milliseconds(0)),
+         [this, changed] { WatchAsLeader(changed); });
+    });
   }
 
   [[nodiscard]] Status LeaderStatus() const {
@@ -483,18 +485,13 @@
     if (std::exchange(member.reading_store, true)) {
       return;
     }
-    result_.store_lists += list ? 1 : 0;
     const TimePoint sent = now_;
     const Duration wait =
         list ? Duration(0) : Duration(member.chooser.EntriesWatchWait());
-    // A watch ends at the first change.
-    const TimePoint change = !list && member.drains < drains_.size()
-                                 ? std::max(drains_[member.drains], sent)
-                                 : TimePoint::max();
-    const bool changed = change < sent + wait;
-    const Duration usual = kNetworkDelay + (list ? Duration(member.list_time)
-                                            : changed ? change - sent
-                                                      : wait);
+    const TimePoint end = std::min(NextChange(member), sent + wait);
+    const bool changed = end < sent + wait;
+    const Duration usual =
+        kNetworkDelay + (list ? Duration(member.list_time) : end - sent);
     const Duration timeout = list ? kListTimeout : wait + milliseconds(700);
     Call(member, Hop::kStore, usual, timeout,
          [this, &member, sent, wait, changed](bool answered) {
@@ -516,6 +513,7 @@
            });
          });
   }
+
   void SendRequest(std::size_t index) {
     Member& member = *members_[index];
     At(LoopTime() + kSendPeriod, [this, index] { SendRequest(index); });
--- a/src/entry/store_copies.cc
+++ b/src/entry/store_copies.cc
@@ -15,12 +15,6 @@
 
 using std::chrono::milliseconds;
 
-// How long watches wait. Those of the leader are short, because a watch that no
-// longer receives events is detected only when it ends, and so are those of a
-// daemon whose copies are out of date. Other daemons watch only while they
-// receive no heartbeats.
-constexpr milliseconds kLeaderWatchWait{500};
-constexpr milliseconds kOwnWatchWait{4000};
 // Paths of the requests for changes and for the state of the copies, kinds of
 // the objects, and timeouts. A mirror has little time, since the leader is
 // asked after it.
@@ -124,8 +118,8 @@
       PollPeers();
     }
   }
-  const bool urgent = leadership.leads || (chooser_.leader_alive() && outdated);
-  const milliseconds watch_wait = urgent ? kLeaderWatchWait : kOwnWatchWait;
+  const bool urgent = chooser_.needs_store();
+  const milliseconds watch_wait = urgent ? kShortWatchWait : kLongestWatchWait;
   const WatchSource source = source_ == CopySource::kStore
                                  ? WatchSource::kStore
                                  : WatchSource::kLeader;
