Case 1: a refused order has run (REFUSED)

Cause: a late copy of a 421 bears the id of the request that is tried again on the same connection, so it is taken for the answer of the second try.

--- a/review/standins/late_copy.cc
+++ b/review/standins/late_copy.cc
@@ -7,11 +7,16 @@
 namespace {
 
 constexpr int kDaemons = 12;
-constexpr int kInstances = 15;
-constexpr int kCutInstances = 3;       // A fifth.
-constexpr double kExtraShare = 0.03;   // Of the answers.
+constexpr int kInstances = 20;
+// A fifth; the leader, one of twelve machines, loses its path to them.
+constexpr int kCutInstances = 4;
 constexpr std::int64_t kCutMs = 9500;
-constexpr std::int64_t kPauseMs = 3500;
+// Six in ten instances send 3 in 100 answers twice, for 5 s.
+constexpr int kGarblers = 12;
+constexpr double kExtraShare = 0.03;
+constexpr std::int64_t kGarbleLeadMs = 3500;  // Before the end of the cut.
+constexpr std::int64_t kGarbleMs = 5000;
+constexpr std::int64_t kPauseMs = 3000;  // From the end of the cut to the next.
 constexpr int kRounds = 7;
 
 }  // namespace
@@ -108,9 +113,11 @@
       });
     }
   }
-  for (const auto& instance : instances) {
-    instance->extra_share = it.trouble ? kExtraShare : 0;
-  }
+  const auto garble = [&](double share) {
+    for (int i = 0; i < kGarblers; ++i) {
+      instances[static_cast<std::size_t>(i)]->extra_share = share;
+    }
+  };
   for (int round = 0; round < kRounds; ++round) {
     if (it.trouble) {
       SAY("the leader loses its path to %d instances for %lld ms",
@@ -119,11 +126,23 @@
         instances[static_cast<std::size_t>(c)]->drops_orders = true;
       }
     }
-    Sleep(it.trouble ? kCutMs : 1500);
+    if (it.trouble) {
+      Sleep(kCutMs - kGarbleLeadMs);
+      garble(kExtraShare);
+      Sleep(kGarbleLeadMs);
+    } else {
+      Sleep(1500);
+    }
     for (int c = 0; c < kCutInstances; ++c) {
       instances[static_cast<std::size_t>(c)]->drops_orders = false;
     }
-    Sleep(it.trouble ? kPauseMs : 500);
+    if (it.trouble) {
+      Sleep(kGarbleMs - kGarbleLeadMs);
+      garble(0);
+      Sleep(kPauseMs - (kGarbleMs - kGarbleLeadMs));
+    } else {
+      Sleep(500);
+    }
   }
   stop = true;
   for (auto& client : clients) {
--- a/review/standins/rig.h
+++ b/review/standins/rig.h
@@ -359,6 +359,10 @@
             close(it);
             return;
           }
+          if (state->silent) {
+            state->unserved.push_back(it);
+            continue;
+          }
           state->open.insert(it);
         }
         std::thread([it, state, serve] {
@@ -371,6 +375,12 @@
     });
     return true;
   }
+  // Answers nothing from now on, as a host without power does. Connections of
+  // that time are closed by Kill().
+  void Silence() {
+    const std::lock_guard lock(state_->mutex);
+    state_->silent = true;
+  }
   // Closes the listener and resets all connections, as a crash does.
   void Kill() {
     if (fd_ < 0) {
@@ -387,12 +397,18 @@
       // Wakes the thread, which then closes the socket with a reset.
       shutdown(it, SHUT_RD);
     }
+    for (const int it : state_->unserved) {
+      ResetOnClose(it);
+      close(it);
+    }
   }
 
  private:
   struct State {
     std::mutex mutex;
     std::set<int> open;
+    std::vector<int> unserved;  // Accepted while silent.
+    bool silent = false;
     bool killed = false;
   };
   int fd_ = -1;
@@ -653,6 +669,8 @@
   std::array<int, kKeys> at_work{};
   std::uint64_t born = 0;
   std::atomic<bool> ended{false};
+  // Its connections have been closed.
+  std::atomic<bool> closed{false};
   int running = 0;
   int waiting = 0;
   std::condition_variable changed;
@@ -697,8 +715,8 @@
   // Share of the answers that are sent a second time, late: where the next
   // answer on the connection is due.
   std::atomic<double> extra_share{0};
-  // The same for the answers to orders.
-  std::atomic<double> extra_order_share{0};
+  // Asked before a request begins to run; true: the instance crashes.
+  std::function<bool(const Message&)> crashes_on;
   // Called for each accepted grant.
   std::function<void(int from, int to, std::uint64_t fence)> on_grant;
 
@@ -710,6 +728,11 @@
   }
 
   bool Start() {
+    if (const auto before = this->life()) {
+      // It may have ended silently.
+      listener_->Kill();
+      before->closed = true;
+    }
     auto life = std::make_shared<Life>();
     life->born = static_cast<std::uint64_t>(UnixMs());
     {
@@ -735,18 +758,21 @@
   }
   // Ends at once, as a crash does. Another Start() is another life.
   void Stop() {
-    {
-      const Lock lock(judge_.mutex);
-      if (!up_) {
-        return;
-      }
-      up_ = false;
-      life_->ended = true;
-      life_->changed.notify_all();
+    if (!EndLife()) {
+      return;
     }
     listener_->Kill();
+    life()->closed = true;
     RECORD("instance %s ends", id().c_str());
   }
+  // The same, but nothing at its address answers until the next Start().
+  void StopSilently() {
+    if (!EndLife()) {
+      return;
+    }
+    listener_->Silence();
+    RECORD("instance %s ends silently", id().c_str());
+  }
   // Reports that it drains. Returns when the store has accepted that.
   std::int64_t Drain() {
     {
@@ -766,6 +792,16 @@
   std::atomic<int> extras{0};
 
  private:
+  bool EndLife() {
+    const Lock lock(judge_.mutex);
+    if (!up_) {
+      return false;
+    }
+    up_ = false;
+    life_->ended = true;
+    life_->changed.notify_all();
+    return true;
+  }
   void Report() {
     json entry;
     {
@@ -824,21 +860,32 @@
     std::string late;  // A second copy of the answer before.
     std::mt19937 generator(std::random_device{}());
     while (reader.Read(&request)) {
+      while (life->ended && !life->closed) {
+        Sleep(10);  // Silent.
+      }
       if (life->ended) {
         return;
       }
       // The copy comes first: at the point where the next answer is due.
-      if (!late.empty() && !SendAll(fd, late)) {
-        return;
+      if (!late.empty()) {
+        RECORD("instance %s sends the second copy, before the answer to %s %s",
+               id().c_str(), request.Word(1).c_str(),
+               request.Header("Gentianreach-Request-Id").c_str());
+        if (!SendAll(fd, late)) {
+          return;
+        }
       }
       late.clear();
       const std::string answer = Answer(request, life);
+      while (life->ended && !life->closed) {
+        Sleep(10);  // Silent.
+      }
       if (answer.empty() || life->ended || !SendAll(fd, answer)) {
         return;
       }
       ++answers;
       const bool order = request.Word(1).rfind("/api/", 0) == 0;
-      const double share = order ? extra_order_share : extra_share;
+      const double share = order ? 0 : extra_share.load();
       if (share > 0 &&
           std::uniform_real_distribution<double>()(generator) < share) {
         ++extras;
@@ -993,6 +1040,13 @@
     judge_.runs.push_back({request_id, options_.id, key, Now(), 0});
     const int times = ++judge_.run_counts[request_id];
     lock.unlock();
+    if (crashes_on && crashes_on(request)) {
+      RECORD("instance %s: begins %s %s %s and crashes", id().c_str(),
+             request_id.c_str(), request.Word(0).c_str(),
+             request.Word(1).c_str());
+      Stop();
+      return "";
+    }
     RECORD("instance %s: RUNS %s %s %s key %d%s", id().c_str(),
            request_id.c_str(), request.Word(0).c_str(),
            request.Word(1).c_str(), key,
@@ -1258,6 +1312,7 @@
   std::int64_t deadline_ms = 2000;
   int key = -1;
   std::string body = {};
+  std::string caller = {};
 };
 
 inline std::string RequestText(const Call& call) {
@@ -1265,6 +1320,9 @@
                      call.host + "\r\nGentianreach-Request-Id: " + call.id +
                      "\r\nGentianreach-Deadline-Ms: " +
                      std::to_string(call.deadline_ms) + "\r\n";
+  if (!call.caller.empty()) {
+    text += "Authorization: Bearer " + call.caller + "\r\n";
+  }
   if (call.key >= 0) {
     text += "Gentianreach-Shard-Key: " + std::to_string(call.key) + "\r\n";
   }
