--- a/review/standins/stop_slow_reader.cc
+++ b/review/standins/stop_slow_reader.cc
@@ -8,6 +8,7 @@
 
 constexpr std::size_t kAnswerBytes = 100 * 1000;
 constexpr std::int64_t kBytesPerSecond = 50 * 1000;
+constexpr std::size_t kReadBytes = 2500;
 constexpr std::int64_t kDeadlineMs = 5000;
 constexpr int kClients = 6;
 
@@ -20,27 +21,26 @@
   bool reset = false;
 };
 
-// Sends one request and reads the answer at kBytesPerSecond.
-Outcome ReadSlowly(const Address& front) {
+// Reads an answer at kBytesPerSecond. The connection is open already and has
+// carried a request before.
+Outcome ReadSlowly(int fd) {
   Outcome outcome;
   outcome.id = NewId();
-  const int fd = ConnectTo(front, 8 * 1024);
   outcome.sent = Now();
-  RECORD("client sends %s GET /browse/ to %s", outcome.id.c_str(),
-         front.Text().c_str());
-  if (fd < 0 ||
-      !SendAll(fd, RequestText({.path = "/browse/1",
+  RECORD("client sends %s GET /browse/2", outcome.id.c_str());
+  if (!SendAll(fd, RequestText({.path = "/browse/2",
                                 .id = outcome.id,
                                 .deadline_ms = kDeadlineMs}))) {
     outcome.ended = Now();
     return outcome;
   }
   Reader reader(fd);
-  reader.chunk = 2500;
+  reader.chunk = kReadBytes;
   std::int64_t next = Now();
   reader.pace = [&] {
     SleepUntil(next);
-    next = std::max(next, Now() - 200) + 1000 * 2500 / kBytesPerSecond;
+    next = std::max(next, Now() - 200) +
+           1000 * static_cast<std::int64_t>(kReadBytes) / kBytesPerSecond;
   };
   Message answer;
   outcome.complete = reader.Read(&answer, Now() + kDeadlineMs) &&
@@ -48,7 +48,6 @@
   outcome.received = reader.received;
   outcome.reset = reader.closed_by_reset;
   outcome.ended = Now();
-  close(fd);
   RECORD("client has got %s: '%s', %zu bytes, %s, after %lld ms",
          outcome.id.c_str(), answer.start.c_str(), outcome.received,
          outcome.complete ? "complete"
@@ -58,6 +57,19 @@
   return outcome;
 }
 
+// Opens a connection with a small window and makes a first request on it.
+int OpenKept(const Address& front) {
+  const int fd = ConnectTo(front, 8 * 1024);
+  if (fd < 0 || !SendAll(fd, RequestText({.path = "/browse/1",
+                                          .id = NewId(),
+                                          .deadline_ms = kDeadlineMs}))) {
+    return -1;
+  }
+  Reader reader(fd);
+  Message answer;
+  return reader.Read(&answer, Now() + kDeadlineMs) ? fd : -1;
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -90,6 +102,14 @@
     return kCouldNotRun;
   }
   Sleep(5000);
+  std::vector<int> kept;
+  for (int i = 0; i < kClients; ++i) {
+    kept.push_back(OpenKept(fleet.Front(0)));
+    if (kept.back() < 0) {
+      SAY("no answer before the stop");
+      return kCouldNotRun;
+    }
+  }
   const std::int64_t stopped = Now();
   if (it.trouble) {
     fleet.Signal(0, SIGTERM);
@@ -99,9 +119,10 @@
   std::vector<std::thread> threads;
   for (int i = 0; i < kClients; ++i) {
     threads.emplace_back([&, i] {
-      // New connections while the balancer has not taken the machine out yet.
+      const auto n = static_cast<std::size_t>(i);
       SleepUntil(stopped + 1300 + 200 * i);
-      outcomes[static_cast<std::size_t>(i)] = ReadSlowly(fleet.Front(0));
+      outcomes[n] = ReadSlowly(kept[n]);
+      close(kept[n]);
     });
   }
   std::int64_t exited = 0;
