--- a/review/standins/late_copy.cc
+++ b/review/standins/late_copy.cc
@@ -10,14 +10,14 @@
 constexpr int kInstances = 20;
 // A fifth; the leader, one of twelve machines, loses its path to them.
 constexpr int kCutInstances = 4;
-constexpr std::int64_t kCutMs = 9500;
+constexpr std::int64_t kCutMs = 7000;
 // Six in ten instances send 3 in 100 answers twice, for 5 s.
 constexpr int kGarblers = 12;
 constexpr double kExtraShare = 0.03;
-constexpr std::int64_t kGarbleLeadMs = 3500;  // Before the end of the cut.
+constexpr std::int64_t kGarbleLeadMs = 2500;  // Before the end of the cut.
 constexpr std::int64_t kGarbleMs = 5000;
-constexpr std::int64_t kPauseMs = 3000;  // From the end of the cut to the next.
-constexpr int kRounds = 7;
+constexpr std::int64_t kPauseMs = 2700;  // From the end of the cut to the next.
+constexpr int kRounds = 9;
 
 }  // namespace
 
--- a/review/standins/rig.h
+++ b/review/standins/rig.h
@@ -1196,12 +1196,13 @@
     const char* program = std::getenv("ENTRYD");
     const std::string path =
         program != nullptr ? program : "target/gentianreach_entryd";
+    // The environment of the deploy file.
+    setenv("GSETTINGS_BACKEND", "memory", 1);
+    setenv("GIO_USE_PROXY_RESOLVER", "dummy", 1);
+    setenv("GIO_USE_VFS", "local", 1);
     const pid_t pid = fork();
     if (pid == 0) {
       prctl(PR_SET_PDEATHSIG, SIGKILL);
-      setenv("GSETTINGS_BACKEND", "memory", 1);
-      setenv("GIO_USE_PROXY_RESOLVER", "dummy", 1);
-      setenv("GIO_USE_VFS", "local", 1);
       const int fd =
           open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
       dup2(fd, 1);
