Case 3: the drained instance exits, as it may

Cause: the case did not show what late requests cost. Change: the instance exits 6 s after the store has accepted its drain.

--- a/review/standins/rig.h
+++ b/review/standins/rig.h
@@ -637,6 +637,7 @@
   int key = -1;
   std::int64_t began = 0;
   std::int64_t ended = 0;  // 0: still at work.
+  bool cut = false;        // The instance ended before the work did.
 };
 
 class Instance;
@@ -1057,6 +1058,7 @@
     --life.running;
     --life.at_work[k];
     judge_.runs[run].ended = Now();
+    judge_.runs[run].cut = life.ended;
     life.changed.notify_all();
     const bool lapsed = options_.keyed && life.fence[k] != 0 &&
                         Now() >= life.until[k];
--- a/review/standins/unreadable_entry.cc
+++ b/review/standins/unreadable_entry.cc
@@ -6,7 +6,10 @@
 
 namespace {
 
-constexpr std::int64_t kWatchedMs = 8000;  // After the drain was accepted.
+// After the store has accepted the drain: the instance exits, and the clients
+// stop.
+constexpr std::int64_t kExitMs = 6000;
+constexpr std::int64_t kEndMs = 8000;
 
 }  // namespace
 
@@ -25,7 +28,8 @@
     instances.push_back(std::make_unique<Instance>(
         store, judge,
         InstanceOptions{.id = "i-" + std::to_string(i + 1),
-                        .service = "orders"}));
+                        .service = "orders",
+                        .work_ms = 160}));
     if (!instances.back()->Start()) {
       return kCouldNotRun;
     }
@@ -40,7 +44,7 @@
   std::atomic<bool> stop{false};
   std::atomic<int> answered{0};
   std::vector<std::thread> clients;
-  for (std::size_t i = 0; i < 2 * fleet.size(); ++i) {
+  for (std::size_t i = 0; i < 4 * fleet.size(); ++i) {
     clients.emplace_back([&, i] {
       Client client(fleet.Front(i % fleet.size()));
       while (!stop) {
@@ -66,7 +70,9 @@
   Instance& leaving = *instances[0];
   const std::int64_t accepted = leaving.Drain();
   SAY("the store has accepted that %s drains", leaving.id().c_str());
-  Sleep(kWatchedMs);
+  Sleep(kExitMs);
+  leaving.Stop();
+  Sleep(kEndMs - kExitMs);
   stop = true;
   for (auto& client : clients) {
     client.join();
@@ -79,6 +85,15 @@
     late += at > accepted + bounds.drain_ms ? 1 : 0;
     last = std::max(last, at);
   }
+  int cut = 0;
+  {
+    const Lock lock(judge.mutex);
+    for (const Run& run : judge.runs) {
+      cut += run.instance == leaving.id() && run.cut ? 1 : 0;
+    }
+  }
+  SAY("%d orders that %s was working on were lost when it exited", cut,
+      leaving.id().c_str());
   SAY("%d requests answered; %s got %d before it drained, %d later than %d ms "
       "after that, the last one after %lld ms",
       answered.load(), leaving.id().c_str(), before, late, bounds.drain_ms,
