Case 5: orders of other callers are lost

Cause: the case did not show what the crashes cost. Change: other callers place orders at the same instances.

--- a/review/standins/killer_request.cc
+++ b/review/standins/killer_request.cc
@@ -25,7 +25,9 @@
     return kCouldNotRun;
   }
   store.Put("config", "main",
-            Config(1, {{"/browse/", "katalog", true, 1500, 2, 500}},
+            Config(1,
+                   {{"/browse/", "katalog", true, 1500, 2, 500},
+                    {"/order/", "katalog", false, 1500, 2, 500}},
                    {{"katalog", false}}));
   std::mutex mutex;
   std::vector<std::int64_t> arrivals;  // Of the request at instances.
@@ -81,6 +83,22 @@
       }
     });
   }
+  // Orders of other callers at the same instances.
+  for (std::size_t c = 0; c < 6; ++c) {
+    clients.emplace_back([&, c] {
+      Client client(fleet.Front(c % fleet.size()));
+      while (!stop) {
+        const std::string id = "order-" + NewId();
+        client.Send({.method = "POST",
+                     .path = "/order/1",
+                     .id = id,
+                     .deadline_ms = 1500,
+                     .body = "box",
+                     .caller = "caller-" + std::to_string(c)});
+        Sleep(50);
+      }
+    });
+  }
   Sleep(2000);
   std::thread killer([&] {
     std::size_t n = 0;
@@ -113,7 +131,21 @@
   for (const std::int64_t at : arrivals) {
     late += arrivals.size() >= 3 && at > arrivals[2] + kStabilityMs ? 1 : 0;
   }
-  SAY("%d requests of other callers answered, %d not", answered.load(),
+  int orders = 0;
+  {
+    const Lock lock(judge.mutex);
+    for (const Run& run : judge.runs) {
+      orders += run.cut && run.id.rfind("order-", 0) == 0 &&
+                        arrivals.size() >= 3 &&
+                        run.began > arrivals[2] + kStabilityMs
+                    ? 1
+                    : 0;
+    }
+  }
+  SAY("%d orders of other callers that instances were working on were lost in "
+      "these late crashes",
+      orders);
+  SAY("%d requests of other callers for the page answered, %d not", answered.load(),
       lost.load());
   SAY("the request has crashed %zu instances; %d of the arrivals were later "
       "than %lld ms after the third crash",
