Case 3: no daemon gets ready again after a restart of all

Cause: the unreadable entry also keeps daemons that have no copies from any list. Change: the script ends with a restart of all daemons and checks RECOVER.

--- a/review/standins/unreadable_entry.cc
+++ b/review/standins/unreadable_entry.cc
@@ -10,6 +10,10 @@
 // stop.
 constexpr std::int64_t kExitMs = 6000;
 constexpr std::int64_t kEndMs = 8000;
+// A final fault: all daemons are killed. recoverS of the site.
+constexpr std::int64_t kDownMs = 1000;
+constexpr std::int64_t kRecoverMs = 15000;
+constexpr int kLastRequests = 60;
 
 }  // namespace
 
@@ -102,5 +106,30 @@
     return kCouldNotRun;
   }
   SAY("rule DRAIN: %s", late > 0 ? "BROKEN" : "held");
-  return late > 0 ? kBroken : kHeld;
+
+  SAY("all daemons are killed");
+  for (std::size_t i = 0; i < fleet.size(); ++i) {
+    fleet.Kill(i);
+  }
+  Sleep(kDownMs);
+  if (!fleet.StartAll()) {
+    return kCouldNotRun;
+  }
+  Sleep(kRecoverMs);
+  int served = 0;
+  for (int i = 0; i < kLastRequests; ++i) {
+    Client client(fleet.Front(static_cast<std::size_t>(i) % fleet.size()));
+    const Reply reply = client.Send({.method = "POST",
+                                     .path = "/orders/1",
+                                     .id = NewId(),
+                                     .deadline_ms = 1200,
+                                     .body = "box"});
+    served += reply.complete && reply.status == 200 ? 1 : 0;
+    Sleep(30);
+  }
+  SAY("%lld ms after their start, %d of %d requests are served",
+      static_cast<long long>(kRecoverMs), served, kLastRequests);
+  const bool recovered = served * 4 >= kLastRequests;
+  SAY("rule RECOVER: %s", recovered ? "held" : "BROKEN");
+  return late > 0 || !recovered ? kBroken : kHeld;
 }
