--- a/review/standins/late_copy.cc
+++ b/review/standins/late_copy.cc
@@ -7,12 +7,12 @@
 namespace {
 
 constexpr int kDaemons = 12;
-constexpr int kInstances = 20;
-// A fifth; the leader, one of twelve machines, loses its path to them.
-constexpr int kCutInstances = 4;
+constexpr int kInstances = 32;
+// Under a fifth; the leader, one of twelve machines, loses its path to them.
+constexpr int kCutInstances = 6;
 constexpr std::int64_t kCutMs = 7000;
 // Six in ten instances send 3 in 100 answers twice, for 5 s.
-constexpr int kGarblers = 12;
+constexpr int kGarblers = 19;
 constexpr double kExtraShare = 0.03;
 constexpr std::int64_t kGarbleLeadMs = 2500;  // Before the end of the cut.
 constexpr std::int64_t kGarbleMs = 5000;
