Proxy: a copy of a refusal is not the response to the next attempt

What callers saw: with gentianreachd, a request that is not idempotent ran twice when its server refused it with 421 and sent that response a second time.

Cause: all attempts of a request bear the same id, and the retry could use the connection that had carried the attempt before. The copy of the refusal then stands where the response to the retry is due, while the server runs the retry; the daemon takes the copy as proof that nothing has run and sends the request once more.

Change: a request remembers the connections that have carried it (UsedConnections), and ServerPool::Acquire() passes them over. At the limit of the pool, an idle connection that may not be reused is closed for a new one. On a connection of its own, the first response can only belong to this attempt.

--- a/src/proxy/exchange.h
+++ b/src/proxy/exchange.h
@@ -26,6 +26,7 @@
 #include "proxy/proxy_state.h"
 #include "proxy/server_connection.h"
 #include "proxy/server_pool.h"
+#include "proxy/used_connections.h"
 
 namespace gentianreach::proxy {
 
@@ -364,11 +365,14 @@
   }
 
   void SendNow() {
-    connection_ = pool_->Acquire();
+    connection_ = pool_->Acquire([this](const ServerConnection& it) {
+      return !used_connections_.Contains(it);
+    });
     if (!connection_) {
       WaitForConnection();
       return;
     }
+    used_connections_.Add(connection_);
     const TimePoint now = state_->loop.Now();
     ++record_.attempts;
     record_.server = target_.server;
@@ -684,6 +688,7 @@
 
   // Earlier attempts.
   std::vector<ServerId> tried_;
+  UsedConnections used_connections_;
   std::optional<Verdict> last_failure_;
   std::optional<Verdict> may_have_run_;
   Duration retry_pause_ = internal::kInitialRetryPause;
--- a/src/proxy/proxy_faults_test.cc
+++ b/src/proxy/proxy_faults_test.cc
@@ -89,6 +89,18 @@
   }
 }
 
+TEST_CASE("a copy of a refusal is not the response to the next attempt") {
+  ForEachRequest([&](const RouteCase& route_case, const std::string& method) {
+    ProxyFixture fixture;
+    fixture.server.script = {Behavior::kNotOwnerRepeated};
+    TestCaller caller(fixture.loop, fixture.proxy.port());
+    const Response response = caller.RoundTrip(
+        ProxyFixture::Request(method, route_case.path, "a", Body(method)));
+    CHECK(response.verdict == "answered");
+    CHECK(fixture.server.runs("a") == 1);
+  });
+}
+
 TEST_CASE("a request that fails after it ran is retried only if idempotent") {
   for (const Behavior fault : kRunFaults) {
     ForEachRequest([&](const RouteCase& route_case, const std::string& method) {
--- a/src/proxy/proxy_test_support.h
+++ b/src/proxy/proxy_test_support.h
@@ -52,6 +52,7 @@
   kSilent,            // Runs it and sends no response.
   kFrozen,            // Reads nothing.
   kNotOwner,          // 421, not run.
+  kNotOwnerRepeated,  // The same, and again before the connection's next one.
   kShed,              // 503, not run.
   kDraining,          // 503, not run, draining.
   kResponseAndClose,  // Complete response, then an unannounced close.
@@ -132,6 +133,8 @@
     std::string body;
     std::string pending;
     bool response_pending = false;
+    // Sent before the next response.
+    std::string copy;
   };
   using SessionPtr = std::shared_ptr<Session>;
 
@@ -218,10 +221,15 @@
   void OnRequest(const SessionPtr& session) {
     last_ = session->head;
     last_body_ = session->body;
+    session->socket.Send(std::exchange(session->copy, {}));
     switch (*session->behavior) {
       case Behavior::kNotOwner:
         Refuse(*session, "421 Misdirected Request", "not-owner");
         return;
+      case Behavior::kNotOwnerRepeated:
+        session->copy =
+            Refuse(*session, "421 Misdirected Request", "not-owner");
+        return;
       case Behavior::kShed:
         Refuse(*session, "503 Service Unavailable", "overload");
         return;
@@ -298,13 +306,16 @@
     }
   }
 
-  static void Refuse(Session& session,
-                     const std::string& status,
-                     const std::string& reason) {
-    session.socket.Send("HTTP/1.1 " + status +
-                        "\r\ngentianreach-verdict: not-run\r\n"
-                        "gentianreach-reason: " +
-                        reason + "\r\nContent-Length: 0\r\n\r\n");
+  // Returns the response that was sent.
+  static std::string Refuse(Session& session,
+                            const std::string& status,
+                            const std::string& reason) {
+    std::string response = "HTTP/1.1 " + status +
+                           "\r\ngentianreach-verdict: not-run\r\n"
+                           "gentianreach-reason: " +
+                           reason + "\r\nContent-Length: 0\r\n\r\n";
+    session.socket.Send(response);
+    return response;
   }
 
   void Drop(const SessionPtr& session, bool abort) {
--- a/src/proxy/server_pool.cc
+++ b/src/proxy/server_pool.cc
@@ -5,15 +5,33 @@
 
 namespace gentianreach::proxy {
 
-std::shared_ptr<ServerConnection> ServerPool::Acquire() {
-  // Skips connections that are being verified; they stay in the pool.
-  const auto usable = [&](const auto& it) {
-    return !watch_ || watch_->IsUsable(it.get());
-  };
+std::shared_ptr<ServerConnection> ServerPool::Acquire(
+    const ReuseFilter& may_reuse) {
+  if (auto idle = TakeIdle(may_reuse)) {
+    return idle;
+  }
+  if (open_ >= limit_) {
+    const auto unused = std::ranges::find_if(
+        idle_, [this](const auto& it) { return IsUsable(*it); });
+    if (unused == idle_.end()) {
+      return nullptr;
+    }
+    const auto connection = *unused;
+    connection->Abandon();
+  }
+  return open_ < limit_ ? Open() : nullptr;
+}
+
+std::shared_ptr<ServerConnection> ServerPool::TakeIdle(
+    const ReuseFilter& may_reuse) {
   while (true) {
-    const auto it = std::find_if(idle_.rbegin(), idle_.rend(), usable);
+    // Skips connections that are being verified; they stay in the pool.
+    const auto it =
+        std::find_if(idle_.rbegin(), idle_.rend(), [&](const auto& connection) {
+          return IsUsable(*connection) && may_reuse(*connection);
+        });
     if (it == idle_.rend()) {
-      break;
+      return nullptr;
     }
     auto connection = *it;
     idle_.erase(std::next(it).base());
@@ -22,9 +40,9 @@
     }
     connection->Abandon();
   }
-  if (open_ >= limit_) {
-    return nullptr;
-  }
+}
+
+std::shared_ptr<ServerConnection> ServerPool::Open() {
   ++open_;
   auto connection = std::make_shared<ServerConnection>(
       loop_,
--- a/src/proxy/server_pool.h
+++ b/src/proxy/server_pool.h
@@ -27,6 +27,8 @@
 class ServerPool : public std::enable_shared_from_this<ServerPool> {
  public:
   using Waiter = std::function<void()>;
+  // Decides whether an idle connection may carry a certain request.
+  using ReuseFilter = std::function<bool(const ServerConnection&)>;
   using WaiterId = std::list<Waiter>::iterator;
 
   // `progress_timeout` is how long a connection may go without progress; see
@@ -49,8 +51,15 @@
   void SetIdleLimit(std::size_t limit) { idle_limit_ = limit; }
   // Returns a connection for one request, or null if all are in use. It may not
   // be established yet. Pass it to Release() when the response is complete; a
-  // failed or abandoned connection leaves the pool by itself.
-  [[nodiscard]] std::shared_ptr<ServerConnection> Acquire();
+  // failed or abandoned connection leaves the pool by itself. Idle connections
+  // that `may_reuse` rejects are passed over; at the limit, one of them is
+  // closed so that a new one can be opened.
+  [[nodiscard]] std::shared_ptr<ServerConnection> Acquire(
+      const ReuseFilter& may_reuse);
+  // The same without a filter.
+  [[nodiscard]] std::shared_ptr<ServerConnection> Acquire() {
+    return Acquire([](const ServerConnection&) { return true; });
+  }
   // Reports that a request is about to be written on a connection.
   void OnStart(ServerConnection* connection) {
     if (watch_) {
@@ -75,6 +84,14 @@
   [[nodiscard]] std::size_t open() const { return open_; }
 
  private:
+  // Returns whether an idle connection is not being verified.
+  [[nodiscard]] bool IsUsable(const ServerConnection& connection) const {
+    return !watch_ || watch_->IsUsable(&connection);
+  }
+  // Takes the most recently used idle connection that `may_reuse` accepts;
+  // null if there is none.
+  std::shared_ptr<ServerConnection> TakeIdle(const ReuseFilter& may_reuse);
+  std::shared_ptr<ServerConnection> Open();
   void OnClosed(ServerConnection* connection);
   void WakeNext();
 
--- a/src/proxy/server_watch.cc
+++ b/src/proxy/server_watch.cc
@@ -62,7 +62,7 @@
   watch_.OnIdle(it->first, now - it->second.busy_since, now);
 }
 
-bool ServerWatch::IsUsable(ServerConnection* connection) const {
+bool ServerWatch::IsUsable(const ServerConnection* connection) const {
   return watch_.IsUsable(IdOf(connection));
 }
 
--- a/src/proxy/server_watch.h
+++ b/src/proxy/server_watch.h
@@ -36,7 +36,7 @@
   // Reports that the response on the connection is complete.
   void OnIdle(ServerConnection* connection);
   // Returns whether a request may be sent on an idle connection.
-  [[nodiscard]] bool IsUsable(ServerConnection* connection) const;
+  [[nodiscard]] bool IsUsable(const ServerConnection* connection) const;
 
  private:
   struct Watched {
