Entry: a copy of a refusal is not the response to the next attempt

What callers saw: requests that are not idempotent got 503, the promise that they had not run and never would, and had run (REFUSED). With three attempts the daemon itself ran one twice.

Cause: after a 421 the connection went back to the pool, and the second attempt, 60 ms later, usually got it again. All attempts bear the caller's request id. A server that sends its 421 once more, where the next response is due, and then runs the request was therefore taken to have refused the second attempt as well.

Evidence: in the case's record the copy and the run come in the same millisecond, the daemon's log has one rejected attempt, and the caller gets reason=not-owner. late_copy_test does the same with one server: on both routes get 503 after one run.

Retries at another server cost nothing; those at the same server, after a 421, may need a new connection.

--- a/src/entry/entry_request.cc
+++ b/src/entry/entry_request.cc
@@ -445,9 +445,8 @@
   }
   const ServerChoice choice = Choose();
   // The current attempt is abandoned only if another can start at once.
-  auto next = choice.server == nullptr
-                  ? nullptr
-                  : state_->Pool(*choice.server)->Acquire();
+  auto next = choice.server == nullptr ? nullptr
+                                       : Acquire(*state_->Pool(*choice.server));
   if (!next) {
     return;
   }
--- a/src/entry/entry_request.h
+++ b/src/entry/entry_request.h
@@ -19,6 +19,7 @@
 #include "proxy/caller_connection.h"
 #include "proxy/server_connection.h"
 #include "proxy/server_pool.h"
+#include "proxy/used_connections.h"
 
 namespace gentianreach::entry {
 
@@ -81,6 +82,10 @@
   void Hold(const ServerChoice& choice);
   void StopWaiting();
 
+  // Returns a connection of `pool` on which no response can be taken for that
+  // of the next attempt; null if all are in use.
+  [[nodiscard]] std::shared_ptr<proxy::ServerConnection> Acquire(
+      proxy::ServerPool& pool) const;
   void Send(const ServerChoice& choice);
   void SendOver(std::shared_ptr<proxy::ServerConnection> connection,
                 const ServerChoice& choice);
@@ -185,6 +190,7 @@
   // All attempts so far.
   std::vector<ServerId> tried_;
   std::vector<std::string> tried_relays_;
+  proxy::UsedConnections used_connections_;
   bool counted_ = false;
   std::uint32_t attempts_ = 0;
   std::uint32_t failed_connects_ = 0;
--- a/src/entry/entry_request_sending.cc
+++ b/src/entry/entry_request_sending.cc
@@ -31,8 +31,15 @@
 
 }  // namespace
 
+std::shared_ptr<proxy::ServerConnection> EntryRequest::Acquire(
+    proxy::ServerPool& pool) const {
+  return pool.Acquire([this](const proxy::ServerConnection& it) {
+    return !used_connections_.Contains(it);
+  });
+}
+
 void EntryRequest::Send(const ServerChoice& choice) {
-  auto connection = state_->Pool(*choice.server)->Acquire();
+  auto connection = Acquire(*state_->Pool(*choice.server));
   if (!connection) {
     Refuse(kUnavailable, Reason::kOverload, kRejectedRetryAfter);
     return;
@@ -46,6 +53,7 @@
   pool_ = state_->Pool(server);
   relay_.clear();
   connection_ = std::move(connection);
+  used_connections_.Add(connection_);
   server_ = server.id;
   incarnation_ = server.incarnation;
   tried_.push_back(server.id);
