Entry: a refusal without a request id counts only as a connection's first

What callers saw: a request that is not idempotent could get 503, or be sent to a second server, although it ran.

Cause: a response without a request id that says "not run" was believed on any connection. On one that has carried other requests it may be a copy of an earlier refusal, of a request that had no id.

Change: ClassifyResponse() is told whether the response is the first on its connection; a later one without an id is unusable, so that the request may have run. A request without an id gets a connection of its own, since every earlier response could be the expected one; its refusal stays believed. The kind of the response is kept instead of being worked out again at its end.

--- a/src/entry/entry_request.cc
+++ b/src/entry/entry_request.cc
@@ -286,7 +286,10 @@
   const http::MessageHead& head = connection_->head();
   state_->reachability.OnAnswer(server_, connection_->opened_at(),
                                 state_->loop.Now());
-  switch (ClassifyResponse(head, state_->headers, id_)) {
+  response_kind_ = ClassifyResponse(
+      head, state_->headers,
+      {.request_id = id_, .is_first = connection_->responses() == 1});
+  switch (response_kind_) {
     case ResponseKind::kWrongRequestId:
       if (++skipped_responses_ <= kMaxSkippedResponses) {
         connection_->SkipResponse();
@@ -380,8 +383,7 @@
   pool_->Release(connection);
   ++attempts_;
   state_->crashes.OnAnswered(fingerprint_);
-  const bool server_error = ClassifyResponse(response_head_, state_->headers,
-                                             id_) == ResponseKind::kServerError;
+  const bool server_error = response_kind_ == ResponseKind::kServerError;
   EndAttempt(server_error ? AttemptResult::kServerError
                           : AttemptResult::kAnswered);
   if (server_error && !committed_ && route_->idempotent &&
--- a/src/entry/entry_request.h
+++ b/src/entry/entry_request.h
@@ -205,6 +205,7 @@
   // The response.
   std::string response_body_;
   http::MessageHead response_head_;
+  ResponseKind response_kind_ = ResponseKind::kUnusable;
   bool committed_ = false;
 };
 
--- a/src/entry/entry_request_sending.cc
+++ b/src/entry/entry_request_sending.cc
@@ -34,7 +34,8 @@
 std::shared_ptr<proxy::ServerConnection> EntryRequest::Acquire(
     proxy::ServerPool& pool) const {
   return pool.Acquire([this](const proxy::ServerConnection& it) {
-    return !used_connections_.Contains(it);
+    // Without an id, every earlier response could be the expected one.
+    return !id_.empty() && !used_connections_.Contains(it);
   });
 }
 
--- a/src/entry/request_rules.cc
+++ b/src/entry/request_rules.cc
@@ -47,20 +47,22 @@
 
 ResponseKind ClassifyResponse(const http::MessageHead& head,
                               const HeaderNames& names,
-                              std::string_view request_id) {
+                              const ExpectedResponse& expected) {
   const auto id = head.Get(std::string_view(names.request_id));
-  const bool not_run = head.Get(std::string_view(names.not_run)).has_value();
-  if (id && *id != request_id) {
+  if (id && *id != expected.request_id) {
     return ResponseKind::kWrongRequestId;
   }
-  if (!id && !request_id.empty()) {
-    // A server may reject a request before reading its id.
-    return not_run && MayReportNotRun(head.status) ? ResponseKind::kNotRun
-                                                   : ResponseKind::kUnusable;
+  if (!id && !expected.is_first) {
+    return ResponseKind::kUnusable;
   }
-  if (not_run && MayReportNotRun(head.status)) {
+  if (head.Get(std::string_view(names.not_run)) &&
+      MayReportNotRun(head.status)) {
     return ResponseKind::kNotRun;
   }
+  // A server may reject a request before reading its id, but not run it.
+  if (!id && !expected.request_id.empty()) {
+    return ResponseKind::kUnusable;
+  }
   const bool has_stamp =
       head.Get(std::string_view(names.response_stamp)).has_value();
   if (!has_stamp || head.Get(http::FieldId::content_encoding)) {
--- a/src/entry/request_rules.h
+++ b/src/entry/request_rules.h
@@ -25,10 +25,18 @@
   kUnusable,        // Not a valid response of the server to this request.
 };
 
-// Returns the kind of a response to the request with `request_id`, by its head.
+// The request to which a response is expected.
+struct ExpectedResponse {
+  std::string_view request_id;  // Empty if the request has none.
+  // Whether it is the first response on its connection. Only then a response
+  // without a request id cannot be a copy of an earlier one.
+  bool is_first = false;
+};
+
+// Returns the kind of a response, by its head.
 [[nodiscard]] ResponseKind ClassifyResponse(const http::MessageHead& head,
                                             const HeaderNames& names,
-                                            std::string_view request_id);
+                                            const ExpectedResponse& expected);
 
 // Returns until when a server that answered at `now` wants no requests from
 // this daemon: the end of the Retry-After of a 503, or nullopt. Only a number
--- a/src/entry/request_rules_test.cc
+++ b/src/entry/request_rules_test.cc
@@ -37,8 +37,9 @@
   return head;
 }
 
-ResponseKind Classify(const http::MessageHead& head) {
-  return ClassifyResponse(head, kNames, "r1");
+ResponseKind Classify(const http::MessageHead& head, bool is_first = true) {
+  return ClassifyResponse(head, kNames,
+                          {.request_id = "r1", .is_first = is_first});
 }
 
 TEST_CASE("a stamped response with the request id is final") {
@@ -68,6 +69,20 @@
   CHECK(Classify(MakeResponse(200, "r1", "s", true)) == ResponseKind::kFinal);
 }
 
+TEST_CASE("a response without a request id proves nothing unless it is first") {
+  for (const int status : {400, 421, 429, 503}) {
+    CAPTURE(status);
+    CHECK(Classify(MakeResponse(status, "", "", true)) ==
+          ResponseKind::kNotRun);
+    CHECK(Classify(MakeResponse(status, "", "", true), false) ==
+          ResponseKind::kUnusable);
+    CHECK(Classify(MakeResponse(status, "r1", "", true), false) ==
+          ResponseKind::kNotRun);
+  }
+  CHECK(ClassifyResponse(MakeResponse(200, "", "s"), kNames, {}) ==
+        ResponseKind::kUnusable);
+}
+
 TEST_CASE("a response with a content encoding is unusable") {
   auto head = MakeResponse(200, "r1", "s");
   head.Add(http::FieldId::content_encoding, "Content-Encoding", "gzip");
--- a/src/proxy/server_connection.cc
+++ b/src/proxy/server_connection.cc
@@ -251,6 +251,7 @@
     return false;
   }
   response_begun_ = true;
+  ++responses_;
   Emit(ServerEvent::kHead);
   if (phase_ == Phase::kBusy && parser_->done()) {
     if (skipping_) {
--- a/src/proxy/server_connection.h
+++ b/src/proxy/server_connection.h
@@ -111,6 +111,9 @@
   [[nodiscard]] std::size_t unsent() const { return out_.size(); }
   // Returns when the connection began to be opened.
   [[nodiscard]] TimePoint opened_at() const { return opened_at_; }
+  // Returns the number of final responses whose heads have arrived on this
+  // connection, including those that were skipped.
+  [[nodiscard]] std::uint64_t responses() const { return responses_; }
   // Returns when bytes were last sent or received for the current request.
   [[nodiscard]] TimePoint last_progress() const { return last_progress_; }
   // Returns whether the connection is open and may carry another request.
@@ -162,6 +165,7 @@
   bool response_begun_ = false;
   bool reusable_ = true;
   bool skipping_ = false;
+  std::uint64_t responses_ = 0;
   TimePoint opened_at_;
   TimePoint last_progress_;
   TimePoint send_until_ = TimePoint::max();
