Entry: a 503 of a server that ran the request is not passed on as a promise

What callers saw: a server's own 408, 421, 429 or 503, with its stamp and without the header that says "not run", reached callers of requests that are not idempotent. They read these statuses as a promise that the request has not run and never will, and send it again. Seen in a test, not in a record.

Cause: such a response was a normal answer to ClassifyResponse().

Change: it is a kind of its own (kFalsePromise) for requests that are not idempotent. Its connection and what the server states about itself in it are used as before, and the caller gets 502. Idempotent requests get it unchanged. The statuses that promise "not run" stand in one place; Refuse() and the responses of other daemons use it too, where 503 alone was looked for after an attempt that may have run.

--- a/src/entry/entry_request.cc
+++ b/src/entry/entry_request.cc
@@ -286,9 +286,10 @@
   const http::MessageHead& head = connection_->head();
   state_->reachability.OnAnswer(server_, connection_->opened_at(),
                                 state_->loop.Now());
-  response_kind_ = ClassifyResponse(
-      head, state_->headers,
-      {.request_id = id_, .is_first = connection_->responses() == 1});
+  response_kind_ = ClassifyResponse(head, state_->headers,
+                                    {.request_id = id_,
+                                     .is_first = connection_->responses() == 1,
+                                     .idempotent = route_->idempotent});
   switch (response_kind_) {
     case ResponseKind::kWrongRequestId:
       if (++skipped_responses_ <= kMaxSkippedResponses) {
@@ -308,6 +309,13 @@
     case ResponseKind::kNotRun:
       OnNotRun(head);
       return;
+    case ResponseKind::kFalsePromise:
+      DiscardResponse(head);
+      may_have_run_ = true;
+      state_->crashes.OnAnswered(fingerprint_);
+      EndAttempt(AttemptResult::kServerError);
+      Refuse(kBadGateway, Reason::kOverload, {});
+      return;
     case ResponseKind::kFinal:
     case ResponseKind::kServerError:
       break;
@@ -336,17 +344,21 @@
   }
 }
 
-void EntryRequest::OnNotRun(const http::MessageHead& head) {
+void EntryRequest::DiscardResponse(const http::MessageHead& head) {
   OnServerStatements(head);
   if (const auto limit =
           head.Get(std::string_view(state_->headers.server_limit))) {
     state_->UpdateLimit(server_, limit);
   }
-  const bool misdirected = head.status == kMisdirected;
   const auto connection = std::exchange(connection_, nullptr);
   connection->Discard(
       [pool = pool_, connection] { pool->Release(connection); });
   ++attempts_;
+}
+
+void EntryRequest::OnNotRun(const http::MessageHead& head) {
+  const bool misdirected = head.status == kMisdirected;
+  DiscardResponse(head);
   EndAttempt(AttemptResult::kRejected);
   if (misdirected && service_->keyed) {
     // The ownership table is outdated, or the owner has no grant yet.
--- a/src/entry/entry_request.h
+++ b/src/entry/entry_request.h
@@ -100,6 +100,9 @@
   void OnResponseEnd();
   // Handles what the server states about itself in a response.
   void OnServerStatements(const http::MessageHead& head);
+  // Handles what the server states about itself in a response whose body is not
+  // needed, and returns the connection to the pool.
+  void DiscardResponse(const http::MessageHead& head);
   void OnNotRun(const http::MessageHead& head);
   void OnConnectionFailed();
   void OnResponseTimeout();
--- a/src/entry/entry_request_forwarding.cc
+++ b/src/entry/entry_request_forwarding.cc
@@ -156,7 +156,7 @@
     return;
   }
   EndForward(RelayResult::kAnswered);
-  if (may_have_run_ && response_head_.status == kUnavailable) {
+  if (may_have_run_ && http::status::PromisesNotRun(response_head_.status)) {
     Refuse(kBadGateway, Reason::kConnectionLost, {});
     return;
   }
--- a/src/entry/entry_request_response.cc
+++ b/src/entry/entry_request_response.cc
@@ -82,7 +82,7 @@
     return;
   }
   StopWaiting();
-  if (may_have_run_ && status == kUnavailable) {
+  if (may_have_run_ && http::status::PromisesNotRun(status)) {
     status = kBadGateway;
   }
   const bool keep_alive = KeepsAlive();
--- a/src/entry/request_rules.cc
+++ b/src/entry/request_rules.cc
@@ -68,6 +68,9 @@
   if (!has_stamp || head.Get(http::FieldId::content_encoding)) {
     return ResponseKind::kUnusable;
   }
+  if (!expected.idempotent && http::status::PromisesNotRun(head.status)) {
+    return ResponseKind::kFalsePromise;
+  }
   return head.status >= kInternalError ? ResponseKind::kServerError
                                        : ResponseKind::kFinal;
 }
--- a/src/entry/request_rules.h
+++ b/src/entry/request_rules.h
@@ -21,6 +21,7 @@
   kFinal,           // Passed on to the caller.
   kServerError,     // A server error; an idempotent request may be retried.
   kNotRun,          // The server reports that it has not run the request.
+  kFalsePromise,    // The server has run it, but by the status it has not.
   kWrongRequestId,  // It belongs to another request; the right one may follow.
   kUnusable,        // Not a valid response of the server to this request.
 };
@@ -31,6 +32,7 @@
   // Whether it is the first response on its connection. Only then a response
   // without a request id cannot be a copy of an earlier one.
   bool is_first = false;
+  bool idempotent = false;
 };
 
 // Returns the kind of a response, by its head.
--- a/src/entry/request_rules_test.cc
+++ b/src/entry/request_rules_test.cc
@@ -83,6 +83,17 @@
         ResponseKind::kUnusable);
 }
 
+TEST_CASE("a response that was run is not passed on as a promise") {
+  for (const int status : {408, 421, 429, 503}) {
+    CAPTURE(status);
+    const auto head = MakeResponse(status, "r1", "s");
+    CHECK(Classify(head) == ResponseKind::kFalsePromise);
+    CHECK(ClassifyResponse(head, kNames,
+                           {.request_id = "r1", .idempotent = true}) !=
+          ResponseKind::kFalsePromise);
+  }
+}
+
 TEST_CASE("a response with a content encoding is unusable") {
   auto head = MakeResponse(200, "r1", "s");
   head.Add(http::FieldId::content_encoding, "Content-Encoding", "gzip");
--- a/src/http/status.h
+++ b/src/http/status.h
@@ -10,6 +10,7 @@
 inline constexpr int kNotModified = 304;
 inline constexpr int kBadRequest = 400;
 inline constexpr int kNotFound = 404;
+inline constexpr int kRequestTimeout = 408;
 inline constexpr int kConflict = 409;
 inline constexpr int kGone = 410;
 inline constexpr int kTooLarge = 413;
@@ -20,6 +21,13 @@
 inline constexpr int kUnavailable = 503;
 inline constexpr int kGatewayTimeout = 504;
 
+// Returns whether callers take a response with `status` as a promise that the
+// request has not run and never will.
+constexpr bool PromisesNotRun(int status) {
+  return status == kRequestTimeout || status == kMisdirected ||
+         status == kTooManyRequests || status == kUnavailable;
+}
+
 }  // namespace gentianreach::http::status
 
 #endif  // SRC_HTTP_STATUS_H_
