--- a/src/entry/request_rules.h
+++ b/src/entry/request_rules.h
@@ -21,18 +21,19 @@
   kFinal,           // Passed on to the caller.
   kServerError,     // A server error; an idempotent request may be retried.
   kNotRun,          // The server reports that it has not run the request.
-  kFalsePromise,    // The server has run it, but by the status it has not.
+  kFalsePromise,    // It has run, although the status says that it has not.
   kWrongRequestId,  // It belongs to another request; the right one may follow.
   kUnusable,        // Not a valid response of the server to this request.
 };
 
-// The request to which a response is expected.
+// What is known of the request and the connection on which its response is
+// expected.
 struct ExpectedResponse {
   std::string_view request_id;  // Empty if the request has none.
   // Whether it is the first response on its connection. Only then a response
   // without a request id cannot be a copy of an earlier one.
   bool is_first = false;
-  bool idempotent = false;
+  bool idempotent = false;  // Whether the request may run more than once.
 };
 
 // Returns the kind of a response, by its head.
