A loss of the store that others have seen end puts no entries in doubt

Cause: a daemon that had lost the store once and then followed a leader makes no calls, so its loss lasted until its next call.

Change: heartbeats and peers' states that come with complete entries count as an answer of the store, as of the time up to which those copies are complete, when StoreHealth decides whether entries may be missing. Own answers still decide everything else.

Measured: the new case of store_copies_test failed without the change of StoreCopies and passes; store_watcher_test and the other cases pass.

--- a/src/entry/store_copies.cc
+++ b/src/entry/store_copies.cc
@@ -136,6 +136,9 @@
   mirror_ = copy_status.mirror;
   peers_ = copy_status.peers;
   source_lacks_entries_ = copy_status.may_lack_entries;
+  if (!source_lacks_entries_) {
+    health_.OnAnswerToOther(copy_status.current_at);
+  }
   for (std::size_t i = 0; i < std::min(copy_status.changed_at.size(), kKinds);
        ++i) {
     FetchFromLeader(i, copy_status.changed_at[i], copy_status.current_at);
@@ -200,6 +203,9 @@
     const auto changed_at =
         json.at("changed_at").get<std::vector<std::uint64_t>>();
     source_lacks_entries_ = json.at("may_lack_entries").get<bool>();
+    if (!source_lacks_entries_) {
+      health_.OnAnswerToOther(current_at);
+    }
     // Earlier versions do not tell.
     chooser_.OnPeerStatus(json.value("store_lost", false), loop_.Now());
     for (std::size_t i = 0; i < std::min(changed_at.size(), kKinds); ++i) {
--- a/src/entry/store_copies_test.cc
+++ b/src/entry/store_copies_test.cc
@@ -102,6 +102,12 @@
     WaitFor([&] { return open == 0; });
   }
 
+  [[nodiscard]] bool may_lack_entries() const {
+    return copies_.CopyStatus().may_lack_entries;
+  }
+  [[nodiscard]] bool has_lost_store() const {
+    return copies_.CopyStatus().store_lost;
+  }
   [[nodiscard]] bool MayReplaceLeader() const {
     return copies_.HasLeaderLostStore(kLeader);
   }
@@ -219,6 +225,22 @@
   CHECK(member.loop.Now() >= lost + milliseconds(750));
 }
 
+// Guards against requests to servers that have left: a new leader deferred
+// their removals because of a loss that had long been over.
+TEST_CASE("a new leader does not doubt entries for a loss that has ended") {
+  Member member(standins::LoopbackBlock() + "9:7002");
+  member.store.set_failure(SOUP_STATUS_SERVICE_UNAVAILABLE);
+  member.LeadUntil([&] { return member.has_lost_store(); });
+  member.store.set_failure(0);
+  // The store answers another leader for much longer than entries last.
+  const TimePoint followed_until = member.loop.Now() + 3 * kShortestExpiry;
+  member.FollowUntil([&] { return member.loop.Now() >= followed_until; },
+                     [&] { return member.loop.Now(); });
+  CHECK_FALSE(member.may_lack_entries());
+  member.LeadUntil([&] { return !member.has_lost_store(); });
+  CHECK_FALSE(member.may_lack_entries());
+}
+
 TEST_CASE("a leader makes few calls while nothing changes") {
   Member leader(standins::LoopbackBlock() + "8:7002");
   const std::size_t before = leader.store.calls();
--- a/src/entry/store_watcher.cc
+++ b/src/entry/store_watcher.cc
@@ -98,8 +98,9 @@
   if (!lost_) {
     return now < entries_lacking_until_;
   }
-  return answered_at_ < entries_lacking_until_ ||
-         now >= answered_at_ + shortest_expiry_;
+  const TimePoint answered_at = std::max(answered_at_, answered_other_at_);
+  return answered_at < entries_lacking_until_ ||
+         now >= answered_at + shortest_expiry_;
 }
 
 void StoreHealth::OnHistoryGone() {
--- a/src/entry/store_watcher.h
+++ b/src/entry/store_watcher.h
@@ -32,6 +32,12 @@
 
   void OnResponse();
   void OnFailure();
+  // The store has answered another daemon at `at`, and no entries of live
+  // servers were missing then. Without that, a daemon that makes no calls for
+  // a while would take a loss to last until its next call.
+  void OnAnswerToOther(TimePoint at) {
+    answered_other_at_ = std::max(answered_other_at_, at);
+  }
   // The store has dropped the history that a watch needs, so all copies may be
   // out of date.
   void OnHistoryGone();
@@ -42,7 +48,7 @@
   [[nodiscard]] bool lost() const { return lost_; }
   // Returns when a call last failed; TimePoint{}: never.
   [[nodiscard]] TimePoint failed_at() const { return failed_at_; }
-  // Returns the time of the last response of the store.
+  // Returns the time of the last response of the store to this daemon.
   [[nodiscard]] TimePoint answered_at() const { return answered_at_; }
   // Returns whether entries of live servers may be missing: while the store is
   // unreachable for so long that they expire, and after that until servers have
@@ -63,6 +69,7 @@
   Duration retry_delay_ = kFirstRetryDelay;
   TimePoint next_call_at_{};
   TimePoint answered_at_{};
+  TimePoint answered_other_at_{};
   TimePoint failed_at_{};
   // Until when servers may not have registered again after a loss.
   TimePoint entries_lacking_until_{};
--- a/src/entry/store_watcher_test.cc
+++ b/src/entry/store_watcher_test.cc
@@ -261,6 +261,21 @@
   CHECK(health.MayLackEntries());
 }
 
+// Guards against requests to servers that have left: their removals are
+// deferred while entries may be missing.
+TEST_CASE("a loss that another daemon has seen end leaves no entry in doubt") {
+  net::EventLoop loop;
+  StoreHealth health(loop, kShortestExpiry);
+  health.OnResponse();
+  health.OnFailure();
+  RunFor(loop, kShortestExpiry * 2);
+  REQUIRE(health.MayLackEntries());
+  health.OnAnswerToOther(loop.Now());
+  CHECK_FALSE(health.MayLackEntries());
+  health.OnResponse();
+  CHECK_FALSE(health.MayLackEntries());
+}
+
 TEST_CASE("entries may be missing if the store has never answered") {
   net::EventLoop loop;
   StoreHealth health(loop, kShortestExpiry);
