StoreCopies handles the state of its source in one place

Found when reading the change once more: heartbeats of the leader and states of peers set the same two things, written twice. Behaviour is the same.

--- a/src/entry/store_copies.cc
+++ b/src/entry/store_copies.cc
@@ -135,16 +135,20 @@
   leader_address_ = copy_status.address;
   mirror_ = copy_status.mirror;
   peers_ = copy_status.peers;
-  source_lacks_entries_ = copy_status.may_lack_entries;
-  if (!source_lacks_entries_) {
-    health_.OnAnswerToOther(copy_status.current_at);
-  }
+  OnSourceStatus(copy_status.may_lack_entries, copy_status.current_at);
   for (std::size_t i = 0; i < std::min(copy_status.changed_at.size(), kKinds);
        ++i) {
     FetchFromLeader(i, copy_status.changed_at[i], copy_status.current_at);
   }
 }
 
+void StoreCopies::OnSourceStatus(bool may_lack_entries, TimePoint current_at) {
+  source_lacks_entries_ = may_lack_entries;
+  if (!may_lack_entries) {
+    health_.OnAnswerToOther(current_at);
+  }
+}
+
 void StoreCopies::FetchFromLeader(std::size_t kind,
                                   std::uint64_t changed_at,
                                   TimePoint current_at) {
@@ -202,10 +206,7 @@
         TimeOf(json.at("age_ms").get<std::uint32_t>(), asked_at);
     const auto changed_at =
         json.at("changed_at").get<std::vector<std::uint64_t>>();
-    source_lacks_entries_ = json.at("may_lack_entries").get<bool>();
-    if (!source_lacks_entries_) {
-      health_.OnAnswerToOther(current_at);
-    }
+    OnSourceStatus(json.at("may_lack_entries").get<bool>(), current_at);
     // Earlier versions do not tell.
     chooser_.OnPeerStatus(json.value("store_lost", false), loop_.Now());
     for (std::size_t i = 0; i < std::min(changed_at.size(), kKinds); ++i) {
--- a/src/entry/store_copies.h
+++ b/src/entry/store_copies.h
@@ -127,6 +127,9 @@
   void OnPeerStatus(const std::string& address,
                     const std::string& status,
                     TimePoint asked_at);
+  // Handles what the daemon that tells of changes states about its copies:
+  // whether they may lack entries, and up to when they are complete.
+  void OnSourceStatus(bool may_lack_entries, TimePoint current_at);
   // Fetches changes from a mirror or, if it has failed, from the leader.
   void FetchFromLeader(std::size_t kind,
                        std::uint64_t changed_at,
