Grants go only to the incarnation that was there before their token

Callers saw: two servers held the same keys ("key N went to i-A with fence N; i-B had it with fence N", OWNER). A higher token refuses the orders of a former leader only at the incarnation that has seen it. A server that restarts under its id and address knows no token: it accepts what a former leader that has lost the store still renews, and from the present leader the token of the incarnation before it. A statement about one process was used for its name.

Change: each leader keeps connections to the servers of its keyed services (ServerOrders). A connection ends with the process at its other end, and new ones count as connections to the same incarnation once an older one has answered after they were established. If all are lost, the next ones carry only tokens that are allocated from then on. Such a token comes with a conditional write of the table, which a former leader cannot make. Orders no longer use HttpClient. An order that was certainly not sent counts as such (not_connected, token_outdated).

The model's grants end with the connection, so that one that is on its way does not reach the next incarnation; releases still may.

--- a/src/entry/key_assignment.cc
+++ b/src/entry/key_assignment.cc
@@ -38,6 +38,10 @@
       return "other_server";
     case platform::OrderStatus::kConnectionRefused:
       return "nobody_there";
+    case platform::OrderStatus::kNotConnected:
+      return "not_connected";
+    case platform::OrderStatus::kTokenOutdated:
+      return "token_outdated";
     case platform::OrderStatus::kUnknown:
       return "unknown";
   }
@@ -76,6 +80,10 @@
       return keyspace::OrderOutcome::kOtherServer;
     case platform::OrderStatus::kConnectionRefused:
       return keyspace::OrderOutcome::kConnectionRefused;
+    case platform::OrderStatus::kNotConnected:
+      return keyspace::OrderOutcome::kNotConnected;
+    case platform::OrderStatus::kTokenOutdated:
+      return keyspace::OrderOutcome::kTokenOutdated;
     case platform::OrderStatus::kRefused:
       return keyspace::OrderOutcome::kRefused;
     case platform::OrderStatus::kUnknown:
@@ -122,8 +130,11 @@
     }
     auto found = services_.find(name);
     if (found == services_.end()) {
-      found = services_.emplace(name, Service(options_)).first;
+      found = services_.emplace(name, Service(state_, options_)).first;
       found->second.term = ++last_term_;
+      // Connections that are there before the first table is written may carry
+      // the tokens of the former leader's table.
+      found->second.orders->KeepConnected(Addresses(name));
     }
     RunService(name, found->second);
   }
@@ -170,6 +181,7 @@
   }
   service.next_refresh = now + kCapacityRefresh;
   service.assigner.SetServers(Servers(name), now);
+  service.orders->KeepConnected(Addresses(name));
   if (!changed) {
     return;
   }
@@ -197,6 +209,15 @@
   return servers;
 }
 
+std::set<std::string> KeyAssignment::Addresses(
+    const std::string& service) const {
+  std::set<std::string> addresses;
+  for (const routing::BackendServer* it : state_.directory.OfService(service)) {
+    addresses.insert(it->address);
+  }
+  return addresses;
+}
+
 KeyAssignment::Service* KeyAssignment::Find(const std::string& name,
                                             std::uint64_t term) {
   const auto it = services_.find(name);
@@ -316,6 +337,7 @@
     }
     Run();
   };
+  service.orders->OnTokensAllocated(table.next_token);
   const auto content = keyspace::EncodeTable(table);
   const TimePoint deadline = state_.loop.Now() + kStoreTimeout;
   if (service.revision == 0) {
@@ -366,9 +388,10 @@
            {"error", reply.error}});
     }
     if (reply.status == platform::OrderStatus::kUnknown ||
+        reply.status == platform::OrderStatus::kNotConnected ||
         reply.status == platform::OrderStatus::kConnectionRefused) {
       state_.reachability.OnFailure(order.server, sent_at);
-    } else {
+    } else if (reply.status != platform::OrderStatus::kTokenOutdated) {
       // The connection may have been opened long ago.
       state_.reachability.OnAnswer(order.server, TimePoint{},
                                    state_.loop.Now());
@@ -380,13 +403,13 @@
   state_.metrics.Count("orders_total",
                        grant ? "kind=\"grant\"" : "kind=\"release\"");
   if (grant) {
-    platform_.Grant(
+    service.orders->Grant(
         order.address,
         {order.server, order.range, order.token, order.lease, order.handover},
         order.deadline, on_reply);
   } else {
-    platform_.Release(order.address, order.server, order.range, order.token,
-                      order.deadline, on_reply);
+    service.orders->Release(order.address, order.server, order.range,
+                            order.token, order.deadline, on_reply);
   }
 }
 
--- a/src/entry/key_assignment.h
+++ b/src/entry/key_assignment.h
@@ -7,14 +7,18 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <memory>
 #include <optional>
+#include <set>
 #include <string>
+#include <vector>
 
 #include "entry/entry_state.h"
 #include "entry/leader_election.h"
 #include "keyspace/range_assigner.h"
 #include "net/deadline_timer.h"
 #include "platform/platform_client.h"
+#include "platform/server_orders.h"
 
 namespace gentianreach::entry {
 
@@ -42,9 +46,15 @@
  private:
   // A keyed service. Exists only while this daemon is the leader.
   struct Service {
-    explicit Service(keyspace::AssignerOptions options) : assigner(options) {}
+    Service(EntryState& state, keyspace::AssignerOptions options)
+        : assigner(options),
+          orders(std::make_unique<platform::ServerOrders>(
+              state.loop,
+              state.ConnectionOptions())) {}
 
     keyspace::RangeAssigner assigner;
+    // Never null.
+    std::unique_ptr<platform::ServerOrders> orders;
     // Of the table in the store; 0 if there is none.
     std::uint64_t revision = 0;
     // The assigner works with the table of the store.
@@ -69,13 +79,15 @@
   void SendOrder(const std::string& name,
                  Service& service,
                  const keyspace::SendOrder& order);
-  // Updates the assigner's servers if the directory has changed or their
-  // capacity is due for a refresh.
+  // Updates the assigner's servers, and the connections to them, if the
+  // directory has changed or their capacity is due for a refresh.
   void UpdateServers(const std::string& name, Service& service, TimePoint now);
   // Returns the service, or null if `term` has ended.
   Service* Find(const std::string& name, std::uint64_t term);
   [[nodiscard]] std::vector<keyspace::AssignerServer> Servers(
       const std::string& service) const;
+  [[nodiscard]] std::set<std::string> Addresses(
+      const std::string& service) const;
 
   EntryState& state_;
   LeaderElection& election_;
--- a/src/keyspace/range_assigner.cc
+++ b/src/keyspace/range_assigner.cc
@@ -325,6 +325,8 @@
   if (state->in_flight != order) {
     return false;
   }
+  const bool sent = outcome != OrderOutcome::kNotConnected &&
+                    outcome != OrderOutcome::kTokenOutdated;
   const bool grant = state->purpose != OrderPurpose::kRelease;
   const bool answered = outcome != OrderOutcome::kUnknown &&
                         outcome != OrderOutcome::kConnectionRefused;
@@ -332,11 +334,14 @@
   // nothing is sent any more.
   const TimePoint arrived_at = answered ? now : now + options_.max_transit_time;
   const TimePoint lease_end = LeaseEnd(arrived_at);
-  if (grant) {
+  if (grant && sent) {
     state->held_until = std::max(state->held_until, lease_end);
   }
   state->in_flight = 0;
-  if (outcome == OrderOutcome::kUnknown) {
+  if (outcome == OrderOutcome::kNotConnected) {
+    state->next_attempt_at =
+        std::max(now, state->sent_at + options_.order_timeout);
+  } else if (outcome == OrderOutcome::kUnknown) {
     state->in_transit_until = std::max(state->in_transit_until, arrived_at);
     // A reset connection is reported long before the order's deadline, so the
     // retry waits for the full time-out.
@@ -397,6 +402,7 @@
       state->granted = true;
       break;
     case OrderOutcome::kHigherToken:
+    case OrderOutcome::kTokenOutdated:
       state->needs_new_token = true;
       break;
     case OrderOutcome::kOtherServer:
@@ -405,6 +411,7 @@
     case OrderOutcome::kConnectionRefused:
       state->needs_new_token = state->granted;
       break;
+    case OrderOutcome::kNotConnected:
     case OrderOutcome::kUnknown:
       state->unanswered_renewals = unanswered_renewals + 1;
       state->needs_new_token = state->granted && state->unanswered_renewals >=
--- a/src/keyspace/range_assigner.h
+++ b/src/keyspace/range_assigner.h
@@ -119,6 +119,9 @@
   // The connection was refused. This does not prove that the incarnation has
   // ended, since a network partition may also refuse connections.
   kConnectionRefused,
+  kNotConnected,  // Not sent, since no connection was established in time.
+  // Not sent, since an earlier incarnation may have had the token.
+  kTokenOutdated,
   kUnknown,  // No reply. The server may still execute it, even seconds later.
 };
 
--- a/src/keyspace/range_assigner_random_test.cc
+++ b/src/keyspace/range_assigner_random_test.cc
@@ -1,5 +1,6 @@
 // Randomized simulation of leaders and servers in virtual time. Orders are
-// reordered, lost and executed late; servers drain, disappear from discovery
+// reordered, lost and executed late; grants go over connections, which end with
+// the incarnation of the server; servers drain, disappear from discovery
 // and restart, also at another address; discovery lists earlier incarnations; a
 // second and a third leader take over while the first is still active.
 #include "keyspace/range_assigner.h"
@@ -115,8 +116,20 @@
       return at != other.at ? at > other.at : order > other.order;
     }
   };
+  using Holder = std::pair<ServerId, Incarnation>;
+
+  // What a leader's connections to a server reach.
+  struct Link {
+    Incarnation incarnation;
+    std::string address;
+    // The incarnation was there before this token was allocated.
+    Token lowest_token;
+  };
   struct Leader {
     RangeAssigner assigner{AssignerOptions{}};
+    std::map<ServerId, Link> links;
+    // Lowest token that no table of this leader has allocated.
+    Token next_token;
     std::uint64_t revision = 0;
     TimePoint active_until = TimePoint::max();
     TimePoint previous_leader_until{};
@@ -218,6 +231,11 @@
       }
     }
     leader.assigner.SetServers(known, now_);
+    for (const AssignerServer& it : known) {
+      if (it.address == Find(it.id).address) {
+        Connect(leader, Find(it.id));
+      }
+    }
     for (const auto& it : leader.assigner.Poll(load_, now_)) {
       if (const auto* write = std::get_if<WriteTable>(&it)) {
         Write(leader, write->table);
@@ -227,7 +245,18 @@
     }
   }
 
+  // Connects a leader to a server, unless it is connected to its incarnation.
+  static Link& Connect(Leader& leader, const FakeServer& server) {
+    Link& link = leader.links[server.id];
+    if (link.incarnation != server.incarnation ||
+        link.address != server.address) {
+      link = {server.incarnation, server.address, leader.next_token};
+    }
+    return link;
+  }
+
   void Write(Leader& leader, const OwnershipTable& table) {
+    leader.next_token = std::max(leader.next_token, table.next_token);
     if (leader.store_lost) {
       return;
     }
@@ -255,17 +284,34 @@
           RandomDuration(milliseconds(1), order.deadline - sent + kTransitTime);
     }
     const bool late = WithProbability(faults_.late);
+    const bool grant = order.kind == SendOrder::Kind::kGrant;
+    if (grant && Find(order.server).address == order.address &&
+        order.token < Connect(leader, Find(order.server)).lowest_token) {
+      Schedule(sent + kReplyTime, [this, &leader, order] {
+        leader.assigner.OnOrderReply(order.order, OrderOutcome::kTokenOutdated,
+                                     "", now_);
+      });
+      return;
+    }
+    const Incarnation connected_to = Find(order.server).incarnation;
     const TimePoint arrives = sent + transit_time;
     const bool answered = !late && arrives + kReplyTime <= order.deadline;
     const Duration execution_delay =
         late ? RandomDuration(seconds(2), seconds(12)) : Duration(0);
-    Schedule(arrives, [this, &leader, order, execution_delay, answered] {
+    Schedule(arrives, [this, &leader, order, execution_delay, answered, grant,
+                       connected_to] {
       const TimePoint arrived = now_;
       if (Find(order.server).address != order.address) {
         leader.assigner.OnOrderReply(
             order.order, OrderOutcome::kConnectionRefused, "", now_);
         return;
       }
+      if (grant && Find(order.server).incarnation != connected_to) {
+        // The connection ended with the process.
+        leader.assigner.OnOrderReply(order.order, OrderOutcome::kUnknown, "",
+                                     now_);
+        return;
+      }
       if (execution_delay == Duration(0)) {
         const auto outcome = Execute(order, arrived);
         if (answered) {
@@ -320,10 +366,18 @@
         RecordViolation("grant with an outdated token", i);
       }
       it->highest_token[i] = order.token;
-      if (until > now_) {
-        highest_tokens_[i] = std::max(highest_tokens_[i], order.token);
-        it->held_until[i] = std::max(it->held_until[i], until);
+      if (until <= now_) {
+        continue;
+      }
+      const Holder holder{it->id, it->incarnation};
+      if (order.token == highest_tokens_[i] && holder != last_holders_[i]) {
+        RecordViolation("grant with the token of another incarnation", i);
       }
+      if (order.token >= highest_tokens_[i]) {
+        highest_tokens_[i] = order.token;
+        last_holders_[i] = holder;
+      }
+      it->held_until[i] = std::max(it->held_until[i], until);
     }
     return OrderOutcome::kDone;
   }
@@ -355,7 +409,9 @@
   std::priority_queue<Event> events_;
   std::uint64_t last_event_ = 0;
   std::array<FakeServer, kServerCount> servers_;
+  // The highest token of each key, and the incarnation that has taken it.
   std::array<Token, kSampledKeys> highest_tokens_{};
+  std::array<Holder, kSampledKeys> last_holders_{};
   std::vector<std::unique_ptr<Leader>> leaders_;
   OwnershipTable table_;
   std::uint64_t revision_ = 0;
@@ -429,7 +485,7 @@
               .held_up = 0.1,
               .second_leader = true,
               .third_leader = true},
-             15);
+             15, {5086, 5319, 5472, 5942, 6383});
 }
 
 TEST_CASE("a key never has two holders while two leaders are active") {
--- a/src/proxy/server_connection.cc
+++ b/src/proxy/server_connection.cc
@@ -158,10 +158,14 @@
   }
   timer_.Clear();
   phase_ = sink_ ? Phase::kBusy : Phase::kIdle;
-  last_progress_ = loop_.Now();
+  established_at_ = loop_.Now();
+  last_progress_ = established_at_;
   // Makes Flush() emit kDrained for bytes that were queued while connecting.
   blocked_ = true;
   Flush();
+  if (phase_ == Phase::kIdle && on_established) {
+    on_established();
+  }
 }
 
 void ServerConnection::OnTimer() {
--- a/src/proxy/server_connection.h
+++ b/src/proxy/server_connection.h
@@ -69,6 +69,9 @@
   ServerConnection(const ServerConnection&) = delete;
   ServerConnection& operator=(const ServerConnection&) = delete;
 
+  // Called once when the connection has been established without a request.
+  std::function<void()> on_established;
+
   // Starts connecting to `address` ("IP:port"). A failure is reported to the
   // sink passed to Start().
   void Connect(const std::string& address);
@@ -111,6 +114,9 @@
   [[nodiscard]] std::size_t unsent() const { return out_.size(); }
   // Returns when the connection began to be opened.
   [[nodiscard]] TimePoint opened_at() const { return opened_at_; }
+  // Returns when this side learned that the connection is established;
+  // TimePoint::max() before that.
+  [[nodiscard]] TimePoint established_at() const { return established_at_; }
   // Returns the number of final responses whose heads have arrived on this
   // connection, including those that were skipped.
   [[nodiscard]] std::uint64_t responses() const { return responses_; }
@@ -167,6 +173,7 @@
   bool skipping_ = false;
   std::uint64_t responses_ = 0;
   TimePoint opened_at_;
+  TimePoint established_at_ = TimePoint::max();
   TimePoint last_progress_;
   TimePoint send_until_ = TimePoint::max();
   ServerFailure failure_ = ServerFailure::kNone;
--- a/standins/soup_server.h
+++ b/standins/soup_server.h
@@ -73,6 +73,19 @@
   ReplyBytes(message, status, json.dump(), {}, "application/json");
 }
 
+// Returns the address of the client's end of the connection of `message`, or an
+// empty string if the client has reset it.
+inline std::string ClientAddress(SoupServerMessage* message) {
+  GSocketAddress* remote = soup_server_message_get_remote_address(message);
+  if (remote == nullptr) {
+    return {};
+  }
+  char* address = g_socket_connectable_to_string(G_SOCKET_CONNECTABLE(remote));
+  std::string result(address);
+  g_free(address);
+  return result;
+}
+
 // Closes the connection of `message` without a response.
 inline void DropConnection(SoupServerMessage* message) {
   GSocket* socket = soup_server_message_get_socket(message);
@@ -173,13 +186,16 @@
   return port;
 }
 
-// Passes the requests that arrive at any free port of 127.0.0.1 to `handler`,
-// which must outlive the server. Returns "127.0.0.1:PORT".
-inline std::string ListenOnLoopback(SoupServer* server, Handler& handler) {
+// Passes the requests that arrive at `port` of 127.0.0.1, or at any free one if
+// it is 0, to `handler`, which must outlive the server. Returns
+// "127.0.0.1:PORT".
+inline std::string ListenOnLoopback(SoupServer* server,
+                                    Handler& handler,
+                                    guint port = 0) {
   soup_server_add_handler(server, nullptr, &internal::OnRequest, &handler,
                           nullptr);
   GENTIANREACH_CHECK(soup_server_listen_local(
-      server, 0, SOUP_SERVER_LISTEN_IPV4_ONLY, nullptr));
+      server, port, SOUP_SERVER_LISTEN_IPV4_ONLY, nullptr));
   return "127.0.0.1:" + std::to_string(PortOf(server));
 }
 
