HttpClient sends a call that is no read at most once

If a pooled connection closes before the response, libsoup 3.2.3 sends an idempotent call (PUT, DELETE, OPTIONS) again on another connection. The body has been read to its end by then: a PUT is repeated with Content-Length 0, a DELETE with a body hangs until its deadline. A call of any method, so also an order (POST), that is answered with 421 is repeated without its body, too, and a redirected PUT goes on as a GET. Callers of PlatformClient and StoreClient saw kOk for a write that replaced the object's content by nothing, without its condition. If the second connection was refused, they were told that the call had not been sent, although its first copy may have arrived.

Such a call now ends on the signal "restarted", which libsoup emits before it queues the call again: with the response that has arrived, or without one and as one that may have taken effect. libsoup checks the cancellable before it connects and before each write, so no byte of the second copy is sent, also if another kept connection is free. Reads are still repeated if their connection closes: they change nothing and have no body. Redirects and authentication are off, since no protocol of the callers has them.

--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -25,6 +25,10 @@
          g_error_matches(&error, G_IO_ERROR, G_IO_ERROR_NETWORK_UNREACHABLE);
 }
 
+bool IsRead(const HttpCall& call) {
+  return (call.method == "GET" || call.method == "HEAD") && call.body.empty();
+}
+
 HttpResponse ToHttpResponse(SoupMessage* message,
                             GBytes* bytes,
                             const GError* error,
@@ -37,8 +41,10 @@
   }
   response.status = static_cast<int>(soup_message_get_status(message));
   gsize size = 0;
-  const auto* data = static_cast<const char*>(g_bytes_get_data(bytes, &size));
-  response.body.assign(data == nullptr ? "" : data, size);
+  if (bytes != nullptr) {
+    const auto* data = static_cast<const char*>(g_bytes_get_data(bytes, &size));
+    response.body.assign(data == nullptr ? "" : data, size);
+  }
   SoupMessageHeaders* headers = soup_message_get_response_headers(message);
   const char* etag = soup_message_headers_get_one(headers, "ETag");
   response.etag = etag == nullptr ? "" : etag;
@@ -82,9 +88,27 @@
   GObjectPtr<GCancellable> cancellable;
   Timer timer;
   std::string wanted_header;
+  bool is_read = false;
+  // Set if libsoup was about to send the call again.
+  std::optional<HttpResponse> response;
   HttpCallback done;
 };
 
+void HttpClient::OnRestarted(SoupMessage* message, gpointer data) {
+  auto* call = static_cast<PendingCall*>(data);
+  if (soup_message_get_status(message) != SOUP_STATUS_NONE) {
+    // For example 421, which libsoup retries.
+    call->response =
+        ToHttpResponse(message, nullptr, nullptr, call->wanted_header);
+  } else if (call->is_read) {
+    return;
+  } else {
+    call->response = {.error = "connection closed before the response"};
+  }
+  // libsoup checks this before it connects and before each write.
+  g_cancellable_cancel(call->cancellable.get());
+}
+
 void HttpClient::OnDone(GObject* session, GAsyncResult* result, gpointer data) {
   const std::unique_ptr<PendingCall> call(static_cast<PendingCall*>(data));
   GError* raw_error = nullptr;
@@ -92,11 +116,14 @@
                                                           result, &raw_error));
   const GErrorPtr error(raw_error);
   call->timer.Cancel();
+  g_signal_handlers_disconnect_by_data(call->message.get(), call.get());
   if (!*call->client_alive) {
     return;
   }
-  HttpResponse response = ToHttpResponse(call->message.get(), bytes.get(),
-                                         error.get(), call->wanted_header);
+  HttpResponse response =
+      call->response ? *std::move(call->response)
+                     : ToHttpResponse(call->message.get(), bytes.get(),
+                                      error.get(), call->wanted_header);
   if (response.status == 0 && response.may_have_arrived) {
     std::erase_if(call->client->sessions_, [&](const auto& it) {
       return it.second.session.get() == SOUP_SESSION(session);
@@ -129,6 +156,7 @@
         "max-conns", kMaxConnectionsPerServer, "max-conns-per-host",
         kMaxConnectionsPerServer, "idle-timeout", kIdleSeconds, "local-address",
         source_address_.get(), nullptr));
+    soup_session_remove_feature_by_type(session.get(), SOUP_TYPE_AUTH_MANAGER);
     known = sessions_.emplace(server, Session{std::move(session), {}}).first;
   }
   known->second.expires_at = now + kSessionTimeout;
@@ -146,6 +174,7 @@
     FailUnsent(done, "not a URL: " + call.url);
     return;
   }
+  soup_message_add_flags(message, SOUP_MESSAGE_NO_REDIRECT);
   g_signal_connect(message, "network-event", G_CALLBACK(&OnNetworkEvent),
                    nullptr);
   auto pending = std::make_unique<PendingCall>();
@@ -167,6 +196,9 @@
   if (call.new_connection) {
     soup_message_add_flags(message, SOUP_MESSAGE_NEW_CONNECTION);
   }
+  pending->is_read = IsRead(call);
+  g_signal_connect(message, "restarted", G_CALLBACK(&HttpClient::OnRestarted),
+                   pending.get());
   GCancellable* cancellable = pending->cancellable.get();
   pending->timer.Set(call.deadline,
                      [cancellable] { g_cancellable_cancel(cancellable); });
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -1,8 +1,11 @@
 // HTTP client for the platform's APIs and for orders, based on libsoup.
 //
-// libsoup may resend a request by itself if a pooled connection closes early,
-// so this client is for idempotent calls only: reads, conditional updates that
-// carry a write id, and orders. It must not be used for callers' requests.
+// A call is sent at most once, except reads (GET and HEAD without a body): if a
+// pooled connection closes before the response, libsoup sends these again on
+// another connection until the deadline, since they change nothing and have no
+// body that could be lost. Any other call then ends without a response, and may
+// have taken effect. Redirects are not followed, and no response makes libsoup
+// send a call again.
 #ifndef SRC_NET_HTTP_CLIENT_H_
 #define SRC_NET_HTTP_CLIENT_H_
 
@@ -45,6 +48,7 @@
   std::string etag;
   // Value of HttpCall::wanted_header; empty if the response has no such header.
   std::string header;
+  // Empty for responses after which libsoup would send the call again (421).
   std::string body;
 };
 
@@ -77,6 +81,8 @@
     TimePoint expires_at;
   };
 
+  // Ends the call `data` unless libsoup may send it again.
+  static void OnRestarted(SoupMessage* message, gpointer data);
   // Ends the call `data`.
   static void OnDone(GObject* session, GAsyncResult* result, gpointer data);
 
--- a/src/store/store_client_test.cc
+++ b/src/store/store_client_test.cc
@@ -4,6 +4,9 @@
 
 #include <optional>
 #include <string>
+#include <vector>
+
+#include "standins/soup_server.h"
 
 namespace gentianreach {
 namespace {
@@ -43,8 +46,7 @@
   GObjectPtr<SoupServer> server_;
 };
 
-StoreStatus WriteTo(const std::string& url) {
-  StoreClient client(url);
+StoreStatus WriteTo(StoreClient& client) {
   std::optional<StoreStatus> status;
   client.Write("cells/main", ObjectVersion(1), "bytes",
                MonotonicClock().Now() + std::chrono::seconds(10),
@@ -55,6 +57,11 @@
   return *status;
 }
 
+StoreStatus WriteTo(const std::string& url) {
+  StoreClient client(url);
+  return WriteTo(client);
+}
+
 TEST_CASE("a failed write is kUnavailable only if it certainly had no effect") {
   const StatusServer failing(503);
   CHECK(WriteTo(failing.Url()) == StoreStatus::kUnknown);
@@ -75,5 +82,51 @@
   CHECK(WriteTo(url) == StoreStatus::kUnavailable);
 }
 
+// Store that drops the connection of the first write.
+class DroppingServer {
+ public:
+  DroppingServer()
+      : server_(GObjectPtr<SoupServer>::Adopt(
+            soup_server_new("server-header", "test", nullptr))),
+        handler_([this](SoupServerMessage* message,
+                        const standins::Request& request) {
+          Handle(message, request);
+        }),
+        url_("http://" + standins::ListenOnLoopback(server_.get(), handler_)) {}
+
+  [[nodiscard]] const std::string& Url() const { return url_; }
+  // Returns the bodies of all writes.
+  [[nodiscard]] const std::vector<std::string>& writes() const {
+    return writes_;
+  }
+
+ private:
+  void Handle(SoupServerMessage* message, const standins::Request& request) {
+    if (request.method == "PUT") {
+      writes_.push_back(request.body);
+      if (writes_.size() == 1) {
+        standins::DropConnection(message);
+        return;
+      }
+    }
+    standins::ReplyBytes(message, 200, "", {{"ETag", "\"2\""}});
+  }
+
+  GObjectPtr<SoupServer> server_;
+  standins::Handler handler_;
+  std::string url_;
+  std::vector<std::string> writes_;
+};
+
+TEST_CASE("a write whose kept connection closes is not repeated without body") {
+  const DroppingServer server;
+  StoreClient client(server.Url());
+  REQUIRE_FALSE(
+      client.CheckConnection(MonotonicClock().Now() + std::chrono::seconds(10))
+          .has_value());
+  CHECK(WriteTo(client) == StoreStatus::kUnknown);
+  CHECK(server.writes() == std::vector<std::string>{"bytes"});
+}
+
 }  // namespace
 }  // namespace gentianreach
