A leader that finds a later epoch in a table sends no more orders

A conflict, or a read, that returned a table of a later leader stopped the orders for the keys of that service only. Orders for the other services went on until the leader record was checked, or, if the store did not answer that check, until the lease of the leader ended.

LeaderElection now notes that the term is in doubt, and KeyAssignment does nothing until the record has been checked by a call that was sent afterwards. The line later_leader_found names both epochs, also for conflicts.

--- a/src/entry/key_assignment.cc
+++ b/src/entry/key_assignment.cc
@@ -84,6 +84,13 @@
   return keyspace::OrderOutcome::kUnknown;
 }
 
+// Returns the table in `reply`, if there is one that can be decoded.
+std::optional<keyspace::OwnershipTable> StoredTable(
+    const platform::ObjectReply& reply) {
+  return reply.object ? keyspace::DecodeTable(reply.object->content())
+                      : std::nullopt;
+}
+
 }  // namespace
 
 keyspace::AssignerOptions AssignerOptionsFor(milliseconds longest_lease) {
@@ -112,7 +119,7 @@
     services_.clear();
     return;
   }
-  if (!state_.routes) {
+  if (!state_.routes || election_.term_in_doubt()) {
     return;
   }
   running_ = true;
@@ -204,6 +211,19 @@
                                                           : &it->second;
 }
 
+void KeyAssignment::CheckEpoch(const std::string& name,
+                               const keyspace::OwnershipTable& table) {
+  const Epoch epoch = election_.record().epoch;
+  if (table.epoch <= epoch) {
+    return;
+  }
+  Log(LogLevel::kWarning, "later_leader_found",
+      {{"service", name},
+       {"epoch", epoch.value()},
+       {"later", table.epoch.value()}});
+  election_.OnStoredEpoch(table.epoch, state_.loop.Now());
+}
+
 void KeyAssignment::ReadTable(const std::string& name, Service& service) {
   service.reading = true;
   platform_.Read(
@@ -238,6 +258,7 @@
           if (on_table) {
             on_table(*reply.object);
           }
+          CheckEpoch(name, *table);
         }
         const auto unconfirmed =
             std::exchange(service->unconfirmed, std::nullopt);
@@ -258,7 +279,6 @@
             service->assigner.Begin(std::move(table), election_.record().epoch,
                                     election_.previous_leader_until(), now);
         if (!service->begun) {
-          Log(LogLevel::kWarning, "later_leader_found", {{"service", name}});
           service->next_read = now + kStoreRetryDelay;
           election_.OnNewerEpochSeen(now);
         }
@@ -311,6 +331,9 @@
         // Another leader has written the table.
         service->assigner.OnWriteFailed(now + kStoreRetryDelay);
         election_.OnNewerEpochSeen(now);
+        if (const auto stored = StoredTable(reply)) {
+          CheckEpoch(name, *stored);
+        }
         service->begun = false;
         service->next_read = now + kStoreRetryDelay / 4;
     }
--- a/src/entry/key_assignment.h
+++ b/src/entry/key_assignment.h
@@ -62,6 +62,10 @@
   };
 
   void RunService(const std::string& name, Service& service);
+  // Handles a table that was found in the store, in case a later leader has
+  // written it.
+  void CheckEpoch(const std::string& name,
+                  const keyspace::OwnershipTable& table);
   void ReadTable(const std::string& name, Service& service);
   void WriteTable(const std::string& name,
                   Service& service,
--- a/src/entry/leader_election.cc
+++ b/src/entry/leader_election.cc
@@ -109,6 +109,7 @@
   if (!call) {
     return;
   }
+  const bool doubt_after_call = std::exchange(doubt_after_call_, false);
   if (outcome == ElectionOutcome::kUnavailable ||
       outcome == ElectionOutcome::kUnknown) {
     if (outcome == ElectionOutcome::kUnknown) {
@@ -151,6 +152,10 @@
       replaced_leaders_.clear();
     }
     verified_at_ = sent_at_;
+    if (doubt_after_call) {
+      term_in_doubt_ = true;
+      must_verify_ = true;
+    }
     return;
   }
   if (resigning_ && was_leader) {
@@ -177,6 +182,7 @@
   record_known_ = true;
   record_absent_ = false;
   must_verify_ = false;
+  term_in_doubt_ = false;
   takeover_due_ = false;
 }
 
@@ -225,6 +231,15 @@
   next_call_ = std::min(next_call_, now);
 }
 
+void LeaderElection::OnStoredEpoch(Epoch epoch, TimePoint now) {
+  if (!record_known_ || epoch <= record_.epoch) {
+    return;
+  }
+  term_in_doubt_ = true;
+  doubt_after_call_ = in_flight_.has_value();
+  OnNewerEpochSeen(now);
+}
+
 void LeaderElection::OnFollowerMessage(const std::string& name,
                                        Epoch epoch,
                                        TimePoint now) {
--- a/src/entry/leader_election.h
+++ b/src/entry/leader_election.h
@@ -119,6 +119,9 @@
   // Another daemon reported a later epoch. Checks the record in the store as
   // soon as possible.
   void OnNewerEpochSeen(TimePoint now);
+  // Handles an object in the store that the leader of `epoch` has written. If
+  // that is a later epoch than this daemon's, its term is in doubt.
+  void OnStoredEpoch(Epoch epoch, TimePoint now);
   // Handles a message of a daemon that follows the leader of `epoch`. A
   // replaced leader no longer acts if it, or its next incarnation, follows the
   // current one. Messages of earlier terms may be late.
@@ -134,6 +137,9 @@
   // Returns whether this daemon is the leader, is not stepping down, and its
   // lease has not expired.
   [[nodiscard]] bool IsLeader(TimePoint now) const;
+  // Returns whether a later epoch has been found in the store and the record
+  // has not been checked since. A leader sends no orders then.
+  [[nodiscard]] bool term_in_doubt() const { return term_in_doubt_; }
   // Returns the time until which previous leaders may still act.
   [[nodiscard]] TimePoint previous_leader_until() const {
     return previous_leader_until_;
@@ -172,6 +178,9 @@
   bool record_absent_ = false;
   // The next call must check the record, even if no check is due yet.
   bool must_verify_ = false;
+  bool term_in_doubt_ = false;
+  // The call in flight was sent before the term came into doubt.
+  bool doubt_after_call_ = false;
   // The store has confirmed that the leader to replace is still the current
   // one.
   bool takeover_due_ = false;
--- a/src/entry/leader_election_test.cc
+++ b/src/entry/leader_election_test.cc
@@ -388,5 +388,36 @@
   CHECK(chain.a.previous_leader_until() == later);
 }
 
+TEST_CASE("a later epoch in the store puts the term in doubt until a check") {
+  Store store;
+  LeaderElection a = Daemon("a");
+  store.Serve(a, kStart);
+  a.OnStoredEpoch(Epoch(1), kStart);
+  CHECK_FALSE(a.term_in_doubt());
+  a.OnStoredEpoch(Epoch(2), kStart);
+  CHECK(a.term_in_doubt());
+  store.down = true;
+  store.Serve(a, kStart);
+  CHECK(a.term_in_doubt());
+  store.down = false;
+  store.Serve(a, kStart + seconds(2));
+  CHECK_FALSE(a.term_in_doubt());
+  CHECK(a.IsLeader(kStart + seconds(2)));
+}
+
+TEST_CASE("a check that was sent before a later epoch was found is repeated") {
+  Store store;
+  LeaderElection a = Daemon("a");
+  store.Serve(a, kStart);
+  a.OnNewerEpochSeen(kStart);
+  const auto call = a.Poll(kStart);
+  REQUIRE(call.has_value());
+  a.OnStoredEpoch(Epoch(2), kStart);
+  a.OnReply(ElectionOutcome::kOk, call->record, store.revision, kStart);
+  CHECK(a.term_in_doubt());
+  store.Serve(a, kStart);
+  CHECK_FALSE(a.term_in_doubt());
+}
+
 }  // namespace
 }  // namespace gentianreach::entry
