--- a/src/net/http_client_test.cc
+++ b/src/net/http_client_test.cc
@@ -189,11 +189,16 @@
   BreakingServer& operator=(const BreakingServer&) = delete;
   ~BreakingServer() {
     StopListening();
+    CloseConnections();
+  }
+
+  // Ends the connection of the next GET like that of the first other request.
+  void BreakNextRead() { break_next_read_ = true; }
+  void CloseConnections() {
     for (auto& it : connections_) {
       it.Close();
     }
   }
-
   void StopListening() {
     g_socket_service_stop(service_.get());
     g_socket_listener_close(G_SOCKET_LISTENER(service_.get()));
@@ -291,10 +296,13 @@
       return false;
     }
     const std::string method = unread.substr(0, unread.find(' '));
-    const bool breaks = method != "GET" && writes_.empty();
+    const bool breaks = method == "GET" ? std::exchange(break_next_read_, false)
+                                        : writes_.empty();
     if (breaks &&
         (end_ == End::kClosedAfterHead || end_ == End::kResetAfterHead)) {
-      writes_.push_back(method + " ");
+      if (method != "GET") {
+        writes_.push_back(method + " ");
+      }
       unread.clear();
       Break(connection);
       return true;
@@ -354,6 +362,7 @@
   const GObjectPtr<GSocketService> service_;
   std::list<Connection> connections_;
   std::vector<std::string> writes_;
+  bool break_next_read_ = false;
 };
 
 // Runs the main context for longer than a call on loopback takes.
@@ -474,5 +483,33 @@
   }
 }
 
+TEST_CASE("a read whose kept connection ends without a response is repeated") {
+  for (const End end : {End::kClosedAfterHead, End::kResetAfterHead}) {
+    CAPTURE(static_cast<int>(end));
+    BreakingServer server(202, end);
+    HttpClient client;
+    OpenConnections(client, server, 1);
+    server.BreakNextRead();
+    CHECK(client.SendAndWait(server.Call("GET")).status == 200);
+    CHECK(server.connections() == 2);
+  }
+}
+
+TEST_CASE("a call is not sent on a kept connection that was closed before") {
+  for (const bool noticed : {false, true}) {
+    CAPTURE(noticed);
+    BreakingServer server(202, End::kRedirected);
+    HttpClient client;
+    OpenConnections(client, server, 3);
+    server.CloseConnections();
+    if (noticed) {
+      RunMainContext();
+    }
+    CHECK(client.SendAndWait(server.Call("PUT", "x")).status == 303);
+    CHECK(server.writes() == std::vector<std::string>{"PUT x"});
+    CHECK(server.connections() == 4);
+  }
+}
+
 }  // namespace
 }  // namespace gentianreach
