A leader record that cannot be read is replaced by a later term

What callers saw: once the leader record in the store could not be decoded (spec null after a damaged write), nobody led from then on: the leader acted until its lease of 12 s ended, every daemon logged leader_record_unreadable until the end, and keys whose server left or lapsed stayed without an owner.

Cause: RunElection passed such a record on as a store that cannot be reached, which nobody may replace.

The daemon that finds the record replaces it, under its revision, by a term above that revision, with an earlier leader without a name: no lost term can have had a later epoch, and whoever it named is waited for.

--- a/src/entry/entry_daemon.cc
+++ b/src/entry/entry_daemon.cc
@@ -487,23 +487,32 @@
     if (!call) {
       return;
     }
-    const auto on_reply = [this](const platform::ObjectReply& reply) {
+    const auto on_reply = [this, call](const platform::ObjectReply& reply) {
       std::optional<LeaderRecord> record;
       auto outcome = ToElectionOutcome(reply.status);
       if (reply.object) {
         record = DecodeLeader(reply.object->content());
         if (!record) {
           Log(LogLevel::kError, "leader_record_unreadable",
-              {{"revision", reply.object->revision}});
-          outcome = ElectionOutcome::kUnavailable;
+              {{"revision", reply.object->revision},
+               {"content", Excerpt(reply.object->content())}});
+          outcome = ElectionOutcome::kUnreadable;
         }
       }
+      if (call->replaces_unreadable && outcome == ElectionOutcome::kOk) {
+        Log(LogLevel::kWarning, "leader_record_replaced",
+            {{"revision", call->revision},
+             {"epoch", record->epoch.value()},
+             {"leader", record->leader.name}});
+      }
       const TimePoint now = loop_.Now();
       const bool led = election_.IsLeader(now);
+      const Epoch epoch = election_.record().epoch;
       election_.OnReply(outcome, record,
                         reply.object ? reply.object->revision : 0, now);
-      if (led != election_.IsLeader(now)) {
-        Log(LogLevel::kInfo, led ? "lead_lost" : "lead_taken",
+      const bool leads = election_.IsLeader(now);
+      if (leads != led || (leads && election_.record().epoch != epoch)) {
+        Log(LogLevel::kInfo, leads ? "lead_taken" : "lead_lost",
             {{"epoch", election_.record().epoch.value()},
              {"leader", election_.record().leader.name},
              {"earlier_leaders", election_.replaced_leaders().size()},
--- a/src/entry/key_assignment.cc
+++ b/src/entry/key_assignment.cc
@@ -108,8 +108,13 @@
     return;
   }
   const TimePoint now = state_.loop.Now();
-  if (!election_.IsLeader(now)) {
+  // Between two terms of this daemon, another one may have led.
+  const Epoch epoch = election_.record().epoch;
+  const bool new_term = std::exchange(epoch_, epoch) != epoch;
+  if (!election_.IsLeader(now) || new_term) {
     services_.clear();
+  }
+  if (!election_.IsLeader(now)) {
     return;
   }
   if (!state_.routes) {
--- a/src/entry/key_assignment.h
+++ b/src/entry/key_assignment.h
@@ -82,6 +82,8 @@
   platform::PlatformClient& platform_;
   const keyspace::AssignerOptions options_;
   std::map<std::string, Service> services_;
+  // Of the term that `services_` is for.
+  Epoch epoch_;
   std::uint64_t last_term_ = 0;
   bool running_ = false;
   net::DeadlineTimer timer_;
--- a/src/entry/leader_election.cc
+++ b/src/entry/leader_election.cc
@@ -24,7 +24,11 @@
     return std::nullopt;
   }
   std::optional<ElectionCall> call;
-  if (!record_known_) {
+  if (unreadable_revision_ != 0 && !resigning_) {
+    if (now >= ReplaceUnreadableTime()) {
+      call = ReplaceUnreadable();
+    }
+  } else if (!record_known_) {
     if (!record_absent_) {
       call = ElectionCall{.kind = ElectionCall::Kind::kRead};
     } else if (!resigning_) {
@@ -90,6 +94,30 @@
           .revision = revision_};
 }
 
+TimePoint LeaderElection::ReplaceUnreadableTime() const {
+  if (!knows_leader()) {
+    // A leader may be heard of before that, and replaces the record itself.
+    return unreadable_since_ + options_.leader_timeout;
+  }
+  return IsSelf(record_.leader) || leader_unfit_ ? unreadable_since_
+                                                 : TakeoverTime();
+}
+
+ElectionCall LeaderElection::ReplaceUnreadable() const {
+  // Each term costs at least one revision, so no record before this revision
+  // can have had a later epoch.
+  const Epoch latest = std::max(record_.epoch, Epoch(unreadable_revision_));
+  LeaderRecord next{latest.Next(), self_, {Member{}}};
+  // The leader is named, too, so that it is told of its replacement.
+  if (knows_leader() && record_.leader.name != self_.name) {
+    next.earlier_leaders.push_back(record_.leader);
+  }
+  return {.kind = ElectionCall::Kind::kReplace,
+          .record = std::move(next),
+          .revision = unreadable_revision_,
+          .replaces_unreadable = true};
+}
+
 ElectionCall LeaderElection::Rewrite(const Member& leader,
                                      TimePoint now) const {
   LeaderRecord record{record_.epoch, leader};
@@ -109,19 +137,23 @@
   if (!call) {
     return;
   }
+  if (outcome == ElectionOutcome::kUnreadable) {
+    OnUnreadable(revision, now);
+    return;
+  }
   if (outcome == ElectionOutcome::kUnavailable ||
       outcome == ElectionOutcome::kUnknown) {
     if (outcome == ElectionOutcome::kUnknown) {
       // The write may have taken effect, so the record is checked first.
       record_known_ = record_known_ && IsSelf(record_.leader);
+      unreadable_revision_ = 0;
       must_verify_ = true;
     }
-    next_call_ = now + retry_delay_;
-    retry_delay_ =
-        std::min<Duration>(retry_delay_ * 2, options_.longest_retry_delay);
+    DelayNextCall(now);
     return;
   }
   retry_delay_ = options_.first_retry_delay;
+  unreadable_revision_ = 0;
   if (outcome == ElectionOutcome::kAbsent) {
     record_absent_ = true;
     record_known_ = false;
@@ -141,12 +173,13 @@
                               !IsSelf(record->leader);
   Adopt(*record, revision, now);
   if (IsSelf(record_.leader)) {
-    if (!was_leader) {
+    if (!was_leader || !record_.IsSameTerm(previous)) {
       // The leases of previous leaders count from calls that were sent before
       // this one took effect.
       replaced_leaders_ = record_.earlier_leaders;
       previous_leader_until_ =
           replaced_leaders_.empty() ? now : now + options_.leader_lease;
+      leader_unfit_ = false;
     } else if (now >= previous_leader_until_) {
       replaced_leaders_.clear();
     }
@@ -166,6 +199,25 @@
   }
 }
 
+void LeaderElection::OnUnreadable(std::uint64_t revision, TimePoint now) {
+  if (resigning_) {
+    resigned_ = true;
+    return;
+  }
+  if (std::exchange(unreadable_revision_, revision) == 0) {
+    unreadable_since_ = now;
+    return;
+  }
+  // The write that was to replace the record has not made it readable.
+  DelayNextCall(now);
+}
+
+void LeaderElection::DelayNextCall(TimePoint now) {
+  next_call_ = now + retry_delay_;
+  retry_delay_ =
+      std::min<Duration>(retry_delay_ * 2, options_.longest_retry_delay);
+}
+
 void LeaderElection::Adopt(const LeaderRecord& record,
                            std::uint64_t revision,
                            TimePoint now) {
@@ -176,6 +228,7 @@
   revision_ = revision;
   record_known_ = true;
   record_absent_ = false;
+  unreadable_revision_ = 0;
   must_verify_ = false;
   takeover_due_ = false;
 }
--- a/src/entry/leader_election.h
+++ b/src/entry/leader_election.h
@@ -69,6 +69,7 @@
   Kind kind = Kind::kRead;
   LeaderRecord record;         // For writes: the new content.
   std::uint64_t revision = 0;  // For kReplace: the expected revision.
+  bool replaces_unreadable = false;
 };
 
 // The result of a store call.
@@ -76,6 +77,7 @@
   kOk,
   kAbsent,
   kConflict,
+  kUnreadable,  // The store has a record that cannot be decoded.
   kUnavailable,
   kUnknown,
 };
@@ -87,7 +89,8 @@
 // Two daemons may both act as leader for a while. Conditional writes to the
 // store and the fencing tokens of the grants make that safe. A new leader
 // learns from previous_leader_until() how long its predecessors may still act:
-// the record lists all of them that may.
+// the record lists all of them that may. A record that cannot be read may have
+// named any leader, so its successor waits a whole lease for all of them.
 class LeaderElection {
  public:
   LeaderElection(Member self, ElectionOptions options);
@@ -96,7 +99,7 @@
   // OnReply(); no further call is returned before that.
   [[nodiscard]] std::optional<ElectionCall> Poll(TimePoint now);
   // Handles the result of a store call. `record` and `revision` are the current
-  // state of the store, if known.
+  // state of the store, if known. For kUnreadable, there is only a revision.
   void OnReply(ElectionOutcome outcome,
                const std::optional<LeaderRecord>& record,
                std::uint64_t revision,
@@ -152,9 +155,18 @@
 
  private:
   [[nodiscard]] bool IsSelf(const Member& member) const;
+  void OnUnreadable(std::uint64_t revision, TimePoint now);
+  // Delays the next call after one that failed.
+  void DelayNextCall(TimePoint now);
   void Adopt(const LeaderRecord& record, std::uint64_t revision, TimePoint now);
   // Returns the call that writes the record of this daemon's next term.
   [[nodiscard]] ElectionCall TakeOver(TimePoint now) const;
+  // Returns the call that replaces a record that cannot be read by one of this
+  // daemon's next term.
+  [[nodiscard]] ElectionCall ReplaceUnreadable() const;
+  // Returns when this daemon replaces a record that cannot be read if no
+  // heartbeat arrives.
+  [[nodiscard]] TimePoint ReplaceUnreadableTime() const;
   // Returns the call that writes `leader` to the record of the current term.
   [[nodiscard]] ElectionCall Rewrite(const Member& leader, TimePoint now) const;
   // Returns when this daemon replaces the leader if no heartbeat arrives.
@@ -170,6 +182,9 @@
   // When this daemon first knew the term of `record_`.
   TimePoint term_known_since_{};
   bool record_absent_ = false;
+  // The revision of the record in the store if it cannot be read, otherwise 0.
+  std::uint64_t unreadable_revision_ = 0;
+  TimePoint unreadable_since_{};
   // The next call must check the record, even if no check is due yet.
   bool must_verify_ = false;
   // The store has confirmed that the leader to replace is still the current
--- a/src/entry/leader_election_test.cc
+++ b/src/entry/leader_election_test.cc
@@ -21,6 +21,14 @@
   std::uint64_t revision = 0;
   bool down = false;
 
+  // Replaces the record by one that cannot be read.
+  void Wipe() {
+    record.reset();
+    unreadable_ = true;
+    ++revision;
+  }
+  [[nodiscard]] bool unreadable() const { return unreadable_; }
+
   // Makes the store calls that the election requests. If `answered` is false,
   // the results of writes are lost.
   void Serve(LeaderElection& election, TimePoint now, bool answered = true) {
@@ -42,24 +50,34 @@
   ElectionOutcome CarryOut(const ElectionCall& call) {
     switch (call.kind) {
       case ElectionCall::Kind::kRead:
+        if (unreadable_) {
+          return ElectionOutcome::kUnreadable;
+        }
         return record ? ElectionOutcome::kOk : ElectionOutcome::kAbsent;
       case ElectionCall::Kind::kCreate:
+        if (unreadable_) {
+          return ElectionOutcome::kUnreadable;
+        }
         if (record) {
           return ElectionOutcome::kConflict;
         }
         break;
       case ElectionCall::Kind::kReplace:
         if (call.revision != revision) {
-          return ElectionOutcome::kConflict;
+          return unreadable_ ? ElectionOutcome::kUnreadable
+                             : ElectionOutcome::kConflict;
         }
         break;
     }
+    unreadable_ = false;
     if (record != call.record) {
       record = call.record;
       ++revision;
     }
     return ElectionOutcome::kOk;
   }
+
+  bool unreadable_ = false;
 };
 
 LeaderElection Daemon(const std::string& name, std::uint64_t incarnation = 1) {
@@ -388,5 +406,119 @@
   CHECK(chain.a.previous_leader_until() == later);
 }
 
+TEST_CASE("an unreadable record is replaced, with a wait for any leader") {
+  UnawareLeader chain;
+  const LeaderRecord lost = *chain.store.record;
+  chain.store.Wipe();
+  LeaderElection c = Daemon("c");
+  c.OnLeaderHeartbeat(lost, 0, kReplacementOfA);
+  const TimePoint later = kReplacementOfA + seconds(1);
+  chain.store.Serve(c, later);
+  REQUIRE(c.IsLeader(later));
+  CHECK(c.record().epoch > lost.epoch);
+  // The daemons that are heard of are not all that may act.
+  c.OnFollowerMessage("a", c.record().epoch, later);
+  c.OnFollowerMessage("b", c.record().epoch, later);
+  CHECK(c.previous_leader_until() == later + kLeaderLease);
+  // So does the successor.
+  c.Resign();
+  chain.store.Serve(c, later);
+  LeaderElection d = Daemon("d");
+  chain.store.Serve(d, later);
+  REQUIRE(d.IsLeader(later));
+  CHECK(d.previous_leader_until() == later + kLeaderLease);
+}
+
+TEST_CASE("a leader whose record became unreadable begins a new term") {
+  UnawareLeader chain;
+  const Epoch lost = chain.store.record->epoch;
+  chain.store.Wipe();
+  // `a` does not know of the term of `b`, whose record is lost.
+  const TimePoint later = kReplacementOfA + seconds(1);
+  REQUIRE(chain.a.IsLeader(later));
+  chain.store.Serve(chain.a, later);
+  CHECK(chain.a.IsLeader(later));
+  CHECK(chain.a.record().epoch > lost);
+  CHECK(chain.a.previous_leader_until() == later + kLeaderLease);
+  const TimePoint verified = later + seconds(3);
+  chain.store.Serve(chain.b, verified);
+  CHECK_FALSE(chain.b.IsLeader(verified));
+  CHECK(chain.b.record() == *chain.store.record);
+}
+
+TEST_CASE("a leader whose record stays unreadable acts until its lease ends") {
+  Store store;
+  LeaderElection a = Daemon("a");
+  store.Serve(a, kStart);
+  int calls = 0;
+  for (TimePoint now = kStart; now <= kStart + kLeaderLease;
+       now += milliseconds(100)) {
+    CHECK(a.IsLeader(now) == (now < kStart + kLeaderLease));
+    while (a.Poll(now)) {
+      ++calls;
+      a.OnReply(ElectionOutcome::kUnreadable, std::nullopt, calls + 1, now);
+    }
+  }
+  CHECK(calls < 12);
+}
+
+TEST_CASE("an unreadable record is left to a leader that is heard of") {
+  Store store;
+  LeaderElection a = Daemon("a");
+  store.Serve(a, kStart);
+  store.Wipe();
+  LeaderElection b = Daemon("b");
+  store.Serve(b, kStart);
+  const TimePoint hinted = kStart + milliseconds(500);
+  b.OnHint(a.record(), hinted);
+  TimePoint now = hinted;
+  for (; now < kStart + seconds(3); now += milliseconds(250)) {
+    b.OnLeaderHeartbeat(a.record(), 0, now);
+    store.Serve(b, now);
+    store.Serve(a, now);
+  }
+  CHECK(a.IsLeader(now));
+  CHECK_FALSE(store.unreadable());
+  CHECK(b.record().IsSameTerm(a.record()));
+}
+
+TEST_CASE("an unreadable record is replaced if no leader is heard of") {
+  Store store;
+  {
+    LeaderElection a = Daemon("a");
+    store.Serve(a, kStart);
+  }
+  store.Wipe();
+  LeaderElection b = Daemon("b");
+  LeaderElection c = Daemon("c");
+  for (TimePoint now = kStart; now <= kStart + seconds(1);
+       now += milliseconds(100)) {
+    store.Serve(b, now);
+    store.Serve(c, now);
+  }
+  const TimePoint later = kStart + seconds(1);
+  CHECK(b.IsLeader(later));
+  CHECK_FALSE(c.IsLeader(later));
+  CHECK(c.record().leader.name == "b");
+}
+
+TEST_CASE("a leader with an unreadable record can resign") {
+  Store store;
+  LeaderElection a = Daemon("a");
+  LeaderElection b = Daemon("b");
+  store.Serve(a, kStart);
+  store.Serve(b, kStart);
+  store.Wipe();
+  a.Resign();
+  store.Serve(a, kStart);
+  CHECK(a.resigned());
+  b.OnLeaderResigned(kStart);
+  const TimePoint later = kStart + seconds(1);
+  store.Serve(b, kStart);
+  store.Serve(b, later);
+  CHECK(b.IsLeader(later));
+  CHECK(b.previous_leader_until() == later + kLeaderLease);
+}
+
 }  // namespace
 }  // namespace gentianreach::entry
