A late confirmation does not bring back a leader that follows its successor

Cause: a leader whose confirmation of its record is on its way back may hear of its successor before the response arrives. It then follows, and its successor no longer waits for it. The response, from before the successor's write, made it the leader of its earlier term again, with a lease of 12 s from when the call was sent, until the next heartbeat or confirmation: two leaders at a time at which the later one had already counted the earlier one's orders as over.

A record with an earlier epoch than the one heard of while the call was in flight is now ignored and read again. A lower epoch in the response to a call that was sent later is still adopted, since the store may have an older record.

--- a/src/entry/leader_election.cc
+++ b/src/entry/leader_election.cc
@@ -55,6 +55,7 @@
   }
   if (call) {
     in_flight_ = call;
+    term_heard_in_flight_ = false;
     sent_at_ = now;
   }
   return call;
@@ -165,6 +166,11 @@
     record_absent_ = false;
     return;
   }
+  if (term_heard_in_flight_ && record->epoch < record_.epoch) {
+    // The store may have the later term by now.
+    must_verify_ = true;
+    return;
+  }
   const bool was_known = record_known_;
   const LeaderRecord previous = record_;
   const bool was_leader = was_known && IsSelf(previous.leader);
@@ -233,6 +239,13 @@
   takeover_due_ = false;
 }
 
+void LeaderElection::AdoptHeard(const LeaderRecord& record, TimePoint now) {
+  // The record's revision is not known, so nothing is written on its basis
+  // before the store has been read again.
+  Adopt(record, 0, now);
+  term_heard_in_flight_ = in_flight_.has_value();
+}
+
 void LeaderElection::OnLeaderHeartbeat(const LeaderRecord& record,
                                        std::uint32_t rank,
                                        TimePoint now) {
@@ -240,9 +253,7 @@
     return;
   }
   if (!record_known_ || record.epoch > record_.epoch) {
-    // The record's revision is not known, so nothing is written on its basis
-    // before the store has been read again.
-    Adopt(record, 0, now);
+    AdoptHeard(record, now);
   }
   leader_last_seen_ = now;
   rank_ = rank;
@@ -254,7 +265,7 @@
       (knows_leader() && record.epoch <= record_.epoch)) {
     return;
   }
-  Adopt(record, 0, now);
+  AdoptHeard(record, now);
   leader_last_seen_ = now;
   read_since_last_seen_ = false;
 }
--- a/src/entry/leader_election.h
+++ b/src/entry/leader_election.h
@@ -159,6 +159,8 @@
   // Delays the next call after one that failed.
   void DelayNextCall(TimePoint now);
   void Adopt(const LeaderRecord& record, std::uint64_t revision, TimePoint now);
+  // Adopts a term that another daemon has told of.
+  void AdoptHeard(const LeaderRecord& record, TimePoint now);
   // Returns the call that writes the record of this daemon's next term.
   [[nodiscard]] ElectionCall TakeOver(TimePoint now) const;
   // Returns the call that replaces a record that cannot be read by one of this
@@ -197,6 +199,8 @@
   bool resigned_ = false;
   std::uint32_t rank_ = 0;
   std::optional<ElectionCall> in_flight_;
+  // Another daemon has told of a term since that call was made.
+  bool term_heard_in_flight_ = false;
   TimePoint sent_at_{};
   TimePoint next_call_{};
   Duration retry_delay_{};
--- a/src/entry/leader_election_random_test.cc
+++ b/src/entry/leader_election_random_test.cc
@@ -297,8 +297,11 @@
   CHECK(simulation.steps_with_leader() * 10 > simulation.steps() * 7);
 }
 
-// Checks the seeds up to `seeds`, or only GENTIANREACH_SEED if that is set.
-void CheckSeeds(const Faults& faults, std::uint32_t seeds) {
+// Checks the seeds up to `seeds` and the `others`, or only GENTIANREACH_SEED if
+// that is set.
+void CheckSeeds(const Faults& faults,
+                std::uint32_t seeds,
+                const std::vector<std::uint32_t>& others = {}) {
   if (const char* const seed = std::getenv("GENTIANREACH_SEED")) {
     CheckSeed(faults,
               static_cast<std::uint32_t>(std::strtoul(seed, nullptr, 10)));
@@ -307,10 +310,15 @@
   for (std::uint32_t seed = 1; seed <= seeds; ++seed) {
     CheckSeed(faults, seed);
   }
+  for (const std::uint32_t seed : others) {
+    CheckSeed(faults, seed);
+  }
 }
 
 TEST_CASE("no earlier leader acts after its successor has waited") {
-  CheckSeeds({}, 15);
+  // In the other seeds, a confirmation arrives after the leader has followed
+  // its successor.
+  CheckSeeds({}, 15, {28, 299, 459, 475, 528, 658, 847, 975, 983});
 }
 
 TEST_CASE("no earlier leader acts after a wait when the record is wiped") {
--- a/src/entry/leader_election_test.cc
+++ b/src/entry/leader_election_test.cc
@@ -406,6 +406,21 @@
   CHECK(chain.a.previous_leader_until() == later);
 }
 
+TEST_CASE("a late confirmation does not end following a later leader") {
+  Store store;
+  LeaderElection a = Daemon("a");
+  store.Serve(a, kStart);
+  const TimePoint sent = kStart + seconds(3);
+  REQUIRE(a.Poll(sent));
+  const LeaderRecord later{Epoch(2), {"b", Incarnation(1), "b:1"}};
+  const TimePoint heard = sent + milliseconds(300);
+  a.OnLeaderHeartbeat(later, 0, heard);
+  a.OnReply(ElectionOutcome::kOk, store.record, store.revision,
+            heard + milliseconds(100));
+  CHECK_FALSE(a.IsLeader(heard + milliseconds(100)));
+  CHECK(a.record() == later);
+}
+
 TEST_CASE("an unreadable record is replaced, with a wait for any leader") {
   UnawareLeader chain;
   const LeaderRecord lost = *chain.store.record;
