A table of owners that cannot be read is replaced

What callers saw: once the table in the store could not be decoded (spec null after a damaged write), leaders logged table_unreadable every 0.4 s until the end, and keys whose leases ended then had no owner.

Cause: ReadTable went on reading, and nothing wrote the table.

A leader that has been confirmed by a call that it sent after it read the damage replaces the table under its revision. If it has written a table in this term, that one is written again, without a wait. Otherwise the keys stay with the owners in its copy, if it has one, each with an earlier owner without a name, which only the end of all leases clears, and with tokens from the damaged revision times 2^20 on. docs/design/platform.md says why that is safe.

Candidates() moved to the only file that uses it.

--- a/src/entry/entry_daemon.cc
+++ b/src/entry/entry_daemon.cc
@@ -16,6 +16,7 @@
 #include "entry/entry_proxy.h"
 #include "entry/entry_settings.h"
 #include "entry/entry_state.h"
+#include "entry/excerpt.h"
 #include "entry/key_assignment.h"
 #include "entry/leader_election.h"
 #include "entry/leader_record.h"
--- a/src/entry/key_assignment.cc
+++ b/src/entry/key_assignment.cc
@@ -6,6 +6,7 @@
 #include <variant>
 
 #include "base/log.h"
+#include "entry/excerpt.h"
 
 namespace gentianreach::entry {
 namespace {
@@ -234,9 +235,7 @@
           table = keyspace::DecodeTable(reply.object->content());
           service->revision = reply.object->revision;
           if (!table) {
-            Log(LogLevel::kError, "table_unreadable",
-                {{"service", name}, {"revision", service->revision}});
-            service->next_read = now + kStoreRetryDelay;
+            OnUnreadableTable(*reply.object, *service);
             Run();
             return;
           }
@@ -271,6 +270,45 @@
       });
 }
 
+void KeyAssignment::OnUnreadableTable(const platform::Object& object,
+                                      Service& service) {
+  const TimePoint now = state_.loop.Now();
+  if (std::exchange(service.unreadable_revision, object.revision) !=
+      object.revision) {
+    Log(LogLevel::kError, "table_unreadable",
+        {{"service", object.name}, {"revision", object.revision}});
+    service.unreadable_since = now;
+    election_.OnNewerEpochSeen(now);
+  }
+  if (election_.verified_at() < service.unreadable_since) {
+    service.next_read = now + kStoreRetryDelay / 4;
+    return;
+  }
+  const keyspace::OwnershipTable* const copy =
+      state_.ownership.Find(object.name);
+  const bool known = service.assigner.WriteAgain(now);
+  if (!known) {
+    service.assigner.BeginWithoutTable(copy, object.revision,
+                                       election_.record().epoch,
+                                       election_.previous_leader_until(), now);
+  }
+  service.begun = true;
+  // A write with an unknown result can no longer take effect.
+  service.unconfirmed.reset();
+  Log(LogLevel::kWarning, "table_replaced",
+      {{"service", object.name},
+       {"epoch", election_.record().epoch.value()},
+       {"revision", object.revision},
+       {"from", known             ? "memory"
+                : copy != nullptr ? "copy"
+                                  : "nothing"},
+       {"copy_revision", state_.ownership.revision(object.name)},
+       {"wait_ms",
+        known ? 0
+              : MillisecondsBetween(now, election_.previous_leader_until())},
+       {"content", Excerpt(object.content())}});
+}
+
 void KeyAssignment::WriteTable(const std::string& name,
                                Service& service,
                                const keyspace::OwnershipTable& table) {
--- a/src/entry/key_assignment.h
+++ b/src/entry/key_assignment.h
@@ -53,6 +53,9 @@
     TimePoint next_read{};
     // A table whose write had an unknown result: it may be in the store.
     std::optional<keyspace::OwnershipTable> unconfirmed;
+    // Of a table in the store that cannot be read, and when it was first read.
+    std::uint64_t unreadable_revision = 0;
+    TimePoint unreadable_since{};
     // Identifies a term of leadership, so that replies to calls of an earlier
     // term are ignored.
     std::uint64_t term = 0;
@@ -63,6 +66,8 @@
 
   void RunService(const std::string& name, Service& service);
   void ReadTable(const std::string& name, Service& service);
+  // Replaces the table once it is known that no later leader has written it.
+  void OnUnreadableTable(const platform::Object& object, Service& service);
   void WriteTable(const std::string& name,
                   Service& service,
                   const keyspace::OwnershipTable& table);
--- a/src/entry/leader_election.h
+++ b/src/entry/leader_election.h
@@ -141,6 +141,9 @@
   [[nodiscard]] TimePoint previous_leader_until() const {
     return previous_leader_until_;
   }
+  // Returns when the last call that confirmed this daemon as the leader was
+  // sent.
+  [[nodiscard]] TimePoint verified_at() const { return verified_at_; }
   [[nodiscard]] const LeaderRecord& record() const { return record_; }
   // Returns the leaders before this daemon's term that may not have noticed yet
   // that they were replaced.
--- a/src/entry/leader_record.cc
+++ b/src/entry/leader_record.cc
@@ -1,6 +1,5 @@
 #include "entry/leader_record.h"
 
-#include <cstddef>
 #include <utility>
 
 namespace gentianreach::entry {
@@ -9,7 +8,6 @@
 
 // Name of the leader record in the store.
 constexpr const char* kLeaderObject = "entry";
-constexpr std::size_t kExcerptBytes = 200;
 
 nlohmann::json EncodeMember(const Member& member) {
   return {{"name", member.name},
@@ -53,12 +51,6 @@
   }
 }
 
-std::string Excerpt(const nlohmann::json& content) {
-  // ASCII only, so that no character is cut in two.
-  return content.dump(-1, ' ', true, nlohmann::json::error_handler_t::replace)
-      .substr(0, kExcerptBytes);
-}
-
 ElectionOutcome ToElectionOutcome(platform::CallStatus status) {
   switch (status) {
     case platform::CallStatus::kOk:
--- a/src/entry/leader_record.h
+++ b/src/entry/leader_record.h
@@ -5,7 +5,6 @@
 
 #include <functional>
 #include <optional>
-#include <string>
 
 #include <nlohmann/json.hpp>
 
@@ -20,9 +19,6 @@
 [[nodiscard]] std::optional<LeaderRecord> DecodeLeader(
     const nlohmann::json& content);
 
-// Returns the start of `content` for the log.
-[[nodiscard]] std::string Excerpt(const nlohmann::json& content);
-
 // Returns the election outcome that corresponds to the status of a store call.
 [[nodiscard]] ElectionOutcome ToElectionOutcome(platform::CallStatus status);
 
--- a/src/keyspace/range_assigner.cc
+++ b/src/keyspace/range_assigner.cc
@@ -37,6 +37,7 @@
   previous_leader_until_ = std::max(previous_leader_until, now);
   has_table_ = table.has_value();
   takeover_written_ = !has_table_;
+  wrote_table_ = false;
   table_ = table ? *std::move(table) : OwnershipTable{};
   states_.clear();
   for (const OwnedRange& it : table_.ranges) {
@@ -168,16 +169,6 @@
   return server != nullptr && !server->draining && !HasEnded(owner);
 }
 
-std::vector<Candidate> RangeAssigner::Candidates() const {
-  std::vector<Candidate> candidates;
-  for (const auto& [id, it] : servers_) {
-    if (!it.draining && !ended_.contains({id, it.incarnation})) {
-      candidates.push_back({id, it.incarnation, it.capacity});
-    }
-  }
-  return candidates;
-}
-
 TimePoint RangeAssigner::LeaseEnd(TimePoint arrived_at) const {
   return arrived_at + std::chrono::duration_cast<Duration>(
                           options_.lease * options_.max_clock_drift_factor);
@@ -240,6 +231,7 @@
   states_ = std::move(states);
   has_table_ = true;
   takeover_written_ = true;
+  wrote_table_ = true;
   plan_at_ = now + std::chrono::floor<milliseconds>(
                        options_.table_pause_per_range * std::ssize(states_));
   OnNewTable();
--- a/src/keyspace/range_assigner.h
+++ b/src/keyspace/range_assigner.h
@@ -154,6 +154,18 @@
                            Epoch epoch,
                            TimePoint previous_leader_until,
                            TimePoint now);
+  // Takes over like Begin() if the table in the store, which has `revision`,
+  // cannot be read. No leader of a later epoch may have written it. `copy` is
+  // an earlier table, or null.
+  void BeginWithoutTable(const OwnershipTable* copy,
+                         std::uint64_t revision,
+                         Epoch epoch,
+                         TimePoint previous_leader_until,
+                         TimePoint now);
+  // Has the table that was last written written again, since the one in the
+  // store cannot be read. Returns false if there is none. No leader of a later
+  // epoch may have written the table.
+  [[nodiscard]] bool WriteAgain(TimePoint now);
   // Reports that no previous leader can send orders after `ended_at`.
   void OnPreviousLeadersEnded(TimePoint ended_at);
   // Replaces the set of servers reported by discovery.
@@ -333,6 +345,8 @@
   // Whether this leader has written the table that it read at takeover, which
   // makes writes by previous leaders fail.
   bool takeover_written_ = false;
+  // table_ was written by this leader, not read.
+  bool wrote_table_ = false;
   OwnershipTable table_;
   std::vector<RangeState> states_;  // One per range of table_.
   // When PollRange() has to be called for each range.
--- a/src/keyspace/range_assigner_plan.cc
+++ b/src/keyspace/range_assigner_plan.cc
@@ -7,12 +7,17 @@
 
 #include "keyspace/fencing_tokens.h"
 #include "keyspace/range_assigner.h"
+#include "keyspace/replacement_table.h"
 
 namespace gentianreach::keyspace {
 namespace {
 
 // Tokens skipped if a server has seen a higher token than the table's.
 constexpr std::uint64_t kTokenSkip = 1000;
+// One table allocates tokens for owners that need a new one, for reassigned and
+// for rebalanced ranges.
+static_assert(kTokenSkip + 3 * kTokensPerMove * kKeyCount <=
+              kMaxTokensPerTable);
 // The first table is planned when no server has registered for the quiet
 // period, and at the latest when the maximum period has passed since the first
 // registration.
@@ -60,6 +65,36 @@
 
 }  // namespace
 
+std::vector<Candidate> RangeAssigner::Candidates() const {
+  std::vector<Candidate> candidates;
+  for (const auto& [id, it] : servers_) {
+    if (!it.draining && !ended_.contains({id, it.incarnation})) {
+      candidates.push_back({id, it.incarnation, it.capacity});
+    }
+  }
+  return candidates;
+}
+
+void RangeAssigner::BeginWithoutTable(const OwnershipTable* copy,
+                                      std::uint64_t revision,
+                                      Epoch epoch,
+                                      TimePoint previous_leader_until,
+                                      TimePoint now) {
+  begun_ = Begin(ReplacementTable(copy, revision, epoch), epoch,
+                 previous_leader_until, now);
+}
+
+bool RangeAssigner::WriteAgain(TimePoint now) {
+  if (!begun_ || !wrote_table_) {
+    return false;
+  }
+  planned_.reset();
+  takeover_written_ = false;
+  plan_at_ = now;
+  PollAllRanges();
+  return true;
+}
+
 TimePoint RangeAssigner::FirstTableTime() const {
   return has_table_ ? TimePoint{}
                     : std::min(last_server_at_ + kRegistrationQuietPeriod,
