An object that cannot be parsed hides no others of a list or a watch

What callers saw: from one entry of another writer on, a daemon could read no list or watch of the servers.

Cause: the response was parsed as one document. nlohmann::json refuses all of it for half of a UTF-16 pair, invalid UTF-8 or a number that is out of range, and the answered call counted as a loss of the store, which lifts the bound on old entries. A "deleting" of another type threw out of the callback.

Logged once by name, counted in store_objects_unreadable_total; server_entry_unusable is logged once, too, and server_entries_unusable says how many there are.

--- a/src/entry/entry_daemon.cc
+++ b/src/entry/entry_daemon.cc
@@ -255,6 +255,10 @@
     }
     metrics.Set("relay_failures_total",
                 static_cast<double>(copies_.relay_failures()));
+    metrics.Set("store_objects_unreadable_total",
+                static_cast<double>(copies_.unreadable_objects()));
+    metrics.Set("server_entries_unusable",
+                static_cast<double>(entries_.unusable()));
     metrics.Set("event_loop_delay_seconds",
                 seconds(std::exchange(max_loop_delay_, Duration(0))));
     metrics.Set("log_lines_dropped_total",
--- a/src/entry/server_entries.cc
+++ b/src/entry/server_entries.cc
@@ -1,5 +1,6 @@
 #include "entry/server_entries.h"
 
+#include <algorithm>
 #include <string>
 
 #include "base/log.h"
@@ -15,11 +16,17 @@
   const auto server =
       platform::DecodeServer(object.name, object.document, now, &why);
   if (!server) {
-    Log(LogLevel::kWarning, "server_entry_unusable",
-        {{"server", object.name}, {"why", why}});
-    state_.directory.Remove(ServerId(object.name), now);
+    const ServerId id(object.name);
+    if (unusable_.insert(id).second) {
+      Log(LogLevel::kWarning, "server_entry_unusable",
+          {{"server", object.name},
+           {"why", why},
+           {"revision", object.revision}});
+    }
+    state_.directory.Remove(id, now);
     return;
   }
+  unusable_.erase(server->id);
   const routing::BackendServer* before = state_.directory.Find(server->id);
   const bool restarted =
       before != nullptr && before->incarnation != server->incarnation;
@@ -75,6 +82,9 @@
     present.emplace_back(it.name);
     Put(it, current_at, source);
   }
+  std::erase_if(unusable_, [&present](const ServerId& id) {
+    return std::find(present.begin(), present.end(), id) == present.end();
+  });
   for (const ServerId& it :
        state_.directory.RemoveOthers(present, state_.loop.Now())) {
     LogRemoval(it, 0);
@@ -90,6 +100,7 @@
       continue;
     }
     const ServerId id(it.name);
+    unusable_.erase(id);
     state_.directory.Remove(id, state_.loop.Now());
     LogRemoval(id, it.revision);
   }
--- a/src/entry/server_entries.h
+++ b/src/entry/server_entries.h
@@ -2,7 +2,9 @@
 #ifndef SRC_ENTRY_SERVER_ENTRIES_H_
 #define SRC_ENTRY_SERVER_ENTRIES_H_
 
+#include <cstddef>
 #include <cstdint>
+#include <set>
 #include <string_view>
 #include <vector>
 
@@ -27,6 +29,8 @@
   void ApplyEvents(const std::vector<platform::Object>& objects,
                    TimePoint current_at,
                    std::string_view source);
+  // Returns the number of entries that name no server to use.
+  [[nodiscard]] std::size_t unusable() const { return unusable_.size(); }
 
  private:
   // Adds or replaces an entry. Removes a server whose entry is invalid.
@@ -37,6 +41,8 @@
   void LogRemoval(const ServerId& id, std::uint64_t revision) const;
 
   EntryState& state_;
+  // Servers whose entries are invalid. Each is logged once.
+  std::set<ServerId> unusable_;
 };
 
 }  // namespace gentianreach::entry
--- a/src/entry/store_copies.cc
+++ b/src/entry/store_copies.cc
@@ -246,6 +246,14 @@
       {config_.current_at(), servers_.current_at(), ownership_current_at});
 }
 
+std::uint64_t StoreCopies::unreadable_objects() const {
+  std::uint64_t objects = 0;
+  for (const StoreWatcher* it : Watchers()) {
+    objects += it->unreadable_objects();
+  }
+  return objects;
+}
+
 bool StoreCopies::MayLackEntries() const {
   return source_ == CopySource::kStore ? health_.MayLackEntries()
                                        : source_lacks_entries_;
--- a/src/entry/store_copies.h
+++ b/src/entry/store_copies.h
@@ -97,6 +97,9 @@
   [[nodiscard]] const StoreHealth& health() const { return health_; }
   // Returns the number of fetches of changes that failed.
   [[nodiscard]] std::uint64_t relay_failures() const { return relay_failures_; }
+  // Returns the number of objects that could not be parsed when this daemon
+  // read them from the store.
+  [[nodiscard]] std::uint64_t unreadable_objects() const;
 
   // Called when the store becomes unreachable for this daemon and when it is
   // reachable again.
--- a/src/entry/store_watcher.cc
+++ b/src/entry/store_watcher.cc
@@ -241,7 +241,8 @@
 void StoreWatcher::OnReply(const platform::ListReply& reply,
                            const PendingCall& call) {
   const TimePoint now = loop_.Now();
-  changed_last_call_ = !call.list && !reply.objects.empty();
+  const bool changed = !reply.objects.empty() || reply.unnamed > 0;
+  changed_last_call_ = !call.list && changed;
   switch (reply.status) {
     case platform::CallStatus::kOk:
       health_.OnResponse();
@@ -255,17 +256,16 @@
       if (call.list && revision_ == 0 && !urgent_) {
         timer_.Set(now + kFirstWatchDelay);
       } else {
-        timer_.Set(call.list || reply.objects.empty() ? now
-                                                      : now + kWatchBatchDelay);
+        timer_.Set(call.list || !changed ? now : now + kWatchBatchDelay);
       }
+      NoteUnreadable(reply, call.list);
       if (call.list) {
         ApplyList(reply.objects, reply.revision);
         ConfirmCurrent(call.current_at);
       } else {
         ApplyEvents(reply.objects, reply.revision);
-        ConfirmCurrent(reply.objects.empty()
-                           ? std::min(now, call.empty_current_at)
-                           : call.current_at);
+        ConfirmCurrent(changed ? call.current_at
+                               : std::min(now, call.empty_current_at));
       }
       return;
     case platform::CallStatus::kHistoryGone:
@@ -284,6 +284,31 @@
   }
 }
 
+void StoreWatcher::NoteUnreadable(const platform::ListReply& reply, bool list) {
+  const auto known = list ? std::exchange(unreadable_, {}) : unreadable_;
+  for (const platform::Object& it : reply.objects) {
+    if (it.readable || it.deleted) {
+      unreadable_.erase(it.name);
+      continue;
+    }
+    ++unreadable_objects_;
+    unreadable_.insert(it.name);
+    if (!known.contains(it.name)) {
+      Log(LogLevel::kWarning, "store_object_unreadable",
+          {{"kind", platform::ToString(kind_)},
+           {"name", it.name},
+           {"revision", it.revision}});
+    }
+  }
+  unreadable_objects_ += reply.unnamed;
+  if (reply.unnamed > 0) {
+    Log(LogLevel::kWarning, "store_objects_unnamed",
+        {{"kind", platform::ToString(kind_)},
+         {"objects", reply.unnamed},
+         {"revision", reply.revision}});
+  }
+}
+
 void StoreWatcher::RecordChange(const platform::Object& object,
                                 std::uint64_t revision,
                                 ChangeForm form) {
--- a/src/entry/store_watcher.h
+++ b/src/entry/store_watcher.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -123,6 +124,11 @@
   // cannot be used.
   bool ApplyChanges(const std::string& changes);
 
+  // Returns the number of objects that could not be parsed when they were read
+  // from the store.
+  [[nodiscard]] std::uint64_t unreadable_objects() const {
+    return unreadable_objects_;
+  }
   // Returns the store revision up to which the copy is complete, or 0 if
   // nothing has been read yet.
   [[nodiscard]] std::uint64_t revision() const { return revision_; }
@@ -165,6 +171,8 @@
   void DropCall();
   void Call(bool list);
   void OnReply(const platform::ListReply& reply, const PendingCall& call);
+  // Counts and logs the objects that cannot be parsed.
+  void NoteUnreadable(const platform::ListReply& reply, bool list);
   void ApplyList(const std::vector<platform::Object>& objects,
                  std::uint64_t revision);
   void ApplyEvents(const std::vector<platform::Object>& objects,
@@ -203,6 +211,9 @@
   std::uint64_t changed_at_ = 0;
   TimePoint current_at_{};
   std::map<std::string, platform::Object> objects_;
+  // Names of objects that could not be parsed when they were last read.
+  std::set<std::string> unreadable_;
+  std::uint64_t unreadable_objects_ = 0;
   std::deque<Change> changes_;
   // `changes_` contains all changes after this revision.
   std::uint64_t changes_from_ = 0;
