A long value in a log line is cut

What an operator saw: a line with a name of 1 MB, which another writer may give an entry, was cut at PIPE_BUF on its way to standard output, with its other values and its line end, so that the next line was lost, too.

Evidence, on the old code, log_test: "a long value does not displace the others" fails, CHECK( line.size() < 1100 ).

Change: a value has 1024 bytes at most, and is not cut in a character.

--- a/src/base/log.cc
+++ b/src/base/log.cc
@@ -27,6 +27,11 @@
 constexpr std::array<std::string_view, 4> kLevelNames = {"debug", "info",
                                                          "warning", "error"};
 
+// A longer value is cut, so that it does not displace the others of a line,
+// which is written as a whole up to PIPE_BUF.
+constexpr std::size_t kMaxValueBytes = 1024;
+constexpr std::string_view kCutMark = "...";
+
 std::atomic<std::uint64_t> dropped_lines = 0;
 std::atomic<LogLevel> lowest_level = LogLevel::kDebug;
 
@@ -37,6 +42,16 @@
 }
 
 void AppendValue(std::string& line, std::string_view value) {
+  if (value.size() > kMaxValueBytes) {
+    // Not in the middle of a UTF-8 character.
+    std::size_t end = kMaxValueBytes - kCutMark.size();
+    while (end > 0 &&
+           (static_cast<unsigned char>(value[end]) & 0xC0U) == 0x80) {
+      --end;
+    }
+    AppendValue(line, std::string(value.substr(0, end)).append(kCutMark));
+    return;
+  }
   if (!NeedsQuotes(value)) {
     line += value;
     return;
--- a/src/base/log_test.cc
+++ b/src/base/log_test.cc
@@ -1,6 +1,7 @@
 #include "base/log.h"
 
 #include <chrono>
+#include <string>
 
 #include <doctest/doctest.h>
 
@@ -14,6 +15,20 @@
         "event=request agent=\"say \\\"hi\\\"\"");
 }
 
+TEST_CASE("a long value does not displace the others") {
+  const std::string name = std::string(1'000'000, 'n');
+  const std::string line = FormatFields("x", {{"name", name}, {"ms", 12}});
+  CHECK(line.size() < 1100);
+  CHECK(line.ends_with("n... ms=12"));
+  // Characters are not cut.
+  std::string accents = "a";
+  for (int i = 0; i < 1000; ++i) {
+    accents += "\u00e9";
+  }
+  const std::string cut = FormatFields("x", {{"name", accents}});
+  CHECK(cut.find("\u00e9...") != std::string::npos);
+}
+
 TEST_CASE("plain values are not quoted") {
   CHECK(FormatFields("renewed", {{"server", "s1"}, {"ms", 12}, {"ok", true}}) ==
         "event=renewed server=s1 ms=12 ok=true");
