A relayed change that cannot be decoded does not hide those before it

If a leader of another version relayed one change of another form, the changes before it in the same response never took effect on this daemon, which counted as current all the same.

Cause: the exception left ApplyDecodedChanges() after the copy's revision had advanced and before the changes were handed on.

Evidence, on the old code, store_watcher_test: "a relayed change of another form does not hide those before it" fails, CHECK( follower.content["s1"] == json{{"n", 1}} ), values: null == {"n":1} CHECK( follower.watcher.relay_since() == 0 ), values: 43 == 0

Change: such a change is treated like a patch that does not apply: the others before it hold, and all objects are requested.

--- a/src/entry/store_watcher.cc
+++ b/src/entry/store_watcher.cc
@@ -513,15 +513,23 @@
   const std::uint64_t complete_to = std::exchange(revision_, revision);
   std::vector<platform::Object> changed;
   for (auto& it : changes.at("objects")) {
-    if (HasStateOf(it, complete_to)) {
-      continue;
-    }
     // Applied one by one, since a later entry may be a patch of an earlier one.
-    const auto object = DecodeEntry(it);
+    std::optional<platform::Object> object;
+    std::string why = "patch of another revision";
+    try {
+      if (HasStateOf(it, complete_to)) {
+        continue;
+      }
+      object = DecodeEntry(it);
+    } catch (const nlohmann::json::exception& error) {
+      why = error.what();
+    }
     if (!object) {
       Log(LogLevel::kWarning, "relayed_change_misfits",
           {{"kind", platform::ToString(kind_)},
-           {"object", it.at("name").get<std::string>()},
+           {"change",
+            it.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace)},
+           {"why", why},
            {"revision", revision_}});
       needs_full_copy_ = true;
       break;
--- a/src/entry/store_watcher_test.cc
+++ b/src/entry/store_watcher_test.cc
@@ -301,6 +301,21 @@
   CHECK(follower.watcher.relay_since() == 43);
 }
 
+TEST_CASE("a relayed change of another form does not hide those before it") {
+  FakeStore store;
+  net::EventLoop loop;
+  Copy follower(loop, store, WatchSource::kLeader);
+  REQUIRE(follower.watcher.ApplyChanges(
+      Compress(R"({"listed":true,"objects":[],"revision":41,"whole":true})")));
+  CHECK_FALSE(follower.watcher.ApplyChanges(Compress(
+      R"({"listed":true,"objects":[{"deleted":false,"name":"s1","object":)"
+      R"({"metadata":{"name":"s1","rev":42},"spec":{"n":1}},"revision":42},)"
+      R"({"deleted":false,"name":7,"revision":43}],)"
+      R"("revision":43,"whole":false})")));
+  CHECK(follower.content["s1"] == json{{"n", 1}});
+  CHECK(follower.watcher.relay_since() == 0);
+}
+
 TEST_CASE("damaged changes are not applied") {
   Daemons daemons;
   daemons.Put("s3", {{"n", 3}, {"load", 7}});
