A connection that is closed while it is established is closed

The loop reports a state once, and ServerConnection dropped what came with the end of connecting: a connection that the server accepted and closed at once stayed open on this side. Requests fail on such a connection at their first write, but grants go over connections that wait. One that was taken for the connection to an incarnation kept all others from being used, for as long as the leader led.

server_connection_test has the case; it was not run on the code before.

--- a/src/proxy/server_connection.cc
+++ b/src/proxy/server_connection.cc
@@ -131,10 +131,10 @@
 
 void ServerConnection::OnReady(net::ReadyEvents events) {
   const auto self = shared_from_this();
-  if (phase_ == Phase::kConnecting) {
-    if (events.writable || events.hung_up) {
-      OnConnected();
-    }
+  if (phase_ == Phase::kConnecting && (events.writable || events.hung_up)) {
+    OnConnected();
+  }
+  if (phase_ == Phase::kConnecting || phase_ == Phase::kClosed) {
     return;
   }
   readable_ = readable_ || events.readable || events.hung_up;
--- a/src/proxy/server_connection_test.cc
+++ b/src/proxy/server_connection_test.cc
@@ -8,6 +8,7 @@
 
 #include <doctest/doctest.h>
 
+#include "net/tcp_socket.h"
 #include "platform/platform_client.h"
 #include "platform/testing/fake_server.h"
 
@@ -60,5 +61,27 @@
   CHECK(server.arrivals().size() == 1);
 }
 
+TEST_CASE("a connection that is closed while it is established is closed") {
+  auto listener = net::TcpSocket::Listen("127.0.0.1:0", false);
+  REQUIRE(listener);
+  net::EventLoop loop;
+  bool closed = false;
+  const auto connection = std::make_shared<ServerConnection>(
+      loop, [&closed](ServerConnection*) { closed = true; },
+      ServerConnectionOptions{});
+  connection->Connect("127.0.0.1:" + std::to_string(listener->port()));
+  // Both are reported in the same iteration of the loop.
+  std::optional<net::TcpSocket> accepted;
+  while (!accepted) {
+    accepted = listener->Accept();
+  }
+  accepted->Close();
+  std::this_thread::sleep_for(kLoopDelay);
+  for (int i = 0; i < 10; ++i) {
+    loop.RunOnce(false);
+  }
+  CHECK(closed);
+}
+
 }  // namespace
 }  // namespace gentianreach::proxy
