An outdated token does not lose the handover of the keys

Found in the review. A first grant that is not sent, since all connections to the next owner were lost meanwhile, gets a new token, and with it a new state without the handover of the earlier owner: the keys would be served cold.

range_assigner_test has the case, which fails without the change, and cases of orders that were not sent.

--- a/src/keyspace/range_assigner.cc
+++ b/src/keyspace/range_assigner.cc
@@ -268,6 +268,9 @@
                                       range.owner.incarnation)) {
       // Same owner with a new token.
       MergeOrders(known.orders, &state.orders);
+      if (!known.granted) {
+        state.handover = known.handover;
+      }
       state.orders.next_attempt_at =
           std::max(state.orders.next_attempt_at, state.orders.in_transit_until);
     }
--- a/src/keyspace/range_assigner_test.cc
+++ b/src/keyspace/range_assigner_test.cc
@@ -172,6 +172,57 @@
   return leader;
 }
 
+TEST_CASE("an order that was not sent does not extend the lease") {
+  for (const auto outcome :
+       {OrderOutcome::kNotConnected, OrderOutcome::kTokenOutdated}) {
+    CAPTURE(static_cast<int>(outcome));
+    Leader leader = LeaderWithGrantToA();
+    const TimePoint renewed = kStart + seconds(2);
+    const auto renewals = leader.Orders(renewed);
+    REQUIRE(renewals.size() == 1);
+    leader.assigner.OnOrderReply(renewals[0].order, outcome, "",
+                                 renewed + milliseconds(400));
+    leader.assigner.SetServers({Server("b")}, renewed + milliseconds(400));
+    CHECK_FALSE(GrantsToB(leader, kStart + milliseconds(6230)));
+    CHECK(GrantsToB(leader, kStart + milliseconds(6250)));
+  }
+}
+
+TEST_CASE("an owner whose token is outdated gets another") {
+  Leader leader = LeaderWithGrantToA();
+  const Token before = leader.assigner.table().ranges[0].owner.token;
+  const TimePoint now = kStart + seconds(2);
+  const auto renewals = leader.Orders(now);
+  REQUIRE(renewals.size() == 1);
+  leader.assigner.OnOrderReply(renewals[0].order, OrderOutcome::kTokenOutdated,
+                               "", now);
+  const auto grants = leader.Orders(now + milliseconds(1));
+  const SendOrder* grant = Find(grants, SendOrder::Kind::kGrant, "a");
+  REQUIRE(grant != nullptr);
+  CHECK(grant->token > before);
+}
+
+TEST_CASE("an outdated token does not lose the handover of the keys") {
+  Leader leader = LeaderWithGrantToA();
+  const TimePoint now = kStart + seconds(1);
+  leader.assigner.SetServers({Server("a", true), Server("b")}, now);
+  const auto releases = leader.Orders(now);
+  const SendOrder* release = Find(releases, SendOrder::Kind::kRelease, "a");
+  REQUIRE(release != nullptr);
+  leader.assigner.OnOrderReply(release->order, OrderOutcome::kDone, "warm",
+                               now);
+  const auto grants = leader.Orders(now);
+  const SendOrder* grant = Find(grants, SendOrder::Kind::kGrant, "b");
+  REQUIRE(grant != nullptr);
+  leader.assigner.OnOrderReply(grant->order, OrderOutcome::kTokenOutdated, "",
+                               now);
+  const auto again = leader.Orders(now + milliseconds(1));
+  const SendOrder* next = Find(again, SendOrder::Kind::kGrant, "b");
+  REQUIRE(next != nullptr);
+  CHECK(next->token > grant->token);
+  CHECK(next->handover == "warm");
+}
+
 TEST_CASE("a lease counts from the reply to its grant") {
   Leader leader = LeaderWithGrantToA();
   leader.assigner.SetServers({Server("b")}, kStart);
