A new leader gives all owners new tokens

Found in the review. Connections that a leader opens before it has written its first table carried the tokens of the table that it read. A server that had restarted by then, unnoticed by discovery, got the token of its earlier incarnation. The first table is written anyway; it now allocates new tokens, so that the rule for all later connections holds for these, too. A former leader's renewals are refused once the new ones have arrived.

range_assigner_test has the case, which fails without the change ("it.owner.token > Token(10)", three times).

--- a/src/keyspace/range_assigner_plan.cc
+++ b/src/keyspace/range_assigner_plan.cc
@@ -2,7 +2,9 @@
 #include <algorithm>
 #include <chrono>
 #include <cstddef>
+#include <map>
 #include <optional>
+#include <utility>
 #include <vector>
 
 #include "keyspace/fencing_tokens.h"
@@ -63,6 +65,20 @@
   }
 }
 
+// Gives all owners new tokens: they may have restarted since they got theirs.
+void ReplaceTokens(OwnershipTable* plan) {
+  // Parts of a range that was split keep a common token.
+  std::map<std::pair<ServerId, Token>, Token> tokens;
+  for (OwnedRange& it : plan->ranges) {
+    const auto [known, added] =
+        tokens.try_emplace({it.owner.server, it.owner.token});
+    if (added) {
+      known->second = AllocateToken(plan);
+    }
+    it.owner.token = known->second;
+  }
+}
+
 }  // namespace
 
 std::vector<Candidate> RangeAssigner::Candidates() const {
@@ -122,6 +138,9 @@
   OwnershipTable plan = table_;
   if (!takeover_written_) {
     plan.epoch = epoch_;
+    if (!wrote_table_) {
+      ReplaceTokens(&plan);
+    }
     plan.next_token = plan.next_token.Next();
     return plan;
   }
--- a/src/keyspace/range_assigner_test.cc
+++ b/src/keyspace/range_assigner_test.cc
@@ -101,6 +101,25 @@
   CHECK(Find(orders, SendOrder::Kind::kGrant, "a") != nullptr);
 }
 
+TEST_CASE("a new leader gives all owners new tokens") {
+  OwnershipTable table = TableWithOwner(OwnerOf("a", 10));
+  table.ranges[0].range.last = 99;
+  table.ranges.push_back({{100, 199}, OwnerOf("b", 6), {}});
+  table.ranges.push_back({{200, kKeyCount - 1}, OwnerOf("a", 10), {}});
+  Leader leader;
+  REQUIRE(leader.assigner.Begin(table, Epoch(2), kStart, kStart));
+  leader.assigner.SetServers({Server("a"), Server("b")}, kStart);
+  leader.Orders(kStart);
+  const auto& ranges = leader.assigner.table().ranges;
+  REQUIRE(ranges.size() == 3);
+  for (const OwnedRange& it : ranges) {
+    CHECK(it.owner.token > Token(10));
+  }
+  // Parts of a range that was split can be merged again.
+  CHECK(ranges[0].owner == ranges[2].owner);
+  CHECK(ranges[0].owner.token != ranges[1].owner.token);
+}
+
 TEST_CASE("the handover of a draining server is passed to the next owner") {
   Leader leader;
   REQUIRE(leader.assigner.Begin(TableWithOwner(OwnerOf("a", 10)), Epoch(1),
