--- a/src/keyspace/range_assigner_random_test.cc
+++ b/src/keyspace/range_assigner_random_test.cc
@@ -68,8 +68,11 @@
   // Probability per step that discovery lists an earlier incarnation for up to
   // 3 s.
   double earlier_listed = 0;
-  // Probability per step that the table in the store becomes unreadable.
+  // Probability per step that the table in the store becomes unreadable, and
+  // that the latest leader then loses the store for up to 12 s. The first
+  // leader loses it in the same way when the second one takes over.
   double wiped = 0;
+  double store_lost = 0;
 };
 
 class Simulation {
@@ -92,6 +95,9 @@
         // The first leader is active until its term ends.
         leaders_[0]->active_until = now_ + kLeaderTerm;
         leaders_[0]->store_lost = faults_.third_leader;
+        if (faults_.store_lost > 0) {
+          LoseStore(*leaders_[0]);
+        }
         StartLeader(leaders_[0]->active_until);
       }
       if (faults_.third_leader && leaders_.size() == 2 &&
@@ -138,6 +144,7 @@
     Epoch epoch;
     bool begun = false;
     bool store_lost = false;
+    TimePoint store_lost_until{};
   };
 
   bool WithProbability(double p) {
@@ -170,11 +177,20 @@
         previous_leader_until, now_);
   }
 
+  void LoseStore(Leader& leader) {
+    leader.store_lost_until = now_ + RandomDuration(seconds(1), seconds(12));
+  }
+
   // The leader learns from its record whether it is the latest one.
   void ReplaceTable(Leader& leader) {
     if (&leader != leaders_.back().get() || now_ >= leader.active_until) {
       return;
     }
+    if (now_ < leader.store_lost_until) {
+      Schedule(leader.store_lost_until,
+               [this, &leader] { ReplaceTable(leader); });
+      return;
+    }
     leader.begun = true;
     if (WithProbability(0.5) && leader.assigner.WriteAgain(now_)) {
       return;
@@ -218,6 +234,9 @@
     if (faults_.wiped > 0 && revision_ != 0 && WithProbability(faults_.wiped)) {
       wiped_ = true;
       ++revision_;
+      if (WithProbability(faults_.store_lost)) {
+        LoseStore(*leaders_.back());
+      }
     }
     FakeServer& server = servers_[random_() % kServerCount];
     if (WithProbability(0.0008)) {
@@ -291,6 +310,10 @@
     if (leader.store_lost) {
       return;
     }
+    if (now_ < leader.store_lost_until) {
+      leader.assigner.OnWriteFailed(now_ + milliseconds(400));
+      return;
+    }
     Schedule(now_ + milliseconds(4), [this, &leader, table] {
       if (leader.revision != revision_) {
         leader.assigner.OnWriteFailed(now_);
@@ -532,6 +555,18 @@
   CheckSeeds({.late = 0.15, .reordered = 0.2, .second_leader = true}, 15);
 }
 
+TEST_CASE(
+    "a key never has two holders while discovery is behind at a change of "
+    "leader") {
+  CheckSeeds({.late = 0.15,
+              .reordered = 0.2,
+              .held_up = 0.1,
+              .second_leader = true,
+              .third_leader = true,
+              .earlier_listed = 0.01},
+             15);
+}
+
 TEST_CASE(
     "a key never has two holders while servers restart at other addresses") {
   CheckSeeds({.late = 0.15,
@@ -543,7 +578,8 @@
 }
 
 TEST_CASE("a key never has two holders when the table becomes unreadable") {
-  CheckSeeds({.late = 0.15, .reordered = 0.2, .wiped = 0.0004}, 15);
+  CheckSeeds(
+      {.late = 0.15, .reordered = 0.2, .wiped = 0.0004, .store_lost = 0.3}, 15);
 }
 
 TEST_CASE(
@@ -553,7 +589,8 @@
               .reordered = 0.2,
               .held_up = 0.1,
               .second_leader = true,
-              .wiped = 0.0004},
+              .wiped = 0.0004,
+              .store_lost = 0.3},
              15);
 }
 
@@ -565,7 +602,8 @@
               .held_up = 0.1,
               .second_leader = true,
               .third_leader = true,
-              .wiped = 0.0004},
+              .wiped = 0.0004,
+              .store_lost = 0.3},
              15);
 }
 
