--- a/src/keyspace/range_assigner.cc
+++ b/src/keyspace/range_assigner.cc
@@ -164,11 +164,6 @@
          !address.empty() && it->second.address != address;
 }
 
-bool RangeAssigner::MayOwn(const Owner& owner) const {
-  const AssignerServer* server = FindIncarnation(owner);
-  return server != nullptr && !server->draining && !HasEnded(owner);
-}
-
 TimePoint RangeAssigner::LeaseEnd(TimePoint arrived_at) const {
   return arrived_at + std::chrono::duration_cast<Duration>(
                           options_.lease * options_.max_clock_drift_factor);
--- a/src/keyspace/range_assigner_plan.cc
+++ b/src/keyspace/range_assigner_plan.cc
@@ -81,6 +81,11 @@
 
 }  // namespace
 
+bool RangeAssigner::MayOwn(const Owner& owner) const {
+  const AssignerServer* server = FindIncarnation(owner);
+  return server != nullptr && !server->draining && !HasEnded(owner);
+}
+
 std::vector<Candidate> RangeAssigner::Candidates() const {
   std::vector<Candidate> candidates;
   for (const auto& [id, it] : servers_) {
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -1,4 +1,4 @@
-// HTTP client for the platform's APIs and for orders, based on libsoup.
+// HTTP client for the platform's APIs, based on libsoup.
 //
 // A call is sent at most once, except reads (GET and HEAD without a body): if a
 // pooled connection closes before the response, libsoup sends these again on
