A leader record that is older than the tables is replaced by a later term

Found in the review. A leader that finds a later epoch in a table sends no orders until its record has been checked. If the record was deleted or put back by hand, the check confirms the earlier epoch, the table is read again, and so on: no service gets orders, for good. The leader now begins a term after the latest epoch that it has found, and waits for whoever may have had that one.

--- a/src/entry/leader_election.cc
+++ b/src/entry/leader_election.cc
@@ -107,7 +107,8 @@
 ElectionCall LeaderElection::ReplaceUnreadable() const {
   // Each term costs at least one revision, so no record before this revision
   // can have had a later epoch.
-  const Epoch latest = std::max(record_.epoch, Epoch(unreadable_revision_));
+  const Epoch latest = std::max(
+      {record_.epoch, latest_stored_epoch_, Epoch(unreadable_revision_)});
   LeaderRecord next{latest.Next(), self_, {Member{}}};
   // The leader is named, too, so that it is told of its replacement.
   if (knows_leader() && record_.leader.name != self_.name) {
@@ -194,6 +195,10 @@
     if (doubt_after_call) {
       term_in_doubt_ = true;
       must_verify_ = true;
+    } else if (record_.epoch < latest_stored_epoch_) {
+      // The record was deleted, or put back to an earlier content.
+      unreadable_revision_ = revision_;
+      unreadable_since_ = now;
     }
     return;
   }
@@ -300,6 +305,7 @@
     return;
   }
   term_in_doubt_ = true;
+  latest_stored_epoch_ = std::max(latest_stored_epoch_, epoch);
   doubt_after_call_ = in_flight_.has_value();
   OnNewerEpochSeen(now);
 }
--- a/src/entry/leader_election.h
+++ b/src/entry/leader_election.h
@@ -193,7 +193,8 @@
   // When this daemon first knew the term of `record_`.
   TimePoint term_known_since_{};
   bool record_absent_ = false;
-  // The revision of the record in the store if it cannot be read, otherwise 0.
+  // The revision of the record in the store if it cannot be read or has an
+  // earlier epoch than an object that a leader has written, otherwise 0.
   std::uint64_t unreadable_revision_ = 0;
   TimePoint unreadable_since_{};
   // The next call must check the record, even if no check is due yet.
@@ -201,6 +202,8 @@
   bool term_in_doubt_ = false;
   // The call in flight was sent before the term came into doubt.
   bool doubt_after_call_ = false;
+  // The latest epoch of the objects that OnStoredEpoch() was called for.
+  Epoch latest_stored_epoch_;
   // The store has confirmed that the leader to replace is still the current
   // one.
   bool takeover_due_ = false;
--- a/src/entry/leader_election_test.cc
+++ b/src/entry/leader_election_test.cc
@@ -423,6 +423,22 @@
   CHECK(a.IsLeader(kStart + seconds(2)));
 }
 
+TEST_CASE(
+    "a record that is older than the tables is replaced by a later term") {
+  Store store;
+  LeaderElection a = Daemon("a");
+  store.Serve(a, kStart);
+  REQUIRE(a.IsLeader(kStart));
+  a.OnStoredEpoch(Epoch(7), kStart);
+  store.Serve(a, kStart);
+  store.Serve(a, kStart);
+  CHECK(a.IsLeader(kStart));
+  CHECK(a.record().epoch > Epoch(7));
+  CHECK_FALSE(a.term_in_doubt());
+  // Whoever wrote the tables may still act.
+  CHECK(a.previous_leader_until() == kStart + kLeaderLease);
+}
+
 TEST_CASE("a check that was sent before a later epoch was found is repeated") {
   Store store;
   LeaderElection a = Daemon("a");
