store_faults_test: the load lasts until the last event can be judged

Traced: the store was down from 16:41:58.95 to 16:42:09.4, 10.4 s instead of the 6 s of the script's sleeps, so that the kill came when the load of 17 s had ended or was about to. The load now lasts 25 s; the bound of 3 s and the other checks are as before.

--- a/integration/store_faults_test.sh
+++ b/integration/store_faults_test.sh
@@ -8,7 +8,7 @@
 . integration/fleet.sh "$1"
 
 start_small_fleet 3
-start_load 17 d1 d2 d3
+start_load 25 d1 d2 d3
 sleep 2
 control_platform '{"mode":"down"}'
 sleep 1
