Signals that arrive while a daemon starts are handled once it runs

What was seen: "processes ended by themselves".

Cause: the handlers are set after the daemon has started; until then the signals have their default action. The class is a signal before its handler.

The signals are blocked at the first line of main, before any thread starts, and unblocked once their handlers are set. They stay pending meanwhile, also if the program that starts the daemon has blocked them. What is left is the time until main, in which the kernel and the loader run: a program that starts daemons can block the signals to close it.

On: "Hangup", ended before event=started.

--- a/tools/daemon_program.h
+++ b/tools/daemon_program.h
@@ -3,6 +3,7 @@
 #ifndef TOOLS_DAEMON_PROGRAM_H_
 #define TOOLS_DAEMON_PROGRAM_H_
 
+#include <csignal>
 #include <cstdlib>
 #include <fstream>
 #include <functional>
@@ -47,6 +48,18 @@
 
 namespace internal {
 
+// Blocks (SIG_BLOCK) or unblocks (SIG_UNBLOCK) the signals that a daemon
+// handles in its main loop. Threads that start while they are blocked leave
+// them to the main thread.
+inline void ChangeSignalMask(int how) {
+  sigset_t signals;
+  sigemptyset(&signals);
+  for (const int it : {SIGTERM, SIGINT, SIGHUP}) {
+    sigaddset(&signals, it);
+  }
+  pthread_sigmask(how, &signals, nullptr);
+}
+
 inline gboolean RunSourceFunction(gpointer function) {
   (*static_cast<std::function<void()>*>(function))();
   return G_SOURCE_CONTINUE;
@@ -56,7 +69,8 @@
 
 // Runs the main loop until `daemon` has stopped after SIGTERM or SIGINT. Calls
 // `on_reload` on SIGHUP. If `on_reload` is null, SIGHUP keeps its default
-// action and terminates the process.
+// action and terminates the process. Unblocks these signals, so that those that
+// arrived since DaemonMain() blocked them are handled now.
 template <typename Daemon>
 void RunUntilStopped(Daemon& daemon, std::function<void()> on_reload) {
   const GMainLoopPtr loop(g_main_loop_new(nullptr, FALSE));
@@ -68,18 +82,20 @@
   if (on_reload) {
     g_unix_signal_add(SIGHUP, &internal::RunSourceFunction, &on_reload);
   }
+  internal::ChangeSignalMask(SIG_UNBLOCK);
   g_main_loop_run(loop.get());
 }
 
 // Returns the exit code of a daemon program. Parses the arguments, reads the
 // settings with `load` (see ReadSettings()) and passes them with the file's
-// path to `run`.
+// path to `run`. Signals stay blocked until RunUntilStopped().
 template <typename Load, typename Run>
 int DaemonMain(int argc,
                char** argv,
                const ProgramInfo& info,
                const Load& load,
                const Run& run) {
+  internal::ChangeSignalMask(SIG_BLOCK);
   constexpr int kUsageError = 2;
   CLI::App app{info.description};
   std::string config;
