The average processing time decays once there are no samples

What callers saw: a VM refused everything for good, plain requests too (503 overload after no attempt), while all others served.

Cause: the estimate of each server decays to the average over all servers, but nothing changed the average without a sample. Once it was above what callers give their requests, nothing was sent, so that no sample came. The class is an estimate that only its own successes renew.

The average now decays to what is assumed before any sample, from two seconds after the last one on. On the new case of server_choice_test fails: ten seconds after the last sample no request is sent, neither to a plain service nor to an owner.

--- a/src/entry/entry_request.cc
+++ b/src/entry/entry_request.cc
@@ -228,7 +228,7 @@
   if (hold_until_ == TimePoint{}) {
     const Duration objective = route_->latency_objective;
     const Duration hold =
-        std::max(objective - state_->loads.AverageProcessingTime(),
+        std::max(objective - state_->loads.AverageProcessingTime(now),
                  objective / kMinHoldDivisor);
     hold_until_ = std::min(now + std::min(hold, kMaxHold), deadline_);
   }
--- a/src/entry/server_choice_test.cc
+++ b/src/entry/server_choice_test.cc
@@ -92,6 +92,20 @@
   CHECK(f.Choose().server->id == ServerId("a"));
 }
 
+TEST_CASE("requests are sent again after all servers once looked too slow") {
+  Fixture f;
+  for (const char* id : {"a", "b"}) {
+    f.directory.Put(Server(id), kNow);
+    for (int i = 0; i < 10; ++i) {
+      f.RecordResponse(id, milliseconds(2500), "1,0,2");
+    }
+  }
+  CHECK(f.Choose().reason == Reason::kOverload);
+  CHECK(f.Choose(kNow + milliseconds(10'000)).server != nullptr);
+  f.SetOwner("a");
+  CHECK(f.Choose(kNow + milliseconds(10'000)).server != nullptr);
+}
+
 TEST_CASE("a keyed request waits while its key moves or its owner is drained") {
   Fixture f;
   f.directory.Put(Server("a"), kNow);
--- a/src/entry/server_loads.cc
+++ b/src/entry/server_loads.cc
@@ -33,10 +33,13 @@
 // decay. Without the decay, a server that looked bad once would get no
 // requests, and so could never look better again.
 constexpr Seconds kDecayTime{1.5};
-// Time constant with which a server's processing time decays to the average.
-// Otherwise an owner that once looked too slow for every request would never
-// get another one.
+// Time constant with which a server's processing time decays to the average,
+// and the average to kInitialProcessingS. Otherwise servers that once looked
+// too slow for every request would never get another one.
 constexpr Seconds kProcessingDecayTime{5};
+// Time after a sample during which the average does not decay, longer than the
+// usual time between two samples.
+constexpr Duration kAverageHoldTime = std::chrono::seconds(2);
 // Weight of the share of failed attempts in the failure penalty.
 constexpr double kErrorPenalty = 4;
 
@@ -161,11 +164,11 @@
           ? seconds
           : state.processing_s +
                 kLatencyWeight * (seconds - state.processing_s);
-  average_processing_s_ =
-      average_processing_s_ == 0
-          ? seconds
-          : average_processing_s_ +
-                kAverageWeight * (seconds - average_processing_s_);
+  const double average = AverageProcessingSeconds(now);
+  average_processing_s_ = average_processing_s_ == 0
+                              ? seconds
+                              : average + kAverageWeight * (seconds - average);
+  average_processing_at_ = now;
 }
 
 void ServerLoads::OnRemoteSamples(const ServerId& server,
@@ -181,9 +184,19 @@
   AddProcessingSample(states_[server], mean, now);
 }
 
+double ServerLoads::AverageProcessingSeconds(TimePoint now) const {
+  if (average_processing_s_ == 0) {
+    return kInitialProcessingS;
+  }
+  return kInitialProcessingS +
+         (average_processing_s_ - kInitialProcessingS) *
+             Decay(std::max(now - average_processing_at_ - kAverageHoldTime,
+                            Duration(0)),
+                   kProcessingDecayTime);
+}
+
 double ServerLoads::ProcessingSeconds(const State* state, TimePoint now) const {
-  const double average =
-      average_processing_s_ > 0 ? average_processing_s_ : kInitialProcessingS;
+  const double average = AverageProcessingSeconds(now);
   if (state == nullptr || state->processing_s == 0) {
     return average;
   }
@@ -225,8 +238,8 @@
                                     Decay(now - state->error_share_at);
 }
 
-Duration ServerLoads::AverageProcessingTime() const {
-  return ToDuration(ProcessingSeconds(nullptr, {}));
+Duration ServerLoads::AverageProcessingTime(TimePoint now) const {
+  return ToDuration(AverageProcessingSeconds(now));
 }
 
 bool ServerLoads::IsAvoided(const ServerId& server, TimePoint now) const {
--- a/src/entry/server_loads.h
+++ b/src/entry/server_loads.h
@@ -88,7 +88,7 @@
   [[nodiscard]] Duration ProcessingTime(const routing::BackendServer& server,
                                         TimePoint now) const;
   // Returns the average processing time over all servers.
-  [[nodiscard]] Duration AverageProcessingTime() const;
+  [[nodiscard]] Duration AverageProcessingTime(TimePoint now) const;
   // Returns whether the server is avoided after failures.
   [[nodiscard]] bool IsAvoided(const ServerId& server, TimePoint now) const;
   // Returns whether the server can take one more request.
@@ -122,6 +122,9 @@
   // Returns the estimated number of requests of all daemons at the server.
   [[nodiscard]] static double RequestsAtServer(const State& state,
                                                TimePoint now);
+  // Returns the average processing time over all servers. Some time after the
+  // last sample it decays towards that which is assumed before any.
+  [[nodiscard]] double AverageProcessingSeconds(TimePoint now) const;
   // Returns the processing time of a server, or the average over all servers if
   // `state` is null. Without new samples it decays towards the average.
   [[nodiscard]] double ProcessingSeconds(const State* state,
@@ -132,8 +135,10 @@
 
   std::unordered_map<ServerId, State> states_;
   std::unordered_map<ServerId, Sample> samples_;
-  // Average over all servers, used for those without samples; 0 if unknown.
+  // Average over all servers at the time of the last sample, used for those
+  // without samples; 0 if unknown.
   double average_processing_s_ = 0;
+  TimePoint average_processing_at_{};
 };
 
 }  // namespace gentianreach::entry
--- a/src/entry/server_loads_test.cc
+++ b/src/entry/server_loads_test.cc
@@ -139,6 +139,19 @@
   CHECK(sent == 7);
 }
 
+TEST_CASE("the average processing time decays once there are no samples") {
+  ServerLoads loads;
+  for (int i = 0; i < 20; ++i) {
+    RecordResponse(loads, "a", milliseconds(1900));
+  }
+  const auto average_after = [&](Duration time) {
+    return loads.AverageProcessingTime(kNow + time);
+  };
+  CHECK(average_after(milliseconds(2000)) == milliseconds(1900));
+  CHECK(average_after(milliseconds(5000)) < milliseconds(1200));
+  CHECK(average_after(milliseconds(20'000)) < milliseconds(200));
+}
+
 TEST_CASE("the effect of a single slow response decays without new samples") {
   ServerLoads loads;
   for (int i = 0; i < 20; ++i) {
