Waiting for a lost path to the servers is not processing time

Cause: requests that had been written before the cut was noticed were answered after it, and their whole time counted as processing time. The first of them set the average of the new daemon to almost two seconds.

An attempt during which the path to all servers was lost now says nothing about the time that a server takes. A path that is only suspected still counts, since all servers may be slow at once.

--- a/src/entry/entry_request.cc
+++ b/src/entry/entry_request.cc
@@ -491,7 +491,12 @@
     return;
   }
   const TimePoint now = state_->loop.Now();
-  state_->loads.OnEnd(server_, result, now - attempt_started_, report_, now);
+  const bool path_was_lost =
+      state_->reachability.WasLostSince(attempt_started_);
+  state_->loads.OnEnd(
+      server_, result,
+      path_was_lost ? std::nullopt : std::optional(now - attempt_started_),
+      report_, now);
   if (result == AttemptResult::kAnswered ||
       result == AttemptResult::kCancelled) {
     return;
--- a/src/entry/server_loads.cc
+++ b/src/entry/server_loads.cc
@@ -103,7 +103,7 @@
 
 void ServerLoads::OnEnd(const ServerId& server,
                         AttemptResult result,
-                        Duration latency,
+                        std::optional<Duration> latency,
                         const std::optional<LoadReport>& report,
                         TimePoint now) {
   State& state = states_[server];
@@ -140,7 +140,7 @@
     return;
   }
   state.failures = 0;
-  if (result != AttemptResult::kAnswered) {
+  if (result != AttemptResult::kAnswered || !latency) {
     return;
   }
   // Excludes the estimated queueing time from the processing time.
@@ -148,7 +148,7 @@
       report && report->slots > 0
           ? static_cast<double>(report->waiting) / report->slots
           : 0;
-  const double sample = Seconds(latency).count() / (1 + waiting);
+  const double sample = Seconds(*latency).count() / (1 + waiting);
   AddProcessingSample(state, sample, now);
   Sample& pending = samples_[server];
   ++pending.requests;
--- a/src/entry/server_loads.h
+++ b/src/entry/server_loads.h
@@ -49,10 +49,11 @@
  public:
   // Records the start of an attempt at `server`.
   void OnSent(const ServerId& server);
-  // Records the end of an attempt that took `latency`.
+  // Records the end of an attempt that took `latency`; nullopt if it says
+  // nothing about the server, because the path to it was lost meanwhile.
   void OnEnd(const ServerId& server,
              AttemptResult result,
-             Duration latency,
+             std::optional<Duration> latency,
              const std::optional<LoadReport>& report,
              TimePoint now);
   // Drops all state of a server that no longer exists.
--- a/src/entry/server_loads_test.cc
+++ b/src/entry/server_loads_test.cc
@@ -60,6 +60,16 @@
   CHECK(loads.ExpectedLatency(Server("a"), kNow) > milliseconds(140));
 }
 
+TEST_CASE("waiting for a lost path is not processing time") {
+  ServerLoads loads;
+  RecordResponse(loads, "a", milliseconds(100));
+  loads.OnSent(ServerId("a"));
+  loads.OnEnd(ServerId("a"), AttemptResult::kAnswered, std::nullopt,
+              std::nullopt, kNow);
+  CHECK(loads.ProcessingTime(Server("a"), kNow) == milliseconds(100));
+  CHECK(loads.last_response(ServerId("a")) == kNow);
+}
+
 TEST_CASE("the processing time excludes queueing at the server") {
   ServerLoads loads;
   RecordResponse(loads, "a", milliseconds(300), "2,4,2");
--- a/src/entry/server_reachability.cc
+++ b/src/entry/server_reachability.cc
@@ -143,6 +143,9 @@
   if (path_ == ServerPath::kOpen) {
     return;
   }
+  if (lost()) {
+    loss_ended_at_ = now;
+  }
   path_ = ServerPath::kOpen;
   answer_due_.reset();
   next_probes_ = now + kSuspicionPause;
--- a/src/entry/server_reachability.h
+++ b/src/entry/server_reachability.h
@@ -59,6 +59,10 @@
 
   [[nodiscard]] ServerPath path() const { return path_; }
   [[nodiscard]] bool lost() const { return path_ == ServerPath::kLost; }
+  // Returns whether the path was lost at any time since `from`.
+  [[nodiscard]] bool WasLostSince(TimePoint from) const {
+    return lost() || loss_ended_at_ >= from;
+  }
   // Returns when any server last answered.
   [[nodiscard]] TimePoint last_answer() const { return last_answer_; }
 
@@ -82,6 +86,7 @@
   std::map<ServerId, TimePoint> failed_connections_;
   ServerPath path_ = ServerPath::kOpen;
   TimePoint last_answer_{};
+  TimePoint loss_ended_at_{};
   // The earliest time by which a request sent since then should be answered.
   std::optional<TimePoint> answer_due_;
   std::size_t pending_probes_ = 0;
--- a/src/entry/server_reachability_test.cc
+++ b/src/entry/server_reachability_test.cc
@@ -131,6 +131,20 @@
   CHECK(fixture.reachability.path() == ServerPath::kOpen);
 }
 
+TEST_CASE("a loss of the path is remembered for attempts that began before") {
+  Fixture fixture;
+  const TimePoint begin = fixture.now;
+  CHECK_FALSE(fixture.reachability.WasLostSince(begin));
+  fixture.LosePath();
+  CHECK(fixture.reachability.WasLostSince(fixture.now));
+  fixture.now += seconds(1);
+  const TimePoint end = fixture.now;
+  fixture.RunProbes({1, 2, 3, 4, 5, 6, 7, 8});
+  REQUIRE_FALSE(fixture.reachability.lost());
+  CHECK(fixture.reachability.WasLostSince(begin));
+  CHECK_FALSE(fixture.reachability.WasLostSince(end + milliseconds(1)));
+}
+
 TEST_CASE("while the path is lost, all servers are probed in turn") {
   Fixture fixture;
   fixture.LosePath();
