A daemon does not stop while it sends a response

Cause: a request counted as ended once its response was queued, so that a stopping daemon without requests exited and reset the connections on which responses were still being sent. The class: what has been handed to the kernel is taken for delivered.

A stopping daemon now waits until the callers' hosts have acknowledged all bytes, at most until its grace period ends. Without readers nothing is unacknowledged, so that a stop takes as long as before.

--- a/src/entry/entry_proxy.cc
+++ b/src/entry/entry_proxy.cc
@@ -1,5 +1,6 @@
 #include "entry/entry_proxy.h"
 
+#include <algorithm>
 #include <chrono>
 #include <utility>
 
@@ -49,6 +50,9 @@
     }
   }
   void CloseIfIdle() { connection_->CloseIfIdle(); }
+  [[nodiscard]] bool IsDelivering() const {
+    return connection_->IsDelivering();
+  }
   void Abort() { connection_->Abort(); }
 
  private:
@@ -177,8 +181,10 @@
       it->OnStopDeadline();
     }
   }
-  const bool ended =
-      now >= accept_until_ && (sessions_->empty() || state_->in_flight == 0);
+  const bool ended = now >= accept_until_ && state_->in_flight == 0 &&
+                     std::ranges::none_of(*sessions_, [](const auto& it) {
+                       return it.second->IsDelivering();
+                     });
   if ((ended && now < stop_deadline_) ||
       now >= stop_deadline_ + kFinalFlushTime) {
     Log(LogLevel::kInfo, "callers_done",
--- a/src/net/tcp_socket.cc
+++ b/src/net/tcp_socket.cc
@@ -1,7 +1,9 @@
 #include "net/tcp_socket.h"
 
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <sys/types.h>
 
@@ -167,6 +169,15 @@
          (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
 }
 
+std::size_t TcpSocket::UnacknowledgedBytes() const {
+  int bytes = 0;
+  if (!socket_ ||
+      ioctl(g_socket_get_fd(socket_.get()), SIOCOUTQ, &bytes) != 0) {
+    return 0;
+  }
+  return static_cast<std::size_t>(bytes);
+}
+
 PathState TcpSocket::QueryPath() {
   constexpr gint kProbeSeconds = 1;
   g_socket_set_option(socket_.get(), IPPROTO_TCP, TCP_KEEPIDLE, kProbeSeconds,
--- a/src/net/tcp_socket.h
+++ b/src/net/tcp_socket.h
@@ -77,6 +77,10 @@
   // Returns whether neither data nor an end of the stream is ready to be read.
   [[nodiscard]] bool HasNothingToRead();
 
+  // Returns the number of sent bytes that the peer's host has not acknowledged;
+  // 0 if the kernel does not tell.
+  [[nodiscard]] std::size_t UnacknowledgedBytes() const;
+
   // Returns whether the peer's host acknowledges data. Enables keep-alive
   // probes from now on, since the host has nothing else to acknowledge while
   // the server computes a response.
--- a/src/proxy/caller_connection.h
+++ b/src/proxy/caller_connection.h
@@ -85,6 +85,10 @@
   void Write(std::string data);
   // Returns the number of queued bytes that the socket has not accepted yet.
   [[nodiscard]] std::size_t unsent() const { return out_.size(); }
+  // Returns whether the caller's host has not acknowledged all queued bytes.
+  [[nodiscard]] bool IsDelivering() const {
+    return out_.size() > 0 || socket_.UnacknowledgedBytes() > 0;
+  }
   // Ends the response. The connection continues with the next request if
   // `keep_alive` is set and the request was read in full. Otherwise it closes
   // once all queued bytes have been sent.
