Connections that waited without a free descriptor are accepted later

Without a free descriptor accept() fails, and the loop is edge-triggered, so that the connections that wait are not reported again until another one arrives.

--- a/src/entry/entry_proxy.cc
+++ b/src/entry/entry_proxy.cc
@@ -95,14 +95,12 @@
 
 boost::leaf::result<void> EntryProxy::Listen(const std::string& address,
                                              RequestOrigin origin) {
-  BOOST_LEAF_AUTO(socket, net::TcpSocket::Listen(address, false));
-  Listener& listener = listeners_.emplace_back();
-  listener.origin = origin;
-  listener.socket = std::move(socket);
-  listener.watch = state_->loop.Watch(
-      listener.socket.fd(),
-      [this, &listener](net::ReadyEvents) { Accept(listener); });
-  return {};
+  return listeners_
+      .emplace_back(state_->loop,
+                    [this, origin](net::TcpSocket socket) {
+                      OnConnection(std::move(socket), origin);
+                    })
+      .Listen(address, false);
 }
 
 void EntryProxy::OnServersLost() {
@@ -112,39 +110,31 @@
   }
 }
 
-void EntryProxy::Accept(Listener& listener) {
-  while (auto socket = listener.socket.Accept()) {
-    if (sessions_->size() >= kMaxCallers) {
-      state_->metrics.Count("callers_turned_away_total");
-      socket->Close();
-      continue;
-    }
-    routing::CallerLimits limits;
-    if (state_->routes) {
-      limits = state_->routes->config().limits;
-    }
-    auto connection = std::make_shared<proxy::CallerConnection>(
-        state_->loop, std::move(*socket), limits.max_header_bytes,
-        proxy::CallerTimeouts{.idle = listener.origin == RequestOrigin::kCaller
-                                          ? Duration(limits.idle_timeout)
-                                          : kDaemonIdleTimeout,
-                              .head = limits.header_timeout});
-    const auto session =
-        std::make_shared<Session>(state_, connection, listener.origin);
-    sessions_->emplace(connection.get(), session);
-    session->Start([sessions = sessions_](proxy::CallerConnection* it) {
-      sessions->erase(it);
-    });
+void EntryProxy::OnConnection(net::TcpSocket socket, RequestOrigin origin) {
+  if (sessions_->size() >= kMaxCallers) {
+    state_->metrics.Count("callers_turned_away_total");
+    return;
+  }
+  routing::CallerLimits limits;
+  if (state_->routes) {
+    limits = state_->routes->config().limits;
   }
+  auto connection = std::make_shared<proxy::CallerConnection>(
+      state_->loop, std::move(socket), limits.max_header_bytes,
+      proxy::CallerTimeouts{.idle = origin == RequestOrigin::kCaller
+                                        ? Duration(limits.idle_timeout)
+                                        : kDaemonIdleTimeout,
+                            .head = limits.header_timeout});
+  const auto session = std::make_shared<Session>(state_, connection, origin);
+  sessions_->emplace(connection.get(), session);
+  session->Start([sessions = sessions_](proxy::CallerConnection* it) {
+    sessions->erase(it);
+  });
 }
 
 void EntryProxy::CloseListeners() {
-  for (Listener& it : listeners_) {
-    if (!it.socket.is_open()) {
-      continue;
-    }
-    state_->loop.Unwatch(it.watch, it.socket.fd());
-    it.socket.Close();
+  for (net::Listener& it : listeners_) {
+    it.Close();
   }
 }
 
@@ -162,10 +152,8 @@
   const TimePoint now = state_->loop.Now();
   if (now >= accept_until_) {
     // Connections in the listener's backlog are accepted before it closes.
-    for (Listener& it : listeners_) {
-      if (it.socket.is_open()) {
-        Accept(it);
-      }
+    for (net::Listener& it : listeners_) {
+      it.Accept();
     }
     CloseListeners();
     const Sessions sessions = *sessions_;
--- a/src/entry/entry_proxy.h
+++ b/src/entry/entry_proxy.h
@@ -16,7 +16,7 @@
 #include "entry/entry_state.h"
 #include "gentianreach/time.h"
 #include "net/deadline_timer.h"
-#include "net/event_loop.h"
+#include "net/listener.h"
 #include "net/tcp_socket.h"
 #include "proxy/caller_connection.h"
 
@@ -34,9 +34,7 @@
   boost::leaf::result<void> Listen(const std::string& address,
                                    RequestOrigin origin);
   // Returns the port of the first address.
-  [[nodiscard]] std::uint16_t port() const {
-    return listeners_.front().socket.port();
-  }
+  [[nodiscard]] std::uint16_t port() const { return listeners_.front().port(); }
   // Sends requests that wait for a server another way, because the path to all
   // servers is lost.
   void OnServersLost();
@@ -55,20 +53,13 @@
   using Sessions =
       std::unordered_map<proxy::CallerConnection*, std::shared_ptr<Session>>;
 
-  struct Listener {
-    RequestOrigin origin = RequestOrigin::kCaller;
-    net::TcpSocket socket;
-    net::EventLoop::WatchId watch = 0;
-  };
-
-  void Accept(Listener& listener);
+  void OnConnection(net::TcpSocket socket, RequestOrigin origin);
   void CloseListeners();
   void CheckStopped();
 
   std::shared_ptr<EntryState> state_;
   std::shared_ptr<Sessions> sessions_ = std::make_shared<Sessions>();
-  // References to the elements stay valid.
-  std::list<Listener> listeners_;
+  std::list<net::Listener> listeners_;
   net::DeadlineTimer stop_timer_;
   TimePoint accept_until_{};
   TimePoint stop_deadline_{};
--- a/src/proxy/proxy_server.h
+++ b/src/proxy/proxy_server.h
@@ -28,6 +28,7 @@
 #include "gentianreach/router.h"
 #include "gentianreach/time.h"
 #include "net/event_loop.h"
+#include "net/listener.h"
 #include "net/tcp_socket.h"
 #include "proxy/caller_connection.h"
 #include "proxy/caller_session.h"
@@ -100,16 +101,14 @@
   // request already in transit still gets its response.
   static constexpr Duration kStopGrace = std::chrono::milliseconds(200);
 
-  void AcceptCallers();
-  void CloseListener();
+  void OnConnection(net::TcpSocket socket);
   void CheckStopped();
   void AbortCallers();
 
   std::shared_ptr<State> state_;
   // Shared because callbacks of connections may outlive the proxy.
   std::shared_ptr<Callers> callers_ = std::make_shared<Callers>();
-  net::TcpSocket listener_;
-  net::EventLoop::WatchId listener_watch_ = 0;
+  net::Listener listener_;
   std::optional<net::EventLoop::TimerId> stop_timer_;
   TimePoint stop_deadline_;
   std::function<void()> stop_done_;
@@ -125,14 +124,17 @@
                                      router,
                                      picker,
                                      std::move(hooks),
-                                     std::move(options))) {}
+                                     std::move(options))),
+      listener_(loop, [this](net::TcpSocket socket) {
+        OnConnection(std::move(socket));
+      }) {}
 
 template <KeyRouter Router, PlainPicker Picker>
 ProxyServer<Router, Picker>::~ProxyServer() {
   if (stop_timer_) {
     state_->loop.CancelTimer(*stop_timer_);
   }
-  CloseListener();
+  listener_.Close();
   state_->hooks = {};
   AbortCallers();
   state_->held.WakeAll();
@@ -142,12 +144,7 @@
 template <KeyRouter Router, PlainPicker Picker>
 boost::leaf::result<void> ProxyServer<Router, Picker>::Listen(
     const std::string& address) {
-  BOOST_LEAF_AUTO(listener,
-                  net::TcpSocket::Listen(address, state_->options.reuse_port));
-  listener_ = std::move(listener);
-  listener_watch_ = state_->loop.Watch(
-      listener_.fd(), [this](net::ReadyEvents) { AcceptCallers(); });
-  return {};
+  return listener_.Listen(address, state_->options.reuse_port);
 }
 
 template <KeyRouter Router, PlainPicker Picker>
@@ -188,33 +185,21 @@
   state_->stopping = true;
   stop_deadline_ = deadline;
   stop_done_ = std::move(done);
-  CloseListener();
+  listener_.Close();
   CheckStopped();
 }
 
 template <KeyRouter Router, PlainPicker Picker>
-void ProxyServer<Router, Picker>::AcceptCallers() {
-  while (auto socket = listener_.Accept()) {
-    if (callers_->size() >= state_->options.limits.max_caller_connections) {
-      socket->Close();
-      continue;
-    }
-    auto connection = std::make_shared<CallerConnection>(
-        state_->loop, std::move(*socket), state_->options.limits.max_header);
-    callers_->emplace(connection.get(), connection);
-    std::make_shared<CallerSession<State>>(state_, connection)
-        ->Start(
-            [callers = callers_](CallerConnection* it) { callers->erase(it); });
-  }
-}
-
-template <KeyRouter Router, PlainPicker Picker>
-void ProxyServer<Router, Picker>::CloseListener() {
-  if (!listener_.is_open()) {
+void ProxyServer<Router, Picker>::OnConnection(net::TcpSocket socket) {
+  if (callers_->size() >= state_->options.limits.max_caller_connections) {
     return;
   }
-  state_->loop.Unwatch(listener_watch_, listener_.fd());
-  listener_.Close();
+  auto connection = std::make_shared<CallerConnection>(
+      state_->loop, std::move(socket), state_->options.limits.max_header);
+  callers_->emplace(connection.get(), connection);
+  std::make_shared<CallerSession<State>>(state_, connection)
+      ->Start(
+          [callers = callers_](CallerConnection* it) { callers->erase(it); });
 }
 
 template <KeyRouter Router, PlainPicker Picker>
