A quarter of the descriptors is kept from callers

Cause: connections of callers, and those to servers for their requests, took descriptors until none was left for the store, orders to servers, other daemons and operators. The class: a resource that callers can use up before what they depend on has its share.

The soft limit is raised to the hard one. A connection of a caller whose descriptor falls into the last quarter gets 503 for its request, or is closed at once in the last eighth; no connection to a server is opened there, and the request is refused as not run. It is logged and counted.

--- a/src/entry/entry_proxy.cc
+++ b/src/entry/entry_proxy.cc
@@ -13,9 +13,14 @@
 // How long a connection of another daemon may wait for its next request. The
 // other daemon closes its idle connections earlier.
 constexpr Duration kDaemonIdleTimeout = std::chrono::seconds(60);
-// Limit of callers' connections per daemon. The file descriptor limit of an
-// entry VM allows about twice as many.
+// Limit of callers' connections per daemon.
 constexpr std::size_t kMaxCallers = 2000;
+// Limit of the connections beyond those whose requests are refused. Further
+// ones are closed at once.
+constexpr std::size_t kMaxTurnedAway = 200;
+// How long a connection of a caller that is turned away may wait for its
+// request.
+constexpr Duration kTurnedAwayTimeout = std::chrono::seconds(2);
 // How often a stopping daemon checks whether all requests have ended.
 constexpr Duration kStopCheckPeriod = std::chrono::milliseconds(100);
 // Time to write out the last responses.
@@ -111,20 +116,46 @@
 }
 
 void EntryProxy::OnConnection(net::TcpSocket socket, RequestOrigin origin) {
-  if (sessions_->size() >= kMaxCallers) {
-    state_->metrics.Count("callers_turned_away_total");
+  const bool short_of_descriptors = state_->descriptors.Contains(socket.fd());
+  if (sessions_->size() >= kMaxCallers || short_of_descriptors) {
+    TurnAway(std::move(socket), origin);
     return;
   }
   routing::CallerLimits limits;
   if (state_->routes) {
     limits = state_->routes->config().limits;
   }
+  StartSession(
+      std::move(socket), origin, limits.max_header_bytes,
+      {.idle = origin == RequestOrigin::kCaller ? Duration(limits.idle_timeout)
+                                                : kDaemonIdleTimeout,
+       .head = limits.header_timeout});
+}
+
+void EntryProxy::TurnAway(net::TcpSocket socket, RequestOrigin origin) {
+  state_->metrics.Count("callers_turned_away_total");
+  if (state_->log_budget.Take(state_->loop.Now())) {
+    Log(LogLevel::kWarning, "caller_turned_away",
+        {{"callers", sessions_->size()},
+         {"descriptor", socket.fd()},
+         {"descriptor_limit", state_->descriptors.limit()}});
+  }
+  if (origin != RequestOrigin::kCaller ||
+      sessions_->size() >= kMaxCallers + kMaxTurnedAway ||
+      state_->descriptors.IsHalfUsed(socket.fd())) {
+    return;
+  }
+  StartSession(std::move(socket), RequestOrigin::kTurnedAway,
+               routing::CallerLimits().max_header_bytes,
+               {.idle = kTurnedAwayTimeout, .head = kTurnedAwayTimeout});
+}
+
+void EntryProxy::StartSession(net::TcpSocket socket,
+                              RequestOrigin origin,
+                              std::size_t max_header_bytes,
+                              const proxy::CallerTimeouts& timeouts) {
   auto connection = std::make_shared<proxy::CallerConnection>(
-      state_->loop, std::move(socket), limits.max_header_bytes,
-      proxy::CallerTimeouts{.idle = origin == RequestOrigin::kCaller
-                                        ? Duration(limits.idle_timeout)
-                                        : kDaemonIdleTimeout,
-                            .head = limits.header_timeout});
+      state_->loop, std::move(socket), max_header_bytes, timeouts);
   const auto session = std::make_shared<Session>(state_, connection, origin);
   sessions_->emplace(connection.get(), session);
   session->Start([sessions = sessions_](proxy::CallerConnection* it) {
--- a/src/entry/entry_proxy.h
+++ b/src/entry/entry_proxy.h
@@ -4,6 +4,7 @@
 #define SRC_ENTRY_ENTRY_PROXY_H_
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <list>
 #include <memory>
@@ -54,6 +55,13 @@
       std::unordered_map<proxy::CallerConnection*, std::shared_ptr<Session>>;
 
   void OnConnection(net::TcpSocket socket, RequestOrigin origin);
+  // Refuses the request of a connection beyond those that the daemon takes, or
+  // closes it.
+  void TurnAway(net::TcpSocket socket, RequestOrigin origin);
+  void StartSession(net::TcpSocket socket,
+                    RequestOrigin origin,
+                    std::size_t max_header_bytes,
+                    const proxy::CallerTimeouts& timeouts);
   void CloseListeners();
   void CheckStopped();
 
--- a/src/entry/entry_request.cc
+++ b/src/entry/entry_request.cc
@@ -116,7 +116,7 @@
       return;
     }
   }
-  if (!routes_) {
+  if (!routes_ || origin_ == RequestOrigin::kTurnedAway) {
     deadline_ = started_ + kNotReadyRetryAfter * 4;
     Refuse(kUnavailable, Reason::kNone, kNotReadyRetryAfter);
     return;
--- a/src/entry/entry_request.h
+++ b/src/entry/entry_request.h
@@ -26,7 +26,8 @@
 // Who sent a request.
 enum class RequestOrigin : std::uint8_t {
   kCaller,
-  kDaemon,  // A daemon that has lost its path to the servers.
+  kDaemon,      // A daemon that has lost its path to the servers.
+  kTurnedAway,  // A caller beyond those that a daemon takes.
 };
 
 // Finds the route and a server, makes attempts until one succeeds or no more
--- a/src/entry/entry_request_response.cc
+++ b/src/entry/entry_request_response.cc
@@ -126,7 +126,7 @@
 
 bool EntryRequest::KeepsAlive() const {
   return caller_->head().keep_alive && caller_->request_complete() &&
-         !state_->stopping;
+         !state_->stopping && origin_ != RequestOrigin::kTurnedAway;
 }
 
 void EntryRequest::Finish(int status, std::string_view outcome) {
--- a/src/entry/entry_state.h
+++ b/src/entry/entry_state.h
@@ -31,6 +31,7 @@
 #include "entry/server_loads.h"
 #include "entry/server_reachability.h"
 #include "keyspace/key_load.h"
+#include "net/descriptor_limit.h"
 #include "net/event_loop.h"
 #include "policy/retry_budget.h"
 #include "proxy/proxy_state.h"
@@ -137,6 +138,7 @@
   EntryMetrics metrics;
   SendAges send_ages;
   LogBudget log_budget;
+  const net::DescriptorReserve descriptors;
   // Called when a server counts as draining because it has stated so.
   std::function<void()> on_server_leaving;
   std::size_t in_flight = 0;
--- a/src/proxy/server_pool.cc
+++ b/src/proxy/server_pool.cc
@@ -19,7 +19,7 @@
     const auto connection = *unused;
     connection->Abandon();
   }
-  return open_ < limit_ ? Open() : nullptr;
+  return open_ < limit_ && !descriptors_.IsReached() ? Open() : nullptr;
 }
 
 std::shared_ptr<ServerConnection> ServerPool::TakeIdle(
--- a/src/proxy/server_pool.h
+++ b/src/proxy/server_pool.h
@@ -16,6 +16,7 @@
 
 #include "gentianreach/ids.h"
 #include "gentianreach/time.h"
+#include "net/descriptor_limit.h"
 #include "net/event_loop.h"
 #include "proxy/server_connection.h"
 #include "proxy/server_watch.h"
@@ -53,7 +54,8 @@
   // be established yet. Pass it to Release() when the response is complete; a
   // failed or abandoned connection leaves the pool by itself. Idle connections
   // that `may_reuse` rejects are passed over; at the limit, one of them is
-  // closed so that a new one can be opened.
+  // closed so that a new one can be opened. Null as well if a new one would
+  // take a descriptor that is kept from requests.
   [[nodiscard]] std::shared_ptr<ServerConnection> Acquire(
       const ReuseFilter& may_reuse);
   // The same without a filter.
@@ -98,6 +100,7 @@
   net::EventLoop& loop_;
   const std::string address_;
   const ServerConnectionOptions options_;
+  const net::DescriptorReserve descriptors_;
   std::shared_ptr<ServerWatch> watch_;  // Null if not monitored.
   std::size_t limit_ = 1;
   std::size_t idle_limit_ = std::numeric_limits<std::size_t>::max();
--- a/tools/gentianreach_entryd.cc
+++ b/tools/gentianreach_entryd.cc
@@ -12,6 +12,7 @@
 #include "daemon/operator_server.h"
 #include "entry/entry_daemon.h"
 #include "entry/entry_settings.h"
+#include "net/descriptor_limit.h"
 #include "net/tcp_socket.h"
 #include "tools/daemon_program.h"
 
@@ -52,6 +53,7 @@
 int Run(const EntryDaemonT& settings, const std::string& path) {
   gentianreach::InitLogging(*gentianreach::ParseLogLevel(settings.log_level),
                             gentianreach::LogTarget::kStandardOutput);
+  gentianreach::net::RaiseDescriptorLimit();
   gentianreach::entry::EntryDaemon daemon(settings);
   if (!Start(daemon)) {
     return EXIT_FAILURE;
--- a/tools/gentianreachd.cc
+++ b/tools/gentianreachd.cc
@@ -11,6 +11,7 @@
 #include "base/log.h"
 #include "daemon/daemon.h"
 #include "daemon/daemon_settings.h"
+#include "net/descriptor_limit.h"
 #include "tools/daemon_program.h"
 
 namespace {
@@ -29,6 +30,7 @@
 
 int Run(const DaemonT& settings, const std::string& /*path*/) {
   gentianreach::InitLogging(*gentianreach::ParseLogLevel(settings.log_level));
+  gentianreach::net::RaiseDescriptorLimit();
   gentianreach::Daemon daemon(settings);
   const bool started = boost::leaf::try_handle_all(
       [&daemon]() -> boost::leaf::result<bool> {
