The soak checks the configuration in force and what servers hold

The soak judged the configuration only by 404 for routes that all versions have, saw two holders of a key only by requests that ran, and kept no standard error, so that neither a configuration that came late or came back nor the reason of an exit could be seen.

It now gives each version a route of its own and asks each daemon for them, follows the holders of 64 keys by the orders that servers carry out, writes invalid versions, signals one, several or all daemons at once and at their start, and keeps standard error. Starvation is measured by the kernel's account. The faults of a seed stay; new ones have a random sequence of their own and fill the gaps.

--- a/soak/caller.cc
+++ b/soak/caller.cc
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <chrono>
+#include <string_view>
 #include <utility>
 
 #include <boost/leaf/handle_errors.hpp>
@@ -23,11 +24,24 @@
 // Pause between requests, and before the next connection attempt.
 constexpr std::uint64_t kMaxPauseMs = 30;
 constexpr Duration kPauseAfterFailure = milliseconds(50);
+constexpr std::uint64_t kMaxConfigProbePauseMs = 200;
 // Maximum number of requests per connection.
 constexpr std::uint64_t kMaxRequestsPerConnection = 200;
 constexpr std::size_t kMaxHeaderBytes = 16384;
 constexpr std::size_t kMaxBodyBytes = 300;
 
+std::string_view NamePrefix(Caller::Role role) {
+  switch (role) {
+    case Caller::Role::kLoad:
+      return "c";
+    case Caller::Role::kProbe:
+      return "p";
+    case Caller::Role::kConfigProbe:
+      break;
+  }
+  return "v";
+}
+
 }  // namespace
 
 Caller::Caller(CallerContext& context,
@@ -36,7 +50,7 @@
                std::uint64_t seed)
     : context_(context),
       role_(role),
-      name_((role == Role::kLoad ? "c" : "p") + std::to_string(index)),
+      name_(std::string(NamePrefix(role)) + std::to_string(index)),
       random_(seed + index),
       preferred_daemon_(index % context.daemons.size()),
       daemon_(preferred_daemon_),
@@ -100,6 +114,10 @@
     return context_.expected.Next(daemon_);
   }
   RequestTarget target;
+  if (role_ == Role::kConfigProbe) {
+    target.kind = context_.config_probe(random_());
+    return target;
+  }
   target.kind = context_.kinds[random_() % context_.kinds.size()];
   if (target.kind.keyed) {
     target.key = context_.keys[random_() % context_.keys.size()];
@@ -125,6 +143,7 @@
   request_.method = kind.idempotent ? "GET" : "POST";
   request_.path = kind.path_prefix + request_.id;
   request_.idempotent = kind.idempotent;
+  request_.config_version = kind.config_version;
   request_.daemon = daemon_;
   request_.sent = context_.loop.Now();
   request_.deadline = request_.sent + kDeadline;
@@ -205,6 +224,13 @@
   response.body = body_;
   response.at = context_.loop.Now();
   context_.checker.OnResponse(request_.id, response);
+  if (request_.config_version) {
+    context_.config_checker.OnAnswer({.daemon = daemon_,
+                                      .version = *request_.config_version,
+                                      .status = response.status,
+                                      .sent = request_.sent,
+                                      .received = response.at});
+  }
   if (response.status == 200) {
     context_.expected.OnSuccess(daemon_, target_, request_.sent);
   }
@@ -217,7 +243,9 @@
     daemon_ = preferred_daemon_;
     return;
   }
-  timer_.Set(response.at + milliseconds(random_() % kMaxPauseMs));
+  const std::uint64_t max_pause_ms =
+      role_ == Role::kConfigProbe ? kMaxConfigProbePauseMs : kMaxPauseMs;
+  timer_.Set(response.at + milliseconds(random_() % max_pause_ms));
 }
 
 void Caller::OnEnd() {
--- a/soak/caller.h
+++ b/soak/caller.h
@@ -5,6 +5,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <random>
@@ -17,6 +18,7 @@
 #include "net/event_loop.h"
 #include "net/output_buffer.h"
 #include "net/tcp_socket.h"
+#include "soak/config_checker.h"
 #include "soak/expected_requests.h"
 #include "soak/promise_checker.h"
 
@@ -26,6 +28,7 @@
 struct CallerContext {
   net::EventLoop& loop;
   PromiseChecker& checker;
+  ConfigChecker& config_checker;
   // Address of each daemon's listener for callers.
   std::vector<std::string> daemons;
   std::vector<RequestKind> kinds;
@@ -33,6 +36,8 @@
   std::vector<std::uint32_t> keys;
   // Updated for each response with status 200.
   ExpectedRequests expected;
+  // Returns what a probe of the configuration asks for; `draw` is random.
+  std::function<RequestKind(std::uint64_t draw)> config_probe;
   bool stopped = false;
 };
 
@@ -45,6 +50,8 @@
     // Sends what its preferred daemon is expected to serve until it has, and
     // then ends.
     kProbe,
+    // Asks its preferred daemon for routes of versions of the configuration.
+    kConfigProbe,
   };
 
   // `index` identifies the caller among those of its role and selects its
--- a/soak/expected_requests.h
+++ b/soak/expected_requests.h
@@ -19,6 +19,9 @@
   std::string path_prefix;
   bool keyed = false;
   bool idempotent = true;
+  // The version of the configuration that the request probes, 0 for one that
+  // all versions serve; set for probes only.
+  std::optional<std::uint64_t> config_version;
 };
 
 // What a request asks for: a route, and a key if the route is keyed.
--- a/soak/fault_plan.cc
+++ b/soak/fault_plan.cc
@@ -33,7 +33,7 @@
     "pause-server",        "pause-store",         "store-busy",
     "store-loses-answers", "store-drops-history", "change-config",
     "slow-link",           "silent-link",         "one-way-link",
-    "reset-link",          "cut-daemon"};
+    "reset-link",          "cut-daemon",          "invalid-config"};
 constexpr std::array<const char*, 4> kCutNames = {"none", "silent", "reset",
                                                   "new-refused"};
 // Mean time between two cuts of daemons from all servers, and the range of
@@ -44,6 +44,16 @@
 // Cuts have a random sequence of their own, so that the other faults of a seed
 // do not depend on them.
 constexpr std::uint64_t kCutSequence = 0x9e3779b97f4a7c15;
+// Changes of the configuration and signals to several daemons have one, too.
+constexpr std::uint64_t kSeriesSequence = 0xbf58476d1ce4e5b9;
+constexpr double kMeanSeriesIntervalMs = 2500;
+constexpr double kChangeProbability = 0.6;
+constexpr double kInvalidProbability = 0.5;
+// Kinds that Planner::Draw() draws.
+constexpr std::size_t kDrawnKinds =
+    static_cast<std::size_t>(FaultKind::kCutDaemon);
+constexpr std::size_t kDaemonKinds =
+    static_cast<std::size_t>(FaultKind::kReloadDaemon) + 1;
 constexpr std::array<const char*, 3> kLinkNames = {
     "callers-to-daemon", "daemon-to-store", "daemons-to-server"};
 
@@ -54,7 +64,7 @@
 
   Fault Draw(TimePoint at) {
     Fault fault;
-    fault.kind = static_cast<FaultKind>(Index(kFaultKinds - 1));
+    fault.kind = static_cast<FaultKind>(Index(kDrawnKinds));
     fault.link = static_cast<LinkKind>(Index(kLinkNames.size()));
     const bool of_server =
         IsServerFault(fault.kind) ||
@@ -76,16 +86,25 @@
                 .cut = static_cast<ClientCut>(1 + Index(kCutNames.size() - 1)),
                 .begins = at,
                 .ends = at + DrawDuration(kMinCutMs, kMaxCutMs)};
-    std::vector<std::size_t> daemons(shape_.daemons);
-    std::iota(daemons.begin(), daemons.end(), 0);
-    std::ranges::shuffle(daemons, random_);
-    daemons.resize(1 + Index(shape_.daemons));
-    std::vector<Fault> cut;
-    for (const std::size_t it : daemons) {
-      fault.target = it;
-      cut.push_back(fault);
+    return OnSomeDaemons(fault);
+  }
+  // Returns a change of the configuration, or a signal to some daemons, at
+  // `at`.
+  std::vector<Fault> DrawSeries(TimePoint at) {
+    Fault fault{.kind = FaultKind::kChangeConfig};
+    Place(fault, at);
+    if (!std::bernoulli_distribution(kChangeProbability)(random_)) {
+      fault.kind = static_cast<FaultKind>(Index(kDaemonKinds));
+      return OnSomeDaemons(fault);
+    }
+    if (std::bernoulli_distribution(kInvalidProbability)(random_)) {
+      fault.kind = FaultKind::kInvalidConfig;
     }
-    return cut;
+    return {fault};
+  }
+  Duration DrawSeriesInterval() {
+    return Millis(std::exponential_distribution<double>(
+        1 / kMeanSeriesIntervalMs)(random_));
   }
   Duration DrawCutInterval() {
     return Millis(
@@ -102,7 +121,8 @@
     const double processes =
         static_cast<double>(shape_.daemons + shape_.servers);
     std::exponential_distribution<double> pause(
-        std::max(processes / kReferenceProcesses, 1.0) / kMeanIntervalMs);
+        std::max(processes / kReferenceProcesses, 1.0) * shape_.fault_rate /
+        kMeanIntervalMs);
     return Millis(pause(random_));
   }
 
@@ -111,6 +131,19 @@
   }
 
  private:
+  // Returns the fault for each of one, several or all daemons.
+  std::vector<Fault> OnSomeDaemons(Fault fault) {
+    std::vector<std::size_t> daemons(shape_.daemons);
+    std::iota(daemons.begin(), daemons.end(), 0);
+    std::ranges::shuffle(daemons, random_);
+    daemons.resize(1 + Index(shape_.daemons));
+    std::vector<Fault> faults;
+    for (const std::size_t it : daemons) {
+      fault.target = it;
+      faults.push_back(fault);
+    }
+    return faults;
+  }
   static Duration Millis(double ms) {
     return std::chrono::duration_cast<Duration>(
         std::chrono::duration<double, std::milli>(ms));
@@ -145,6 +178,33 @@
   return {kFirstStoreResource + static_cast<int>(fault.kind), 0};
 }
 
+// Returns whether `fault` has to wait for `other` to end, or the reverse.
+bool Conflict(const Fault& fault, const Fault& other) {
+  return ResourceOf(fault) == ResourceOf(other) &&
+         fault.begins < other.ends + kRepeatPause &&
+         other.begins < fault.ends + kRepeatPause;
+}
+
+// Adds changes of the configuration and signals to several daemons where they
+// do not conflict with the faults of `plan`.
+void AddSeries(std::uint64_t seed,
+               const FleetShape& shape,
+               TimePoint begin,
+               TimePoint end,
+               std::vector<Fault>& plan) {
+  Planner planner(seed ^ kSeriesSequence, shape);
+  for (TimePoint at = begin + planner.DrawSeriesInterval(); at < end;
+       at += planner.DrawSeriesInterval()) {
+    for (Fault& it : planner.DrawSeries(at)) {
+      it.ends = std::min(it.ends, end);
+      if (std::ranges::none_of(
+              plan, [&](const Fault& other) { return Conflict(it, other); })) {
+        plan.push_back(it);
+      }
+    }
+  }
+}
+
 }  // namespace
 
 bool IsDaemonFault(FaultKind kind) {
@@ -190,6 +250,7 @@
     }
     at += cuts.DrawCutInterval() + kRepeatPause;
   }
+  AddSeries(seed, shape, begin, end, plan);
   std::ranges::stable_sort(plan, {}, &Fault::begins);
   return plan;
 }
--- a/soak/fault_plan.h
+++ b/soak/fault_plan.h
@@ -4,6 +4,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -34,9 +35,11 @@
   kResetLink,
   // A daemon is cut off from all servers.
   kCutDaemon,
+  // The configuration in the store is invalid.
+  kInvalidConfig,
 };
 inline constexpr std::size_t kFaultKinds =
-    static_cast<std::size_t>(FaultKind::kCutDaemon) + 1;
+    static_cast<std::size_t>(FaultKind::kInvalidConfig) + 1;
 
 // The connections that a link fault affects.
 enum class LinkKind : std::uint8_t {
@@ -57,16 +60,25 @@
   TimePoint ends;
 };
 
-// Number of processes in the deployment under test.
+// The deployment under test.
 struct FleetShape {
+  // Number of processes.
   std::size_t daemons = 3;
   std::size_t servers = 6;
+  // Factor of the rate of the faults that grows with the number of processes.
+  double fault_rate = 1;
+  // Limit of each daemon's file descriptors; the soak's own limit by default.
+  std::optional<std::uint64_t> max_descriptors;
+  // Whether daemons start with their signals blocked, and some get SIGHUP at
+  // once.
+  bool signals_at_start = true;
 };
 
 // Returns the faults between `begin` and `end`, sorted by start time. Cuts of
-// daemons affect one, several or all of them at the same time. Other faults
-// may overlap, and some repeat soon on the same target. A process gets no
-// signal for a new fault before its earlier fault has ended.
+// daemons, and some of the signals to them, affect one, several or all of them
+// at the same time. Other faults may overlap, and some repeat soon on the same
+// target. A process gets no signal for a new fault before its earlier fault has
+// ended.
 [[nodiscard]] std::vector<Fault> MakePlan(std::uint64_t seed,
                                           const FleetShape& shape,
                                           TimePoint begin,
--- a/soak/fleet.cc
+++ b/soak/fleet.cc
@@ -25,6 +25,14 @@
 // because connections are re-established and held-back bytes arrive.
 // `stabilityMs` of the deployments.
 constexpr Duration kSettleTime = milliseconds(3000);
+// Time after the end of a pause or of a fault of a link within which orders may
+// have been held up; `thawMs` of the deployments.
+constexpr Duration kThawTime = milliseconds(300);
+// A process is starved if it waits for a processor for more than this share of
+// the time.
+constexpr int kStarvedFraction = 2;
+// Every third incarnation of a daemon gets SIGHUP when it begins to start.
+constexpr int kReloadAtStartStride = 3;
 // Interval at which a restart checks whether the old server has exited.
 constexpr Duration kRestartPollInterval = milliseconds(50);
 constexpr const char* kConfigObject = "config main ";
@@ -37,20 +45,29 @@
 constexpr const char* kProxyHost = "1";
 constexpr std::size_t kFirstDaemonHost = 2;
 
+// Returns the path prefix of the route that only `version` has.
+std::string RouteOf(std::uint64_t version) {
+  return "/v" + std::to_string(version) + "/";
+}
+
 }  // namespace
 
 Fleet::Fleet(net::EventLoop& loop,
              std::string programs,
              std::string logs,
+             ConfigChecker& config_checker,
              FleetEvents events)
     : loop_(loop),
       programs_(std::move(programs)),
       logs_(std::move(logs)),
+      config_checker_(config_checker),
       events_(std::move(events)),
       block_(standins::LoopbackBlock()) {}
 
 void Fleet::StartAll(const FleetShape& shape) {
-  ChangeConfig();
+  max_descriptors_ = shape.max_descriptors;
+  signals_at_start_ = shape.signals_at_start;
+  WriteConfig(true);
   for (std::size_t i = 0; i < shape.servers; ++i) {
     const bool keyed = i % kPlainServerStride != 0;
     servers_.push_back({.service = keyed ? "keyed" : "plain", .keyed = keyed});
@@ -111,10 +128,10 @@
 }
 
 std::unique_ptr<Process> Fleet::Spawn(const std::vector<std::string>& arguments,
-                                      const std::string& output_file,
+                                      const Process::Options& options,
                                       Process::Callbacks callbacks) {
   return boost::leaf::try_handle_all(
-      [&] { return Process::Start(arguments, output_file, callbacks); },
+      [&] { return Process::Start(arguments, options, callbacks); },
       [&](const SpawnError& error) {
         events_.on_failure(arguments.front() + ": " + error.message);
         return std::unique_ptr<Process>();
@@ -127,18 +144,33 @@
 
 void Fleet::StartStore() {
   store_ =
-      Spawn({Program("store_program")}, "",
-            {[this](const std::string& line) {
-               if (line.starts_with(kAddressPrefix)) {
-                 store_address_ = line.substr(kAddressPrefix.size());
-               }
-             },
+      Spawn({Program("store_program")}, {},
+            {[this](const std::string& line) { OnStoreLine(line); },
              [this](int status) {
                events_.on_failure("the store exited unexpectedly, status " +
                                   std::to_string(status));
              }});
 }
 
+void Fleet::OnStoreLine(const std::string& line) {
+  if (line.starts_with(kAddressPrefix)) {
+    store_address_ = line.substr(kAddressPrefix.size());
+    return;
+  }
+  std::istringstream in(line);
+  std::string event;
+  std::string kind;
+  std::string name;
+  std::int64_t at = 0;
+  in >> event >> kind >> name >> at;
+  if (!in || event != "accepted" || unaccepted_.empty()) {
+    events_.on_failure("unexpected output of the store: " + line);
+    return;
+  }
+  config_checker_.OnAccepted(unaccepted_.front(), TimePoint(Duration(at)));
+  unaccepted_.pop_front();
+}
+
 void Fleet::StartServer(std::size_t i) {
   ServerSlot& slot = servers_[i];
   // Every second start reuses the id, as some servers do.
@@ -164,13 +196,13 @@
   if (slot.keyed) {
     arguments.emplace_back("--keyed");
   }
-  const std::string incarnation =
-      slot.id + "#" + std::to_string(slot.start_count);
-  slot.process = Spawn(arguments, "",
-                       {[this, i, incarnation](const std::string& line) {
-                          OnServerLine(i, incarnation, line);
-                        },
-                        [this, i](int status) { OnServerExit(i, status); }});
+  slot.incarnation = slot.id + "#" + std::to_string(slot.start_count);
+  slot.process = Spawn(
+      arguments, {},
+      {[this, i, incarnation = slot.incarnation](const std::string& line) {
+         OnServerLine(i, incarnation, line);
+       },
+       [this, i](int status) { OnServerExit(i, status); }});
 }
 
 void Fleet::OnServerLine(std::size_t i,
@@ -186,12 +218,24 @@
   }
   std::istringstream in(line);
   std::string event;
+  in >> event;
+  if (event == "ran") {
+    OnServerRun(incarnation, in);
+  } else if (event == "order") {
+    OnServerOrder(i, incarnation, in);
+  } else {
+    in.setstate(std::ios::failbit);
+  }
+  if (!in) {
+    events_.on_failure("unexpected output of a server: " + line);
+  }
+}
+
+void Fleet::OnServerRun(const std::string& incarnation, std::istream& in) {
   ObservedRun run;
   std::int64_t at = 0;
-  in >> event >> run.request_id >> run.method >> run.path >> run.key >>
-      run.token >> at;
-  if (!in || event != "ran") {
-    events_.on_failure("unexpected output of a server: " + line);
+  in >> run.request_id >> run.method >> run.path >> run.key >> run.token >> at;
+  if (!in) {
     return;
   }
   run.server = incarnation;
@@ -199,12 +243,33 @@
   events_.on_run(run);
 }
 
+void Fleet::OnServerOrder(std::size_t i,
+                          const std::string& incarnation,
+                          std::istream& in) {
+  ObservedOrder order;
+  std::int64_t at = 0;
+  std::int64_t until = 0;
+  in >> order.first >> order.last >> order.token >> at >> until;
+  if (!in) {
+    return;
+  }
+  order.server = incarnation;
+  order.at = TimePoint(Duration(at));
+  order.until = TimePoint(Duration(until));
+  order.delayed = server_delays_.Overlap(i, order.at, order.at);
+  for (std::size_t k = 0; k < daemons_.size() && !order.delayed; ++k) {
+    order.delayed = daemon_delays_.Overlap(k, order.at, order.at);
+  }
+  events_.on_order(order);
+}
+
 void Fleet::OnServerExit(std::size_t i, int status) {
   ServerSlot& slot = servers_[i];
   if (!slot.ending) {
     events_.on_failure(slot.id + " exited unexpectedly, status " +
                        std::to_string(status));
   }
+  events_.on_server_end(slot.incarnation);
   // Its last output may still be unread in the pipe.
   exited_servers_.push_back(std::move(slot.process));
   slot.front_proxy->SetTarget("");
@@ -240,11 +305,22 @@
 void Fleet::StartDaemon(std::size_t i) {
   DaemonSlot& slot = daemons_[i];
   slot.ending = false;
+  slot.run_queue_wait = {};
+  const TimePoint now = loop_.Now();
+  config_checker_.OnStart(i);
+  config_checker_.AddDisturbance(i, now, now);
+  const std::string log =
+      logs_ + "/" + slot.name + "-" + std::to_string(++starts_) + ".log";
   slot.process =
       Spawn({Program("gentianreach_entryd"), "--config", SettingsFile(i)},
-            logs_ + "/" + slot.name + "-" + std::to_string(++starts_) + ".log",
+            {.output_file = log,
+             .max_descriptors = max_descriptors_,
+             .blocks_signals = signals_at_start_},
             {[](const std::string&) {},
              [this, i](int status) { OnDaemonExit(i, status); }});
+  if (signals_at_start_ && starts_ % kReloadAtStartStride == 0) {
+    SignalDaemon(i, SIGHUP);
+  }
 }
 
 void Fleet::OnDaemonExit(std::size_t i, int status) {
@@ -255,26 +331,108 @@
     events_.on_failure(slot.name + " exited with status " +
                        std::to_string(status));
   }
+  config_checker_.AddDisturbance(i, slot.ending_since, loop_.Now());
   slot.process.reset();
   if (restart_.erase(i) > 0) {
     StartDaemon(i);
   }
 }
 
-// Writes the next version of the configuration, which adds a route.
-void Fleet::ChangeConfig() {
+// Writes the next version of the configuration, which has a route of its own
+// instead of the one of the version before. An invalid one has a route to a
+// service that does not exist.
+void Fleet::WriteConfig(bool valid) {
   ++config_version_;
-  newest_route_ = "/v" + std::to_string(config_version_) + "/";
-  auto config = platform::testing::SampleConfig(config_version_);
-  platform::testing::AddReadRoute(config, newest_route_);
+  auto config =
+      platform::testing::SampleConfig(static_cast<int>(config_version_));
+  platform::testing::AddReadRoute(config, RouteOf(config_version_));
+  if (valid) {
+    valid_version_ = config_version_;
+  } else {
+    config["listeners"][0]["rules"].back()["action"]["service"] = "unknown";
+    config_checker_.OnInvalid(config_version_);
+  }
+  config_checker_.OnWritten(config_version_, loop_.Now());
+  unaccepted_.push_back(config_version_);
   store_->WriteLine(std::string("put ") + kConfigObject + config.dump());
 }
 
+std::string Fleet::newest_route() const {
+  return RouteOf(valid_version_);
+}
+
+RequestKind Fleet::ConfigProbe(std::uint64_t draw) const {
+  constexpr std::uint64_t kChoices = 4;
+  std::uint64_t version = config_version_;
+  switch (draw % kChoices) {
+    case 0:
+      return {.path_prefix = "/read/", .config_version = 0};
+    case 1:
+      // Version 1 is never written.
+      version = 1 + draw / kChoices % config_version_;
+      break;
+    case 2:
+      version = config_version_ - 1;
+      break;
+    default:
+      break;
+  }
+  return {.path_prefix = RouteOf(version), .config_version = version};
+}
+
+void Fleet::CheckStarvation() {
+  const TimePoint now = loop_.Now();
+  const TimePoint before = std::exchange(starvation_checked_at_, now);
+  for (std::size_t i = 0; i < daemons_.size(); ++i) {
+    DaemonSlot& slot = daemons_[i];
+    if (!slot.process) {
+      continue;
+    }
+    const Duration wait = slot.process->RunQueueWait();
+    if (before != TimePoint{} &&
+        wait - slot.run_queue_wait > (now - before) / kStarvedFraction) {
+      config_checker_.AddDisturbance(i, before, now);
+      daemon_delays_.Add(i, before, now + kThawTime);
+    }
+    slot.run_queue_wait = wait;
+  }
+}
+
+void Fleet::AddOutOfTouch(const Fault& fault) {
+  const auto add = [&](std::size_t daemon) {
+    config_checker_.AddDisturbance(daemon, fault.begins, fault.ends);
+  };
+  if (fault.kind >= FaultKind::kPauseStore &&
+      fault.kind <= FaultKind::kStoreDropsHistory) {
+    for (std::size_t i = 0; i < daemons_.size(); ++i) {
+      add(i);
+    }
+    return;
+  }
+  const bool of_daemon =
+      IsDaemonFault(fault.kind) || fault.kind == FaultKind::kCutDaemon ||
+      (IsLinkFault(fault.kind) && fault.link != LinkKind::kDaemonsToServer);
+  if (of_daemon) {
+    add(fault.target);
+  }
+}
+
+void Fleet::AddOrderDelay(const Fault& fault) {
+  if (IsServerFault(fault.kind) ||
+      (IsLinkFault(fault.kind) && fault.link == LinkKind::kDaemonsToServer)) {
+    server_delays_.Add(fault.target, fault.begins, fault.ends + kThawTime);
+  } else if (IsDaemonFault(fault.kind) || fault.kind == FaultKind::kCutDaemon) {
+    daemon_delays_.Add(fault.target, fault.ends, fault.ends + kThawTime);
+  }
+}
+
 void Fleet::AddDisturbance(std::size_t daemon, const Fault& fault) {
   events_.on_disturbed(daemon, fault.begins, fault.ends + kSettleTime);
 }
 
 void Fleet::Begin(const Fault& fault) {
+  AddOutOfTouch(fault);
+  AddOrderDelay(fault);
   switch (fault.kind) {
     case FaultKind::kKillDaemon:
       AddDisturbance(fault.target, fault);
@@ -312,7 +470,10 @@
       store_->WriteLine("drop");
       break;
     case FaultKind::kChangeConfig:
-      ChangeConfig();
+      WriteConfig(true);
+      break;
+    case FaultKind::kInvalidConfig:
+      WriteConfig(false);
       break;
     case FaultKind::kCutDaemon:
       CutDaemon(fault.target, fault.cut);
@@ -406,6 +567,11 @@
     case FaultKind::kOneWayLink:
       SetMode(fault, LinkMode::kPass);
       break;
+    case FaultKind::kInvalidConfig:
+      if (valid_version_ < config_version_) {
+        WriteConfig(true);
+      }
+      break;
     case FaultKind::kReloadDaemon:
     case FaultKind::kStoreDropsHistory:
     case FaultKind::kChangeConfig:
@@ -416,6 +582,7 @@
 
 void Fleet::EndDaemon(std::size_t i, int signal) {
   daemons_[i].ending = true;
+  daemons_[i].ending_since = loop_.Now();
   SignalDaemon(i, signal);
 }
 void Fleet::EndServer(std::size_t i, int signal) {
--- a/soak/fleet.h
+++ b/soak/fleet.h
@@ -3,8 +3,11 @@
 #define SOAK_FLEET_H_
 
 #include <cstddef>
+#include <cstdint>
+#include <deque>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -12,7 +15,11 @@
 #include "gentianreach/time.h"
 #include "net/event_loop.h"
 #include "soak/chaos_proxy.h"
+#include "soak/config_checker.h"
+#include "soak/disturbances.h"
+#include "soak/expected_requests.h"
 #include "soak/fault_plan.h"
+#include "soak/holdings_checker.h"
 #include "soak/process.h"
 #include "soak/promise_checker.h"
 
@@ -25,6 +32,10 @@
   // Requests through `daemon` may be late or unanswered between the two times.
   std::function<void(std::size_t daemon, TimePoint from, TimePoint to)>
       on_disturbed;
+  // A server has carried out an order.
+  std::function<void(const ObservedOrder&)> on_order;
+  // A server's incarnation has ended.
+  std::function<void(const std::string& server)> on_server_end;
   // A process failed or printed unexpected output.
   std::function<void(const std::string&)> on_failure;
 };
@@ -35,10 +46,12 @@
 class Fleet {
  public:
   // `programs`: directory of the executables. `logs`: directory for the
-  // daemons' settings files and logs.
+  // daemons' settings files and logs. Reports versions of the configuration,
+  // and when daemons are out of touch, to `config_checker`.
   Fleet(net::EventLoop& loop,
         std::string programs,
         std::string logs,
+        ConfigChecker& config_checker,
         FleetEvents events);
   Fleet(const Fleet&) = delete;
   Fleet& operator=(const Fleet&) = delete;
@@ -61,10 +74,15 @@
   // and none is being terminated.
   [[nodiscard]] bool AllRun() const;
   [[nodiscard]] bool NoDaemonRuns() const;
-  // Returns the path prefix of the route that the latest configuration added.
-  [[nodiscard]] const std::string& newest_route() const {
-    return newest_route_;
-  }
+  // Returns the path prefix of the route that the latest valid configuration
+  // added.
+  [[nodiscard]] std::string newest_route() const;
+  // Returns what a probe of the configuration asks for: the route of the latest
+  // version, of another one or of all, as `draw` selects.
+  [[nodiscard]] RequestKind ConfigProbe(std::uint64_t draw) const;
+  // Reports processes that got no processor since the last call. Called
+  // periodically.
+  void CheckStarvation();
   [[nodiscard]] std::size_t daemons() const { return daemons_.size(); }
   [[nodiscard]] std::size_t servers() const { return servers_.size(); }
 
@@ -78,8 +96,11 @@
     std::unique_ptr<ChaosProxy> store_proxy;
     // How its connections to the servers are cut.
     ClientCut cut = ClientCut::kNone;
-    // A terminating signal has been sent.
+    // A terminating signal has been sent, at `ending_since`.
     bool ending = false;
+    TimePoint ending_since;
+    // Wait for a processor until the last CheckStarvation().
+    Duration run_queue_wait{};
   };
   struct ServerSlot {
     std::string service;
@@ -89,6 +110,8 @@
     std::unique_ptr<ChaosProxy> front_proxy;
     LinkMode mode = LinkMode::kPass;
     std::string id;
+    // Id of the current incarnation.
+    std::string incarnation;
     int start_count = 0;
     bool ready = false;
     bool ending = false;
@@ -97,8 +120,9 @@
   [[nodiscard]] std::string Program(const std::string& name) const;
   std::unique_ptr<ChaosProxy> MakeProxy();
   std::unique_ptr<Process> Spawn(const std::vector<std::string>& arguments,
-                                 const std::string& output_file,
+                                 const Process::Options& options,
                                  Process::Callbacks callbacks);
+  void OnStoreLine(const std::string& line);
   void StartServer(std::size_t i);
   void OnServerLine(std::size_t i,
                     const std::string& incarnation,
@@ -108,7 +132,15 @@
   [[nodiscard]] std::string SettingsFile(std::size_t i) const;
   void StartDaemon(std::size_t i);
   void OnDaemonExit(std::size_t i, int status);
-  void ChangeConfig();
+  void OnServerRun(const std::string& incarnation, std::istream& in);
+  void OnServerOrder(std::size_t i,
+                     const std::string& incarnation,
+                     std::istream& in);
+  void WriteConfig(bool valid);
+  // Reports that the daemons that `fault` affects are out of touch.
+  void AddOutOfTouch(const Fault& fault);
+  // Reports that orders to the server that `fault` affects may be late.
+  void AddOrderDelay(const Fault& fault);
   // Sets how the connections of a daemon to all servers are cut.
   void CutDaemon(std::size_t i, ClientCut cut);
   void AddDisturbance(std::size_t daemon, const Fault& fault);
@@ -125,6 +157,7 @@
   net::EventLoop& loop_;
   const std::string programs_;
   const std::string logs_;
+  ConfigChecker& config_checker_;
   const FleetEvents events_;
   // The first three octets of the fleet's addresses, with the trailing dot.
   const std::string block_;
@@ -137,8 +170,16 @@
   // Daemons to restart once they have exited.
   std::set<std::size_t> restart_;
   int starts_ = 0;
-  int config_version_ = 1;
-  std::string newest_route_;
+  std::optional<std::uint64_t> max_descriptors_;
+  bool signals_at_start_ = true;
+  std::uint64_t config_version_ = 1;
+  std::uint64_t valid_version_ = 1;
+  // Versions that the store has not accepted yet.
+  std::deque<std::uint64_t> unaccepted_;
+  // Times at which orders to each server, or of each daemon, may be late.
+  Disturbances server_delays_;
+  Disturbances daemon_delays_;
+  TimePoint starvation_checked_at_;
 };
 
 }  // namespace gentianreach::soak
--- a/soak/process.cc
+++ b/soak/process.cc
@@ -1,15 +1,30 @@
 #include "soak/process.h"
 
 #include <sys/prctl.h>
+#include <sys/resource.h>
 #include <unistd.h>
 
 #include <csignal>
+#include <cstdint>
+#include <fstream>
 #include <utility>
 
 namespace gentianreach::soak {
 namespace {
 
-void SetUpChild(gpointer /*data*/) {
+void SetUpChild(gpointer data) {
+  const auto& options = *static_cast<const Process::Options*>(data);
+  if (options.max_descriptors) {
+    const rlimit limit{*options.max_descriptors, *options.max_descriptors};
+    setrlimit(RLIMIT_NOFILE, &limit);
+  }
+  if (options.blocks_signals) {
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGHUP);
+    sigaddset(&signals, SIGTERM);
+    sigprocmask(SIG_BLOCK, &signals, nullptr);
+  }
   prctl(PR_SET_PDEATHSIG, SIGKILL);
   // The kernel hangs up a process group with stopped members when the shell of
   // its session exits.
@@ -20,20 +35,20 @@
 
 boost::leaf::result<std::unique_ptr<Process>> Process::Start(
     const std::vector<std::string>& arguments,
-    const std::string& output_file,
+    Options options,
     Callbacks callbacks) {
-  auto flags = G_SUBPROCESS_FLAGS_STDIN_PIPE;
-  if (output_file.empty()) {
-    flags =
-        static_cast<GSubprocessFlags>(flags | G_SUBPROCESS_FLAGS_STDOUT_PIPE);
-  }
+  const bool to_file = !options.output_file.empty();
+  const auto flags =
+      static_cast<GSubprocessFlags>(G_SUBPROCESS_FLAGS_STDIN_PIPE |
+                                    (to_file ? G_SUBPROCESS_FLAGS_STDERR_MERGE
+                                             : G_SUBPROCESS_FLAGS_STDOUT_PIPE));
   const auto launcher =
       GObjectPtr<GSubprocessLauncher>::Adopt(g_subprocess_launcher_new(flags));
-  g_subprocess_launcher_set_child_setup(launcher.get(), &SetUpChild, nullptr,
+  g_subprocess_launcher_set_child_setup(launcher.get(), &SetUpChild, &options,
                                         nullptr);
-  if (!output_file.empty()) {
+  if (to_file) {
     g_subprocess_launcher_set_stdout_file_path(launcher.get(),
-                                               output_file.c_str());
+                                               options.output_file.c_str());
   }
   std::vector<const char*> argv;
   argv.reserve(arguments.size() + 1);
@@ -88,6 +103,18 @@
   g_subprocess_send_signal(process_.get(), signal);
 }
 
+Duration Process::RunQueueWait() const {
+  const char* id = g_subprocess_get_identifier(process_.get());
+  if (id == nullptr) {
+    return Duration(0);
+  }
+  std::ifstream in(std::string("/proc/") + id + "/schedstat");
+  std::int64_t ran_ns = 0;
+  std::int64_t waited_ns = 0;
+  in >> ran_ns >> waited_ns;
+  return std::chrono::nanoseconds(waited_ns);
+}
+
 void Process::WriteLine(const std::string& line) {
   const std::string text = line + "\n";
   g_output_stream_write_all(g_subprocess_get_stdin_pipe(process_.get()),
--- a/soak/process.h
+++ b/soak/process.h
@@ -4,12 +4,14 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include <boost/leaf/result.hpp>
 
 #include "base/glib_ptr.h"
+#include "gentianreach/time.h"
 #include "soak/line_reader.h"
 
 namespace gentianreach::soak {
@@ -28,13 +30,22 @@
     std::function<void(int wait_status)> on_exit;
   };
 
-  // Starts a process with the command line `arguments`. Its standard output
-  // goes to `output_file`, or to `on_line` if that is empty; its standard error
-  // is inherited. It has a session of its own. The kernel kills it when the
-  // soak exits.
+  struct Options {
+    // File for its standard output and standard error. If it is empty, lines of
+    // standard output go to `on_line` and standard error is inherited.
+    std::string output_file;
+    // Limit of its file descriptors; the soak's own limit by default.
+    std::optional<std::uint64_t> max_descriptors;
+    // Whether SIGHUP and SIGTERM are blocked when the program begins, so that
+    // those sent before its `main` stay pending.
+    bool blocks_signals = false;
+  };
+
+  // Starts a process with the command line `arguments`. It has a session of its
+  // own. The kernel kills it when the soak exits.
   static boost::leaf::result<std::unique_ptr<Process>> Start(
       const std::vector<std::string>& arguments,
-      const std::string& output_file,
+      Options options,
       Callbacks callbacks);
   Process(const Process&) = delete;
   Process& operator=(const Process&) = delete;
@@ -42,6 +53,9 @@
   ~Process();
 
   void Signal(int signal);
+  // Returns how long its main thread has waited for a processor since it
+  // started; zero if the kernel does not tell.
+  [[nodiscard]] Duration RunQueueWait() const;
   // Writes a line to the process's standard input.
   void WriteLine(const std::string& line);
 
--- a/soak/process_test.cc
+++ b/soak/process_test.cc
@@ -25,7 +25,7 @@
       [&]() -> boost::leaf::result<void> {
         BOOST_LEAF_ASSIGN(
             process,
-            Process::Start({"cat", "/proc/self/stat"}, "",
+            Process::Start({"cat", "/proc/self/stat"}, {},
                            {.on_line = [&](const auto& line) { stat = line; },
                             .on_exit = [&](int) { exited = true; }}));
         return {};
--- a/soak/promise_checker.cc
+++ b/soak/promise_checker.cc
@@ -95,12 +95,15 @@
       (response.stamp.empty() || response.body != ExpectedBody(request.sent))) {
     Report(request, "a success response does not come unchanged from a server");
   }
-  if (response.status == kNotFound) {
+  // Not every version has the route that a probe asks for.
+  if (response.status == kNotFound &&
+      request.sent.config_version.value_or(0) == 0) {
     Report(request, "a request for an existing route got status 404");
   }
   if (checks_deadlines_ &&
       response.at > request.sent.deadline + kLateTolerance &&
-      !WasDisturbed(request.sent.daemon, request.sent.sent, response.at)) {
+      !disturbances_.Overlap(request.sent.daemon, request.sent.sent,
+                             response.at)) {
     Report(request, "a response came after its deadline");
   }
 }
@@ -110,22 +113,6 @@
   unanswered_.emplace(at, id);
 }
 
-void PromiseChecker::AddDisturbance(std::size_t daemon,
-                                    TimePoint from,
-                                    TimePoint to) {
-  disturbances_[daemon].push_back({from, to});
-}
-
-bool PromiseChecker::WasDisturbed(std::size_t daemon,
-                                  TimePoint from,
-                                  TimePoint to) const {
-  const auto it = disturbances_.find(daemon);
-  return it != disturbances_.end() &&
-         std::ranges::any_of(it->second, [&](const Interval& interval) {
-           return interval.from <= to && from <= interval.to;
-         });
-}
-
 void PromiseChecker::CheckOwners(TimePoint until) {
   const auto end = keyed_runs_.lower_bound(until);
   for (auto it = keyed_runs_.begin(); it != end; ++it) {
@@ -153,7 +140,8 @@
     // A request that has not run needs no response: it may have been sent while
     // the daemon closed the connection.
     if (!request.runs.empty() &&
-        !WasDisturbed(request.sent.daemon, request.sent.sent, it->first)) {
+        !disturbances_.Overlap(request.sent.daemon, request.sent.sent,
+                               it->first)) {
       Report(request, "a request that ran got no response");
     }
   }
--- a/soak/promise_checker.h
+++ b/soak/promise_checker.h
@@ -15,6 +15,7 @@
 #include <vector>
 
 #include "gentianreach/time.h"
+#include "soak/disturbances.h"
 
 namespace gentianreach::soak {
 
@@ -27,6 +28,8 @@
   // Set for keyed requests only.
   std::optional<std::uint32_t> key;
   bool idempotent = false;
+  // The version whose route it asks for; set for probes of the configuration.
+  std::optional<std::uint64_t> config_version;
   std::size_t daemon = 0;
   TimePoint sent;
   // The deadline that the caller sent.
@@ -75,7 +78,9 @@
   // Permits late or missing responses for requests through `daemon` that
   // overlap `from` to `to`, because a fault affects its process or its callers'
   // connections.
-  void AddDisturbance(std::size_t daemon, TimePoint from, TimePoint to);
+  void AddDisturbance(std::size_t daemon, TimePoint from, TimePoint to) {
+    disturbances_.Add(daemon, from, to);
+  }
 
   // Checks that fencing tokens increase with each change of owner, for the runs
   // before `until`, all of which must have been reported. Called periodically
@@ -102,10 +107,6 @@
     std::vector<ObservedRun> runs;
     std::optional<ReceivedResponse> response;
   };
-  struct Interval {
-    TimePoint from;
-    TimePoint to;
-  };
   // The server that last ran a request for a key.
   struct Owner {
     std::string server;
@@ -114,14 +115,11 @@
 
   void CheckNotRunStatus(const Request& request);
   void CheckResponse(const Request& request);
-  [[nodiscard]] bool WasDisturbed(std::size_t daemon,
-                                  TimePoint from,
-                                  TimePoint to) const;
   void Report(const Request& request, const std::string& what);
 
   const bool checks_deadlines_;
   std::unordered_map<std::string, Request> requests_;
-  std::map<std::size_t, std::vector<Interval>> disturbances_;
+  Disturbances disturbances_;
   // Keyed runs that CheckOwners() has not checked yet, by time.
   std::multimap<TimePoint, ObservedRun> keyed_runs_;
   std::map<std::uint32_t, Owner> owners_;
--- a/soak/server_program.cc
+++ b/soak/server_program.cc
@@ -4,7 +4,9 @@
 // Prints "address=IP:PORT", "ready" once its entry has been accepted, and a
 // line for each request before it runs it:
 //   ran ID METHOD PATH KEY TOKEN NANOSECONDS
-// with the time of the machine's boot clock. On SIGTERM it writes the state
+// and one for each order that it has carried out, a release with the token 0:
+//   order FIRST LAST TOKEN NANOSECONDS LEASE_END_NANOSECONDS
+// with times of the machine's boot clock. On SIGTERM it writes the state
 // "draining" to its entry, and exits a fixed time after the store accepted it.
 #include <cstdlib>
 #include <iostream>
@@ -55,6 +57,11 @@
                 << run.path << ' ' << run.key << ' ' << run.token << ' '
                 << run.at.time_since_epoch().count() << std::endl;
     };
+    server_.on_order = [](const platform::testing::ServerOrder& order) {
+      std::cout << "order " << order.first << ' ' << order.last << ' '
+                << order.token << ' ' << order.at.time_since_epoch().count()
+                << ' ' << order.until.time_since_epoch().count() << std::endl;
+    };
     std::cout << "address=" << server_.address() << std::endl;
     Report();
   }
--- a/soak/soak.cc
+++ b/soak/soak.cc
@@ -16,8 +16,10 @@
 #include "net/deadline_timer.h"
 #include "net/event_loop.h"
 #include "soak/caller.h"
+#include "soak/config_checker.h"
 #include "soak/fault_plan.h"
 #include "soak/fleet.h"
+#include "soak/holdings_checker.h"
 #include "soak/promise_checker.h"
 
 namespace gentianreach::soak {
@@ -39,6 +41,9 @@
 // Maximum delay until the soak has read a server's report of a run.
 constexpr Duration kReportDelay = milliseconds(2000);
 constexpr Duration kCheckPeriod = milliseconds(500);
+constexpr Duration kStarvationCheckPeriod = milliseconds(250);
+// Distance of the keys whose holders are checked.
+constexpr std::uint32_t kHolderKeyStep = 1024;
 constexpr std::size_t kCallersPerDaemon = 3;
 
 struct SoakOptions {
@@ -49,6 +54,7 @@
   std::string logs;
   bool print_plan = false;
   bool no_times = false;
+  bool keep_going = false;
 };
 
 class Soak {
@@ -56,17 +62,34 @@
   explicit Soak(const SoakOptions& options)
       : options_(options),
         checker_(!options.no_times),
+        holdings_checker_(HolderKeys()),
         fleet_(loop_,
                options.programs,
                options.logs,
+               config_checker_,
                {.on_run = [this](const auto& run) { checker_.OnRun(run); },
                 .on_disturbed =
                     [this](std::size_t daemon, TimePoint from, TimePoint to) {
                       checker_.AddDisturbance(daemon, from, to);
                     },
+                .on_order =
+                    [this](const auto& order) {
+                      holdings_checker_.OnOrder(order);
+                    },
+                .on_server_end =
+                    [this](const auto& server) {
+                      holdings_checker_.OnEnd(server, loop_.Now());
+                    },
                 .on_failure = [this](const auto& what) { Fail(what); }}),
-        callers_{loop_, checker_, {}, {}, {}, {}, false},
-        check_timer_(loop_, [this] { Check(); }) {
+        callers_{.loop = loop_,
+                 .checker = checker_,
+                 .config_checker = config_checker_,
+                 .config_probe =
+                     [this](std::uint64_t draw) {
+                       return fleet_.ConfigProbe(draw);
+                     }},
+        check_timer_(loop_, [this] { Check(); }),
+        starvation_timer_(loop_, [this] { CheckStarvation(); }) {
     callers_.kinds = {{"/read/", false, true},
                       {"/write/", false, false},
                       {"/keyed/", true, true},
@@ -92,13 +115,14 @@
       loop_.AddTimer(it.begins, [this, it] { fleet_.Begin(it); });
       loop_.AddTimer(it.ends, [this, it] { fleet_.End(it); });
     }
-    loop_.RunUntil([&] { return loop_.Now() >= end || HasFailed(); });
+    loop_.RunUntil([&] { return loop_.Now() >= end || EndsEarly(); });
     Recover();
     callers_.stopped = true;
     const TimePoint end_of_reports = loop_.Now() + kReportDelay + kCheckPeriod;
     loop_.RunUntil([&] { return loop_.Now() >= end_of_reports; });
     Check();
-    if (!HasFailed()) {
+    config_checker_.CheckShares();
+    if (!EndsEarly()) {
       StopAll();
     }
     return ReportResult();
@@ -108,8 +132,21 @@
   void Log(const std::string& line) {
     std::ofstream(options_.logs + "/soak.log", std::ios::app) << line << "\n";
   }
+  // Returns whether the run ends because of a failure.
+  [[nodiscard]] bool EndsEarly() const {
+    return HasFailed() && !options_.keep_going;
+  }
   [[nodiscard]] bool HasFailed() const {
-    return !failures_.empty() || !checker_.violations().empty();
+    return !failures_.empty() || !checker_.violations().empty() ||
+           !config_checker_.violations().empty() ||
+           !holdings_checker_.violations().empty();
+  }
+  static std::vector<std::uint32_t> HolderKeys() {
+    std::vector<std::uint32_t> keys;
+    for (std::uint32_t key = 0; key <= UINT16_MAX; key += kHolderKeyStep) {
+      keys.push_back(key);
+    }
+    return keys;
   }
   void Fail(const std::string& what) { failures_.push_back(what); }
 
@@ -126,7 +163,13 @@
           callers_, Caller::Role::kLoad, i, options_.seed));
       running_callers_.back()->Start();
     }
+    for (std::size_t i = 0; i < fleet_.daemons(); ++i) {
+      running_callers_.push_back(std::make_shared<Caller>(
+          callers_, Caller::Role::kConfigProbe, i, options_.seed));
+      running_callers_.back()->Start();
+    }
     check_timer_.Set(loop_.Now() + kCheckPeriod);
+    CheckStarvation();
     ExpectAllServed();
     if (!Await([this] { return callers_.expected.AllServed(); })) {
       Fail("not all requests are served after the start: " +
@@ -138,13 +181,13 @@
 
   bool Await(const std::function<bool()>& done) {
     const TimePoint end = loop_.Now() + kStartTimeout;
-    loop_.RunUntil([&] { return done() || loop_.Now() >= end || HasFailed(); });
+    loop_.RunUntil([&] { return done() || loop_.Now() >= end || EndsEarly(); });
     return done();
   }
 
   // Waits after the last fault until all requests are served again.
   void Recover() {
-    if (HasFailed()) {
+    if (EndsEarly()) {
       return;
     }
     // The recovery time does not include the restart of processes.
@@ -155,13 +198,13 @@
     const TimePoint end = loop_.Now() + kRecoveryTimeout;
     const TimePoint active_version = loop_.Now() + kConfigActiveDelay;
     loop_.RunUntil(
-        [&] { return loop_.Now() >= active_version || HasFailed(); });
+        [&] { return loop_.Now() >= active_version || EndsEarly(); });
     callers_.kinds.push_back({fleet_.newest_route(), false, true});
     ExpectAllServed();
     loop_.RunUntil([&] {
-      return callers_.expected.AllServed() || loop_.Now() >= end || HasFailed();
+      return callers_.expected.AllServed() || loop_.Now() >= end || EndsEarly();
     });
-    if (!callers_.expected.AllServed() && !HasFailed()) {
+    if (!callers_.expected.AllServed() && !EndsEarly()) {
       Fail("not all requests are served in time after the last fault: " +
            callers_.expected.DescribeUnserved());
     }
@@ -183,9 +226,15 @@
     const TimePoint until = loop_.Now() - kReportDelay;
     checker_.CheckOwners(until);
     checker_.CheckUnanswered(until);
+    holdings_checker_.Check(until);
     check_timer_.Set(loop_.Now() + kCheckPeriod);
   }
 
+  void CheckStarvation() {
+    fleet_.CheckStarvation();
+    starvation_timer_.Set(loop_.Now() + kStarvationCheckPeriod);
+  }
+
   // Stops all daemons with SIGTERM and checks that they exit in time.
   void StopAll() {
     fleet_.StopDaemons();
@@ -197,15 +246,22 @@
   }
 
   bool ReportResult() {
-    for (const std::string& it : checker_.violations()) {
-      Fail(it);
+    for (const auto& violations :
+         {checker_.violations(), config_checker_.violations(),
+          holdings_checker_.violations()}) {
+      for (const std::string& it : violations) {
+        Fail(it);
+      }
     }
     for (const std::string& it : failures_) {
       std::cout << "BROKEN " << it << "\n";
     }
     std::cout << "seed=" << options_.seed << " daemons=" << fleet_.daemons()
               << " servers=" << fleet_.servers()
-              << " requests=" << checker_.sent() << " runs=" << checker_.runs();
+              << " requests=" << checker_.sent() << " runs=" << checker_.runs()
+              << " config_answers=" << config_checker_.answers()
+              << " in_touch=" << config_checker_.answers_in_touch()
+              << " orders=" << holdings_checker_.orders();
     for (const auto& [status, count] : checker_.statuses()) {
       std::cout << " status_" << status << "=" << count;
     }
@@ -216,10 +272,13 @@
   const SoakOptions options_;
   net::EventLoop loop_;
   PromiseChecker checker_;
+  ConfigChecker config_checker_;
+  HoldingsChecker holdings_checker_;
   Fleet fleet_;
   CallerContext callers_;
   std::vector<std::shared_ptr<Caller>> running_callers_;
   net::DeadlineTimer check_timer_;
+  net::DeadlineTimer starvation_timer_;
   // Probes started.
   std::size_t probes_ = 0;
   std::vector<std::string> failures_;
@@ -237,11 +296,20 @@
                  "Duration of fault injection in seconds");
   app.add_option("--daemons", options.shape.daemons, "Number of daemons");
   app.add_option("--servers", options.shape.servers, "Number of servers");
+  app.add_option("--fault-rate", options.shape.fault_rate,
+                 "Factor of the rate of faults")
+      ->check(CLI::PositiveNumber);
   app.add_option("--programs", options.programs, "Directory of the executables")
       ->required();
   app.add_option("--logs", options.logs, "Directory for logs")->required();
   app.add_flag("--print-plan", options.print_plan,
                "Print the fault plan and exit");
+  app.add_option("--descriptors", options.shape.max_descriptors,
+                 "Limit of each daemon's file descriptors");
+  app.add_flag("!--no-signals-at-start", options.shape.signals_at_start,
+               "For programs that do not unblock their signals");
+  app.add_flag("--keep-going", options.keep_going,
+               "Continue after a violation, to count them");
   app.add_flag("--no-times", options.no_times,
                "Ignore late responses; for busy machines");
   CLI11_PARSE(app, argc, argv);
--- a/soak/store_program.cc
+++ b/soak/store_program.cc
@@ -4,7 +4,9 @@
 //   fail STATUS               fails all calls with STATUS; 0: serves them
 //   lose 0|1                  1: applies writes but sends no response
 //   drop                      drops the change history
-//   put KIND NAME CONTENT     writes an object
+//   put KIND NAME CONTENT     writes an object and prints
+//                             "accepted KIND NAME NANOSECONDS", with the time
+//                             of the machine's boot clock
 //   sample VERSION            writes that version of the sample configuration
 #include <cstdlib>
 #include <iostream>
@@ -45,6 +47,8 @@
     std::string content;
     std::getline(in, content);
     store.Put(kind, name, nlohmann::json::parse(content));
+    std::cout << "accepted " << kind << ' ' << name << ' '
+              << MonotonicClock().Now().time_since_epoch().count() << std::endl;
   } else if (command == "sample") {
     int version = 0;
     in >> version;
