Soak: a daemon that is paused while it stops has that time more to exit

The time of a pause now comes on top of the limit, which is as long as before. The limit was also skipped if any other daemon had been started meanwhile; it holds for each start now.

--- a/soak/fleet.cc
+++ b/soak/fleet.cc
@@ -306,11 +306,14 @@
   DaemonSlot& slot = daemons_[i];
   slot.ending = false;
   slot.run_queue_wait = {};
+  slot.paused_since.reset();
+  slot.paused = {};
+  slot.start = ++starts_;
   const TimePoint now = loop_.Now();
   config_checker_.OnStart(i);
   config_checker_.AddDisturbance(i, now, now);
   const std::string log =
-      logs_ + "/" + slot.name + "-" + std::to_string(++starts_) + ".log";
+      logs_ + "/" + slot.name + "-" + std::to_string(slot.start) + ".log";
   slot.process =
       Spawn({Program("gentianreach_entryd"), "--config", SettingsFile(i)},
             {.output_file = log,
@@ -443,7 +446,7 @@
       break;
     case FaultKind::kPauseDaemon:
       AddDisturbance(fault.target, fault);
-      SignalDaemon(fault.target, SIGSTOP);
+      PauseDaemon(fault.target);
       break;
     case FaultKind::kReloadDaemon:
       SignalDaemon(fault.target, SIGHUP);
@@ -541,7 +544,7 @@
       RestartDaemon(fault.target);
       break;
     case FaultKind::kPauseDaemon:
-      SignalDaemon(fault.target, SIGCONT);
+      ResumeDaemon(fault.target);
       break;
     case FaultKind::kKillServer:
     case FaultKind::kDrainServer:
@@ -608,17 +611,44 @@
   }
   if (daemons_[i].process) {
     restart_.insert(i);
-    loop_.AddTimer(loop_.Now() + kStopTimeout, [this, i, start = starts_] {
-      if (restart_.contains(i) && start == starts_) {
-        events_.on_failure(daemons_[i].name +
-                           " did not exit in time after SIGTERM");
-      }
-    });
+    ExpectExit(i, loop_.Now() + kStopTimeout);
     return;
   }
   StartDaemon(i);
 }
 
+void Fleet::PauseDaemon(std::size_t i) {
+  daemons_[i].paused_since = loop_.Now();
+  SignalDaemon(i, SIGSTOP);
+}
+
+void Fleet::ResumeDaemon(std::size_t i) {
+  DaemonSlot& slot = daemons_[i];
+  if (slot.paused_since) {
+    slot.paused += loop_.Now() - *slot.paused_since;
+    slot.paused_since.reset();
+  }
+  SignalDaemon(i, SIGCONT);
+}
+
+void Fleet::ExpectExit(std::size_t i, TimePoint deadline) {
+  const DaemonSlot& slot = daemons_[i];
+  loop_.AddTimer(deadline, [this, i, start = slot.start, before = slot.paused] {
+    const DaemonSlot& slot = daemons_[i];
+    if (!slot.process || slot.start != start) {
+      return;
+    }
+    const TimePoint now = loop_.Now();
+    const Duration paused =
+        slot.paused - before + (now - slot.paused_since.value_or(now));
+    if (paused > Duration(0)) {
+      ExpectExit(i, now + paused);
+      return;
+    }
+    events_.on_failure(slot.name + " did not exit in time after SIGTERM");
+  });
+}
+
 // Restarts the server once it has exited; see RestartDaemon().
 void Fleet::RestartServer(std::size_t i) {
   if (servers_[i].process && !servers_[i].ending) {
--- a/soak/fleet.h
+++ b/soak/fleet.h
@@ -99,6 +99,12 @@
     // A terminating signal has been sent, at `ending_since`.
     bool ending = false;
     TimePoint ending_since;
+    // Number of this start among those of all daemons.
+    int start = 0;
+    // Set while the process is stopped by SIGSTOP.
+    std::optional<TimePoint> paused_since;
+    // How long it has been stopped since its start.
+    Duration paused{};
     // Wait for a processor until the last CheckStarvation().
     Duration run_queue_wait{};
   };
@@ -152,6 +158,12 @@
   void SignalDaemon(std::size_t i, int signal);
   void SignalServer(std::size_t i, int signal);
   void RestartDaemon(std::size_t i);
+  // Pauses the daemon, or lets it go on.
+  void PauseDaemon(std::size_t i);
+  void ResumeDaemon(std::size_t i);
+  // Reports a failure if the daemon, which is being terminated, has not exited
+  // at `deadline`. Time for which it is paused from now on does not count.
+  void ExpectExit(std::size_t i, TimePoint deadline);
   void RestartServer(std::size_t i);
 
   net::EventLoop& loop_;
