A low average processing time stays low while there are no samples

The average decayed to 0.1 s also from below: after 20 s without requests, servers that answer in 20 ms were expected to take 0.1 s, and requests that leave less time were refused with 503, for good, since nothing was sent.

The average decays downwards only. server_choice_test, "servers that answer fast do not look slow after a rest", failed before. A daemon that has no sample at all still expects 0.1 s, as before.

--- a/src/entry/server_choice_test.cc
+++ b/src/entry/server_choice_test.cc
@@ -42,7 +42,7 @@
          .service = service,
          .key = 7,
          .tried = tried,
-         .time_left = milliseconds(2000),
+         .time_left = time_left,
          .zone = kZone},
         {directory, loads, limits, ownership, drain_bound, entries}, now);
   }
@@ -70,6 +70,7 @@
 
   routing::Route route;
   routing::Service service;
+  Duration time_left = milliseconds(2000);
   std::vector<ServerId> tried;
   ServerDirectory directory;
   ServerLoads loads;
@@ -106,6 +107,17 @@
   CHECK(f.Choose(kNow + milliseconds(10'000)).server != nullptr);
 }
 
+TEST_CASE("servers that answer fast do not look slow after a rest") {
+  Fixture f;
+  f.time_left = milliseconds(100);
+  f.directory.Put(Server("a"), kNow);
+  for (int i = 0; i < 10; ++i) {
+    f.RecordResponse("a", milliseconds(20), "1,0,2");
+  }
+  CHECK(f.Choose().server != nullptr);
+  CHECK(f.Choose(kNow + milliseconds(20'000)).server != nullptr);
+}
+
 TEST_CASE("a keyed request waits while its key moves or its owner is drained") {
   Fixture f;
   f.directory.Put(Server("a"), kNow);
--- a/src/entry/server_loads.cc
+++ b/src/entry/server_loads.cc
@@ -34,8 +34,8 @@
 // requests, and so could never look better again.
 constexpr Seconds kDecayTime{1.5};
 // Time constant with which a server's processing time decays to the average,
-// and the average to kInitialProcessingS. Otherwise servers that once looked
-// too slow for every request would never get another one.
+// and a higher average to kInitialProcessingS. Otherwise servers that once
+// looked too slow for every request would never get another one.
 constexpr Seconds kProcessingDecayTime{5};
 // Time after a sample during which the average does not decay, longer than the
 // usual time between two samples.
@@ -188,8 +188,10 @@
   if (average_processing_s_ == 0) {
     return kInitialProcessingS;
   }
-  return kInitialProcessingS +
-         (average_processing_s_ - kInitialProcessingS) *
+  // A lower average stays: it refuses nothing.
+  const double target = std::min(kInitialProcessingS, average_processing_s_);
+  return target +
+         (average_processing_s_ - target) *
              Decay(std::max(now - average_processing_at_ - kAverageHoldTime,
                             Duration(0)),
                    kProcessingDecayTime);
--- a/src/entry/server_loads.h
+++ b/src/entry/server_loads.h
@@ -124,7 +124,7 @@
   [[nodiscard]] static double RequestsAtServer(const State& state,
                                                TimePoint now);
   // Returns the average processing time over all servers. Some time after the
-  // last sample it decays towards that which is assumed before any.
+  // last sample it decays to that which is assumed before any, if it is higher.
   [[nodiscard]] double AverageProcessingSeconds(TimePoint now) const;
   // Returns the processing time of a server, or the average over all servers if
   // `state` is null. Without new samples it decays towards the average.
