--- a/soak/fleet.cc
+++ b/soak/fleet.cc
@@ -413,7 +413,8 @@
     return;
   }
   const bool of_daemon =
-      IsDaemonFault(fault.kind) || fault.kind == FaultKind::kCutDaemon ||
+      (IsDaemonFault(fault.kind) && fault.kind != FaultKind::kReloadDaemon) ||
+      fault.kind == FaultKind::kCutDaemon ||
       (IsLinkFault(fault.kind) && fault.link != LinkKind::kDaemonsToServer);
   if (of_daemon) {
     add(fault.target);
@@ -424,7 +425,8 @@
   if (IsServerFault(fault.kind) ||
       (IsLinkFault(fault.kind) && fault.link == LinkKind::kDaemonsToServer)) {
     server_delays_.Add(fault.target, fault.begins, fault.ends + kThawTime);
-  } else if (IsDaemonFault(fault.kind) || fault.kind == FaultKind::kCutDaemon) {
+  } else if (fault.kind == FaultKind::kPauseDaemon ||
+             fault.kind == FaultKind::kCutDaemon) {
     daemon_delays_.Add(fault.target, fault.ends, fault.ends + kThawTime);
   }
 }
