Callers get half of the descriptors, their requests three quarters

Besides, any error of the probe for the next descriptor counted as a full reserve.

Callers' connections now get half of the descriptors, and only the entry daemon's requests ask whether a connection may be opened; the pool is as it was for all others. gentianreachd closes callers beyond their half. Connections of other daemons get the servers' share, since closing them leaves open whether a request has run.

--- a/src/entry/entry_proxy.cc
+++ b/src/entry/entry_proxy.cc
@@ -116,7 +116,12 @@
 }
 
 void EntryProxy::OnConnection(net::TcpSocket socket, RequestOrigin origin) {
-  const bool short_of_descriptors = state_->descriptors.Contains(socket.fd());
+  // Another daemon may have sent its request already, so that closing the
+  // connection would leave open whether it has run.
+  const bool short_of_descriptors =
+      origin == RequestOrigin::kDaemon
+          ? state_->descriptors.IsInReserve(socket.fd())
+          : state_->descriptors.IsBeyondCallers(socket.fd());
   if (sessions_->size() >= kMaxCallers || short_of_descriptors) {
     TurnAway(std::move(socket), origin);
     return;
@@ -142,7 +147,7 @@
   }
   if (origin != RequestOrigin::kCaller ||
       sessions_->size() >= kMaxCallers + kMaxTurnedAway ||
-      state_->descriptors.IsHalfUsed(socket.fd())) {
+      state_->descriptors.IsInReserve(socket.fd())) {
     return;
   }
   StartSession(std::move(socket), RequestOrigin::kTurnedAway,
--- a/src/entry/entry_request_sending.cc
+++ b/src/entry/entry_request_sending.cc
@@ -33,10 +33,12 @@
 
 std::shared_ptr<proxy::ServerConnection> EntryRequest::Acquire(
     proxy::ServerPool& pool) const {
-  return pool.Acquire([this](const proxy::ServerConnection& it) {
-    // Without an id, every earlier response could be the expected one.
-    return !id_.empty() && !used_connections_.Contains(it);
-  });
+  return pool.Acquire(
+      [this](const proxy::ServerConnection& it) {
+        // Without an id, every earlier response could be the expected one.
+        return !id_.empty() && !used_connections_.Contains(it);
+      },
+      [this] { return !state_->descriptors.IsReserveReached(); });
 }
 
 void EntryRequest::Send(const ServerChoice& choice) {
--- a/src/entry/entry_state.h
+++ b/src/entry/entry_state.h
@@ -138,7 +138,7 @@
   EntryMetrics metrics;
   SendAges send_ages;
   LogBudget log_budget;
-  const net::DescriptorReserve descriptors;
+  const net::DescriptorLimit descriptors;
   // Called when a server counts as draining because it has stated so.
   std::function<void()> on_server_leaving;
   std::size_t in_flight = 0;
--- a/src/net/descriptor_limit.cc
+++ b/src/net/descriptor_limit.cc
@@ -13,9 +13,6 @@
 namespace gentianreach::net {
 namespace {
 
-// One of this many descriptors is kept.
-constexpr int kReservedFraction = 4;
-
 int ProcessLimit() {
   rlimit limit{};
   if (getrlimit(RLIMIT_NOFILE, &limit) != 0) {
@@ -40,19 +37,15 @@
   }
 }
 
-DescriptorReserve::DescriptorReserve(int limit)
-    : limit_(limit),
-      first_(limit - limit / kReservedFraction),
-      middle_(limit - limit / kReservedFraction / 2) {}
-
-DescriptorReserve::DescriptorReserve() : DescriptorReserve(ProcessLimit()) {}
+DescriptorLimit::DescriptorLimit() : DescriptorLimit(ProcessLimit()) {}
 
-bool DescriptorReserve::IsReached() const {
+bool DescriptorLimit::IsReserveReached() const {
   const int fd = open("/", O_PATH | O_CLOEXEC);
-  if (fd >= 0) {
-    close(fd);
+  if (fd < 0) {
+    return errno == EMFILE || errno == ENFILE;
   }
-  return fd < 0 || Contains(fd);
+  close(fd);
+  return IsInReserve(fd);
 }
 
 }  // namespace gentianreach::net
--- a/src/net/descriptor_limit.h
+++ b/src/net/descriptor_limit.h
@@ -1,4 +1,4 @@
-// The process's limit of open file descriptors, and the part of them that is
+// The process's limit of open file descriptors, and the parts of them that are
 // kept from callers.
 #ifndef SRC_NET_DESCRIPTOR_LIMIT_H_
 #define SRC_NET_DESCRIPTOR_LIMIT_H_
@@ -9,32 +9,31 @@
 // once by `main`.
 void RaiseDescriptorLimit();
 
-// The part of the descriptors that is kept for the store, orders to servers,
-// other daemons and operators. Connections of callers, and those to servers for
-// their requests, get none of it.
+// Divides the descriptors: callers' connections get half of them at most, and
+// together with those to servers for their requests three quarters. The last
+// quarter, the reserve, is for the store, orders to servers, other daemons and
+// operators.
 //
 // Relies on the kernel's rule that a new descriptor has the lowest free number.
-class DescriptorReserve {
+class DescriptorLimit {
  public:
-  // Keeps a quarter of `limit` descriptors.
-  explicit DescriptorReserve(int limit);
+  explicit DescriptorLimit(int limit) : limit_(limit) {}
   // The same with the limit of the process.
-  DescriptorReserve();
+  DescriptorLimit();
 
-  // Returns whether `fd`, which has just been opened, is part of the reserve.
-  [[nodiscard]] bool Contains(int fd) const { return fd >= first_; }
-  // Returns whether half of the reserve was in use when `fd` was opened.
-  [[nodiscard]] bool IsHalfUsed(int fd) const { return fd >= middle_; }
+  // Returns whether callers' connections had their share when `fd` was opened.
+  [[nodiscard]] bool IsBeyondCallers(int fd) const { return fd >= limit_ / 2; }
+  // Returns whether `fd` is part of the reserve.
+  [[nodiscard]] bool IsInReserve(int fd) const {
+    return fd >= limit_ - limit_ / 4;
+  }
   // Returns whether the next descriptor to be opened is part of the reserve.
-  [[nodiscard]] bool IsReached() const;
+  [[nodiscard]] bool IsReserveReached() const;
   // Returns the limit.
   [[nodiscard]] int limit() const { return limit_; }
 
  private:
   const int limit_;
-  // The lowest descriptor of the reserve, and of its upper half.
-  const int first_;
-  const int middle_;
 };
 
 }  // namespace gentianreach::net
--- a/src/net/descriptor_limit_test.cc
+++ b/src/net/descriptor_limit_test.cc
@@ -11,28 +11,28 @@
 namespace gentianreach::net {
 namespace {
 
-TEST_CASE("a quarter of the descriptors is kept") {
-  const DescriptorReserve reserve(1024);
-  CHECK_FALSE(reserve.Contains(767));
-  CHECK(reserve.Contains(768));
-  CHECK_FALSE(reserve.IsHalfUsed(895));
-  CHECK(reserve.IsHalfUsed(896));
+TEST_CASE("callers get half of the descriptors, a quarter is kept") {
+  const DescriptorLimit limit(1024);
+  CHECK_FALSE(limit.IsBeyondCallers(511));
+  CHECK(limit.IsBeyondCallers(512));
+  CHECK_FALSE(limit.IsInReserve(767));
+  CHECK(limit.IsInReserve(768));
 }
 
 TEST_CASE("the reserve is reached once all other descriptors are open") {
   constexpr int kLimit = 80;
-  const DescriptorReserve reserve(kLimit);
+  const DescriptorLimit limit(kLimit);
   std::vector<int> open_descriptors;
   int fd = 0;
   do {
-    CHECK_FALSE(reserve.IsReached());
+    CHECK_FALSE(limit.IsReserveReached());
     fd = open("/", O_PATH | O_CLOEXEC);
     REQUIRE(fd >= 0);
     open_descriptors.push_back(fd);
   } while (fd < kLimit - kLimit / 4 - 1);
-  CHECK(reserve.IsReached());
+  CHECK(limit.IsReserveReached());
   close(open_descriptors.front());
-  CHECK_FALSE(reserve.IsReached());
+  CHECK_FALSE(limit.IsReserveReached());
   open_descriptors.erase(open_descriptors.begin());
   for (const int it : open_descriptors) {
     close(it);
--- a/src/proxy/proxy_server.h
+++ b/src/proxy/proxy_server.h
@@ -25,8 +25,10 @@
 
 #include <boost/leaf/result.hpp>
 
+#include "base/log.h"
 #include "gentianreach/router.h"
 #include "gentianreach/time.h"
+#include "net/descriptor_limit.h"
 #include "net/event_loop.h"
 #include "net/listener.h"
 #include "net/tcp_socket.h"
@@ -109,6 +111,7 @@
   // Shared because callbacks of connections may outlive the proxy.
   std::shared_ptr<Callers> callers_ = std::make_shared<Callers>();
   net::Listener listener_;
+  const net::DescriptorLimit descriptors_;
   std::optional<net::EventLoop::TimerId> stop_timer_;
   TimePoint stop_deadline_;
   std::function<void()> stop_done_;
@@ -191,7 +194,12 @@
 
 template <KeyRouter Router, PlainPicker Picker>
 void ProxyServer<Router, Picker>::OnConnection(net::TcpSocket socket) {
-  if (callers_->size() >= state_->options.limits.max_caller_connections) {
+  if (callers_->size() >= state_->options.limits.max_caller_connections ||
+      descriptors_.IsBeyondCallers(socket.fd())) {
+    Log(LogLevel::kWarning, "caller_turned_away",
+        {{"callers", callers_->size()},
+         {"descriptor", socket.fd()},
+         {"descriptor_limit", descriptors_.limit()}});
     return;
   }
   auto connection = std::make_shared<CallerConnection>(
--- a/src/proxy/server_pool.cc
+++ b/src/proxy/server_pool.cc
@@ -6,10 +6,14 @@
 namespace gentianreach::proxy {
 
 std::shared_ptr<ServerConnection> ServerPool::Acquire(
-    const ReuseFilter& may_reuse) {
+    const ReuseFilter& may_reuse,
+    const std::function<bool()>& may_open) {
   if (auto idle = TakeIdle(may_reuse)) {
     return idle;
   }
+  if (!may_open()) {
+    return nullptr;
+  }
   if (open_ >= limit_) {
     const auto unused = std::ranges::find_if(
         idle_, [this](const auto& it) { return IsUsable(*it); });
@@ -19,7 +23,7 @@
     const auto connection = *unused;
     connection->Abandon();
   }
-  return open_ < limit_ && !descriptors_.IsReached() ? Open() : nullptr;
+  return open_ < limit_ ? Open() : nullptr;
 }
 
 std::shared_ptr<ServerConnection> ServerPool::TakeIdle(
--- a/src/proxy/server_pool.h
+++ b/src/proxy/server_pool.h
@@ -16,7 +16,6 @@
 
 #include "gentianreach/ids.h"
 #include "gentianreach/time.h"
-#include "net/descriptor_limit.h"
 #include "net/event_loop.h"
 #include "proxy/server_connection.h"
 #include "proxy/server_watch.h"
@@ -54,10 +53,11 @@
   // be established yet. Pass it to Release() when the response is complete; a
   // failed or abandoned connection leaves the pool by itself. Idle connections
   // that `may_reuse` rejects are passed over; at the limit, one of them is
-  // closed so that a new one can be opened. Null as well if a new one would
-  // take a descriptor that is kept from requests.
+  // closed so that a new one can be opened. Null as well if a new one is needed
+  // and `may_open` returns false.
   [[nodiscard]] std::shared_ptr<ServerConnection> Acquire(
-      const ReuseFilter& may_reuse);
+      const ReuseFilter& may_reuse,
+      const std::function<bool()>& may_open = [] { return true; });
   // The same without a filter.
   [[nodiscard]] std::shared_ptr<ServerConnection> Acquire() {
     return Acquire([](const ServerConnection&) { return true; });
@@ -100,7 +100,6 @@
   net::EventLoop& loop_;
   const std::string address_;
   const ServerConnectionOptions options_;
-  const net::DescriptorReserve descriptors_;
   std::shared_ptr<ServerWatch> watch_;  // Null if not monitored.
   std::size_t limit_ = 1;
   std::size_t idle_limit_ = std::numeric_limits<std::size_t>::max();
