A daemon waits for an address that is still in use

What was seen: a daemon that is started while the process before has not released the member address ends at once with status 1 ("Error binding to address ...: Address already in use").

Cause: Start() listens once, and UDP is bound without reuse.

Start() now tries the configured addresses before anything else is set up, every 100 ms for up to 5 s, until none is in use, and logs address_in_use once. Nothing is bound meanwhile, so that no caller waits for a daemon that is not whole. After 5 s the listening fails as before; other errors fail at once.

--- a/src/entry/entry_daemon.cc
+++ b/src/entry/entry_daemon.cc
@@ -3,8 +3,10 @@
 #include <algorithm>
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <random>
 #include <string>
+#include <thread>
 #include <utility>
 #include <vector>
 
@@ -25,6 +27,7 @@
 #include "entry/server_path_monitor.h"
 #include "entry/status_log.h"
 #include "entry/store_copies.h"
+#include "net/address_in_use.h"
 #include "net/deadline_timer.h"
 #include "net/event_loop.h"
 #include "platform/decode.h"
@@ -58,6 +61,10 @@
 constexpr Duration kAcceptWhileStopping = milliseconds(2600);
 // Time between the last responses and the end of the grace period.
 constexpr Duration kStopMargin = milliseconds(550);
+// How long a daemon waits for an address that is in use, since the process
+// before may still be ending, and the time between two attempts.
+constexpr Duration kAddressWait = std::chrono::seconds(5);
+constexpr Duration kAddressRetryPeriod = milliseconds(100);
 
 std::uint64_t RandomNumber() {
   // 52 bits: JSON numbers of that size are exact in every implementation.
@@ -146,6 +153,7 @@
   }
 
   boost::leaf::result<void> Start() {
+    AwaitAddresses();
     BOOST_LEAF_CHECK(
         proxy_.Listen(settings_.caller_address, RequestOrigin::kCaller));
     if (!settings_.forward_address.empty()) {
@@ -203,6 +211,35 @@
   [[nodiscard]] std::uint16_t caller_port() const { return proxy_.port(); }
 
  private:
+  // Waits for a bounded time until no configured address is in use.
+  void AwaitAddresses() const {
+    const TimePoint deadline = loop_.Now() + kAddressWait;
+    bool logged = false;
+    for (auto used = FindAddressInUse(); used && loop_.Now() < deadline;
+         used = FindAddressInUse()) {
+      if (!std::exchange(logged, true)) {
+        Log(LogLevel::kWarning, "address_in_use", {{"address", *used}});
+      }
+      std::this_thread::sleep_for(kAddressRetryPeriod);
+    }
+  }
+
+  // Returns a configured address that is in use, if there is one.
+  [[nodiscard]] std::optional<std::string> FindAddressInUse() const {
+    if (net::IsAddressInUse(settings_.member_address, net::Transport::kUdp)) {
+      return settings_.member_address;
+    }
+    for (const std::string& it :
+         {settings_.member_address, settings_.caller_address,
+          settings_.forward_address, settings_.ready_address,
+          settings_.metrics_address}) {
+      if (net::IsAddressInUse(it, net::Transport::kTcp)) {
+        return it;
+      }
+    }
+    return std::nullopt;
+  }
+
   // Returns whether the daemon has the routes and servers that it needs to
   // serve requests, and is not stopping.
   [[nodiscard]] bool IsReady() const {
--- a/src/entry/entry_daemon.h
+++ b/src/entry/entry_daemon.h
@@ -25,8 +25,9 @@
   EntryDaemon& operator=(const EntryDaemon&) = delete;
   ~EntryDaemon();
 
-  // Listens at the configured addresses and starts to follow the store. Fails
-  // with StartError.
+  // Listens at the configured addresses and starts to follow the store. Blocks
+  // for up to 5 s while one of them is in use. Fails with net::SocketError or
+  // ListenError.
   boost::leaf::result<void> Start();
   // Returns the port that callers connect to.
   [[nodiscard]] std::uint16_t caller_port() const;
