The log says why an entry daemon cannot start

Cause: the program prints the errors of Start() and does not log them, although logging is set up by then.

start_failed_test, before: "caller_address: not one line of the log names the cause", with an empty log.

--- a/tools/gentianreach_entryd.cc
+++ b/tools/gentianreach_entryd.cc
@@ -18,6 +18,8 @@
 
 namespace {
 
+using gentianreach::Log;
+using gentianreach::LogLevel;
 using gentianreach::settings::EntryDaemonT;
 
 struct LoadResult {
@@ -30,6 +32,13 @@
   return {std::move(result.entry), std::move(result.errors)};
 }
 
+// Reports why the daemon cannot start, and returns false.
+bool Fail(const std::string& message) {
+  Log(LogLevel::kError, "start_failed", {{"error", message}});
+  std::cerr << message << "\n";
+  return false;
+}
+
 bool Start(gentianreach::entry::EntryDaemon& daemon) {
   return boost::leaf::try_handle_all(
       [&daemon]() -> boost::leaf::result<bool> {
@@ -37,17 +46,12 @@
         return true;
       },
       [](const gentianreach::net::SocketError& error) {
-        std::cerr << error.message << "\n";
-        return false;
+        return Fail(error.message);
       },
       [](const gentianreach::ListenError& error) {
-        std::cerr << error.message << "\n";
-        return false;
+        return Fail(error.message);
       },
-      [] {
-        std::cerr << "cannot start\n";
-        return false;
-      });
+      [] { return Fail("cannot start"); });
 }
 
 int Run(const EntryDaemonT& settings, const std::string& path) {
@@ -62,8 +66,7 @@
   // settings file, so that operators see errors before the next start.
   gentianreach::tools::RunUntilStopped(daemon, [&path] {
     const bool valid = gentianreach::tools::ReadSettings(path, Load) != nullptr;
-    gentianreach::Log(gentianreach::LogLevel::kInfo, "settings_read",
-                      {{"valid", valid}});
+    Log(LogLevel::kInfo, "settings_read", {{"valid", valid}});
   });
   return EXIT_SUCCESS;
 }
