A sample after a pause counts from the decayed processing time

What callers saw, in a model (no daemon was run for it): after slow answers, requests that leave less time than the earlier ones were refused with 503 overload more than 15 s after the servers had become fast.

Cause: the processing time of a server decays while there are no samples, but the next sample was averaged with the value from before the decay. One answer of 20 ms, 30 s after samples of 1.9 s, set the estimate from 0.11 to 1.62 s.

The new sample is now averaged with the decayed value, as the share of failures and the average over all servers are.

--- a/src/entry/server_loads.cc
+++ b/src/entry/server_loads.cc
@@ -158,12 +158,11 @@
 void ServerLoads::AddProcessingSample(State& state,
                                       double seconds,
                                       TimePoint now) {
+  const double before = ProcessingSeconds(&state, now);
+  state.processing_s = state.processing_s == 0
+                           ? seconds
+                           : before + kLatencyWeight * (seconds - before);
   state.processing_at = now;
-  state.processing_s =
-      state.processing_s == 0
-          ? seconds
-          : state.processing_s +
-                kLatencyWeight * (seconds - state.processing_s);
   const double average = AverageProcessingSeconds(now);
   average_processing_s_ = average_processing_s_ == 0
                               ? seconds
--- a/src/entry/server_loads_test.cc
+++ b/src/entry/server_loads_test.cc
@@ -22,10 +22,11 @@
 void RecordResponse(ServerLoads& loads,
                     const char* id,
                     Duration latency,
-                    const std::string& report = "") {
+                    const std::string& report = "",
+                    TimePoint now = kNow) {
   loads.OnSent(ServerId(id));
   loads.OnEnd(ServerId(id), AttemptResult::kAnswered, latency,
-              ParseLoadReport(report), kNow);
+              ParseLoadReport(report), now);
 }
 
 TEST_CASE("ParseLoadReport accepts exactly three numbers") {
@@ -175,5 +176,17 @@
   CHECK(loads.ExpectedLatency(Server("a"), later) < milliseconds(1000));
 }
 
+TEST_CASE("a sample after a pause does not bring back what has decayed") {
+  ServerLoads loads;
+  for (int i = 0; i < 20; ++i) {
+    RecordResponse(loads, "a", milliseconds(1900));
+  }
+  const TimePoint later = kNow + std::chrono::seconds(30);
+  const Duration before = loads.ProcessingTime(Server("a"), later);
+  CHECK(before < milliseconds(120));
+  RecordResponse(loads, "a", milliseconds(20), "", later);
+  CHECK(loads.ProcessingTime(Server("a"), later) < before);
+}
+
 }  // namespace
 }  // namespace gentianreach::entry
