Rare samples do not hold up the average processing time

What callers saw, in a model (no daemon was run for it): a service refused everything with 503 overload more than 15 s after all servers had become fast, because another service went on with a few requests per second.

Cause: the average decays only from two seconds after the last sample on, and a sample moved it by 2 %. With one sample per second of 20 ms, the average was still 1.4 s 15 s after samples of 1.9 s. Servers without samples of their own have the average, and got none.

A sample now weighs as much as the decay in the time since the last one, at least 2 % as before (from ten samples per second on) and at most 15 %, so that one late answer after a pause does not become the average.

--- a/src/entry/server_loads.cc
+++ b/src/entry/server_loads.cc
@@ -164,9 +164,13 @@
                            : before + kLatencyWeight * (seconds - before);
   state.processing_at = now;
   const double average = AverageProcessingSeconds(now);
+  // Rare samples weigh more, so that they do not hold up the average.
+  const double weight =
+      std::clamp(1 - Decay(now - average_processing_at_, kProcessingDecayTime),
+                 kAverageWeight, kLatencyWeight);
   average_processing_s_ = average_processing_s_ == 0
                               ? seconds
-                              : average + kAverageWeight * (seconds - average);
+                              : average + weight * (seconds - average);
   average_processing_at_ = now;
 }
 
--- a/src/entry/server_loads_test.cc
+++ b/src/entry/server_loads_test.cc
@@ -188,5 +188,18 @@
   CHECK(loads.ProcessingTime(Server("a"), later) < before);
 }
 
+TEST_CASE("few samples do not keep up an average that would decay") {
+  ServerLoads loads;
+  for (int i = 0; i < 20; ++i) {
+    RecordResponse(loads, "a", milliseconds(1900));
+  }
+  TimePoint now = kNow;
+  for (int i = 0; i < 15; ++i) {
+    now += std::chrono::seconds(1);
+    RecordResponse(loads, "a", milliseconds(20), "", now);
+  }
+  CHECK(loads.AverageProcessingTime(now) < milliseconds(200));
+}
+
 }  // namespace
 }  // namespace gentianreach::entry
