--- a/soak/holdings_checker.cc
+++ b/soak/holdings_checker.cc
@@ -2,10 +2,11 @@
 
 #include <algorithm>
 #include <chrono>
+#include <utility>
 
 namespace gentianreach::soak {
 
-HoldingsChecker::HoldingsChecker(std::vector<std::uint32_t> keys) {
+HoldingsChecker::HoldingsChecker(const std::vector<std::uint32_t>& keys) {
   for (const std::uint32_t it : keys) {
     holds_[it];
   }
@@ -114,11 +115,11 @@
         !reported_.insert(std::minmax(server, other)).second) {
       continue;
     }
-    violations_.push_back(
-        "two servers held key " + std::to_string(key) + " for " +
-        std::to_string(both / std::chrono::milliseconds(1)) + " ms: " + server +
-        " with token " + std::to_string(hold.token) + " and " + other +
-        " with token " + std::to_string(it.token));
+    std::string text = "two servers held key " + std::to_string(key) + " for ";
+    text += std::to_string(both / std::chrono::milliseconds(1)) + " ms: ";
+    text += server + " with token " + std::to_string(hold.token) + " and ";
+    text += other + " with token " + std::to_string(it.token);
+    violations_.push_back(std::move(text));
   }
 }
 
--- a/soak/holdings_checker.h
+++ b/soak/holdings_checker.h
@@ -35,7 +35,7 @@
   static constexpr Duration kTolerance = std::chrono::milliseconds(500);
 
   // Follows the holders of each of `keys`.
-  explicit HoldingsChecker(std::vector<std::uint32_t> keys);
+  explicit HoldingsChecker(const std::vector<std::uint32_t>& keys);
 
   void OnOrder(const ObservedOrder& order);
   // The server has ended at `at`.
