A release fences, and servers are fenced when they are connected again

Callers saw keys that two servers held for up to 4 s: each ran requests on its own state. Cause: every bound on a former leader's orders counted from what a living process does. The kernel of a killed leader goes on sending what it had accepted and delivers it seconds after a partition; the fence that would have made it harmless was a grant, was refused by the client of its own leader (kTokenOutdated) after a reconnection, and was not tried again, so that the earlier owner was cleared by the clock while it could be reached. An owner that is unreachable when its leases end was never fenced.

Change: a release carries a token above all that the earlier owner can have been sent. It grants nothing, so it may go to any incarnation, also with several earlier owners and in moves that another leader began.

--- a/src/entry/key_assignment.cc
+++ b/src/entry/key_assignment.cc
@@ -145,6 +145,10 @@
     if (found == services_.end()) {
       found = services_.emplace(name, Service(state_, options_)).first;
       found->second.term = ++last_term_;
+      found->second.orders->on_connected =
+          [this, name, term = last_term_](const std::string& address) {
+            OnConnected(name, term, address);
+          };
       // Connections that are there before the first table is written may carry
       // the tokens of the former leader's table.
       found->second.orders->KeepConnected(Addresses(name));
@@ -194,7 +198,9 @@
   }
   service.next_refresh = now + kCapacityRefresh;
   service.assigner.SetServers(Servers(name), now);
-  service.orders->KeepConnected(Addresses(name));
+  std::set<std::string> addresses = Addresses(name);
+  addresses.merge(service.assigner.FenceAddresses());
+  service.orders->KeepConnected(addresses);
   if (!changed) {
     return;
   }
@@ -231,6 +237,15 @@
   return addresses;
 }
 
+void KeyAssignment::OnConnected(const std::string& name,
+                                std::uint64_t term,
+                                const std::string& address) {
+  if (Service* const service = Find(name, term)) {
+    service->assigner.OnConnected(address);
+    timer_.Set(state_.loop.Now());
+  }
+}
+
 KeyAssignment::Service* KeyAssignment::Find(const std::string& name,
                                             std::uint64_t term) {
   const auto it = services_.find(name);
@@ -439,7 +454,7 @@
     state_.metrics.Count(
         "order_replies_total",
         std::string("outcome=\"") + Describe(reply.status) + "\"");
-    if (!grant || order.fencing || !order.cleared.empty() ||
+    if (!grant || !order.cleared.empty() ||
         reply.status != platform::OrderStatus::kDone) {
       Log(LogLevel::kInfo, "order",
           {{"kind", grant ? "grant" : "release"},
@@ -473,6 +488,9 @@
         order.address,
         {order.server, order.range, order.token, order.lease, order.handover},
         order.deadline, on_reply);
+  } else if (order.fencing) {
+    service.orders->Fence(order.address, order.server, order.range, order.token,
+                          order.deadline, on_reply);
   } else {
     service.orders->Release(order.address, order.server, order.range,
                             order.token, order.deadline, on_reply);
--- a/src/entry/key_assignment.h
+++ b/src/entry/key_assignment.h
@@ -91,6 +91,9 @@
   // Updates the assigner's servers, and the connections to them, if the
   // directory has changed or their capacity is due for a refresh.
   void UpdateServers(const std::string& name, Service& service, TimePoint now);
+  void OnConnected(const std::string& name,
+                   std::uint64_t term,
+                   const std::string& address);
   // Returns the service, or null if `term` has ended.
   Service* Find(const std::string& name, std::uint64_t term);
   [[nodiscard]] std::vector<keyspace::AssignerServer> Servers(
--- a/src/keyspace/fencing_tokens.h
+++ b/src/keyspace/fencing_tokens.h
@@ -9,20 +9,18 @@
 
 namespace gentianreach::keyspace {
 
-// Upper bound on the fencing grants to an earlier owner. If all are lost, the
-// owner is cleared when its leases expire.
-constexpr std::uint64_t kMaxFencingGrants = 3;
-// Tokens reserved for one change of owner: those of the fencing grants to the
-// previous owner, and the new owner's.
-constexpr std::uint64_t kTokensPerMove = kMaxFencingGrants + 1;
-
-// Returns the token of the `n`-th fencing grant, counted from 1, to the owner
-// before the one with `token`.
-inline Token FencingToken(Token token, std::uint64_t n) {
-  return Token(token.value() - kTokensPerMove + n);
+// Tokens reserved for one change of owner: those of the releases by which the
+// previous owners are fenced, and the new owner's. Older builds use the first
+// three for fencing grants.
+constexpr std::uint64_t kTokensPerMove = 4;
+
+// Returns the token of the releases of previous owners, if the new owner has
+// `token`.
+inline Token FencingToken(Token token) {
+  return Token(token.value() - 1);
 }
 
-// Returns the token of a new owner and reserves those of its fencing grants.
+// Returns the token of a new owner and reserves those before it.
 inline Token AllocateToken(OwnershipTable* table) {
   const Token token(table->next_token.value() + kTokensPerMove - 1);
   table->next_token = Token(table->next_token.value() + kTokensPerMove);
--- a/src/keyspace/range_assigner.cc
+++ b/src/keyspace/range_assigner.cc
@@ -45,7 +45,6 @@
     state.orders.sent_before = true;
     EarlierOwnerState earlier;
     earlier.orders = state.orders;
-    earlier.begun_by_other_leader = true;
     state.earlier.assign(it.earlier.size(), earlier);
     states_.push_back(std::move(state));
   }
@@ -79,6 +78,10 @@
 
 void RangeAssigner::OnEnded(const ServerIncarnation& incarnation) {
   if (ended_.insert(incarnation).second) {
+    if (const auto it = servers_.find(incarnation.first);
+        it == servers_.end() || it->second.incarnation == incarnation.second) {
+      fences_.Remove(incarnation.first);
+    }
     PollAllRanges();
   }
 }
@@ -188,27 +191,18 @@
   return until;
 }
 
-TimePoint RangeAssigner::MayExecuteUntil(const OrderState& orders) const {
-  return orders.sent_before ? std::max(orders.may_execute_until,
-                                       LatestLeaseEnd(previous_leader_until_))
-                            : orders.may_execute_until;
-}
-
 void RangeAssigner::MergeOrders(const OrderState& part,
                                 OrderState* orders) const {
   orders->held_until = std::max(orders->held_until, part.held_until);
-  orders->may_execute_until =
-      std::max(orders->may_execute_until, part.may_execute_until);
   orders->in_transit_until =
       std::max(orders->in_transit_until, part.in_transit_until);
   orders->sent_before = orders->sent_before || part.sent_before;
   if (part.in_flight != 0) {
     // The reply to this order will be ignored.
-    const TimePoint lease_end = LatestLeaseEnd(part.sent_at);
     orders->in_transit_until =
         std::max(orders->in_transit_until, LatestArrival(part.sent_at));
-    orders->held_until = std::max(orders->held_until, lease_end);
-    orders->may_execute_until = std::max(orders->may_execute_until, lease_end);
+    orders->held_until =
+        std::max(orders->held_until, LatestLeaseEnd(part.sent_at));
   }
 }
 
@@ -295,6 +289,10 @@
                                  OrderOutcome outcome,
                                  const std::string& handover,
                                  TimePoint now) {
+  next_poll_at_ = std::min(next_poll_at_, now);
+  if (OnFenceReply(order, outcome, now)) {
+    return;
+  }
   const auto [first, last] = waiting_ranges_.equal_range(order);
   std::vector<std::size_t> ranges;
   for (auto it = first; it != last; ++it) {
@@ -305,7 +303,6 @@
     OnRangeReply(it, order, outcome, handover, now);
     schedule_.Add(it, now);
   }
-  next_poll_at_ = std::min(next_poll_at_, now);
 }
 
 bool RangeAssigner::RecordReply(std::uint64_t order,
@@ -337,9 +334,6 @@
     // retry waits for the full time-out.
     state->next_attempt_at =
         std::max(now, state->sent_at + options_.order_timeout);
-    if (grant) {
-      state->may_execute_until = std::max(state->may_execute_until, lease_end);
-    }
   } else if (outcome != OrderOutcome::kDone) {
     state->next_attempt_at = now + options_.order_timeout;
   }
@@ -366,13 +360,8 @@
       const Owner& owner = table_.ranges[i].earlier[k];
       OnEnded({owner.server, owner.incarnation});
     }
-    if (outcome != OrderOutcome::kDone) {
-      continue;
-    }
-    if (earlier.orders.purpose == OrderPurpose::kFencingGrant) {
-      earlier.fenced = true;
-    }
-    if (earlier.orders.purpose != OrderPurpose::kRelease) {
+    if (outcome != OrderOutcome::kDone ||
+        earlier.orders.purpose != OrderPurpose::kRelease) {
       continue;
     }
     earlier.cleared = Clearance::kReleased;
@@ -427,6 +416,9 @@
       schedule_.Remove(it);
       SendOwnerGrant(it, now, &actions);
     }
+    if (has_table_) {
+      PollFences(now, &actions);
+    }
   }
   if (!planned_ && now >= plan_at_ && (plan_due_ || now >= next_balance_)) {
     ++work_.tables_planned;
@@ -444,7 +436,8 @@
 TimePoint RangeAssigner::DeadlineAfterPoll(TimePoint now) const {
   TimePoint at = now + options_.balance_period;
   if (takeover_written_) {
-    at = std::min({at, schedule_.next_at(), pacer_.next_at()});
+    at = std::min(
+        {at, schedule_.next_at(), pacer_.next_at(), fences_.next_at()});
   }
   const TimePoint plan_at = std::max(plan_at_, FirstTableTime());
   if (!planned_ && plan_due_ && plan_at > now) {
@@ -476,6 +469,10 @@
     schedule_.Add(i, due_at);
     return;
   }
+  // A fence that arrives after the grant would take the keys away again.
+  if (range.moving() && fences_.IsSending(range.owner.server)) {
+    return;
+  }
   // Only renewals can wait: no server holds the other keys.
   const TimePoint held_until = HeldUntil(state.orders);
   if (range.moving() || held_until <= now) {
@@ -491,10 +488,17 @@
                                    std::vector<AssignerAction>* actions) {
   const OwnedRange& range = table_.ranges[i];
   RangeState& state = states_[i];
-  SendGrant(i, range.owner, range.owner.token,
-            FindIncarnation(range.owner)->address,
-            state.granted ? std::string() : state.handover,
-            OrderPurpose::kRenewal, &state.orders, now, actions);
+  StartOrder(i, OrderPurpose::kGrant, now, &state.orders);
+  actions->emplace_back(
+      SendOrder{.kind = SendOrder::Kind::kGrant,
+                .order = state.orders.in_flight,
+                .server = range.owner.server,
+                .address = FindIncarnation(range.owner)->address,
+                .range = range.range,
+                .token = range.owner.token,
+                .lease = options_.lease,
+                .handover = state.granted ? std::string() : state.handover,
+                .deadline = now + options_.order_timeout});
   if (state.granted) {
     return;
   }
@@ -515,29 +519,6 @@
   waiting_ranges_.emplace(state->in_flight, i);
 }
 
-void RangeAssigner::SendGrant(std::size_t i,
-                              const Owner& to,
-                              Token token,
-                              const std::string& address,
-                              const std::string& handover,
-                              OrderPurpose purpose,
-                              OrderState* state,
-                              TimePoint now,
-                              std::vector<AssignerAction>* actions) {
-  StartOrder(i, purpose, now, state);
-  actions->emplace_back(
-      SendOrder{.kind = SendOrder::Kind::kGrant,
-                .order = state->in_flight,
-                .server = to.server,
-                .address = address,
-                .range = table_.ranges[i].range,
-                .token = token,
-                .lease = options_.lease,
-                .handover = handover,
-                .fencing = purpose == OrderPurpose::kFencingGrant,
-                .deadline = now + options_.order_timeout});
-}
-
 bool RangeAssigner::PollEarlier(std::size_t i,
                                 std::size_t k,
                                 TimePoint now,
@@ -550,6 +531,9 @@
     earlier.cleared = Clearance::kEnded;
   } else if (!earlier.cleared && HeldUntil(orders) <= now) {
     earlier.cleared = Clearance::kLeaseOver;
+    if (const std::string address = LastKnownAddress(owner); !address.empty()) {
+      fences_.OnLeaseOver(owner.server, address, now + options_.max_fence_wait);
+    }
   }
   if (earlier.cleared) {
     return true;
@@ -565,30 +549,14 @@
     schedule_.Add(i, next_at);
     return false;
   }
-  if (!earlier.fenced && MayExecuteUntil(orders) > now) {
-    schedule_.Add(i, MayExecuteUntil(orders));
-    // With several earlier owners it is not known which of them holds the
-    // keys. A fencing grant to any other would create a second holder.
-    if (range.earlier.size() > 1 || earlier.begun_by_other_leader ||
-        earlier.fencing_grants_sent >= kMaxFencingGrants) {
-      return false;
-    }
-    ++earlier.fencing_grants_sent;
-    earlier.fencing_token =
-        FencingToken(range.owner.token, earlier.fencing_grants_sent);
-    SendGrant(i, owner, earlier.fencing_token, address, "",
-              OrderPurpose::kFencingGrant, &orders, now, actions);
-    return false;
-  }
   StartOrder(i, OrderPurpose::kRelease, now, &orders);
   orders.next_attempt_at = now + options_.order_timeout;
-  const Token token = earlier.fenced ? earlier.fencing_token : owner.token;
   actions->emplace_back(SendOrder{.kind = SendOrder::Kind::kRelease,
                                   .order = orders.in_flight,
                                   .server = owner.server,
                                   .address = address,
                                   .range = range.range,
-                                  .token = token,
+                                  .token = FencingToken(range.owner.token),
                                   .deadline = now + options_.release_timeout});
   return false;
 }
--- a/src/keyspace/range_assigner.h
+++ b/src/keyspace/range_assigner.h
@@ -21,6 +21,7 @@
 #include "keyspace/range_schedule.h"
 #include "keyspace/rebalancer.h"
 #include "keyspace/renewal_pacer.h"
+#include "keyspace/server_fences.h"
 
 namespace gentianreach::keyspace {
 
@@ -46,6 +47,9 @@
   // hold it up until it gives it up, it arrives at the latest this long after
   // its deadline.
   std::chrono::milliseconds max_transit_time{150};
+  // How long a server whose leases have expired, and that is not connected, is
+  // kept in mind so as to fence it.
+  std::chrono::seconds max_fence_wait{60};
   // Interval between rebalancing rounds.
   std::chrono::milliseconds balance_period{500};
   // Shortest time between two tables, per range: each table is passed on to all
@@ -96,7 +100,7 @@
   Token token;
   std::chrono::milliseconds lease{};  // Grants only.
   std::string handover;               // Grants only.
-  // Whether this is a fencing grant to an earlier owner.
+  // Whether this is a release of keys that the server is not known to hold.
   bool fencing = false;
   // The earlier owners, in the grant that completes a move.
   std::vector<ClearedOwner> cleared;
@@ -141,10 +145,12 @@
 // A reply costs only the work for its range; a new table, changed servers and a
 // round of balancing cost work for all ranges.
 //
-// Servers may execute orders late, and the previous leader may still be sending
-// orders. If such orders may be outstanding, a release is preceded by a fencing
-// grant: a grant of the same keys to the same server with a token reserved for
-// this purpose. From then on, the server refuses all orders with lower tokens.
+// Servers may execute orders late, and orders of previous leaders may still
+// arrive, even of those whose process has ended. A release therefore has a
+// token above all that the earlier owner can have been sent, so that the server
+// refuses such orders from then on. An owner that is cleared because its leases
+// have expired has not seen that token; it is fenced as soon as it is connected
+// again, like every server that is connected anew (ServerFences).
 class RangeAssigner {
  public:
   explicit RangeAssigner(AssignerOptions options);
@@ -181,6 +187,10 @@
                       const ServerId& server,
                       Incarnation incarnation);
 
+  // Reports that a connection to the server at `address` was established while
+  // there was none.
+  void OnConnected(const std::string& address);
+
   void OnWritten(TimePoint now);
   // Reports that the table was not written; the next one is planned at
   // `retry_at`. If the store has a different table, or may have one, read it
@@ -203,21 +213,23 @@
   // Returns when Poll() is due if no other call precedes it.
   [[nodiscard]] TimePoint NextDeadline() const { return next_poll_at_; }
 
+  // Returns the addresses of servers that discovery may not list, but that have
+  // to be connected.
+  [[nodiscard]] std::set<std::string> FenceAddresses() const {
+    return fences_.Addresses();
+  }
   [[nodiscard]] const OwnershipTable& table() const { return table_; }
   [[nodiscard]] const AssignerWork& work() const { return work_; }
 
  private:
   using ServerIncarnation = std::pair<ServerId, Incarnation>;
-  enum class OrderPurpose : std::uint8_t { kRenewal, kFencingGrant, kRelease };
+  enum class OrderPurpose : std::uint8_t { kGrant, kRelease };
 
   // State of the orders to one owner for one range.
   struct OrderState {
     // Until then a grant that was answered or given up may be in force at the
     // server; TimePoint{} if there is none. See HeldUntil().
     TimePoint held_until{};
-    // Until then the server may execute an order of this leader that had no
-    // reply. See MayExecuteUntil().
-    TimePoint may_execute_until{};
     // Until then an order of this leader that had no reply may be on its way.
     // If the server restarts under its id and address, its new incarnation
     // executes such an order even if the old one has seen a higher token.
@@ -228,21 +240,13 @@
     // When the last successful grant was sent.
     TimePoint renewed_at{};
     TimePoint next_attempt_at{};
-    std::uint64_t in_flight = 0;                    // 0: none.
-    OrderPurpose purpose = OrderPurpose::kRenewal;  // Of the order in flight.
+    std::uint64_t in_flight = 0;                  // 0: none.
+    OrderPurpose purpose = OrderPurpose::kGrant;  // Of the order in flight.
     TimePoint sent_at{};
   };
   // Progress in clearing an earlier owner of a range.
   struct EarlierOwnerState {
     OrderState orders;
-    // Each fencing grant has its own token, so that one without a reply is
-    // superseded by the next.
-    std::uint64_t fencing_grants_sent = 0;
-    // The next owner may already have its grant from the other leader, and a
-    // fencing grant would create a second holder of the keys.
-    bool begun_by_other_leader = false;
-    Token fencing_token;  // Of the latest fencing grant.
-    bool fenced = false;
     std::optional<Clearance> cleared;
   };
   struct RangeState {
@@ -274,9 +278,6 @@
   [[nodiscard]] TimePoint LatestLeaseEnd(TimePoint sent_at) const;
   // Returns the time until which the server may hold the keys by any grant.
   [[nodiscard]] TimePoint HeldUntil(const OrderState& orders) const;
-  // Returns the time until which the server may execute an order without a
-  // reply.
-  [[nodiscard]] TimePoint MayExecuteUntil(const OrderState& orders) const;
   // Adds the orders of `part` to `orders`, whose own order in flight remains.
   void MergeOrders(const OrderState& part, OrderState* orders) const;
   [[nodiscard]] RangeState StateAfterWrite(const OwnedRange& range) const;
@@ -322,15 +323,14 @@
                    std::size_t k,
                    TimePoint now,
                    std::vector<AssignerAction>* actions);
-  void SendGrant(std::size_t i,
-                 const Owner& to,
-                 Token token,
-                 const std::string& address,
-                 const std::string& handover,
-                 OrderPurpose purpose,
-                 OrderState* state,
-                 TimePoint now,
-                 std::vector<AssignerAction>* actions);
+  // Handles a reply to an order of a fence. Returns false if `order` is another
+  // one.
+  bool OnFenceReply(std::uint64_t order, OrderOutcome outcome, TimePoint now);
+  // Adds the fences that are due to `actions`.
+  void PollFences(TimePoint now, std::vector<AssignerAction>* actions);
+  // Returns the ranges of keys that `server` must not hold.
+  [[nodiscard]] std::vector<KeyRange> KeysOfOthers(
+      const ServerId& server) const;
   void OnGrantReply(const Owner& owner,
                     OrderOutcome outcome,
                     RangeState* state);
@@ -352,6 +352,9 @@
   bool wrote_table_ = false;
   OwnershipTable table_;
   std::vector<RangeState> states_;  // One per range of table_.
+  ServerFences fences_;
+  // Addresses of new connections whose servers have not been fenced.
+  std::set<std::string> connected_;
   // When PollRange() has to be called for each range.
   RangeSchedule schedule_;
   RenewalPacer pacer_;
