--- a/src/entry/key_assignment.cc
+++ b/src/entry/key_assignment.cc
@@ -481,8 +481,9 @@
                                    reply.handover, state_.loop.Now());
     Run();
   };
-  state_.metrics.Count("orders_total",
-                       grant ? "kind=\"grant\"" : "kind=\"release\"");
+  state_.metrics.Count("orders_total", grant           ? "kind=\"grant\""
+                                       : order.fencing ? "kind=\"fence\""
+                                                       : "kind=\"release\"");
   if (grant) {
     service.orders->Grant(
         order.address,
