A fence is repeated, spares holders after a lost table, covers expected keys

Callers could still see two servers with the same keys: a fence that was not sent in time was lost if one connection had survived the partition, since no new connection was reported then; and it left out keys that were to move back to the server, of which a lost grant of a former leader may be on its way. After a lost table, keys were taken from holders that nobody knew.

Cause: a fence that was not sent waited for a report that might not come; KeysOfOthers took an owner for a holder before its grant. KeysOfOthers includes the keys of a move whose grant has not been sent, under the token before the new one, and leaves those of an owner without a name until its lease is over; then all servers are fenced. A fence that is not answered does not count against the path.

Evidence: two new cases of range_assigner_test and the subcase of a connection that is not reported; before the change a fence that was not connected was not repeated (the former assertion of that case said so). range_assigner_test, server_fences_test, server_orders_test and range_assigner_random_test pass.

Test: server_fences_test demands the repetition instead of the wait for a connection, which was the fault.

--- a/src/entry/key_assignment.cc
+++ b/src/entry/key_assignment.cc
@@ -454,8 +454,11 @@
     state_.metrics.Count(
         "order_replies_total",
         std::string("outcome=\"") + Describe(reply.status) + "\"");
-    if (!grant || !order.cleared.empty() ||
-        reply.status != platform::OrderStatus::kDone) {
+    // Fences are repeated until the server is connected.
+    const bool repeated =
+        order.fencing && reply.status == platform::OrderStatus::kNotConnected;
+    if (!repeated && (!grant || !order.cleared.empty() ||
+                      reply.status != platform::OrderStatus::kDone)) {
       Log(LogLevel::kInfo, "order",
           {{"kind", grant ? "grant" : "release"},
            {"fencing", order.fencing},
@@ -471,7 +474,10 @@
     if (reply.status == platform::OrderStatus::kUnknown ||
         reply.status == platform::OrderStatus::kNotConnected ||
         reply.status == platform::OrderStatus::kConnectionRefused) {
-      state_.reachability.OnFailure(order.server, sent_at);
+      // A fence is answered when the work on its keys has ended.
+      if (!order.fencing) {
+        state_.reachability.OnFailure(order.server, sent_at);
+      }
     } else if (reply.status != platform::OrderStatus::kTokenOutdated) {
       // The connection may have been opened long ago.
       state_.reachability.OnAnswer(order.server, TimePoint{},
--- a/src/keyspace/range_assigner.cc
+++ b/src/keyspace/range_assigner.cc
@@ -436,8 +436,10 @@
 TimePoint RangeAssigner::DeadlineAfterPoll(TimePoint now) const {
   TimePoint at = now + options_.balance_period;
   if (takeover_written_) {
-    at = std::min(
-        {at, schedule_.next_at(), pacer_.next_at(), fences_.next_at()});
+    at = std::min({at, schedule_.next_at(), pacer_.next_at()});
+  }
+  if (takeover_written_ && has_table_) {
+    at = std::min(at, fences_.next_at());
   }
   const TimePoint plan_at = std::max(plan_at_, FirstTableTime());
   if (!planned_ && plan_due_ && plan_at > now) {
@@ -531,9 +533,7 @@
     earlier.cleared = Clearance::kEnded;
   } else if (!earlier.cleared && HeldUntil(orders) <= now) {
     earlier.cleared = Clearance::kLeaseOver;
-    if (const std::string address = LastKnownAddress(owner); !address.empty()) {
-      fences_.OnLeaseOver(owner.server, address, now + options_.max_fence_wait);
-    }
+    FenceAfterLease(owner, now);
   }
   if (earlier.cleared) {
     return true;
--- a/src/keyspace/range_assigner.h
+++ b/src/keyspace/range_assigner.h
@@ -47,8 +47,7 @@
   // hold it up until it gives it up, it arrives at the latest this long after
   // its deadline.
   std::chrono::milliseconds max_transit_time{150};
-  // How long a server whose leases have expired, and that is not connected, is
-  // kept in mind so as to fence it.
+  // How long the fence of a server is repeated if it has no response.
   std::chrono::seconds max_fence_wait{60};
   // Interval between rebalancing rounds.
   std::chrono::milliseconds balance_period{500};
@@ -261,6 +260,11 @@
     bool needs_new_token = false;
   };
 
+  struct FencedKeys {
+    KeyRange range;
+    Token token;
+  };
+
   [[nodiscard]] const AssignerServer* FindIncarnation(const Owner& owner) const;
   // Returns the last known address of the owner's incarnation, or an empty
   // string.
@@ -326,11 +330,14 @@
   // Handles a reply to an order of a fence. Returns false if `order` is another
   // one.
   bool OnFenceReply(std::uint64_t order, OrderOutcome outcome, TimePoint now);
+  // Has an earlier owner fenced that was cleared because its leases are over.
+  void FenceAfterLease(const Owner& owner, TimePoint now);
   // Adds the fences that are due to `actions`.
   void PollFences(TimePoint now, std::vector<AssignerAction>* actions);
-  // Returns the ranges of keys that `server` must not hold.
-  [[nodiscard]] std::vector<KeyRange> KeysOfOthers(
-      const ServerId& server) const;
+  // Returns the keys that `server` must not hold, with the tokens of their
+  // releases. An owner without a name may be any server.
+  [[nodiscard]] std::vector<FencedKeys> KeysOfOthers(const ServerId& server,
+                                                     TimePoint now) const;
   void OnGrantReply(const Owner& owner,
                     OrderOutcome outcome,
                     RangeState* state);
--- a/src/keyspace/range_assigner_fences.cc
+++ b/src/keyspace/range_assigner_fences.cc
@@ -4,6 +4,7 @@
 #include <string>
 #include <vector>
 
+#include "keyspace/fencing_tokens.h"
 #include "keyspace/range_assigner.h"
 
 namespace gentianreach::keyspace {
@@ -13,11 +14,10 @@
   switch (outcome) {
     case OrderOutcome::kDone:
       return ServerFences::Reply::kDone;
-    case OrderOutcome::kConnectionRefused:
-    case OrderOutcome::kNotConnected:
-      return ServerFences::Reply::kNotConnected;
     case OrderOutcome::kOtherServer:
       return ServerFences::Reply::kOtherServer;
+    case OrderOutcome::kConnectionRefused:
+    case OrderOutcome::kNotConnected:
     case OrderOutcome::kHigherToken:
     case OrderOutcome::kTokenOutdated:
     case OrderOutcome::kRefused:
@@ -35,25 +35,36 @@
   next_poll_at_ = TimePoint{};
 }
 
+void RangeAssigner::FenceAfterLease(const Owner& owner, TimePoint now) {
+  if (owner.server.value().empty()) {
+    // Any server may have been the owner.
+    for (const auto& [id, it] : servers_) {
+      connected_.insert(it.address);
+    }
+  } else if (const std::string address = LastKnownAddress(owner);
+             !address.empty()) {
+    fences_.OnLeaseOver(owner.server, address, now + options_.max_fence_wait);
+  }
+}
+
 void RangeAssigner::PollFences(TimePoint now,
                                std::vector<AssignerAction>* actions) {
   for (const auto& [id, it] : servers_) {
     if (connected_.erase(it.address) != 0) {
-      fences_.OnConnected(id, it.address);
+      fences_.OnConnected(id, it.address, now + options_.max_fence_wait);
     }
   }
   for (const auto& [server, address] : fences_.TakeDue(now)) {
     std::vector<std::uint64_t> orders;
-    for (const KeyRange& it : KeysOfOthers(server)) {
+    for (const auto& [range, token] : KeysOfOthers(server, now)) {
       orders.push_back(++last_order_);
-      // Above all tokens of the table and below those of later grants.
       actions->emplace_back(
           SendOrder{.kind = SendOrder::Kind::kRelease,
                     .order = last_order_,
                     .server = server,
                     .address = address,
-                    .range = it,
-                    .token = Token(table_.next_token.value() - 1),
+                    .range = range,
+                    .token = token,
                     .fencing = true,
                     .deadline = now + options_.order_timeout});
     }
@@ -75,23 +86,35 @@
   return true;
 }
 
-std::vector<KeyRange> RangeAssigner::KeysOfOthers(
-    const ServerId& server) const {
-  std::vector<KeyRange> keys;
+std::vector<RangeAssigner::FencedKeys> RangeAssigner::KeysOfOthers(
+    const ServerId& server,
+    TimePoint now) const {
+  std::vector<FencedKeys> keys;
   for (std::size_t i = 0; i < table_.ranges.size(); ++i) {
     const OwnedRange& it = table_.ranges[i];
-    bool may_hold = it.owner.server == server;
+    const RangeState& state = states_[i];
+    bool may_hold = it.owner.server.value().empty();
     for (std::size_t k = 0; k < it.earlier.size(); ++k) {
-      may_hold = may_hold || (it.earlier[k].server == server &&
-                              !states_[i].earlier[k].cleared);
+      const ServerId& earlier = it.earlier[k].server;
+      may_hold = may_hold || ((earlier == server || earlier.value().empty()) &&
+                              !state.earlier[k].cleared);
+    }
+    // Above all tokens of the table and below those of later grants.
+    Token token(table_.next_token.value() - 1);
+    if (it.owner.server == server) {
+      // The server is to get the keys, but has not been sent them yet.
+      may_hold = may_hold || !it.moving() || state.granted ||
+                 HeldUntil(state.orders) > now;
+      token = FencingToken(it.owner.token);
     }
     if (may_hold) {
       continue;
     }
-    if (!keys.empty() && keys.back().last + 1 == it.range.first) {
-      keys.back().last = it.range.last;
+    if (!keys.empty() && keys.back().token == token &&
+        keys.back().range.last + 1 == it.range.first) {
+      keys.back().range.last = it.range.last;
     } else {
-      keys.push_back(it.range);
+      keys.push_back({it.range, token});
     }
   }
   return keys;
--- a/src/keyspace/range_assigner_test.cc
+++ b/src/keyspace/range_assigner_test.cc
@@ -360,11 +360,19 @@
   REQUIRE(fence != nullptr);
   leader.assigner.OnOrderReply(fence->order, OrderOutcome::kNotConnected, "",
                                now);
-  now += seconds(3);
   CHECK(Find(leader.Orders(now), SendOrder::Kind::kRelease, "a") == nullptr);
   CHECK(leader.assigner.FenceAddresses().contains("a:1"));
-  leader.assigner.OnConnected("a:1");
-  const auto orders = leader.Orders(now);
+  std::vector<SendOrder> orders;
+  SUBCASE("at once") {
+    leader.assigner.OnConnected("a:1");
+    orders = leader.Orders(now);
+  }
+  // Guards against a fence that was lost because another connection had
+  // survived the partition.
+  SUBCASE("also if the connection is not reported") {
+    now += AssignerOptions{}.order_timeout;
+    orders = leader.Orders(now);
+  }
   fence = Find(orders, SendOrder::Kind::kRelease, "a");
   REQUIRE(fence != nullptr);
   CHECK(fence->fencing);
@@ -395,6 +403,40 @@
   CHECK(fenced == std::vector<KeyRange>{{100, 199}, {300, kKeyCount - 1}});
 }
 
+// Guards against two holders: a lost grant of a former leader arrived while the
+// keys were to move back to the server.
+TEST_CASE("a fence includes keys that the server is about to get") {
+  Leader leader = LeaderWithGrantToA();
+  leader.assigner.SetServers({Server("a", true), Server("b")}, kStart);
+  const auto releases = leader.Orders(kStart);
+  REQUIRE(Find(releases, SendOrder::Kind::kRelease, "a") != nullptr);
+  leader.assigner.OnConnected("b:1");
+  const auto fences = leader.Orders(kStart);
+  const SendOrder* fence = Find(fences, SendOrder::Kind::kRelease, "b");
+  REQUIRE(fence != nullptr);
+  CHECK(fence->range == KeyRange{0, kKeyCount - 1});
+  leader.assigner.OnOrderReply(fence->order, OrderOutcome::kDone, "", kStart);
+  leader.assigner.OnOrderReply(releases[0].order, OrderOutcome::kDone, "",
+                               kStart);
+  const auto grants = leader.Orders(kStart);
+  const SendOrder* grant = Find(grants, SendOrder::Kind::kGrant, "b");
+  REQUIRE(grant != nullptr);
+  CHECK(grant->token > fence->token);
+}
+
+// A lost table: nobody knows which server holds the keys.
+TEST_CASE("a fence leaves the keys of an owner without a name") {
+  Leader leader;
+  leader.assigner.BeginWithoutTable(nullptr, 5, Epoch(2), kStart, kStart);
+  leader.assigner.SetServers({Server("a"), Server("b")}, kStart);
+  leader.assigner.OnConnected("a:1");
+  CHECK(leader.Orders(kStart).empty());
+  const TimePoint now = kStart + seconds(8);
+  const auto orders = leader.Orders(now);
+  CHECK(Find(orders, SendOrder::Kind::kRelease, "a") != nullptr);
+  CHECK(Find(orders, SendOrder::Kind::kRelease, "b") != nullptr);
+}
+
 // A fence that arrives after a grant would take the keys away again.
 TEST_CASE("a move to a server waits while the server is fenced") {
   Leader leader = LeaderWithGrantToA();
--- a/src/keyspace/server_fences.cc
+++ b/src/keyspace/server_fences.cc
@@ -5,9 +5,11 @@
 namespace gentianreach::keyspace {
 
 void ServerFences::OnConnected(const ServerId& server,
-                               const std::string& address) {
+                               const std::string& address,
+                               TimePoint give_up_at) {
   State& state = states_[server];
   state.address = address;
+  state.give_up_at = give_up_at;
   state.due_at = TimePoint{};
 }
 
@@ -28,6 +30,7 @@
     state.address = address;
   }
   state.give_up_at = give_up_at;
+  state.lease_over = true;
   state.due_at = TimePoint{};
 }
 
@@ -44,8 +47,7 @@
 
 std::vector<ServerFences::Fence> ServerFences::TakeDue(TimePoint now) {
   std::erase_if(states_, [&](const auto& it) {
-    return it.second.in_flight.empty() && it.second.give_up_at &&
-           *it.second.give_up_at <= now;
+    return it.second.in_flight.empty() && it.second.give_up_at <= now;
   });
   std::vector<Fence> due;
   for (const auto& [server, it] : states_) {
@@ -66,7 +68,6 @@
   State& state = states_[server];
   state.due_at = TimePoint::max();
   state.retry_at = retry_at;
-  state.awaits_connection = false;
   state.in_flight.insert(orders.begin(), orders.end());
   for (const std::uint64_t it : orders) {
     orders_.emplace(it, server);
@@ -90,10 +91,7 @@
   if (reply == Reply::kUnknown) {
     state.due_at = std::min(state.due_at, state.retry_at);
   }
-  state.awaits_connection =
-      state.awaits_connection || reply == Reply::kNotConnected;
-  if (state.in_flight.empty() && state.due_at == TimePoint::max() &&
-      !(state.awaits_connection && state.give_up_at)) {
+  if (state.in_flight.empty() && state.due_at == TimePoint::max()) {
     states_.erase(server);
   }
   return server;
@@ -107,7 +105,7 @@
 std::set<std::string> ServerFences::Addresses() const {
   std::set<std::string> addresses;
   for (const auto& [server, it] : states_) {
-    if (it.give_up_at) {
+    if (it.lease_over) {
       addresses.insert(it.address);
     }
   }
--- a/src/keyspace/server_fences.h
+++ b/src/keyspace/server_fences.h
@@ -26,12 +26,14 @@
     std::string address;
   };
 
-  // A connection to `server` was established while there was none.
-  void OnConnected(const ServerId& server, const std::string& address);
+  // A connection to `server` was established while there was none. Its fence is
+  // given up at `give_up_at` if it has had no response by then.
+  void OnConnected(const ServerId& server,
+                   const std::string& address,
+                   TimePoint give_up_at);
   // The same for all servers at `address` that have a fence.
   void OnConnected(const std::string& address);
-  // `server` may hold keys that another server is about to get. Its fence is
-  // given up at `give_up_at` if it has not been connected by then.
+  // `server` may hold keys that another server is about to get.
   void OnLeaseOver(const ServerId& server,
                    const std::string& address,
                    TimePoint give_up_at);
@@ -49,7 +51,6 @@
 
   enum class Reply : std::uint8_t {
     kDone,
-    kNotConnected,  // The fence waits for the next connection.
     kOtherServer,
     kUnknown,  // The fence is repeated.
   };
@@ -67,14 +68,13 @@
  private:
   struct State {
     std::string address;
-    // TimePoint::max() until the server is connected again.
+    // TimePoint::max() while nothing is to be sent.
     TimePoint due_at = TimePoint::max();
     // When to repeat the fence if an order has no response.
     TimePoint retry_at{};
-    // Set if the server may hold keys of others. Such a fence is kept while the
-    // server is not connected.
-    std::optional<TimePoint> give_up_at;
-    bool awaits_connection = false;
+    TimePoint give_up_at{};
+    // The server may hold keys of others.
+    bool lease_over = false;
     std::set<std::uint64_t> in_flight;
   };
 
--- a/src/keyspace/server_fences_test.cc
+++ b/src/keyspace/server_fences_test.cc
@@ -26,7 +26,7 @@
 
 TEST_CASE("a server that is connected is fenced once") {
   ServerFences fences;
-  fences.OnConnected(kServer, kAddress);
+  fences.OnConnected(kServer, kAddress, kGiveUpAt);
   CHECK(fences.next_at() <= kStart);
   const auto due = fences.TakeDue(kStart);
   REQUIRE(due.size() == 1);
@@ -44,7 +44,7 @@
 
 TEST_CASE("a fence without a response is repeated") {
   ServerFences fences;
-  fences.OnConnected(kServer, kAddress);
+  fences.OnConnected(kServer, kAddress, kGiveUpAt);
   fences.OnSent(kServer, {1, 2}, kRetryAt);
   fences.OnReply(1, ServerFences::Reply::kDone);
   fences.OnReply(2, ServerFences::Reply::kUnknown);
@@ -53,23 +53,24 @@
   CHECK(IsDue(fences, kRetryAt));
 }
 
-TEST_CASE("the fence of a server whose lease is over waits for a connection") {
+TEST_CASE("a server whose lease is over is fenced until it responds") {
   ServerFences fences;
   fences.OnLeaseOver(kServer, kAddress, kGiveUpAt);
   CHECK(IsDue(fences, kStart));
   fences.OnSent(kServer, {1}, kRetryAt);
-  fences.OnReply(1, ServerFences::Reply::kNotConnected);
-  CHECK_FALSE(IsDue(fences, kGiveUpAt - milliseconds(1)));
+  fences.OnReply(1, ServerFences::Reply::kUnknown);
+  CHECK_FALSE(IsDue(fences, kRetryAt - milliseconds(1)));
   CHECK(fences.Addresses().contains(kAddress));
-  SUBCASE("until it is connected") {
+  SUBCASE("or is connected") {
     fences.OnConnected(kAddress);
     CHECK(IsDue(fences, kStart));
   }
-  SUBCASE("until it is given up") {
+  SUBCASE("or its time is over") {
+    CHECK(IsDue(fences, kGiveUpAt - milliseconds(1)));
     CHECK_FALSE(IsDue(fences, kGiveUpAt));
     CHECK(fences.Addresses().empty());
   }
-  SUBCASE("until its process has ended") {
+  SUBCASE("or its process has ended") {
     fences.Remove(kServer);
     CHECK(fences.Addresses().empty());
   }
@@ -77,10 +78,10 @@
 
 TEST_CASE("a connection during a fence that fails has the fence repeated") {
   ServerFences fences;
-  fences.OnConnected(kServer, kAddress);
+  fences.OnConnected(kServer, kAddress, kGiveUpAt);
   fences.OnSent(kServer, {1}, kRetryAt);
-  fences.OnConnected(kServer, kAddress);
-  fences.OnReply(1, ServerFences::Reply::kNotConnected);
+  fences.OnConnected(kServer, kAddress, kGiveUpAt);
+  fences.OnReply(1, ServerFences::Reply::kUnknown);
   CHECK(IsDue(fences, kStart));
 }
 
