A server that is connected over and over is not fenced without a pause

Cause: each report of a connection made the fence due at once. Change: a fence is not sent again before its orders' time-out. Measured: the new case of server_fences_test fails without the change (a report made the fence due at once) and passes with it; range_assigner_test passes. The former case, which demanded the fence at once, was the fault.

--- a/src/keyspace/server_fences.cc
+++ b/src/keyspace/server_fences.cc
@@ -10,13 +10,13 @@
   State& state = states_[server];
   state.address = address;
   state.give_up_at = give_up_at;
-  state.due_at = TimePoint{};
+  state.due_at = state.retry_at;
 }
 
 void ServerFences::OnConnected(const std::string& address) {
   for (auto& [server, it] : states_) {
     if (it.address == address) {
-      it.due_at = TimePoint{};
+      it.due_at = it.retry_at;
     }
   }
 }
@@ -31,7 +31,7 @@
   }
   state.give_up_at = give_up_at;
   state.lease_over = true;
-  state.due_at = TimePoint{};
+  state.due_at = state.retry_at;
 }
 
 void ServerFences::Remove(const ServerId& server) {
--- a/src/keyspace/server_fences.h
+++ b/src/keyspace/server_fences.h
@@ -70,7 +70,7 @@
     std::string address;
     // TimePoint::max() while nothing is to be sent.
     TimePoint due_at = TimePoint::max();
-    // When to repeat the fence if an order has no response.
+    // The fence is not sent again before.
     TimePoint retry_at{};
     TimePoint give_up_at{};
     // The server may hold keys of others.
