--- a/src/entry/key_assignment.cc
+++ b/src/entry/key_assignment.cc
@@ -146,8 +146,9 @@
       found = services_.emplace(name, Service(state_, options_)).first;
       found->second.term = ++last_term_;
       found->second.orders->on_connected =
-          [this, name, term = last_term_](const std::string& address) {
-            OnConnected(name, term, address);
+          [this, service = name,
+           term = last_term_](const std::string& address) {
+            OnConnected(service, term, address);
           };
       // Connections that are there before the first table is written may carry
       // the tokens of the former leader's table.
