Fences go over connections of their own

Cause: a fence over the kept connections used these up; none was left that was known to reach the incarnation, so that the server counted as connected anew, was fenced at once, and tokens were outdated over and over. Change: fences are sent as releases are.

--- a/src/entry/key_assignment.cc
+++ b/src/entry/key_assignment.cc
@@ -496,9 +496,6 @@
         order.address,
         {order.server, order.range, order.token, order.lease, order.handover},
         order.deadline, on_reply);
-  } else if (order.fencing) {
-    service.orders->Fence(order.address, order.server, order.range, order.token,
-                          order.deadline, on_reply);
   } else {
     service.orders->Release(order.address, order.server, order.range,
                             order.token, order.deadline, on_reply);
