The log tells a lower revision of the store from a history that is gone

store_history_gone named the daemon's revision alone: a store whose counter is lower than before and one that keeps no history gave the same lines. It names the call and the revision of the last list now; store_history_losses_total counts.

--- a/src/entry/entry_daemon.cc
+++ b/src/entry/entry_daemon.cc
@@ -295,6 +295,8 @@
                       "\",call=\"" +
                       std::string(ToString(kind_and_call.second)) + "\"");
     }
+    metrics.Set("store_history_losses_total",
+                static_cast<double>(copies_.health().history_losses()));
     metrics.Set("relay_failures_total",
                 static_cast<double>(copies_.relay_failures()));
     metrics.Set("store_objects_unreadable_total",
--- a/src/entry/store_watcher.cc
+++ b/src/entry/store_watcher.cc
@@ -104,6 +104,7 @@
 }
 
 void StoreHealth::OnHistoryGone() {
+  ++history_losses_;
   if (on_history_gone) {
     on_history_gone();
   }
@@ -246,6 +247,9 @@
   switch (reply.status) {
     case platform::CallStatus::kOk:
       health_.OnResponse();
+      if (call.list) {
+        listed_revision_ = reply.revision;
+      }
       if (call.list && call.revision < revision_ &&
           reply.revision < revision_) {
         // Relayed changes have overtaken the list.
@@ -271,7 +275,10 @@
     case platform::CallStatus::kHistoryGone:
       health_.OnResponse();
       Log(LogLevel::kWarning, "store_history_gone",
-          {{"kind", platform::ToString(kind_)}, {"revision", revision_}});
+          {{"kind", platform::ToString(kind_)},
+           {"call", call.list ? "list" : "watch"},
+           {"revision", revision_},
+           {"listed_revision", listed_revision_}});
       health_.OnHistoryGone();
       return;
     default:
--- a/src/entry/store_watcher.h
+++ b/src/entry/store_watcher.h
@@ -42,6 +42,8 @@
   // The store has dropped the history that a watch needs, so all copies may be
   // out of date.
   void OnHistoryGone();
+  // Returns how often that has happened.
+  [[nodiscard]] std::uint64_t history_losses() const { return history_losses_; }
   // Returns when the next call may be made. If that is now, the call is
   // reserved for the caller, and while the store is unreachable further calls
   // are deferred by the retry delay.
@@ -72,6 +74,7 @@
   TimePoint answered_at_{};
   TimePoint answered_other_at_{};
   TimePoint failed_at_{};
+  std::uint64_t history_losses_ = 0;
   // Until when servers may not have registered again after a loss.
   TimePoint entries_lacking_until_{};
 };
@@ -208,6 +211,8 @@
   bool urgent_ = false;
   bool listed_ = false;
   std::uint64_t revision_ = 0;
+  // The revision that the store stated in its last list.
+  std::uint64_t listed_revision_ = 0;
   std::uint64_t changed_at_ = 0;
   TimePoint current_at_{};
   std::map<std::string, platform::Object> objects_;
