--- a/soak/fault_plan.cc
+++ b/soak/fault_plan.cc
@@ -33,7 +33,8 @@
     "pause-server",        "pause-store",         "store-busy",
     "store-loses-answers", "store-drops-history", "change-config",
     "slow-link",           "silent-link",         "one-way-link",
-    "reset-link",          "cut-daemon",          "invalid-config"};
+    "reset-link",          "cut-daemon",          "invalid-config",
+    "store-turns-back"};
 constexpr std::array<const char*, 4> kCutNames = {"none", "silent", "reset",
                                                   "new-refused"};
 // Mean time between two cuts of daemons from all servers, and the range of
@@ -48,6 +49,9 @@
 constexpr std::uint64_t kSeriesSequence = 0xbf58476d1ce4e5b9;
 constexpr double kMeanSeriesIntervalMs = 2500;
 constexpr double kChangeProbability = 0.6;
+// So do turns of the store's counter.
+constexpr std::uint64_t kTurnSequence = 0x94d049bb133111eb;
+constexpr double kMeanTurnIntervalMs = 8000;
 constexpr double kInvalidProbability = 0.5;
 // Kinds that Planner::Draw() draws.
 constexpr std::size_t kDrawnKinds =
@@ -106,6 +110,10 @@
     return Millis(std::exponential_distribution<double>(
         1 / kMeanSeriesIntervalMs)(random_));
   }
+  Duration DrawTurnInterval() {
+    return Millis(std::exponential_distribution<double>(
+        1 / kMeanTurnIntervalMs)(random_));
+  }
   Duration DrawCutInterval() {
     return Millis(
         std::exponential_distribution<double>(1 / kMeanCutIntervalMs)(random_));
@@ -205,6 +213,21 @@
   }
 }
 
+// Adds turns of the store's counter.
+void AddTurns(std::uint64_t seed,
+              const FleetShape& shape,
+              TimePoint begin,
+              TimePoint end,
+              std::vector<Fault>& plan) {
+  Planner planner(seed ^ kTurnSequence, shape);
+  for (TimePoint at = begin + planner.DrawTurnInterval(); at < end;
+       at += planner.DrawTurnInterval()) {
+    plan.push_back({.kind = FaultKind::kStoreTurnsBack,
+                    .begins = at,
+                    .ends = std::min<TimePoint>(at + milliseconds(1), end)});
+  }
+}
+
 }  // namespace
 
 bool IsDaemonFault(FaultKind kind) {
@@ -251,6 +274,9 @@
     at += cuts.DrawCutInterval() + kRepeatPause;
   }
   AddSeries(seed, shape, begin, end, plan);
+  if (shape.store_turns_back) {
+    AddTurns(seed, shape, begin, end, plan);
+  }
   std::ranges::stable_sort(plan, {}, &Fault::begins);
   return plan;
 }
--- a/soak/fault_plan.h
+++ b/soak/fault_plan.h
@@ -37,9 +37,12 @@
   kCutDaemon,
   // The configuration in the store is invalid.
   kInvalidConfig,
+  // The store's revision counter goes back, as if another store had taken its
+  // place; its objects stay.
+  kStoreTurnsBack,
 };
 inline constexpr std::size_t kFaultKinds =
-    static_cast<std::size_t>(FaultKind::kInvalidConfig) + 1;
+    static_cast<std::size_t>(FaultKind::kStoreTurnsBack) + 1;
 
 // The connections that a link fault affects.
 enum class LinkKind : std::uint8_t {
@@ -67,6 +70,8 @@
   std::size_t servers = 6;
   // Factor of the rate of the faults that grows with the number of processes.
   double fault_rate = 1;
+  // Whether the store's revision counter goes back.
+  bool store_turns_back = false;
   // Limit of each daemon's file descriptors; the soak's own limit by default.
   std::optional<std::uint64_t> max_descriptors;
   // Whether daemons start with their signals blocked, and some get SIGHUP at
--- a/soak/fault_plan_test.cc
+++ b/soak/fault_plan_test.cc
@@ -31,7 +31,7 @@
 
 TEST_CASE(
     "plans contain every kind of fault, within the time span and fleet size") {
-  const FleetShape shape{4, 5};
+  const FleetShape shape{.daemons = 4, .servers = 5, .store_turns_back = true};
   std::set<FaultKind> kinds;
   bool overlapping = false;
   for (std::uint64_t seed = 1; seed <= 10; ++seed) {
@@ -53,6 +53,16 @@
   CHECK(overlapping);
 }
 
+TEST_CASE("the store turns back only if that is asked for") {
+  FleetShape shape;
+  const auto plan = MakePlan(7, shape, kBegin, kEnd);
+  CHECK(std::ranges::none_of(plan, [](const Fault& it) {
+    return it.kind == FaultKind::kStoreTurnsBack;
+  }));
+  shape.store_turns_back = true;
+  CHECK(MakePlan(7, shape, kBegin, kEnd).size() > plan.size());
+}
+
 TEST_CASE("signal faults on the same daemon do not overlap") {
   const FleetShape shape{2, 2};
   for (std::uint64_t seed = 1; seed <= 20; ++seed) {
--- a/soak/fleet.cc
+++ b/soak/fleet.cc
@@ -405,8 +405,10 @@
   const auto add = [&](std::size_t daemon) {
     config_checker_.AddDisturbance(daemon, fault.begins, fault.ends);
   };
-  if (fault.kind >= FaultKind::kPauseStore &&
-      fault.kind <= FaultKind::kStoreDropsHistory) {
+  const bool of_store = (fault.kind >= FaultKind::kPauseStore &&
+                         fault.kind <= FaultKind::kStoreDropsHistory) ||
+                        fault.kind == FaultKind::kStoreTurnsBack;
+  if (of_store) {
     for (std::size_t i = 0; i < daemons_.size(); ++i) {
       add(i);
     }
@@ -474,6 +476,9 @@
     case FaultKind::kStoreDropsHistory:
       store_->WriteLine("drop");
       break;
+    case FaultKind::kStoreTurnsBack:
+      store_->WriteLine("turn-back");
+      break;
     case FaultKind::kChangeConfig:
       WriteConfig(true);
       break;
@@ -579,6 +584,7 @@
       break;
     case FaultKind::kReloadDaemon:
     case FaultKind::kStoreDropsHistory:
+    case FaultKind::kStoreTurnsBack:
     case FaultKind::kChangeConfig:
     case FaultKind::kResetLink:
       break;
--- a/soak/soak.cc
+++ b/soak/soak.cc
@@ -308,6 +308,8 @@
                  "Limit of each daemon's file descriptors");
   app.add_flag("!--no-signals-at-start", options.shape.signals_at_start,
                "For programs that do not unblock their signals");
+  app.add_flag("--store-turns-back", options.shape.store_turns_back,
+               "Let the store's revision counter go back at times");
   app.add_flag("--keep-going", options.keep_going,
                "Continue after a violation, to count them");
   app.add_flag("--no-times", options.no_times,
--- a/soak/store_program.cc
+++ b/soak/store_program.cc
@@ -4,6 +4,7 @@
 //   fail STATUS               fails all calls with STATUS; 0: serves them
 //   lose 0|1                  1: applies writes but sends no response
 //   drop                      drops the change history
+//   turn-back                 sets the revision counter back to its start
 //   put KIND NAME CONTENT     writes an object and prints
 //                             "accepted KIND NAME NANOSECONDS", with the time
 //                             of the machine's boot clock
@@ -40,6 +41,8 @@
     store.set_lose_responses(lose);
   } else if (command == "drop") {
     store.DropHistory();
+  } else if (command == "turn-back") {
+    store.SetRevision(platform::testing::FakeStore::kFirstRevision);
   } else if (command == "put") {
     std::string kind;
     std::string name;
