Copies follow a store whose revision counter is lower than before

Cause: a revision was compared where an identity was meant. Every "newer" asked for a number of one history of one store, and nothing said which. Once the counter was lower, a list could not lower the daemon's revision, so each watch was from a revision that the store never reached and got 410; the leader's changes kept the old revision, so that no member fetched them and each confirmed its copy with every heartbeat.

Change: a list that was requested after the last change of the copy is the truth, whatever its revision. Heartbeats, peers' states and relayed changes carry a digest of the copy; a member is current only if the digests are equal, and takes a copy of a lower revision if that is complete up to a time after the last change of its own. A new leader reads the tables before it vouches for them. What StoreWatcher passes on is not compared again (OwnershipView). Earlier builds neither send nor need the digests.

--- a/src/entry/entry_daemon.cc
+++ b/src/entry/entry_daemon.cc
@@ -297,6 +297,8 @@
     }
     metrics.Set("store_history_losses_total",
                 static_cast<double>(copies_.health().history_losses()));
+    metrics.Set("store_revisions_back_total",
+                static_cast<double>(copies_.health().revisions_back()));
     metrics.Set("relay_failures_total",
                 static_cast<double>(copies_.relay_failures()));
     metrics.Set("store_objects_unreadable_total",
--- a/src/entry/member_link.cc
+++ b/src/entry/member_link.cc
@@ -379,10 +379,9 @@
   own_copy_status_ = std::move(copy_status);
   // The mirrors lack nothing if there is no change, or if they have been told
   // of it and have had their head start.
-  const bool told =
-      announced_copy_status_.changed_at == own_copy_status_.changed_at &&
-      !mirrored_timer_.deadline();
-  if (told || mirrored_copy_status_.changed_at == own_copy_status_.changed_at) {
+  const bool told = announced_copy_status_.HasCopiesOf(own_copy_status_) &&
+                    !mirrored_timer_.deadline();
+  if (told || mirrored_copy_status_.HasCopiesOf(own_copy_status_)) {
     mirrored_copy_status_ = own_copy_status_;
     return;
   }
@@ -416,6 +415,7 @@
   heartbeat.store_lost = status.store_lost;
   heartbeat.may_lack_entries = status.may_lack_entries;
   heartbeat.changed_at = status.changed_at;
+  heartbeat.digests = status.digests;
   heartbeat.copy_age_ms = AgeOf(status.current_at, loop_.Now());
   heartbeat.hello_sent_ms = known.hello_sent_ms;
   heartbeat.servers_lost = state_.reachability.lost();
@@ -483,11 +483,15 @@
   election_.OnLeaderHeartbeat(record, heartbeat.rank, now);
   ReplaceUnfitLeader(heartbeat.servers_lost, now);
   if (on_leader_heartbeat) {
-    on_leader_heartbeat(
-        {heartbeat.address, heartbeat.mirror, heartbeat.store_lost,
-         heartbeat.may_lack_entries, heartbeat.changed_at,
-         TimeOf(heartbeat.copy_age_ms, EarliestSendTime(heartbeat, now)),
-         std::move(peers)});
+    on_leader_heartbeat({.address = heartbeat.address,
+                         .mirror = heartbeat.mirror,
+                         .store_lost = heartbeat.store_lost,
+                         .may_lack_entries = heartbeat.may_lack_entries,
+                         .changed_at = heartbeat.changed_at,
+                         .digests = heartbeat.digests,
+                         .current_at = TimeOf(heartbeat.copy_age_ms,
+                                              EarliestSendTime(heartbeat, now)),
+                         .peers = std::move(peers)});
   }
 }
 
@@ -524,7 +528,7 @@
       SendLeaderHeartbeat(it, false);
     }
   }
-  if (announced_copy_status_.changed_at != mirrored_copy_status_.changed_at) {
+  if (!announced_copy_status_.HasCopiesOf(mirrored_copy_status_)) {
     StartMirrorHeadStart();
   }
 }
--- a/src/entry/member_link.h
+++ b/src/entry/member_link.h
@@ -38,11 +38,17 @@
   // Store revisions at which the copies last changed: configuration, servers
   // and key ownership, in this order.
   std::vector<std::uint64_t> changed_at;
+  // Digests of the copies in the same order; none from earlier versions.
+  std::vector<std::uint64_t> digests;
   // All changes up to this time are in the copies; TimePoint{}: unknown.
   TimePoint current_at{};
   // Addresses of the first members in the order of succession, without the
   // daemon that receives the status. They have copies, too.
   std::vector<std::string> peers;
+
+  [[nodiscard]] bool HasCopiesOf(const StoreCopyStatus& other) const {
+    return changed_at == other.changed_at && digests == other.digests;
+  }
 };
 
 // Tells the daemons whether their leader is alive, the revisions of its copies,
--- a/src/entry/member_link_test.cc
+++ b/src/entry/member_link_test.cc
@@ -295,6 +295,7 @@
   CHECK(member.link.rank() == 1);
   CHECK(received->changed_at == std::vector<std::uint64_t>{40, 41, 42});
   CHECK(received->mirror.empty());
+  CHECK(received->digests.empty());
   const Duration age = std::chrono::milliseconds(150);
   CHECK(received->current_at >= start - age);
   CHECK(received->current_at <= loop.Now() - age);
--- a/src/entry/ownership_view.h
+++ b/src/entry/ownership_view.h
@@ -15,18 +15,17 @@
 
 class OwnershipView {
  public:
-  // Stores the table of a service if `revision`, its revision in the store, is
-  // newer than the known one. Returns whether it was newer.
+  // Stores the table of a service, which has `revision` in the store. Returns
+  // whether it differs from the known one.
   bool Put(const std::string& service,
            std::uint64_t revision,
            keyspace::OwnershipTable table) {
-    Entry& entry = entries_[service];
-    if (revision <= entry.revision) {
-      return false;
-    }
+    const auto [found, is_new] = entries_.try_emplace(service);
+    Entry& entry = found->second;
     entry.revision = revision;
+    const bool changed = is_new || !(entry.table == table);
     entry.table = std::move(table);
-    return true;
+    return changed;
   }
 
   // Returns the table of a service, or null if none is known.
--- a/src/entry/store_copies.cc
+++ b/src/entry/store_copies.cc
@@ -77,6 +77,11 @@
       it->Relist();
     }
   };
+  health_.on_revision_back = [this](std::uint64_t revision) {
+    for (StoreWatcher* it : Watchers()) {
+      it->OnRevisionBack(revision);
+    }
+  };
   relay_server_.Handle("GET", kRelayPath, [this](const auto& request) {
     return HandleChangesRequest(request);
   });
@@ -127,6 +132,11 @@
   servers_.SetSource(source, chooser_.EntriesWatchWait(), urgent);
   ownership_.SetSource(leadership.leads ? WatchSource::kLeader : source,
                        watch_wait, urgent);
+  if (leadership.leads && !leads_) {
+    // The last table of the leader before is not relayed any more.
+    leads_since_ = now;
+    ownership_.RequireList();
+  }
   leads_ = leadership.leads;
 }
 
@@ -138,8 +148,19 @@
   OnSourceStatus(copy_status.may_lack_entries, copy_status.current_at);
   for (std::size_t i = 0; i < std::min(copy_status.changed_at.size(), kKinds);
        ++i) {
-    FetchFromLeader(i, copy_status.changed_at[i], copy_status.current_at);
+    FetchFromLeader(i, RemoteCopyOf(copy_status, i));
+  }
+}
+
+StoreCopies::RemoteCopy StoreCopies::RemoteCopyOf(const StoreCopyStatus& status,
+                                                  std::size_t kind) {
+  RemoteCopy remote{.address = status.address,
+                    .changed_at = status.changed_at[kind],
+                    .current_at = status.current_at};
+  if (kind < status.digests.size()) {
+    remote.digest = status.digests[kind];
   }
+  return remote;
 }
 
 void StoreCopies::OnSourceStatus(bool may_lack_entries, TimePoint current_at) {
@@ -150,10 +171,9 @@
 }
 
 void StoreCopies::FetchFromLeader(std::size_t kind,
-                                  std::uint64_t changed_at,
-                                  TimePoint current_at) {
-  const auto ask_leader = [this, kind, changed_at, current_at] {
-    FetchChanges(kind, leader_address_, changed_at, current_at,
+                                  const RemoteCopy& leader_copy) {
+  const auto ask_leader = [this, kind, leader_copy] {
+    FetchChanges(kind, leader_copy.address, leader_copy,
                  loop_.Now() + kRelayTimeout);
   };
   if (mirror_.empty() || loop_.Now() < mirror_avoided_until_) {
@@ -167,8 +187,8 @@
     mirror_avoided_until_ = loop_.Now() + kMirrorAvoidance;
     ask_leader();
   };
-  FetchChanges(kind, mirror_, changed_at, current_at,
-               loop_.Now() + kMirrorTimeout, on_end);
+  FetchChanges(kind, mirror_, leader_copy, loop_.Now() + kMirrorTimeout,
+               on_end);
 }
 
 void StoreCopies::PollPeers() {
@@ -204,13 +224,17 @@
     const auto json = nlohmann::json::parse(status);
     const TimePoint current_at =
         TimeOf(json.at("age_ms").get<std::uint32_t>(), asked_at);
-    const auto changed_at =
-        json.at("changed_at").get<std::vector<std::uint64_t>>();
+    const StoreCopyStatus copy_status{
+        .address = address,
+        .changed_at = json.at("changed_at").get<std::vector<std::uint64_t>>(),
+        .digests = json.value("digests", std::vector<std::uint64_t>()),
+        .current_at = current_at};
     OnSourceStatus(json.at("may_lack_entries").get<bool>(), current_at);
     // Earlier versions do not tell.
     chooser_.OnPeerStatus(json.value("store_lost", false), loop_.Now());
-    for (std::size_t i = 0; i < std::min(changed_at.size(), kKinds); ++i) {
-      FetchChanges(i, address, changed_at[i], current_at,
+    for (std::size_t i = 0; i < std::min(copy_status.changed_at.size(), kKinds);
+         ++i) {
+      FetchChanges(i, address, RemoteCopyOf(copy_status, i),
                    loop_.Now() + kMirrorTimeout);
     }
   } catch (const nlohmann::json::exception& error) {
@@ -222,7 +246,8 @@
 void StoreCopies::OnPeerWithCopies(const std::string& address) {
   for (std::size_t i = 0; i < kKinds; ++i) {
     if (!Watchers()[i]->listed()) {
-      FetchChanges(i, address, 1, TimePoint{}, loop_.Now() + kRelayTimeout);
+      FetchChanges(i, address, {.address = address, .changed_at = 1},
+                   loop_.Now() + kRelayTimeout);
     }
   }
 }
@@ -233,6 +258,7 @@
                               .current_at = current_at()};
   for (const StoreWatcher* it : Watchers()) {
     copy_status.changed_at.push_back(it->listed() ? it->changed_at() : 0);
+    copy_status.digests.push_back(it->digest());
   }
   return copy_status;
 }
@@ -240,8 +266,9 @@
 TimePoint StoreCopies::current_at() const {
   // Only the leader writes the ownership tables, and its writes fail once
   // another daemon has written them.
+  const bool owns_tables = leads_ && ownership_.current_at() >= leads_since_;
   const TimePoint ownership_current_at =
-      leads_ && ownership_.listed() ? loop_.Now() : ownership_.current_at();
+      owns_tables ? loop_.Now() : ownership_.current_at();
   return std::min(
       {config_.current_at(), servers_.current_at(), ownership_current_at});
 }
@@ -286,31 +313,50 @@
   return {200, "application/json",
           nlohmann::json{{"age_ms", AgeOf(status.current_at, loop_.Now())},
                          {"changed_at", status.changed_at},
+                         {"digests", status.digests},
                          {"may_lack_entries", MayLackEntries()},
                          {"store_lost", HasCallFailed()}}
               .dump()};
 }
 
+StoreCopies::CopyRelation StoreCopies::Compare(const StoreWatcher& watcher,
+                                               const RemoteCopy& remote) {
+  const bool behind = watcher.relay_since() < remote.changed_at;
+  if (!remote.digest) {
+    return behind ? CopyRelation::kBehind : CopyRelation::kSame;
+  }
+  if (watcher.digest() == *remote.digest) {
+    return CopyRelation::kSame;
+  }
+  if (behind) {
+    return CopyRelation::kBehind;
+  }
+  return remote.current_at > watcher.learned_at() ? CopyRelation::kSuperseded
+                                                  : CopyRelation::kAhead;
+}
+
 void StoreCopies::FetchChanges(std::size_t kind,
                                const std::string& address,
-                               std::uint64_t changed_at,
-                               TimePoint current_at,
+                               const RemoteCopy& remote,
                                TimePoint deadline,
                                std::function<void(bool)> done) {
   StoreWatcher* watcher = Watchers()[kind];
-  if (watcher->relay_since() >= changed_at) {
-    watcher->ConfirmCurrent(current_at);
+  const CopyRelation relation = Compare(*watcher, remote);
+  if (relation == CopyRelation::kSame) {
+    watcher->ConfirmCurrent(remote.current_at);
     return;
   }
-  if (fetching_[kind]) {
+  if (fetching_[kind] || relation == CopyRelation::kAhead) {
     return;
   }
   fetching_[kind] = true;
+  const bool superseded = relation == CopyRelation::kSuperseded;
   HttpCall call;
-  call.url = "http://" + address + kRelayPath + "?kind=" + kRelayKinds[kind] +
-             "&since=" + std::to_string(watcher->relay_since());
+  call.url =
+      "http://" + address + kRelayPath + "?kind=" + kRelayKinds[kind] +
+      "&since=" + std::to_string(superseded ? 0 : watcher->relay_since());
   call.deadline = deadline;
-  const auto on_reply = [this, kind, address, watcher, changed_at, current_at,
+  const auto on_reply = [this, kind, address, watcher, remote, superseded,
                          done = std::move(done)](const HttpResponse& reply) {
     fetching_[kind] = false;
     if (reply.status != 200) {
@@ -320,12 +366,18 @@
            {"from", address},
            {"error", reply.error}});
     }
+    const bool applied =
+        reply.status == 200 &&
+        (superseded ? watcher->ReplaceCopy(reply.body, *remote.digest)
+                    : watcher->ApplyChanges(reply.body));
     // The process that replied may have replaced the one that reported.
-    const bool has_changes = reply.status == 200 &&
-                             watcher->ApplyChanges(reply.body) &&
-                             watcher->relay_since() >= changed_at;
-    if (has_changes) {
-      watcher->ConfirmCurrent(current_at);
+    const bool has_changes =
+        applied && (superseded || watcher->relay_since() >= remote.changed_at);
+    // A mirror's later copy may be one that the leader's has superseded.
+    const bool is_proven = address == remote.address || !remote.digest ||
+                           watcher->digest() == *remote.digest;
+    if (has_changes && is_proven) {
+      watcher->ConfirmCurrent(remote.current_at);
     }
     if (done) {
       done(has_changes);
--- a/src/entry/store_copies.h
+++ b/src/entry/store_copies.h
@@ -7,6 +7,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -133,18 +134,39 @@
   // Handles what the daemon that tells of changes states about its copies:
   // whether they may lack entries, and up to when they are complete.
   void OnSourceStatus(bool may_lack_entries, TimePoint current_at);
+  // What another daemon has stated about its copy of one kind of objects.
+  struct RemoteCopy {
+    // Where the daemon serves its copies.
+    std::string address;
+    std::uint64_t changed_at = 0;
+    // Not known from earlier versions.
+    std::optional<std::uint64_t> digest;
+    // The copy contains all changes up to this time.
+    TimePoint current_at{};
+  };
+  // How this daemon's copy relates to a remote one.
+  enum class CopyRelation : std::uint8_t {
+    kSame,
+    kBehind,  // Lacks changes up to the remote revision.
+    // Is older, although it has as high a revision: the store's counter has
+    // gone back since.
+    kSuperseded,
+    kAhead,
+  };
+  [[nodiscard]] static CopyRelation Compare(const StoreWatcher& watcher,
+                                            const RemoteCopy& remote);
+  // Returns what `status` of the daemon at `address` states about `kind`.
+  [[nodiscard]] static RemoteCopy RemoteCopyOf(const StoreCopyStatus& status,
+                                               std::size_t kind);
   // Fetches changes from a mirror or, if it has failed, from the leader.
-  void FetchFromLeader(std::size_t kind,
-                       std::uint64_t changed_at,
-                       TimePoint current_at);
-  // Fetches the changes from `address` unless the copy already has those up to
-  // revision `changed_at`. That copy then contains all changes up to
-  // `current_at`. `done`, if set, receives whether it has those changes now; it
-  // is not called if a fetch was in flight already.
+  void FetchFromLeader(std::size_t kind, const RemoteCopy& leader_copy);
+  // Fetches from `address` what the copy lacks of `remote`. The copy then
+  // contains all changes that `remote` does. `done`, if set, receives whether
+  // it has those changes now; it is not called if a fetch was in flight
+  // already.
   void FetchChanges(std::size_t kind,
                     const std::string& address,
-                    std::uint64_t changed_at,
-                    TimePoint current_at,
+                    const RemoteCopy& remote,
                     TimePoint deadline,
                     std::function<void(bool)> done = {});
 
@@ -162,6 +184,7 @@
   CopySourceChooser chooser_;
   CopySource source_ = CopySource::kStore;
   bool leads_ = false;
+  TimePoint leads_since_{};
   // From the last heartbeat of a leader.
   std::string leader_address_;
   std::string mirror_;
--- a/src/entry/store_copies_test.cc
+++ b/src/entry/store_copies_test.cc
@@ -5,6 +5,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <chrono>
 #include <functional>
 #include <string>
@@ -317,6 +318,26 @@
   TimePoint next_heartbeat_{};
 };
 
+// Guards against members that call their copies current for as long as the
+// store's counter is below the revision that they have.
+TEST_CASE("changes are in force in time after the store's counter went back") {
+  LeaderAndMember fleet(standins::LoopbackBlock() + "14:7002",
+                        standins::LoopbackBlock() + "15:7002");
+  for (int version = 1; version <= 20; ++version) {
+    fleet.store.Put("config", "main", version);
+  }
+  fleet.RunUntil([&] { return fleet.config == 20; });
+  for (int version = 21; version <= 24; ++version) {
+    fleet.store.SetRevision(3);
+    const TimePoint changed = fleet.loop.Now();
+    fleet.store.Put("config", "main", version);
+    fleet.RunUntil([&] {
+      return fleet.config == version || fleet.loop.Now() > changed + kApplyTime;
+    });
+    CHECK(fleet.config == version);
+  }
+}
+
 // An address that accepts connections and never answers, as a daemon does whose
 // connections have gone silent.
 class SilentPeer {
--- a/src/entry/store_watcher.cc
+++ b/src/entry/store_watcher.cc
@@ -8,6 +8,8 @@
 #include <utility>
 #include <vector>
 
+#include <xxhash.h>
+
 #include "base/gzip.h"
 #include "base/log.h"
 #include "base/merge_patch.h"
@@ -41,6 +43,16 @@
 // about 100 KB with 230 servers.
 constexpr std::size_t kMaxRelayedBytes = 64 << 20;
 
+// Returns the part of an object in the digest of a copy, which is the sum of
+// these: it does not depend on the order of the objects.
+std::uint64_t DigestOf(const platform::Object& object) {
+  const std::string text =
+      object.name + '/' + std::to_string(object.revision) + '/' +
+      object.document.dump(-1, ' ', false,
+                           nlohmann::json::error_handler_t::replace);
+  return XXH3_64bits(text.data(), text.size());
+}
+
 // Returns a change in the form that is relayed to other daemons: as a merge
 // patch of the previous object if possible, else as the whole object.
 nlohmann::json EncodeChange(const platform::Object* before,
@@ -110,6 +122,13 @@
   }
 }
 
+void StoreHealth::OnRevisionBack(std::uint64_t revision) {
+  ++revisions_back_;
+  if (on_revision_back) {
+    on_revision_back(revision);
+  }
+}
+
 TimePoint StoreHealth::ReserveNextCall() {
   const TimePoint now = loop_.Now();
   if (!lost_) {
@@ -147,7 +166,7 @@
   const bool hurried = !std::exchange(urgent_, urgent) && urgent;
   const bool switched = std::exchange(source_, source) != source;
   if (source == WatchSource::kLeader) {
-    switched_to_store_ = false;
+    list_due_ = false;
     return;
   }
   const TimePoint now = loop_.Now();
@@ -163,7 +182,7 @@
     }
     return;
   }
-  switched_to_store_ = true;
+  list_due_ = true;
   if (!in_flight_) {
     timer_.Set(now);
   }
@@ -179,11 +198,29 @@
     return;
   }
   DropCall();
-  listed_ = false;
-  current_at_ = {};
+  list_due_ = true;
+  // What watches have proved is in doubt.
+  current_at_ = std::min(current_at_, list_current_at_);
   timer_.Set(loop_.Now());
 }
 
+void StoreWatcher::OnRevisionBack(std::uint64_t revision) {
+  if (listed_ && std::max(revision_, changed_at_) > revision) {
+    RequireList();
+  }
+}
+
+void StoreWatcher::RequireList() {
+  list_required_ = true;
+  const bool watching = in_flight_ && watch_until_ != TimePoint{};
+  if (watching) {
+    DropCall();
+  }
+  if (!in_flight_) {
+    timer_.Set(loop_.Now());
+  }
+}
+
 void StoreWatcher::OnStoreBack() {
   if (!in_flight_) {
     timer_.Set(loop_.Now());
@@ -191,7 +228,8 @@
 }
 
 void StoreWatcher::MakeNextCall() {
-  if (in_flight_ || (source_ == WatchSource::kLeader && listed_)) {
+  const bool follows_store = source_ == WatchSource::kStore;
+  if (in_flight_ || (!follows_store && listed_ && !list_required_)) {
     return;
   }
   const TimePoint call_at = health_.ReserveNextCall();
@@ -201,8 +239,7 @@
   }
   // A list costs as much as a watch. It also returns changes that a watch would
   // not report, which otherwise become known only when the history is dropped.
-  Call(!listed_ || needs_full_copy_ ||
-       std::exchange(switched_to_store_, false));
+  Call(!listed_ || needs_full_copy_ || list_due_ || list_required_);
 }
 
 void StoreWatcher::Call(bool list) {
@@ -214,12 +251,18 @@
   const milliseconds wait = health_.lost()       ? kProbeWait
                             : changed_last_call_ ? watch_wait_ / 2
                                                  : watch_wait_;
-  const auto freshness =
+  const bool required = std::exchange(list_required_, false);
+  const auto first_freshness =
       list ? std::exchange(next_list_, platform::Freshness::kCurrent)
            : platform::Freshness::kCurrent;
+  const auto freshness =
+      required ? platform::Freshness::kCurrent : first_freshness;
   const bool may_be_stale = freshness == platform::Freshness::kMayBeStale;
   const PendingCall call{.list = list,
                          .revision = revision_,
+                         .outside_changes = outside_changes_,
+                         .may_be_stale = may_be_stale,
+                         .required = required,
                          .current_at = may_be_stale ? TimePoint{} : now,
                          .empty_current_at = now + wait};
   const auto on_reply =
@@ -242,35 +285,10 @@
 void StoreWatcher::OnReply(const platform::ListReply& reply,
                            const PendingCall& call) {
   const TimePoint now = loop_.Now();
-  const bool changed = !reply.objects.empty() || reply.unnamed > 0;
-  changed_last_call_ = !call.list && changed;
   switch (reply.status) {
     case platform::CallStatus::kOk:
       health_.OnResponse();
-      if (call.list) {
-        listed_revision_ = reply.revision;
-      }
-      if (call.list && call.revision < revision_ &&
-          reply.revision < revision_) {
-        // Relayed changes have overtaken the list.
-        switched_to_store_ = source_ == WatchSource::kStore;
-        timer_.Set(now);
-        return;
-      }
-      if (call.list && revision_ == 0 && !urgent_) {
-        timer_.Set(now + kFirstWatchDelay);
-      } else {
-        timer_.Set(call.list || !changed ? now : now + kWatchBatchDelay);
-      }
-      NoteUnreadable(reply, call.list);
-      if (call.list) {
-        ApplyList(reply.objects, reply.revision);
-        ConfirmCurrent(call.current_at);
-      } else {
-        ApplyEvents(reply.objects, reply.revision);
-        ConfirmCurrent(changed ? call.current_at
-                               : std::min(now, call.empty_current_at));
-      }
+      OnObjects(reply, call);
       return;
     case platform::CallStatus::kHistoryGone:
       health_.OnResponse();
@@ -279,18 +297,80 @@
            {"call", call.list ? "list" : "watch"},
            {"revision", revision_},
            {"listed_revision", listed_revision_}});
+      list_due_ = source_ == WatchSource::kStore;
+      list_required_ = list_required_ || call.required;
       health_.OnHistoryGone();
+      timer_.Set(now);
       return;
     default:
       Log(LogLevel::kWarning, "store_call_failed",
           {{"kind", platform::ToString(kind_)},
            {"call", call.list ? "list" : "watch"},
            {"error", reply.error}});
+      list_required_ = list_required_ || call.required;
       health_.OnFailure();
       timer_.Set(now);
   }
 }
 
+bool StoreWatcher::IsOvertaken(const platform::ListReply& reply,
+                               const PendingCall& call) const {
+  return (call.may_be_stale || call.outside_changes != outside_changes_) &&
+         reply.revision < std::max(revision_, changed_at_);
+}
+
+void StoreWatcher::OnObjects(const platform::ListReply& reply,
+                             const PendingCall& call) {
+  const TimePoint now = loop_.Now();
+  const bool changed = !reply.objects.empty() || reply.unnamed > 0;
+  changed_last_call_ = !call.list && changed;
+  if (call.list) {
+    listed_revision_ = reply.revision;
+    if (IsOvertaken(reply, call)) {
+      list_due_ = source_ == WatchSource::kStore;
+      timer_.Set(now);
+      return;
+    }
+  }
+  if (reply.revision < call.revision) {
+    Log(LogLevel::kWarning, "store_revision_back",
+        {{"kind", platform::ToString(kind_)},
+         {"call", call.list ? "list" : "watch"},
+         {"revision", reply.revision},
+         {"before", revision_}});
+    if (!call.list) {
+      list_due_ = true;
+      timer_.Set(now);
+      return;
+    }
+    FollowFrom(reply.revision);
+    health_.OnRevisionBack(reply.revision);
+  }
+  if (call.list && revision_ == 0 && !urgent_) {
+    timer_.Set(now + kFirstWatchDelay);
+  } else {
+    timer_.Set(call.list || !changed ? now : now + kWatchBatchDelay);
+  }
+  NoteUnreadable(reply, call.list);
+  if (call.list) {
+    list_due_ = false;
+    ApplyList(reply.objects, reply.revision);
+    list_current_at_ = call.current_at;
+    ConfirmCurrent(call.current_at);
+  } else {
+    ApplyEvents(reply.objects, reply.revision);
+    ConfirmCurrent(changed ? call.current_at
+                           : std::min(now, call.empty_current_at));
+  }
+}
+
+void StoreWatcher::FollowFrom(std::uint64_t revision) {
+  revision_ = revision;
+  changed_at_ = revision;
+  changes_.clear();
+  changes_from_ = revision;
+}
+
 void StoreWatcher::NoteUnreadable(const platform::ListReply& reply, bool list) {
   const auto known = list ? std::exchange(unreadable_, {}) : unreadable_;
   for (const platform::Object& it : reply.objects) {
@@ -325,12 +405,17 @@
                                                             : &known->second;
   // Also kept while another daemon leads, since this one may become the leader.
   changes_.push_back({revision, EncodeChange(before, object)});
+  if (known != objects_.end()) {
+    digest_ -= DigestOf(known->second);
+  }
   if (object.deleted) {
     objects_.erase(object.name);
   } else {
+    digest_ += DigestOf(object);
     objects_[object.name] = object;
   }
   changed_at_ = revision;
+  learned_at_ = loop_.Now();
   if (changes_.size() > kMaxChanges) {
     changes_from_ = changes_.front().revision;
     changes_.pop_front();
@@ -361,7 +446,8 @@
   }
   for (const auto& [name, it] : present) {
     const auto known = objects_.find(it->name);
-    if (known == objects_.end() || known->second.revision != it->revision) {
+    if (known == objects_.end() || known->second.revision != it->revision ||
+        known->second.document != it->document) {
       changed.push_back(it);
     }
   }
@@ -408,8 +494,14 @@
 void StoreWatcher::Put(const platform::Object& object) {
   const auto known = objects_.find(object.name);
   if (known != objects_.end() && known->second.revision >= object.revision) {
+    if (known->second.revision > object.revision ||
+        known->second.document != object.document) {
+      // A later state, or one from before the store's counter went back.
+      RequireList();
+    }
     return;
   }
+  ++outside_changes_;
   // The copy may be incomplete up to the object's revision, so `revision_`
   // stays; but daemons that follow this copy have to see the change.
   RecordChange(object, std::max(revision_, object.revision),
@@ -419,13 +511,15 @@
 
 const std::string& StoreWatcher::ChangesSince(std::uint64_t since) {
   const std::uint64_t at = std::max(revision_, changed_at_);
-  if (!response_.empty() && response_since_ == since && response_at_ == at) {
+  if (!response_.empty() && response_since_ == since && response_at_ == at &&
+      response_digest_ == digest_) {
     return response_;
   }
   response_since_ = since;
   response_at_ = at;
+  response_digest_ = digest_;
   nlohmann::json list = nlohmann::json::array();
-  const bool full = since == 0 || since < changes_from_;
+  const bool full = since == 0 || since < changes_from_ || since > at;
   if (full) {
     for (const auto& [name, it] : objects_) {
       list.push_back(EncodeChange(nullptr, it));
@@ -439,6 +533,7 @@
   }
   response_ = Compress(nlohmann::json{
       {"revision", at},
+      {"digest", digest_},
       {"listed", listed_},
       {"whole", full},
       {"objects",
@@ -482,23 +577,94 @@
   return object;
 }
 
-bool StoreWatcher::ApplyChanges(const std::string& data) {
-  const auto text = Decompress(data, kMaxRelayedBytes);
+void StoreWatcher::LogUnusableChanges(std::string_view error) const {
+  Log(LogLevel::kWarning, "relayed_changes_unusable",
+      {{"kind", platform::ToString(kind_)}, {"error", error}});
+}
+
+std::optional<nlohmann::json> StoreWatcher::DecodeChanges(
+    const std::string& changes) const {
+  const auto text = Decompress(changes, kMaxRelayedBytes);
   if (!text) {
-    Log(LogLevel::kWarning, "relayed_changes_unusable",
-        {{"kind", platform::ToString(kind_)},
-         {"error", "cannot be decompressed"}});
+    LogUnusableChanges("cannot be decompressed");
+    return std::nullopt;
+  }
+  auto decoded = nlohmann::json::parse(*text, nullptr, false);
+  if (decoded.is_discarded()) {
+    LogUnusableChanges("not JSON");
+    return std::nullopt;
+  }
+  return decoded;
+}
+
+bool StoreWatcher::ApplyChanges(const std::string& changes) {
+  auto decoded = DecodeChanges(changes);
+  try {
+    return decoded && ApplyDecodedChanges(*std::move(decoded));
+  } catch (const nlohmann::json::exception& error) {
+    LogUnusableChanges(error.what());
     return false;
   }
+}
+
+bool StoreWatcher::ReplaceCopy(const std::string& changes,
+                               std::uint64_t digest) {
+  auto decoded = DecodeChanges(changes);
   try {
-    return ApplyDecodedChanges(nlohmann::json::parse(*text));
+    return decoded && ReplaceByDecoded(*std::move(decoded), digest);
   } catch (const nlohmann::json::exception& error) {
-    Log(LogLevel::kWarning, "relayed_changes_unusable",
-        {{"kind", platform::ToString(kind_)}, {"error", error.what()}});
+    LogUnusableChanges(error.what());
     return false;
   }
 }
 
+std::vector<platform::Object> StoreWatcher::DecodeObjects(
+    nlohmann::json& entries) const {
+  std::vector<platform::Object> objects;
+  for (auto& it : entries) {
+    if (auto object = DecodeEntry(it)) {
+      objects.push_back(*std::move(object));
+    }
+  }
+  return objects;
+}
+
+bool StoreWatcher::ReplaceByDecoded(nlohmann::json changes,
+                                    std::uint64_t digest) {
+  if (!changes.at("whole").get<bool>() || !changes.at("listed").get<bool>() ||
+      changes.value("digest", ~digest) != digest) {
+    return false;
+  }
+  const auto revision = changes.at("revision").get<std::uint64_t>();
+  const auto objects = DecodeObjects(changes.at("objects"));
+  Log(LogLevel::kWarning, "copy_replaced",
+      {{"kind", platform::ToString(kind_)},
+       {"revision", revision},
+       {"before", revision_}});
+  // A call in flight is of the revision before.
+  const bool dropped = in_flight_;
+  DropCall();
+  if (dropped) {
+    list_due_ = source_ == WatchSource::kStore;
+    timer_.Set(loop_.Now());
+  }
+  FollowFrom(revision);
+  ++outside_changes_;
+  ApplyList(objects, revision);
+  return true;
+}
+
+bool StoreWatcher::IsAsStated(const nlohmann::json& changes) const {
+  // Earlier versions state no digest.
+  if (!changes.contains("digest")) {
+    return true;
+  }
+  const auto revision = changes.at("revision").get<std::uint64_t>();
+  const bool ahead = std::ranges::any_of(
+      objects_, [&](const auto& it) { return it.second.revision > revision; });
+  return ahead || changes.at("digest").get<std::uint64_t>() == digest_;
+}
+
 bool StoreWatcher::ApplyDecodedChanges(nlohmann::json changes) {
   const auto revision = changes.at("revision").get<std::uint64_t>();
   const bool full = changes.at("whole").get<bool>();
@@ -508,15 +674,11 @@
     return false;
   }
   if (full) {
-    std::vector<platform::Object> objects;
-    for (auto& it : changes.at("objects")) {
-      if (auto object = DecodeEntry(it)) {
-        objects.push_back(*std::move(object));
-      }
-    }
-    ApplyList(objects, revision);
+    ++outside_changes_;
+    ApplyList(DecodeObjects(changes.at("objects")), revision);
     return true;
   }
+  ++outside_changes_;
   const std::uint64_t complete_to = std::exchange(revision_, revision);
   std::vector<platform::Object> changed;
   for (auto& it : changes.at("objects")) {
@@ -546,6 +708,11 @@
       changed.push_back(*object);
     }
   }
+  if (!needs_full_copy_ && !IsAsStated(changes)) {
+    Log(LogLevel::kWarning, "copies_differ",
+        {{"kind", platform::ToString(kind_)}, {"revision", revision_}});
+    needs_full_copy_ = true;
+  }
   if (!changed.empty()) {
     sink_.on_events(changed);
   }
--- a/src/entry/store_watcher.h
+++ b/src/entry/store_watcher.h
@@ -11,6 +11,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include <nlohmann/json.hpp>
@@ -42,8 +43,12 @@
   // The store has dropped the history that a watch needs, so all copies may be
   // out of date.
   void OnHistoryGone();
-  // Returns how often that has happened.
+  // The store's counter is at `revision`, lower than before, so revisions above
+  // that cannot be compared with its present ones.
+  void OnRevisionBack(std::uint64_t revision);
+  // Returns how often each has happened.
   [[nodiscard]] std::uint64_t history_losses() const { return history_losses_; }
+  [[nodiscard]] std::uint64_t revisions_back() const { return revisions_back_; }
   // Returns when the next call may be made. If that is now, the call is
   // reserved for the caller, and while the store is unreachable further calls
   // are deferred by the retry delay.
@@ -61,6 +66,7 @@
   // Called when the store becomes unreachable and when it recovers.
   std::function<void(bool lost)> on_change;
   std::function<void()> on_history_gone;
+  std::function<void(std::uint64_t revision)> on_revision_back;
 
  private:
   static constexpr Duration kFirstRetryDelay = std::chrono::milliseconds(200);
@@ -75,6 +81,7 @@
   TimePoint answered_other_at_{};
   TimePoint failed_at_{};
   std::uint64_t history_losses_ = 0;
+  std::uint64_t revisions_back_ = 0;
   // Until when servers may not have registered again after a loss.
   TimePoint entries_lacking_until_{};
 };
@@ -117,15 +124,25 @@
   void OnStoreBack();
   // Reads all objects again if the store is the source.
   void Relist();
-  // Updates the copy with an object that this daemon has just written.
+  // Reads all objects again, whatever the source is.
+  void RequireList();
+  // The store's counter is at `revision`, lower than before. Reads all objects
+  // again if the copy has later changes.
+  void OnRevisionBack(std::uint64_t revision);
+  // Updates the copy with an object that this daemon has just read or written.
   void Put(const platform::Object& object);
 
   // Returns the changes after revision `since`, or all objects if those changes
   // are no longer kept. Compressed, as another daemon's ApplyChanges() expects.
   [[nodiscard]] const std::string& ChangesSince(std::uint64_t since);
   // Applies the result of another daemon's ChangesSince(). Returns false if it
-  // cannot be used.
+  // cannot be used, or if the copy lacks other changes than those.
   bool ApplyChanges(const std::string& changes);
+  // Replaces the copy by another daemon's that has `digest`. `changes` is the
+  // result of its ChangesSince(0). Returns false if it has another digest or
+  // cannot be used. The caller knows that the other copy is newer than this
+  // one, although its revision may be lower.
+  bool ReplaceCopy(const std::string& changes, std::uint64_t digest);
 
   // Returns the number of objects that could not be parsed when they were read
   // from the store.
@@ -140,6 +157,12 @@
   [[nodiscard]] std::uint64_t relay_since() const {
     return listed_ && !needs_full_copy_ ? revision_ : 0;
   }
+  // Returns a digest of the objects and their revisions. Two copies are equal
+  // if their digests are, whatever revisions of the store they have reached.
+  [[nodiscard]] std::uint64_t digest() const { return digest_; }
+  // Returns when this daemon last learned of a change of the copy. A copy that
+  // is complete up to a later time is newer than this one.
+  [[nodiscard]] TimePoint learned_at() const { return learned_at_; }
   // Returns the revision at which the copy last changed.
   [[nodiscard]] std::uint64_t changed_at() const { return changed_at_; }
   [[nodiscard]] bool listed() const { return listed_; }
@@ -156,6 +179,11 @@
     bool list = false;
     // Revision of the copy when the call was made.
     std::uint64_t revision = 0;
+    // `outside_changes_` when the call was made.
+    std::uint64_t outside_changes = 0;
+    bool may_be_stale = false;
+    // A list that RequireList() has requested.
+    bool required = false;
     // All changes up to this time are in the reply, or, if a watch returns no
     // changes, up to `empty_current_at`.
     TimePoint current_at{};
@@ -174,6 +202,14 @@
   void DropCall();
   void Call(bool list);
   void OnReply(const platform::ListReply& reply, const PendingCall& call);
+  void OnObjects(const platform::ListReply& reply, const PendingCall& call);
+  // Returns whether the copy is newer than the reply to a list, either because
+  // of changes from elsewhere or because the list may have been stale.
+  [[nodiscard]] bool IsOvertaken(const platform::ListReply& reply,
+                                 const PendingCall& call) const;
+  // Begins to follow a store whose counter is at `revision`, below that of the
+  // copy.
+  void FollowFrom(std::uint64_t revision);
   // Counts and logs the objects that cannot be parsed.
   void NoteUnreadable(const platform::ListReply& reply, bool list);
   void ApplyList(const std::vector<platform::Object>& objects,
@@ -186,7 +222,19 @@
   void RecordChange(const platform::Object& object,
                     std::uint64_t revision,
                     ChangeForm form);
+  // Returns the content of another daemon's changes, or nullopt, with a log
+  // line, if they are damaged.
+  [[nodiscard]] std::optional<nlohmann::json> DecodeChanges(
+      const std::string& changes) const;
+  void LogUnusableChanges(std::string_view error) const;
   bool ApplyDecodedChanges(nlohmann::json changes);
+  bool ReplaceByDecoded(nlohmann::json changes, std::uint64_t digest);
+  // Returns the objects of a whole copy of another daemon.
+  [[nodiscard]] std::vector<platform::Object> DecodeObjects(
+      nlohmann::json& entries) const;
+  // Returns whether the copy is as `changes`, which have been applied, state
+  // it. Objects that have changed since are no difference.
+  [[nodiscard]] bool IsAsStated(const nlohmann::json& changes) const;
   // Returns whether `object` is newer than the copy's state of it.
   [[nodiscard]] bool IsNewer(const platform::Object& object) const;
   // Returns whether the copy, which was complete up to revision `complete_to`,
@@ -210,12 +258,17 @@
   std::chrono::milliseconds watch_wait_;
   bool urgent_ = false;
   bool listed_ = false;
+  // Revisions of objects are compared only as long as the store's counter has
+  // not gone back. What a list returns that was requested after the last change
+  // of the copy is true, whatever its revision.
   std::uint64_t revision_ = 0;
   // The revision that the store stated in its last list.
   std::uint64_t listed_revision_ = 0;
   std::uint64_t changed_at_ = 0;
   TimePoint current_at_{};
   std::map<std::string, platform::Object> objects_;
+  std::uint64_t digest_ = 0;
+  TimePoint learned_at_{};
   // Names of objects that could not be parsed when they were last read.
   std::set<std::string> unreadable_;
   std::uint64_t unreadable_objects_ = 0;
@@ -224,11 +277,15 @@
   std::uint64_t changes_from_ = 0;
   // A relayed patch did not apply, so all objects are requested.
   bool needs_full_copy_ = false;
+  // Counts the changes that did not come from this daemon's own lists and
+  // watches.
+  std::uint64_t outside_changes_ = 0;
   // The last result of ChangesSince(), cached because many daemons request the
   // same changes at the same time.
   std::string response_;
   std::uint64_t response_since_ = 0;
   std::uint64_t response_at_ = 0;
+  std::uint64_t response_digest_ = 0;
   // Incremented by DropCall(); replies to calls of an earlier generation are
   // ignored.
   std::uint64_t generation_ = 0;
@@ -238,8 +295,13 @@
   bool changed_last_call_ = false;
   // Until when the watch in flight waits; TimePoint{} for a list.
   TimePoint watch_until_{};
-  // The source has changed to the store since the last call.
-  bool switched_to_store_ = false;
+  // Changes may have been missed, so the next call is a list: the source has
+  // changed to the store, or the store was lost or has dropped its history.
+  bool list_due_ = false;
+  // The same whatever the source is; see RequireList().
+  bool list_required_ = false;
+  // When the last list that was applied was requested.
+  TimePoint list_current_at_{};
   net::DeadlineTimer timer_;
 };
 
--- a/src/entry/store_watcher_test.cc
+++ b/src/entry/store_watcher_test.cc
@@ -228,6 +228,80 @@
   CHECK(daemons.follower.content == daemons.leader.content);
 }
 
+TEST_CASE("a copy follows a store whose revision counter has gone back") {
+  Daemons daemons;
+  for (const bool await_revisions : {false, true}) {
+    CAPTURE(await_revisions);
+    daemons.store.set_await_revisions(await_revisions);
+    daemons.store.SetRevision(3);
+    daemons.Put("s3", {{"n", 3}, {"load", 7}});
+    CHECK(daemons.leader.watcher.revision() < 20);
+    daemons.Put("s3", {{"n", 3}, {"load", 8}});
+    // Beyond the revisions of the next store.
+    for (int load = 0; load < 30; ++load) {
+      daemons.Put("s4", {{"n", 4}, {"load", load}});
+    }
+  }
+}
+
+TEST_CASE("a copy that was replaced by one of a lower revision follows it") {
+  Daemons daemons;
+  daemons.store.SetRevision(3);
+  daemons.Put("s3", {{"n", 3}, {"load", 7}});
+  StoreWatcher& leader = daemons.leader.watcher;
+  StoreWatcher& follower = daemons.follower.watcher;
+  REQUIRE(leader.digest() != follower.digest());
+  CHECK_FALSE(follower.ApplyChanges(leader.ChangesSince(0)));
+  CHECK_FALSE(
+      follower.ReplaceCopy(leader.ChangesSince(0), leader.digest() + 1));
+  CHECK(follower.ReplaceCopy(leader.ChangesSince(0), leader.digest()));
+  CHECK(follower.digest() == leader.digest());
+  CHECK(daemons.follower.content == daemons.leader.content);
+  daemons.Put("s3", {{"n", 3}, {"load", 8}});
+  CHECK(Daemons::RelayChanges(daemons.leader, daemons.follower));
+  CHECK(daemons.follower.content == daemons.leader.content);
+}
+
+TEST_CASE("an object of a lower revision is compared with the store's") {
+  Daemons daemons;
+  daemons.store.SetRevision(3);
+  const json content = {{"n", 3}, {"load", 7}};
+  daemons.store.Put("servers", "s3", content);
+  daemons.follower.watcher.Put({"s3", 4, false, {{"spec", content}}});
+  daemons.WaitFor([&] { return daemons.follower.content["s3"] == content; });
+}
+
+TEST_CASE("copies with the same objects have the same digest") {
+  Daemons daemons;
+  StoreWatcher& leader = daemons.leader.watcher;
+  StoreWatcher& follower = daemons.follower.watcher;
+  CHECK(follower.digest() == leader.digest());
+  daemons.Put("s3", {{"n", 3}, {"load", 7}});
+  CHECK(follower.digest() != leader.digest());
+  CHECK(Daemons::RelayChanges(daemons.leader, daemons.follower));
+  CHECK(follower.digest() == leader.digest());
+  daemons.store.Remove("servers", "s5");
+  daemons.WaitFor([&] { return !daemons.leader.content.contains("s5"); });
+  CHECK(Daemons::RelayChanges(daemons.leader, daemons.follower));
+  CHECK(follower.digest() == leader.digest());
+}
+
+TEST_CASE(
+    "a copy that differs after the relayed changes requests all objects") {
+  Daemons daemons;
+  // `third` has another content of the same revision.
+  CHECK(Daemons::RelayChanges(daemons.leader, daemons.third));
+  StoreWatcher& third = daemons.third.watcher;
+  const std::uint64_t before = third.relay_since();
+  third.Put({"s3", before, false, {{"spec", {{"n", 3}, {"load", 9}}}}});
+  daemons.store.Put("servers", "s4", {{"n", 4}, {"load", 7}});
+  daemons.WaitFor([&] { return daemons.leader.content["s4"]["load"] == 7; });
+  CHECK_FALSE(Daemons::RelayChanges(daemons.leader, daemons.third));
+  CHECK(third.relay_since() == 0);
+  CHECK(Daemons::RelayChanges(daemons.leader, daemons.third));
+  CHECK(third.digest() == daemons.leader.watcher.digest());
+}
+
 // Runs the loop for `duration`.
 void RunFor(net::EventLoop& loop, Duration duration) {
   const TimePoint end = loop.Now() + duration;
