A store that keeps no history is listed with growing pauses

Every call is priced, refused ones too, and counts toward the rate of all daemons.

The first loss of the history is still followed by lists at once; if it goes on, the next calls of all kinds are deferred by 200 ms, then twice as long, up to 800 ms.

Test: "a store that keeps no history gets few calls and serves changes": at most 6 calls a second, copies younger than 2 s, a change in force within 2 s.

--- a/src/entry/store_copies_test.cc
+++ b/src/entry/store_copies_test.cc
@@ -338,6 +338,33 @@
   }
 }
 
+TEST_CASE("a store that keeps no history gets few calls and serves changes") {
+  Member leader(standins::LoopbackBlock() + "16:7002");
+  leader.store.set_keep_no_history(true);
+  const TimePoint begin = leader.loop.Now() + std::chrono::seconds(2);
+  leader.LeadUntil([&] { return leader.loop.Now() >= begin; });
+  const std::size_t before = leader.store.calls();
+  const TimePoint end = begin + kObservedTime;
+  TimePoint current_at = leader.current_at();
+  Duration oldest{};
+  leader.LeadUntil([&] {
+    current_at = leader.current_at();
+    oldest = std::max(oldest, leader.loop.Now() - current_at);
+    return leader.loop.Now() >= end;
+  });
+  // Lists and watches of two kinds of objects, no more often than the watches
+  // of a store that keeps a history.
+  CHECK(leader.store.calls() - before <=
+        6 * (kObservedTime / std::chrono::seconds(1)));
+  CHECK(oldest < kApplyTime);
+  leader.store.Put("config", "main", 1);
+  const TimePoint changed = leader.loop.Now();
+  leader.LeadUntil([&] {
+    return leader.config == 1 || leader.loop.Now() > changed + kApplyTime;
+  });
+  CHECK(leader.config == 1);
+}
+
 // An address that accepts connections and never answers, as a daemon does whose
 // connections have gone silent.
 class SilentPeer {
--- a/src/entry/store_watcher.cc
+++ b/src/entry/store_watcher.cc
@@ -32,6 +32,9 @@
 constexpr Duration kListTimeout = milliseconds(1500);
 // Longest delay between calls while the store is unreachable.
 constexpr Duration kLongestRetryDelay = milliseconds(800);
+// Longest delay of the lists after repeated losses of the history. Below the
+// time within which a change has to take effect.
+constexpr Duration kLongestRelistDelay = milliseconds(800);
 // Live servers write their entries again within about two seconds after the
 // store has recovered. An entry that is still missing then belongs to a server
 // that is gone.
@@ -117,6 +120,14 @@
 
 void StoreHealth::OnHistoryGone() {
   ++history_losses_;
+  const TimePoint now = loop_.Now();
+  if (now >= deferred_until_ + kLongestRelistDelay) {
+    relist_delay_ = kFirstRetryDelay;
+    deferred_until_ = now;
+  } else {
+    deferred_until_ = std::max(deferred_until_, now) + relist_delay_;
+    relist_delay_ = std::min(relist_delay_ * 2, kLongestRelistDelay);
+  }
   if (on_history_gone) {
     on_history_gone();
   }
@@ -131,6 +142,9 @@
 
 TimePoint StoreHealth::ReserveNextCall() {
   const TimePoint now = loop_.Now();
+  if (now < deferred_until_) {
+    return deferred_until_;
+  }
   if (!lost_) {
     return now;
   }
@@ -307,6 +321,8 @@
           {{"kind", platform::ToString(kind_)},
            {"call", call.list ? "list" : "watch"},
            {"error", reply.error}});
+      // Watches find out sooner that the store is back.
+      list_due_ = false;
       list_required_ = list_required_ || call.required;
       health_.OnFailure();
       timer_.Set(now);
--- a/src/entry/store_watcher.h
+++ b/src/entry/store_watcher.h
@@ -41,7 +41,8 @@
     answered_other_at_ = std::max(answered_other_at_, at);
   }
   // The store has dropped the history that a watch needs, so all copies may be
-  // out of date.
+  // out of date. They are read again at once, or after a growing delay if that
+  // goes on: a store that keeps no history would be listed without a pause.
   void OnHistoryGone();
   // The store's counter is at `revision`, lower than before, so revisions above
   // that cannot be compared with its present ones.
@@ -51,7 +52,8 @@
   [[nodiscard]] std::uint64_t revisions_back() const { return revisions_back_; }
   // Returns when the next call may be made. If that is now, the call is
   // reserved for the caller, and while the store is unreachable further calls
-  // are deferred by the retry delay.
+  // are deferred by the retry delay. All calls are deferred after repeated
+  // losses of the history.
   [[nodiscard]] TimePoint ReserveNextCall();
   [[nodiscard]] bool lost() const { return lost_; }
   // Returns when a call last failed; TimePoint{}: never.
@@ -82,6 +84,10 @@
   TimePoint failed_at_{};
   std::uint64_t history_losses_ = 0;
   std::uint64_t revisions_back_ = 0;
+  // No call is made before this time since the history was lost. The delay
+  // doubles with each further loss shortly after it.
+  TimePoint deferred_until_{};
+  Duration relist_delay_ = kFirstRetryDelay;
   // Until when servers may not have registered again after a loss.
   TimePoint entries_lacking_until_{};
 };
