The store is listed again after a call that got no response

A store that takes the place of another one while it is away may have counted beyond the daemon's revision by the time that it answers. A watch from there reports neither a lost history nor what changed below it, so that copies stayed wrong for good. Once the store is back after a call without a response, the daemons that read it list it before they watch on; a refusal (503, 429) is no reason for that.

Test: "changes of a store that has taken the place of another are read" fails without the change.

--- a/src/entry/store_watcher.cc
+++ b/src/entry/store_watcher.cc
@@ -95,9 +95,11 @@
   if (on_change) {
     on_change(false);
   }
+  may_be_replaced_ = false;
 }
 
-void StoreHealth::OnFailure() {
+void StoreHealth::OnFailure(bool answered) {
+  may_be_replaced_ = may_be_replaced_ || !answered;
   failed_at_ = loop_.Now();
   next_call_at_ = failed_at_ + retry_delay_;
   if (std::exchange(lost_, true)) {
@@ -236,6 +238,10 @@
 }
 
 void StoreWatcher::OnStoreBack() {
+  // A store that has taken its place has other changes up to the revision that
+  // the next watch would begin at.
+  list_due_ = list_due_ ||
+              (source_ == WatchSource::kStore && health_.may_be_replaced());
   if (!in_flight_) {
     timer_.Set(loop_.Now());
   }
@@ -324,7 +330,7 @@
       // Watches find out sooner that the store is back.
       list_due_ = false;
       list_required_ = list_required_ || call.required;
-      health_.OnFailure();
+      health_.OnFailure(reply.answered);
       timer_.Set(now);
   }
 }
--- a/src/entry/store_watcher.h
+++ b/src/entry/store_watcher.h
@@ -33,7 +33,8 @@
       : loop_(loop), shortest_expiry_(shortest_expiry) {}
 
   void OnResponse();
-  void OnFailure();
+  // `answered` is false if no response has arrived.
+  void OnFailure(bool answered = false);
   // The store has answered another daemon at `at`, and no entries of live
   // servers were missing then. Without that, a daemon that makes no calls for
   // a while would take a loss to last until its next call.
@@ -60,6 +61,9 @@
   [[nodiscard]] TimePoint failed_at() const { return failed_at_; }
   // Returns the time of the last response of the store to this daemon.
   [[nodiscard]] TimePoint answered_at() const { return answered_at_; }
+  // Returns whether another store may have taken the place of this one since
+  // the last call that succeeded: a call got no response.
+  [[nodiscard]] bool may_be_replaced() const { return may_be_replaced_; }
   // Returns whether entries of live servers may be missing: while the store is
   // unreachable for so long that they expire, and after that until servers have
   // had time to register again.
@@ -76,6 +80,7 @@
   net::EventLoop& loop_;
   const Duration shortest_expiry_;
   bool lost_ = false;
+  bool may_be_replaced_ = false;
   // Delay between calls while the store is unreachable; doubles with each call.
   Duration retry_delay_ = kFirstRetryDelay;
   TimePoint next_call_at_{};
--- a/src/entry/store_watcher_test.cc
+++ b/src/entry/store_watcher_test.cc
@@ -40,6 +40,11 @@
                  },
                  [this](const auto& objects) { Apply(objects); }}) {
     watcher.SetSource(source, std::chrono::milliseconds(1000));
+    health_.on_change = [this](bool lost) {
+      if (!lost) {
+        watcher.OnStoreBack();
+      }
+    };
   }
 
   // The entries as reported to the daemon.
@@ -271,6 +276,19 @@
   daemons.WaitFor([&] { return daemons.follower.content["s3"] == content; });
 }
 
+TEST_CASE("changes of a store that has taken the place of another are read") {
+  Daemons daemons;
+  daemons.store.SilenceConnections();
+  daemons.store.SetRevision(3);
+  const json content = {{"n", 3}, {"load", 7}};
+  daemons.store.Put("servers", "s3", content);
+  for (int load = 0; load < 30; ++load) {
+    daemons.store.Put("servers", "s4", {{"n", 4}, {"load", load}});
+  }
+  daemons.WaitFor([&] { return daemons.leader.content["s4"]["load"] == 29; });
+  daemons.WaitFor([&] { return daemons.leader.content["s3"] == content; });
+}
+
 TEST_CASE("copies with the same objects have the same digest") {
   Daemons daemons;
   StoreWatcher& leader = daemons.leader.watcher;
