Lists that are due are made, whatever comes between

* A list that RequireList() had requested was forgotten if a change from elsewhere overtook it, or if its call was dropped.
A new leader whose first table was written meanwhile never counted as current.
Requests are counted now and served only by a list that is applied.
* A list that was due after a call without a response was forgotten if it was refused.
It stays due until a list succeeds.
Lists that fail are repeated after a growing delay while watches go on, so that a store that is too slow for lists is not lost and found in turn; their timeouts do not count as a sign of another store.
* A leader did not read its tables again after a call without a response.
* After a 410 all proofs were taken back, also those by lists and by other daemons; only those by watches are now.
* A member told of a state that its copy was in before counted as ahead and was not confirmed, which concerns members behind a mirror.
The digests before the last changes are kept.
* changed_at() could fall within one history, if replies to two writes arrived in another order.
* 1 and 1.0 were equal in a list and differed in the digest, so that members would have fetched whole copies again and again.
* A member without a list counted as equal to an empty copy.

--- a/src/entry/store_copies.cc
+++ b/src/entry/store_copies.cc
@@ -67,6 +67,9 @@
       for (StoreWatcher* it : Watchers()) {
         it->OnStoreBack();
       }
+      if (leads_ && health_.may_be_replaced()) {
+        ownership_.RequireList();
+      }
     }
     if (on_store_change) {
       on_store_change(lost);
@@ -322,17 +325,17 @@
 StoreCopies::CopyRelation StoreCopies::Compare(const StoreWatcher& watcher,
                                                const RemoteCopy& remote) {
   const bool behind = watcher.relay_since() < remote.changed_at;
-  if (!remote.digest) {
-    return behind ? CopyRelation::kBehind : CopyRelation::kSame;
+  if (!remote.digest || !watcher.listed()) {
+    return behind ? CopyRelation::kBehind : CopyRelation::kContains;
   }
-  if (watcher.digest() == *remote.digest) {
-    return CopyRelation::kSame;
+  if (watcher.Contains(*remote.digest)) {
+    return CopyRelation::kContains;
   }
   if (behind) {
     return CopyRelation::kBehind;
   }
   return remote.current_at > watcher.learned_at() ? CopyRelation::kSuperseded
-                                                  : CopyRelation::kAhead;
+                                                  : CopyRelation::kUnknown;
 }
 
 void StoreCopies::FetchChanges(std::size_t kind,
@@ -342,11 +345,11 @@
                                std::function<void(bool)> done) {
   StoreWatcher* watcher = Watchers()[kind];
   const CopyRelation relation = Compare(*watcher, remote);
-  if (relation == CopyRelation::kSame) {
+  if (relation == CopyRelation::kContains) {
     watcher->ConfirmCurrent(remote.current_at);
     return;
   }
-  if (fetching_[kind] || relation == CopyRelation::kAhead) {
+  if (fetching_[kind] || relation == CopyRelation::kUnknown) {
     return;
   }
   fetching_[kind] = true;
@@ -375,7 +378,7 @@
         applied && (superseded || watcher->relay_since() >= remote.changed_at);
     // A mirror's later copy may be one that the leader's has superseded.
     const bool is_proven = address == remote.address || !remote.digest ||
-                           watcher->digest() == *remote.digest;
+                           watcher->Contains(*remote.digest);
     if (has_changes && is_proven) {
       watcher->ConfirmCurrent(remote.current_at);
     }
--- a/src/entry/store_copies.h
+++ b/src/entry/store_copies.h
@@ -146,12 +146,12 @@
   };
   // How this daemon's copy relates to a remote one.
   enum class CopyRelation : std::uint8_t {
-    kSame,
-    kBehind,  // Lacks changes up to the remote revision.
+    kContains,  // Has all that is in the remote one.
+    kBehind,    // Lacks changes up to the remote revision.
     // Is older, although it has as high a revision: the store's counter has
     // gone back since.
     kSuperseded,
-    kAhead,
+    kUnknown,
   };
   [[nodiscard]] static CopyRelation Compare(const StoreWatcher& watcher,
                                             const RemoteCopy& remote);
--- a/src/entry/store_watcher.cc
+++ b/src/entry/store_watcher.cc
@@ -32,6 +32,9 @@
 constexpr Duration kListTimeout = milliseconds(1500);
 // Longest delay between calls while the store is unreachable.
 constexpr Duration kLongestRetryDelay = milliseconds(800);
+// Delay of the list after one that failed. Doubles with each further failure.
+constexpr Duration kFirstListRetryDelay = milliseconds(400);
+constexpr std::uint32_t kMaxListRetryDoublings = 4;
 // Longest delay of the lists after repeated losses of the history. Below the
 // time within which a change has to take effect.
 constexpr Duration kLongestRelistDelay = milliseconds(800);
@@ -215,8 +218,7 @@
   }
   DropCall();
   list_due_ = true;
-  // What watches have proved is in doubt.
-  current_at_ = std::min(current_at_, list_current_at_);
+  watched_until_ = {};
   timer_.Set(loop_.Now());
 }
 
@@ -227,7 +229,7 @@
 }
 
 void StoreWatcher::RequireList() {
-  list_required_ = true;
+  ++list_requests_;
   const bool watching = in_flight_ && watch_until_ != TimePoint{};
   if (watching) {
     DropCall();
@@ -249,7 +251,7 @@
 
 void StoreWatcher::MakeNextCall() {
   const bool follows_store = source_ == WatchSource::kStore;
-  if (in_flight_ || (!follows_store && listed_ && !list_required_)) {
+  if (in_flight_ || (!follows_store && listed_ && !IsListRequired())) {
     return;
   }
   const TimePoint call_at = health_.ReserveNextCall();
@@ -259,7 +261,11 @@
   }
   // A list costs as much as a watch. It also returns changes that a watch would
   // not report, which otherwise become known only when the history is dropped.
-  Call(!listed_ || needs_full_copy_ || list_due_ || list_required_);
+  const bool is_list_useful = list_due_ || IsListRequired();
+  // Watches find out sooner that the store is back, and go on while it is too
+  // slow for lists.
+  const bool may_list = !health_.lost() && loop_.Now() >= next_list_at_;
+  Call(!listed_ || needs_full_copy_ || (is_list_useful && may_list));
 }
 
 void StoreWatcher::Call(bool list) {
@@ -271,18 +277,17 @@
   const milliseconds wait = health_.lost()       ? kProbeWait
                             : changed_last_call_ ? watch_wait_ / 2
                                                  : watch_wait_;
-  const bool required = std::exchange(list_required_, false);
   const auto first_freshness =
       list ? std::exchange(next_list_, platform::Freshness::kCurrent)
            : platform::Freshness::kCurrent;
   const auto freshness =
-      required ? platform::Freshness::kCurrent : first_freshness;
+      IsListRequired() ? platform::Freshness::kCurrent : first_freshness;
   const bool may_be_stale = freshness == platform::Freshness::kMayBeStale;
   const PendingCall call{.list = list,
                          .revision = revision_,
                          .outside_changes = outside_changes_,
                          .may_be_stale = may_be_stale,
-                         .required = required,
+                         .list_requests = list_requests_,
                          .current_at = may_be_stale ? TimePoint{} : now,
                          .empty_current_at = now + wait};
   const auto on_reply =
@@ -318,7 +323,6 @@
            {"revision", revision_},
            {"listed_revision", listed_revision_}});
       list_due_ = source_ == WatchSource::kStore;
-      list_required_ = list_required_ || call.required;
       health_.OnHistoryGone();
       timer_.Set(now);
       return;
@@ -327,10 +331,13 @@
           {{"kind", platform::ToString(kind_)},
            {"call", call.list ? "list" : "watch"},
            {"error", reply.error}});
-      // Watches find out sooner that the store is back.
-      list_due_ = false;
-      list_required_ = list_required_ || call.required;
-      health_.OnFailure(reply.answered);
+      if (call.list) {
+        const auto doublings = std::min(failed_lists_, kMaxListRetryDoublings);
+        next_list_at_ = now + kFirstListRetryDelay * (1U << doublings);
+        ++failed_lists_;
+      }
+      // A list may have taken too long for its timeout.
+      health_.OnFailure(reply.answered || call.list);
       timer_.Set(now);
   }
 }
@@ -376,13 +383,16 @@
   NoteUnreadable(reply, call.list);
   if (call.list) {
     list_due_ = false;
+    served_list_requests_ = call.list_requests;
+    failed_lists_ = 0;
+    next_list_at_ = {};
     ApplyList(reply.objects, reply.revision);
-    list_current_at_ = call.current_at;
     ConfirmCurrent(call.current_at);
   } else {
     ApplyEvents(reply.objects, reply.revision);
-    ConfirmCurrent(changed ? call.current_at
-                           : std::min(now, call.empty_current_at));
+    watched_until_ = std::max(
+        watched_until_,
+        changed ? call.current_at : std::min(now, call.empty_current_at));
   }
 }
 
@@ -426,14 +436,17 @@
       form == ChangeForm::kWhole || known == objects_.end() ? nullptr
                                                             : &known->second;
   // Also kept while another daemon leads, since this one may become the leader.
-  changes_.push_back({revision, EncodeChange(before, object)});
+  changes_.push_back({revision, EncodeChange(before, object), digest_});
   if (known != objects_.end()) {
-    digest_ -= DigestOf(known->second);
+    digest_ -= object_digests_[object.name];
   }
   if (object.deleted) {
     objects_.erase(object.name);
+    object_digests_.erase(object.name);
   } else {
-    digest_ += DigestOf(object);
+    const std::uint64_t digest = DigestOf(object);
+    digest_ += digest;
+    object_digests_[object.name] = digest;
     objects_[object.name] = object;
   }
   changed_at_ = revision;
@@ -467,9 +480,8 @@
     changed.push_back(&it);
   }
   for (const auto& [name, it] : present) {
-    const auto known = objects_.find(it->name);
-    if (known == objects_.end() || known->second.revision != it->revision ||
-        known->second.document != it->document) {
+    const auto known = object_digests_.find(it->name);
+    if (known == object_digests_.end() || known->second != DigestOf(*it)) {
       changed.push_back(it);
     }
   }
@@ -526,7 +538,7 @@
   ++outside_changes_;
   // The copy may be incomplete up to the object's revision, so `revision_`
   // stays; but daemons that follow this copy have to see the change.
-  RecordChange(object, std::max(revision_, object.revision),
+  RecordChange(object, std::max({changed_at_, revision_, object.revision}),
                ChangeForm::kPatch);
   sink_.on_events({object});
 }
@@ -673,7 +685,14 @@
   FollowFrom(revision);
   ++outside_changes_;
   ApplyList(objects, revision);
-  return true;
+  return digest_ == digest;
+}
+
+bool StoreWatcher::Contains(std::uint64_t digest) const {
+  return digest_ == digest ||
+         std::ranges::any_of(changes_, [digest](const Change& it) {
+           return it.digest_before == digest;
+         });
 }
 
 bool StoreWatcher::IsAsStated(const nlohmann::json& changes) const {
--- a/src/entry/store_watcher.h
+++ b/src/entry/store_watcher.h
@@ -180,9 +180,14 @@
   // Returns a time up to which the copy contains all changes of the store, or
   // TimePoint{} if none is known. The sinks see the value from before the
   // changes that they receive.
-  [[nodiscard]] TimePoint current_at() const { return current_at_; }
+  [[nodiscard]] TimePoint current_at() const {
+    return std::max(current_at_, watched_until_);
+  }
   // Records that the copy contains all changes up to `at`.
   void ConfirmCurrent(TimePoint at) { current_at_ = std::max(current_at_, at); }
+  // Returns whether the copy is, or was before its last changes, one with this
+  // digest.
+  [[nodiscard]] bool Contains(std::uint64_t digest) const;
 
  private:
   // A call to the store, and what its success proves.
@@ -193,8 +198,8 @@
     // `outside_changes_` when the call was made.
     std::uint64_t outside_changes = 0;
     bool may_be_stale = false;
-    // A list that RequireList() has requested.
-    bool required = false;
+    // `list_requests_` when the call was made.
+    std::uint64_t list_requests = 0;
     // All changes up to this time are in the reply, or, if a watch returns no
     // changes, up to `empty_current_at`.
     TimePoint current_at{};
@@ -206,6 +211,7 @@
   struct Change {
     std::uint64_t revision = 0;
     nlohmann::json entry;
+    std::uint64_t digest_before = 0;
   };
 
   void MakeNextCall();
@@ -214,6 +220,9 @@
   void Call(bool list);
   void OnReply(const platform::ListReply& reply, const PendingCall& call);
   void OnObjects(const platform::ListReply& reply, const PendingCall& call);
+  [[nodiscard]] bool IsListRequired() const {
+    return list_requests_ != served_list_requests_;
+  }
   // Returns whether the copy is newer than the reply to a list, either because
   // of changes from elsewhere or because the list may have been stale.
   [[nodiscard]] bool IsOvertaken(const platform::ListReply& reply,
@@ -277,7 +286,11 @@
   std::uint64_t listed_revision_ = 0;
   std::uint64_t changed_at_ = 0;
   TimePoint current_at_{};
+  // The same by watches alone. A lost history takes that back.
+  TimePoint watched_until_{};
   std::map<std::string, platform::Object> objects_;
+  // By name; their sum is the digest of the copy.
+  std::map<std::string, std::uint64_t> object_digests_;
   std::uint64_t digest_ = 0;
   TimePoint learned_at_{};
   // Names of objects that could not be parsed when they were last read.
@@ -309,10 +322,13 @@
   // Changes may have been missed, so the next call is a list: the source has
   // changed to the store, or the store was lost or has dropped its history.
   bool list_due_ = false;
-  // The same whatever the source is; see RequireList().
-  bool list_required_ = false;
-  // When the last list that was applied was requested.
-  TimePoint list_current_at_{};
+  // Calls of RequireList(), and how many of them a list has served.
+  std::uint64_t list_requests_ = 0;
+  std::uint64_t served_list_requests_ = 0;
+  // Lists that failed since the last one that succeeded, and when the next one
+  // may be made. Watches are made meanwhile.
+  std::uint32_t failed_lists_ = 0;
+  TimePoint next_list_at_{};
   net::DeadlineTimer timer_;
 };
 
--- a/src/entry/store_watcher_test.cc
+++ b/src/entry/store_watcher_test.cc
@@ -41,6 +41,7 @@
                  [this](const auto& objects) { Apply(objects); }}) {
     watcher.SetSource(source, std::chrono::milliseconds(1000));
     health_.on_change = [this](bool lost) {
+      losses += lost ? 1 : 0;
       if (!lost) {
         watcher.OnStoreBack();
       }
@@ -49,6 +50,8 @@
 
   // The entries as reported to the daemon.
   std::map<std::string, json> content;
+  // How often the store was lost.
+  int losses = 0;
 
  private:
   void Apply(const std::vector<platform::Object>& objects) {
@@ -285,10 +288,59 @@
   for (int load = 0; load < 30; ++load) {
     daemons.store.Put("servers", "s4", {{"n", 4}, {"load", load}});
   }
+  REQUIRE(daemons.store.revision() > daemons.leader.watcher.revision());
+  // The lists are refused at first.
+  daemons.store.set_list_failure(SOUP_STATUS_SERVICE_UNAVAILABLE);
   daemons.WaitFor([&] { return daemons.leader.content["s4"]["load"] == 29; });
+  daemons.store.set_list_failure(0);
   daemons.WaitFor([&] { return daemons.leader.content["s3"] == content; });
 }
 
+TEST_CASE("a copy is watched while lists fail") {
+  Daemons daemons;
+  daemons.store.set_list_failure(SOUP_STATUS_SERVICE_UNAVAILABLE);
+  daemons.leader.watcher.RequireList();
+  const TimePoint end = daemons.loop.Now() + std::chrono::seconds(3);
+  for (int load = 1; daemons.loop.Now() < end; ++load) {
+    daemons.Put("s4", {{"n", 4}, {"load", load}});
+  }
+  // The delay of the lists doubles from 400 ms on.
+  CHECK(daemons.leader.losses <= 4);
+  daemons.store.set_list_failure(0);
+  daemons.Put("s4", {{"n", 4}, {"load", 0}});
+}
+
+TEST_CASE("a required list that a change has overtaken is repeated") {
+  Daemons daemons;
+  const std::size_t calls = daemons.store.calls();
+  daemons.follower.watcher.RequireList();
+  daemons.WaitFor([&] { return daemons.store.calls() > calls; });
+  daemons.follower.watcher.Put({"own", 1000, false, {{"spec", {{"n", 0}}}}});
+  REQUIRE(daemons.follower.content.contains("own"));
+  daemons.WaitFor([&] { return !daemons.follower.content.contains("own"); });
+}
+
+TEST_CASE("a copy contains the states that it had before its last changes") {
+  Daemons daemons;
+  const std::uint64_t before = daemons.leader.watcher.digest();
+  daemons.Put("s3", {{"n", 3}, {"load", 7}});
+  CHECK(daemons.leader.watcher.Contains(before));
+  CHECK(daemons.leader.watcher.Contains(daemons.leader.watcher.digest()));
+  CHECK_FALSE(
+      daemons.follower.watcher.Contains(daemons.leader.watcher.digest()));
+  daemons.store.SetRevision(3);
+  daemons.Put("s3", {{"n", 3}, {"load", 8}});
+  CHECK_FALSE(daemons.leader.watcher.Contains(before));
+}
+
+TEST_CASE("a number of another type is a change") {
+  Daemons daemons;
+  daemons.Put("s3", {{"n", 3}, {"load", 0.0}});
+  static_cast<void>(Daemons::RelayChanges(daemons.leader, daemons.follower));
+  static_cast<void>(Daemons::RelayChanges(daemons.leader, daemons.follower));
+  CHECK(daemons.follower.watcher.digest() == daemons.leader.watcher.digest());
+}
+
 TEST_CASE("copies with the same objects have the same digest") {
   Daemons daemons;
   StoreWatcher& leader = daemons.leader.watcher;
