Tokens and epochs stay above all that a daemon has known

A store that was started anew, or another one in its place, may lack the last tables of owners and the last leader record. A leader then began with an older table, or with none: its owners got the keys at once, beside the servers that held them by the lost table, and with lower tokens. Where a table could not be read, the tokens of its replacement rested on the store's revision alone, which is below those in use if the counter went back. A lost record was created with epoch 1, and one that was put back was followed by an epoch that members already knew under another leader.

A table with a lower next_token than one that this daemon has seen is handled like one that cannot be read (log line table_lost): the leader's own is written again, or one in which nobody is known to hold the keys until all leases have ended. Tokens of a replacement are above all that the daemon has seen, epochs above all that it has known, and the successor of a lost record waits a lease.

--- a/src/entry/key_assignment.cc
+++ b/src/entry/key_assignment.cc
@@ -292,7 +292,8 @@
           table = keyspace::DecodeTable(reply.object->content());
           service->revision = reply.object->revision;
           if (!table) {
-            OnUnreadableTable(*reply.object, *service);
+            OnUnusableTable(name, *service, "table_unreadable",
+                            reply.object->content());
             Run();
             return;
           }
@@ -301,6 +302,17 @@
           }
           CheckEpoch(name, *table);
         }
+        const Token next_token = table ? table->next_token : Token();
+        if (next_token < state_.ownership.tokens_seen(name) &&
+            (!table || table->epoch <= election_.record().epoch)) {
+          // The store has lost later tables. Other servers than the owners in
+          // this one may hold the keys, under higher tokens.
+          OnUnusableTable(
+              name, *service, "table_lost",
+              reply.object ? reply.object->content() : nlohmann::json());
+          Run();
+          return;
+        }
         const auto unconfirmed =
             std::exchange(service->unconfirmed, std::nullopt);
         if (table && unconfirmed && *table == *unconfirmed) {
@@ -327,43 +339,44 @@
       });
 }
 
-void KeyAssignment::OnUnreadableTable(const platform::Object& object,
-                                      Service& service) {
+void KeyAssignment::OnUnusableTable(const std::string& name,
+                                    Service& service,
+                                    std::string_view event,
+                                    const nlohmann::json& content) {
   const TimePoint now = state_.loop.Now();
-  if (std::exchange(service.unreadable_revision, object.revision) !=
-      object.revision) {
-    Log(LogLevel::kError, "table_unreadable",
-        {{"service", object.name}, {"revision", object.revision}});
-    service.unreadable_since = now;
+  if (std::exchange(service.unusable_revision, service.revision) !=
+      service.revision) {
+    Log(LogLevel::kError, event,
+        {{"service", name}, {"revision", service.revision}});
+    service.unusable_since = now;
     election_.OnNewerEpochSeen(now);
   }
-  if (election_.verified_at() < service.unreadable_since) {
+  if (election_.verified_at() < service.unusable_since) {
     service.next_read = now + kStoreRetryDelay / 4;
     return;
   }
-  const keyspace::OwnershipTable* const copy =
-      state_.ownership.Find(object.name);
+  const keyspace::OwnershipTable* const copy = state_.ownership.Find(name);
   const bool known = service.assigner.WriteAgain(now);
   if (!known) {
-    service.assigner.BeginWithoutTable(copy, object.revision,
-                                       election_.record().epoch,
-                                       election_.previous_leader_until(), now);
+    service.assigner.BeginWithoutTable(
+        copy, service.revision, state_.ownership.tokens_seen(name),
+        election_.record().epoch, election_.previous_leader_until(), now);
   }
   service.begun = true;
   // A write with an unknown result can no longer take effect.
   service.unconfirmed.reset();
   Log(LogLevel::kWarning, "table_replaced",
-      {{"service", object.name},
+      {{"service", name},
        {"epoch", election_.record().epoch.value()},
-       {"revision", object.revision},
+       {"revision", service.revision},
        {"from", known             ? "memory"
                 : copy != nullptr ? "copy"
                                   : "nothing"},
-       {"copy_revision", state_.ownership.revision(object.name)},
+       {"copy_revision", state_.ownership.revision(name)},
        {"wait_ms",
         known ? 0
               : MillisecondsBetween(now, election_.previous_leader_until())},
-       {"content", Excerpt(object.content())}});
+       {"content", Excerpt(content)}});
 }
 
 void KeyAssignment::WriteTable(const std::string& name,
--- a/src/entry/key_assignment.h
+++ b/src/entry/key_assignment.h
@@ -11,8 +11,11 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
+#include <nlohmann/json.hpp>
+
 #include "entry/entry_state.h"
 #include "entry/leader_election.h"
 #include "keyspace/range_assigner.h"
@@ -63,9 +66,9 @@
     TimePoint next_read{};
     // A table whose write had an unknown result: it may be in the store.
     std::optional<keyspace::OwnershipTable> unconfirmed;
-    // Of a table in the store that cannot be read, and when it was first read.
-    std::uint64_t unreadable_revision = 0;
-    TimePoint unreadable_since{};
+    // Of a table in the store that cannot be used, and when it was first read.
+    std::optional<std::uint64_t> unusable_revision;
+    TimePoint unusable_since{};
     // Identifies a term of leadership, so that replies to calls of an earlier
     // term are ignored.
     std::uint64_t term = 0;
@@ -80,8 +83,12 @@
   void CheckEpoch(const std::string& name,
                   const keyspace::OwnershipTable& table);
   void ReadTable(const std::string& name, Service& service);
-  // Replaces the table once it is known that no later leader has written it.
-  void OnUnreadableTable(const platform::Object& object, Service& service);
+  // Replaces the table of `name` in the store, which has `content` and cannot
+  // be used, once it is known that no later leader has written it.
+  void OnUnusableTable(const std::string& name,
+                       Service& service,
+                       std::string_view event,
+                       const nlohmann::json& content);
   void WriteTable(const std::string& name,
                   Service& service,
                   const keyspace::OwnershipTable& table);
--- a/src/entry/leader_election.cc
+++ b/src/entry/leader_election.cc
@@ -32,8 +32,7 @@
     if (!record_absent_) {
       call = ElectionCall{.kind = ElectionCall::Kind::kRead};
     } else if (!resigning_) {
-      call = ElectionCall{.kind = ElectionCall::Kind::kCreate,
-                          .record = {Epoch(1), self_}};
+      call = CreateRecord();
     }
   } else if (IsSelf(record_.leader)) {
     if (resigning_) {
@@ -76,7 +75,7 @@
 }
 
 ElectionCall LeaderElection::TakeOver(TimePoint now) const {
-  LeaderRecord next{record_.epoch.Next(), self_};
+  LeaderRecord next{LatestEpoch().Next(), self_};
   // Once the known term has lasted for a lease, no leader before it acts.
   if (now < term_known_since_ + options_.leader_lease) {
     next.earlier_leaders = record_.earlier_leaders;
@@ -90,11 +89,28 @@
   if (!record_.leader.name.empty() && record_.leader.name != self_.name) {
     next.earlier_leaders.push_back(record_.leader);
   }
+  if (record_.epoch < LatestEpoch()) {
+    // The store has lost a later record, and its leader may still act.
+    next.earlier_leaders.push_back(Member{});
+  }
   return {.kind = ElectionCall::Kind::kReplace,
           .record = std::move(next),
           .revision = revision_};
 }
 
+Epoch LeaderElection::LatestEpoch() const {
+  return std::max(record_.epoch, latest_known_epoch_);
+}
+
+ElectionCall LeaderElection::CreateRecord() const {
+  LeaderRecord first{LatestEpoch().Next(), self_};
+  if (LatestEpoch() != Epoch()) {
+    // The store has lost a record, and its leader may still act.
+    first.earlier_leaders = {Member{}};
+  }
+  return {.kind = ElectionCall::Kind::kCreate, .record = std::move(first)};
+}
+
 TimePoint LeaderElection::ReplaceUnreadableTime() const {
   if (!knows_leader()) {
     // A leader may be heard of before that, and replaces the record itself.
@@ -107,8 +123,7 @@
 ElectionCall LeaderElection::ReplaceUnreadable() const {
   // Each term costs at least one revision, so no record before this revision
   // can have had a later epoch.
-  const Epoch latest = std::max(
-      {record_.epoch, latest_stored_epoch_, Epoch(unreadable_revision_)});
+  const Epoch latest = std::max(LatestEpoch(), Epoch(unreadable_revision_));
   LeaderRecord next{latest.Next(), self_, {Member{}}};
   // The leader is named, too, so that it is told of its replacement.
   if (knows_leader() && record_.leader.name != self_.name) {
@@ -195,7 +210,7 @@
     if (doubt_after_call) {
       term_in_doubt_ = true;
       must_verify_ = true;
-    } else if (record_.epoch < latest_stored_epoch_) {
+    } else if (record_.epoch < latest_known_epoch_) {
       // The record was deleted, or put back to an earlier content.
       unreadable_revision_ = revision_;
       unreadable_since_ = now;
@@ -240,6 +255,7 @@
   if (!record_known_ || !record.IsSameTerm(record_)) {
     term_known_since_ = now;
   }
+  latest_known_epoch_ = LatestEpoch();
   record_ = record;
   revision_ = revision;
   record_known_ = true;
@@ -305,7 +321,7 @@
     return;
   }
   term_in_doubt_ = true;
-  latest_stored_epoch_ = std::max(latest_stored_epoch_, epoch);
+  latest_known_epoch_ = std::max(latest_known_epoch_, epoch);
   doubt_after_call_ = in_flight_.has_value();
   OnNewerEpochSeen(now);
 }
--- a/src/entry/leader_election.h
+++ b/src/entry/leader_election.h
@@ -172,6 +172,10 @@
   void AdoptHeard(const LeaderRecord& record, TimePoint now);
   // Returns the call that writes the record of this daemon's next term.
   [[nodiscard]] ElectionCall TakeOver(TimePoint now) const;
+  // Returns the latest epoch that this daemon has known.
+  [[nodiscard]] Epoch LatestEpoch() const;
+  // Returns the call that creates a record where the store has none.
+  [[nodiscard]] ElectionCall CreateRecord() const;
   // Returns the call that replaces a record that cannot be read by one of this
   // daemon's next term.
   [[nodiscard]] ElectionCall ReplaceUnreadable() const;
@@ -202,8 +206,9 @@
   bool term_in_doubt_ = false;
   // The call in flight was sent before the term came into doubt.
   bool doubt_after_call_ = false;
-  // The latest epoch of the objects that OnStoredEpoch() was called for.
-  Epoch latest_stored_epoch_;
+  // The latest epoch of the records before `record_` and of the objects that
+  // OnStoredEpoch() was called for. The store may have lost them.
+  Epoch latest_known_epoch_;
   // The store has confirmed that the leader to replace is still the current
   // one.
   bool takeover_due_ = false;
--- a/src/entry/leader_election_test.cc
+++ b/src/entry/leader_election_test.cc
@@ -158,6 +158,47 @@
   CHECK(after.previous_leader_until() == kStart + seconds(1));
 }
 
+// Guards against two leaders: daemons follow the later epoch.
+TEST_CASE("a record that the store has lost is created with a later epoch") {
+  Store store;
+  LeaderElection a = Daemon("a");
+  LeaderElection b = Daemon("b");
+  store.Serve(a, kStart);
+  store.Serve(b, kStart);
+  b.OnLeaderHeartbeat(a.record(), 0, kStart);
+  store.record.reset();
+  ++store.revision;
+  const TimePoint later = kStart + seconds(2);
+  store.Serve(b, later);
+  CHECK(b.IsLeader(later));
+  CHECK(b.record().epoch > a.record().epoch);
+  CHECK(b.previous_leader_until() > later + seconds(10));
+}
+
+TEST_CASE("a record that was put back is replaced with a later epoch") {
+  Store store;
+  LeaderElection a = Daemon("a");
+  LeaderElection b = Daemon("b");
+  LeaderElection c = Daemon("c");
+  store.Serve(a, kStart);
+  const auto first = store.record;
+  store.Serve(b, kStart);
+  const TimePoint later = kStart + seconds(2);
+  store.Serve(b, later);
+  REQUIRE(b.IsLeader(later));
+  store.Serve(c, later);
+  store.record = first;
+  ++store.revision;
+  TimePoint end = later;
+  while (!c.IsLeader(end)) {
+    end += milliseconds(100);
+    REQUIRE(end < later + seconds(10));
+    store.Serve(c, end);
+  }
+  CHECK(c.record().epoch > b.record().epoch);
+  CHECK(c.previous_leader_until() > end + seconds(10));
+}
+
 TEST_CASE("a leader acts without the store until its lease expires") {
   Store store;
   LeaderElection a = Daemon("a");
--- a/src/entry/ownership_view.h
+++ b/src/entry/ownership_view.h
@@ -2,12 +2,14 @@
 #ifndef SRC_ENTRY_OWNERSHIP_VIEW_H_
 #define SRC_ENTRY_OWNERSHIP_VIEW_H_
 
+#include <algorithm>
 #include <cstdint>
 #include <functional>
 #include <map>
 #include <string>
 #include <utility>
 
+#include "gentianreach/ids.h"
 #include "keyspace/key_load.h"
 #include "keyspace/ownership_table.h"
 
@@ -23,6 +25,7 @@
     const auto [found, is_new] = entries_.try_emplace(service);
     Entry& entry = found->second;
     entry.revision = revision;
+    entry.tokens_seen = std::max(entry.tokens_seen, table.next_token);
     const bool changed = is_new || !(entry.table == table);
     entry.table = std::move(table);
     return changed;
@@ -34,6 +37,12 @@
     const auto it = entries_.find(service);
     return it == entries_.end() ? nullptr : &it->second.table;
   }
+  // Returns the highest `next_token` of the tables of a service so far. A table
+  // in the store with a lower one is older than a table that was there before.
+  [[nodiscard]] Token tokens_seen(const std::string& service) const {
+    const auto it = entries_.find(service);
+    return it == entries_.end() ? Token() : it->second.tokens_seen;
+  }
   [[nodiscard]] std::uint64_t revision(const std::string& service) const {
     const auto it = entries_.find(service);
     return it == entries_.end() ? 0 : it->second.revision;
@@ -42,6 +51,7 @@
  private:
   struct Entry {
     std::uint64_t revision = 0;
+    Token tokens_seen;
     keyspace::OwnershipTable table;
   };
 
--- a/src/keyspace/range_assigner.h
+++ b/src/keyspace/range_assigner.h
@@ -163,15 +163,17 @@
                            TimePoint previous_leader_until,
                            TimePoint now);
   // Takes over like Begin() if the table in the store, which has `revision`,
-  // cannot be read. No leader of a later epoch may have written it. `copy` is
-  // an earlier table, or null.
+  // cannot be read or is older than one that this daemon has seen. No leader of
+  // a later epoch may have written it. `copy` is an earlier table, or null;
+  // `seen` as for ReplacementTable().
   void BeginWithoutTable(const OwnershipTable* copy,
                          std::uint64_t revision,
+                         Token seen,
                          Epoch epoch,
                          TimePoint previous_leader_until,
                          TimePoint now);
   // Has the table that was last written written again, since the one in the
-  // store cannot be read. Returns false if there is none. No leader of a later
+  // store cannot be used. Returns false if there is none. No leader of a later
   // epoch may have written the table.
   [[nodiscard]] bool WriteAgain(TimePoint now);
   // Reports that no previous leader can send orders after `ended_at`.
--- a/src/keyspace/range_assigner_plan.cc
+++ b/src/keyspace/range_assigner_plan.cc
@@ -98,10 +98,11 @@
 
 void RangeAssigner::BeginWithoutTable(const OwnershipTable* copy,
                                       std::uint64_t revision,
+                                      Token seen,
                                       Epoch epoch,
                                       TimePoint previous_leader_until,
                                       TimePoint now) {
-  begun_ = Begin(ReplacementTable(copy, revision, epoch), epoch,
+  begun_ = Begin(ReplacementTable(copy, revision, seen, epoch), epoch,
                  previous_leader_until, now);
 }
 
--- a/src/keyspace/range_assigner_random_test.cc
+++ b/src/keyspace/range_assigner_random_test.cc
@@ -279,7 +279,8 @@
             ? &tables_[tables_.size() - 1 -
                        random_() % std::min<std::size_t>(tables_.size(), 20)]
             : nullptr,
-        leader.revision, leader.epoch, leader.previous_leader_until, now_);
+        leader.revision, Token(), leader.epoch, leader.previous_leader_until,
+        now_);
   }
 
   void Step() {
--- a/src/keyspace/range_assigner_test.cc
+++ b/src/keyspace/range_assigner_test.cc
@@ -424,7 +424,8 @@
 // A lost table: nobody knows which server holds the keys.
 TEST_CASE("a fence leaves the keys of an owner without a name") {
   Leader leader;
-  leader.assigner.BeginWithoutTable(nullptr, 5, Epoch(2), kStart, kStart);
+  leader.assigner.BeginWithoutTable(nullptr, 5, Token(), Epoch(2), kStart,
+                                    kStart);
   leader.assigner.SetServers({Server("a"), Server("b")}, kStart);
   leader.assigner.OnConnected("a:1");
   CHECK(leader.Orders(kStart).empty());
--- a/src/keyspace/replacement_table.cc
+++ b/src/keyspace/replacement_table.cc
@@ -1,5 +1,7 @@
 #include "keyspace/replacement_table.h"
 
+#include <algorithm>
+
 #include "keyspace/fencing_tokens.h"
 
 namespace gentianreach::keyspace {
@@ -8,10 +10,14 @@
 
 OwnershipTable ReplacementTable(const OwnershipTable* copy,
                                 std::uint64_t revision,
+                                Token seen,
                                 Epoch epoch) {
   OwnershipTable table;
   table.epoch = epoch;
-  table.next_token = Token(revision * kMaxTokensPerTable);
+  const std::uint64_t unseen =
+      seen == Token() ? 0 : kMaxUnseenTables * kMaxTokensPerTable;
+  table.next_token =
+      Token(std::max(revision * kMaxTokensPerTable, seen.value() + unseen));
   if (copy == nullptr) {
     table.ranges.push_back({{0, kKeyCount - 1}, {}, {}});
     table.ranges.front().owner.token = AllocateToken(&table);
--- a/src/keyspace/replacement_table_test.cc
+++ b/src/keyspace/replacement_table_test.cc
@@ -86,9 +86,24 @@
 
 constexpr Duration kLease = AssignerOptions{}.lease;
 
+// The store's revision counter may have gone back since tables were written.
+TEST_CASE("the tokens of a replacement are above all that were seen") {
+  const OwnershipTable copy = SampleTable();
+  const Token seen(kLowestToken.value() * 5);
+  for (const OwnershipTable* it :
+       {&copy, static_cast<const OwnershipTable*>(nullptr)}) {
+    const OwnershipTable table =
+        ReplacementTable(it, kRevision, seen, Epoch(9));
+    for (const OwnedRange& range : table.ranges) {
+      CHECK(range.owner.token > seen);
+    }
+  }
+}
+
 TEST_CASE("a replacement keeps the owners of the copy with higher tokens") {
   const OwnershipTable copy = SampleTable();
-  const OwnershipTable table = ReplacementTable(&copy, kRevision, Epoch(9));
+  const OwnershipTable table =
+      ReplacementTable(&copy, kRevision, Token(), Epoch(9));
   CHECK(table.epoch == Epoch(9));
   REQUIRE(table.ranges.size() == 2);
   for (std::size_t i = 0; i < 2; ++i) {
@@ -108,7 +123,8 @@
   for (const OwnershipTable* it :
        {&copy, static_cast<const OwnershipTable*>(nullptr)}) {
     Leader leader;
-    leader.assigner.BeginWithoutTable(it, kRevision, Epoch(9), kStart, kStart);
+    leader.assigner.BeginWithoutTable(it, kRevision, Token(), Epoch(9), kStart,
+                                      kStart);
     leader.Run(kStart, kStart + seconds(10));
     for (const std::uint32_t key : {0U, 999U, 1000U, 40000U, 65535U}) {
       const auto grant = leader.FirstGrant(key);
@@ -127,7 +143,8 @@
   const OwnershipTable copy = SampleTable();
   Leader leader;
   const TimePoint until = kStart + seconds(12);
-  leader.assigner.BeginWithoutTable(&copy, kRevision, Epoch(9), until, kStart);
+  leader.assigner.BeginWithoutTable(&copy, kRevision, Token(), Epoch(9), until,
+                                    kStart);
   leader.Run(kStart, until + seconds(10));
   const auto grant = leader.FirstGrant(0);
   REQUIRE(grant);
@@ -138,7 +155,8 @@
 TEST_CASE("the successor of a leader without a table waits for lost owners") {
   const OwnershipTable copy = SampleTable();
   Leader leader;
-  leader.assigner.BeginWithoutTable(&copy, kRevision, Epoch(9), kStart, kStart);
+  leader.assigner.BeginWithoutTable(&copy, kRevision, Token(), Epoch(9), kStart,
+                                    kStart);
   leader.Run(kStart, kStart + seconds(1));
   Leader next;
   const TimePoint later = kStart + seconds(1);
