--- a/soak/fleet.h
+++ b/soak/fleet.h
@@ -10,6 +10,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "gentianreach/time.h"
@@ -87,6 +88,10 @@
   [[nodiscard]] std::size_t servers() const { return servers_.size(); }
 
  private:
+  // Prefix of the line with which the fake programs print their listening
+  // address.
+  static constexpr std::string_view kAddressPrefix = "address=";
+
   struct DaemonSlot {
     std::string name;
     std::string ip;
