Soak: no request reaches a server that has left

The soak did not check the rule DRAIN: a request must not reach a server later than 2.5 s after the store has accepted that it drains, sent on by daemons in touch. Servers now print when that was, and DrainChecker reports a later run unless the store, the server, its links, or the daemon that took the request or the one that sent it on was disturbed. So that a server can name the daemon that sent it a request, proxies connect from their clients' addresses.

--- a/soak/chaos_proxy.cc
+++ b/soak/chaos_proxy.cc
@@ -212,7 +212,8 @@
       client->Abort();
       continue;
     }
-    auto target = net::TcpSocket::Connect(target_);
+    // From the client's address, so that the target sees who it is.
+    auto target = net::TcpSocket::Connect(target_, client->PeerAddress());
     if (!target) {
       client->Abort();
       continue;
--- a/soak/fleet.cc
+++ b/soak/fleet.cc
@@ -31,6 +31,8 @@
 // A process is starved if it waits for a processor for more than this share of
 // the time.
 constexpr int kStarvedFraction = 2;
+// The soak itself is held up if CheckStarvation() is called less often.
+constexpr Duration kLongestCheckPeriod = milliseconds(500);
 // Every third incarnation of a daemon gets SIGHUP when it begins to start.
 constexpr int kReloadAtStartStride = 3;
 constexpr const char* kConfigObject = "config main ";
@@ -51,11 +53,13 @@
              std::string programs,
              std::string logs,
              ConfigChecker& config_checker,
+             DrainChecker& drain_checker,
              FleetEvents events)
     : loop_(loop),
       programs_(std::move(programs)),
       logs_(std::move(logs)),
       config_checker_(config_checker),
+      drain_checker_(drain_checker),
       events_(std::move(events)),
       block_(standins::LoopbackBlock()) {}
 
@@ -201,7 +205,7 @@
   slot.start = ++starts_;
   const TimePoint now = loop_.Now();
   config_checker_.OnStart(i);
-  config_checker_.AddDisturbance(i, now, now);
+  AddOutOfTouch(i, now, now);
   const std::string log =
       logs_ + "/" + slot.name + "-" + std::to_string(slot.start) + ".log";
   slot.process =
@@ -224,7 +228,7 @@
     events_.on_failure(slot.name + " exited with status " +
                        std::to_string(status));
   }
-  config_checker_.AddDisturbance(i, slot.ending_since, loop_.Now());
+  AddOutOfTouch(i, slot.ending_since, loop_.Now());
   slot.process.reset();
   if (restart_.erase(i) > 0) {
     StartDaemon(i);
@@ -276,29 +280,54 @@
 void Fleet::CheckStarvation() {
   const TimePoint now = loop_.Now();
   const TimePoint before = std::exchange(starvation_checked_at_, now);
+  const auto starved = [&](const Process& process, Duration& last_wait) {
+    const Duration wait = process.RunQueueWait();
+    const Duration added = wait - std::exchange(last_wait, wait);
+    return before != TimePoint{} && added > (now - before) / kStarvedFraction;
+  };
   for (std::size_t i = 0; i < daemons_.size(); ++i) {
     DaemonSlot& slot = daemons_[i];
-    if (!slot.process) {
-      continue;
-    }
-    const Duration wait = slot.process->RunQueueWait();
-    if (before != TimePoint{} &&
-        wait - slot.run_queue_wait > (now - before) / kStarvedFraction) {
-      config_checker_.AddDisturbance(i, before, now);
+    if (slot.process && starved(*slot.process, slot.run_queue_wait)) {
+      AddOutOfTouch(i, before, now);
       daemon_delays_.Add(i, before, now + kThawTime);
     }
-    slot.run_queue_wait = wait;
+  }
+  for (std::size_t i = 0; i < servers_.size(); ++i) {
+    ServerSlot& slot = servers_[i];
+    if (slot.process && starved(*slot.process, slot.run_queue_wait)) {
+      drain_checker_.AddServerDisturbance(i, before, now);
+    }
+  }
+  // The proxies are part of this process.
+  const bool stalled =
+      before != TimePoint{} && now - before > kLongestCheckPeriod;
+  if (starved(*store_, store_run_queue_wait_) || stalled) {
+    drain_checker_.AddStoreDisturbance(before, now);
+  }
+}
+
+void Fleet::AddOutOfTouch(std::size_t daemon, TimePoint from, TimePoint to) {
+  config_checker_.AddDisturbance(daemon, from, to);
+  drain_checker_.AddDaemonDisturbance(daemon, from, to);
+}
+
+// A server that drains is itself not disturbed by that.
+void Fleet::AddServerDisturbance(const Fault& fault) {
+  if (fault.kind == FaultKind::kPauseServer ||
+      (IsLinkFault(fault.kind) && fault.link == LinkKind::kDaemonsToServer)) {
+    drain_checker_.AddServerDisturbance(fault.target, fault.begins, fault.ends);
   }
 }
 
 void Fleet::AddOutOfTouch(const Fault& fault) {
   const auto add = [&](std::size_t daemon) {
-    config_checker_.AddDisturbance(daemon, fault.begins, fault.ends);
+    AddOutOfTouch(daemon, fault.begins, fault.ends);
   };
   const bool of_store = (fault.kind >= FaultKind::kPauseStore &&
                          fault.kind <= FaultKind::kStoreDropsHistory) ||
                         fault.kind == FaultKind::kStoreTurnsBack;
   if (of_store) {
+    drain_checker_.AddStoreDisturbance(fault.begins, fault.ends);
     for (std::size_t i = 0; i < daemons_.size(); ++i) {
       add(i);
     }
@@ -329,6 +358,7 @@
 
 void Fleet::Begin(const Fault& fault) {
   AddOutOfTouch(fault);
+  AddServerDisturbance(fault);
   AddOrderDelay(fault);
   switch (fault.kind) {
     case FaultKind::kKillDaemon:
--- a/soak/fleet.h
+++ b/soak/fleet.h
@@ -18,6 +18,7 @@
 #include "soak/chaos_proxy.h"
 #include "soak/config_checker.h"
 #include "soak/disturbances.h"
+#include "soak/drain_checker.h"
 #include "soak/expected_requests.h"
 #include "soak/fault_plan.h"
 #include "soak/holdings_checker.h"
@@ -48,11 +49,13 @@
  public:
   // `programs`: directory of the executables. `logs`: directory for the
   // daemons' settings files and logs. Reports versions of the configuration,
-  // and when daemons are out of touch, to `config_checker`.
+  // and when daemons are out of touch, to `config_checker`; servers that leave,
+  // and all that may hold requests to them up, to `drain_checker`.
   Fleet(net::EventLoop& loop,
         std::string programs,
         std::string logs,
         ConfigChecker& config_checker,
+        DrainChecker& drain_checker,
         FleetEvents events);
   Fleet(const Fleet&) = delete;
   Fleet& operator=(const Fleet&) = delete;
@@ -124,6 +127,8 @@
     // Id of the current incarnation.
     std::string incarnation;
     int start_count = 0;
+    // Wait for a processor until the last CheckStarvation().
+    Duration run_queue_wait{};
     bool ready = false;
     bool ending = false;
   };
@@ -143,13 +148,18 @@
   [[nodiscard]] std::string SettingsFile(std::size_t i) const;
   void StartDaemon(std::size_t i);
   void OnDaemonExit(std::size_t i, int status);
-  void OnServerRun(const std::string& incarnation, std::istream& in);
+  void OnServerRun(std::size_t i,
+                   const std::string& incarnation,
+                   std::istream& in);
   void OnServerOrder(std::size_t i,
                      const std::string& incarnation,
                      std::istream& in);
   void WriteConfig(bool valid);
   // Reports that the daemons that `fault` affects are out of touch.
   void AddOutOfTouch(const Fault& fault);
+  void AddOutOfTouch(std::size_t daemon, TimePoint from, TimePoint to);
+  // Reports that requests to the server that `fault` affects may be late.
+  void AddServerDisturbance(const Fault& fault);
   // Reports that orders to the server that `fault` affects may be late.
   void AddOrderDelay(const Fault& fault);
   // Sets how the connections of a daemon to all servers are cut.
@@ -175,6 +185,7 @@
   const std::string programs_;
   const std::string logs_;
   ConfigChecker& config_checker_;
+  DrainChecker& drain_checker_;
   const FleetEvents events_;
   // The first three octets of the fleet's addresses, with the trailing dot.
   const std::string block_;
@@ -197,6 +208,7 @@
   Disturbances server_delays_;
   Disturbances daemon_delays_;
   TimePoint starvation_checked_at_;
+  Duration store_run_queue_wait_{};
 };
 
 }  // namespace gentianreach::soak
--- a/soak/fleet_servers.cc
+++ b/soak/fleet_servers.cc
@@ -1,6 +1,7 @@
 // The servers of the fleet.
 #include "soak/fleet.h"
 
+#include <algorithm>
 #include <chrono>
 #include <sstream>
 #include <string>
@@ -22,6 +23,7 @@
   }
   slot.ending = false;
   slot.ready = false;
+  slot.run_queue_wait = {};
   slot.front_proxy = MakeProxy();
   slot.front_proxy->SetMode(slot.mode);
   for (const DaemonSlot& it : daemons_) {
@@ -63,7 +65,11 @@
   std::string event;
   in >> event;
   if (event == "ran") {
-    OnServerRun(incarnation, in);
+    OnServerRun(i, incarnation, in);
+  } else if (event == "draining") {
+    std::int64_t at = 0;
+    in >> at;
+    drain_checker_.OnDraining(incarnation, TimePoint(Duration(at)));
   } else if (event == "order") {
     OnServerOrder(i, incarnation, in);
   } else {
@@ -74,14 +80,27 @@
   }
 }
 
-void Fleet::OnServerRun(const std::string& incarnation, std::istream& in) {
+void Fleet::OnServerRun(std::size_t i,
+                        const std::string& incarnation,
+                        std::istream& in) {
   ObservedRun run;
   std::int64_t at = 0;
-  in >> run.request_id >> run.method >> run.path >> run.key >> run.token >> at;
+  std::string client;
+  in >> run.request_id >> run.method >> run.path >> run.key >> run.token >>
+      at >> client;
   if (!in) {
     return;
   }
+  const auto sender = std::ranges::find(
+      daemons_, client.substr(0, client.rfind(':')), &DaemonSlot::ip);
+  if (sender != daemons_.end()) {
+    run.sent_by = static_cast<std::size_t>(sender - daemons_.begin());
+  } else if (client != "-") {
+    events_.on_failure("a server got a request from " + client);
+    return;
+  }
   run.server = incarnation;
+  run.server_index = i;
   run.at = TimePoint(Duration(at));
   events_.on_run(run);
 }
--- a/soak/promise_checker.cc
+++ b/soak/promise_checker.cc
@@ -43,6 +43,15 @@
   requests_[request.id].sent = request;
 }
 
+std::optional<std::size_t> PromiseChecker::DaemonOf(
+    const std::string& id) const {
+  const auto it = requests_.find(id);
+  if (it == requests_.end()) {
+    return std::nullopt;
+  }
+  return it->second.sent.daemon;
+}
+
 void PromiseChecker::OnRun(const ObservedRun& run) {
   ++runs_;
   const auto it = requests_.find(run.request_id);
--- a/soak/promise_checker.h
+++ b/soak/promise_checker.h
@@ -46,6 +46,9 @@
   // Fencing token under which the server held the key; 0 for unkeyed requests.
   std::uint64_t token = 0;
   TimePoint at;
+  std::size_t server_index = 0;
+  // The daemon that sent the request to the server, if that is known.
+  std::optional<std::size_t> sent_by;
 };
 
 // A complete response, as received by the caller.
@@ -96,6 +99,9 @@
   }
   [[nodiscard]] std::size_t sent() const { return requests_.size(); }
   [[nodiscard]] std::size_t runs() const { return runs_; }
+  // Returns the daemon that the request was sent to, if it is known.
+  [[nodiscard]] std::optional<std::size_t> DaemonOf(
+      const std::string& id) const;
   // Returns the number of requests by status; 0 stands for no response.
   [[nodiscard]] const std::map<int, std::size_t>& statuses() const {
     return statuses_;
--- a/soak/server_program.cc
+++ b/soak/server_program.cc
@@ -3,11 +3,13 @@
 //
 // Prints "address=IP:PORT", "ready" once its entry has been accepted, and a
 // line for each request before it runs it:
-//   ran ID METHOD PATH KEY TOKEN NANOSECONDS
-// and one for each order that it has carried out, a release with the token 0:
+//   ran ID METHOD PATH KEY TOKEN NANOSECONDS CLIENT_ADDRESS
+// with "-" for the address of a connection that has ended meanwhile, and a line
+// for each order that it has carried out, a release with the token 0:
 //   order FIRST LAST TOKEN NANOSECONDS LEASE_END_NANOSECONDS
 // with times of the machine's boot clock. On SIGTERM it writes the state
-// "draining" to its entry, and exits a fixed time after the store accepted it.
+// "draining" to its entry, prints "draining NANOSECONDS" once the store has
+// accepted it, and exits a fixed time after that.
 #include <cstdlib>
 #include <iostream>
 #include <optional>
@@ -21,6 +23,7 @@
 #include "base/timer.h"
 #include "platform/platform_client.h"
 #include "platform/testing/fake_server.h"
+#include "soak/drain_checker.h"
 
 namespace gentianreach::soak {
 namespace {
@@ -29,9 +32,7 @@
 
 constexpr Duration kHeartbeatInterval = milliseconds(500);
 constexpr Duration kReportTimeout = milliseconds(1000);
-// Time for which a draining server keeps serving, as in users' deployments.
-constexpr Duration kDrainTime = milliseconds(2500);
-// Additional time before it exits.
+// Time for which a server serves after requests must have stopped coming.
 constexpr Duration kDrainMargin = milliseconds(500);
 
 struct ServerOptions {
@@ -55,7 +56,8 @@
       // Flushed immediately, so that the line survives a SIGKILL.
       std::cout << "ran " << run.request_id << ' ' << run.method << ' '
                 << run.path << ' ' << run.key << ' ' << run.token << ' '
-                << run.at.time_since_epoch().count() << std::endl;
+                << run.at.time_since_epoch().count() << ' '
+                << (run.client.empty() ? "-" : run.client) << std::endl;
     };
     server_.on_order = [](const platform::testing::ServerOrder& order) {
       std::cout << "order " << order.first << ' ' << order.last << ' '
@@ -110,7 +112,9 @@
       std::cout << "ready" << std::endl;
     }
     if (reported == "draining" && !end_timer_.pending()) {
-      end_timer_.Set(clock_.Now() + kDrainTime + kDrainMargin,
+      const TimePoint now = clock_.Now();
+      std::cout << "draining " << now.time_since_epoch().count() << std::endl;
+      end_timer_.Set(now + DrainChecker::kDrainTime + kDrainMargin,
                      [this] { g_main_loop_quit(loop_); });
     }
   }
--- a/soak/soak.cc
+++ b/soak/soak.cc
@@ -17,6 +17,7 @@
 #include "net/event_loop.h"
 #include "soak/caller.h"
 #include "soak/config_checker.h"
+#include "soak/drain_checker.h"
 #include "soak/fault_plan.h"
 #include "soak/fleet.h"
 #include "soak/holdings_checker.h"
@@ -67,7 +68,8 @@
                options.programs,
                options.logs,
                config_checker_,
-               {.on_run = [this](const auto& run) { checker_.OnRun(run); },
+               drain_checker_,
+               {.on_run = [this](const auto& run) { OnRun(run); },
                 .on_disturbed =
                     [this](std::size_t daemon, TimePoint from, TimePoint to) {
                       checker_.AddDisturbance(daemon, from, to);
@@ -139,6 +141,7 @@
   [[nodiscard]] bool HasFailed() const {
     return !failures_.empty() || !checker_.violations().empty() ||
            !config_checker_.violations().empty() ||
+           !drain_checker_.violations().empty() ||
            !holdings_checker_.violations().empty();
   }
   static std::vector<std::uint32_t> HolderKeys() {
@@ -222,11 +225,22 @@
     }
   }
 
+  void OnRun(const ObservedRun& run) {
+    checker_.OnRun(run);
+    drain_checker_.OnRun({.request_id = run.request_id,
+                          .server = run.server_index,
+                          .incarnation = run.server,
+                          .taken_by = checker_.DaemonOf(run.request_id),
+                          .sent_by = run.sent_by,
+                          .at = run.at});
+  }
+
   void Check() {
     const TimePoint until = loop_.Now() - kReportDelay;
     checker_.CheckOwners(until);
     checker_.CheckUnanswered(until);
     holdings_checker_.Check(until);
+    drain_checker_.Check(until);
     check_timer_.Set(loop_.Now() + kCheckPeriod);
   }
 
@@ -248,7 +262,7 @@
   bool ReportResult() {
     for (const auto& violations :
          {checker_.violations(), config_checker_.violations(),
-          holdings_checker_.violations()}) {
+          drain_checker_.violations(), holdings_checker_.violations()}) {
       for (const std::string& it : violations) {
         Fail(it);
       }
@@ -261,7 +275,10 @@
               << " requests=" << checker_.sent() << " runs=" << checker_.runs()
               << " config_answers=" << config_checker_.answers()
               << " in_touch=" << config_checker_.answers_in_touch()
-              << " orders=" << holdings_checker_.orders();
+              << " orders=" << holdings_checker_.orders()
+              << " drains=" << drain_checker_.drains()
+              << " draining_runs=" << drain_checker_.runs()
+              << " late_runs=" << drain_checker_.late_runs();
     for (const auto& [status, count] : checker_.statuses()) {
       std::cout << " status_" << status << "=" << count;
     }
@@ -273,6 +290,7 @@
   net::EventLoop loop_;
   PromiseChecker checker_;
   ConfigChecker config_checker_;
+  DrainChecker drain_checker_;
   HoldingsChecker holdings_checker_;
   Fleet fleet_;
   CallerContext callers_;
