A member takes no mirror's whole copy of before the counter went back

Callers saw: a configuration that had been replaced, in force again at a member that calls its copy current, until the leader's next proof.

Cause: after the store's counter went back, a mirror that has not followed has the higher revision. A member whose revision is below the mirror's history asked it for changes and got all its objects, which it put in place of its own.

Fix: a member that has a copy takes all objects of a mirror only if they have the digest that the leader states; else it asks the leader. Leaders without digests, and first copies, are as before. Not covered: a mirror whose history reaches back below the member's revision sends changes of the other history.

--- a/src/entry/mixed_copies_test.cc
+++ b/src/entry/mixed_copies_test.cc
@@ -252,6 +252,8 @@
       }
       member.ChooseSource();
       loop.RunOnce(false);
+      latest = std::max(latest, member.config);
+      went_back = went_back || member.config < latest;
     }
   }
 
@@ -278,6 +280,10 @@
   CopyServer mirror;
   Member member{loop, store.address()};
   bool uses_mirror = false;
+  // The latest version that was in force at the member, and whether an earlier
+  // one was in force after it.
+  int latest = 0;
+  bool went_back = false;
 
  private:
   bool started_ = false;
@@ -356,6 +362,34 @@
   CheckMirrorOfBefore(Digests::kLeftOut);
 }
 
+// Checks that later changes do not bring the mirror's copy back.
+void CheckMirrorNotFollowed(Digests of_mirror) {
+  Fleet fleet(Digests::kStated, of_mirror);
+  fleet.uses_mirror = true;
+  fleet.mirror.StopReading();
+  fleet.store.SetRevision(3);
+  fleet.CheckChange(Fleet::kFirstVersion + 1);
+  // A mirror that has failed is avoided for less than that.
+  const TimePoint used_again = fleet.loop.Now() + std::chrono::seconds(4);
+  fleet.RunUntil([&] { return fleet.loop.Now() >= used_again; });
+  const std::size_t fetches = fleet.mirror.fetches();
+  fleet.CheckChange(Fleet::kFirstVersion + 2);
+  CHECK(fleet.mirror.fetches() > fetches);
+  CHECK_FALSE(fleet.went_back);
+}
+
+TEST_CASE(
+    "a copy of before the store's counter went back is not taken from a mirror "
+    "again") {
+  CheckMirrorNotFollowed(Digests::kStated);
+}
+
+TEST_CASE(
+    "a copy of before the store's counter went back is not taken from a mirror "
+    "without digests again") {
+  CheckMirrorNotFollowed(Digests::kLeftOut);
+}
+
 TEST_CASE("changes of a peer without digests are used") {
   platform::testing::FakeStore store;
   net::EventLoop loop;
--- a/src/entry/store_watcher.h
+++ b/src/entry/store_watcher.h
@@ -74,8 +74,11 @@
   // are no longer kept. Compressed, as another daemon's ApplyChanges() expects.
   [[nodiscard]] const std::string& ChangesSince(std::uint64_t since);
   // Applies the result of another daemon's ChangesSince(). Returns false if it
-  // cannot be used, or if the copy lacks other changes than those.
-  bool ApplyChanges(const std::string& changes);
+  // cannot be used, or if the copy lacks other changes than those. If
+  // `whole_digest` is set, all objects are taken in place of those of this copy
+  // only if they have that digest.
+  bool ApplyChanges(const std::string& changes,
+                    std::optional<std::uint64_t> whole_digest = {});
   // Replaces the copy by another daemon's that has `digest`. `changes` is the
   // result of its ChangesSince(0). Returns false if it has another digest or
   // cannot be used. The caller knows that the other copy is newer than this
@@ -180,7 +183,8 @@
   [[nodiscard]] std::optional<nlohmann::json> DecodeChanges(
       const std::string& changes) const;
   void LogUnusableChanges(std::string_view error) const;
-  bool ApplyDecodedChanges(nlohmann::json changes);
+  bool ApplyDecodedChanges(nlohmann::json changes,
+                           std::optional<std::uint64_t> whole_digest);
   bool ReplaceByDecoded(nlohmann::json changes, std::uint64_t digest);
   // Returns the objects of a whole copy of another daemon.
   [[nodiscard]] std::vector<platform::Object> DecodeObjects(
--- a/src/entry/store_watcher_relay.cc
+++ b/src/entry/store_watcher_relay.cc
@@ -129,10 +129,11 @@
   return decoded;
 }
 
-bool StoreWatcher::ApplyChanges(const std::string& changes) {
+bool StoreWatcher::ApplyChanges(const std::string& changes,
+                                std::optional<std::uint64_t> whole_digest) {
   auto decoded = DecodeChanges(changes);
   try {
-    return decoded && ApplyDecodedChanges(*std::move(decoded));
+    return decoded && ApplyDecodedChanges(*std::move(decoded), whole_digest);
   } catch (const nlohmann::json::exception& error) {
     LogUnusableChanges(error.what());
     return false;
@@ -204,7 +205,9 @@
   return ahead || changes.at("digest").get<std::uint64_t>() == digest_;
 }
 
-bool StoreWatcher::ApplyDecodedChanges(nlohmann::json changes) {
+bool StoreWatcher::ApplyDecodedChanges(
+    nlohmann::json changes,
+    std::optional<std::uint64_t> whole_digest) {
   const auto revision = changes.at("revision").get<std::uint64_t>();
   const bool full = changes.at("whole").get<bool>();
   // Changes of a daemon whose copy is older than this one are ignored.
@@ -212,6 +215,10 @@
       (!full && !listed_)) {
     return false;
   }
+  if (full && listed_ && whole_digest &&
+      changes.value("digest", ~*whole_digest) != *whole_digest) {
+    return false;
+  }
   if (full) {
     ++outside_changes_;
     ApplyList(DecodeObjects(changes.at("objects")), revision);
