Logs tell when entries that are too old decide sends, and why

Cause: send_ages counted such sends by the source of the copies alone, so that a bound that was lifted and a copy that counted as younger than it was looked the same. Change: drain_bound_lifted and drain_bound_in_force with the reason and the time since the store last answered a daemon; 'lifted' in send_ages; sends_without_drain_bound_total. StoreHealth keeps the last answer that this daemon or, as far as it has heard, another one got. No decision changes. Result: store_copies_test, store_watcher_test, copy_source_test, entry_metrics_test pass.

--- a/src/entry/drain_bound.h
+++ b/src/entry/drain_bound.h
@@ -20,6 +20,8 @@
   bool store_lost = false;
   // Where its changes come from.
   std::string_view source;
+  // When the store last answered a daemon, as far as this one knows.
+  TimePoint store_answered_at{};
 };
 
 // Decides until when a daemon may send requests to a server that may have left.
@@ -47,6 +49,12 @@
     return entries.store_lost ? TimePoint::max()
                               : entries.current_at + max_entries_age();
   }
+  // Returns whether a copy with the status `entries` decides sends at `now`
+  // although it is too old, since the store is lost.
+  [[nodiscard]] bool IsLifted(const EntriesStatus& entries,
+                              TimePoint now) const {
+    return entries.store_lost && now >= entries.current_at + max_entries_age();
+  }
   // Returns until when requests may be written to `server` by that copy.
   [[nodiscard]] TimePoint SendUntil(const routing::BackendServer& server,
                                     const EntriesStatus& entries) const {
--- a/src/entry/entry_daemon.cc
+++ b/src/entry/entry_daemon.cc
@@ -137,7 +137,8 @@
     };
     state_->entries_status = [this] {
       return EntriesStatus{copies_.servers_current_at(), copies_.IsStoreLost(),
-                           ToString(copies_.source())};
+                           ToString(copies_.source()),
+                           copies_.health().answered_any_at()};
     };
     copies_.on_store_change = [this](bool lost) { OnStoreChange(lost); };
     link_.on_membership_update = [this] { OnMembershipUpdate(); };
@@ -480,6 +481,17 @@
            {"store_lost", entries.store_lost},
            {"copy_age_ms", MillisecondsBetween(entries.current_at, now)}});
     }
+    const bool lifted =
+        servers_known_ && state_->drain_bound.IsLifted(entries, now);
+    if (std::exchange(drain_bound_was_lifted_, lifted) != lifted) {
+      Log(lifted ? LogLevel::kWarning : LogLevel::kInfo,
+          lifted ? "drain_bound_lifted" : "drain_bound_in_force",
+          {{"source", entries.source},
+           {"reason", copies_.HaveOthersLostStore() ? "others" : "own_call"},
+           {"copy_age_ms", MillisecondsBetween(entries.current_at, now)},
+           {"answer_age_ms",
+            MillisecondsBetween(entries.store_answered_at, now)}});
+    }
   }
 
   // Until the number of daemons is known, the state assumes a large one.
@@ -605,6 +617,7 @@
   Duration max_loop_delay_{};
   bool servers_known_ = false;
   bool config_was_outdated_ = false;
+  bool drain_bound_was_lifted_ = false;
   bool entries_were_outdated_ = false;
 };
 
--- a/src/entry/entry_metrics.cc
+++ b/src/entry/entry_metrics.cc
@@ -82,6 +82,9 @@
                 "Servers without an entry that are kept for now."},
     Description{"requests_to_draining_total", "counter",
                 "Requests sent to an owner that drains."},
+    Description{"sends_without_drain_bound_total", "counter",
+                "Requests sent by server entries that were too old, as the "
+                "store was lost."},
     Description{"limited_servers", "gauge",
                 "Servers that name a limit for their requests."},
     Description{"server_path_lost", "gauge",
--- a/src/entry/entry_metrics_test.cc
+++ b/src/entry/entry_metrics_test.cc
@@ -21,6 +21,7 @@
   metrics.Count("requests_total", "outcome=\"answered\"", 2);
   metrics.Count("requests_total", "outcome=\"overload\"");
   metrics.Count("requests_to_draining_total");
+  metrics.Count("sends_without_drain_bound_total");
   metrics.Set("deferred_removals", 2);
   metrics.Set("members", 63);
   metrics.Set("leader_silence_seconds", 0.25);
@@ -31,6 +32,7 @@
   CHECK(
       HasLine(text, "# TYPE gentianreach_requests_to_draining_total counter"));
   CHECK(HasLine(text, "gentianreach_requests_to_draining_total 1"));
+  CHECK(HasLine(text, "gentianreach_sends_without_drain_bound_total 1"));
   CHECK(HasLine(text, "# TYPE gentianreach_deferred_removals gauge"));
   CHECK(HasLine(text, "gentianreach_deferred_removals 2"));
   CHECK(HasLine(text, "gentianreach_members 63"));
--- a/src/entry/entry_request_sending.cc
+++ b/src/entry/entry_request_sending.cc
@@ -103,7 +103,11 @@
   const EntriesStatus entries = state_->entries_status();
   const Duration age = attempt_started_ - entries.current_at;
   state_->metrics.RecordEntriesAge(entries.source, age);
-  state_->send_ages.Record(entries.source, age);
+  const bool lifted = state_->drain_bound.IsLifted(entries, attempt_started_);
+  state_->send_ages.Record(lifted ? "lifted" : entries.source, age);
+  if (lifted) {
+    state_->metrics.Count("sends_without_drain_bound_total");
+  }
 }
 
 void EntryRequest::RecordSendDelay() {
--- a/src/entry/store_copies.cc
+++ b/src/entry/store_copies.cc
@@ -168,9 +168,7 @@
 
 void StoreCopies::OnSourceStatus(bool may_lack_entries, TimePoint current_at) {
   source_lacks_entries_ = may_lack_entries;
-  if (!may_lack_entries) {
-    health_.OnAnswerToOther(current_at);
-  }
+  health_.OnAnswerToOther(current_at, may_lack_entries);
 }
 
 void StoreCopies::FetchFromLeader(std::size_t kind,
--- a/src/entry/store_copies.h
+++ b/src/entry/store_copies.h
@@ -85,6 +85,10 @@
     return chooser_.IsStoreLost(servers_.current_at(), health_.failed_at(),
                                 loop_.Now());
   }
+  // Returns whether others say that the store is lost.
+  [[nodiscard]] bool HaveOthersLostStore() const {
+    return chooser_.HaveOthersLostStore(loop_.Now());
+  }
   // Returns whether entries of live servers may be missing, according to the
   // current source.
   [[nodiscard]] bool MayLackEntries() const;
--- a/src/entry/store_health.cc
+++ b/src/entry/store_health.cc
@@ -24,6 +24,7 @@
 void StoreHealth::OnResponse() {
   const bool lacked_entries = lost_ && MayLackEntries();
   answered_at_ = loop_.Now();
+  answered_any_at_ = answered_at_;
   retry_delay_ = kFirstRetryDelay;
   next_call_at_ = {};
   if (!std::exchange(lost_, false)) {
@@ -50,6 +51,13 @@
   }
 }
 
+void StoreHealth::OnAnswerToOther(TimePoint at, bool may_lack_entries) {
+  answered_any_at_ = std::max(answered_any_at_, at);
+  if (!may_lack_entries) {
+    answered_other_at_ = std::max(answered_other_at_, at);
+  }
+}
+
 bool StoreHealth::MayLackEntries() const {
   const TimePoint now = loop_.Now();
   if (!lost_) {
--- a/src/entry/store_health.h
+++ b/src/entry/store_health.h
@@ -24,12 +24,10 @@
   void OnResponse();
   // `answered` is false if no response has arrived.
   void OnFailure(bool answered = false);
-  // The store has answered another daemon at `at`, and no entries of live
-  // servers were missing then. Without that, a daemon that makes no calls for
-  // a while would take a loss to last until its next call.
-  void OnAnswerToOther(TimePoint at) {
-    answered_other_at_ = std::max(answered_other_at_, at);
-  }
+  // The store has answered another daemon at `at`, and entries of live servers
+  // may have been missing then or not. Without that, a daemon that makes no
+  // calls for a while would take a loss to last until its next call.
+  void OnAnswerToOther(TimePoint at, bool may_lack_entries = false);
   // The store has dropped the history that a watch needs, so all copies may be
   // out of date. They are read again at once, or after a growing delay if that
   // goes on: a store that keeps no history would be listed without a pause.
@@ -50,6 +48,9 @@
   [[nodiscard]] TimePoint failed_at() const { return failed_at_; }
   // Returns the time of the last response of the store to this daemon.
   [[nodiscard]] TimePoint answered_at() const { return answered_at_; }
+  // Returns when the store last answered this daemon or, as far as it has
+  // heard, another one; TimePoint{}: never.
+  [[nodiscard]] TimePoint answered_any_at() const { return answered_any_at_; }
   // Returns whether another store may have taken the place of this one since
   // the last call that succeeded: a call got no response.
   [[nodiscard]] bool may_be_replaced() const { return may_be_replaced_; }
@@ -75,6 +76,7 @@
   TimePoint next_call_at_{};
   TimePoint answered_at_{};
   TimePoint answered_other_at_{};
+  TimePoint answered_any_at_{};
   TimePoint failed_at_{};
   std::uint64_t history_losses_ = 0;
   std::uint64_t revisions_back_ = 0;
