The drain bound stays in force while the store answers any daemon

Callers: a request could reach a server seconds after it had said that it leaves. Cause: a daemon took the store for lost, and its entries for the newest there are, as soon as one of its own calls had failed since they were complete. The store may refuse one daemon (503, 429, a reset, silence, a list that takes too long) and acknowledge drains to all others. The same held for a leader that lost the store alone. late_drain_random_test left exactly these members out. Change: a failed call, or the leader's word, counts only if the leader does not say that it has the store, nobody is known to have got an answer for as long as copies of a leader on time are old, and the copies lack nothing that others are known to have. Daemons whose copies are outdated ask their peers also if they read the store themselves, the leader too; the state of a peer tells when the store last answered it (answer_age_ms, optional). IsStoreLost takes a struct; the assertions of copy_source_test are the same.

--- a/src/entry/copy_source.cc
+++ b/src/entry/copy_source.cc
@@ -49,6 +49,11 @@
 constexpr Duration kOtherProbeBase = milliseconds(3000);
 constexpr Duration kOtherProbeRankDelay = milliseconds(40);
 
+// Returns the age of the copies that a leader that is on time passes on.
+Duration OnTimeAge(const LeadershipStatus& leadership) {
+  return kLeaderCopyAge + leadership.heartbeat_period;
+}
+
 // Returns how long after the leader's report the daemon with `rank` starts to
 // probe the store.
 Duration ProbeDelay(std::uint32_t rank) {
@@ -104,10 +109,15 @@
   return leader_says_so && (is_news || peers_agree);
 }
 
-bool CopySourceChooser::IsStoreLost(TimePoint current_at,
-                                    TimePoint call_failed_at,
+bool CopySourceChooser::IsStoreLost(const StoreContact& contact,
                                     TimePoint now) const {
-  return call_failed_at > current_at || HaveOthersLostStore(now);
+  const Duration on_time = OnTimeAge(leadership_);
+  const bool leader_has_store = leader_alive_ && !leader_lost_store_;
+  const bool answers = leader_has_store || now < contact.answered_at + on_time;
+  const bool lacks_changes = contact.answered_at > contact.current_at + on_time;
+  return !answers && !lacks_changes &&
+         (contact.call_failed_at > contact.current_at ||
+          HaveOthersLostStore(now));
 }
 
 milliseconds CopySourceChooser::EntriesWatchWait() const {
@@ -121,11 +131,10 @@
   return std::clamp(wait, kShortWatchWait, kLongestWatchWait);
 }
 
-Duration CopySourceChooser::SwitchAge(
-    const LeadershipStatus& leadership) const {
-  const Duration on_time = kLeaderCopyAge + leadership.heartbeat_period;
+Duration CopySourceChooser::SwitchAge() const {
+  const Duration on_time = OnTimeAge(leadership_);
   const bool others_ask =
-      leadership.rank < kReaders && leadership.members > kReaders;
+      leadership_.rank < kReaders && leadership_.members > kReaders;
   return others_ask
              ? std::max<Duration>(max_copy_age_ - kSwitchTime - kReaderLead,
                                   on_time + kReaderSlack)
@@ -136,12 +145,12 @@
                                      TimePoint started_at,
                                      TimePoint current_at,
                                      TimePoint now) {
-  leads_ = leadership.leads;
+  leadership_ = leadership;
   leader_alive_ = now < leadership.leader_last_seen + kLeaderTimeout;
   probes_store_ = leader_lost_store_ &&
                   now >= leader_lost_store_at_ + ProbeDelay(leadership.rank);
   // The first copies have as long to arrive as later changes.
-  outdated_ = now >= std::max(current_at, started_at) + SwitchAge(leadership);
+  outdated_ = now >= std::max(current_at, started_at) + SwitchAge();
   if (!leader_alive_) {
     leader_lost_store_ = false;
   }
@@ -150,13 +159,18 @@
   } else if (peers_due_at_ == TimePoint{}) {
     peers_due_at_ = now + kPeerPatience;
   }
-  if (leadership.leads) {
+  source_ = SourceAt(now);
+  return source_;
+}
+
+CopySource CopySourceChooser::SourceAt(TimePoint now) const {
+  if (leadership_.leads) {
     return CopySource::kStore;
   }
   if (leader_alive_ && !probes_store_ && !outdated_) {
     return CopySource::kLeader;
   }
-  const bool has_peers = leadership.rank >= kReaders;
+  const bool has_peers = leadership_.rank >= kReaders;
   // A call would only tell what the others have found out already.
   const bool waits_for_peers =
       !outdated_ || now < peers_due_at_ || HaveOthersLostStore(now);
--- a/src/entry/copy_source.h
+++ b/src/entry/copy_source.h
@@ -48,6 +48,16 @@
   std::uint32_t members = 1;
 };
 
+// What a daemon knows of the store's answers. TimePoint{}: none is known.
+struct StoreContact {
+  // Up to when the copies are complete.
+  TimePoint current_at{};
+  // When a call of this daemon last failed.
+  TimePoint call_failed_at{};
+  // When the store last answered a daemon, as far as this one has heard.
+  TimePoint answered_at{};
+};
+
 // Decides which daemons read the store, so that the number of its calls does
 // not grow with the fleet.
 //
@@ -86,12 +96,11 @@
   [[nodiscard]] bool leader_alive() const { return leader_alive_; }
   [[nodiscard]] bool outdated() const { return outdated_; }
   [[nodiscard]] bool probes_store() const { return probes_store_; }
-  // Returns whether copies that are complete up to `current_at` cannot be
-  // renewed because the store cannot be reached: this daemon's own call has
-  // failed since, at `call_failed_at`, or those that it would get them from
-  // have lost the store.
-  [[nodiscard]] bool IsStoreLost(TimePoint current_at,
-                                 TimePoint call_failed_at,
+  // Returns whether copies cannot be renewed because the store cannot be
+  // reached: this daemon's own call has failed since they were complete, or
+  // those that it would get them from have lost the store. Neither counts while
+  // the store answers any daemon: it may refuse some and serve the others.
+  [[nodiscard]] bool IsStoreLost(const StoreContact& contact,
                                  TimePoint now) const;
   // Returns whether the leader says that it has lost the store, and has said so
   // only lately, or peers say the same. Peers alone may have lost it by faults
@@ -100,7 +109,14 @@
   // Returns whether the store is the only way to current copies: this daemon
   // leads, or the leader is alive and passes nothing on.
   [[nodiscard]] bool needs_store() const {
-    return leads_ || (leader_alive_ && outdated_);
+    return leadership_.leads || (leader_alive_ && outdated_);
+  }
+  // Returns whether other members are asked for the state of their copies, by
+  // the last Choose(). A daemon whose copies are outdated asks them although it
+  // reads the store itself, since that may refuse it alone.
+  [[nodiscard]] bool AsksPeers() const {
+    return source_ == CopySource::kPeers ||
+           (source_ == CopySource::kStore && outdated_);
   }
   // Returns how long a watch of the server entries waits for changes. It proves
   // that they are complete only when it ends.
@@ -113,11 +129,14 @@
   }
 
  private:
+  // Returns the source by what Choose() has set.
+  [[nodiscard]] CopySource SourceAt(TimePoint now) const;
   // Returns the age of the copies at which a daemon turns to another source.
-  [[nodiscard]] Duration SwitchAge(const LeadershipStatus& leadership) const;
+  [[nodiscard]] Duration SwitchAge() const;
 
   const Duration max_copy_age_;
-  bool leads_ = false;
+  LeadershipStatus leadership_;
+  CopySource source_ = CopySource::kStore;
   bool leader_alive_ = false;
   bool outdated_ = false;
   bool probes_store_ = false;
--- a/src/entry/copy_source_test.cc
+++ b/src/entry/copy_source_test.cc
@@ -142,11 +142,57 @@
 TEST_CASE("a daemon knows by its own failed call that the store is lost") {
   const CopySourceChooser chooser(kApplyTime);
   const TimePoint now = kStart + seconds(5);
-  CHECK_FALSE(chooser.IsStoreLost(kStart, TimePoint{}, now));
-  CHECK(chooser.IsStoreLost(kStart, kStart + seconds(1), now));
+  CHECK_FALSE(chooser.IsStoreLost({.current_at = kStart}, now));
+  CHECK(chooser.IsStoreLost(
+      {.current_at = kStart, .call_failed_at = kStart + seconds(1)}, now));
   // The copies have been renewed since.
-  CHECK_FALSE(
-      chooser.IsStoreLost(kStart + seconds(2), kStart + seconds(1), now));
+  CHECK_FALSE(chooser.IsStoreLost({.current_at = kStart + seconds(2),
+                                   .call_failed_at = kStart + seconds(1)},
+                                  now));
+}
+
+TEST_CASE("a failed call does not count while the store answers others") {
+  const CopySourceChooser chooser(kApplyTime);
+  const auto is_lost = [&](Duration since_answer) {
+    const TimePoint answered_at = kStart + milliseconds(500);
+    return chooser.IsStoreLost({.current_at = kStart,
+                                .call_failed_at = kStart + seconds(1),
+                                .answered_at = answered_at},
+                               answered_at + since_answer);
+  };
+  CHECK_FALSE(is_lost(seconds(0)));
+  CHECK_FALSE(is_lost(milliseconds(1200)));
+  CHECK(is_lost(milliseconds(1250)));
+}
+
+TEST_CASE("a failed call does not count while the leader has the store") {
+  CopySourceChooser chooser(kApplyTime);
+  const TimePoint now = kStart + seconds(5);
+  const auto is_lost = [&] {
+    return chooser.IsStoreLost(
+        {.current_at = kStart, .call_failed_at = kStart + seconds(1)}, now);
+  };
+  chooser.OnLeaderHeartbeat(false, now);
+  chooser.Choose({.leader_last_seen = now}, kStart, kStart, now);
+  CHECK_FALSE(is_lost());
+  chooser.OnLeaderHeartbeat(true, now);
+  CHECK(is_lost());
+  // The leader is silent.
+  chooser.OnLeaderHeartbeat(false, now);
+  chooser.Choose({.leader_last_seen = kStart}, kStart, kStart, now);
+  CHECK(is_lost());
+}
+
+TEST_CASE("copies that lack what others have are not the newest ones") {
+  const CopySourceChooser chooser(kApplyTime);
+  const auto is_lost = [&](Duration behind) {
+    return chooser.IsStoreLost({.current_at = kStart,
+                                .call_failed_at = kStart + seconds(8),
+                                .answered_at = kStart + behind},
+                               kStart + seconds(60));
+  };
+  CHECK(is_lost(milliseconds(1250)));
+  CHECK_FALSE(is_lost(milliseconds(1251)));
 }
 
 TEST_CASE("the leader's word that the store is lost counts for some seconds") {
@@ -155,7 +201,7 @@
     const TimePoint now = kStart + after;
     chooser.OnLeaderHeartbeat(true, now);
     chooser.Choose({.leader_last_seen = now, .rank = 100}, kStart, kStart, now);
-    return chooser.IsStoreLost(kStart, TimePoint{}, now);
+    return chooser.IsStoreLost({.current_at = kStart}, now);
   };
   CHECK(is_lost(seconds(0)));
   CHECK(is_lost(milliseconds(2900)));
@@ -168,7 +214,7 @@
   const TimePoint now = kStart + seconds(10);
   const auto is_lost = [&](TimePoint at) {
     chooser.Choose({.leader_last_seen = at, .rank = 100}, kStart, kStart, at);
-    return chooser.IsStoreLost(kStart, TimePoint{}, at);
+    return chooser.IsStoreLost({.current_at = kStart}, at);
   };
   const auto peers_report = [&](const std::vector<bool>& reports) {
     for (const bool it : reports) {
--- a/src/entry/fleet_copies_sim.h
+++ b/src/entry/fleet_copies_sim.h
@@ -35,9 +35,10 @@
 // What happens to the messages of a hop.
 enum class HopFault : std::uint8_t {
   kNone,
-  kLossy,   // Some get no response.
-  kSilent,  // None gets a response.
-  kSlow,    // Responses take up to kMaxSlowness longer.
+  kLossy,    // Some get no response.
+  kSilent,   // None gets a response.
+  kSlow,     // Responses take up to kMaxSlowness longer.
+  kRefused,  // All are answered with an error at once.
 };
 
 // Member 0 leads all the time and reaches the store; so do the other members
@@ -66,8 +67,9 @@
   // What the members did while the faults lasted.
   struct Result {
     std::uint64_t sends = 0;
-    // Sends that reached a server too late, by members whose own calls of the
-    // store had not failed since their copies were complete.
+    // Sends that reached a server too late, by members that hear of others
+    // without faults or whose own calls of the store had not failed since their
+    // copies were complete.
     std::uint64_t late_sends = 0;
     Duration latest{};
     // Requests refused since the entries were outdated.
@@ -98,9 +100,9 @@
     At(kStart, [this] { WatchAsLeader(false); });
     for (std::size_t i = 1; i < members_.size(); ++i) {
       At(kStart + RandomDelay(hello_period_), [this, i] { SendHello(i); });
-      At(kStart + RandomDelay(kHousekeepingPeriod), [this, i] { Check(i); });
     }
     for (std::size_t i = 0; i < members_.size(); ++i) {
+      At(kStart + RandomDelay(kHousekeepingPeriod), [this, i] { Check(i); });
       At(kStart + RandomDelay(kSendPeriod), [this, i] { SendRequest(i); });
     }
     while (!events_.empty() && events_.begin()->first < kEnd) {
@@ -141,6 +143,9 @@
   static constexpr milliseconds kNetworkDelay{2};
   static constexpr milliseconds kMaxSlowness{1400};
   static constexpr double kLossRate = 0.5;
+  // Time after the faults within which members whose loops are on time have
+  // heard of others.
+  static constexpr milliseconds kRecoveryTime{1000};
   // A member with a tenth of a processor takes this long to read all entries.
   static constexpr milliseconds kMaxListTime{300};
 
@@ -149,6 +154,10 @@
         : chooser(std::min<Duration>(options.config_apply,
                                      bound.max_entries_age())) {}
 
+    [[nodiscard]] HopFault FaultOf(Hop hop) const {
+      return faults[static_cast<std::size_t>(hop)];
+    }
+
     std::array<HopFault, kHops> faults{};
     CopySourceChooser chooser;
     ServerDirectory directory;
@@ -167,6 +176,8 @@
     bool reading_store = false;
     // When a call of the store last failed.
     TimePoint store_failed_at{};
+    // When the store last answered a member, as far as this one has heard.
+    TimePoint store_answered_at{};
     milliseconds list_time{20};
   };
 
@@ -261,14 +272,25 @@
                : TimePoint::max();
   }
 
+  [[nodiscard]] HopFault FaultOf(const Member& member, Hop hop) const {
+    const bool faulty = now_ >= kFaultsBegin && now_ < kFaultsEnd;
+    return faulty ? member.FaultOf(hop) : HopFault::kNone;
+  }
+  // Returns whether `member` hears of others without faults.
+  [[nodiscard]] bool HearsOfOthers(const Member& member) const {
+    const bool faulty =
+        now_ >= kFaultsBegin &&
+        now_ < kFaultsEnd + kRecoveryTime + 2 * options_.max_loop_delay;
+    return !faulty || member.FaultOf(Hop::kHeartbeat) == HopFault::kNone ||
+           member.FaultOf(Hop::kPeer) == HopFault::kNone;
+  }
+
   // Returns the time until the response to a message of `member`, or nullopt if
   // there is none.
   std::optional<Duration> ResponseTime(const Member& member,
                                        Hop hop,
                                        Duration usual) {
-    const bool faulty = now_ >= kFaultsBegin && now_ < kFaultsEnd;
-    switch (faulty ? member.faults[static_cast<std::size_t>(hop)]
-                   : HopFault::kNone) {
+    switch (FaultOf(member, hop)) {
       case HopFault::kNone:
         return usual;
       case HopFault::kLossy:
@@ -279,6 +301,8 @@
         return std::nullopt;
       case HopFault::kSlow:
         return usual + RandomDelay(kMaxSlowness);
+      case HopFault::kRefused:
+        return std::nullopt;
     }
     return usual;
   }
@@ -292,7 +316,9 @@
             std::function<void(bool answered)> done) {
     const auto time = ResponseTime(member, hop, usual);
     const bool answered = time && *time < timeout;
-    At(now_ + (answered ? *time : timeout) +
+    const Duration refused_after =
+        FaultOf(member, hop) == HopFault::kRefused ? kNetworkDelay : timeout;
+    At(now_ + (answered ? *time : refused_after) +
            RandomDelay(options_.max_loop_delay),
        [done = std::move(done), answered] { done(answered); });
   }
@@ -308,6 +334,10 @@
     member.current_at = std::max(member.current_at, at);
   }
 
+  static void HearOfAnswer(Member& member, TimePoint at) {
+    member.store_answered_at = std::max(member.store_answered_at, at);
+  }
+
   void WatchAsLeader(bool changed_before) {
     Member& leader = *members_[0];
     const TimePoint sent = now_;
@@ -328,6 +358,7 @@
     const bool changed = end < sent + wait;
     At(end + kNetworkDelay, [this, sent, wait, changed] {
       Member& member = *members_[0];
+      HearOfAnswer(member, now_);
       Apply(member, DrainsAt(now_ - kNetworkDelay / 2));
       ConfirmCurrent(member, changed ? sent : sent + wait);
       if (changed) {
@@ -389,6 +420,7 @@
     Member& member = *members_[index];
     member.leader_last_seen = now_;
     member.chooser.OnLeaderHeartbeat(status.store_lost, now_);
+    HearOfAnswer(member, status.current_at);
     if (member.drains >= status.drains) {
       ConfirmCurrent(member, status.current_at);
       return;
@@ -435,17 +467,19 @@
   void Check(std::size_t index) {
     Member& member = *members_[index];
     At(LoopTime() + kHousekeepingPeriod, [this, index] { Check(index); });
+    const bool leads = index == 0;
     member.source = member.chooser.Choose(
-        {.leader_last_seen = member.leader_last_seen,
+        {.leads = leads,
+         .leader_last_seen = member.leader_last_seen,
          .rank = member.rank,
          .heartbeat_period = hello_period_,
          .members = static_cast<std::uint32_t>(members_.size())},
         kStart, member.current_at, now_);
-    if (member.source == CopySource::kPeers &&
+    if (member.chooser.AsksPeers() &&
         now_ >= member.polled_at + kPeerPollPeriod) {
       PollPeers(member);
     }
-    if (member.source == CopySource::kStore) {
+    if (member.source == CopySource::kStore && !leads) {
       ReadStore(member, true);
     }
   }
@@ -471,6 +505,7 @@
   }
   void OnPeerStatus(Member& member, const Member& peer, TimePoint asked_at) {
     const Status status{peer.drains, std::min(peer.current_at, asked_at)};
+    HearOfAnswer(member, std::min(peer.store_answered_at, asked_at));
     if (member.drains >= status.drains) {
       ConfirmCurrent(member, status.current_at);
       return;
@@ -497,6 +532,7 @@
          [this, &member, sent, wait, changed](bool answered) {
            member.reading_store = false;
            if (answered) {
+             HearOfAnswer(member, now_);
              Apply(member,
                    DrainsAt(changed ? now_ - kNetworkDelay : sent + wait));
              ConfirmCurrent(member, changed ? sent : sent + wait);
@@ -553,7 +589,10 @@
   [[nodiscard]] EntriesStatus EntriesOf(const Member& member) const {
     return {.current_at = member.current_at,
             .store_lost = member.chooser.IsStoreLost(
-                member.current_at, member.store_failed_at, now_)};
+                {member.current_at, member.store_failed_at,
+                 member.store_answered_at},
+                now_),
+            .store_answered_at = member.store_answered_at};
   }
 
   // Each server owns the keys that follow the multiple of kKeysPerServer with
@@ -578,7 +617,8 @@
     ++result_.sends;
     const auto number = std::stoul(server.value().substr(1));
     const TimePoint arrival = now_ + kNetworkDelay;
-    const bool cannot_know = member.store_failed_at > member.current_at;
+    const bool cannot_know =
+        !HearsOfOthers(member) && member.store_failed_at > member.current_at;
     if (arrival <= acks_[number] || arrival - acks_[number] <= options_.drain ||
         cannot_know) {
       return;
--- a/src/entry/late_drain_random_test.cc
+++ b/src/entry/late_drain_random_test.cc
@@ -70,6 +70,11 @@
                                    {kLeader, kSilent},
                                    {kPeer, kSilent},
                                    {kStore, kSlow}});
+  const Scenario refused_without_leader =
+      Faults("refused by the store, without the leader", {{kHeartbeat, kSilent},
+                                                          {kMirror, kSilent},
+                                                          {kLeader, kSilent},
+                                                          {kStore, kRefused}});
   return {
       Faults("no faults", {}),
       silent_leader,
@@ -95,11 +100,15 @@
                                   {kLeader, kSilent},
                                   {kPeer, kSilent},
                                   {kStore, kSilent}}),
+      Faults("refused by the store, without fetches",
+             {{kMirror, kSilent}, {kLeader, kSilent}, {kStore, kRefused}}),
+      ThirdOf(refused_without_leader),
       {"any faults",
        [generator = std::mt19937(7)](FleetCopiesSim& fleet,
                                      std::size_t index) mutable {
          for (const Hop it : {kHeartbeat, kMirror, kLeader, kPeer, kStore}) {
-           const std::array faults = {kNone, kNone, kLossy, kSilent, kSlow};
+           const std::array faults = {kNone,   kNone, kLossy,
+                                      kSilent, kSlow, kRefused};
            fleet.SetFault(index, it, faults[generator() % faults.size()]);
          }
        }},
--- a/src/entry/store_copies.cc
+++ b/src/entry/store_copies.cc
@@ -122,9 +122,9 @@
                                                    : "outdated"},
          {"leader", leader_address_},
          {"copy_age_ms", MillisecondsBetween(current_at(), now)}});
-    if (source_ == CopySource::kPeers) {
-      PollPeers();
-    }
+  }
+  if (chooser_.AsksPeers() && !peer_timer_.deadline()) {
+    PollPeers();
   }
   const bool urgent = chooser_.needs_store();
   const milliseconds watch_wait = urgent ? kShortWatchWait : kLongestWatchWait;
@@ -193,7 +193,7 @@
 }
 
 void StoreCopies::PollPeers() {
-  if (source_ != CopySource::kPeers) {
+  if (!chooser_.AsksPeers()) {
     return;
   }
   const TimePoint now = loop_.Now();
@@ -218,7 +218,7 @@
 void StoreCopies::OnPeerStatus(const std::string& address,
                                const std::string& status,
                                TimePoint asked_at) {
-  if (source_ != CopySource::kPeers) {
+  if (!chooser_.AsksPeers()) {
     return;
   }
   try {
@@ -232,6 +232,10 @@
         .current_at = current_at};
     OnSourceStatus(json.at("may_lack_entries").get<bool>(), current_at);
     // Earlier versions do not tell.
+    if (json.contains("answer_age_ms")) {
+      health_.OnAnswerToOther(
+          TimeOf(json["answer_age_ms"].get<std::uint32_t>(), asked_at), true);
+    }
     chooser_.OnPeerStatus(json.value("store_lost", false), loop_.Now());
     for (std::size_t i = 0; i < std::min(copy_status.changed_at.size(), kKinds);
          ++i) {
@@ -312,11 +316,13 @@
     return {503, "application/json", R"({"error":"no copies yet"})"};
   }
   return {200, "application/json",
-          nlohmann::json{{"age_ms", AgeOf(status.current_at, loop_.Now())},
-                         {"changed_at", status.changed_at},
-                         {"digests", status.digests},
-                         {"may_lack_entries", MayLackEntries()},
-                         {"store_lost", HasCallFailed()}}
+          nlohmann::json{
+              {"age_ms", AgeOf(status.current_at, loop_.Now())},
+              {"changed_at", status.changed_at},
+              {"digests", status.digests},
+              {"may_lack_entries", MayLackEntries()},
+              {"answer_age_ms", AgeOf(health_.answered_any_at(), loop_.Now())},
+              {"store_lost", HasCallFailed()}}
               .dump()};
 }
 
--- a/src/entry/store_copies.h
+++ b/src/entry/store_copies.h
@@ -82,8 +82,9 @@
   // Returns whether the server entries cannot be renewed because the store
   // cannot be reached, as far as this daemon can find out.
   [[nodiscard]] bool IsStoreLost() const {
-    return chooser_.IsStoreLost(servers_.current_at(), health_.failed_at(),
-                                loop_.Now());
+    return chooser_.IsStoreLost(
+        {servers_.current_at(), health_.failed_at(), health_.answered_any_at()},
+        loop_.Now());
   }
   // Returns whether others say that the store is lost.
   [[nodiscard]] bool HaveOthersLostStore() const {
--- a/src/entry/store_copies_test.cc
+++ b/src/entry/store_copies_test.cc
@@ -405,11 +405,16 @@
   }
 }
 
-// Two daemons of a large fleet that share a store and whose leader is silent.
+// Two daemons of a large fleet whose leader is silent.
 class LeaderlessPair {
  public:
-  LeaderlessPair()
-      : reader_(loop, reader_client_, kShortestExpiry, kApplyTime, IgnoreAll()),
+  // The other daemon than the reader has `rank`, and may have a store that does
+  // not serve the reader.
+  explicit LeaderlessPair(std::uint32_t rank = 100,
+                          const platform::testing::FakeStore* other = nullptr)
+      : rank_(rank),
+        other_client_(other == nullptr ? store.address() : other->address()),
+        reader_(loop, reader_client_, kShortestExpiry, kApplyTime, IgnoreAll()),
         other_(loop,
                other_client_,
                kShortestExpiry,
@@ -427,7 +432,7 @@
                               .current_at = loop.Now(),
                               .peers = {reader_address}});
     last_heartbeat_ = loop.Now();
-    other_.ChooseSource({.leader_last_seen = last_heartbeat_, .rank = kRank});
+    other_.ChooseSource({.leader_last_seen = last_heartbeat_, .rank = rank_});
   }
 
   // The reader, which reads the store, has the lowest rank.
@@ -438,7 +443,7 @@
       reader_.ChooseSource({.leads = true});
       if (last_heartbeat_ != TimePoint{}) {
         other_.ChooseSource(
-            {.leader_last_seen = last_heartbeat_, .rank = kRank});
+            {.leader_last_seen = last_heartbeat_, .rank = rank_});
       }
       loop.RunOnce(false);
     }
@@ -447,6 +452,9 @@
     const TimePoint end = loop.Now() + time;
     RunUntil([&] { return loop.Now() >= end; });
   }
+  [[nodiscard]] bool has_other_lost_store() const {
+    return other_.IsStoreLost();
+  }
   [[nodiscard]] std::uint64_t calls_of_other() const {
     return other_client_.store_calls();
   }
@@ -456,10 +464,9 @@
   int config = 0;
 
  private:
-  static constexpr std::uint32_t kRank = 100;
-
+  const std::uint32_t rank_;
   platform::PlatformClient reader_client_{store.address()};
-  platform::PlatformClient other_client_{store.address()};
+  platform::PlatformClient other_client_;
   StoreCopies reader_;
   StoreCopies other_;
   TimePoint last_heartbeat_{};
@@ -480,5 +487,33 @@
   CHECK(pair.calls_of_other() == before);
 }
 
+// Guards against requests to servers that have left: a daemon that the store
+// refused took it for lost, and its entries for the newest ones.
+TEST_CASE("a reader that the store refuses alone gets changes from its peers") {
+  platform::testing::FakeStore refusing_store;
+  LeaderlessPair pair(0, &refusing_store);
+  refusing_store.set_failure(SOUP_STATUS_SERVICE_UNAVAILABLE);
+  pair.RunFor(std::chrono::seconds(3));
+  for (int version = 1; version <= 3; ++version) {
+    pair.store.Put("config", "main", version);
+    const TimePoint changed = pair.loop.Now();
+    bool lost = false;
+    pair.RunUntil([&] {
+      lost = lost || pair.has_other_lost_store();
+      return pair.config == version || pair.loop.Now() > changed + kApplyTime;
+    });
+    CHECK(pair.config == version);
+    CHECK_FALSE(lost);
+  }
+}
+
+TEST_CASE("a store that refuses all daemons counts as lost") {
+  LeaderlessPair pair(0);
+  pair.RunFor(std::chrono::seconds(1));
+  pair.store.set_failure(SOUP_STATUS_SERVICE_UNAVAILABLE);
+  pair.RunFor(kApplyTime);
+  CHECK(pair.has_other_lost_store());
+}
+
 }  // namespace
 }  // namespace gentianreach::entry
