A daemon whose peers do not answer does not wait for them by the leader's word

Callers: a request could reach a server up to 4.4 s after it had said that it leaves (1000 members), if the leader alone had lost the store and the daemon was cut off from its peers one way. Cause: the leader's word that the store is lost counts for 3 s by itself. For as long, members beyond the readers waited for their peers, answering or not, instead of reading the store, and the drain bound was lifted. Change: they wait by that word only while peers answer.

--- a/src/entry/copy_source.cc
+++ b/src/entry/copy_source.cc
@@ -171,9 +171,11 @@
     return CopySource::kLeader;
   }
   const bool has_peers = leadership_.rank >= kReaders;
-  // A call would only tell what the others have found out already.
-  const bool waits_for_peers =
-      !outdated_ || now < peers_due_at_ || HaveOthersLostStore(now);
+  // A call would only tell what the others have found out already, if they can
+  // be asked.
+  const bool others_tell =
+      HaveOthersLostStore(now) && now < peer_report_at_ + kPeerWordTime;
+  const bool waits_for_peers = !outdated_ || now < peers_due_at_ || others_tell;
   return has_peers && !probes_store_ && waits_for_peers ? CopySource::kPeers
                                                         : CopySource::kStore;
 }
--- a/src/entry/late_drain_random_test.cc
+++ b/src/entry/late_drain_random_test.cc
@@ -47,17 +47,32 @@
       }};
 }
 
+// Its messages are lost, the ones to it arrive: heartbeats without a Hello do
+// not, as the leader no longer knows it.
+Scenario CutOneWay() {
+  using enum Hop;
+  using enum HopFault;
+  return Faults("cut one way", {{kHeartbeat, kLossy},
+                                {kMirror, kSilent},
+                                {kLeader, kSilent},
+                                {kPeer, kSilent}});
+}
+
+Scenario RefusedWithoutLeader() {
+  using enum Hop;
+  using enum HopFault;
+  return Faults("refused by the store, without the leader",
+                {{kHeartbeat, kSilent},
+                 {kMirror, kSilent},
+                 {kLeader, kSilent},
+                 {kStore, kRefused}});
+}
+
 std::vector<Scenario> Scenarios() {
   using enum Hop;
   using enum HopFault;
   const Scenario silent_leader =
       Faults("silent leader", {{kHeartbeat, kSilent}, {kLeader, kSilent}});
-  // Its messages are lost, the ones to it arrive: heartbeats without a Hello do
-  // not, as the leader no longer knows it.
-  const Scenario cut_one_way = Faults("cut one way", {{kHeartbeat, kLossy},
-                                                      {kMirror, kSilent},
-                                                      {kLeader, kSilent},
-                                                      {kPeer, kSilent}});
   const Scenario slow_everywhere =
       Faults("slow everywhere", {{kHeartbeat, kSlow},
                                  {kMirror, kSlow},
@@ -70,11 +85,6 @@
                                    {kLeader, kSilent},
                                    {kPeer, kSilent},
                                    {kStore, kSlow}});
-  const Scenario refused_without_leader =
-      Faults("refused by the store, without the leader", {{kHeartbeat, kSilent},
-                                                          {kMirror, kSilent},
-                                                          {kLeader, kSilent},
-                                                          {kStore, kRefused}});
   return {
       Faults("no faults", {}),
       silent_leader,
@@ -90,8 +100,8 @@
                                   {kLeader, kLossy},
                                   {kPeer, kLossy},
                                   {kStore, kLossy}}),
-      cut_one_way,
-      ThirdOf(cut_one_way),
+      CutOneWay(),
+      ThirdOf(CutOneWay()),
       slow_everywhere,
       ThirdOf(slow_everywhere),
       only_slow_store,
@@ -102,7 +112,7 @@
                                   {kStore, kSilent}}),
       Faults("refused by the store, without fetches",
              {{kMirror, kSilent}, {kLeader, kSilent}, {kStore, kRefused}}),
-      ThirdOf(refused_without_leader),
+      ThirdOf(RefusedWithoutLeader()),
       {"any faults",
        [generator = std::mt19937(7)](FleetCopiesSim& fleet,
                                      std::size_t index) mutable {
@@ -162,6 +172,39 @@
   }
 }
 
+// Guards against waiting for silent peers while the leader's word lifts the
+// bound.
+TEST_CASE(
+    "a daemon that cannot ask its peers does not go by the leader alone") {
+  using enum Hop;
+  using enum HopFault;
+  const std::vector<Scenario> scenarios = {
+      Faults("lossy heartbeats", {{kHeartbeat, kLossy}}),
+      Faults("slow heartbeats", {{kHeartbeat, kSlow}}),
+      Faults("silent mirrors", {{kMirror, kSilent}}),
+      Faults("slow mirrors and leader", {{kMirror, kSlow}, {kLeader, kSlow}}),
+      Faults("heartbeats without fetches",
+             {{kMirror, kSilent}, {kLeader, kSilent}}),
+      Faults("silent peers", {{kPeer, kSilent}}),
+      CutOneWay(),
+      ThirdOf(CutOneWay()),
+      ThirdOf(RefusedWithoutLeader()),
+  };
+  for (Options options : Fleets()) {
+    options.seed = FirstSeed();
+    options.leader_loses_store = true;
+    for (const Scenario& it : scenarios) {
+      const Result result = Run(options, it);
+      CAPTURE(options.members);
+      CAPTURE(it.name);
+      CAPTURE(options.seed);
+      CAPTURE(result.latest / milliseconds(1));
+      CHECK(result.sends > 0);
+      CHECK(result.late_sends == 0);
+    }
+  }
+}
+
 TEST_CASE("no daemon sends to a server later than the server's drain allows") {
   for (const Options& fleet : Fleets()) {
     for (const milliseconds max_loop_delay :
