Removals are not held back while answers to others prove that no entry is missing

Callers: requests could go to a server that had left for up to two seconds after the daemons had learned of its removal. Cause: the store may refuse one daemon (503) and answer all others. A leader whose own calls had failed for as long as entries last took that for a loss, and held removals back at all members until two seconds after its next answer. A leader that has led since its start knows no peers that could tell it otherwise, and it asks peers only once its copies are outdated, which may be later than entries last (2 * server_report_ms, 1.0 s with the default). Change: StoreHealth keeps since when answers to any daemon are known without a gap in which entries expire. If there is no such gap since servers had time to register again, nothing is in doubt, whatever the leader says. Daemons in doubt ask peers; these tell that time (answers_age_ms, optional); a leader asks the first members in the order of succession.

--- a/src/entry/entry_daemon.cc
+++ b/src/entry/entry_daemon.cc
@@ -448,6 +448,9 @@
   void ChooseSource() {
     const bool leads = election_.IsLeader(loop_.Now());
     state_->SetLoadCounting(leads);
+    if (leads) {
+      copies_.SetPeers(link_.SuccessorAddresses());
+    }
     copies_.ChooseSource({.leads = leads,
                           .leader_last_seen = link_.leader_last_seen(),
                           .rank = link_.rank(),
--- a/src/entry/member_link.cc
+++ b/src/entry/member_link.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <span>
 #include <utility>
 
 #include "base/log.h"
@@ -390,6 +391,21 @@
   mirrored_copy_status_.may_lack_entries = own_copy_status_.may_lack_entries;
 }
 
+std::span<const MemberLink::KnownMember* const> MemberLink::NamedSuccessors()
+    const {
+  return std::span(succession_)
+      .first(std::min(succession_.size(), kMaxNamedSuccessors));
+}
+
+std::vector<std::string> MemberLink::SuccessorAddresses() {
+  UpdateSuccession();
+  std::vector<std::string> addresses;
+  for (const KnownMember* it : NamedSuccessors()) {
+    addresses.push_back(it->member.address);
+  }
+  return addresses;
+}
+
 void MemberLink::SendLeaderHeartbeat(KnownMember& known, bool resigning) {
   UpdateSuccession();
   const StoreCopyStatus& status =
@@ -402,10 +418,7 @@
   heartbeat.members = members_;
   heartbeat.rank = known.rank;
   heartbeat.mirror = known.mirror;
-  for (const KnownMember* it : succession_) {
-    if (heartbeat.line.size() == kMaxNamedSuccessors) {
-      break;
-    }
+  for (const KnownMember* it : NamedSuccessors()) {
     auto address = std::make_unique<wire::MemberAddressT>();
     address->name = it->member.name;
     address->address = it->member.address;
--- a/src/entry/member_link.h
+++ b/src/entry/member_link.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -82,6 +83,8 @@
   void AnnounceResignation();
   // Sets what the heartbeats of this daemon report while it leads.
   void SetStoreCopyStatus(StoreCopyStatus copy_status);
+  // Returns the addresses of the first members in the order of succession.
+  [[nodiscard]] std::vector<std::string> SuccessorAddresses();
 
   // Returns whether the number of daemons is known: this one leads, or a leader
   // has reported it.
@@ -174,6 +177,9 @@
   // Updates the order of succession, and each member's rank and mirror, if it
   // has been invalidated.
   void UpdateSuccession();
+  // Returns the first members in the order of succession. Call
+  // UpdateSuccession() before.
+  [[nodiscard]] std::span<const KnownMember* const> NamedSuccessors() const;
 
   net::EventLoop& loop_;
   const Member self_;
--- a/src/entry/store_copies.cc
+++ b/src/entry/store_copies.cc
@@ -123,7 +123,7 @@
          {"leader", leader_address_},
          {"copy_age_ms", MillisecondsBetween(current_at(), now)}});
   }
-  if (chooser_.AsksPeers() && !peer_timer_.deadline()) {
+  if (AsksPeers() && !peer_timer_.deadline()) {
     PollPeers();
   }
   const bool urgent = chooser_.needs_store();
@@ -193,7 +193,7 @@
 }
 
 void StoreCopies::PollPeers() {
-  if (!chooser_.AsksPeers()) {
+  if (!AsksPeers()) {
     return;
   }
   const TimePoint now = loop_.Now();
@@ -218,7 +218,7 @@
 void StoreCopies::OnPeerStatus(const std::string& address,
                                const std::string& status,
                                TimePoint asked_at) {
-  if (!chooser_.AsksPeers()) {
+  if (!AsksPeers()) {
     return;
   }
   try {
@@ -236,6 +236,11 @@
       health_.OnAnswerToOther(
           TimeOf(json["answer_age_ms"].get<std::uint32_t>(), asked_at), true);
     }
+    if (json.contains("answer_age_ms") && json.contains("answers_age_ms")) {
+      health_.OnAnswersKnown(
+          TimeOf(json["answers_age_ms"].get<std::uint32_t>(), asked_at),
+          TimeOf(json["answer_age_ms"].get<std::uint32_t>(), asked_at));
+    }
     chooser_.OnPeerStatus(json.value("store_lost", false), loop_.Now());
     for (std::size_t i = 0; i < std::min(copy_status.changed_at.size(), kKinds);
          ++i) {
@@ -287,8 +292,9 @@
 }
 
 bool StoreCopies::MayLackEntries() const {
-  return source_ == CopySource::kStore ? health_.MayLackEntries()
-                                       : source_lacks_entries_;
+  return source_ == CopySource::kStore
+             ? health_.MayLackEntries()
+             : source_lacks_entries_ && !health_.HasAllEntries();
 }
 
 bool StoreCopies::HasLeaderLostStore(const std::string& leader_address) const {
@@ -322,6 +328,7 @@
               {"digests", status.digests},
               {"may_lack_entries", MayLackEntries()},
               {"answer_age_ms", AgeOf(health_.answered_any_at(), loop_.Now())},
+              {"answers_age_ms", AgeOf(health_.answers_since(), loop_.Now())},
               {"store_lost", HasCallFailed()}}
               .dump()};
 }
--- a/src/entry/store_copies.h
+++ b/src/entry/store_copies.h
@@ -10,6 +10,7 @@
 #include <optional>
 #include <random>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include <boost/leaf/result.hpp>
@@ -60,6 +61,8 @@
 
   // Handles the status in a heartbeat of the leader; fetches what has changed.
   void OnLeaderHeartbeat(const StoreCopyStatus& copy_status);
+  // Sets where those daemons serve their copies that a leader asks.
+  void SetPeers(std::vector<std::string> peers) { peers_ = std::move(peers); }
   // Another daemon serves its copies at `address`: fetches those that this
   // daemon does not have yet.
   void OnPeerWithCopies(const std::string& address);
@@ -129,6 +132,12 @@
   OperatorResponse HandleChangesRequest(const OperatorRequest& request);
   // Handles another daemon's question for the state of the copies.
   OperatorResponse HandleStatusRequest();
+  // Returns whether peers are asked: the copies are outdated, or this daemon's
+  // calls leave a gap in which entries may have expired.
+  [[nodiscard]] bool AsksPeers() const {
+    return chooser_.AsksPeers() ||
+           (source_ == CopySource::kStore && health_.MayLackEntries());
+  }
   // Asks some of the peers for the state of their copies.
   void PollPeers();
   // Fetches what the peer at `address` has more. Its status was requested at
--- a/src/entry/store_copies_test.cc
+++ b/src/entry/store_copies_test.cc
@@ -63,6 +63,7 @@
         next_heartbeat = loop.Now() + kHeartbeatPeriod;
         copies_.OnLeaderHeartbeat({.address = kLeader,
                                    .store_lost = leader_lost_store,
+                                   .may_lack_entries = leader_may_lack_entries,
                                    .changed_at = changed_at,
                                    .current_at = current_at()});
         copies_.ChooseSource({.leader_last_seen = loop.Now(), .rank = rank});
@@ -106,6 +107,9 @@
   [[nodiscard]] bool may_lack_entries() const {
     return copies_.CopyStatus().may_lack_entries;
   }
+  [[nodiscard]] bool holds_removals_back() const {
+    return copies_.MayLackEntries();
+  }
   [[nodiscard]] bool has_lost_store() const {
     return copies_.CopyStatus().store_lost;
   }
@@ -119,6 +123,7 @@
   // Position in the order of succession, and what the leader reports.
   std::uint32_t rank = 0;
   bool leader_lost_store = false;
+  bool leader_may_lack_entries = false;
 
  private:
   StoreWatcher::Sink Recorder() {
@@ -515,5 +520,62 @@
   CHECK(pair.has_other_lost_store());
 }
 
+// Guards against requests to servers that have left: a leader that the store
+// had refused alone held their removals back at all members.
+TEST_CASE("a leader that the store refused alone doubts no entries") {
+  // Copies that are older than entries last are not outdated yet.
+  constexpr Duration kLongApplyTime = 3 * kShortestExpiry;
+  const std::string reader_address = standins::LoopbackBlock() + "17:7002";
+  platform::testing::FakeStore store;
+  platform::testing::FakeStore refusing_store;
+  platform::PlatformClient reader_client(store.address());
+  platform::PlatformClient leader_client(refusing_store.address());
+  net::EventLoop loop;
+  StoreCopies reader(loop, reader_client, kShortestExpiry, kApplyTime,
+                     IgnoreAll());
+  StoreCopies leader(loop, leader_client, kShortestExpiry, kLongApplyTime,
+                     IgnoreAll());
+  REQUIRE(reader.Start(reader_address));
+  REQUIRE(leader.Start(standins::LoopbackBlock() + "18:7002"));
+  leader.SetPeers({reader_address});
+  bool doubts = false;
+  const auto run_for = [&](Duration time) {
+    const TimePoint end = loop.Now() + time;
+    while (loop.Now() < end) {
+      reader.ChooseSource({.leads = true});
+      leader.ChooseSource({.leads = true});
+      loop.RunOnce(false);
+      doubts = leader.MayLackEntries();
+    }
+  };
+  run_for(std::chrono::seconds(3));
+  REQUIRE_FALSE(doubts);
+  refusing_store.set_failure(SOUP_STATUS_SERVICE_UNAVAILABLE);
+  // The watch in flight may be answered.
+  run_for(kShortestExpiry + kShortWatchWait + milliseconds(200));
+  CHECK(leader.CopyStatus().store_lost);
+  CHECK_FALSE(doubts);
+  refusing_store.set_failure(0);
+  run_for(std::chrono::seconds(1));
+  CHECK_FALSE(leader.CopyStatus().store_lost);
+  CHECK_FALSE(doubts);
+}
+
+TEST_CASE("a member does not take over a doubt that its own calls rule out") {
+  Member member(standins::LoopbackBlock() + "19:7002");
+  const TimePoint read_until = member.loop.Now() + std::chrono::seconds(3);
+  member.LeadUntil([&] { return member.loop.Now() >= read_until; });
+  member.leader_may_lack_entries = true;
+  const TimePoint followed_until = member.loop.Now() + kShortestExpiry * 2;
+  bool doubts = false;
+  member.FollowUntil(
+      [&] {
+        doubts = doubts || member.holds_removals_back();
+        return member.loop.Now() >= followed_until;
+      },
+      [&] { return member.loop.Now(); });
+  CHECK_FALSE(doubts);
+}
+
 }  // namespace
 }  // namespace gentianreach::entry
--- a/src/entry/store_health.cc
+++ b/src/entry/store_health.cc
@@ -24,7 +24,7 @@
 void StoreHealth::OnResponse() {
   const bool lacked_entries = lost_ && MayLackEntries();
   answered_at_ = loop_.Now();
-  answered_any_at_ = answered_at_;
+  OnAnswersKnown(answered_at_, answered_at_);
   retry_delay_ = kFirstRetryDelay;
   next_call_at_ = {};
   if (!std::exchange(lost_, false)) {
@@ -52,14 +52,32 @@
 }
 
 void StoreHealth::OnAnswerToOther(TimePoint at, bool may_lack_entries) {
-  answered_any_at_ = std::max(answered_any_at_, at);
+  OnAnswersKnown(at, at);
   if (!may_lack_entries) {
     answered_other_at_ = std::max(answered_other_at_, at);
   }
 }
 
+void StoreHealth::OnAnswersKnown(TimePoint since, TimePoint until) {
+  if (since >= answered_any_at_ + shortest_expiry_) {
+    answers_since_ = since;
+  } else if (until + shortest_expiry_ > answers_since_) {
+    answers_since_ = std::min(answers_since_, since);
+  }
+  answered_any_at_ = std::max(answered_any_at_, until);
+}
+
+bool StoreHealth::HasAllEntries() const {
+  const TimePoint now = loop_.Now();
+  return now < answered_any_at_ + shortest_expiry_ &&
+         now >= answers_since_ + kReregistrationTime;
+}
+
 bool StoreHealth::MayLackEntries() const {
   const TimePoint now = loop_.Now();
+  if (HasAllEntries()) {
+    return false;
+  }
   if (!lost_) {
     return now < entries_lacking_until_;
   }
--- a/src/entry/store_health.h
+++ b/src/entry/store_health.h
@@ -28,6 +28,9 @@
   // may have been missing then or not. Without that, a daemon that makes no
   // calls for a while would take a loss to last until its next call.
   void OnAnswerToOther(TimePoint at, bool may_lack_entries = false);
+  // Another daemon knows of answers of the store from `since` until `until`,
+  // with no gap between them in which entries expire.
+  void OnAnswersKnown(TimePoint since, TimePoint until);
   // The store has dropped the history that a watch needs, so all copies may be
   // out of date. They are read again at once, or after a growing delay if that
   // goes on: a store that keeps no history would be listed without a pause.
@@ -51,6 +54,11 @@
   // Returns when the store last answered this daemon or, as far as it has
   // heard, another one; TimePoint{}: never.
   [[nodiscard]] TimePoint answered_any_at() const { return answered_any_at_; }
+  // Returns since when answers are known without a gap in which entries expire.
+  [[nodiscard]] TimePoint answers_since() const { return answers_since_; }
+  // Returns whether no entry of a live server can be missing, as no such gap is
+  // known since servers have had time to register again after the last one.
+  [[nodiscard]] bool HasAllEntries() const;
   // Returns whether another store may have taken the place of this one since
   // the last call that succeeded: a call got no response.
   [[nodiscard]] bool may_be_replaced() const { return may_be_replaced_; }
@@ -77,6 +85,7 @@
   TimePoint answered_at_{};
   TimePoint answered_other_at_{};
   TimePoint answered_any_at_{};
+  TimePoint answers_since_{};
   TimePoint failed_at_{};
   std::uint64_t history_losses_ = 0;
   std::uint64_t revisions_back_ = 0;
--- a/src/entry/store_watcher_test.cc
+++ b/src/entry/store_watcher_test.cc
@@ -420,6 +420,24 @@
   CHECK_FALSE(health.MayLackEntries());
 }
 
+TEST_CASE("answers that others got all the time leave no entry in doubt") {
+  net::EventLoop loop;
+  StoreHealth health(loop, kShortestExpiry);
+  health.OnResponse();
+  const TimePoint before_loss = loop.Now();
+  const TimePoint long_before = before_loss - std::chrono::minutes(1);
+  health.OnFailure();
+  RunFor(loop, kShortestExpiry * 2);
+  health.OnResponse();
+  REQUIRE(health.MayLackEntries());
+  health.OnAnswersKnown(loop.Now(), loop.Now());
+  CHECK(health.MayLackEntries());
+  health.OnAnswersKnown(long_before, before_loss);
+  CHECK(health.MayLackEntries());
+  health.OnAnswersKnown(long_before, loop.Now());
+  CHECK_FALSE(health.MayLackEntries());
+}
+
 TEST_CASE("entries may be missing if the store has never answered") {
   net::EventLoop loop;
   StoreHealth health(loop, kShortestExpiry);
