A mirror's changes are taken only if they lead to the leader's copy

Cause: a member that was behind by number took the changes that its mirror had kept, whatever history they were of. If the store's counter had gone back and the mirror still had the former copy, replaced objects came back at the member and stayed until the leader's copy was known to be newer and was fetched. Its time up to which it claims to be complete stood still, but had been stated for the newer objects. Only whole copies were compared with the leader's digest. Change: changes from a mirror are tried first without effect; they are applied only if they lead the copy to, or through, one with the digest that the leader stated. Else the leader is asked, as for a mirror that has failed. Nothing changes for leaders that state no digest. Result: mixed_copies_test, "kept changes of before the store's counter went back are not taken from a mirror", with and without digests of the mirror: went_back was true in both before, false now. The rest of mixed_copies_test, store_watcher_test and store_copies_test pass.

--- a/src/entry/mixed_copies_test.cc
+++ b/src/entry/mixed_copies_test.cc
@@ -390,6 +390,41 @@
   CheckMirrorNotFollowed(Digests::kLeftOut);
 }
 
+// Checks the same if the mirror kept all changes of before that follow the
+// member's revision.
+void CheckKeptChangesNotFollowed(Digests of_mirror) {
+  Fleet fleet(Digests::kStated, of_mirror);
+  fleet.uses_mirror = true;
+  const std::uint64_t kept_from = fleet.leader.Status().changed_at[0];
+  for (int i = 1; i <= 4; ++i) {
+    fleet.CheckChange(Fleet::kFirstVersion + i);
+  }
+  fleet.mirror.StopReading();
+  fleet.store.SetRevision(kept_from + 1);
+  fleet.CheckChange(Fleet::kFirstVersion + 5);
+  // A mirror that has failed is avoided for less than that.
+  const TimePoint used_again = fleet.loop.Now() + std::chrono::seconds(4);
+  fleet.RunUntil([&] { return fleet.loop.Now() >= used_again; });
+  const std::size_t fetches = fleet.mirror.fetches();
+  fleet.CheckChange(Fleet::kFirstVersion + 6);
+  CHECK(fleet.mirror.fetches() > fetches);
+  CHECK_FALSE(fleet.went_back);
+}
+
+// Guards against entries that have been replaced and come back with the changes
+// of a mirror that follows an earlier history.
+TEST_CASE(
+    "kept changes of before the store's counter went back are not taken from "
+    "a mirror") {
+  CheckKeptChangesNotFollowed(Digests::kStated);
+}
+
+TEST_CASE(
+    "kept changes of before the store's counter went back are not taken from "
+    "a mirror without digests") {
+  CheckKeptChangesNotFollowed(Digests::kLeftOut);
+}
+
 TEST_CASE("changes of a peer without digests are used") {
   platform::testing::FakeStore store;
   net::EventLoop loop;
--- a/src/entry/store_copies.cc
+++ b/src/entry/store_copies.cc
@@ -380,14 +380,14 @@
            {"from", address},
            {"error", reply.error}});
     }
-    // A mirror whose changes do not begin at this copy may have one of before
-    // the store's counter went back.
-    const auto whole_digest =
+    // A mirror may have a copy, and changes, of before the store's counter went
+    // back.
+    const auto via_digest =
         address == remote.address ? std::nullopt : remote.digest;
     const bool applied =
         reply.status == 200 &&
         (superseded ? watcher->ReplaceCopy(reply.body, *remote.digest)
-                    : watcher->ApplyChanges(reply.body, whole_digest));
+                    : watcher->ApplyChanges(reply.body, via_digest));
     // The process that replied may have replaced the one that reported.
     const bool has_changes =
         applied && (superseded || watcher->relay_since() >= remote.changed_at);
--- a/src/entry/store_watcher.cc
+++ b/src/entry/store_watcher.cc
@@ -35,9 +35,9 @@
 // rate.
 constexpr std::size_t kMaxChanges = 256;
 
-// Returns the part of an object in the digest of a copy, which is the sum of
-// these: it does not depend on the order of the objects.
-std::uint64_t DigestOf(const platform::Object& object) {
+}  // namespace
+
+std::uint64_t StoreWatcher::DigestOf(const platform::Object& object) {
   const std::string text =
       object.name + '/' + std::to_string(object.revision) + '/' +
       object.document.dump(-1, ' ', false,
@@ -45,8 +45,6 @@
   return XXH3_64bits(text.data(), text.size());
 }
 
-}  // namespace
-
 StoreWatcher::StoreWatcher(net::EventLoop& loop,
                            platform::PlatformClient& platform,
                            StoreHealth& health,
@@ -388,7 +386,7 @@
   revision_ = std::max(revision_, revision);
   std::vector<platform::Object> changed;
   for (const platform::Object& it : objects) {
-    if (IsNewer(it)) {
+    if (IsNewer(it, Find(it.name))) {
       RecordChange(it, revision_, ChangeForm::kPatch);
       changed.push_back(it);
     }
@@ -398,15 +396,20 @@
   }
 }
 
-bool StoreWatcher::IsNewer(const platform::Object& object) const {
-  const auto known = objects_.find(object.name);
-  if (known == objects_.end()) {
+const platform::Object* StoreWatcher::Find(const std::string& name) const {
+  const auto known = objects_.find(name);
+  return known == objects_.end() ? nullptr : &known->second;
+}
+
+bool StoreWatcher::IsNewer(const platform::Object& object,
+                           const platform::Object* known) {
+  if (known == nullptr) {
     return true;
   }
   // The daemon's own writes are already in the copy; see Put(). A removal may
   // bear the revision of the last change of the object.
-  return object.deleted ? known->second.revision <= object.revision
-                        : known->second.revision < object.revision;
+  return object.deleted ? known->revision <= object.revision
+                        : known->revision < object.revision;
 }
 
 void StoreWatcher::Put(const platform::Object& object) {
--- a/src/entry/store_watcher.h
+++ b/src/entry/store_watcher.h
@@ -75,10 +75,10 @@
   [[nodiscard]] const std::string& ChangesSince(std::uint64_t since);
   // Applies the result of another daemon's ChangesSince(). Returns false if it
   // cannot be used, or if the copy lacks other changes than those. If
-  // `whole_digest` is set, all objects are taken in place of those of this copy
-  // only if they have that digest.
+  // `via_digest` is set, changes are applied only if they lead this copy to, or
+  // through, one with that digest, and all objects only if they have it.
   bool ApplyChanges(const std::string& changes,
-                    std::optional<std::uint64_t> whole_digest = {});
+                    std::optional<std::uint64_t> via_digest = {});
   // Replaces the copy by another daemon's that has `digest`. `changes` is the
   // result of its ChangesSince(0). Returns false if it has another digest or
   // cannot be used. The caller knows that the other copy is newer than this
@@ -184,7 +184,11 @@
       const std::string& changes) const;
   void LogUnusableChanges(std::string_view error) const;
   bool ApplyDecodedChanges(nlohmann::json changes,
-                           std::optional<std::uint64_t> whole_digest);
+                           std::optional<std::uint64_t> via_digest);
+  // Returns whether `entries` of another daemon's changes lead this copy to, or
+  // through, one with `digest`.
+  [[nodiscard]] bool LeadVia(const nlohmann::json& entries,
+                             std::uint64_t digest) const;
   bool ReplaceByDecoded(nlohmann::json changes, std::uint64_t digest);
   // Returns the objects of a whole copy of another daemon.
   [[nodiscard]] std::vector<platform::Object> DecodeObjects(
@@ -192,18 +196,27 @@
   // Returns whether the copy is as `changes`, which have been applied, state
   // it. Objects that have changed since are no difference.
   [[nodiscard]] bool IsAsStated(const nlohmann::json& changes) const;
-  // Returns whether `object` is newer than the copy's state of it.
-  [[nodiscard]] bool IsNewer(const platform::Object& object) const;
+  // Returns the part of an object in the digest of a copy, which is the sum of
+  // these: it does not depend on the order of the objects.
+  [[nodiscard]] static std::uint64_t DigestOf(const platform::Object& object);
+  // Returns the copy's state of an object, or null.
+  [[nodiscard]] const platform::Object* Find(const std::string& name) const;
+  // In the next three, `known` is the copy's state of the object, or null.
+  // Returns whether `object` is newer than that.
+  [[nodiscard]] static bool IsNewer(const platform::Object& object,
+                                    const platform::Object* known);
   // Returns whether the copy, which was complete up to revision `complete_to`,
   // has the state that `entry` of another daemon's changes describes, or a
   // later one.
-  [[nodiscard]] bool HasStateOf(const nlohmann::json& entry,
-                                std::uint64_t complete_to) const;
+  [[nodiscard]] static bool HasStateOf(const nlohmann::json& entry,
+                                       const platform::Object* known,
+                                       std::uint64_t complete_to);
   // Returns the object that `entry` of another daemon's changes describes, or
   // nullopt if `entry` is a patch of a revision that the copy does not have. A
   // whole object is moved out of `entry`.
-  [[nodiscard]] std::optional<platform::Object> DecodeEntry(
-      nlohmann::json& entry) const;
+  [[nodiscard]] static std::optional<platform::Object> DecodeEntry(
+      nlohmann::json& entry,
+      const platform::Object* known);
 
   net::EventLoop& loop_;
   platform::PlatformClient& platform_;
--- a/src/entry/store_watcher_relay.cc
+++ b/src/entry/store_watcher_relay.cc
@@ -1,7 +1,9 @@
 // The part of the store watcher that passes changes on to other daemons and
 // takes theirs.
 #include <algorithm>
+#include <map>
 #include <optional>
+#include <string>
 #include <string_view>
 #include <utility>
 #include <vector>
@@ -74,20 +76,20 @@
 }
 
 bool StoreWatcher::HasStateOf(const nlohmann::json& entry,
-                              std::uint64_t complete_to) const {
+                              const platform::Object* known,
+                              std::uint64_t complete_to) {
   // A removal may bear the revision of the last change of the object.
   if (entry.at("deleted").get<bool>()) {
     return false;
   }
   const auto revision = entry.at("revision").get<std::uint64_t>();
-  const auto known = objects_.find(entry.at("name").get<std::string>());
   // An object that a complete copy lacks has been removed since.
-  return known == objects_.end() ? revision <= complete_to
-                                 : revision <= known->second.revision;
+  return revision <= (known == nullptr ? complete_to : known->revision);
 }
 
 std::optional<platform::Object> StoreWatcher::DecodeEntry(
-    nlohmann::json& entry) const {
+    nlohmann::json& entry,
+    const platform::Object* known) {
   platform::Object object{entry.at("name").get<std::string>(),
                           entry.at("revision").get<std::uint64_t>(),
                           entry.at("deleted").get<bool>(),
@@ -99,12 +101,11 @@
   if (object.deleted) {
     return object;
   }
-  const auto known = objects_.find(object.name);
-  if (known == objects_.end() ||
-      known->second.revision != entry.at("from").get<std::uint64_t>()) {
+  if (known == nullptr ||
+      known->revision != entry.at("from").get<std::uint64_t>()) {
     return std::nullopt;
   }
-  object.document = known->second.document;
+  object.document = known->document;
   object.document.merge_patch(entry.at("patch"));
   return object;
 }
@@ -130,10 +131,10 @@
 }
 
 bool StoreWatcher::ApplyChanges(const std::string& changes,
-                                std::optional<std::uint64_t> whole_digest) {
+                                std::optional<std::uint64_t> via_digest) {
   auto decoded = DecodeChanges(changes);
   try {
-    return decoded && ApplyDecodedChanges(*std::move(decoded), whole_digest);
+    return decoded && ApplyDecodedChanges(*std::move(decoded), via_digest);
   } catch (const nlohmann::json::exception& error) {
     LogUnusableChanges(error.what());
     return false;
@@ -155,7 +156,7 @@
     nlohmann::json& entries) const {
   std::vector<platform::Object> objects;
   for (auto& it : entries) {
-    if (auto object = DecodeEntry(it)) {
+    if (auto object = DecodeEntry(it, Find(it.at("name").get<std::string>()))) {
       objects.push_back(*std::move(object));
     }
   }
@@ -205,9 +206,39 @@
   return ahead || changes.at("digest").get<std::uint64_t>() == digest_;
 }
 
+bool StoreWatcher::LeadVia(const nlohmann::json& entries,
+                           std::uint64_t digest) const {
+  std::uint64_t reached = digest_;
+  std::map<std::string, platform::Object> changed;
+  for (nlohmann::json it : entries) {
+    const auto name = it.at("name").get<std::string>();
+    const auto before = changed.find(name);
+    const platform::Object* known = before == changed.end()  ? Find(name)
+                                    : before->second.deleted ? nullptr
+                                                             : &before->second;
+    if (HasStateOf(it, known, revision_)) {
+      continue;
+    }
+    auto object = DecodeEntry(it, known);
+    if (!object) {
+      return false;
+    }
+    if (!IsNewer(*object, known)) {
+      continue;
+    }
+    reached -= known == nullptr ? 0 : DigestOf(*known);
+    reached += object->deleted ? 0 : DigestOf(*object);
+    if (reached == digest) {
+      return true;
+    }
+    changed[name] = *std::move(object);
+  }
+  return reached == digest;
+}
+
 bool StoreWatcher::ApplyDecodedChanges(
     nlohmann::json changes,
-    std::optional<std::uint64_t> whole_digest) {
+    std::optional<std::uint64_t> via_digest) {
   const auto revision = changes.at("revision").get<std::uint64_t>();
   const bool full = changes.at("whole").get<bool>();
   // Changes of a daemon whose copy is older than this one are ignored.
@@ -215,8 +246,9 @@
       (!full && !listed_)) {
     return false;
   }
-  if (full && listed_ && whole_digest &&
-      changes.value("digest", ~*whole_digest) != *whole_digest) {
+  if (listed_ && via_digest &&
+      !(full ? changes.value("digest", ~*via_digest) == *via_digest
+             : LeadVia(changes.at("objects"), *via_digest))) {
     return false;
   }
   if (full) {
@@ -232,10 +264,11 @@
     std::optional<platform::Object> object;
     std::string why = "patch of another revision";
     try {
-      if (HasStateOf(it, complete_to)) {
+      const platform::Object* known = Find(it.at("name").get<std::string>());
+      if (HasStateOf(it, known, complete_to)) {
         continue;
       }
-      object = DecodeEntry(it);
+      object = DecodeEntry(it, known);
     } catch (const nlohmann::json::exception& error) {
       why = error.what();
     }
@@ -249,7 +282,7 @@
       needs_full_copy_ = true;
       break;
     }
-    if (IsNewer(*object)) {
+    if (IsNewer(*object, Find(object->name))) {
       RecordChange(*object, revision, ChangeForm::kPatch);
       changed.push_back(*object);
     }
