A store that is lost for all counts as lost, and not before peers were asked

All service ended for as long as the store was away, if it had answered some calls shortly before without giving the entries; and the bound was lifted for a moment before any peer had been asked. Cause: copies that lacked what others had were refused for good, though nobody could bring newer ones; and an answer counted for exactly as long as copies are used before peers are asked. Change: no such refusal any more: the word of a leader that has the store, and the answers that others got, decide.

--- a/src/entry/copy_source.cc
+++ b/src/entry/copy_source.cc
@@ -111,13 +111,15 @@
 
 bool CopySourceChooser::IsStoreLost(const StoreContact& contact,
                                     TimePoint now) const {
-  const Duration on_time = OnTimeAge(leadership_);
   const bool leader_has_store = leader_alive_ && !leader_lost_store_;
-  const bool answers = leader_has_store || now < contact.answered_at + on_time;
-  const bool lacks_changes = contact.answered_at > contact.current_at + on_time;
-  return !answers && !lacks_changes &&
-         (contact.call_failed_at > contact.current_at ||
-          HaveOthersLostStore(now));
+  const bool answers =
+      leader_has_store || now < contact.answered_at + OnTimeAge(leadership_);
+  // Until then, the peers may not have been asked or not have replied.
+  const bool peers_asked =
+      now >= contact.current_at + SwitchAge() + kPeerPatience;
+  const bool own_call_failed = contact.call_failed_at > contact.current_at;
+  return !answers &&
+         ((own_call_failed && peers_asked) || HaveOthersLostStore(now));
 }
 
 milliseconds CopySourceChooser::EntriesWatchWait() const {
