Daemons whose own calls fail ask their peers at once, and seldom in a long loss

Callers: requests to servers whose entries are gone. A reader that the store refused alone took entries for missing until its copies were outdated, and held removals back. And a load on the readers: in a loss without a leader each daemon asked five times a second. Cause: peers were asked by the age of the copies only; the slower rate needed a leader's word. Change: a daemon that reads the store asks its peers while its own calls fail; one that is no reader asks once a second while it takes the store for lost.

--- a/src/entry/copy_source.h
+++ b/src/entry/copy_source.h
@@ -118,6 +118,8 @@
     return source_ == CopySource::kPeers ||
            (source_ == CopySource::kStore && outdated_);
   }
+  // Returns whether others ask this daemon.
+  [[nodiscard]] bool is_reader() const { return leadership_.rank < kReaders; }
   // Returns how long a watch of the server entries waits for changes. It proves
   // that they are complete only when it ends.
   [[nodiscard]] std::chrono::milliseconds EntriesWatchWait() const;
--- a/src/entry/store_copies.cc
+++ b/src/entry/store_copies.cc
@@ -197,8 +197,10 @@
     return;
   }
   const TimePoint now = loop_.Now();
-  peer_timer_.Set(now + (chooser_.HaveOthersLostStore(now) ? kLostPeerPollPeriod
-                                                           : kPeerPollPeriod));
+  // Few daemons are asked by all others.
+  const bool seldom = chooser_.HaveOthersLostStore(now) ||
+                      (IsStoreLost() && !chooser_.is_reader());
+  peer_timer_.Set(now + (seldom ? kLostPeerPollPeriod : kPeerPollPeriod));
   std::vector<std::string> asked;
   std::sample(peers_.begin(), peers_.end(), std::back_inserter(asked),
               kPolledPeers, generator_);
--- a/src/entry/store_copies.h
+++ b/src/entry/store_copies.h
@@ -133,10 +133,11 @@
   // Handles another daemon's question for the state of the copies.
   OperatorResponse HandleStatusRequest();
   // Returns whether peers are asked: the copies are outdated, or this daemon's
-  // calls leave a gap in which entries may have expired.
+  // calls fail or leave a gap in which entries may have expired.
   [[nodiscard]] bool AsksPeers() const {
     return chooser_.AsksPeers() ||
-           (source_ == CopySource::kStore && health_.MayLackEntries());
+           (source_ == CopySource::kStore &&
+            (health_.lost() || health_.MayLackEntries()));
   }
   // Asks some of the peers for the state of their copies.
   void PollPeers();
--- a/src/entry/store_copies_test.cc
+++ b/src/entry/store_copies_test.cc
@@ -446,7 +446,9 @@
     const TimePoint end = loop.Now() + kTestTimeout;
     while (!done()) {
       REQUIRE(loop.Now() < end);
-      reader_.ChooseSource({.leads = true});
+      reader_.ChooseSource({.leads = reader_leads_,
+                            .leader_last_seen = last_heartbeat_,
+                            .members = 100});
       if (last_heartbeat_ != TimePoint{}) {
         other_.ChooseSource(
             {.leader_last_seen = last_heartbeat_, .rank = rank_});
@@ -465,6 +467,13 @@
                    .store_lost = other_.IsStoreLost()},
                   loop.Now());
   }
+  [[nodiscard]] bool may_other_lack_entries() const {
+    return other_.MayLackEntries();
+  }
+  [[nodiscard]] bool has_reader_lost_store() const {
+    return reader_.IsStoreLost();
+  }
+  void set_reader_leads(bool leads) { reader_leads_ = leads; }
   [[nodiscard]] std::uint64_t calls_of_other() const {
     return other_client_.store_calls();
   }
@@ -475,6 +484,7 @@
 
  private:
   const std::uint32_t rank_;
+  bool reader_leads_ = true;
   platform::PlatformClient reader_client_{store.address()};
   platform::PlatformClient other_client_;
   StoreCopies reader_;
@@ -517,6 +527,87 @@
   }
 }
 
+// Guards against an end of all service: a call that was answered without a copy
+// made the copies count as incomplete for as long as the store was away.
+TEST_CASE("a store that was lost while it was listed counts as lost") {
+  LeaderlessPair pair;
+  pair.RunFor(std::chrono::seconds(1));
+  pair.store.set_list_failure(SOUP_STATUS_SERVICE_UNAVAILABLE);
+  pair.store.set_keep_no_history(true);
+  pair.store.DropHistory();
+  pair.RunFor(std::chrono::seconds(3));
+  pair.store.set_failure(SOUP_STATUS_SERVICE_UNAVAILABLE);
+  pair.RunFor(std::chrono::seconds(10));
+  CHECK(pair.has_reader_lost_store());
+}
+
+// Guards against the same by a reader that tells when the store answered it,
+// but as the age of its entries that of its oldest copies.
+TEST_CASE("a store that is lost without a leader counts as lost") {
+  LeaderlessPair pair;
+  pair.set_reader_leads(false);
+  pair.RunFor(std::chrono::seconds(5));
+  pair.store.set_failure(SOUP_STATUS_SERVICE_UNAVAILABLE);
+  pair.RunFor(std::chrono::seconds(10));
+  CHECK(pair.has_reader_lost_store());
+  CHECK(pair.is_drain_bound_lifted());
+}
+
+// Guards against a load on the readers that grows with the fleet for as long as
+// the store is lost.
+TEST_CASE("peers are asked seldom while the store is lost without a leader") {
+  constexpr std::size_t kPeersPerQuestion = 2;
+  constexpr std::chrono::seconds kTimeBetweenQuestions{1};
+  net::EventLoop loop;
+  platform::testing::FakeStore store;
+  platform::testing::FakeStore first_peer;
+  platform::testing::FakeStore second_peer;
+  platform::PlatformClient client(store.address());
+  StoreCopies copies(loop, client, kShortestExpiry, kApplyTime, IgnoreAll());
+  REQUIRE(copies.Start(standins::LoopbackBlock() + "9:7002"));
+  const TimePoint begin = loop.Now();
+  const auto run_until = [&](TimePoint end) {
+    while (loop.Now() < end) {
+      copies.ChooseSource(
+          {.leader_last_seen = begin, .rank = 100, .members = 295});
+      loop.RunOnce(false);
+    }
+  };
+  run_until(begin + std::chrono::seconds(1));
+  copies.OnLeaderHeartbeat(
+      {.address = kLeader,
+       .changed_at = {0, 0, 0},
+       .current_at = loop.Now(),
+       .peers = {first_peer.address(), second_peer.address()}});
+  store.set_failure(SOUP_STATUS_SERVICE_UNAVAILABLE);
+  run_until(begin + std::chrono::seconds(6));
+  const std::size_t before = first_peer.calls() + second_peer.calls();
+  constexpr std::chrono::seconds kObserved{10};
+  run_until(loop.Now() + kObserved);
+  CHECK(copies.IsStoreLost());
+  CHECK(first_peer.calls() + second_peer.calls() - before <=
+        kPeersPerQuestion * (kObserved / kTimeBetweenQuestions + 1));
+}
+
+// Guards against requests to servers whose entries are gone: they are kept
+// while entries of live servers may be missing.
+TEST_CASE("a reader that the store refuses alone lacks no entries") {
+  platform::testing::FakeStore refusing_store;
+  LeaderlessPair pair(0, &refusing_store);
+  pair.RunFor(std::chrono::seconds(3));
+  refusing_store.set_failure(SOUP_STATUS_SERVICE_UNAVAILABLE);
+  bool lacked = false;
+  const TimePoint end = pair.loop.Now() + std::chrono::seconds(6);
+  pair.RunUntil([&] {
+    lacked = lacked || pair.may_other_lack_entries();
+    return pair.loop.Now() > end;
+  });
+  refusing_store.set_failure(0);
+  pair.RunFor(std::chrono::seconds(1));
+  CHECK_FALSE(lacked);
+  CHECK_FALSE(pair.may_other_lack_entries());
+}
+
 TEST_CASE("a store that refuses all daemons counts as lost") {
   LeaderlessPair pair(0);
   pair.RunFor(std::chrono::seconds(1));
