Soak: the store refuses some daemons while many servers drain

The DrainChecker seldom decided: plans drained 0 to 3 servers a run, beside faults that excuse most runs. A daemon that gets 503 or 429 has a path to the platform and counts as in touch; one that gets a reset or silence does not.

--- a/soak/drain_checker.cc
+++ b/soak/drain_checker.cc
@@ -1,5 +1,6 @@
 #include "soak/drain_checker.h"
 
+#include <algorithm>
 #include <chrono>
 
 namespace gentianreach::soak {
@@ -27,6 +28,7 @@
     const DeliveredRun& run = it->second;
     const TimePoint accepted = accepted_.at(run.incarnation);
     if (IsExcused(run, accepted)) {
+      ++excused_runs_;
       continue;
     }
     const auto ms = [](Duration duration) {
@@ -43,6 +45,14 @@
   pending_.erase(pending_.begin(), end);
 }
 
+std::size_t DrainChecker::DrainsInStableStore() const {
+  return static_cast<std::size_t>(
+      std::ranges::count_if(accepted_, [this](const auto& it) {
+        return !store_.Overlap(0, it.second - kStability,
+                               it.second + kDrainTime);
+      }));
+}
+
 bool DrainChecker::IsExcused(const DeliveredRun& run,
                              TimePoint accepted) const {
   const TimePoint from = run.at - kStability;
--- a/soak/drain_checker.h
+++ b/soak/drain_checker.h
@@ -66,6 +66,11 @@
   [[nodiscard]] std::size_t runs() const { return runs_; }
   // Returns how many of them were late, excused ones included.
   [[nodiscard]] std::size_t late_runs() const { return late_runs_; }
+  // Returns how many late runs have been excused. Those judged are violations.
+  [[nodiscard]] std::size_t excused_runs() const { return excused_runs_; }
+  // Returns for how many of the servers that left the store was stable until
+  // the bound, so that it excuses no run that is just late.
+  [[nodiscard]] std::size_t DrainsInStableStore() const;
 
  private:
   [[nodiscard]] bool IsExcused(const DeliveredRun& run,
@@ -81,6 +86,7 @@
   std::vector<std::string> violations_;
   std::size_t runs_ = 0;
   std::size_t late_runs_ = 0;
+  std::size_t excused_runs_ = 0;
 };
 
 }  // namespace gentianreach::soak
--- a/soak/drain_checker_test.cc
+++ b/soak/drain_checker_test.cc
@@ -124,6 +124,31 @@
   CHECK(checker.late_runs() == 1);
 }
 
+TEST_CASE("late runs are counted as excused once they have been checked") {
+  DrainChecker checker = Leaving();
+  checker.AddServerDisturbance(0, At(kAccepted), At(kAccepted));
+  DeliveredRun excused = RunAt(kAccepted + 2600);
+  excused.server = 0;
+  checker.OnRun(excused);
+  checker.OnRun(RunAt(kAccepted + 2600));
+  checker.OnRun(RunAt(kAccepted + 2400));
+  CHECK(checker.excused_runs() == 0);
+  checker.Check(At(20'000));
+  CHECK(checker.late_runs() == 2);
+  CHECK(checker.excused_runs() == 1);
+  CHECK(checker.violations().size() == 1);
+}
+
+TEST_CASE("drains count as judged if the store was stable until the bound") {
+  DrainChecker checker = Leaving();
+  checker.OnDraining("b#1", At(kAccepted + 6000));
+  CHECK(checker.DrainsInStableStore() == 2);
+  checker.AddStoreDisturbance(At(kAccepted + 2501), At(kAccepted + 2900));
+  CHECK(checker.DrainsInStableStore() == 2);
+  checker.AddStoreDisturbance(At(kAccepted + 2500), At(kAccepted + 2600));
+  CHECK(checker.DrainsInStableStore() == 1);
+}
+
 TEST_CASE("faults of other daemons and servers excuse nothing") {
   DrainChecker checker = Leaving();
   checker.AddDaemonDisturbance(0, At(0), At(20'000));
--- a/soak/fault_plan.cc
+++ b/soak/fault_plan.cc
@@ -34,7 +34,9 @@
     "store-loses-answers", "store-drops-history", "change-config",
     "slow-link",           "silent-link",         "one-way-link",
     "reset-link",          "cut-daemon",          "invalid-config",
-    "store-turns-back"};
+    "store-turns-back",    "store-refuses"};
+constexpr std::array<const char*, 4> kRefusalNames = {"503", "429", "reset",
+                                                      "silent"};
 constexpr std::array<const char*, 4> kCutNames = {"none", "silent", "reset",
                                                   "new-refused"};
 // Mean time between two cuts of daemons from all servers, and the range of
@@ -53,6 +55,23 @@
 constexpr std::uint64_t kTurnSequence = 0x94d049bb133111eb;
 constexpr double kMeanTurnIntervalMs = 8000;
 constexpr double kInvalidProbability = 0.5;
+// So do refusals of the store, and the drains beside them.
+constexpr std::uint64_t kRefusalSequence = 0xd6e8feb86659fd93;
+constexpr double kMeanRefusalIntervalMs = 1000;
+constexpr double kMinRefusalMs = 2000;
+constexpr double kMaxRefusalMs = 8000;
+constexpr double kMixedProbability = 0.5;
+// Share of the other faults that stay beside refusals.
+constexpr double kBesideRefusals = 0.25;
+constexpr std::uint64_t kDrainSequence = 0xa0761d6478bd642f;
+constexpr double kMeanDrainIntervalMs = 200;
+// From the time that a server takes to drain on.
+constexpr double kMinDrainMs = 3100;
+constexpr double kMaxDrainMs = 4500;
+// A server serves again at the latest this long after its fault.
+constexpr milliseconds kRestartTime{1000};
+// One of three servers is plain; the others own keys, which move between them.
+constexpr std::size_t kPlainServerStride = 3;
 // Kinds that Planner::Draw() draws.
 constexpr std::size_t kDrawnKinds =
     static_cast<std::size_t>(FaultKind::kCutDaemon);
@@ -114,6 +133,42 @@
     return Millis(std::exponential_distribution<double>(
         1 / kMeanTurnIntervalMs)(random_));
   }
+  // Returns a refusal of some daemons, but not of all, that begins at `at`: a
+  // fault for each of them, all in the same way or in all ways by turns.
+  std::vector<Fault> DrawRefusal(TimePoint at) {
+    Fault fault{.kind = FaultKind::kStoreRefuses,
+                .begins = at,
+                .ends = at + DrawDuration(kMinRefusalMs, kMaxRefusalMs)};
+    std::vector<Fault> faults = OnSomeDaemons(fault);
+    if (faults.size() == shape_.daemons) {
+      faults.pop_back();
+    }
+    const bool mixed = std::bernoulli_distribution(kMixedProbability)(random_);
+    std::size_t turn = refusals_++;
+    for (Fault& it : faults) {
+      it.refusal = static_cast<Refusal>(turn % kRefusalNames.size());
+      turn += mixed ? 1 : 0;
+    }
+    return faults;
+  }
+  Duration DrawRefusalInterval() {
+    return Millis(std::exponential_distribution<double>(
+        1 / kMeanRefusalIntervalMs)(random_));
+  }
+  // Returns a drain of any server that begins at `at`.
+  Fault DrawDrain(TimePoint at) {
+    return {.kind = FaultKind::kDrainServer,
+            .target = Index(shape_.servers),
+            .begins = at,
+            .ends = at + DrawDuration(kMinDrainMs, kMaxDrainMs)};
+  }
+  Duration DrawDrainInterval() {
+    return Millis(std::exponential_distribution<double>(
+        1 / kMeanDrainIntervalMs)(random_));
+  }
+  bool DrawStaysBesideRefusals() {
+    return std::bernoulli_distribution(kBesideRefusals)(random_);
+  }
   Duration DrawCutInterval() {
     return Millis(
         std::exponential_distribution<double>(1 / kMeanCutIntervalMs)(random_));
@@ -168,6 +223,7 @@
 
   std::mt19937_64 random_;
   const FleetShape shape_;
+  std::size_t refusals_ = 0;
 };
 
 // Returns an identifier of the process or link that `fault` occupies. Faults on
@@ -182,6 +238,10 @@
   if (IsLinkFault(fault.kind)) {
     return {2 + static_cast<int>(fault.link), fault.target};
   }
+  constexpr int kRefusalResource = 9;
+  if (fault.kind == FaultKind::kStoreRefuses) {
+    return {kRefusalResource, fault.target};
+  }
   constexpr int kFirstStoreResource = 10;
   return {kFirstStoreResource + static_cast<int>(fault.kind), 0};
 }
@@ -228,6 +288,70 @@
   }
 }
 
+// Removes most faults of `plan`, and adds refusals of daemons, by turns.
+void AddRefusals(std::uint64_t seed,
+                 const FleetShape& shape,
+                 TimePoint begin,
+                 TimePoint end,
+                 std::vector<Fault>& plan) {
+  Planner planner(seed ^ kRefusalSequence, shape);
+  std::erase_if(plan, [&](const Fault& /*fault*/) {
+    return !planner.DrawStaysBesideRefusals();
+  });
+  for (TimePoint at = begin + planner.DrawRefusalInterval(); at < end;
+       at += planner.DrawRefusalInterval()) {
+    TimePoint last_end = at;
+    for (Fault& it : planner.DrawRefusal(at)) {
+      it.ends = std::min(it.ends, end);
+      last_end = it.ends;
+      plan.push_back(it);
+    }
+    at = last_end + kRepeatPause;
+  }
+}
+
+// Returns whether half of the servers of its service still serve if `fault` is
+// added to `plan`.
+bool LeavesHalf(const Fault& fault,
+                const FleetShape& shape,
+                const std::vector<Fault>& plan) {
+  const bool plain = IsPlainServer(fault.target);
+  std::size_t servers = 0;
+  std::size_t away = 1;
+  for (std::size_t i = 0; i < shape.servers; ++i) {
+    if (IsPlainServer(i) != plain) {
+      continue;
+    }
+    ++servers;
+    away += std::ranges::any_of(plan, [&](const Fault& other) {
+      return IsServerFault(other.kind) && other.target == i &&
+             fault.begins < other.ends + kRestartTime &&
+             other.begins < fault.ends + kRestartTime;
+    });
+  }
+  return 2 * away <= servers;
+}
+
+// Adds drains of servers, in series, as many as half of the servers of each
+// service allow.
+void AddDrains(std::uint64_t seed,
+               const FleetShape& shape,
+               TimePoint begin,
+               TimePoint end,
+               std::vector<Fault>& plan) {
+  Planner planner(seed ^ kDrainSequence, shape);
+  for (TimePoint at = begin + planner.DrawDrainInterval(); at < end;
+       at += planner.DrawDrainInterval()) {
+    Fault fault = planner.DrawDrain(at);
+    fault.ends = std::min(fault.ends, end);
+    const bool busy = std::ranges::any_of(
+        plan, [&](const Fault& other) { return Conflict(fault, other); });
+    if (!busy && LeavesHalf(fault, shape, plan)) {
+      plan.push_back(fault);
+    }
+  }
+}
+
 }  // namespace
 
 bool IsDaemonFault(FaultKind kind) {
@@ -242,6 +366,16 @@
   return kind >= FaultKind::kSlowLink && kind <= FaultKind::kResetLink;
 }
 
+bool KeepsPathToStore(const Fault& fault) {
+  return fault.kind == FaultKind::kStoreRefuses &&
+         (fault.refusal == Refusal::kUnavailable ||
+          fault.refusal == Refusal::kTooManyRequests);
+}
+
+bool IsPlainServer(std::size_t server) {
+  return server % kPlainServerStride == 0;
+}
+
 std::vector<Fault> MakePlan(std::uint64_t seed,
                             const FleetShape& shape,
                             TimePoint begin,
@@ -277,6 +411,10 @@
   if (shape.store_turns_back) {
     AddTurns(seed, shape, begin, end, plan);
   }
+  if (shape.store_refuses) {
+    AddRefusals(seed, shape, begin, end, plan);
+    AddDrains(seed, shape, begin, end, plan);
+  }
   std::ranges::stable_sort(plan, {}, &Fault::begins);
   return plan;
 }
@@ -298,6 +436,10 @@
     text +=
         std::string(" cut=") + kCutNames[static_cast<std::size_t>(fault.cut)];
   }
+  if (fault.kind == FaultKind::kStoreRefuses) {
+    text += std::string(" how=") +
+            kRefusalNames[static_cast<std::size_t>(fault.refusal)];
+  }
   return text;
 }
 
--- a/soak/fault_plan.h
+++ b/soak/fault_plan.h
@@ -40,9 +40,19 @@
   // The store's revision counter goes back, as if another store had taken its
   // place; its objects stay.
   kStoreTurnsBack,
+  // The store refuses a daemon and serves all others.
+  kStoreRefuses,
 };
 inline constexpr std::size_t kFaultKinds =
-    static_cast<std::size_t>(FaultKind::kStoreTurnsBack) + 1;
+    static_cast<std::size_t>(FaultKind::kStoreRefuses) + 1;
+
+// How the store refuses a daemon.
+enum class Refusal : std::uint8_t {
+  kUnavailable,      // Answers 503.
+  kTooManyRequests,  // Answers 429.
+  kReset,
+  kSilent,
+};
 
 // The connections that a link fault affects.
 enum class LinkKind : std::uint8_t {
@@ -59,6 +69,8 @@
   LinkKind link = LinkKind::kCallersToDaemon;
   // Used by kCutDaemon only.
   ClientCut cut = ClientCut::kNone;
+  // Used by kStoreRefuses only.
+  Refusal refusal = Refusal::kUnavailable;
   TimePoint begins;
   TimePoint ends;
 };
@@ -72,6 +84,9 @@
   double fault_rate = 1;
   // Whether the store's revision counter goes back.
   bool store_turns_back = false;
+  // Whether the store refuses some daemons while servers drain in series, with
+  // fewer other faults.
+  bool store_refuses = false;
   // Limit of each daemon's file descriptors; the soak's own limit by default.
   std::optional<std::uint64_t> max_descriptors;
   // Whether daemons start with their signals blocked, and some get SIGHUP at
@@ -95,6 +110,13 @@
 [[nodiscard]] bool IsServerFault(FaultKind kind);
 [[nodiscard]] bool IsLinkFault(FaultKind kind);
 
+// Returns whether a daemon with that fault alone counts as in touch with the
+// store.
+[[nodiscard]] bool KeepsPathToStore(const Fault& fault);
+
+// Returns whether the server with that index is plain; the others own keys.
+[[nodiscard]] bool IsPlainServer(std::size_t server);
+
 // Returns the fault as key=value fields, with times relative to `start`.
 [[nodiscard]] std::string ToString(const Fault& fault, TimePoint start);
 
--- a/soak/fleet.cc
+++ b/soak/fleet.cc
@@ -36,8 +36,6 @@
 // Every third incarnation of a daemon gets SIGHUP when it begins to start.
 constexpr int kReloadAtStartStride = 3;
 constexpr const char* kConfigObject = "config main ";
-// One of three servers is plain; the others own keys, which move between them.
-constexpr std::size_t kPlainServerStride = 3;
 // Last octets of the addresses: one for all proxies, then one per daemon.
 constexpr const char* kProxyHost = "1";
 constexpr std::size_t kFirstDaemonHost = 2;
@@ -68,7 +66,7 @@
   signals_at_start_ = shape.signals_at_start;
   WriteConfig(true);
   for (std::size_t i = 0; i < shape.servers; ++i) {
-    const bool keyed = i % kPlainServerStride != 0;
+    const bool keyed = !IsPlainServer(i);
     servers_.push_back({.service = keyed ? "keyed" : "plain", .keyed = keyed});
     StartServer(i);
   }
@@ -336,8 +334,9 @@
   const bool of_daemon =
       (IsDaemonFault(fault.kind) && fault.kind != FaultKind::kReloadDaemon) ||
       fault.kind == FaultKind::kCutDaemon ||
+      fault.kind == FaultKind::kStoreRefuses ||
       (IsLinkFault(fault.kind) && fault.link != LinkKind::kDaemonsToServer);
-  if (of_daemon) {
+  if (of_daemon && !KeepsPathToStore(fault)) {
     add(fault.target);
   }
 }
@@ -408,6 +407,9 @@
     case FaultKind::kCutDaemon:
       CutDaemon(fault.target, fault.cut);
       break;
+    case FaultKind::kStoreRefuses:
+      BeginRefusal(fault);
+      break;
     case FaultKind::kSlowLink:
     case FaultKind::kSilentLink:
     case FaultKind::kOneWayLink:
@@ -424,6 +426,27 @@
   }
 }
 
+void Fleet::BeginRefusal(const Fault& fault) {
+  const DaemonSlot& slot = daemons_[fault.target];
+  if (KeepsPathToStore(fault)) {
+    const bool busy = fault.refusal == Refusal::kUnavailable;
+    store_->WriteLine("refuse " + slot.ip + (busy ? " 503" : " 429"));
+    return;
+  }
+  slot.store_proxy->SetClientCut(slot.ip, fault.refusal == Refusal::kReset
+                                              ? ClientCut::kReset
+                                              : ClientCut::kSilent);
+}
+
+void Fleet::EndRefusal(const Fault& fault) {
+  const DaemonSlot& slot = daemons_[fault.target];
+  if (KeepsPathToStore(fault)) {
+    store_->WriteLine("refuse " + slot.ip + " 0");
+  } else {
+    slot.store_proxy->SetClientCut(slot.ip, ClientCut::kNone);
+  }
+}
+
 void Fleet::BeginLinkFault(const Fault& fault) {
   if (fault.link == LinkKind::kCallersToDaemon) {
     AddDisturbance(fault.target, fault);
@@ -483,6 +506,9 @@
     case FaultKind::kCutDaemon:
       CutDaemon(fault.target, ClientCut::kNone);
       break;
+    case FaultKind::kStoreRefuses:
+      EndRefusal(fault);
+      break;
     case FaultKind::kPauseStore:
       store_->Signal(SIGCONT);
       break;
--- a/soak/fleet.h
+++ b/soak/fleet.h
@@ -164,6 +164,9 @@
   void AddOrderDelay(const Fault& fault);
   // Sets how the connections of a daemon to all servers are cut.
   void CutDaemon(std::size_t i, ClientCut cut);
+  // Lets the store refuse a daemon, or ends that.
+  void BeginRefusal(const Fault& fault);
+  void EndRefusal(const Fault& fault);
   void AddDisturbance(std::size_t daemon, const Fault& fault);
   void BeginLinkFault(const Fault& fault);
   void SetMode(const Fault& fault, LinkMode mode);
--- a/soak/soak.cc
+++ b/soak/soak.cc
@@ -278,7 +278,10 @@
               << " orders=" << holdings_checker_.orders()
               << " drains=" << drain_checker_.drains()
               << " draining_runs=" << drain_checker_.runs()
-              << " late_runs=" << drain_checker_.late_runs();
+              << " stable_drains=" << drain_checker_.DrainsInStableStore()
+              << " late_runs=" << drain_checker_.late_runs()
+              << " late_judged=" << drain_checker_.violations().size()
+              << " late_excused=" << drain_checker_.excused_runs();
     for (const auto& [status, count] : checker_.statuses()) {
       std::cout << " status_" << status << "=" << count;
     }
@@ -328,6 +331,8 @@
                "For programs that do not unblock their signals");
   app.add_flag("--store-turns-back", options.shape.store_turns_back,
                "Let the store's revision counter go back at times");
+  app.add_flag("--store-refuses", options.shape.store_refuses,
+               "Let the store refuse some daemons while many servers drain");
   app.add_flag("--keep-going", options.keep_going,
                "Continue after a violation, to count them");
   app.add_flag("--no-times", options.no_times,
--- a/soak/store_program.cc
+++ b/soak/store_program.cc
@@ -2,6 +2,7 @@
 //
 // Prints "address=IP:PORT" and then reads commands from standard input:
 //   fail STATUS               fails all calls with STATUS; 0: serves them
+//   refuse IP STATUS          fails calls from that address; 0: serves them
 //   lose 0|1                  1: applies writes but sends no response
 //   drop                      drops the change history
 //   turn-back                 sets the revision counter back to its start
@@ -35,6 +36,11 @@
     guint status = 0;
     in >> status;
     store.set_failure(status);
+  } else if (command == "refuse") {
+    std::string ip;
+    guint status = 0;
+    in >> ip >> status;
+    store.SetClientFailure(ip, status);
   } else if (command == "lose") {
     bool lose = false;
     in >> lose;
