Soak: refusals of all daemons but one

Leaders follow each other within a second while some daemons reach the store, so that the others get current copies soon. With only one left that has the store, and which seldom leads, entries grow older. Four of ten refusals leave one daemon now.

--- a/soak/fault_plan.cc
+++ b/soak/fault_plan.cc
@@ -61,6 +61,7 @@
 constexpr double kMinRefusalMs = 2000;
 constexpr double kMaxRefusalMs = 8000;
 constexpr double kMixedProbability = 0.5;
+constexpr double kMostProbability = 0.4;
 // Share of the other faults that stay beside refusals.
 constexpr double kBesideRefusals = 0.25;
 constexpr std::uint64_t kDrainSequence = 0xa0761d6478bd642f;
@@ -133,13 +134,15 @@
     return Millis(std::exponential_distribution<double>(
         1 / kMeanTurnIntervalMs)(random_));
   }
-  // Returns a refusal of some daemons, but not of all, that begins at `at`: a
-  // fault for each of them, all in the same way or in all ways by turns.
+  // Returns a refusal of some daemons, or of all but one, that begins at `at`:
+  // a fault for each of them, all in the same way or in all ways by turns.
   std::vector<Fault> DrawRefusal(TimePoint at) {
     Fault fault{.kind = FaultKind::kStoreRefuses,
                 .begins = at,
                 .ends = at + DrawDuration(kMinRefusalMs, kMaxRefusalMs)};
-    std::vector<Fault> faults = OnSomeDaemons(fault);
+    const bool most = std::bernoulli_distribution(kMostProbability)(random_);
+    std::vector<Fault> faults =
+        most ? OnEachDaemon(fault) : OnSomeDaemons(fault);
     if (faults.size() == shape_.daemons) {
       faults.pop_back();
     }
@@ -195,11 +198,16 @@
 
  private:
   // Returns the fault for each of one, several or all daemons.
-  std::vector<Fault> OnSomeDaemons(Fault fault) {
+  std::vector<Fault> OnSomeDaemons(const Fault& fault) {
+    std::vector<Fault> faults = OnEachDaemon(fault);
+    faults.resize(1 + Index(shape_.daemons));
+    return faults;
+  }
+  // Returns the fault for each daemon, in random order.
+  std::vector<Fault> OnEachDaemon(Fault fault) {
     std::vector<std::size_t> daemons(shape_.daemons);
     std::iota(daemons.begin(), daemons.end(), 0);
     std::ranges::shuffle(daemons, random_);
-    daemons.resize(1 + Index(shape_.daemons));
     std::vector<Fault> faults;
     for (const std::size_t it : daemons) {
       fault.target = it;
--- a/soak/fault_plan_test.cc
+++ b/soak/fault_plan_test.cc
@@ -98,6 +98,8 @@
   std::set<Refusal> ways;
   int mixed = 0;
   int alike = 0;
+  int of_all_but_one = 0;
+  int of_one = 0;
   for (std::uint64_t seed = 1; seed <= 10; ++seed) {
     const std::vector<Fault> plan = MakePlan(seed, shape, kBegin, kEnd);
     for (const Fault& it : plan) {
@@ -110,6 +112,8 @@
         return o.kind == it.kind && o.begins <= it.begins && it.begins < o.ends;
       });
       CHECK(together < 4);
+      of_all_but_one += together == 3 ? 1 : 0;
+      of_one += together == 1 ? 1 : 0;
       const auto same = std::ranges::count_if(plan, [&](const Fault& o) {
         return o.kind == it.kind && o.begins == it.begins &&
                o.refusal == it.refusal;
@@ -121,6 +125,8 @@
   CHECK(ways.size() == 4);
   CHECK(mixed > 0);
   CHECK(alike > 0);
+  CHECK(of_all_but_one > 0);
+  CHECK(of_one > 0);
 }
 
 TEST_CASE("daemons that get 503 or 429 have a path to the store") {
