--- a/soak/fault_plan.cc
+++ b/soak/fault_plan.cc
@@ -67,8 +67,8 @@
 constexpr std::uint64_t kDrainSequence = 0xa0761d6478bd642f;
 constexpr double kMeanDrainIntervalMs = 200;
 // From the time that a server takes to drain on.
-constexpr double kMinDrainMs = 3100;
-constexpr double kMaxDrainMs = 4500;
+constexpr double kMinDrainMs = 5600;
+constexpr double kMaxDrainMs = 7000;
 // A server serves again at the latest this long after its fault.
 constexpr milliseconds kRestartTime{1000};
 // One of three servers is plain; the others own keys, which move between them.
--- a/soak/fleet.cc
+++ b/soak/fleet.cc
@@ -64,6 +64,7 @@
 void Fleet::StartAll(const FleetShape& shape) {
   max_descriptors_ = shape.max_descriptors;
   signals_at_start_ = shape.signals_at_start;
+  store_refuses_ = shape.store_refuses;
   WriteConfig(true);
   for (std::size_t i = 0; i < shape.servers; ++i) {
     const bool keyed = !IsPlainServer(i);
--- a/soak/fleet.h
+++ b/soak/fleet.h
@@ -203,6 +203,7 @@
   int starts_ = 0;
   std::optional<std::uint64_t> max_descriptors_;
   bool signals_at_start_ = true;
+  bool store_refuses_ = false;
   std::uint64_t config_version_ = 1;
   std::uint64_t valid_version_ = 1;
   // Versions that the store has not accepted yet.
--- a/soak/fleet_servers.cc
+++ b/soak/fleet_servers.cc
@@ -12,6 +12,9 @@
 
 // Interval at which a restart checks whether the old server has exited.
 constexpr Duration kRestartPollInterval = std::chrono::milliseconds(50);
+// How long servers serve late requests while the store refuses daemons, whose
+// entries may be seconds old.
+constexpr const char* kLateTime = "3000";
 
 }  // namespace
 
@@ -41,6 +44,9 @@
   if (slot.keyed) {
     arguments.emplace_back("--keyed");
   }
+  if (store_refuses_) {
+    arguments.insert(arguments.end(), {"--late-ms", kLateTime});
+  }
   slot.incarnation = slot.id + "#" + std::to_string(slot.start_count);
   slot.process = Spawn(
       arguments, {},
--- a/soak/server_program.cc
+++ b/soak/server_program.cc
@@ -32,9 +32,6 @@
 
 constexpr Duration kHeartbeatInterval = milliseconds(500);
 constexpr Duration kReportTimeout = milliseconds(1000);
-// Time for which a server serves after requests must have stopped coming.
-constexpr Duration kDrainMargin = milliseconds(500);
-
 struct ServerOptions {
   std::string id;
   std::string service;
@@ -42,6 +39,8 @@
   std::string advertise;
   bool keyed = false;
   int work_ms = 20;
+  // Time for which the server serves after requests must have stopped coming.
+  int late_ms = 500;
 };
 
 class Reporter {
@@ -114,8 +113,9 @@
     if (reported == "draining" && !end_timer_.pending()) {
       const TimePoint now = clock_.Now();
       std::cout << "draining " << now.time_since_epoch().count() << std::endl;
-      end_timer_.Set(now + DrainChecker::kDrainTime + kDrainMargin,
-                     [this] { g_main_loop_quit(loop_); });
+      end_timer_.Set(
+          now + DrainChecker::kDrainTime + milliseconds(options_.late_ms),
+          [this] { g_main_loop_quit(loop_); });
     }
   }
 
@@ -161,6 +161,8 @@
   app.add_flag("--keyed", options.keyed, "Run requests for owned keys only");
   app.add_option("--work-ms", options.work_ms,
                  "Processing time of a request in ms");
+  app.add_option("--late-ms", options.late_ms,
+                 "Time for which a leaving server serves late requests in ms");
   CLI11_PARSE(app, argc, argv);
   return gentianreach::soak::Run(options);
 }
