Soak: a refusal in two ways has one for most daemons

Four ways by turns leave a quarter of the daemons silent at a time, so that a leader that waits for its calls is followed by one that the store answers or refuses at once, and the daemons in touch have current copies in time. A refusal has one way now, and in half of them three in ten daemons have the next one: most are silent while some, in touch, get 503.

--- a/soak/fault_plan.cc
+++ b/soak/fault_plan.cc
@@ -61,6 +61,7 @@
 constexpr double kMinRefusalMs = 2000;
 constexpr double kMaxRefusalMs = 8000;
 constexpr double kMixedProbability = 0.5;
+constexpr double kDifferentProbability = 0.3;
 constexpr double kMostProbability = 0.4;
 // Share of the other faults that stay beside refusals.
 constexpr double kBesideRefusals = 0.25;
@@ -135,7 +136,7 @@
         1 / kMeanTurnIntervalMs)(random_));
   }
   // Returns a refusal of some daemons, or of all but one, that begins at `at`:
-  // a fault for each of them, all in the same way or in all ways by turns.
+  // a fault for each of them, in one way or in two.
   std::vector<Fault> DrawRefusal(TimePoint at) {
     Fault fault{.kind = FaultKind::kStoreRefuses,
                 .begins = at,
@@ -147,10 +148,11 @@
       faults.pop_back();
     }
     const bool mixed = std::bernoulli_distribution(kMixedProbability)(random_);
-    std::size_t turn = refusals_++;
+    const std::size_t turn = refusals_++;
+    std::bernoulli_distribution differs(mixed ? kDifferentProbability : 0);
     for (Fault& it : faults) {
-      it.refusal = static_cast<Refusal>(turn % kRefusalNames.size());
-      turn += mixed ? 1 : 0;
+      it.refusal = static_cast<Refusal>((turn + (differs(random_) ? 1 : 0)) %
+                                        kRefusalNames.size());
     }
     return faults;
   }
