--- a/soak/fleet.h
+++ b/soak/fleet.h
@@ -164,6 +164,9 @@
   void AddOrderDelay(const Fault& fault);
   // Sets how the connections of a daemon to all servers are cut.
   void CutDaemon(std::size_t i, ClientCut cut);
+  // Lets the store refuse a daemon, or ends that.
+  void BeginRefusal(const Fault& fault);
+  void EndRefusal(const Fault& fault);
   void AddDisturbance(std::size_t daemon, const Fault& fault);
   void BeginLinkFault(const Fault& fault);
   void SetMode(const Fault& fault, LinkMode mode);
@@ -200,6 +203,7 @@
   int starts_ = 0;
   std::optional<std::uint64_t> max_descriptors_;
   bool signals_at_start_ = true;
+  bool store_refuses_ = false;
   std::uint64_t config_version_ = 1;
   std::uint64_t valid_version_ = 1;
   // Versions that the store has not accepted yet.
