A new leader fences servers that were listed before its term

Cause: a leader connects to the servers that are listed and to those that it cleared by the clock itself. A server that its predecessor left unfenced and that is not listed is neither: it has no address, gets no release and no fence, and takes an order that a killed leader had sent before. Listed again, it is fenced only then.

Change: the directory keeps the last entry of removed servers.

That KeyAssignment reports the removed servers is read, not run: it has no test of its own.

--- a/src/entry/key_assignment.cc
+++ b/src/entry/key_assignment.cc
@@ -199,6 +199,9 @@
   }
   service.next_refresh = now + kCapacityRefresh;
   service.assigner.SetServers(Servers(name), now);
+  if (changed) {
+    ReportUnlisted(name, service, now);
+  }
   std::set<std::string> addresses = Addresses(name);
   addresses.merge(service.assigner.FenceAddresses());
   service.orders->KeepConnected(addresses);
@@ -215,6 +218,23 @@
   }
 }
 
+void KeyAssignment::ReportUnlisted(const std::string& name,
+                                   Service& service,
+                                   TimePoint now) {
+  for (const auto& [id, it] : state_.directory.removed()) {
+    // A server that leaves ends soon.
+    if (it.server.service != name || it.server.draining ||
+        it.at < service.unlisted_until) {
+      continue;
+    }
+    service.assigner.OnUnlisted({.id = id,
+                                 .incarnation = it.server.incarnation,
+                                 .address = it.server.address},
+                                it.at, now);
+  }
+  service.unlisted_until = now;
+}
+
 std::vector<keyspace::AssignerServer> KeyAssignment::Servers(
     const std::string& service) const {
   std::vector<keyspace::AssignerServer> servers;
--- a/src/entry/key_assignment.h
+++ b/src/entry/key_assignment.h
@@ -74,6 +74,9 @@
     std::uint64_t term = 0;
     // The change count of the directory when the assigner last received it.
     std::uint64_t directory_changes = 0;
+    // Servers that were removed from the directory up to then are known to the
+    // assigner.
+    TimePoint unlisted_until{};
     TimePoint next_refresh{};
   };
 
@@ -101,6 +104,8 @@
   void OnConnected(const std::string& name,
                    std::uint64_t term,
                    const std::string& address);
+  // Tells the assigner of servers that were listed.
+  void ReportUnlisted(const std::string& name, Service& service, TimePoint now);
   // Returns the service, or null if `term` has ended.
   Service* Find(const std::string& name, std::uint64_t term);
   [[nodiscard]] std::vector<keyspace::AssignerServer> Servers(
--- a/src/entry/server_directory.cc
+++ b/src/entry/server_directory.cc
@@ -66,7 +66,11 @@
     return Report{it->incarnation, it->report_number, it->reported_at};
   }
   const auto it = removed_.find(id);
-  return it == removed_.end() ? std::nullopt : std::optional(it->second);
+  if (it == removed_.end()) {
+    return std::nullopt;
+  }
+  const auto& [server, at] = it->second;
+  return Report{server.incarnation, server.report_number, at};
 }
 
 bool ServerDirectory::IsOutdated(const routing::BackendServer& server) const {
@@ -85,11 +89,11 @@
 
 void ServerDirectory::Erase(const ServerId& id, TimePoint now) {
   const auto it = servers_.find(id);
-  removed_[id] = {it->second.incarnation, it->second.report_number, now};
+  removed_.insert_or_assign(id, Removed{std::move(it->second), now});
   servers_.erase(it);
   ++changes_;
   std::erase_if(removed_, [&](const auto& removed) {
-    return removed.second.known_at + kRemovedKept < now;
+    return removed.second.at + kRemovedKept < now;
   });
   std::erase_if(leaving_, [&](const auto& leaving) {
     return !servers_.contains(leaving.first) &&
--- a/src/entry/server_directory.h
+++ b/src/entry/server_directory.h
@@ -53,6 +53,16 @@
   // removal was deferred, and returns their ids.
   std::set<ServerId> SetRemovalsDeferred(bool deferred, TimePoint now);
 
+  // A server whose entry was removed.
+  struct Removed {
+    routing::BackendServer server;  // By its last entry.
+    TimePoint at;
+  };
+  // Returns the servers whose entries were removed not long ago.
+  [[nodiscard]] const std::map<ServerId, Removed>& removed() const {
+    return removed_;
+  }
+
   // Returns the servers whose removal is deferred.
   [[nodiscard]] const std::set<ServerId>& deferred_removals() const {
     return deferred_removals_;
@@ -92,7 +102,7 @@
   std::map<ServerId, routing::BackendServer> servers_;
   // Servers whose entries were removed not long ago, as outdated reports may
   // still create them again.
-  std::map<ServerId, Report> removed_;
+  std::map<ServerId, Removed> removed_;
   // Of servers with an entry and of removed servers.
   std::map<ServerId, Leaving> leaving_;
   std::set<ServerId> deferred_removals_;
--- a/src/entry/server_directory_test.cc
+++ b/src/entry/server_directory_test.cc
@@ -26,6 +26,20 @@
   CHECK(directory.Find(ServerId("a")) == nullptr);
 }
 
+TEST_CASE("a removed server is known by its last entry until it is listed") {
+  ServerDirectory directory;
+  routing::BackendServer server = Server("a");
+  server.address = "127.0.0.1:1";
+  directory.Put(server, kNow);
+  CHECK(directory.removed().empty());
+  directory.Remove(ServerId("a"), kNow);
+  REQUIRE(directory.removed().contains(ServerId("a")));
+  CHECK(directory.removed().at(ServerId("a")).server.address == "127.0.0.1:1");
+  CHECK(directory.removed().at(ServerId("a")).at == kNow);
+  directory.Put(server, kNow);
+  CHECK(directory.removed().empty());
+}
+
 TEST_CASE(
     "a deferred removal takes effect later unless the entry is written again") {
   ServerDirectory directory;
--- a/src/keyspace/range_assigner.h
+++ b/src/keyspace/range_assigner.h
@@ -181,6 +181,11 @@
   // Replaces the set of servers reported by discovery.
   void SetServers(std::vector<AssignerServer> servers, TimePoint now);
 
+  // Reports that discovery listed `server` until `until`, in the term of an
+  // earlier leader perhaps. It may run on, hold keys and get orders of earlier
+  // leaders.
+  void OnUnlisted(const AssignerServer& server, TimePoint until, TimePoint now);
+
   // Reports that discovery lists `incarnation` of `server`, of any configured
   // service, at `address`. Other servers with a lower incarnation at this
   // address have ended.
--- a/src/keyspace/range_assigner_fences.cc
+++ b/src/keyspace/range_assigner_fences.cc
@@ -1,4 +1,5 @@
 // The part of the range assigner that fences servers.
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <string>
@@ -35,6 +36,24 @@
   next_poll_at_ = TimePoint{};
 }
 
+void RangeAssigner::OnUnlisted(const AssignerServer& server,
+                               TimePoint until,
+                               TimePoint now) {
+  const ServerIncarnation incarnation(server.id, server.incarnation);
+  if (servers_.contains(server.id) || ended_.contains(incarnation) ||
+      until + options_.max_fence_wait <= now) {
+    return;
+  }
+  if (addresses_.try_emplace(incarnation, server.address).second) {
+    incarnations_at_[server.address].insert(incarnation);
+    // The server may be an earlier owner that can be asked to release its keys.
+    PollAllRanges();
+  }
+  fences_.OnLeaseOver(server.id, server.address,
+                      until + options_.max_fence_wait);
+  next_poll_at_ = std::min(next_poll_at_, now);
+}
+
 void RangeAssigner::FenceAfterLease(const Owner& owner, TimePoint now) {
   if (owner.server.value().empty()) {
     // Any server may have been the owner.
