--- a/src/entry/copy_source.h
+++ b/src/entry/copy_source.h
@@ -99,7 +99,8 @@
   // Returns whether copies cannot be renewed because the store cannot be
   // reached: this daemon's own call has failed since they were complete, or
   // those that it would get them from have lost the store. Neither counts while
-  // the store answers any daemon: it may refuse some and serve the others.
+  // the store answers any daemon: it may refuse some and serve the others. A
+  // failed call counts only once peers have had time to tell of such answers.
   [[nodiscard]] bool IsStoreLost(const StoreContact& contact,
                                  TimePoint now) const;
   // Returns whether the leader says that it has lost the store, and has said so
--- a/src/entry/drain_bound.h
+++ b/src/entry/drain_bound.h
@@ -15,8 +15,8 @@
 struct EntriesStatus {
   // Up to when it contains all changes of the store; TimePoint{}: not known.
   TimePoint current_at;
-  // The store cannot be reached, as far as this daemon can find out, so that
-  // there is no newer copy.
+  // The store answers no daemon, as far as this one can find out, so that there
+  // is no newer copy; see CopySourceChooser::IsStoreLost().
   bool store_lost = false;
   // Where its changes come from.
   std::string_view source;
@@ -34,8 +34,9 @@
 // not matter how many hops the copy has passed, nor what happened on them: a
 // copy that is late makes requests fail as not run, never arrive late.
 //
-// Only while the store cannot be reached, older copies go on being used. It
-// acknowledges nothing then, and without them all service would end.
+// Only while the store answers no daemon, as far as this one can find out,
+// older copies go on being used. It acknowledges nothing then, and without them
+// all service would end.
 class DrainBound {
  public:
   explicit DrainBound(Duration drain) : drain_(drain) {}
