Notes on daemons that the store refuses; outdated configurations are counted

Requests decided by a configuration that may have been replaced are counted, and config_outdated tells whether the store counts as lost and when it last answered any daemon.

--- a/src/entry/entry_daemon.cc
+++ b/src/entry/entry_daemon.cc
@@ -470,8 +470,11 @@
       Log(config_outdated ? LogLevel::kWarning : LogLevel::kInfo,
           config_outdated ? "config_outdated" : "config_current",
           {{"version", state_->routes->config().version},
+           {"store_lost", copies_.IsStoreLost()},
            {"copy_age_ms",
-            MillisecondsBetween(copies_.config_current_at(), now)}});
+            MillisecondsBetween(copies_.config_current_at(), now)},
+           {"answer_age_ms",
+            MillisecondsBetween(copies_.health().answered_any_at(), now)}});
     }
     const EntriesStatus entries = state_->entries_status();
     const bool entries_outdated =
--- a/src/entry/entry_metrics.cc
+++ b/src/entry/entry_metrics.cc
@@ -85,6 +85,9 @@
     Description{"sends_without_drain_bound_total", "counter",
                 "Requests sent by server entries that were too old, as the "
                 "store was lost."},
+    Description{"requests_by_outdated_config_total", "counter",
+                "Requests decided by a configuration that may have been "
+                "replaced."},
     Description{"limited_servers", "gauge",
                 "Servers that name a limit for their requests."},
     Description{"server_path_lost", "gauge",
--- a/src/entry/entry_request.cc
+++ b/src/entry/entry_request.cc
@@ -121,6 +121,9 @@
     Refuse(kUnavailable, Reason::kNone, kNotReadyRetryAfter);
     return;
   }
+  if (state_->loop.Now() >= state_->routes_current_until()) {
+    state_->metrics.Count("requests_by_outdated_config_total");
+  }
   routing::RouteEntry* entry =
       routes_->Find(*head.Get(http::FieldId::host), head.target);
   if (entry == nullptr) {
