A configuration that may have been replaced decides no request

Cause: known routes were served by an outdated configuration without end. The server entries have had a bound since they decide sends; the configuration had none.

Change: the bound of a copy's age is one type (CopyAgeBound), used for entries and configuration, with the same proof that lifts it. Once the configuration is older than config_apply_ms, requests get 503 outdated and Retry-After, unless the store is lost. A daemon whose copies are too old says that it is not ready. Where a daemon follows the store, watches of the configuration wait no longer than those of the entries, so that their end proves it current in time.

--- a/src/entry/drain_bound.h
+++ b/src/entry/drain_bound.h
@@ -1,4 +1,4 @@
-// How long copies of the server entries may decide where requests are sent.
+// How long copies of the store's objects may decide what happens to requests.
 #ifndef SRC_ENTRY_DRAIN_BOUND_H_
 #define SRC_ENTRY_DRAIN_BOUND_H_
 
@@ -24,6 +24,32 @@
   TimePoint store_answered_at{};
 };
 
+// The largest age of a copy that decides anything, unless the store is lost.
+//
+// Only while the store answers no daemon, older copies go on being used. It
+// acknowledges nothing then, and without them all service would end.
+class CopyAgeBound {
+ public:
+  explicit CopyAgeBound(Duration max_age) : max_age_(max_age) {}
+
+  [[nodiscard]] Duration max_age() const { return max_age_; }
+  // Returns until when a copy that contains all changes up to `current_at` may
+  // decide.
+  [[nodiscard]] TimePoint Until(TimePoint current_at, bool store_lost) const {
+    return store_lost ? TimePoint::max() : current_at + max_age_;
+  }
+  // Returns whether such a copy decides at `now` although it is too old, since
+  // the store is lost.
+  [[nodiscard]] bool IsLifted(TimePoint current_at,
+                              bool store_lost,
+                              TimePoint now) const {
+    return store_lost && now >= current_at + max_age_;
+  }
+
+ private:
+  const Duration max_age_;
+};
+
 // Decides until when a daemon may send requests to a server that may have left.
 //
 // A server that leaves relies on getting no request once its drain time has
@@ -33,28 +59,23 @@
 // The daemon that sends enforces this when it writes the first byte. So it does
 // not matter how many hops the copy has passed, nor what happened on them: a
 // copy that is late makes requests fail as not run, never arrive late.
-//
-// Only while the store answers no daemon, as far as this one can find out,
-// older copies go on being used. It acknowledges nothing then, and without them
-// all service would end.
 class DrainBound {
  public:
-  explicit DrainBound(Duration drain) : drain_(drain) {}
+  explicit DrainBound(Duration drain) : age_bound_(drain - kTransitTime) {}
 
   // Returns the age from which on a copy decides no more sends.
   [[nodiscard]] Duration max_entries_age() const {
-    return drain_ - kTransitTime;
+    return age_bound_.max_age();
   }
   // Returns until when a copy with the status `entries` may decide a send.
   [[nodiscard]] TimePoint EntriesUntil(const EntriesStatus& entries) const {
-    return entries.store_lost ? TimePoint::max()
-                              : entries.current_at + max_entries_age();
+    return age_bound_.Until(entries.current_at, entries.store_lost);
   }
   // Returns whether a copy with the status `entries` decides sends at `now`
   // although it is too old, since the store is lost.
   [[nodiscard]] bool IsLifted(const EntriesStatus& entries,
                               TimePoint now) const {
-    return entries.store_lost && now >= entries.current_at + max_entries_age();
+    return age_bound_.IsLifted(entries.current_at, entries.store_lost, now);
   }
   // Returns until when requests may be written to `server` by that copy.
   [[nodiscard]] TimePoint SendUntil(const routing::BackendServer& server,
@@ -76,7 +97,7 @@
   // its keys have usually moved by then.
   static constexpr Duration kMaxDrainingUse = std::chrono::milliseconds(1500);
 
-  const Duration drain_;
+  const CopyAgeBound age_bound_;
 };
 
 }  // namespace gentianreach::entry
--- a/src/entry/entry_daemon.cc
+++ b/src/entry/entry_daemon.cc
@@ -78,6 +78,7 @@
  public:
   explicit Impl(const settings::EntryDaemonT& settings)
       : settings_(settings),
+        config_bound_(ConfigApplyTime(settings)),
         platform_(settings.store_address, settings.source_ip),
         state_(std::make_shared<EntryState>(
             loop_,
@@ -108,7 +109,7 @@
         copies_(loop_,
                 platform_,
                 ShortestExpiry(settings),
-                std::min(ConfigApplyTime(settings),
+                std::min(config_bound_.max_age(),
                          state_->drain_bound.max_entries_age()),
                 {.config = {[this](const auto& it) { OnConfig(it); },
                             [this](const auto& it) { OnConfig(it); }},
@@ -133,7 +134,11 @@
       loop_.Defer([this] { OnServersChanged(); });
     };
     state_->routes_current_until = [this] {
-      return copies_.config_current_at() + ConfigApplyTime(settings_);
+      return config_bound_.Until(copies_.config_current_at(), false);
+    };
+    state_->routes_usable_until = [this] {
+      return config_bound_.Until(copies_.config_current_at(),
+                                 copies_.IsStoreLostForConfig());
     };
     state_->entries_status = [this] {
       return EntriesStatus{copies_.servers_current_at(), copies_.IsStoreLost(),
@@ -243,9 +248,12 @@
   }
 
   // Returns whether the daemon has the routes and servers that it needs to
-  // serve requests, and is not stopping.
+  // serve requests, not too old for that, and is not stopping.
   [[nodiscard]] bool IsReady() const {
-    return state_->routes != nullptr && servers_known_ && !state_->stopping;
+    const TimePoint now = loop_.Now();
+    return state_->routes != nullptr && servers_known_ && !state_->stopping &&
+           now < state_->routes_usable_until() &&
+           now < state_->drain_bound.EntriesUntil(state_->entries_status());
   }
 
   OperatorResponse Metrics() {
@@ -482,7 +490,7 @@
       Log(config_outdated ? LogLevel::kWarning : LogLevel::kInfo,
           config_outdated ? "config_outdated" : "config_current",
           {{"version", state_->routes->config().version},
-           {"store_lost", copies_.IsStoreLost()},
+           {"store_lost", copies_.IsStoreLostForConfig()},
            {"copy_age_ms",
             MillisecondsBetween(copies_.config_current_at(), now)},
            {"answer_age_ms",
@@ -612,6 +620,7 @@
   }
 
   const settings::EntryDaemonT settings_;
+  const CopyAgeBound config_bound_;
   net::EventLoop loop_;
   platform::PlatformClient platform_;
   std::shared_ptr<EntryState> state_;
--- a/src/entry/entry_request.cc
+++ b/src/entry/entry_request.cc
@@ -121,7 +121,13 @@
     Refuse(kUnavailable, Reason::kNone, kNotReadyRetryAfter);
     return;
   }
-  if (state_->loop.Now() >= state_->routes_current_until()) {
+  const TimePoint now = state_->loop.Now();
+  if (now >= state_->routes_usable_until()) {
+    deadline_ = started_ + kNotReadyRetryAfter * 4;
+    Refuse(kUnavailable, Reason::kOutdated, kNotReadyRetryAfter);
+    return;
+  }
+  if (now >= state_->routes_current_until()) {
     state_->metrics.Count("requests_by_outdated_config_total");
   }
   routing::RouteEntry* entry =
--- a/src/entry/entry_state.h
+++ b/src/entry/entry_state.h
@@ -124,6 +124,8 @@
   std::shared_ptr<routing::HostRoutes> routes;
   // Returns until when `routes` have all changes that must have taken effect.
   std::function<TimePoint()> routes_current_until;
+  // Returns until when `routes` may decide requests at all.
+  std::function<TimePoint()> routes_usable_until;
   std::function<EntriesStatus()> entries_status;
   ServerDirectory directory;
   ServerLoads loads;
