Changes from a mirror are decoded and digested once

Cause: since changes from a mirror are taken only if they lead to the leader's copy, a member decoded them twice, and computed three digests a change: once to see where they lead, once to apply them. Change: DecodeNewer decodes the changes without effect and with their digests, those of known objects come from the copy; what was decoded is applied. An entry that does not fit is now logged also if the changes are not taken for that.

--- a/src/entry/store_watcher.cc
+++ b/src/entry/store_watcher.cc
@@ -38,6 +38,9 @@
 }  // namespace
 
 std::uint64_t StoreWatcher::DigestOf(const platform::Object& object) {
+  if (object.deleted) {
+    return 0;
+  }
   const std::string text =
       object.name + '/' + std::to_string(object.revision) + '/' +
       object.document.dump(-1, ' ', false,
@@ -311,6 +314,7 @@
 }
 
 void StoreWatcher::RecordChange(const platform::Object& object,
+                                std::uint64_t digest,
                                 std::uint64_t revision,
                                 ChangeForm form) {
   const auto known = objects_.find(object.name);
@@ -326,7 +330,6 @@
     objects_.erase(object.name);
     object_digests_.erase(object.name);
   } else {
-    const std::uint64_t digest = DigestOf(object);
     digest_ += digest;
     object_digests_[object.name] = digest;
     objects_[object.name] = object;
@@ -376,7 +379,7 @@
   // Other daemons may know states between the two of this copy, so that a patch
   // would not apply there.
   for (const platform::Object* it : changed) {
-    RecordChange(*it, revision_, ChangeForm::kWhole);
+    RecordChange(*it, DigestOf(*it), revision_, ChangeForm::kWhole);
   }
   sink_.on_list(objects);
 }
@@ -387,7 +390,7 @@
   std::vector<platform::Object> changed;
   for (const platform::Object& it : objects) {
     if (IsNewer(it, Find(it.name))) {
-      RecordChange(it, revision_, ChangeForm::kPatch);
+      RecordChange(it, DigestOf(it), revision_, ChangeForm::kPatch);
       changed.push_back(it);
     }
   }
@@ -425,7 +428,8 @@
   ++outside_changes_;
   // The copy may be incomplete up to the object's revision, so `revision_`
   // stays; but daemons that follow this copy have to see the change.
-  RecordChange(object, std::max({changed_at_, revision_, object.revision}),
+  RecordChange(object, DigestOf(object),
+               std::max({changed_at_, revision_, object.revision}),
                ChangeForm::kPatch);
   sink_.on_events({object});
 }
--- a/src/entry/store_watcher.h
+++ b/src/entry/store_watcher.h
@@ -175,7 +175,9 @@
   // Whether a change is relayed as a patch of the state before it, which is
   // smaller, or as the whole object, which applies to any state.
   enum class ChangeForm : std::uint8_t { kPatch, kWhole };
+  // `digest` is that of the object.
   void RecordChange(const platform::Object& object,
+                    std::uint64_t digest,
                     std::uint64_t revision,
                     ChangeForm form);
   // Returns the content of another daemon's changes, or nullopt, with a log
@@ -185,10 +187,27 @@
   void LogUnusableChanges(std::string_view error) const;
   bool ApplyDecodedChanges(nlohmann::json changes,
                            std::optional<std::uint64_t> via_digest);
-  // Returns whether `entries` of another daemon's changes lead this copy to, or
-  // through, one with `digest`.
-  [[nodiscard]] bool LeadVia(const nlohmann::json& entries,
-                             std::uint64_t digest) const;
+  // The changes of another daemon that this copy lacks, in their order, up to
+  // the first entry that does not fit.
+  struct DecodedChanges {
+    struct Item {
+      platform::Object object;
+      std::uint64_t digest = 0;  // Of the object.
+    };
+    struct Misfit {
+      const nlohmann::json* entry = nullptr;  // Null if there is none.
+      std::string why;
+    };
+    std::vector<Item> changes;
+    Misfit misfit;
+    // They lead this copy to, or through, one with the digest asked for.
+    bool leads_via = false;
+  };
+  // Decodes `entries` of another daemon's changes without effect on the copy.
+  // Whole objects are moved out of `entries`.
+  [[nodiscard]] DecodedChanges DecodeNewer(
+      nlohmann::json& entries,
+      std::optional<std::uint64_t> via_digest) const;
   bool ReplaceByDecoded(nlohmann::json changes, std::uint64_t digest);
   // Returns the objects of a whole copy of another daemon.
   [[nodiscard]] std::vector<platform::Object> DecodeObjects(
@@ -197,7 +216,8 @@
   // it. Objects that have changed since are no difference.
   [[nodiscard]] bool IsAsStated(const nlohmann::json& changes) const;
   // Returns the part of an object in the digest of a copy, which is the sum of
-  // these: it does not depend on the order of the objects.
+  // these: it does not depend on the order of the objects. Deleted objects have
+  // none.
   [[nodiscard]] static std::uint64_t DigestOf(const platform::Object& object);
   // Returns the copy's state of an object, or null.
   [[nodiscard]] const platform::Object* Find(const std::string& name) const;
--- a/src/entry/store_watcher_relay.cc
+++ b/src/entry/store_watcher_relay.cc
@@ -1,6 +1,8 @@
 // The part of the store watcher that passes changes on to other daemons and
 // takes theirs.
 #include <algorithm>
+#include <cstddef>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -206,34 +208,52 @@
   return ahead || changes.at("digest").get<std::uint64_t>() == digest_;
 }
 
-bool StoreWatcher::LeadVia(const nlohmann::json& entries,
-                           std::uint64_t digest) const {
+StoreWatcher::DecodedChanges StoreWatcher::DecodeNewer(
+    nlohmann::json& entries,
+    std::optional<std::uint64_t> via_digest) const {
+  DecodedChanges decoded;
   std::uint64_t reached = digest_;
-  std::map<std::string, platform::Object> changed;
-  for (nlohmann::json it : entries) {
-    const auto name = it.at("name").get<std::string>();
-    const auto before = changed.find(name);
-    const platform::Object* known = before == changed.end()  ? Find(name)
-                                    : before->second.deleted ? nullptr
-                                                             : &before->second;
-    if (HasStateOf(it, known, revision_)) {
-      continue;
-    }
-    auto object = DecodeEntry(it, known);
-    if (!object) {
-      return false;
-    }
-    if (!IsNewer(*object, known)) {
-      continue;
-    }
-    reached -= known == nullptr ? 0 : DigestOf(*known);
-    reached += object->deleted ? 0 : DigestOf(*object);
-    if (reached == digest) {
-      return true;
+  // Positions in `decoded.changes`: a later entry may be a patch of an earlier
+  // one.
+  std::map<std::string, std::size_t, std::less<>> positions;
+  for (auto& it : entries) {
+    try {
+      const auto name = it.at("name").get<std::string>();
+      const auto position = positions.find(name);
+      const bool is_first = position == positions.end();
+      const platform::Object* known =
+          is_first ? Find(name) : &decoded.changes[position->second].object;
+      const std::uint64_t known_digest =
+          !is_first          ? decoded.changes[position->second].digest
+          : known == nullptr ? 0
+                             : object_digests_.at(name);
+      if (known != nullptr && known->deleted) {
+        known = nullptr;
+      }
+      if (HasStateOf(it, known, revision_)) {
+        continue;
+      }
+      auto object = DecodeEntry(it, known);
+      if (!object) {
+        decoded.misfit = {&it, "patch of another revision"};
+        return decoded;
+      }
+      if (!IsNewer(*object, known)) {
+        continue;
+      }
+      const std::uint64_t digest = DigestOf(*object);
+      reached += digest - known_digest;
+      decoded.leads_via = decoded.leads_via || reached == via_digest;
+      positions[name] = decoded.changes.size();
+      decoded.changes.push_back({*std::move(object), digest});
+    } catch (const nlohmann::json::exception& error) {
+      decoded.misfit = {&it, error.what()};
+      return decoded;
     }
-    changed[name] = *std::move(object);
   }
-  return reached == digest;
+  // Also if there was nothing to change.
+  decoded.leads_via = decoded.leads_via || reached == via_digest;
+  return decoded;
 }
 
 bool StoreWatcher::ApplyDecodedChanges(
@@ -246,46 +266,38 @@
       (!full && !listed_)) {
     return false;
   }
-  if (listed_ && via_digest &&
-      !(full ? changes.value("digest", ~*via_digest) == *via_digest
-             : LeadVia(changes.at("objects"), *via_digest))) {
-    return false;
-  }
   if (full) {
+    if (listed_ && via_digest &&
+        changes.value("digest", ~*via_digest) != *via_digest) {
+      return false;
+    }
     ++outside_changes_;
     ApplyList(DecodeObjects(changes.at("objects")), revision);
     return true;
   }
+  DecodedChanges decoded = DecodeNewer(changes.at("objects"), via_digest);
+  if (decoded.misfit.entry != nullptr) {
+    Log(LogLevel::kWarning, "relayed_change_misfits",
+        {{"kind", platform::ToString(kind_)},
+         {"change",
+          decoded.misfit.entry->dump(-1, ' ', false,
+                                     nlohmann::json::error_handler_t::replace)},
+         {"why", decoded.misfit.why},
+         {"revision", revision}});
+  }
+  if (via_digest && !decoded.leads_via) {
+    return false;
+  }
   ++outside_changes_;
-  const std::uint64_t complete_to = std::exchange(revision_, revision);
+  revision_ = revision;
   std::vector<platform::Object> changed;
-  for (auto& it : changes.at("objects")) {
-    // Applied one by one, since a later entry may be a patch of an earlier one.
-    std::optional<platform::Object> object;
-    std::string why = "patch of another revision";
-    try {
-      const platform::Object* known = Find(it.at("name").get<std::string>());
-      if (HasStateOf(it, known, complete_to)) {
-        continue;
-      }
-      object = DecodeEntry(it, known);
-    } catch (const nlohmann::json::exception& error) {
-      why = error.what();
-    }
-    if (!object) {
-      Log(LogLevel::kWarning, "relayed_change_misfits",
-          {{"kind", platform::ToString(kind_)},
-           {"change",
-            it.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace)},
-           {"why", why},
-           {"revision", revision_}});
-      needs_full_copy_ = true;
-      break;
-    }
-    if (IsNewer(*object, Find(object->name))) {
-      RecordChange(*object, revision, ChangeForm::kPatch);
-      changed.push_back(*object);
-    }
+  changed.reserve(decoded.changes.size());
+  for (auto& it : decoded.changes) {
+    RecordChange(it.object, it.digest, revision, ChangeForm::kPatch);
+    changed.push_back(std::move(it.object));
+  }
+  if (decoded.misfit.entry != nullptr) {
+    needs_full_copy_ = true;
   }
   if (!needs_full_copy_ && !IsAsStated(changes)) {
     Log(LogLevel::kWarning, "copies_differ",
