A lost history takes back what members were told of the leader's watches

Cause: watches prove that a copy is complete up to their end only as long as the store keeps its history. After a 410 the leader took back the times that its own watches had proved, but its members kept the later one that its heartbeats had stated: they went on sending by entries, and answering by a configuration, that were older than they counted.

Change: heartbeats and the states of peers tell two more ages: that of the copies as lists alone prove it, and that of the time up to which watches prove nothing. A daemon keeps what it is told by these two kinds of proof apart. It drops what watches had proved up to the stated time, and takes no such statement later, for example one that was on its way with a fetch; what lists have proved stays. The time of the loss is reckoned from when the heartbeat arrives, so that it is never too early. It is told at once behind mirrors, too.

--- a/src/entry/member_link.cc
+++ b/src/entry/member_link.cc
@@ -430,6 +430,9 @@
   heartbeat.changed_at = status.changed_at;
   heartbeat.digests = status.digests;
   heartbeat.copy_age_ms = AgeOf(status.current_at, loop_.Now());
+  heartbeat.listed_age_ms = AgeOf(status.listed_at, loop_.Now());
+  heartbeat.watches_void_age_ms =
+      AgeOf(own_copy_status_.watches_void_until, loop_.Now());
   heartbeat.hello_sent_ms = known.hello_sent_ms;
   heartbeat.servers_lost = state_.reachability.lost();
   heartbeat.cut_members = cut_members_;
@@ -496,15 +499,19 @@
   election_.OnLeaderHeartbeat(record, heartbeat.rank, now);
   ReplaceUnfitLeader(heartbeat.servers_lost, now);
   if (on_leader_heartbeat) {
-    on_leader_heartbeat({.address = heartbeat.address,
-                         .mirror = heartbeat.mirror,
-                         .store_lost = heartbeat.store_lost,
-                         .may_lack_entries = heartbeat.may_lack_entries,
-                         .changed_at = heartbeat.changed_at,
-                         .digests = heartbeat.digests,
-                         .current_at = TimeOf(heartbeat.copy_age_ms,
-                                              EarliestSendTime(heartbeat, now)),
-                         .peers = std::move(peers)});
+    const TimePoint sent = EarliestSendTime(heartbeat, now);
+    on_leader_heartbeat(
+        {.address = heartbeat.address,
+         .mirror = heartbeat.mirror,
+         .store_lost = heartbeat.store_lost,
+         .may_lack_entries = heartbeat.may_lack_entries,
+         .changed_at = heartbeat.changed_at,
+         .digests = heartbeat.digests,
+         .current_at = TimeOf(heartbeat.copy_age_ms, sent),
+         .listed_at = TimeOf(heartbeat.listed_age_ms, sent),
+         // The heartbeat may have been sent just now.
+         .watches_void_until = TimeOf(heartbeat.watches_void_age_ms, now),
+         .peers = std::move(peers)});
   }
 }
 
--- a/src/entry/member_link.h
+++ b/src/entry/member_link.h
@@ -43,6 +43,11 @@
   std::vector<std::uint64_t> digests;
   // All changes up to this time are in the copies; TimePoint{}: unknown.
   TimePoint current_at{};
+  // The same as lists of the store alone prove it.
+  TimePoint listed_at{};
+  // Watches prove nothing up to this time, since the store has dropped its
+  // history; TimePoint{}: it has not.
+  TimePoint watches_void_until{};
   // Addresses of the first members in the order of succession, without the
   // daemon that receives the status. They have copies, too.
   std::vector<std::string> peers;
--- a/src/entry/member_link_test.cc
+++ b/src/entry/member_link_test.cc
@@ -7,9 +7,11 @@
 #include <memory>
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
 #include <string_view>
 #include <thread>
+#include <utility>
 #include <vector>
 
 #include <doctest/doctest.h>
@@ -224,6 +226,16 @@
     "03000000280000000000000029000000000000002a00000000000000000000000e000000"
     "3132372e302e302e313a373030320000030000006f6c6400";
 
+// The heartbeat of the version before heartbeats told of lost histories.
+constexpr std::string_view kHeartbeatWithDigests =
+    "0c00000008000c00070008000800000000000002300000002c004000040024002c000800"
+    "0c0010000000000000000000140000001800000000000000000034001c0020002c000000"
+    "a000000001000000840000000c0000005c00000096000000400000002000000003000000"
+    "000000000900000000000000010000000000000000000000030000003200000000000000"
+    "330000000000000034000000000000000e0000003132372e302e302e313a373030330000"
+    "03000000280000000000000029000000000000002a00000000000000000000000e000000"
+    "3132372e302e302e313a373030320000030000006f6c6400";
+
 // Sends the datagram `hexadecimal` to `daemon`.
 void SendDatagram(net::EventLoop& loop,
                   const Daemon& daemon,
@@ -301,6 +313,90 @@
   CHECK(received->current_at <= loop.Now() - age);
 }
 
+TEST_CASE("a member follows a leader that does not tell of lost histories") {
+  net::EventLoop loop;
+  Daemon member(loop, "a");
+  std::optional<StoreCopyStatus> received;
+  member.link.on_leader_heartbeat = [&](const StoreCopyStatus& it) {
+    received = it;
+  };
+  const TimePoint end = loop.Now() + kTestTimeout;
+  while (!received) {
+    SendDatagram(loop, member, kHeartbeatWithDigests);
+    REQUIRE(loop.Now() < end);
+    loop.RunOnce(true);
+  }
+  CHECK(received->changed_at == std::vector<std::uint64_t>{40, 41, 42});
+  CHECK(received->digests == std::vector<std::uint64_t>{50, 51, 52});
+  CHECK(received->mirror == "127.0.0.1:7003");
+  CHECK(received->current_at != TimePoint{});
+  CHECK(received->listed_at == TimePoint{});
+  CHECK(received->watches_void_until == TimePoint{});
+}
+
+// Earlier versions read the fields that they know by their positions.
+TEST_CASE("a heartbeat has the fields of the version before at their places") {
+  const wire::LeaderHeartbeatT none;
+  CHECK(none.listed_age_ms == none.copy_age_ms);
+  CHECK(none.watches_void_age_ms == none.copy_age_ms);
+  wire::LeaderHeartbeatT heartbeat;
+  heartbeat.name = "old";
+  heartbeat.incarnation = 3;
+  heartbeat.epoch = 9;
+  heartbeat.rank = 1;
+  heartbeat.address = "127.0.0.1:7002";
+  heartbeat.members = 12;
+  heartbeat.changed_at = {40, 41, 42};
+  heartbeat.copy_age_ms = 150;
+  heartbeat.digests = {50, 51, 52};
+  heartbeat.hello_sent_ms = 1;
+  heartbeat.mirror = "127.0.0.1:7003";
+  wire::BodyUnion body;
+  body.Set(std::move(heartbeat));
+  flatbuffers::FlatBufferBuilder builder;
+  const auto packed = body.Pack(builder);
+  builder.Finish(wire::CreateDatagram(builder, body.type, packed));
+  std::string text;
+  for (const std::uint8_t it :
+       std::span(builder.GetBufferPointer(), builder.GetSize())) {
+    constexpr std::string_view kDigits = "0123456789abcdef";
+    text += {kDigits[it >> 4U], kDigits[it & 15U]};
+  }
+  CHECK(text == kHeartbeatWithDigests);
+  constexpr auto kLastBefore = wire::LeaderHeartbeat::VT_DIGESTS;
+  CHECK(kLastBefore == 42);
+  CHECK(wire::LeaderHeartbeat::VT_LISTED_AGE_MS > kLastBefore);
+  CHECK(wire::LeaderHeartbeat::VT_WATCHES_VOID_AGE_MS > kLastBefore);
+}
+
+TEST_CASE("heartbeats tell of a lost history at once, also behind mirrors") {
+  Fleet fleet;
+  Daemon& leader = *fleet.daemons[0];
+  const TimePoint current_at = fleet.loop.Now();
+  const TimePoint listed_at = current_at - std::chrono::seconds(60);
+  std::set<std::string> told;
+  bool has_mirror = false;
+  for (std::size_t i = 1; i < kManyMembers; ++i) {
+    Daemon& member = *fleet.daemons[i];
+    member.link.on_leader_heartbeat = [&](const StoreCopyStatus& it) {
+      if (it.watches_void_until >= current_at) {
+        CHECK(it.listed_at <= listed_at);
+        told.insert(member.self.name);
+        has_mirror = has_mirror || !it.mirror.empty();
+      }
+    };
+  }
+  leader.link.SetStoreCopyStatus(
+      {.changed_at = {7, 8, 9}, .current_at = current_at});
+  leader.link.SendLeaderHeartbeats();
+  leader.link.SetStoreCopyStatus({.changed_at = {7, 8, 10},
+                                  .current_at = listed_at,
+                                  .listed_at = listed_at,
+                                  .watches_void_until = current_at});
+  leader.link.SendLeaderHeartbeats();
+  fleet.WaitFor([&] { return told.size() + 1 == kManyMembers && has_mirror; });
+}
+
 // Guards against requests to servers that have left: a delayed heartbeat made
 // copies look younger than they were.
 TEST_CASE("the age of copies includes the time of a heartbeat on its way") {
--- a/src/entry/store_copies.cc
+++ b/src/entry/store_copies.cc
@@ -148,7 +148,7 @@
   leader_address_ = copy_status.address;
   mirror_ = copy_status.mirror;
   peers_ = copy_status.peers;
-  OnSourceStatus(copy_status.may_lack_entries, copy_status.current_at);
+  OnSourceStatus(copy_status);
   for (std::size_t i = 0; i < std::min(copy_status.changed_at.size(), kKinds);
        ++i) {
     FetchFromLeader(i, RemoteCopyOf(copy_status, i));
@@ -159,16 +159,20 @@
                                                   std::size_t kind) {
   RemoteCopy remote{.address = status.address,
                     .changed_at = status.changed_at[kind],
-                    .current_at = status.current_at};
+                    .current_at = status.current_at,
+                    .listed_at = status.listed_at};
   if (kind < status.digests.size()) {
     remote.digest = status.digests[kind];
   }
   return remote;
 }
 
-void StoreCopies::OnSourceStatus(bool may_lack_entries, TimePoint current_at) {
-  source_lacks_entries_ = may_lack_entries;
-  health_.OnAnswerToOther(current_at, may_lack_entries);
+void StoreCopies::OnSourceStatus(const StoreCopyStatus& status) {
+  source_lacks_entries_ = status.may_lack_entries;
+  health_.OnAnswerToOther(status.current_at, status.may_lack_entries);
+  for (StoreWatcher* it : Watchers()) {
+    it->VoidWatches(status.watches_void_until);
+  }
 }
 
 void StoreCopies::FetchFromLeader(std::size_t kind,
@@ -227,13 +231,21 @@
     const auto json = nlohmann::json::parse(status);
     const TimePoint current_at =
         TimeOf(json.at("age_ms").get<std::uint32_t>(), asked_at);
+    // Earlier versions do not state all ages.
+    const auto time_of = [&](const char* age) {
+      return json.contains(age)
+                 ? TimeOf(json[age].get<std::uint32_t>(), asked_at)
+                 : TimePoint{};
+    };
     const StoreCopyStatus copy_status{
         .address = address,
+        .may_lack_entries = json.at("may_lack_entries").get<bool>(),
         .changed_at = json.at("changed_at").get<std::vector<std::uint64_t>>(),
         .digests = json.value("digests", std::vector<std::uint64_t>()),
-        .current_at = current_at};
-    OnSourceStatus(json.at("may_lack_entries").get<bool>(), current_at);
-    // Earlier versions do not tell.
+        .current_at = current_at,
+        .listed_at = time_of("listed_age_ms"),
+        .watches_void_until = time_of("watches_void_age_ms")};
+    OnSourceStatus(copy_status);
     if (json.contains("answer_age_ms")) {
       health_.OnAnswerToOther(
           TimeOf(json["answer_age_ms"].get<std::uint32_t>(), asked_at), true);
@@ -265,9 +277,12 @@
 }
 
 StoreCopyStatus StoreCopies::CopyStatus() const {
-  StoreCopyStatus copy_status{.store_lost = health_.lost(),
-                              .may_lack_entries = health_.MayLackEntries(),
-                              .current_at = current_at()};
+  StoreCopyStatus copy_status{
+      .store_lost = health_.lost(),
+      .may_lack_entries = health_.MayLackEntries(),
+      .current_at = current_at(),
+      .listed_at = listed_at(),
+      .watches_void_until = servers_.watches_void_until()};
   for (const StoreWatcher* it : Watchers()) {
     copy_status.changed_at.push_back(it->listed() ? it->changed_at() : 0);
     copy_status.digests.push_back(it->digest());
@@ -275,14 +290,21 @@
   return copy_status;
 }
 
-TimePoint StoreCopies::current_at() const {
+TimePoint StoreCopies::OwnershipTime(TimePoint of_ownership) const {
   // Only the leader writes the ownership tables, and its writes fail once
   // another daemon has written them.
-  const bool owns_tables = leads_ && ownership_.current_at() >= leads_since_;
-  const TimePoint ownership_current_at =
-      owns_tables ? loop_.Now() : ownership_.current_at();
-  return std::min(
-      {config_.current_at(), servers_.current_at(), ownership_current_at});
+  const bool owns_tables = leads_ && of_ownership >= leads_since_;
+  return owns_tables ? loop_.Now() : of_ownership;
+}
+
+TimePoint StoreCopies::current_at() const {
+  return std::min({config_.current_at(), servers_.current_at(),
+                   OwnershipTime(ownership_.current_at())});
+}
+
+TimePoint StoreCopies::listed_at() const {
+  return std::min({config_.listed_at(), servers_.listed_at(),
+                   OwnershipTime(ownership_.listed_at())});
 }
 
 std::uint64_t StoreCopies::unreadable_objects() const {
@@ -326,6 +348,9 @@
   return {200, "application/json",
           nlohmann::json{
               {"age_ms", AgeOf(status.current_at, loop_.Now())},
+              {"listed_age_ms", AgeOf(status.listed_at, loop_.Now())},
+              {"watches_void_age_ms",
+               AgeOf(status.watches_void_until, loop_.Now())},
               {"changed_at", status.changed_at},
               {"digests", status.digests},
               {"may_lack_entries", MayLackEntries()},
@@ -359,7 +384,7 @@
   StoreWatcher* watcher = Watchers()[kind];
   const CopyRelation relation = Compare(*watcher, remote);
   if (relation == CopyRelation::kContains) {
-    watcher->ConfirmCurrent(remote.current_at);
+    watcher->ConfirmCurrent(remote.current_at, remote.listed_at);
     return;
   }
   if (fetching_[kind] || relation == CopyRelation::kUnknown) {
@@ -397,7 +422,7 @@
     const bool is_proven = address == remote.address || !remote.digest ||
                            watcher->Contains(*remote.digest);
     if (has_changes && is_proven) {
-      watcher->ConfirmCurrent(remote.current_at);
+      watcher->ConfirmCurrent(remote.current_at, remote.listed_at);
     }
     if (done) {
       done(has_changes);
--- a/src/entry/store_copies.h
+++ b/src/entry/store_copies.h
@@ -128,6 +128,10 @@
   [[nodiscard]] bool HasCallFailed() const {
     return health_.failed_at() > servers_.current_at();
   }
+  // Returns the time of current_at() as lists alone prove it.
+  [[nodiscard]] TimePoint listed_at() const;
+  // Returns `of_ownership`, or now if this daemon alone changes the tables.
+  [[nodiscard]] TimePoint OwnershipTime(TimePoint of_ownership) const;
   // Handles another daemon's request for changes.
   OperatorResponse HandleChangesRequest(const OperatorRequest& request);
   // Handles another daemon's question for the state of the copies.
@@ -147,8 +151,9 @@
                     const std::string& status,
                     TimePoint asked_at);
   // Handles what the daemon that tells of changes states about its copies:
-  // whether they may lack entries, and up to when they are complete.
-  void OnSourceStatus(bool may_lack_entries, TimePoint current_at);
+  // whether they may lack entries, up to when they are complete, and up to when
+  // watches prove nothing.
+  void OnSourceStatus(const StoreCopyStatus& status);
   // What another daemon has stated about its copy of one kind of objects.
   struct RemoteCopy {
     // Where the daemon serves its copies.
@@ -158,6 +163,8 @@
     std::optional<std::uint64_t> digest;
     // The copy contains all changes up to this time.
     TimePoint current_at{};
+    // The same as lists alone prove it.
+    TimePoint listed_at{};
   };
   // How this daemon's copy relates to a remote one.
   enum class CopyRelation : std::uint8_t {
--- a/src/entry/store_watcher.cc
+++ b/src/entry/store_watcher.cc
@@ -100,10 +100,25 @@
   }
   DropCall();
   list_due_ = true;
-  watched_until_ = {};
+  VoidWatches(loop_.Now());
   timer_.Set(loop_.Now());
 }
 
+void StoreWatcher::ConfirmCurrent(TimePoint at, TimePoint listed_at) {
+  listed_at_ = std::max(listed_at_, listed_at);
+  // The statement may have been made before the history was lost.
+  if (at > watches_void_until_) {
+    watched_until_ = std::max(watched_until_, at);
+  }
+}
+
+void StoreWatcher::VoidWatches(TimePoint until) {
+  watches_void_until_ = std::max(watches_void_until_, until);
+  if (watched_until_ <= watches_void_until_) {
+    watched_until_ = {};
+  }
+}
+
 void StoreWatcher::OnRevisionBack(std::uint64_t revision) {
   if (listed_ && std::max(revision_, changed_at_) > revision) {
     RequireList();
@@ -269,7 +284,7 @@
     failed_lists_ = 0;
     next_list_at_ = {};
     ApplyList(reply.objects, reply.revision);
-    ConfirmCurrent(call.current_at);
+    listed_at_ = std::max(listed_at_, call.current_at);
   } else {
     ApplyEvents(reply.objects, reply.revision);
     watched_until_ = std::max(
--- a/src/entry/store_watcher.h
+++ b/src/entry/store_watcher.h
@@ -111,10 +111,20 @@
   // TimePoint{} if none is known. The sinks see the value from before the
   // changes that they receive.
   [[nodiscard]] TimePoint current_at() const {
-    return std::max(current_at_, watched_until_);
+    return std::max(listed_at_, watched_until_);
+  }
+  // Returns the same as lists alone prove it.
+  [[nodiscard]] TimePoint listed_at() const { return listed_at_; }
+  // Records that the copy contains all changes up to `at`, and up to
+  // `listed_at` as lists alone prove it, since another daemon has stated so.
+  void ConfirmCurrent(TimePoint at, TimePoint listed_at);
+  // What watches of any daemon have proved up to `until` is void: the store has
+  // dropped its history, and may not have reported changes before that.
+  void VoidWatches(TimePoint until);
+  // Returns up to when watches prove nothing; TimePoint{}: no history was lost.
+  [[nodiscard]] TimePoint watches_void_until() const {
+    return watches_void_until_;
   }
-  // Records that the copy contains all changes up to `at`.
-  void ConfirmCurrent(TimePoint at) { current_at_ = std::max(current_at_, at); }
   // Returns whether the copy is, or was before its last changes, one with this
   // digest.
   [[nodiscard]] bool Contains(std::uint64_t digest) const;
@@ -235,9 +245,10 @@
   // The revision that the store stated in its last list.
   std::uint64_t listed_revision_ = 0;
   std::uint64_t changed_at_ = 0;
-  TimePoint current_at_{};
-  // The same by watches alone. A lost history takes that back.
+  // Up to when the copy is complete as lists prove it, and as watches do.
+  TimePoint listed_at_{};
   TimePoint watched_until_{};
+  TimePoint watches_void_until_{};
   std::map<std::string, platform::Object> objects_;
   // By name; their sum is the digest of the copy.
   std::map<std::string, std::uint64_t> object_digests_;
--- a/src/entry/store_watcher_test.cc
+++ b/src/entry/store_watcher_test.cc
@@ -488,5 +488,26 @@
   CHECK(daemons.follower.content["s3"]["load"] == 0);
 }
 
+TEST_CASE("what watches had proved before a lost history is not confirmed") {
+  Daemons daemons;
+  StoreWatcher& watcher = daemons.follower.watcher;
+  const TimePoint lost = daemons.loop.Now();
+  const TimePoint listed = lost - std::chrono::seconds(5);
+  const TimePoint watched = lost - std::chrono::seconds(1);
+  watcher.ConfirmCurrent(watched, listed);
+  CHECK(watcher.current_at() == watched);
+  watcher.VoidWatches(lost);
+  CHECK(watcher.current_at() == listed);
+  // A statement that was on its way when the loss became known.
+  watcher.ConfirmCurrent(watched, listed);
+  CHECK(watcher.current_at() == listed);
+  const TimePoint listed_again = lost - std::chrono::milliseconds(10);
+  watcher.ConfirmCurrent(watched, listed_again);
+  CHECK(watcher.current_at() == listed_again);
+  const TimePoint watched_again = lost + std::chrono::milliseconds(10);
+  watcher.ConfirmCurrent(watched_again, listed_again);
+  CHECK(watcher.current_at() == watched_again);
+}
+
 }  // namespace
 }  // namespace gentianreach::entry
