A member takes a removal that brings its copy back to an earlier digest

Cause: the digest of a copy is the sum over its objects, so that a copy from which an object is removed has the digest of before the object was added. StoreCopies::Compare took each remote copy with a digest that the member's copy had had for an earlier state of it. The member fetched nothing, confirmed its copy with every heartbeat, and went on sending to the server until the next change of any entry.

Change: a remote copy of a higher revision counts as an earlier state only up to the time when the member learned of its last change. One that is complete up to a later time has come back to that digest, and its changes are fetched; until then nothing is confirmed by it. The time is needed beside the revision: a member that has listed a store whose counter went back hears of the higher revision of a leader that has not noticed yet.

Measured: removed_entry_test, an entry that is added and removed again with no change in between or after. Before: the member has the entry 2 s after the removal and states times after it (2 checks of 1 case fail).

--- a/src/entry/store_copies.cc
+++ b/src/entry/store_copies.cc
@@ -366,14 +366,22 @@
   if (!remote.digest || !watcher.listed()) {
     return behind ? CopyRelation::kBehind : CopyRelation::kContains;
   }
-  if (watcher.Contains(*remote.digest)) {
+  if (watcher.digest() == *remote.digest) {
     return CopyRelation::kContains;
   }
+  const bool is_later = remote.current_at > watcher.learned_at();
+  if (watcher.Contains(*remote.digest)) {
+    // Once an object has been added and removed, a copy has the digest that it
+    // had before. So one of a higher revision is an earlier state only if it is
+    // of the time before this daemon's last change.
+    return !behind    ? CopyRelation::kContains
+           : is_later ? CopyRelation::kBehind
+                      : CopyRelation::kUnknown;
+  }
   if (behind) {
     return CopyRelation::kBehind;
   }
-  return remote.current_at > watcher.learned_at() ? CopyRelation::kSuperseded
-                                                  : CopyRelation::kUnknown;
+  return is_later ? CopyRelation::kSuperseded : CopyRelation::kUnknown;
 }
 
 void StoreCopies::FetchChanges(std::size_t kind,
