Only heartbeats that answer a Hello state how old the leader's copies are

Cause: a heartbeat names the member's last Hello, so that its way is part of the age that the member reckons. A new leader sends its first heartbeats to members that it knows from the leader before; they name no Hello, and the member took the age from the moment when it read them. A daemon that was paused or late while the leader changed confirmed its copies up to just before its return, although they had the state of the change of leader: it counted as in touch with an old configuration and old entries.

Change: a leader states ages only to members that have sent it a Hello. A member that hears of a new term sends one at once, so that it has an age after one more way there and back.

Measured: member_link_test, a heartbeat of a new leader that is read 200 ms late. Before: the stated times are after those of the leader (2 checks fail).

--- a/src/entry/member_link.cc
+++ b/src/entry/member_link.cc
@@ -310,6 +310,7 @@
   known.zone = ZoneName(hello.zone);
   known.forward_address = hello.forward_address;
   known.servers_lost = hello.servers_lost;
+  known.said_hello = true;
   known.hello_sent_ms = hello.sent_ms;
   if (changed) {
     InvalidateSuccession();
@@ -429,8 +430,12 @@
   heartbeat.may_lack_entries = status.may_lack_entries;
   heartbeat.changed_at = status.changed_at;
   heartbeat.digests = status.digests;
-  heartbeat.copy_age_ms = AgeOf(status.current_at, loop_.Now());
-  heartbeat.listed_age_ms = AgeOf(status.listed_at, loop_.Now());
+  // Without its Hello, the member cannot tell how long the heartbeat has been
+  // on its way.
+  if (known.said_hello) {
+    heartbeat.copy_age_ms = AgeOf(status.current_at, loop_.Now());
+    heartbeat.listed_age_ms = AgeOf(status.listed_at, loop_.Now());
+  }
   heartbeat.watches_void_age_ms =
       AgeOf(own_copy_status_.watches_void_until, loop_.Now());
   heartbeat.hello_sent_ms = known.hello_sent_ms;
@@ -469,6 +474,7 @@
     election_.OnLeaderResigned(now);
     return;
   }
+  const bool was_followed = election_.record().IsSameTerm(record);
   if (election_.IsLeader(now)) {
     election_.OnLeaderHeartbeat(record, heartbeat.rank, now);
     SendHintsToMembers();
@@ -497,6 +503,10 @@
   }
   leader_last_seen_ = now;
   election_.OnLeaderHeartbeat(record, heartbeat.rank, now);
+  if (!was_followed && election_.record().IsSameTerm(record)) {
+    // The leader states the age of its copies only in response.
+    SendHello();
+  }
   ReplaceUnfitLeader(heartbeat.servers_lost, now);
   if (on_leader_heartbeat) {
     const TimePoint sent = EarliestSendTime(heartbeat, now);
--- a/src/entry/member_link.h
+++ b/src/entry/member_link.h
@@ -134,7 +134,8 @@
     ZoneName zone;
     std::string forward_address;
     bool servers_lost = false;
-    // Hello.sent_ms of its last Hello.
+    // Whether it has sent a Hello, and Hello.sent_ms of the last one.
+    bool said_hello = false;
     std::uint64_t hello_sent_ms = 0;
     // Set by UpdateSuccession().
     std::uint32_t rank = 0;
--- a/src/entry/member_link_test.cc
+++ b/src/entry/member_link_test.cc
@@ -414,6 +414,33 @@
   CHECK(received.front().current_at > TimePoint{});
 }
 
+// Guards against an old configuration at a daemon that was paused while the
+// leader changed: its copies counted as current until its first Hello.
+TEST_CASE("a late first heartbeat of a new leader makes copies no younger") {
+  Fleet fleet;
+  Daemon& next = *fleet.daemons[5];
+  std::vector<StoreCopyStatus> received;
+  fleet.daemons[1]->link.on_leader_heartbeat = [&](const StoreCopyStatus& it) {
+    if (it.address == next.self.address) {
+      received.push_back(it);
+    }
+  };
+  next.TakeLead(2);
+  const TimePoint current_at = fleet.loop.Now();
+  next.link.SetStoreCopyStatus({.digests = {1, 2, 3},
+                                .current_at = current_at,
+                                .listed_at = current_at});
+  next.link.SendLeaderHeartbeats();
+  std::this_thread::sleep_for(std::chrono::milliseconds(200));
+  fleet.WaitFor([&] { return !received.empty(); });
+  CHECK(received.front().current_at <= current_at);
+  CHECK(received.front().listed_at <= current_at);
+  // A Hello answers it at once, and the next heartbeat states a time.
+  const TimePoint answered = fleet.loop.Now();
+  fleet.WaitFor([&] { return received.back().current_at != TimePoint{}; });
+  CHECK(fleet.loop.Now() < answered + next.link.heartbeat_period() / 2);
+}
+
 TEST_CASE(
     "all members follow a new leader that the old leader did not hear of") {
   Fleet fleet;
