Without a leader the copy of the configuration stays current

Cause: a daemon that reads the store without a leader watched the configuration for up to 4 s at a time, while a copy is of use for config_apply_ms (2 s). Its configuration counted as outdated half of the time, so that 404s became 503s, and a connection that had gone silent hid a change for 4.9 s.

Change: the configuration is watched for as long as the server entries are, 750 ms here. The price: each reader (12 at most) makes one call in 0.75 s instead of one in 4 s while there is no leader.

copies_lag_test measures the lag of a member in fourteen states, and checks that none is behind for 2 s while it counts as current, nor states a time after a change that it lacks.

--- a/src/entry/store_copies.cc
+++ b/src/entry/store_copies.cc
@@ -131,7 +131,8 @@
   const WatchSource source = source_ == CopySource::kStore
                                  ? WatchSource::kStore
                                  : WatchSource::kLeader;
-  config_.SetSource(source, watch_wait, urgent);
+  // Both copies are of use for a bounded time only.
+  config_.SetSource(source, chooser_.EntriesWatchWait(), urgent);
   servers_.SetSource(source, chooser_.EntriesWatchWait(), urgent);
   ownership_.SetSource(leadership.leads ? WatchSource::kLeader : source,
                        watch_wait, urgent);
