--- a/src/entry/member_link.h
+++ b/src/entry/member_link.h
@@ -46,6 +46,11 @@
   std::vector<std::uint64_t> digests;
   // All changes up to this time are in the copies; TimePoint{}: unknown.
   TimePoint current_at{};
+  // The same as lists of the store alone prove it.
+  TimePoint listed_at{};
+  // Watches prove nothing up to this time, since the store has dropped its
+  // history; TimePoint{}: it has not.
+  TimePoint watches_void_until{};
   // Addresses of the first members in the order of succession, without the
   // daemon that receives the status. They have copies, too.
   std::vector<std::string> peers;
@@ -132,7 +137,8 @@
     ZoneName zone;
     std::string forward_address;
     bool servers_lost = false;
-    // Hello.sent_ms of its last Hello.
+    // Whether it has sent a Hello, and Hello.sent_ms of the last one.
+    bool said_hello = false;
     std::uint64_t hello_sent_ms = 0;
     // Set by UpdateSuccession().
     std::uint32_t rank = 0;
