A fence that went into a partition is repeated on the first connection after it

Cause: a server that is connected again was fenced at once only if no fence of it was on its way. One of the repeats that are sent while it cannot be reached was, for 400 ms each time, so that the first fence after a partition came up to 400 ms late. In that time a held-up order of a killed leader is taken; if the server is cut off again within it, as after a link that comes and goes, the server holds keys of others for a whole lease.

Change: what was sent while there was no connection is taken for lost, and the fence is sent once more when the server is connected. One that was sent on a connection is repeated after the usual time, also if connections come and go: the guard against fences without a pause is unchanged. Replies to orders before the latest fence repeat nothing, but grants still wait for them.

Result: server_fences_test, two new cases, fails on the fences before (8 checks).

--- a/src/keyspace/server_fences.cc
+++ b/src/keyspace/server_fences.cc
@@ -1,6 +1,7 @@
 #include "keyspace/server_fences.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace gentianreach::keyspace {
 
@@ -10,17 +11,22 @@
   State& state = states_[server];
   state.address = address;
   state.give_up_at = give_up_at;
-  state.due_at = state.retry_at;
+  state.OnConnected();
 }
 
 void ServerFences::OnConnected(const std::string& address) {
   for (auto& [server, it] : states_) {
     if (it.address == address) {
-      it.due_at = it.retry_at;
+      it.OnConnected();
     }
   }
 }
 
+void ServerFences::State::OnConnected() {
+  connected = true;
+  due_at = sent_connected ? retry_at : TimePoint{};
+}
+
 void ServerFences::OnLeaseOver(const ServerId& server,
                                const std::string& address,
                                TimePoint give_up_at) {
@@ -50,8 +56,11 @@
     return it.second.in_flight.empty() && it.second.give_up_at <= now;
   });
   std::vector<Fence> due;
-  for (const auto& [server, it] : states_) {
-    if (it.in_flight.empty() && it.due_at <= now) {
+  for (auto& [server, it] : states_) {
+    if (it.give_up_at <= now) {
+      it.due_at = TimePoint::max();
+    }
+    if (it.due_at <= now) {
       due.push_back({server, it.address});
     }
   }
@@ -61,13 +70,18 @@
 void ServerFences::OnSent(const ServerId& server,
                           const std::vector<std::uint64_t>& orders,
                           TimePoint retry_at) {
+  State& state = states_[server];
+  state.due_at = TimePoint::max();
   if (orders.empty()) {
-    states_.erase(server);
+    state.lease_over = false;
+    if (state.in_flight.empty()) {
+      states_.erase(server);
+    }
     return;
   }
-  State& state = states_[server];
-  state.due_at = TimePoint::max();
   state.retry_at = retry_at;
+  state.sent_connected = std::exchange(state.connected, false);
+  state.first_order = orders.front();
   state.in_flight.insert(orders.begin(), orders.end());
   for (const std::uint64_t it : orders) {
     orders_.emplace(it, server);
@@ -88,7 +102,7 @@
   }
   State& state = states_.at(server);
   state.in_flight.erase(order);
-  if (reply == Reply::kUnknown) {
+  if (reply == Reply::kUnknown && order >= state.first_order) {
     state.due_at = std::min(state.due_at, state.retry_at);
   }
   if (state.in_flight.empty() && state.due_at == TimePoint::max()) {
@@ -115,9 +129,7 @@
 TimePoint ServerFences::next_at() const {
   TimePoint at = TimePoint::max();
   for (const auto& [server, it] : states_) {
-    if (it.in_flight.empty()) {
-      at = std::min(at, it.due_at);
-    }
+    at = std::min(at, it.due_at);
   }
   return at;
 }
--- a/src/keyspace/server_fences.h
+++ b/src/keyspace/server_fences.h
@@ -19,6 +19,10 @@
 // A server that is connected again therefore gets a fence: releases, under a
 // token above all earlier ones, of all keys that it must not hold. From then on
 // it refuses grants of these keys with lower tokens.
+//
+// What was sent while the server could not be reached is lost. A fence of that
+// time is therefore repeated as soon as the server is connected, whether or not
+// it has been given up.
 class ServerFences {
  public:
   struct Fence {
@@ -43,8 +47,9 @@
   // Returns the servers whose fences are due at `now`. Each has to be followed
   // by OnSent().
   [[nodiscard]] std::vector<Fence> TakeDue(TimePoint now);
-  // The fence of `server` consists of `orders`, which may be empty; an order
-  // without a response is repeated at `retry_at`.
+  // The fence of `server` consists of `orders`, which may be empty and have
+  // higher numbers than those before; an order without a response is repeated
+  // at `retry_at`.
   void OnSent(const ServerId& server,
               const std::vector<std::uint64_t>& orders,
               TimePoint retry_at);
@@ -70,12 +75,21 @@
     std::string address;
     // TimePoint::max() while nothing is to be sent.
     TimePoint due_at = TimePoint::max();
-    // The fence is not sent again before.
+    // The fence is not sent again before, except once if it was sent while
+    // there was no connection.
     TimePoint retry_at{};
     TimePoint give_up_at{};
     // The server may hold keys of others.
     bool lease_over = false;
+    // A connection was established since the fence was sent.
+    bool connected = false;
+    // The fence was sent when a connection had been established.
+    bool sent_connected = false;
+    // The first order of the latest fence. Those before it are not repeated.
+    std::uint64_t first_order = 0;
     std::set<std::uint64_t> in_flight;
+
+    void OnConnected();
   };
 
   std::map<ServerId, State> states_;
--- a/src/keyspace/server_fences_test.cc
+++ b/src/keyspace/server_fences_test.cc
@@ -89,6 +89,40 @@
   CHECK(IsDue(fences, kRetryAt));
 }
 
+TEST_CASE("a fence that was sent without a connection is repeated on one") {
+  ServerFences fences;
+  fences.OnLeaseOver(kServer, kAddress, kGiveUpAt);
+  fences.OnSent(kServer, {1}, kRetryAt);
+  fences.OnConnected(kAddress);
+  CHECK(fences.next_at() <= kStart);
+  CHECK(IsDue(fences, kStart));
+  fences.OnSent(kServer, {2}, kRetryAt);
+  SUBCASE("and no more when it has been answered") {
+    CHECK(fences.OnReply(2, ServerFences::Reply::kDone) == kServer);
+    CHECK(fences.IsSending(kServer));
+    CHECK(fences.OnReply(1, ServerFences::Reply::kUnknown) == kServer);
+    CHECK_FALSE(fences.IsSending(kServer));
+    CHECK_FALSE(IsDue(fences, kRetryAt));
+  }
+  SUBCASE("and after the usual time from then on") {
+    fences.OnConnected(kAddress);
+    CHECK_FALSE(IsDue(fences, kRetryAt - milliseconds(1)));
+    CHECK(IsDue(fences, kRetryAt));
+  }
+}
+
+TEST_CASE("a fence with orders on their way needs no further orders") {
+  ServerFences fences;
+  fences.OnLeaseOver(kServer, kAddress, kGiveUpAt);
+  fences.OnSent(kServer, {1}, kRetryAt);
+  fences.OnConnected(kAddress);
+  fences.OnSent(kServer, {}, kRetryAt);
+  CHECK(fences.Addresses().empty());
+  CHECK(fences.IsSending(kServer));
+  CHECK(fences.OnReply(1, ServerFences::Reply::kUnknown) == kServer);
+  CHECK_FALSE(fences.IsSending(kServer));
+}
+
 TEST_CASE("a server without keys of others needs no orders") {
   ServerFences fences;
   fences.OnLeaseOver(kServer, kAddress, kGiveUpAt);
