An entry daemon can advertise another IP than it listens at

Cause: daemons told each other the IPs of member_address and forward_address, so that they could not be reached through address translation, or by a proxy that a test puts between them. Connections between daemons for changes of the store's objects did not come from source_ip, so that the other end could not tell who connects.

Change: advertised_ip (empty by default) takes the place of the IP in both addresses in what others are told and in the leader record; the daemon goes on listening where it did. The client for other daemons' copies connects from source_ip. Received datagrams are read without their source address, so nothing rests on that.

--- a/src/entry/entry_daemon.cc
+++ b/src/entry/entry_daemon.cc
@@ -91,12 +91,12 @@
         path_monitor_(*state_),
         proxy_(state_),
         self_{settings.name, Incarnation(RandomNumber()),
-              settings.member_address},
+              AdvertisedAddress(settings, settings.member_address)},
         election_(self_, {}),
         link_(loop_,
               self_,
               settings.processor_share,
-              settings.forward_address,
+              AdvertisedAddress(settings, settings.forward_address),
               SeedsOf(settings),
               election_,
               *state_),
@@ -115,7 +115,8 @@
                  .servers = {[this](const auto& it) { OnServerList(it); },
                              [this](const auto& it) { OnServerEvents(it); }},
                  .ownership = {[this](const auto& it) { OnTables(it); },
-                               [this](const auto& it) { OnTables(it); }}}),
+                               [this](const auto& it) { OnTables(it); }}},
+                settings.source_ip),
         housekeeping_(loop_, [this] { RunHousekeeping(); }),
         election_timer_(loop_, [this] { RunElection(); }),
         heartbeat_timer_(loop_, [this] {
@@ -161,7 +162,7 @@
       BOOST_LEAF_CHECK(
           proxy_.Listen(settings_.forward_address, RequestOrigin::kDaemon));
     }
-    BOOST_LEAF_CHECK(link_.Open());
+    BOOST_LEAF_CHECK(link_.Open(settings_.member_address));
     ready_server_.Handle("GET", settings_.ready_path, [this](const auto&) {
       return IsReady() ? OperatorResponse{200, "text/plain", "ready\n"}
                        : OperatorResponse{503, "text/plain", "not ready\n"};
--- a/src/entry/entry_settings.cc
+++ b/src/entry/entry_settings.cc
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <optional>
 #include <string>
+#include <utility>
 
 #include "base/log.h"
 #include "net/socket_address.h"
@@ -30,9 +31,12 @@
   if (!entry.forward_address.empty()) {
     checker.RequireAddress("forward_address", entry.forward_address);
   }
-  if (!entry.source_ip.empty() && !net::ParseIpAddress(entry.source_ip)) {
-    checker.Report("source_ip",
-                   "expected an IP address, not \"" + entry.source_ip + "\"");
+  for (const auto& [key, ip] :
+       {std::pair("advertised_ip", &entry.advertised_ip),
+        std::pair("source_ip", &entry.source_ip)}) {
+    if (!ip->empty() && !net::ParseIpAddress(*ip)) {
+      checker.Report(key, "expected an IP address, not \"" + *ip + "\"");
+    }
   }
   if (!ParseLogLevel(entry.log_level).has_value()) {
     checker.Report("log_level",
@@ -78,8 +82,18 @@
   return result;
 }
 
+std::string AdvertisedAddress(const settings::EntryDaemonT& settings,
+                              const std::string& address) {
+  const std::string& ip = settings.advertised_ip;
+  if (ip.empty() || address.empty()) {
+    return address;
+  }
+  const bool is_v6 = ip.find(':') != std::string::npos;
+  return (is_v6 ? "[" + ip + "]" : ip) + address.substr(address.rfind(':'));
+}
+
 std::vector<std::string> SeedsOf(const settings::EntryDaemonT& settings) {
-  const std::string& own = settings.member_address;
+  const std::string own = AdvertisedAddress(settings, settings.member_address);
   const std::string port = own.substr(own.rfind(':'));
   std::vector<std::string> seeds;
   for (const std::string& it : settings::SplitList(settings.seed_addresses)) {
--- a/src/entry/entry_settings.h
+++ b/src/entry/entry_settings.h
@@ -24,6 +24,12 @@
 [[nodiscard]] EntrySettingsResult LoadEntrySettings(std::string_view text,
                                                     std::string_view file);
 
+// Returns where other daemons reach this one's `address` ("IP:port"), which is
+// the member address or the forward address; empty if `address` is.
+[[nodiscard]] std::string AdvertisedAddress(
+    const settings::EntryDaemonT& settings,
+    const std::string& address);
+
 // Returns the addresses at which the seeds receive datagrams, which have the
 // same port as this daemon's.
 [[nodiscard]] std::vector<std::string> SeedsOf(
--- a/src/entry/entry_settings_test.cc
+++ b/src/entry/entry_settings_test.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <chrono>
 #include <string>
+#include <vector>
 
 #include <doctest/doctest.h>
 
@@ -56,16 +57,20 @@
   CHECK(names("store_address"));
 }
 
-TEST_CASE("a source_ip that is no IP address is reported with its line") {
-  for (const char* it : {"nowhere", "10.0.0", "10.0.0.1:0", "[::1]", "::1%",
-                         "010.0.0.1", "10.0.0.1, 10.0.0.2"}) {
-    CAPTURE(it);
-    const auto result = LoadEntrySettings(
-        std::string(kValid) + "source_ip = " + it + "\n", "e.ini");
-    CHECK(result.entry == nullptr);
-    REQUIRE(result.errors.size() == 1);
-    CHECK(result.errors[0].line == 10);
-    CHECK(ToString(result.errors[0]).find("source_ip") != std::string::npos);
+TEST_CASE("an IP setting that is no IP address is reported with its line") {
+  for (const std::string key : {"source_ip", "advertised_ip"}) {
+    for (const char* it : {"nowhere", "10.0.0", "10.0.0.1:0", "[::1]", "::1%",
+                           "010.0.0.1", "10.0.0.1, 10.0.0.2"}) {
+      CAPTURE(key);
+      CAPTURE(it);
+      const auto result = LoadEntrySettings(
+          std::string(kValid).append(key).append(" = ").append(it).append("\n"),
+          "e.ini");
+      CHECK(result.entry == nullptr);
+      REQUIRE(result.errors.size() == 1);
+      CHECK(result.errors[0].line == 10);
+      CHECK(ToString(result.errors[0]).find(key) != std::string::npos);
+    }
   }
 }
 
@@ -79,5 +84,28 @@
   }
 }
 
+TEST_CASE("daemons are told the listening address if no other is advertised") {
+  const settings::EntryDaemonT settings;
+  CHECK(AdvertisedAddress(settings, "10.0.0.1:8082") == "10.0.0.1:8082");
+  CHECK(AdvertisedAddress(settings, "").empty());
+}
+
+TEST_CASE("the advertised IP takes the place of the IP and keeps the port") {
+  settings::EntryDaemonT settings;
+  settings.advertised_ip = "192.0.2.7";
+  CHECK(AdvertisedAddress(settings, "10.0.0.1:8082") == "192.0.2.7:8082");
+  CHECK(AdvertisedAddress(settings, "").empty());
+  settings.advertised_ip = "fd00::7";
+  CHECK(AdvertisedAddress(settings, "[::]:8082") == "[fd00::7]:8082");
+}
+
+TEST_CASE("a daemon's own advertised address is none of its seeds") {
+  settings::EntryDaemonT settings;
+  settings.member_address = "10.0.0.1:8082";
+  settings.seed_addresses = "192.0.2.7:1, 10.0.0.2:1";
+  settings.advertised_ip = "192.0.2.7";
+  CHECK(SeedsOf(settings) == std::vector<std::string>{"10.0.0.2:8082"});
+}
+
 }  // namespace
 }  // namespace gentianreach::entry
--- a/src/entry/member_link.cc
+++ b/src/entry/member_link.cc
@@ -51,10 +51,9 @@
       timer_(loop, [this] { Tick(); }),
       mirrored_timer_(loop, [this] { SendHeartbeatsToMirrored(); }) {}
 
-boost::leaf::result<void> MemberLink::Open() {
+boost::leaf::result<void> MemberLink::Open(const std::string& address) {
   BOOST_LEAF_CHECK(socket_.Open(
-      self_.address,
-      [this](std::span<const std::uint8_t> data) { Receive(data); }));
+      address, [this](std::span<const std::uint8_t> data) { Receive(data); }));
   timer_.Set(loop_.Now());
   return {};
 }
--- a/src/entry/member_link.h
+++ b/src/entry/member_link.h
@@ -71,8 +71,9 @@
   MemberLink(const MemberLink&) = delete;
   MemberLink& operator=(const MemberLink&) = delete;
 
-  // Starts to receive at this daemon's address. Fails with net::SocketError.
-  boost::leaf::result<void> Open();
+  // Starts to receive at `address` ("IP:port"), which other daemons reach at
+  // this daemon's address. Fails with net::SocketError.
+  boost::leaf::result<void> Open(const std::string& address);
   // Tells the other daemons at once that this one has lost its path to the
   // servers, or has it again.
   void AnnounceServerPath();
--- a/src/entry/member_link_test.cc
+++ b/src/entry/member_link_test.cc
@@ -38,13 +38,17 @@
 // its store calls.
 class Daemon {
  public:
-  Daemon(net::EventLoop& loop, const std::string& name)
+  // Other daemons are told `self.address`; it listens at `listens_at`, or there
+  // if that is empty.
+  Daemon(net::EventLoop& loop,
+         const std::string& name,
+         const std::string& listens_at = {})
       : loop_(loop),
         self{name, Incarnation(1), NewAddress()},
         election(self, {}),
         state_(loop, {}, ZoneName("z"), {}, DrainBound(kDrainTime)),
         link(loop, self, 1, name + ":1", {}, election, state_) {
-    REQUIRE(link.Open());
+    REQUIRE(link.Open(listens_at.empty() ? self.address : listens_at));
   }
 
   // Makes this daemon lose its path to the servers.
@@ -238,6 +242,24 @@
   socket.Send(daemon.self.address, bytes);
 }
 
+TEST_CASE("a member gets heartbeats at the address that it advertises") {
+  net::EventLoop loop;
+  Daemon leader(loop, "a");
+  Daemon member(loop, "b", NewAddress());
+  bool received = false;
+  net::UdpSocket advertised(loop);
+  REQUIRE(advertised.Open(member.self.address,
+                          [&](auto /*data*/) { received = true; }));
+  leader.TakeLead(1);
+  member.ReplyWithRecord(leader.election.record());
+  const TimePoint end = loop.Now() + kTestTimeout;
+  while (!received || leader.link.members() != 2) {
+    REQUIRE(loop.Now() < end);
+    loop.RunOnce(true);
+  }
+  CHECK(member.link.leader_last_seen() == TimePoint{});
+}
+
 TEST_CASE("a leader counts members of the version before") {
   net::EventLoop loop;
   Daemon leader(loop, "a");
--- a/src/entry/store_copies.cc
+++ b/src/entry/store_copies.cc
@@ -39,7 +39,8 @@
                          platform::PlatformClient& platform,
                          Duration shortest_expiry,
                          Duration max_copy_age,
-                         Sinks sinks)
+                         Sinks sinks,
+                         std::string source_ip)
     : loop_(loop),
       health_(loop, shortest_expiry),
       config_(loop,
@@ -60,6 +61,7 @@
                  platform::ObjectKind::kOwnership,
                  platform::Freshness::kMayBeStale,
                  std::move(sinks.ownership)),
+      relay_client_(std::move(source_ip)),
       chooser_(max_copy_age),
       peer_timer_(loop, [this] { PollPeers(); }) {
   health_.on_change = [this](bool lost) {
--- a/src/entry/store_copies.h
+++ b/src/entry/store_copies.h
@@ -42,12 +42,14 @@
 
   // While the store cannot be reached for less than `shortest_expiry`, no entry
   // of a live server expires. Copies that are older than `max_copy_age` are of
-  // no use; see CopySourceChooser.
+  // no use; see CopySourceChooser. Connects to other daemons from `source_ip`,
+  // or from an address that the system chooses if it is empty.
   StoreCopies(net::EventLoop& loop,
               platform::PlatformClient& platform,
               Duration shortest_expiry,
               Duration max_copy_age,
-              Sinks sinks);
+              Sinks sinks,
+              std::string source_ip = {});
   StoreCopies(const StoreCopies&) = delete;
   StoreCopies& operator=(const StoreCopies&) = delete;
 
