--- a/soak/drain_checker.cc
+++ b/soak/drain_checker.cc
@@ -57,7 +57,8 @@
                              TimePoint accepted) const {
   const TimePoint from = run.at - kStability;
   return !run.taken_by || !run.sent_by ||
-         store_.Overlap(0, accepted - kStability, run.at) ||
+         store_.Overlap(0, accepted - kStability, accepted) ||
+         store_.Overlap(0, from, run.at) ||
          daemons_.Overlap(*run.taken_by, from, run.at) ||
          daemons_.Overlap(*run.sent_by, from, run.at) ||
          servers_.Overlap(run.server, from, run.at);
--- a/soak/drain_checker.h
+++ b/soak/drain_checker.h
@@ -2,8 +2,8 @@
 //
 // Bounds apply to requests that a daemon in touch took from the caller and a
 // daemon in touch sent to the server: no fault has affected them for
-// kStability, nor the server or the links to it, and the store was stable from
-// before it accepted the server's "draining" on.
+// kStability, nor the server or the links to it, nor the store, which was
+// stable when it accepted the server's "draining", too.
 #ifndef SOAK_DRAIN_CHECKER_H_
 #define SOAK_DRAIN_CHECKER_H_
 
--- a/soak/drain_checker_test.cc
+++ b/soak/drain_checker_test.cc
@@ -91,7 +91,8 @@
   CHECK(before.violations().size() == 1);
 }
 
-TEST_CASE("the store must be stable when it accepts the entry, and later") {
+TEST_CASE(
+    "the store must be stable when it accepts the entry, and at the run") {
   DrainChecker checker = Leaving();
   std::size_t violations = 0;
   SUBCASE("a fault just before") {
@@ -104,11 +105,24 @@
   SUBCASE("a fault after it") {
     checker.AddStoreDisturbance(At(kAccepted + 100), At(kAccepted + 200));
   }
+  SUBCASE("a fault that ends just before") {
+    checker.AddStoreDisturbance(At(kAccepted + 1), At(kAccepted + 2));
+  }
   checker.OnRun(RunAt(kAccepted + 2600));
   checker.Check(At(20'000));
   CHECK(checker.violations().size() == violations);
 }
 
+TEST_CASE("a fault of the store between the two excuses nothing") {
+  DrainChecker checker = Leaving();
+  checker.AddStoreDisturbance(At(kAccepted + 1), At(kAccepted + 1999));
+  checker.OnRun(RunAt(kAccepted + 4999));
+  checker.OnRun(RunAt(kAccepted + 5000));
+  checker.Check(At(20'000));
+  CHECK(checker.violations().size() == 1);
+  CHECK(checker.excused_runs() == 1);
+}
+
 TEST_CASE("a late request is not judged if its daemons are not known") {
   DrainChecker checker = Leaving();
   DeliveredRun run = RunAt(kAccepted + 2600);
