The soak cuts links between daemons, by the plan of its seed

Cause: daemons reached each other directly, so that the soak could not cut a link between two of them; only a preloaded library could, at times that followed the time of day.

Cuts are drawn with a random sequence of their own: datagrams alone, all silent, connections reset, or one way; of a share of the links, between two halves, or around one daemon, which may be the leader that the store names when the cut begins. The configuration changes about once a second beside them, and probes ask for recent versions more often. A cut link takes no daemon out of touch. What deals with the store is in fleet_store.cc now, and random draws in plan_random.h.

Tests: link_cuts_test, datagram_proxy_test, chaos_proxy_test.

--- a/soak/chaos_proxy.cc
+++ b/soak/chaos_proxy.cc
@@ -135,8 +135,23 @@
   }
 
   [[nodiscard]] bool Passes(std::size_t from) const {
-    if (proxy_.CutOf(client_ip_) == ClientCut::kSilent) {
-      return false;
+    switch (proxy_.CutOf(client_ip_)) {
+      case ClientCut::kSilent:
+        return false;
+      case ClientCut::kOnlyToTarget:
+        if (from != kClient) {
+          return false;
+        }
+        break;
+      case ClientCut::kOnlyToClients:
+        if (from != kTarget) {
+          return false;
+        }
+        break;
+      case ClientCut::kNone:
+      case ClientCut::kReset:
+      case ClientCut::kNewRefused:
+        break;
     }
     switch (proxy_.mode_) {
       case LinkMode::kPass:
--- a/soak/chaos_proxy.h
+++ b/soak/chaos_proxy.h
@@ -29,9 +29,11 @@
 // How a client's path to the target is partitioned.
 enum class ClientCut : std::uint8_t {
   kNone,
-  kSilent,      // Nothing is forwarded in either direction.
-  kReset,       // Existing and new connections are reset.
-  kNewRefused,  // Existing connections live on; new ones are reset.
+  kSilent,         // Nothing is forwarded in either direction.
+  kReset,          // Existing and new connections are reset.
+  kNewRefused,     // Existing connections live on; new ones are reset.
+  kOnlyToTarget,   // Nothing is forwarded to the client.
+  kOnlyToClients,  // Nothing is forwarded to the target.
 };
 
 class ChaosProxy {
--- a/soak/chaos_proxy_test.cc
+++ b/soak/chaos_proxy_test.cc
@@ -104,6 +104,40 @@
   link.WaitFor([&] { return Link::Received(link.target, &last) == "late"; });
 }
 
+TEST_CASE("a client that is cut in one direction gets bytes in the other") {
+  Link link;
+  IoStatus last = IoStatus::kOk;
+  const std::string client_ip = "127.0.0.1";
+  SUBCASE("nothing reaches the target") {
+    link.proxy.SetClientCut(client_ip, ClientCut::kOnlyToClients);
+    link.client.Send("late");
+    link.target.Send("pong");
+    link.WaitFor([&] { return Link::Received(link.client, &last) == "pong"; });
+    link.Settle();
+    CHECK(Link::Received(link.target, &last).empty());
+    link.proxy.SetClientCut(client_ip, ClientCut::kNone);
+    link.WaitFor([&] { return Link::Received(link.target, &last) == "late"; });
+  }
+  SUBCASE("nothing reaches the client") {
+    link.proxy.SetClientCut(client_ip, ClientCut::kOnlyToTarget);
+    link.target.Send("late");
+    link.client.Send("ping");
+    link.WaitFor([&] { return Link::Received(link.target, &last) == "ping"; });
+    link.Settle();
+    CHECK(Link::Received(link.client, &last).empty());
+    link.proxy.SetClientCut(client_ip, ClientCut::kNone);
+    link.WaitFor([&] { return Link::Received(link.client, &last) == "late"; });
+  }
+}
+
+TEST_CASE("a cut of another client changes nothing") {
+  Link link;
+  IoStatus last = IoStatus::kOk;
+  link.proxy.SetClientCut("127.0.0.9", ClientCut::kReset);
+  link.client.Send("ping");
+  link.WaitFor([&] { return Link::Received(link.target, &last) == "ping"; });
+}
+
 TEST_CASE("a reset closes both connections with an error") {
   Link link;
   link.proxy.Reset();
--- a/soak/fault_plan.cc
+++ b/soak/fault_plan.cc
@@ -3,12 +3,13 @@
 #include <algorithm>
 #include <array>
 #include <chrono>
-#include <cmath>
 #include <map>
 #include <numeric>
-#include <random>
 #include <utility>
 
+#include "soak/link_cuts.h"
+#include "soak/plan_random.h"
+
 namespace gentianreach::soak {
 namespace {
 
@@ -34,9 +35,12 @@
     "store-loses-answers", "store-drops-history", "change-config",
     "slow-link",           "silent-link",         "one-way-link",
     "reset-link",          "cut-daemon",          "invalid-config",
-    "store-turns-back",    "store-refuses"};
+    "store-turns-back",    "store-refuses",       "cut-links"};
 constexpr std::array<const char*, 4> kRefusalNames = {"503", "429", "reset",
                                                       "silent"};
+constexpr std::array<const char*, 4> kLinkCutNames = {"datagrams", "silent",
+                                                      "reset", "one-way"};
+// Cuts of a daemon from the servers are drawn from these.
 constexpr std::array<const char*, 4> kCutNames = {"none", "silent", "reset",
                                                   "new-refused"};
 // Mean time between two cuts of daemons from all servers, and the range of
@@ -89,16 +93,16 @@
 
   Fault Draw(TimePoint at) {
     Fault fault;
-    fault.kind = static_cast<FaultKind>(Index(kDrawnKinds));
-    fault.link = static_cast<LinkKind>(Index(kLinkNames.size()));
+    fault.kind = static_cast<FaultKind>(random_.Index(kDrawnKinds));
+    fault.link = static_cast<LinkKind>(random_.Index(kLinkNames.size()));
     const bool of_server =
         IsServerFault(fault.kind) ||
         (IsLinkFault(fault.kind) && fault.link == LinkKind::kDaemonsToServer);
     const bool of_daemon = IsDaemonFault(fault.kind) || IsLinkFault(fault.kind);
     if (of_server) {
-      fault.target = Index(shape_.servers);
+      fault.target = random_.Index(shape_.servers);
     } else if (of_daemon) {
-      fault.target = Index(shape_.daemons);
+      fault.target = random_.Index(shape_.daemons);
     }
     Place(fault, at);
     return fault;
@@ -107,10 +111,11 @@
   // Returns a cut of some daemons that begins at `at`: a fault for each of
   // them.
   std::vector<Fault> DrawCut(TimePoint at) {
-    Fault fault{.kind = FaultKind::kCutDaemon,
-                .cut = static_cast<ClientCut>(1 + Index(kCutNames.size() - 1)),
-                .begins = at,
-                .ends = at + DrawDuration(kMinCutMs, kMaxCutMs)};
+    Fault fault{
+        .kind = FaultKind::kCutDaemon,
+        .cut = static_cast<ClientCut>(1 + random_.Index(kCutNames.size() - 1)),
+        .begins = at,
+        .ends = at + random_.Span(kMinCutMs, kMaxCutMs)};
     return OnSomeDaemons(fault);
   }
   // Returns a change of the configuration, or a signal to some daemons, at
@@ -118,98 +123,79 @@
   std::vector<Fault> DrawSeries(TimePoint at) {
     Fault fault{.kind = FaultKind::kChangeConfig};
     Place(fault, at);
-    if (!std::bernoulli_distribution(kChangeProbability)(random_)) {
-      fault.kind = static_cast<FaultKind>(Index(kDaemonKinds));
+    if (!random_.Chance(kChangeProbability)) {
+      fault.kind = static_cast<FaultKind>(random_.Index(kDaemonKinds));
       return OnSomeDaemons(fault);
     }
-    if (std::bernoulli_distribution(kInvalidProbability)(random_)) {
+    if (random_.Chance(kInvalidProbability)) {
       fault.kind = FaultKind::kInvalidConfig;
     }
     return {fault};
   }
-  Duration DrawSeriesInterval() {
-    return Millis(std::exponential_distribution<double>(
-        1 / kMeanSeriesIntervalMs)(random_));
-  }
-  Duration DrawTurnInterval() {
-    return Millis(std::exponential_distribution<double>(
-        1 / kMeanTurnIntervalMs)(random_));
-  }
+  Duration DrawSeriesInterval() { return random_.Pause(kMeanSeriesIntervalMs); }
+  Duration DrawTurnInterval() { return random_.Pause(kMeanTurnIntervalMs); }
   // Returns a refusal of some daemons, or of all but one, that begins at `at`:
   // a fault for each of them, in one way or in two.
   std::vector<Fault> DrawRefusal(TimePoint at) {
     Fault fault{.kind = FaultKind::kStoreRefuses,
                 .begins = at,
-                .ends = at + DrawDuration(kMinRefusalMs, kMaxRefusalMs)};
-    const bool most = std::bernoulli_distribution(kMostProbability)(random_);
+                .ends = at + random_.Span(kMinRefusalMs, kMaxRefusalMs)};
+    const bool most = random_.Chance(kMostProbability);
     std::vector<Fault> faults =
         most ? OnEachDaemon(fault) : OnSomeDaemons(fault);
     if (faults.size() == shape_.daemons) {
       faults.pop_back();
     }
-    const bool mixed = std::bernoulli_distribution(kMixedProbability)(random_);
+    const bool mixed = random_.Chance(kMixedProbability);
     const std::size_t turn = refusals_++;
-    std::bernoulli_distribution differs(mixed ? kDifferentProbability : 0);
+    const double differs = mixed ? kDifferentProbability : 0;
     for (Fault& it : faults) {
-      it.refusal = static_cast<Refusal>((turn + (differs(random_) ? 1 : 0)) %
-                                        kRefusalNames.size());
+      it.refusal = static_cast<Refusal>(
+          (turn + (random_.Chance(differs) ? 1 : 0)) % kRefusalNames.size());
     }
     return faults;
   }
   Duration DrawRefusalInterval() {
-    return Millis(std::exponential_distribution<double>(
-        1 / kMeanRefusalIntervalMs)(random_));
+    return random_.Pause(kMeanRefusalIntervalMs);
   }
   // Returns a drain of any server that begins at `at`.
   Fault DrawDrain(TimePoint at) {
     return {.kind = FaultKind::kDrainServer,
-            .target = Index(shape_.servers),
+            .target = random_.Index(shape_.servers),
             .begins = at,
-            .ends = at + DrawDuration(kMinDrainMs, kMaxDrainMs)};
-  }
-  Duration DrawDrainInterval() {
-    return Millis(std::exponential_distribution<double>(
-        1 / kMeanDrainIntervalMs)(random_));
-  }
-  bool DrawStaysBesideRefusals() {
-    return std::bernoulli_distribution(kBesideRefusals)(random_);
-  }
-  Duration DrawCutInterval() {
-    return Millis(
-        std::exponential_distribution<double>(1 / kMeanCutIntervalMs)(random_));
+            .ends = at + random_.Span(kMinDrainMs, kMaxDrainMs)};
   }
+  Duration DrawDrainInterval() { return random_.Pause(kMeanDrainIntervalMs); }
+  bool DrawStaysBesideRefusals() { return random_.Chance(kBesideRefusals); }
+  Duration DrawCutInterval() { return random_.Pause(kMeanCutIntervalMs); }
 
   // Sets the start time and duration of `fault`.
   void Place(Fault& fault, TimePoint at) {
     fault.begins = at;
-    fault.ends = at + DrawDuration(kMinDurationMs, kMaxDurationMs);
+    fault.ends = at + random_.Span(kMinDurationMs, kMaxDurationMs);
   }
 
   Duration DrawInterval() {
     const double processes =
         static_cast<double>(shape_.daemons + shape_.servers);
-    std::exponential_distribution<double> pause(
-        std::max(processes / kReferenceProcesses, 1.0) * shape_.fault_rate /
-        kMeanIntervalMs);
-    return Millis(pause(random_));
+    return random_.PauseAtRate(std::max(processes / kReferenceProcesses, 1.0) *
+                               shape_.fault_rate / kMeanIntervalMs);
   }
 
-  bool DrawRepeat() {
-    return std::bernoulli_distribution(kRepeatProbability)(random_);
-  }
+  bool DrawRepeat() { return random_.Chance(kRepeatProbability); }
 
  private:
   // Returns the fault for each of one, several or all daemons.
   std::vector<Fault> OnSomeDaemons(const Fault& fault) {
     std::vector<Fault> faults = OnEachDaemon(fault);
-    faults.resize(1 + Index(shape_.daemons));
+    faults.resize(1 + random_.Index(shape_.daemons));
     return faults;
   }
   // Returns the fault for each daemon, in random order.
   std::vector<Fault> OnEachDaemon(Fault fault) {
     std::vector<std::size_t> daemons(shape_.daemons);
     std::iota(daemons.begin(), daemons.end(), 0);
-    std::ranges::shuffle(daemons, random_);
+    std::ranges::shuffle(daemons, random_.engine());
     std::vector<Fault> faults;
     for (const std::size_t it : daemons) {
       fault.target = it;
@@ -217,21 +203,7 @@
     }
     return faults;
   }
-  static Duration Millis(double ms) {
-    return std::chrono::duration_cast<Duration>(
-        std::chrono::duration<double, std::milli>(ms));
-  }
-  // Returns a duration that is uniform on a logarithmic scale.
-  Duration DrawDuration(double min_ms, double max_ms) {
-    std::uniform_real_distribution<double> magnitude(std::log(min_ms),
-                                                     std::log(max_ms));
-    return Millis(std::exp(magnitude(random_)));
-  }
-  std::size_t Index(std::size_t size) {
-    return std::uniform_int_distribution<std::size_t>(0, size - 1)(random_);
-  }
-
-  std::mt19937_64 random_;
+  PlanRandom random_;
   const FleetShape shape_;
   std::size_t refusals_ = 0;
 };
@@ -425,6 +397,9 @@
     AddRefusals(seed, shape, begin, end, plan);
     AddDrains(seed, shape, begin, end, plan);
   }
+  if (shape.cut_links) {
+    AddLinkCuts(seed, shape, begin, end, plan);
+  }
   std::ranges::stable_sort(plan, {}, &Fault::begins);
   return plan;
 }
@@ -450,6 +425,15 @@
     text += std::string(" how=") +
             kRefusalNames[static_cast<std::size_t>(fault.refusal)];
   }
+  if (fault.kind == FaultKind::kCutLinks) {
+    text += std::string(" around_leader=") + (fault.around_leader ? "1" : "0") +
+            " links=";
+    for (const LinkCut& it : fault.links) {
+      text += (&it == fault.links.data() ? "" : ",") + std::to_string(it.from) +
+              "-" + std::to_string(it.to) + "/" +
+              kLinkCutNames[static_cast<std::size_t>(it.kind)];
+    }
+  }
   return text;
 }
 
--- a/soak/fault_plan.h
+++ b/soak/fault_plan.h
@@ -42,9 +42,11 @@
   kStoreTurnsBack,
   // The store refuses a daemon and serves all others.
   kStoreRefuses,
+  // Links between daemons are cut.
+  kCutLinks,
 };
 inline constexpr std::size_t kFaultKinds =
-    static_cast<std::size_t>(FaultKind::kStoreRefuses) + 1;
+    static_cast<std::size_t>(FaultKind::kCutLinks) + 1;
 
 // How the store refuses a daemon.
 enum class Refusal : std::uint8_t {
@@ -54,6 +56,21 @@
   kSilent,
 };
 
+// How a link between two daemons is cut.
+enum class LinkCutKind : std::uint8_t {
+  kDatagrams,  // Datagrams are lost; connections live on.
+  kSilent,     // Nothing arrives in either direction.
+  kReset,      // Datagrams are lost, and connections are reset.
+  kOneWay,     // Nothing arrives in one direction.
+};
+
+// The cut of a link between two daemons.
+struct LinkCut {
+  std::size_t from = 0;
+  std::size_t to = 0;
+  LinkCutKind kind = LinkCutKind::kDatagrams;
+};
+
 // The connections that a link fault affects.
 enum class LinkKind : std::uint8_t {
   kCallersToDaemon,
@@ -71,6 +88,10 @@
   ClientCut cut = ClientCut::kNone;
   // Used by kStoreRefuses only.
   Refusal refusal = Refusal::kUnavailable;
+  // Used by kCutLinks only. With `around_leader`, the daemon that leads when
+  // the fault begins and the one with the index `target` change places.
+  std::vector<LinkCut> links;
+  bool around_leader = false;
   TimePoint begins;
   TimePoint ends;
 };
@@ -87,6 +108,9 @@
   // Whether the store refuses some daemons while servers drain in series, with
   // fewer other faults.
   bool store_refuses = false;
+  // Whether links between daemons are cut, while the configuration changes
+  // often.
+  bool cut_links = false;
   // Limit of each daemon's file descriptors; the soak's own limit by default.
   std::optional<std::uint64_t> max_descriptors;
   // Whether daemons start with their signals blocked, and some get SIGHUP at
@@ -110,8 +134,8 @@
 [[nodiscard]] bool IsServerFault(FaultKind kind);
 [[nodiscard]] bool IsLinkFault(FaultKind kind);
 
-// Returns whether a daemon with that fault alone counts as in touch with the
-// store.
+// Returns whether a daemon with that fault of the store alone counts as in
+// touch with it.
 [[nodiscard]] bool KeepsPathToStore(const Fault& fault);
 
 // Returns whether the server with that index is plain; the others own keys.
--- a/soak/fault_plan_test.cc
+++ b/soak/fault_plan_test.cc
@@ -32,7 +32,8 @@
 
 TEST_CASE(
     "plans contain every kind of fault, within the time span and fleet size") {
-  FleetShape shape{.daemons = 4, .servers = 5, .store_turns_back = true};
+  FleetShape shape{
+      .daemons = 4, .servers = 5, .store_turns_back = true, .cut_links = true};
   std::set<FaultKind> kinds;
   bool overlapping = false;
   for (std::uint64_t seed = 1; seed <= 10; ++seed) {
--- a/soak/fleet.cc
+++ b/soak/fleet.cc
@@ -6,12 +6,10 @@
 #include <chrono>
 #include <csignal>
 #include <fstream>
-#include <sstream>
 #include <utility>
 
 #include <boost/leaf/handle_errors.hpp>
 
-#include "platform/testing/sample_config.h"
 #include "standins/loopback_block.h"
 
 namespace gentianreach::soak {
@@ -35,16 +33,10 @@
 constexpr Duration kLongestCheckPeriod = milliseconds(500);
 // Every third incarnation of a daemon gets SIGHUP when it begins to start.
 constexpr int kReloadAtStartStride = 3;
-constexpr const char* kConfigObject = "config main ";
 // Last octets of the addresses: one for all proxies, then one per daemon.
 constexpr const char* kProxyHost = "1";
 constexpr std::size_t kFirstDaemonHost = 2;
 
-// Returns the path prefix of the route that only `version` has.
-std::string RouteOf(std::uint64_t version) {
-  return "/v" + std::to_string(version) + "/";
-}
-
 }  // namespace
 
 Fleet::Fleet(net::EventLoop& loop,
@@ -65,6 +57,7 @@
   max_descriptors_ = shape.max_descriptors;
   signals_at_start_ = shape.signals_at_start;
   store_refuses_ = shape.store_refuses;
+  cut_links_ = shape.cut_links;
   WriteConfig(true);
   for (std::size_t i = 0; i < shape.servers; ++i) {
     const bool keyed = !IsPlainServer(i);
@@ -79,6 +72,9 @@
     daemons_[i].front_proxy->SetTarget(daemons_[i].ip + ":7000");
     daemons_[i].store_proxy->SetTarget(store_address_);
   }
+  if (cut_links_) {
+    StartLinkProxies();
+  }
   for (std::size_t i = 0; i < daemons_.size(); ++i) {
     WriteDaemonSettings(i);
     StartDaemon(i);
@@ -118,9 +114,13 @@
 }
 
 std::unique_ptr<ChaosProxy> Fleet::MakeProxy() {
+  return MakeProxyAt(block_ + kProxyHost + ":0");
+}
+
+std::unique_ptr<ChaosProxy> Fleet::MakeProxyAt(const std::string& address) {
   auto proxy = std::make_unique<ChaosProxy>(loop_);
-  if (!proxy->Listen(block_ + kProxyHost + ":0")) {
-    events_.on_failure("cannot listen on a loopback address for a proxy");
+  if (!proxy->Listen(address)) {
+    events_.on_failure("cannot listen at " + address + " for a proxy");
   }
   return proxy;
 }
@@ -140,49 +140,24 @@
       });
 }
 
-void Fleet::StartStore() {
-  store_ =
-      Spawn({Program("store_program")}, {},
-            {[this](const std::string& line) { OnStoreLine(line); },
-             [this](int status) {
-               events_.on_failure("the store exited unexpectedly, status " +
-                                  std::to_string(status));
-             }});
-}
-
-void Fleet::OnStoreLine(const std::string& line) {
-  if (line.starts_with(kAddressPrefix)) {
-    store_address_ = line.substr(kAddressPrefix.size());
-    return;
-  }
-  std::istringstream in(line);
-  std::string event;
-  std::string kind;
-  std::string name;
-  std::int64_t at = 0;
-  in >> event >> kind >> name >> at;
-  if (!in || event != "accepted" || unaccepted_.empty()) {
-    events_.on_failure("unexpected output of the store: " + line);
-    return;
-  }
-  config_checker_.OnAccepted(unaccepted_.front(), TimePoint(Duration(at)));
-  unaccepted_.pop_front();
-}
-
 void Fleet::WriteDaemonSettings(std::size_t i) {
   const DaemonSlot& slot = daemons_[i];
   std::string seeds;
   constexpr std::size_t kSeeds = 3;
   for (std::size_t k = 1; k <= kSeeds; ++k) {
     const DaemonSlot& seed = daemons_[(i + k) % daemons_.size()];
-    seeds += (seeds.empty() ? "" : ",") + seed.ip + ":7002";
+    seeds += (seeds.empty() ? "" : ",") + ReachedAt(seed) + ":7002";
   }
+  // Earlier versions of the daemon do not know the key.
+  const std::string advertised =
+      slot.advertised_ip.empty() ? ""
+                                 : "\nadvertised_ip = " + slot.advertised_ip;
   std::ofstream(SettingsFile(i))
       << "[entry]\nname = " << slot.name << "\nzone = zone-" << i % 3
       << "\ncaller_address = " << slot.ip << ":7000"
       << "\nready_address = " << slot.ip << ":7001"
       << "\nmember_address = " << slot.ip << ":7002"
-      << "\nforward_address = " << slot.ip << ":7004"
+      << "\nforward_address = " << slot.ip << ":7004" << advertised
       << "\nsource_ip = " << slot.ip << "\nmetrics_address = " << slot.ip
       << ":7003"
       << "\nseed_addresses = " << seeds
@@ -234,48 +209,6 @@
   }
 }
 
-// Writes the next version of the configuration, which has a route of its own
-// instead of the one of the version before. An invalid one has a route to a
-// service that does not exist.
-void Fleet::WriteConfig(bool valid) {
-  ++config_version_;
-  auto config =
-      platform::testing::SampleConfig(static_cast<int>(config_version_));
-  platform::testing::AddReadRoute(config, RouteOf(config_version_));
-  if (valid) {
-    valid_version_ = config_version_;
-  } else {
-    config["listeners"][0]["rules"].back()["action"]["service"] = "unknown";
-    config_checker_.OnInvalid(config_version_);
-  }
-  config_checker_.OnWritten(config_version_, loop_.Now());
-  unaccepted_.push_back(config_version_);
-  store_->WriteLine(std::string("put ") + kConfigObject + config.dump());
-}
-
-std::string Fleet::newest_route() const {
-  return RouteOf(valid_version_);
-}
-
-RequestKind Fleet::ConfigProbe(std::uint64_t draw) const {
-  constexpr std::uint64_t kChoices = 4;
-  std::uint64_t version = config_version_;
-  switch (draw % kChoices) {
-    case 0:
-      return {.path_prefix = "/read/", .config_version = 0};
-    case 1:
-      // Version 1 is never written.
-      version = 1 + draw / kChoices % config_version_;
-      break;
-    case 2:
-      version = config_version_ - 1;
-      break;
-    default:
-      break;
-  }
-  return {.path_prefix = RouteOf(version), .config_version = version};
-}
-
 void Fleet::CheckStarvation() {
   const TimePoint now = loop_.Now();
   const TimePoint before = std::exchange(starvation_checked_at_, now);
@@ -411,6 +344,9 @@
     case FaultKind::kStoreRefuses:
       BeginRefusal(fault);
       break;
+    case FaultKind::kCutLinks:
+      BeginLinkCuts(fault);
+      break;
     case FaultKind::kSlowLink:
     case FaultKind::kSilentLink:
     case FaultKind::kOneWayLink:
@@ -427,27 +363,6 @@
   }
 }
 
-void Fleet::BeginRefusal(const Fault& fault) {
-  const DaemonSlot& slot = daemons_[fault.target];
-  if (KeepsPathToStore(fault)) {
-    const bool busy = fault.refusal == Refusal::kUnavailable;
-    store_->WriteLine("refuse " + slot.ip + (busy ? " 503" : " 429"));
-    return;
-  }
-  slot.store_proxy->SetClientCut(slot.ip, fault.refusal == Refusal::kReset
-                                              ? ClientCut::kReset
-                                              : ClientCut::kSilent);
-}
-
-void Fleet::EndRefusal(const Fault& fault) {
-  const DaemonSlot& slot = daemons_[fault.target];
-  if (KeepsPathToStore(fault)) {
-    store_->WriteLine("refuse " + slot.ip + " 0");
-  } else {
-    slot.store_proxy->SetClientCut(slot.ip, ClientCut::kNone);
-  }
-}
-
 void Fleet::BeginLinkFault(const Fault& fault) {
   if (fault.link == LinkKind::kCallersToDaemon) {
     AddDisturbance(fault.target, fault);
@@ -510,6 +425,9 @@
     case FaultKind::kStoreRefuses:
       EndRefusal(fault);
       break;
+    case FaultKind::kCutLinks:
+      EndLinkCuts();
+      break;
     case FaultKind::kPauseStore:
       store_->Signal(SIGCONT);
       break;
--- a/soak/fleet.h
+++ b/soak/fleet.h
@@ -17,6 +17,7 @@
 #include "net/event_loop.h"
 #include "soak/chaos_proxy.h"
 #include "soak/config_checker.h"
+#include "soak/datagram_proxy.h"
 #include "soak/disturbances.h"
 #include "soak/drain_checker.h"
 #include "soak/expected_requests.h"
@@ -102,6 +103,11 @@
     // Proxies for connections from callers and to the store.
     std::unique_ptr<ChaosProxy> front_proxy;
     std::unique_ptr<ChaosProxy> store_proxy;
+    // Where other daemons reach it, and the proxies for their connections to
+    // its member and forward addresses. Set only if links are cut.
+    std::string advertised_ip;
+    std::unique_ptr<ChaosProxy> member_proxy;
+    std::unique_ptr<ChaosProxy> forward_proxy;
     // How its connections to the servers are cut.
     ClientCut cut = ClientCut::kNone;
     // A terminating signal has been sent, at `ending_since`.
@@ -135,6 +141,8 @@
 
   [[nodiscard]] std::string Program(const std::string& name) const;
   std::unique_ptr<ChaosProxy> MakeProxy();
+  // Returns a proxy that accepts connections at `address`.
+  std::unique_ptr<ChaosProxy> MakeProxyAt(const std::string& address);
   std::unique_ptr<Process> Spawn(const std::vector<std::string>& arguments,
                                  const Process::Options& options,
                                  Process::Callbacks callbacks);
@@ -167,6 +175,21 @@
   // Lets the store refuse a daemon, or ends that.
   void BeginRefusal(const Fault& fault);
   void EndRefusal(const Fault& fault);
+  // Puts proxies between the daemons.
+  void StartLinkProxies();
+  // Cuts links between daemons, or ends that. A cut around the leader begins
+  // once the store has told who leads.
+  void BeginLinkCuts(const Fault& fault);
+  void EndLinkCuts();
+  void OnLeader(const std::string& name);
+  void CutLinks(const std::vector<LinkCut>& links);
+  void SetLinkCut(const LinkCut& link, bool cut);
+  // Sets how connections from daemon `from` to daemon `to` are cut.
+  void CutConnections(std::size_t from, std::size_t to, ClientCut cut);
+  // Returns the IP address at which other daemons reach the daemon.
+  [[nodiscard]] static const std::string& ReachedAt(const DaemonSlot& slot) {
+    return slot.advertised_ip.empty() ? slot.ip : slot.advertised_ip;
+  }
   void AddDisturbance(std::size_t daemon, const Fault& fault);
   void BeginLinkFault(const Fault& fault);
   void SetMode(const Fault& fault, LinkMode mode);
@@ -204,6 +227,13 @@
   std::optional<std::uint64_t> max_descriptors_;
   bool signals_at_start_ = true;
   bool store_refuses_ = false;
+  bool cut_links_ = false;
+  // Set only if links are cut.
+  std::unique_ptr<DatagramProxy> datagram_proxy_;
+  // The links that are cut.
+  std::vector<LinkCut> links_cut_;
+  // A cut around the leader that waits for the leader's name.
+  std::optional<Fault> leader_cut_;
   std::uint64_t config_version_ = 1;
   std::uint64_t valid_version_ = 1;
   // Versions that the store has not accepted yet.
--- a/soak/soak.cc
+++ b/soak/soak.cc
@@ -333,6 +333,8 @@
                "Let the store's revision counter go back at times");
   app.add_flag("--store-refuses", options.shape.store_refuses,
                "Let the store refuse some daemons while many servers drain");
+  app.add_flag("--cut-links", options.shape.cut_links,
+               "Cut links between daemons while the configuration changes");
   app.add_flag("--keep-going", options.keep_going,
                "Continue after a violation, to count them");
   app.add_flag("--no-times", options.no_times,
--- a/soak/store_program.cc
+++ b/soak/store_program.cc
@@ -6,6 +6,9 @@
 //   lose 0|1                  1: applies writes but sends no response
 //   drop                      drops the change history
 //   turn-back                 sets the revision counter back to its start
+//   leader                    prints "leader NAME" with the name in the
+//   daemons'
+//                             leader record, or "-"
 //   put KIND NAME CONTENT     writes an object and prints
 //                             "accepted KIND NAME NANOSECONDS", with the time
 //                             of the machine's boot clock
@@ -26,6 +29,15 @@
 
 // Three heartbeat intervals of the soak's servers.
 constexpr std::chrono::milliseconds kServerExpiry{1500};
+// Kind and name of the daemons' leader record.
+constexpr const char* kLeaderKind = "gentianreach-leadership";
+constexpr const char* kLeaderObject = "entry";
+
+// Returns the name of the leader in its record, or "-".
+std::string LeaderName(const platform::testing::FakeStore& store) {
+  const nlohmann::json record = store.Content(kLeaderKind, kLeaderObject);
+  return record.is_object() ? record.value("name", "-") : "-";
+}
 
 void HandleCommand(platform::testing::FakeStore& store,
                    const std::string& line) {
@@ -49,6 +61,8 @@
     store.DropHistory();
   } else if (command == "turn-back") {
     store.SetRevision(platform::testing::FakeStore::kFirstRevision);
+  } else if (command == "leader") {
+    std::cout << "leader " << LeaderName(store) << std::endl;
   } else if (command == "put") {
     std::string kind;
     std::string name;
