The soak judges the longer bound while its store is disturbed

Cause: a fault of the store lifted the bound of the configuration for all daemons. By the stated rules the bound is 5 s longer then, as long as the store is neither down nor slow and loses no answers.

Change: ConfigChecker keeps faults of the store apart from those of daemons. While the store is disturbed by a lost history or a counter that went back, daemons without a fault of their own are judged by 7.5 s, unless the store was paused, answered 503 to all, lost answers or waited for a processor from 3 s before the version was accepted on. Bounds for a stable store are as they were.

Tests: config_checker_test.

--- a/soak/config_checker.cc
+++ b/soak/config_checker.cc
@@ -35,7 +35,11 @@
     return;
   }
   ++answers_;
-  answers_in_touch_ += IsInTouch(answer) ? 1 : 0;
+  if (IsInTouch(answer)) {
+    ++answers_in_touch_;
+  } else if (RequiredVersion(answer) > 0) {
+    ++answers_stretched_;
+  }
 }
 
 void ConfigChecker::CheckRouted(const ConfigAnswer& answer) {
@@ -43,9 +47,9 @@
     Report(answer, "an invalid configuration is in force");
     return;
   }
-  const std::uint64_t in_force = InForceAt(answer.sent);
-  if (answer.version < in_force && IsInTouch(answer)) {
-    Report(answer, "a route that version " + std::to_string(in_force) +
+  const std::uint64_t required = RequiredVersion(answer);
+  if (answer.version < required) {
+    Report(answer, "a route that version " + std::to_string(required) +
                        " removed is still served");
   }
   SeenVersion& seen = seen_[answer.daemon];
@@ -63,7 +67,7 @@
       HasLater(answer.version, answer.received)) {
     return;
   }
-  if (InForceAt(answer.sent) == answer.version && IsInTouch(answer)) {
+  if (RequiredVersion(answer) == answer.version) {
     Report(answer, "an added route is not in force in time");
   }
   const auto it = seen_.find(answer.daemon);
@@ -75,8 +79,9 @@
 
 void ConfigChecker::CountShare(const ConfigAnswer& answer) {
   const bool comparable =
-      answer.version == 0 || (InForceAt(answer.sent) == answer.version &&
-                              !HasLater(answer.version, answer.received));
+      answer.version == 0 ||
+      (InForceAt(answer.sent, kApplyTime) == answer.version &&
+       !HasLater(answer.version, answer.received));
   if (!comparable || !IsInTouch(answer)) {
     return;
   }
@@ -102,15 +107,37 @@
   }
 }
 
-bool ConfigChecker::IsInTouch(const ConfigAnswer& answer) const {
+bool ConfigChecker::IsCalm(const ConfigAnswer& answer) const {
   return !disturbances_.Overlap(answer.daemon, answer.sent - kStability,
                                 answer.received);
 }
 
-std::uint64_t ConfigChecker::InForceAt(TimePoint at) const {
+bool ConfigChecker::IsInTouch(const ConfigAnswer& answer) const {
+  return IsCalm(answer) &&
+         !store_.Overlap(0, answer.sent - kStability, answer.received);
+}
+
+std::uint64_t ConfigChecker::RequiredVersion(const ConfigAnswer& answer) const {
+  if (IsInTouch(answer)) {
+    return InForceAt(answer.sent, kApplyTime);
+  }
+  if (!IsCalm(answer)) {
+    return 0;
+  }
+  const std::uint64_t version = InForceAt(answer.sent, kApplyTime + kStretch);
+  if (version == 0) {
+    return 0;
+  }
+  const TimePoint accepted = *versions_.at(version).accepted;
+  return store_outages_.Overlap(0, accepted - kStability, answer.received)
+             ? 0
+             : version;
+}
+
+std::uint64_t ConfigChecker::InForceAt(TimePoint at, Duration bound) const {
   std::uint64_t latest = 0;
   for (const auto& [version, it] : versions_) {
-    if (it.accepted && *it.accepted + kApplyTime < at &&
+    if (it.accepted && *it.accepted + bound < at &&
         !invalid_.contains(version)) {
       latest = version;
     }
--- a/soak/config_checker.h
+++ b/soak/config_checker.h
@@ -2,7 +2,9 @@
 //
 // Version N of the soak's configuration has a route that no other version has,
 // so that each answer to a request for it shows whether N was in force. Bounds
-// apply to daemons in touch: those that no fault has affected for kStability.
+// apply to daemons in touch: those that no fault has affected for kStability,
+// while the store was stable for as long. While the store is disturbed, but
+// neither down nor slow, and loses no answers, the bound is longer by kStretch.
 #ifndef SOAK_CONFIG_CHECKER_H_
 #define SOAK_CONFIG_CHECKER_H_
 
@@ -31,9 +33,10 @@
 
 class ConfigChecker {
  public:
-  // Bounds of the users' deployments: `configApplyMs`, `stabilityMs` and
-  // `downgradeMs`.
+  // Bounds of the users' deployments: `configApplyMs`, `maxStretchMs`,
+  // `stabilityMs` and `downgradeMs`.
   static constexpr Duration kApplyTime = std::chrono::milliseconds(2500);
+  static constexpr Duration kStretch = std::chrono::milliseconds(5000);
   static constexpr Duration kStability = std::chrono::milliseconds(3000);
   static constexpr Duration kDowngradeTime = std::chrono::milliseconds(250);
   // Number of requests on added routes from which their share of successes is
@@ -53,6 +56,15 @@
   void AddDisturbance(std::size_t daemon, TimePoint from, TimePoint to) {
     disturbances_.Add(daemon, from, to);
   }
+  // The store is not stable from `from` until kStability after `to`.
+  void AddStoreDisturbance(TimePoint from, TimePoint to) {
+    store_.Add(0, from, to);
+  }
+  // The store is down or slow, or loses answers: the longer bound does not
+  // apply.
+  void AddStoreOutage(TimePoint from, TimePoint to) {
+    store_outages_.Add(0, from, to);
+  }
   void OnAnswer(const ConfigAnswer& answer);
   // Checks that added routes are served as often as the first ones. Called once
   // at the end.
@@ -68,6 +80,10 @@
   [[nodiscard]] std::size_t answers_in_touch() const {
     return answers_in_touch_;
   }
+  // Returns how many answers the longer bound applied to.
+  [[nodiscard]] std::size_t answers_stretched() const {
+    return answers_stretched_;
+  }
 
  private:
   struct Version {
@@ -88,8 +104,12 @@
   void CheckDenied(const ConfigAnswer& answer);
   void CountShare(const ConfigAnswer& answer);
   [[nodiscard]] bool IsInTouch(const ConfigAnswer& answer) const;
-  // Returns the latest version that all daemons in touch go by at `at`, or 0.
-  [[nodiscard]] std::uint64_t InForceAt(TimePoint at) const;
+  // Returns whether no fault of the daemon itself has affected it.
+  [[nodiscard]] bool IsCalm(const ConfigAnswer& answer) const;
+  // Returns the latest version that the daemon must go by in `answer`, or 0.
+  [[nodiscard]] std::uint64_t RequiredVersion(const ConfigAnswer& answer) const;
+  // Returns the latest version that was accepted `bound` before `at`, or 0.
+  [[nodiscard]] std::uint64_t InForceAt(TimePoint at, Duration bound) const;
   // Returns whether a later version was written before `at`.
   [[nodiscard]] bool HasLater(std::uint64_t version, TimePoint at) const;
   void Report(const ConfigAnswer& answer, const std::string& what);
@@ -99,11 +119,14 @@
   // By daemon.
   std::map<std::size_t, SeenVersion> seen_;
   Disturbances disturbances_;
+  Disturbances store_;
+  Disturbances store_outages_;
   Share first_routes_;
   Share added_routes_;
   std::vector<std::string> violations_;
   std::size_t answers_ = 0;
   std::size_t answers_in_touch_ = 0;
+  std::size_t answers_stretched_ = 0;
 };
 
 }  // namespace gentianreach::soak
--- a/soak/config_checker_test.cc
+++ b/soak/config_checker_test.cc
@@ -68,6 +68,71 @@
   CHECK(checker.violations().size() == 1);
 }
 
+TEST_CASE("the bound is longer while the store is disturbed") {
+  ConfigChecker checker = TwoVersions();
+  checker.AddStoreDisturbance(At(11'000), At(16'000));
+  checker.OnAnswer(Answer(1, 200, 17'500));
+  checker.OnAnswer(Answer(2, 404, 17'500));
+  CHECK(checker.violations().empty());
+  CHECK(checker.answers_in_touch() == 0);
+  SUBCASE("a removed route is served later than that") {
+    checker.OnAnswer(Answer(1, 200, 17'501));
+  }
+  SUBCASE("an added route is denied later than that") {
+    checker.OnAnswer(Answer(2, 404, 17'501));
+  }
+  CHECK(checker.violations().size() == 1);
+  CHECK(checker.answers_stretched() > 0);
+}
+
+TEST_CASE("the bound is short again once the store has been stable") {
+  ConfigChecker checker = TwoVersions();
+  checker.AddStoreDisturbance(At(9'000), At(9'600));
+  checker.OnAnswer(Answer(1, 200, 12'600));
+  CHECK(checker.violations().empty());
+  checker.OnAnswer(Answer(1, 200, 12'601));
+  CHECK(checker.violations().size() == 1);
+}
+
+TEST_CASE("no bound applies around an outage of the store") {
+  ConfigChecker checker = TwoVersions();
+  checker.AddStoreDisturbance(At(11'000), At(30'000));
+  std::size_t violations = 0;
+  SUBCASE("that ends just before a version is accepted") {
+    checker.AddStoreOutage(At(6'000), At(7'000));
+  }
+  SUBCASE("that is over for some time then") {
+    checker.AddStoreOutage(At(6'000), At(6'999));
+    violations = 1;
+  }
+  SUBCASE("that begins before the answer") {
+    checker.AddStoreOutage(At(18'020), At(19'000));
+  }
+  SUBCASE("that begins after it") {
+    checker.AddStoreOutage(At(18'021), At(19'000));
+    violations = 1;
+  }
+  checker.OnAnswer(Answer(1, 200, 18'000));
+  CHECK(checker.violations().size() == violations);
+}
+
+TEST_CASE("no bound applies to a daemon with a fault of its own") {
+  ConfigChecker checker = TwoVersions();
+  checker.AddStoreDisturbance(At(11'000), At(30'000));
+  checker.AddDisturbance(1, At(15'000), At(15'000));
+  checker.OnAnswer(Answer(1, 200, 18'000));
+  CHECK(checker.violations().empty());
+  checker.OnAnswer(Answer(1, 200, 18'001));
+  CHECK(checker.violations().size() == 1);
+}
+
+TEST_CASE("an outage alone does not lift the bound of a stable store") {
+  ConfigChecker checker = TwoVersions();
+  checker.AddStoreOutage(At(10'000), At(20'000));
+  checker.OnAnswer(Answer(1, 200, 12'501));
+  CHECK(checker.violations().size() == 1);
+}
+
 TEST_CASE("a daemon that goes back to an earlier version is reported") {
   ConfigChecker checker = TwoVersions();
   checker.AddDisturbance(1, At(0), At(100'000));
--- a/soak/fault_plan.cc
+++ b/soak/fault_plan.cc
@@ -348,6 +348,11 @@
   return kind >= FaultKind::kSlowLink && kind <= FaultKind::kResetLink;
 }
 
+bool IsStoreOutage(FaultKind kind) {
+  return kind >= FaultKind::kPauseStore &&
+         kind <= FaultKind::kStoreLosesResponses;
+}
+
 bool KeepsPathToStore(const Fault& fault) {
   return fault.kind == FaultKind::kStoreRefuses &&
          (fault.refusal == Refusal::kUnavailable ||
--- a/soak/fault_plan.h
+++ b/soak/fault_plan.h
@@ -134,6 +134,9 @@
 [[nodiscard]] bool IsServerFault(FaultKind kind);
 [[nodiscard]] bool IsLinkFault(FaultKind kind);
 
+// Returns whether the store is down or slow, or loses answers.
+[[nodiscard]] bool IsStoreOutage(FaultKind kind);
+
 // Returns whether a daemon with that fault of the store alone counts as in
 // touch with it.
 [[nodiscard]] bool KeepsPathToStore(const Fault& fault);
--- a/soak/fleet.cc
+++ b/soak/fleet.cc
@@ -235,6 +235,7 @@
       before != TimePoint{} && now - before > kLongestCheckPeriod;
   if (starved(*store_, store_run_queue_wait_) || stalled) {
     drain_checker_.AddStoreDisturbance(before, now);
+    config_checker_.AddStoreOutage(before, now);
   }
 }
 
@@ -260,8 +261,9 @@
                         fault.kind == FaultKind::kStoreTurnsBack;
   if (of_store) {
     drain_checker_.AddStoreDisturbance(fault.begins, fault.ends);
-    for (std::size_t i = 0; i < daemons_.size(); ++i) {
-      add(i);
+    config_checker_.AddStoreDisturbance(fault.begins, fault.ends);
+    if (IsStoreOutage(fault.kind)) {
+      config_checker_.AddStoreOutage(fault.begins, fault.ends);
     }
     return;
   }
--- a/soak/soak.cc
+++ b/soak/soak.cc
@@ -275,6 +275,7 @@
               << " requests=" << checker_.sent() << " runs=" << checker_.runs()
               << " config_answers=" << config_checker_.answers()
               << " in_touch=" << config_checker_.answers_in_touch()
+              << " stretched=" << config_checker_.answers_stretched()
               << " orders=" << holdings_checker_.orders()
               << " drains=" << drain_checker_.drains()
               << " draining_runs=" << drain_checker_.runs()
