--- a/soak/caller.cc
+++ b/soak/caller.cc
@@ -115,7 +115,7 @@
   }
   RequestTarget target;
   if (role_ == Role::kConfigProbe) {
-    target.kind = context_.config_probe(random_());
+    target.kind = context_.config_probe(daemon_, random_());
     return target;
   }
   target.kind = context_.kinds[random_() % context_.kinds.size()];
--- a/soak/caller.h
+++ b/soak/caller.h
@@ -37,7 +37,8 @@
   // Updated for each response with status 200.
   ExpectedRequests expected;
   // Returns what a probe of the configuration asks for; `draw` is random.
-  std::function<RequestKind(std::uint64_t draw)> config_probe;
+  std::function<RequestKind(std::size_t daemon, std::uint64_t draw)>
+      config_probe;
   bool stopped = false;
 };
 
--- a/soak/config_checker.h
+++ b/soak/config_checker.h
@@ -70,6 +70,13 @@
   // at the end.
   void CheckShares();
 
+  // Returns the latest version that was in force at the daemon since its start,
+  // or 0.
+  [[nodiscard]] std::uint64_t LatestInForce(std::size_t daemon) const {
+    const auto it = seen_.find(daemon);
+    return it == seen_.end() ? 0 : it->second.version;
+  }
+
   // Returns a description of each violation.
   [[nodiscard]] const std::vector<std::string>& violations() const {
     return violations_;
--- a/soak/config_checker_test.cc
+++ b/soak/config_checker_test.cc
@@ -149,8 +149,11 @@
 
 TEST_CASE("a daemon that starts again may know an earlier version") {
   ConfigChecker checker = TwoVersions();
+  CHECK(checker.LatestInForce(1) == 0);
   checker.OnAnswer(Answer(2, 200, 10'100));
+  CHECK(checker.LatestInForce(1) == 2);
   checker.OnStart(1);
+  CHECK(checker.LatestInForce(1) == 0);
   checker.OnAnswer(Answer(1, 200, 10'400));
   CHECK(checker.violations().empty());
 }
--- a/soak/fleet.h
+++ b/soak/fleet.h
@@ -82,9 +82,10 @@
   // Returns the path prefix of the route that the latest valid configuration
   // added.
   [[nodiscard]] std::string newest_route() const;
-  // Returns what a probe of the configuration asks for: the route of the latest
-  // version, of another one or of all, as `draw` selects.
-  [[nodiscard]] RequestKind ConfigProbe(std::uint64_t draw) const;
+  // Returns what a probe of a daemon's configuration asks for: the route of the
+  // latest version, of another one or of all, as `draw` selects.
+  [[nodiscard]] RequestKind ConfigProbe(std::size_t daemon,
+                                        std::uint64_t draw) const;
   // Reports processes that got no processor since the last call. Called
   // periodically.
   void CheckStarvation();
--- a/soak/fleet_store.cc
+++ b/soak/fleet_store.cc
@@ -78,9 +78,9 @@
   return RouteOf(valid_version_);
 }
 
-RequestKind Fleet::ConfigProbe(std::uint64_t draw) const {
-  // With frequent changes, some of the versions before the latest are those
-  // that daemons have just had to replace.
+RequestKind Fleet::ConfigProbe(std::size_t daemon, std::uint64_t draw) const {
+  // With frequent changes, some ask for what the daemon last went by, and for
+  // versions that have just been replaced.
   const std::uint64_t choices = cut_links_ ? 6 : 4;
   std::uint64_t version = config_version_;
   switch (draw % choices) {
@@ -94,6 +94,9 @@
       version = config_version_ - 1;
       break;
     case 4:
+      version =
+          std::max<std::uint64_t>(config_checker_.LatestInForce(daemon), 1);
+      break;
     case 5:
       version -= std::min(version - 1, 2 + draw / choices % kRecentVersions);
       break;
--- a/soak/soak.cc
+++ b/soak/soak.cc
@@ -87,8 +87,8 @@
                  .checker = checker_,
                  .config_checker = config_checker_,
                  .config_probe =
-                     [this](std::uint64_t draw) {
-                       return fleet_.ConfigProbe(draw);
+                     [this](std::size_t daemon, std::uint64_t draw) {
+                       return fleet_.ConfigProbe(daemon, draw);
                      }},
         check_timer_(loop_, [this] { Check(); }),
         starvation_timer_(loop_, [this] { CheckStarvation(); }) {
