--- a/soak/soak.cc
+++ b/soak/soak.cc
@@ -87,8 +87,8 @@
                  .checker = checker_,
                  .config_checker = config_checker_,
                  .config_probe =
-                     [this](std::uint64_t draw) {
-                       return fleet_.ConfigProbe(draw);
+                     [this](std::size_t daemon, std::uint64_t draw) {
+                       return fleet_.ConfigProbe(daemon, draw);
                      }},
         check_timer_(loop_, [this] { Check(); }),
         starvation_timer_(loop_, [this] { CheckStarvation(); }) {
@@ -275,6 +275,7 @@
               << " requests=" << checker_.sent() << " runs=" << checker_.runs()
               << " config_answers=" << config_checker_.answers()
               << " in_touch=" << config_checker_.answers_in_touch()
+              << " stretched=" << config_checker_.answers_stretched()
               << " orders=" << holdings_checker_.orders()
               << " delayed_orders=" << holdings_checker_.delayed_orders()
               << " excused_holders=" << holdings_checker_.excused_pairs()
@@ -335,6 +336,8 @@
                "Let the store's revision counter go back at times");
   app.add_flag("--store-refuses", options.shape.store_refuses,
                "Let the store refuse some daemons while many servers drain");
+  app.add_flag("--cut-links", options.shape.cut_links,
+               "Cut links between daemons while the configuration changes");
   app.add_flag("--keep-going", options.keep_going,
                "Continue after a violation, to count them");
   app.add_flag("--no-times", options.no_times,
