--- a/src/entry/datagram_fields.cc
+++ b/src/entry/datagram_fields.cc
@@ -22,6 +22,11 @@
       std::min<std::int64_t>(age.count(), kUnknownAge));
 }
 
+std::uint32_t AgeOfVoid(TimePoint until, TimePoint now) {
+  const std::uint32_t age = AgeOf(until, now);
+  return age == kUnknownAge || age == 0 ? age : age - 1;
+}
+
 TimePoint TimeOf(std::uint32_t age_ms, TimePoint reported_at) {
   return age_ms == kUnknownAge
              ? TimePoint{}
--- a/src/entry/datagram_fields.h
+++ b/src/entry/datagram_fields.h
@@ -15,6 +15,9 @@
 // Returns the age of copies that were complete at `current_at`, in
 // milliseconds. TimePoint{}, an unknown time, has an age of its own.
 [[nodiscard]] std::uint32_t AgeOf(TimePoint current_at, TimePoint now);
+// Returns the age of a time up to which something is not known, rounded so that
+// the time is not made earlier.
+[[nodiscard]] std::uint32_t AgeOfVoid(TimePoint until, TimePoint now);
 // Returns the time at which copies were complete that were `age_ms` old at
 // `reported_at`.
 [[nodiscard]] TimePoint TimeOf(std::uint32_t age_ms, TimePoint reported_at);
--- a/src/entry/member_link.cc
+++ b/src/entry/member_link.cc
@@ -438,7 +438,7 @@
     heartbeat.listed_age_ms = AgeOf(status.listed_at, loop_.Now());
   }
   heartbeat.watches_void_age_ms =
-      AgeOf(own_copy_status_.watches_void_until, loop_.Now());
+      AgeOfVoid(own_copy_status_.watches_void_until, loop_.Now());
   heartbeat.hello_sent_ms = known.hello_sent_ms;
   heartbeat.servers_lost = state_.reachability.lost();
   heartbeat.cut_members = cut_members_;
@@ -516,6 +516,7 @@
          .mirror = heartbeat.mirror,
          .store_lost = heartbeat.store_lost,
          .most_lost_store = heartbeat.most_lost_store,
+         .sent_at = heartbeat.hello_sent_ms == 0 ? TimePoint{} : sent,
          .may_lack_entries = heartbeat.may_lack_entries,
          .changed_at = heartbeat.changed_at,
          .digests = heartbeat.digests,
