Review: silence takes no vote, reports count from when they were made

* Votes ran out by silence alone: a daemon that was cut off for 30 s was its only voter, and decided alone again.
A vote ends only while others are named.
* Reports and statements were dated by their arrival, so that a thawed daemon believed old ones; they are dated by the question, or by the Hello that the heartbeat names.
A leader that no longer states a majority withdraws it.
* The leader's word set the time of a peer's report, which kept daemons beyond the readers from asking the store.
Its vote comes from its state now.
* 429 told that entries of servers cannot have expired.
It only tells that the store is there, and is no vote for a loss.
* A leader counts as a reader; peers are asked in a fixed order, so that no report lapses between two questions (1.6 s at most).
* A daemon says that it is not ready only 2 s after its copies have become too old: all of them may find out at the same time that the store is lost.

--- a/src/entry/copy_source.cc
+++ b/src/entry/copy_source.cc
@@ -99,10 +99,10 @@
 
 void CopySourceChooser::OnReport(const std::string& address,
                                  bool lost_store,
-                                 TimePoint now) {
-  reports_.OnReport(address, lost_store, now);
+                                 TimePoint at) {
+  reports_.OnReport(address, lost_store, at);
   if (lost_store) {
-    loss_reported_at_ = now;
+    loss_reported_at_ = std::max(loss_reported_at_, at);
   }
 }
 
--- a/src/entry/copy_source.h
+++ b/src/entry/copy_source.h
@@ -2,6 +2,7 @@
 #ifndef SRC_ENTRY_COPY_SOURCE_H_
 #define SRC_ENTRY_COPY_SOURCE_H_
 
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
 #include <string>
@@ -88,12 +89,16 @@
   void OnMembers(const std::vector<std::string>& addresses, TimePoint now) {
     reports_.OnMembers(addresses, now);
   }
-  // Handles the report of the daemon at `address` that it has or has not lost
-  // the store.
-  void OnReport(const std::string& address, bool lost_store, TimePoint now);
-  // Another daemon has stated that most daemons report a loss; see
+  // Handles the report of the peer at `address` of time `at` that it has or has
+  // not lost the store.
+  void OnReport(const std::string& address, bool lost_store, TimePoint at);
+  // Another daemon has stated at `at` that most daemons report a loss; see
   // DoMostReportLoss(). Daemons beyond the readers go by that.
-  void OnMajorityStated(TimePoint now) { majority_stated_at_ = now; }
+  void OnMajorityStated(TimePoint at) {
+    majority_stated_at_ = std::max(majority_stated_at_, at);
+  }
+  // The leader does not state that, or no longer.
+  void OnNoMajorityStated() { majority_stated_at_ = {}; }
 
   // Chooses the source of copies that are complete up to `current_at`. The
   // daemon has followed the store since `started_at`.
@@ -119,12 +124,9 @@
   [[nodiscard]] bool DoMostReportLoss(const StoreContact& contact,
                                       TimePoint now) const;
   // Returns the addresses of the daemons that may be asked for their reports.
-  [[nodiscard]] std::vector<std::string> Reporters(TimePoint now) const {
-    return reports_.Voters(now);
+  [[nodiscard]] std::vector<std::string> Reporters() const {
+    return reports_.Voters();
   }
-  // Returns whether the leader says that it has lost the store, and has said so
-  // only lately, or most daemons say the same.
-  [[nodiscard]] bool HaveOthersLostStore(TimePoint now) const;
   // Returns whether the store is the only way to current copies: this daemon
   // leads, or the leader is alive and passes nothing on.
   [[nodiscard]] bool needs_store() const {
@@ -140,7 +142,9 @@
            (leader_alive_ && leader_lost_store_ && is_reader());
   }
   // Returns whether others ask this daemon.
-  [[nodiscard]] bool is_reader() const { return leadership_.rank < kReaders; }
+  [[nodiscard]] bool is_reader() const {
+    return leadership_.leads || leadership_.rank < kReaders;
+  }
   // Returns how long a watch of the server entries waits for changes. It proves
   // that they are complete only when it ends.
   [[nodiscard]] std::chrono::milliseconds EntriesWatchWait() const;
@@ -154,6 +158,9 @@
  private:
   // Returns the source by what Choose() has set.
   [[nodiscard]] CopySource SourceAt(TimePoint now) const;
+  // Returns whether the leader says that it has lost the store, and has said so
+  // only lately, or most other daemons say the same.
+  [[nodiscard]] bool HaveOthersLostStore(TimePoint now) const;
   // Returns whether the store has answered a daemon lately, as far as known.
   [[nodiscard]] bool IsAnswerKnown(const StoreContact& contact,
                                    TimePoint now) const;
--- a/src/entry/entry_daemon.cc
+++ b/src/entry/entry_daemon.cc
@@ -56,6 +56,9 @@
 // each of them then fetches the changes.
 constexpr Duration kHeartbeatPause = milliseconds(40);
 constexpr Duration kHeartbeatPausePerMember = milliseconds(2);
+// How long copies that are too old leave a daemon ready: all daemons may find
+// out at the same time that the store is lost.
+constexpr Duration kUnreadyDelay = std::chrono::seconds(2);
 // How long a stopping daemon still accepts connections. The load balancer
 // checks once a second and removes the daemon after two failed checks.
 constexpr Duration kAcceptWhileStopping = milliseconds(2600);
@@ -249,12 +252,14 @@
   }
 
   // Returns whether the daemon has the routes and servers that it needs to
-  // serve requests, not too old for that, and is not stopping.
+  // serve requests, not too old for that or only briefly, and is not stopping.
   [[nodiscard]] bool IsReady() const {
     const TimePoint now = loop_.Now();
+    const TimePoint usable_until =
+        std::min(state_->routes_usable_until(),
+                 state_->drain_bound.EntriesUntil(state_->entries_status()));
     return state_->routes != nullptr && servers_known_ && !state_->stopping &&
-           now < state_->routes_usable_until() &&
-           now < state_->drain_bound.EntriesUntil(state_->entries_status());
+           now - kUnreadyDelay < usable_until;
   }
 
   OperatorResponse Metrics() {
--- a/src/entry/fleet_copies_sim.h
+++ b/src/entry/fleet_copies_sim.h
@@ -179,7 +179,7 @@
     TimePoint store_failed_at{};
     // When the store last answered a member, as far as this one has heard.
     TimePoint store_answered_at{};
-    // Addresses that are still to be asked before the others have their turn.
+    // Addresses in the order in which they are asked.
     std::vector<std::string> peers_to_ask;
     milliseconds list_time{20};
   };
@@ -190,6 +190,7 @@
     TimePoint current_at;
     bool store_lost = false;
     bool most_lost_store = false;
+    TimePoint sent_at{};
   };
 
   void At(TimePoint time, std::function<void()> fn) {
@@ -370,7 +371,7 @@
   [[nodiscard]] Status LeaderStatus() const {
     const Member& leader = *members_[0];
     return {leader.drains, leader.current_at, leader_lost_store_,
-            HaveMostLostStore(leader)};
+            HaveMostLostStore(leader), now_};
   }
 
   static StoreContact ContactOf(const Member& member) {
@@ -428,9 +429,10 @@
     Member& member = *members_[index];
     member.leader_last_seen = now_;
     member.chooser.OnLeaderHeartbeat(status.store_lost, now_);
-    member.chooser.OnReport(AddressOf(0), status.store_lost, now_);
     if (status.most_lost_store) {
-      member.chooser.OnMajorityStated(now_);
+      member.chooser.OnMajorityStated(status.sent_at);
+    } else {
+      member.chooser.OnNoMajorityStated();
     }
     NameMembers(index);
     HearOfAnswer(member, status.current_at);
@@ -519,21 +521,20 @@
 
   void PollPeers(Member& member) {
     member.polled_at = now_;
-    if (member.peers_to_ask.empty()) {
-      member.peers_to_ask = member.chooser.Reporters(now_);
+    const std::vector<std::string> peers = member.chooser.Reporters();
+    if (!std::ranges::is_permutation(peers, member.peers_to_ask)) {
+      member.peers_to_ask = peers;
       std::shuffle(member.peers_to_ask.begin(), member.peers_to_ask.end(),
                    random_);
     }
-    const bool in_doubt = member.store_failed_at > member.current_at &&
-                          member.chooser.is_reader() &&
-                          !member.chooser.IsStoreLost(ContactOf(member), now_);
     const bool calls_fail = member.store_failed_at > member.current_at;
     const std::size_t n = calls_fail && member.chooser.is_reader()
                               ? kPolledPeersOfReader
                               : kPolledPeers;
-    for (std::size_t i = 0; i < n && !member.peers_to_ask.empty(); ++i) {
-      const std::string address = member.peers_to_ask.back();
-      member.peers_to_ask.pop_back();
+    for (std::size_t i = 0; i < std::min(n, peers.size()); ++i) {
+      const std::string address = member.peers_to_ask.front();
+      std::rotate(member.peers_to_ask.begin(), member.peers_to_ask.begin() + 1,
+                  member.peers_to_ask.end());
       const Member& peer = *members_[std::stoul(address)];
       const Hop hop = &peer == members_[0].get() ? Hop::kLeader : Hop::kPeer;
       Call(
@@ -551,9 +552,9 @@
                     const std::string& address,
                     TimePoint asked_at) {
     member.chooser.OnReport(address, peer.store_failed_at > peer.current_at,
-                            now_);
+                            asked_at);
     if (HaveMostLostStore(peer)) {
-      member.chooser.OnMajorityStated(now_);
+      member.chooser.OnMajorityStated(asked_at);
     }
     const Status status{peer.drains, std::min(peer.current_at, asked_at)};
     HearOfAnswer(member, std::min(peer.store_answered_at, asked_at));
--- a/src/entry/member_link.h
+++ b/src/entry/member_link.h
@@ -37,6 +37,8 @@
   // Most daemons have reported to the leader that they cannot, either, and none
   // that it can.
   bool most_lost_store = false;
+  // When the status was sent; TimePoint{}: not known.
+  TimePoint sent_at{};
   // Entries of live servers may be missing after an outage of the store.
   bool may_lack_entries = false;
   // Store revisions at which the copies last changed: configuration, servers
--- a/src/entry/store_copies.cc
+++ b/src/entry/store_copies.cc
@@ -161,9 +161,10 @@
   mirror_ = copy_status.mirror;
   OnMembers({copy_status.address});
   OnMembers(copy_status.peers);
-  chooser_.OnReport(copy_status.address, copy_status.store_lost, loop_.Now());
   if (copy_status.most_lost_store) {
-    chooser_.OnMajorityStated(loop_.Now());
+    chooser_.OnMajorityStated(copy_status.sent_at);
+  } else {
+    chooser_.OnNoMajorityStated();
   }
   OnSourceStatus(copy_status);
   for (std::size_t i = 0; i < std::min(copy_status.changed_at.size(), kKinds);
@@ -236,17 +237,18 @@
 }
 
 std::vector<std::string> StoreCopies::NextPeers() {
-  if (peers_to_ask_.empty()) {
-    peers_to_ask_ = chooser_.Reporters(loop_.Now());
+  const std::vector<std::string> peers = chooser_.Reporters();
+  if (!std::ranges::is_permutation(peers, peers_to_ask_)) {
+    peers_to_ask_ = peers;
     std::ranges::shuffle(peers_to_ask_, generator_);
   }
   const bool needs_reports = HasCallFailed() && chooser_.is_reader();
   const auto n = static_cast<std::ptrdiff_t>(
       std::min(needs_reports ? kPolledPeersOfReader : kPolledPeers,
                peers_to_ask_.size()));
-  const std::vector<std::string> next(peers_to_ask_.end() - n,
-                                      peers_to_ask_.end());
-  peers_to_ask_.erase(peers_to_ask_.end() - n, peers_to_ask_.end());
+  const auto end = peers_to_ask_.begin() + n;
+  const std::vector<std::string> next(peers_to_ask_.begin(), end);
+  std::rotate(peers_to_ask_.begin(), end, peers_to_ask_.end());
   return next;
 }
 
@@ -263,9 +265,9 @@
         TimeOf(status["answers_age_ms"].get<std::uint32_t>(), asked_at),
         TimeOf(status["answer_age_ms"].get<std::uint32_t>(), asked_at));
   }
-  chooser_.OnReport(address, status.value("store_lost", false), loop_.Now());
+  chooser_.OnReport(address, status.value("store_lost", false), asked_at);
   if (status.value("most_lost_store", false)) {
-    chooser_.OnMajorityStated(loop_.Now());
+    chooser_.OnMajorityStated(asked_at);
   }
 }
 
@@ -285,9 +287,9 @@
     const TimePoint current_at =
         TimeOf(json.at("age_ms").get<std::uint32_t>(), asked_at);
     // Earlier versions do not state all ages.
-    const auto time_of = [&](const char* age) {
+    const auto time_of = [&](const char* age, TimePoint stated_at) {
       return json.contains(age)
-                 ? TimeOf(json[age].get<std::uint32_t>(), asked_at)
+                 ? TimeOf(json[age].get<std::uint32_t>(), stated_at)
                  : TimePoint{};
     };
     const StoreCopyStatus copy_status{
@@ -296,8 +298,9 @@
         .changed_at = json.at("changed_at").get<std::vector<std::uint64_t>>(),
         .digests = json.value("digests", std::vector<std::uint64_t>()),
         .current_at = current_at,
-        .listed_at = time_of("listed_age_ms"),
-        .watches_void_until = time_of("watches_void_age_ms")};
+        .listed_at = time_of("listed_age_ms", asked_at),
+        // The status may have been sent just now.
+        .watches_void_until = time_of("watches_void_age_ms", loop_.Now())};
     OnSourceStatus(copy_status);
     for (std::size_t i = 0; i < std::min(copy_status.changed_at.size(), kKinds);
          ++i) {
@@ -397,7 +400,8 @@
   }
   json["age_ms"] = AgeOf(status.current_at, loop_.Now());
   json["listed_age_ms"] = AgeOf(status.listed_at, loop_.Now());
-  json["watches_void_age_ms"] = AgeOf(status.watches_void_until, loop_.Now());
+  json["watches_void_age_ms"] =
+      AgeOfVoid(status.watches_void_until, loop_.Now());
   json["changed_at"] = status.changed_at;
   json["digests"] = status.digests;
   json["may_lack_entries"] = MayLackEntries();
--- a/src/entry/store_copies.h
+++ b/src/entry/store_copies.h
@@ -136,14 +136,15 @@
     return {&config_, &servers_, &ownership_};
   }
   // Returns whether a call of this daemon has failed since the server entries
-  // were complete.
+  // were complete, and not as one too many.
   [[nodiscard]] bool HasCallFailed() const {
-    return health_.failed_at() > servers_.current_at();
+    return health_.failed_at() >
+           std::max(servers_.current_at(), health_.limited_at());
   }
   // Returns what is known of the store for copies that are complete up to
   // `current_at`.
   [[nodiscard]] StoreContact ContactSince(TimePoint current_at) const {
-    return {current_at, health_.failed_at(), health_.answered_any_at()};
+    return {current_at, health_.failed_at(), health_.seen_at()};
   }
   // Returns the time of current_at() as lists alone prove it.
   [[nodiscard]] TimePoint listed_at() const;
@@ -234,7 +235,7 @@
   // From the last heartbeat of a leader.
   std::string leader_address_;
   std::string mirror_;
-  // Peers that are still to be asked before the others have their turn again.
+  // Peers in the order in which they are asked.
   std::vector<std::string> peers_to_ask_;
   // Whether the leader or the last peer may lack entries.
   bool source_lacks_entries_ = false;
--- a/src/entry/store_health.cc
+++ b/src/entry/store_health.cc
@@ -53,6 +53,11 @@
   }
 }
 
+void StoreHealth::OnRateLimited() {
+  OnFailure(true);
+  limited_at_ = failed_at_;
+}
+
 void StoreHealth::OnAnswerToOther(TimePoint at, bool may_lack_entries) {
   OnAnswersKnown(at, at);
   if (!may_lack_entries) {
--- a/src/entry/store_health.h
+++ b/src/entry/store_health.h
@@ -31,6 +31,9 @@
   // may have been missing then or not. Without that, a daemon that makes no
   // calls for a while would take a loss to last until its next call.
   void OnAnswerToOther(TimePoint at, bool may_lack_entries = false);
+  // The store has refused a call as one too many: it is there, though no copies
+  // are read and servers may be refused, too.
+  void OnRateLimited();
   // Another daemon knows of answers of the store from `since` until `until`,
   // with no gap between them in which entries expire.
   void OnAnswersKnown(TimePoint since, TimePoint until);
@@ -60,6 +63,12 @@
   // Returns when the store last answered this daemon or, as far as it has
   // heard, another one; TimePoint{}: never.
   [[nodiscard]] TimePoint answered_any_at() const { return answered_any_at_; }
+  // Returns when the store last showed that it is there.
+  [[nodiscard]] TimePoint seen_at() const {
+    return std::max(answered_any_at_, limited_at_);
+  }
+  // Returns when it last refused a call of this daemon as one too many.
+  [[nodiscard]] TimePoint limited_at() const { return limited_at_; }
   // Returns since when answers are known without a gap in which entries expire.
   [[nodiscard]] TimePoint answers_since() const { return answers_since_; }
   // Returns whether no entry of a live server can be missing, as no such gap is
@@ -94,6 +103,7 @@
   TimePoint answered_any_at_{};
   TimePoint answers_since_{};
   TimePoint failed_at_{};
+  TimePoint limited_at_{};
   std::uint64_t history_losses_ = 0;
   std::uint64_t revisions_back_ = 0;
   // No call is made before this time since the history was lost. The delay
--- a/src/entry/store_reports.h
+++ b/src/entry/store_reports.h
@@ -27,18 +27,19 @@
   static constexpr std::size_t kMaxVoters = 13;
 
   // The daemons at `addresses`, none of which is this one, are members at
-  // `now`.
+  // `now`. A leader without members names none.
   void OnMembers(const std::vector<std::string>& addresses, TimePoint now);
-  // The daemon at `address` reports whether its calls fail.
-  void OnReport(const std::string& address, bool calls_fail, TimePoint now);
+  // The daemon at `address` has reported at `at` whether its calls fail.
+  void OnReport(const std::string& address, bool calls_fail, TimePoint at);
   // Returns whether the calls of a majority of the daemons, this one included,
   // failed lately. `own_calls_fail` is this daemon's vote.
   [[nodiscard]] bool DoMostCallsFail(bool own_calls_fail, TimePoint now) const;
   // Returns the addresses of the daemons with a vote.
-  [[nodiscard]] std::vector<std::string> Voters(TimePoint now) const;
+  [[nodiscard]] std::vector<std::string> Voters() const;
 
  private:
-  // How long a daemon that is no longer named, nor heard, keeps its vote.
+  // How long a daemon keeps its vote while only others are named. Silence of
+  // all takes no vote.
   static constexpr Duration kVoteTime = std::chrono::seconds(30);
   // How long a report counts.
   static constexpr Duration kReportTime = std::chrono::seconds(2);
@@ -49,10 +50,6 @@
     TimePoint failed_at;
   };
 
-  [[nodiscard]] static bool HasVote(const Voter& voter, TimePoint now) {
-    return now < voter.named_at + kVoteTime;
-  }
-
   // By address.
   std::map<std::string, Voter> voters_;
 };
--- a/src/entry/store_watcher.cc
+++ b/src/entry/store_watcher.cc
@@ -239,11 +239,11 @@
         ++failed_lists_;
       }
       if (reply.rate_limited) {
-        // The store serves others, or this daemon at another time.
-        health_.OnAnswersKnown(now, now);
+        health_.OnRateLimited();
+      } else {
+        // A list may have taken too long for its timeout.
+        health_.OnFailure(reply.answered || call.list);
       }
-      // A list may have taken too long for its timeout.
-      health_.OnFailure(reply.answered || call.list);
       timer_.Set(now);
   }
 }
