--- a/src/entry/fleet_copies_sim.h
+++ b/src/entry/fleet_copies_sim.h
@@ -614,7 +614,7 @@
     const bool keyed = key % 2 == 1;
     const ServerChoice choice = Choose(member, keyed, key * kKeysPerServer);
     if (choice.server != nullptr) {
-      OnSent(member, choice.server->id);
+      OnSent(choice.server->id);
     }
     result_.refused += choice.reason == Reason::kOutdated ? 1 : 0;
   }
@@ -666,7 +666,7 @@
     return view;
   }
 
-  void OnSent(const Member& member, const ServerId& server) {
+  void OnSent(const ServerId& server) {
     ++result_.sends;
     const auto number = std::stoul(server.value().substr(1));
     const TimePoint arrival = now_ + kNetworkDelay;
--- a/src/entry/late_drain_random_test.cc
+++ b/src/entry/late_drain_random_test.cc
@@ -242,14 +242,14 @@
   for (Options options : Fleets()) {
     options.seed = FirstSeed();
     options.store_is_lost = true;
-    for (const auto& [scenario, max_refused] : cases) {
-      const Result result = Run(options, scenario);
+    for (const auto& it : cases) {
+      const Result result = Run(options, it.first);
       CAPTURE(options.members);
-      CAPTURE(scenario.name);
+      CAPTURE(it.first.name);
       CAPTURE(options.seed);
       CAPTURE(result.sends);
       CHECK(result.late_sends == 0);
-      CHECK(result.refused <= max_refused * options.members);
+      CHECK(result.refused <= it.second * options.members);
     }
   }
 }
--- a/src/entry/store_copies.cc
+++ b/src/entry/store_copies.cc
@@ -247,7 +247,7 @@
       std::min(needs_reports ? kPolledPeersOfReader : kPolledPeers,
                peers_to_ask_.size()));
   const auto end = peers_to_ask_.begin() + n;
-  const std::vector<std::string> next(peers_to_ask_.begin(), end);
+  std::vector<std::string> next(peers_to_ask_.begin(), end);
   std::rotate(peers_to_ask_.begin(), end, peers_to_ask_.end());
   return next;
 }
--- a/src/entry/store_reports_test.cc
+++ b/src/entry/store_reports_test.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cstddef>
 #include <string>
 #include <vector>
 
@@ -17,6 +18,7 @@
 
 std::vector<std::string> Addresses(int count) {
   std::vector<std::string> addresses;
+  addresses.reserve(static_cast<std::size_t>(count));
   for (int i = 0; i < count; ++i) {
     addresses.push_back("10.0.0." + std::to_string(i) + ":7002");
   }
@@ -42,7 +44,7 @@
   const auto addresses = Addresses(7);
   StoreReports reports;
   reports.OnMembers(addresses, kStart);
-  for (int i = 0; i < 3; ++i) {
+  for (std::size_t i = 0; i < 3; ++i) {
     reports.OnReport(addresses[i], true, kStart);
   }
   CHECK_FALSE(reports.DoMostCallsFail(true, kStart));
