The code that chooses servers has a folder of its own

Cause: src/entry holds 45 files, and what chooses, limits and estimates is spread among them. Change: server_choice, server_loads, server_limits, server_directory, ownership_view and drain_bound, with their tests, move to src/entry/balancing without other changes. Nothing there has sockets or a clock of its own. Result: no change of behaviour.

--- a/src/entry/drain_bound.h
+++ b/src/entry/balancing/drain_bound.h
@@ -1,6 +1,6 @@
 // How long copies of the store's objects may decide what happens to requests.
-#ifndef SRC_ENTRY_DRAIN_BOUND_H_
-#define SRC_ENTRY_DRAIN_BOUND_H_
+#ifndef SRC_ENTRY_BALANCING_DRAIN_BOUND_H_
+#define SRC_ENTRY_BALANCING_DRAIN_BOUND_H_
 
 #include <algorithm>
 #include <chrono>
@@ -102,4 +102,4 @@
 
 }  // namespace gentianreach::entry
 
-#endif  // SRC_ENTRY_DRAIN_BOUND_H_
+#endif  // SRC_ENTRY_BALANCING_DRAIN_BOUND_H_
--- a/src/entry/estimates_random_test.cc
+++ b/src/entry/balancing/estimates_random_test.cc
@@ -19,7 +19,7 @@
 
 #include <doctest/doctest.h>
 
-#include "entry/server_choice.h"
+#include "entry/balancing/server_choice.h"
 #include "entry/server_reachability.h"
 
 namespace gentianreach::entry {
--- a/src/entry/ownership_view.h
+++ b/src/entry/balancing/ownership_view.h
@@ -1,6 +1,6 @@
 // A daemon's copy of the ownership tables.
-#ifndef SRC_ENTRY_OWNERSHIP_VIEW_H_
-#define SRC_ENTRY_OWNERSHIP_VIEW_H_
+#ifndef SRC_ENTRY_BALANCING_OWNERSHIP_VIEW_H_
+#define SRC_ENTRY_BALANCING_OWNERSHIP_VIEW_H_
 
 #include <algorithm>
 #include <cstdint>
@@ -60,4 +60,4 @@
 
 }  // namespace gentianreach::entry
 
-#endif  // SRC_ENTRY_OWNERSHIP_VIEW_H_
+#endif  // SRC_ENTRY_BALANCING_OWNERSHIP_VIEW_H_
--- a/src/entry/ownership_view_test.cc
+++ b/src/entry/balancing/ownership_view_test.cc
@@ -1,4 +1,4 @@
-#include "entry/ownership_view.h"
+#include "entry/balancing/ownership_view.h"
 
 #include <doctest/doctest.h>
 
--- a/src/entry/server_choice.cc
+++ b/src/entry/balancing/server_choice.cc
@@ -1,4 +1,4 @@
-#include "entry/server_choice.h"
+#include "entry/balancing/server_choice.h"
 
 #include <algorithm>
 #include <iterator>
--- a/src/entry/server_choice.h
+++ b/src/entry/balancing/server_choice.h
@@ -1,18 +1,18 @@
 // Chooses the backend server for a request, or tells why it is refused and when
 // to retry.
-#ifndef SRC_ENTRY_SERVER_CHOICE_H_
-#define SRC_ENTRY_SERVER_CHOICE_H_
+#ifndef SRC_ENTRY_BALANCING_SERVER_CHOICE_H_
+#define SRC_ENTRY_BALANCING_SERVER_CHOICE_H_
 
 #include <chrono>
 #include <cstdint>
 #include <optional>
 #include <vector>
 
-#include "entry/drain_bound.h"
-#include "entry/ownership_view.h"
-#include "entry/server_directory.h"
-#include "entry/server_limits.h"
-#include "entry/server_loads.h"
+#include "entry/balancing/drain_bound.h"
+#include "entry/balancing/ownership_view.h"
+#include "entry/balancing/server_directory.h"
+#include "entry/balancing/server_limits.h"
+#include "entry/balancing/server_loads.h"
 #include "gentianreach/ids.h"
 #include "gentianreach/time.h"
 #include "gentianreach/verdict.h"
@@ -74,4 +74,4 @@
 
 }  // namespace gentianreach::entry
 
-#endif  // SRC_ENTRY_SERVER_CHOICE_H_
+#endif  // SRC_ENTRY_BALANCING_SERVER_CHOICE_H_
--- a/src/entry/server_directory.h
+++ b/src/entry/balancing/server_directory.h
@@ -1,6 +1,6 @@
 // The backend servers that are registered in the store.
-#ifndef SRC_ENTRY_SERVER_DIRECTORY_H_
-#define SRC_ENTRY_SERVER_DIRECTORY_H_
+#ifndef SRC_ENTRY_BALANCING_SERVER_DIRECTORY_H_
+#define SRC_ENTRY_BALANCING_SERVER_DIRECTORY_H_
 
 #include <cstdint>
 #include <map>
@@ -116,4 +116,4 @@
 
 }  // namespace gentianreach::entry
 
-#endif  // SRC_ENTRY_SERVER_DIRECTORY_H_
+#endif  // SRC_ENTRY_BALANCING_SERVER_DIRECTORY_H_
--- a/src/entry/server_directory_test.cc
+++ b/src/entry/balancing/server_directory_test.cc
@@ -1,4 +1,4 @@
-#include "entry/server_directory.h"
+#include "entry/balancing/server_directory.h"
 
 #include <chrono>
 #include <cstdint>
--- a/src/entry/server_limits.h
+++ b/src/entry/balancing/server_limits.h
@@ -1,7 +1,7 @@
 // Limits that servers name for the requests of all daemons together, with this
 // daemon's share of them, and rests that servers ask of this daemon.
-#ifndef SRC_ENTRY_SERVER_LIMITS_H_
-#define SRC_ENTRY_SERVER_LIMITS_H_
+#ifndef SRC_ENTRY_BALANCING_SERVER_LIMITS_H_
+#define SRC_ENTRY_BALANCING_SERVER_LIMITS_H_
 
 #include <cstddef>
 #include <cstdint>
@@ -78,4 +78,4 @@
 
 }  // namespace gentianreach::entry
 
-#endif  // SRC_ENTRY_SERVER_LIMITS_H_
+#endif  // SRC_ENTRY_BALANCING_SERVER_LIMITS_H_
--- a/src/entry/server_limits_test.cc
+++ b/src/entry/balancing/server_limits_test.cc
@@ -1,4 +1,4 @@
-#include "entry/server_limits.h"
+#include "entry/balancing/server_limits.h"
 
 #include <chrono>
 #include <deque>
--- a/src/entry/server_loads.cc
+++ b/src/entry/balancing/server_loads.cc
@@ -1,4 +1,4 @@
-#include "entry/server_loads.h"
+#include "entry/balancing/server_loads.h"
 
 #include <algorithm>
 #include <array>
--- a/src/entry/server_loads.h
+++ b/src/entry/balancing/server_loads.h
@@ -1,6 +1,6 @@
 // Load, latency and failures of each backend server, as seen by one daemon.
-#ifndef SRC_ENTRY_SERVER_LOADS_H_
-#define SRC_ENTRY_SERVER_LOADS_H_
+#ifndef SRC_ENTRY_BALANCING_SERVER_LOADS_H_
+#define SRC_ENTRY_BALANCING_SERVER_LOADS_H_
 
 #include <cstdint>
 #include <optional>
@@ -144,4 +144,4 @@
 
 }  // namespace gentianreach::entry
 
-#endif  // SRC_ENTRY_SERVER_LOADS_H_
+#endif  // SRC_ENTRY_BALANCING_SERVER_LOADS_H_
--- a/src/entry/untried_server_test.cc
+++ b/src/entry/balancing/untried_server_test.cc
@@ -5,7 +5,7 @@
 
 #include <doctest/doctest.h>
 
-#include "entry/server_choice.h"
+#include "entry/balancing/server_choice.h"
 
 namespace gentianreach::entry {
 namespace {
--- a/src/entry/entry_request.h
+++ b/src/entry/entry_request.h
@@ -10,10 +10,10 @@
 #include <string_view>
 #include <vector>
 
+#include "entry/balancing/server_choice.h"
 #include "entry/entry_state.h"
 #include "entry/message_writer.h"
 #include "entry/request_rules.h"
-#include "entry/server_choice.h"
 #include "gentianreach/verdict.h"
 #include "net/deadline_timer.h"
 #include "proxy/caller_connection.h"
--- a/src/entry/fleet_copies_sim.h
+++ b/src/entry/fleet_copies_sim.h
@@ -17,12 +17,12 @@
 #include <utility>
 #include <vector>
 
+#include "entry/balancing/ownership_view.h"
+#include "entry/balancing/server_choice.h"
+#include "entry/balancing/server_directory.h"
+#include "entry/balancing/server_limits.h"
+#include "entry/balancing/server_loads.h"
 #include "entry/copy_source.h"
-#include "entry/ownership_view.h"
-#include "entry/server_choice.h"
-#include "entry/server_directory.h"
-#include "entry/server_limits.h"
-#include "entry/server_loads.h"
 #include "entry/succession.h"
 #include "routing/routing_config.h"
 
--- a/src/entry/store_copies_test.cc
+++ b/src/entry/store_copies_test.cc
@@ -15,7 +15,7 @@
 #include <nlohmann/json.hpp>
 
 #include "daemon/operator_server.h"
-#include "entry/drain_bound.h"
+#include "entry/balancing/drain_bound.h"
 #include "http/status.h"
 #include "platform/testing/fake_store.h"
 #include "standins/loopback_block.h"
