Keys of evacuated zones move in time, a few at a time, the most loaded first

Cause: a server whose availability zone is evacuated still serves its keys until the evacuation takes effect, but all keys of a server that may not own any more moved in one table, so that a quarter of all keys had no owner at the same time. Change: AssignerServer::move_until. Such a server is no candidate; of its ranges as many move at once as are needed to be done by then, the most loaded first. Nothing moves if nobody else may own keys.

--- a/src/keyspace/range_assigner.cc
+++ b/src/keyspace/range_assigner.cc
@@ -121,7 +121,8 @@
         return a.first == b.first &&
                a.second.incarnation == b.second.incarnation &&
                a.second.address == b.second.address &&
-               a.second.draining == b.second.draining;
+               a.second.draining == b.second.draining &&
+               a.second.move_until == b.second.move_until;
       });
   if (!same) {
     PollAllRanges();
--- a/src/keyspace/range_assigner.h
+++ b/src/keyspace/range_assigner.h
@@ -63,6 +63,13 @@
   std::string address;
   bool draining = false;
   double capacity = 1;
+  // Until when the server should have given its keys up, because its
+  // availability zone is evacuated; max(): it may own keys.
+  TimePoint move_until = TimePoint::max();
+
+  [[nodiscard]] bool is_evacuated() const {
+    return move_until != TimePoint::max();
+  }
 };
 
 // Asks the caller to write the table to the store, on condition that the store
@@ -280,6 +287,8 @@
   // can reach the next incarnation.
   [[nodiscard]] bool HasEnded(const Owner& owner) const;
   [[nodiscard]] bool MayOwn(const Owner& owner) const;
+  // Returns the server of an owner that runs on in an evacuated zone, or null.
+  [[nodiscard]] const AssignerServer* FindEvacuated(const Owner& owner) const;
   [[nodiscard]] std::vector<Candidate> Candidates() const;
   // Returns the latest end of a lease that began at `arrived_at`.
   [[nodiscard]] TimePoint LeaseEnd(TimePoint arrived_at) const;
@@ -349,7 +358,15 @@
                     OrderOutcome outcome,
                     RangeState* state);
   std::optional<OwnershipTable> Plan(const KeyLoad& load, TimePoint now);
-  void PlanReassignments(const KeyLoad& load, OwnershipTable* plan) const;
+  void PlanReassignments(const KeyLoad& load,
+                         OwnershipTable* plan,
+                         TimePoint now) const;
+  // Returns the first keys of the ranges of `plan` that stay with evacuated
+  // owners for now; see PlanReassignments().
+  [[nodiscard]] std::set<std::uint32_t> RangesToMoveLater(
+      const KeyLoad& load,
+      const OwnershipTable& plan,
+      TimePoint now) const;
   void PlanRebalancing(const KeyLoad& load,
                        OwnershipTable* plan,
                        TimePoint now);
--- a/src/keyspace/range_assigner_plan.cc
+++ b/src/keyspace/range_assigner_plan.cc
@@ -2,8 +2,11 @@
 #include <algorithm>
 #include <chrono>
 #include <cstddef>
+#include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <utility>
 #include <vector>
 
@@ -29,6 +32,9 @@
 // kServersPerBalanceMove servers, but at least kMinConcurrentBalanceMoves.
 constexpr std::size_t kMinConcurrentBalanceMoves = 3;
 constexpr std::size_t kServersPerBalanceMove = 6;
+// Usual time from the plan of a move until its next owner has the keys: a table
+// is written, the work on the keys ends, and a grant is answered.
+constexpr Duration kUsualMoveTime = std::chrono::milliseconds(500);
 
 // Returns the index of `part` after splitting `ranges[i]` so that `part` is a
 // range of its own.
@@ -83,13 +89,22 @@
 
 bool RangeAssigner::MayOwn(const Owner& owner) const {
   const AssignerServer* server = FindIncarnation(owner);
-  return server != nullptr && !server->draining && !HasEnded(owner);
+  return server != nullptr && !server->draining && !server->is_evacuated() &&
+         !HasEnded(owner);
+}
+
+const AssignerServer* RangeAssigner::FindEvacuated(const Owner& owner) const {
+  const AssignerServer* server = FindIncarnation(owner);
+  const bool runs_on = server != nullptr && !server->draining &&
+                       server->is_evacuated() && !HasEnded(owner);
+  return runs_on ? server : nullptr;
 }
 
 std::vector<Candidate> RangeAssigner::Candidates() const {
   std::vector<Candidate> candidates;
   for (const auto& [id, it] : servers_) {
-    if (!it.draining && !ended_.contains({id, it.incarnation})) {
+    if (!it.draining && !it.is_evacuated() &&
+        !ended_.contains({id, it.incarnation})) {
       candidates.push_back({id, it.incarnation, it.capacity});
     }
   }
@@ -151,7 +166,7 @@
     return plan;
   }
   PlanCompletions(&plan);
-  PlanReassignments(load, &plan);
+  PlanReassignments(load, &plan, now);
   PlanRebalancing(load, &plan, now);
   if (plan == table_) {
     return std::nullopt;
@@ -176,16 +191,58 @@
   }
 }
 
+// While a range moves, nobody owns its keys. An evacuated owner still serves
+// them until its time is over, so that its ranges move a few at a time: as many
+// as are needed to be done in time, those with the most load first.
+std::set<std::uint32_t> RangeAssigner::RangesToMoveLater(
+    const KeyLoad& load,
+    const OwnershipTable& plan,
+    TimePoint now) const {
+  struct Group {
+    std::vector<std::pair<double, std::uint32_t>> waiting;  // Load, first key.
+    std::size_t moving = 0;
+  };
+  std::map<TimePoint, Group> groups;
+  for (const OwnedRange& it : plan.ranges) {
+    if (it.moving()) {
+      if (const auto* from = FindEvacuated(it.earlier.back())) {
+        ++groups[from->move_until].moving;
+      }
+      continue;
+    }
+    if (const auto* owner = FindEvacuated(it.owner)) {
+      groups[owner->move_until].waiting.emplace_back(load.In(it.range),
+                                                     it.range.first);
+    }
+  }
+  std::set<std::uint32_t> later;
+  for (auto& [move_until, it] : groups) {
+    const auto rounds = static_cast<std::size_t>(std::max<std::int64_t>(
+        1, (std::max(move_until, now) - now) / kUsualMoveTime));
+    const std::size_t at_once =
+        (it.waiting.size() + it.moving + rounds - 1) / rounds;
+    const std::size_t first_later =
+        std::min(it.waiting.size(), at_once - std::min(at_once, it.moving));
+    std::ranges::sort(it.waiting, std::greater<>());
+    for (std::size_t i = first_later; i < it.waiting.size(); ++i) {
+      later.insert(it.waiting[i].second);
+    }
+  }
+  return later;
+}
+
 void RangeAssigner::PlanReassignments(const KeyLoad& load,
-                                      OwnershipTable* plan) const {
+                                      OwnershipTable* plan,
+                                      TimePoint now) const {
   const std::vector<Candidate> candidates = Candidates();
   if (candidates.empty()) {
     return;
   }
+  const std::set<std::uint32_t> later = RangesToMoveLater(load, *plan, now);
   std::vector<double> loads;
   for (std::size_t i = 0; i < plan->ranges.size(); ++i) {
     const OwnedRange range = plan->ranges[i];
-    if (MayOwn(range.owner)) {
+    if (MayOwn(range.owner) || later.contains(range.range.first)) {
       continue;
     }
     if (loads.empty()) {
--- a/src/keyspace/range_assigner_random_test.cc
+++ b/src/keyspace/range_assigner_random_test.cc
@@ -75,6 +75,18 @@
              40);
 }
 
+TEST_CASE(
+    "a key never has two holders while zones are evacuated and leaders "
+    "change") {
+  CheckSeeds({.late = 0.15,
+              .reordered = 0.2,
+              .held_up = 0.1,
+              .second_leader = true,
+              .third_leader = true,
+              .evacuated = 0.001},
+             15);
+}
+
 TEST_CASE(
     "a key never has two holders when orders arrive as late as their "
     "deadline") {
--- a/src/keyspace/testing/assigner_simulation.h
+++ b/src/keyspace/testing/assigner_simulation.h
@@ -105,6 +105,9 @@
   double link_cut = 0;
   // Probability per step that the loop of a leader is late, by up to 700 ms.
   double late_loop = 0;
+  // Probability per step that the zone of a server is evacuated within up to 3
+  // s, or no longer.
+  double evacuated = 0;
 };
 
 class Simulation {
@@ -463,6 +466,11 @@
           ->late_until =
           now_ + RandomDuration(milliseconds(50), milliseconds(700));
     }
+    if (faults_.evacuated > 0 && WithProbability(faults_.evacuated)) {
+      server.move_until = server.move_until == TimePoint::max()
+                              ? now_ + RandomDuration(Duration(0), seconds(3))
+                              : TimePoint::max();
+    }
     if (WithProbability(0.0008)) {
       server.draining = !server.draining;
     }
@@ -493,7 +501,11 @@
   }
 
   static AssignerServer Listed(const FakeServer& server) {
-    return {server.id, server.incarnation, server.address, server.draining, 1};
+    return {.id = server.id,
+            .incarnation = server.incarnation,
+            .address = server.address,
+            .draining = server.draining,
+            .move_until = server.move_until};
   }
 
   void PollLeader(Leader& leader) {
--- a/src/keyspace/testing/fake_key_server.h
+++ b/src/keyspace/testing/fake_key_server.h
@@ -40,6 +40,8 @@
   TimePoint listed_at = TimePoint::max();
   bool listed = true;
   bool draining = false;
+  // See AssignerServer.
+  TimePoint move_until = TimePoint::max();
   std::array<Token, kSampledKeys> highest_token{};
   std::array<TimePoint, kSampledKeys> held_until{};
 
