Idle connections to servers are kept for as long as the servers announce

Cause: the time that a server announces in Keep-Alive was cut to the time that holds for servers that announce none, 8 s, so that connections to servers that keep them for 10 s were closed early and opened anew. Change: the announced time counts, up to 60 s, less the margin of 1 s. Result: the new case of server_connection_test fails on the code before and passes now.

--- a/src/proxy/server_connection.cc
+++ b/src/proxy/server_connection.cc
@@ -15,6 +15,8 @@
 // An idle connection is dropped this long before the server's announced idle
 // timeout, so that no request is sent while the server closes the connection.
 constexpr Duration kIdleMargin = 1s;
+// Longest time for which an idle connection is kept on a server's word.
+constexpr Duration kMaxIdleTime = 60s;
 // Limits for reading an unneeded response in order to reuse its connection.
 constexpr Duration kDiscardTimeout = 1s;
 constexpr std::size_t kMaxDiscardBytes = 64 * 1024;
@@ -297,7 +299,7 @@
   int seconds = 0;
   std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
   const Duration left = std::chrono::seconds(seconds) - kIdleMargin;
-  return loop_.Now() + std::clamp(left, Duration(0), options_.idle_timeout);
+  return loop_.Now() + std::clamp(left, Duration(0), kMaxIdleTime);
 }
 
 void ServerConnection::OnResponseEnd() {
--- a/src/proxy/server_connection_test.cc
+++ b/src/proxy/server_connection_test.cc
@@ -5,6 +5,7 @@
 #include <optional>
 #include <string>
 #include <thread>
+#include <utility>
 
 #include <doctest/doctest.h>
 
@@ -83,5 +84,40 @@
   CHECK(closed);
 }
 
+// Guards against new connections to servers that would have kept the old ones.
+TEST_CASE("an idle connection is kept for as long as its server announces") {
+  auto listener = net::TcpSocket::Listen("127.0.0.1:0", false);
+  REQUIRE(listener);
+  net::EventLoop loop;
+  const auto connection = std::make_shared<ServerConnection>(
+      loop, [](ServerConnection*) {},
+      ServerConnectionOptions{.idle_timeout = milliseconds(20)});
+  connection->Connect("127.0.0.1:" + std::to_string(listener->port()));
+  bool ended = false;
+  connection->Start("GET / HTTP/1.1\r\nHost: a.example\r\n\r\n", false, true,
+                    [&ended](ServerEvent event) {
+                      ended = ended || event == ServerEvent::kEnd;
+                    });
+  std::optional<net::TcpSocket> accepted;
+  bool answered = false;
+  const TimePoint give_up = loop.Now() + kTestTimeout;
+  while (!ended) {
+    REQUIRE(loop.Now() < give_up);
+    loop.RunOnce(false);
+    if (!accepted) {
+      accepted = listener->Accept();
+    } else if (!std::exchange(answered, true)) {
+      accepted->Send(
+          "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=30\r\n"
+          "Content-Length: 0\r\n\r\n");
+    }
+  }
+  const TimePoint until = loop.Now() + milliseconds(100);
+  while (loop.Now() < until) {
+    loop.RunOnce(false);
+  }
+  CHECK(connection->Reusable());
+}
+
 }  // namespace
 }  // namespace gentianreach::proxy
