The configuration names the warm-up of a service's servers

Cause: servers take few requests per second while they are cold, and crash well above that. The daemon read neither their rate nor whether an entry states a warm-up at all.

BackendServer::states_warmup tells whether the report of this incarnation says until when it is cold. HeaderNames gets warmup_ms.

--- a/integration/platform_words_test.sh
+++ b/integration/platform_words_test.sh
@@ -3,7 +3,7 @@
 # Usage: platform_words_test.sh BUILD_DIR
 set -euo pipefail
 cd "$(dirname "$0")/.."
-pattern='trafficSplit|pathPrefix|targetLatencyMs|maxAttempts|holdMs|allowStale|warmupLeftMs|configVersion|createRev|Gentianreach-[A-Z]|Server-Limit|/api/(objects|grant|release|readiness)'
+pattern='trafficSplit|pathPrefix|targetLatencyMs|maxAttempts|holdMs|allowStale|warmupLeftMs|warmupPerS|warmupS|configVersion|createRev|Gentianreach-[A-Z]|Server-Limit|/api/(objects|grant|release|readiness)'
 found=$(grep -rnE "$pattern" src include tools standins bench samples schema soak || true)
 if [ -n "$found" ]; then
   echo "wire names of the platform used outside platform/:" >&2
--- a/src/entry/header_names.h
+++ b/src/entry/header_names.h
@@ -21,6 +21,8 @@
   // Responses: number of requests per second that the server takes from all
   // daemons together.
   std::string server_limit;
+  // Responses: for how many milliseconds more the server is cold.
+  std::string warmup_ms;
   // Responses: "1" if the server is about to leave and wants no new requests.
   std::string server_leaving;
   // Responses: present if the server has not run the request.
--- a/src/routing/backend_server.h
+++ b/src/routing/backend_server.h
@@ -31,6 +31,9 @@
   TimePoint draining_since{};
   // Until this time the server is expected to be slow, as it has just started.
   TimePoint warm_at{};
+  // Whether the server's report says until when; if not, `warm_at` is the time
+  // of the report.
+  bool states_warmup = false;
 };
 
 }  // namespace gentianreach::routing
--- a/src/routing/routing_config.h
+++ b/src/routing/routing_config.h
@@ -53,6 +53,11 @@
   // Target of a GET request that a server answers without running a caller's
   // request.
   std::string health_path = "/";
+  // Requests per second that a cold server takes from all daemons together;
+  // 0: no limit.
+  double warmup_rate = 0;
+  // How long a server usually is cold after its start.
+  std::chrono::milliseconds warmup_time{0};
 };
 
 struct RoutingConfig {
@@ -60,6 +65,8 @@
   CallerLimits limits;
   std::vector<Route> routes;
   std::map<std::string, Service> services;
+  // Descriptions of values that are unusable and were replaced by defaults.
+  std::vector<std::string> ignored_values;
 };
 
 }  // namespace gentianreach::routing
