Daemons share the rate of a cold server without messages

Cause: all daemons together may send a cold server warmup_rate x 1.5 + 8 requests in any second, whether or not they are in touch.

Change: ServerLimits keeps a second set of buckets, for cold servers. Each daemon has an equal share of 0.7 of the rate. A token that is not spent within 500 ms lapses, so that after a pause at most the tokens of 1.5 s can be spent in one second. Until the number of daemons is known, 512 are assumed. NextSend() answers for both sets, so that ChooseServer leaves out a cold server without a token or refuses until the next token or the end of the warm-up. Nothing changes for limits that servers name.

--- a/src/entry/balancing/server_choice.cc
+++ b/src/entry/balancing/server_choice.cc
@@ -74,7 +74,7 @@
 }
 
 // Returns the refusal of a request that no server takes before `next_send` by
-// the limits that they name and the rests that they ask for.
+// their limits and the rests that they ask for.
 ServerChoice RefuseOverLimit(TimePoint next_send, TimePoint now) {
   return {
       .reason = Reason::kOverLimit,
--- a/src/entry/balancing/server_choice.h
+++ b/src/entry/balancing/server_choice.h
@@ -64,7 +64,8 @@
 
 // Returns the owner of the key for a keyed service, or the best of a random
 // sample of the service's servers otherwise; servers that may get no request
-// now by the limit that they name or the rest that they ask for are left out.
+// now by the limit that they name, as they are cold, or by the rest that they
+// ask for are left out.
 // Refuses a request that the chosen server could not answer in time: under
 // overload, a longer queue would only delay all responses. Refuses all requests
 // while the entries are too old to tell which servers have left.
--- a/src/entry/balancing/server_choice_test.cc
+++ b/src/entry/balancing/server_choice_test.cc
@@ -234,6 +234,31 @@
   CHECK(fixture.Choose(kNow + choice.retry_after).server != nullptr);
 }
 
+TEST_CASE("a cold server without a token gets nothing, others go on") {
+  Fixture fixture;
+  const TimePoint warm_at = kNow + std::chrono::seconds(3);
+  fixture.directory.Put(Server("a"), kNow);
+  fixture.directory.Put(Server("b"), kNow);
+  fixture.limits.SetWarmup(ServerId("a"), 7.3, warm_at, kNow);
+  for (int i = 0; i < 20; ++i) {
+    REQUIRE(fixture.Choose().server != nullptr);
+    CHECK(fixture.Choose().server->id == ServerId("b"));
+  }
+  // With all servers cold, and as the owner, it refuses until then at most.
+  fixture.limits.SetWarmup(ServerId("b"), 7.3, warm_at, kNow);
+  for (const bool keyed : {false, true}) {
+    if (keyed) {
+      fixture.SetOwner("a");
+    }
+    const ServerChoice choice = fixture.Choose();
+    CHECK(choice.server == nullptr);
+    CHECK_FALSE(choice.wait);
+    CHECK(choice.reason == Reason::kOverLimit);
+    CHECK(kNow + choice.retry_after <= warm_at);
+    CHECK(fixture.Choose(warm_at).server != nullptr);
+  }
+}
+
 TEST_CASE(
     "a keyed request is refused at once while its owner is over a limit") {
   Fixture fixture;
--- a/src/entry/balancing/server_limits_test.cc
+++ b/src/entry/balancing/server_limits_test.cc
@@ -167,6 +167,36 @@
   CHECK(limits.NextSend(kServer, kStart) == kStart + seconds(3));
 }
 
+TEST_CASE("a refusal of a cold server ends with the next token or when warm") {
+  ServerLimits limits(1);
+  limits.SetMembers(2, kStart);
+  CHECK(limits.SetWarmup(kServer, 4, kStart + seconds(60), kStart));
+  CHECK(limits.WarmupRate(kServer, kStart) == 4);
+  const TimePoint next = limits.NextSend(kServer, kStart);
+  CHECK(next > kStart);
+  CHECK(limits.NextSend(kServer, next) == next);
+  limits.OnSent(kServer, next);
+  // This daemon gets 0.7 * 4 / 2 = 1.4 tokens per second.
+  const TimePoint second = limits.NextSend(kServer, next);
+  CHECK(second > next + milliseconds(710));
+  CHECK(second < next + milliseconds(720));
+  const TimePoint warm = next + milliseconds(100);
+  CHECK_FALSE(limits.SetWarmup(kServer, 4, warm, next));
+  CHECK(limits.NextSend(kServer, next) == warm);
+  CHECK(limits.NextSend(kServer, warm) == warm);
+  CHECK(limits.CountCold(next) == 1);
+  CHECK(limits.CountCold(warm) == 0);
+}
+
+TEST_CASE("without a warm-up rate, a cold server gets all requests") {
+  ServerLimits limits(1);
+  CHECK_FALSE(limits.SetWarmup(kServer, 0, kStart + seconds(3), kStart));
+  CHECK(limits.NextSend(kServer, kStart) == kStart);
+  limits.SetWarmup(kServer, 4, kStart + seconds(3), kStart);
+  limits.SetWarmup(kServer, 0, kStart + seconds(3), kStart);
+  CHECK(limits.NextSend(kServer, kStart) == kStart);
+}
+
 TEST_CASE("a server that has started again has no rest") {
   ServerLimits limits(1);
   limits.SetRest(kServer, kStart + seconds(3));
--- a/src/entry/member_count.h
+++ b/src/entry/member_count.h
@@ -19,6 +19,9 @@
 // would exceed the budget.
 class MemberCount {
  public:
+  // Deployments of the users have up to a few hundred daemons.
+  static constexpr std::uint32_t kAssumedMembers = 512;
+
   // Handles the number of members that the leader reported.
   void Set(std::uint32_t members, TimePoint now) {
     if (members < members_ && now < fall_ignored_until_) {
@@ -35,9 +38,6 @@
   // retry budget, because retries granted within the window still count.
   static constexpr Duration kFallDelay = std::chrono::seconds(10);
 
-  // Deployments of the users have up to a few hundred daemons.
-  static constexpr std::uint32_t kAssumedMembers = 512;
-
   std::uint32_t members_ = kAssumedMembers;
   TimePoint fall_ignored_until_{};
 };
