Servers that are cold get no more than their warm-up rate

Cause: a server may be cold after a start, when its zone comes back, or at any moment. The daemon only expected it to be slow by its entry, and went on sending.

Change: ColdServers keeps what each sign says: the entry, a response header, a new incarnation that says nothing, a connection that was actively refused (ServerFailure::kRefused, not a time-out) and the end of an evacuation of the zone. EntryState gives the latest time to ServerLimits, which holds the requests back, to the directory's entry, for the estimate of cold servers, and to the assigner, as a smaller capacity. Probes of the path to the servers are read for the same signs. EntryState::OnZoneEvacuationEnded() is to be called when an evacuation ends; nothing calls it yet. Without a warm-up rate nothing of this applies.

--- a/src/entry/balancing/server_directory.h
+++ b/src/entry/balancing/server_directory.h
@@ -37,6 +37,11 @@
   // again. Returns whether that is news. An entry that drains is such a
   // statement, too.
   bool MarkLeaving(const ServerId& id, Incarnation incarnation, TimePoint now);
+  // The server `id`, which has an entry, is expected to be slow until
+  // `warm_at`, whatever its entry says. Holds until its next entry.
+  void SetWarmAt(const ServerId& id, TimePoint warm_at) {
+    servers_.at(id).warm_at = warm_at;
+  }
   // A server that has stated that it leaves.
   struct Leaving {
     Incarnation incarnation;
--- a/src/entry/entry_daemon.cc
+++ b/src/entry/entry_daemon.cc
@@ -355,9 +355,9 @@
            {"before", present},
            {"revision", it.revision},
            {"routes", config->routes.size()}});
-      state_->routes = std::make_shared<routing::HostRoutes>(
+      state_->SetRoutes(std::make_shared<routing::HostRoutes>(
           std::make_shared<const routing::RoutingConfig>(*std::move(config)),
-          self_.incarnation.value());
+          self_.incarnation.value()));
     }
     ScheduleHeartbeats();
     assignment_.Run();
--- a/src/entry/entry_request.cc
+++ b/src/entry/entry_request.cc
@@ -351,6 +351,9 @@
   if (IsLeaving(head, state_->headers)) {
     state_->OnLeaving(server_, incarnation_);
   }
+  if (const auto left = head.Get(std::string_view(state_->headers.warmup_ms))) {
+    state_->OnWarmupStated(server_, *left);
+  }
 }
 
 void EntryRequest::DiscardResponse(const http::MessageHead& head) {
@@ -429,6 +432,9 @@
     return;
   }
   state_->reachability.OnFailure(server_, connection->opened_at());
+  if (connection->failure() == proxy::ServerFailure::kRefused) {
+    state_->OnConnectionRefused(server_, incarnation_);
+  }
   response_timer_.Clear();
   if (committed_) {
     EndAttempt(AttemptResult::kBroken);
--- a/src/entry/entry_request_sending.cc
+++ b/src/entry/entry_request_sending.cc
@@ -68,6 +68,9 @@
   if (server.draining) {
     state_->metrics.Count("requests_to_draining_total");
   }
+  if (state_->limits.WarmupRate(server.id, attempt_started_)) {
+    state_->metrics.Count("requests_to_cold_total");
+  }
   RecordEntriesAge();
   state_->loads.OnSent(server_);
   state_->limits.OnSent(server_, attempt_started_);
--- a/src/entry/entry_state.cc
+++ b/src/entry/entry_state.cc
@@ -205,10 +205,15 @@
     reachability.Forget(it.first);
     return true;
   });
+  for (const ServerId& it : cold.ForgetUnless(
+           [&](const ServerId& id) { return directory.Find(id) != nullptr; })) {
+    limits.Forget(it);
+  }
 }
 
 void EntryState::SetServiceMetrics() {
   const TimePoint now = loop.Now();
+  metrics.Set("cold_servers", static_cast<double>(limits.CountCold(now)));
   if (!routes) {
     return;
   }
--- a/src/entry/entry_state.h
+++ b/src/entry/entry_state.h
@@ -15,6 +15,7 @@
 #include <utility>
 #include <vector>
 
+#include "entry/balancing/cold_servers.h"
 #include "entry/balancing/drain_bound.h"
 #include "entry/balancing/ownership_view.h"
 #include "entry/balancing/server_choice.h"
@@ -83,6 +84,20 @@
                    std::optional<std::string_view> limit);
   // Handles a response of `server` that asks for a rest until `until`.
   void OnRestRequested(const ServerId& server, TimePoint until);
+  // Puts a configuration in force.
+  void SetRoutes(std::shared_ptr<routing::HostRoutes> new_routes);
+  // The directory has got an entry, of which `server` is what it says.
+  void OnServerEntry(const routing::BackendServer& server);
+  // Handles the time for which a response of `server` says that it is cold.
+  void OnWarmupStated(const ServerId& server, std::string_view text);
+  // A connection to an incarnation of `server` was actively refused.
+  void OnConnectionRefused(const ServerId& server, Incarnation incarnation);
+  // The evacuation of the zone `evacuated` ended at `ended_at`.
+  void OnZoneEvacuationEnded(const ZoneName& evacuated, TimePoint ended_at);
+  // Returns how many requests per second the server can complete, which are
+  // fewer while it is cold.
+  [[nodiscard]] double Capacity(const routing::BackendServer& server,
+                                TimePoint now) const;
   // An incarnation of `server` has stated that it leaves.
   void OnLeaving(const ServerId& server, Incarnation incarnation);
   // Drops the connection pools and loads of servers that have left the
@@ -130,6 +145,7 @@
   ServerDirectory directory;
   ServerLoads loads;
   ServerLimits limits;
+  ColdServers cold;
   ServerReachability reachability;
   Relays relays;
   OwnershipView ownership;
@@ -152,6 +168,8 @@
     std::shared_ptr<proxy::ServerPool> pool;
   };
 
+  // Limits the requests to a server while it is cold, by all known signs.
+  void UpdateWarmup(const ServerId& id);
   // Returns how many connections to a server this daemon may use, if all
   // daemons together use `share` of them.
   [[nodiscard]] std::size_t OwnShare(const std::string& service,
--- a/src/entry/key_assignment.cc
+++ b/src/entry/key_assignment.cc
@@ -244,7 +244,7 @@
                        .incarnation = it->incarnation,
                        .address = it->address,
                        .draining = it->draining,
-                       .capacity = state_.loads.Capacity(*it, now)});
+                       .capacity = state_.Capacity(*it, now)});
   }
   return servers;
 }
--- a/src/entry/server_entries.cc
+++ b/src/entry/server_entries.cc
@@ -45,6 +45,7 @@
   if (restarted) {
     state_.limits.Forget(server->id);
   }
+  state_.OnServerEntry(*server);
   if (!changed) {
     return;
   }
--- a/src/entry/server_path_monitor.cc
+++ b/src/entry/server_path_monitor.cc
@@ -16,12 +16,15 @@
 // Time for the response to a probe, including the time to connect.
 constexpr Duration kProbeTimeout = std::chrono::milliseconds(300);
 
+// Called when a probe has ended: whether it was answered, and its connection.
+using ProbeEnd = std::function<void(bool, const proxy::ServerConnection&)>;
+
 // One probe. Keeps itself alive until it ends.
 class ProbeSession : public std::enable_shared_from_this<ProbeSession> {
  public:
   ProbeSession(net::EventLoop& loop,
                const proxy::ServerConnectionOptions& options,
-               std::function<void(bool)> done)
+               ProbeEnd done)
       : loop_(loop),
         done_(std::move(done)),
         connection_(std::make_shared<proxy::ServerConnection>(
@@ -60,11 +63,11 @@
     }
     timer_.Clear();
     connection_->Abandon();
-    done(answered);
+    done(answered, *connection_);
   }
 
   net::EventLoop& loop_;
-  std::function<void(bool)> done_;
+  ProbeEnd done_;
   std::shared_ptr<proxy::ServerConnection> connection_;
   net::DeadlineTimer timer_;
 };
@@ -90,7 +93,18 @@
   }
   std::make_shared<ProbeSession>(
       state_.loop, state_.ConnectionOptions(),
-      [this, id = server.id](bool answered) { OnProbeEnd(id, answered); })
+      [this, id = server.id, incarnation = server.incarnation](
+          bool answered, const proxy::ServerConnection& connection) {
+        const auto left =
+            connection.head().Get(std::string_view(state_.headers.warmup_ms));
+        if (answered && left) {
+          state_.OnWarmupStated(id, *left);
+        }
+        if (connection.failure() == proxy::ServerFailure::kRefused) {
+          state_.OnConnectionRefused(id, incarnation);
+        }
+        OnProbeEnd(id, answered);
+      })
       ->Start(server.address, path);
 }
 
