Tests can seed the choices of servers

Cause: the choice of a server draws from a random source that is seeded by the system, so that no test can compare decisions before and after a change. Change: SeedChoices() seeds it. Nothing in the daemon calls it.

--- a/src/entry/balancing/server_choice.cc
+++ b/src/entry/balancing/server_choice.cc
@@ -178,4 +178,8 @@
                                : ChooseAny(request, known, now);
 }
 
+void SeedChoices(std::uint32_t seed) {
+  Generator().seed(seed);
+}
+
 }  // namespace gentianreach::entry
--- a/src/entry/balancing/server_choice.h
+++ b/src/entry/balancing/server_choice.h
@@ -72,6 +72,9 @@
                                         const KnownServers& known,
                                         TimePoint now);
 
+// Seeds the random source of the process's choices, for tests that repeat.
+void SeedChoices(std::uint32_t seed);
+
 }  // namespace gentianreach::entry
 
 #endif  // SRC_ENTRY_BALANCING_SERVER_CHOICE_H_
