Load reports may state a slowdown, and times are learned for each route

Cause: a report with a fourth figure was dropped whole, so that its server looked idle. A server that got more of the long requests than others looked slow.

Change: ParseLoadReport reads the slowdown and ignores further figures. Times are learned for the usual speed and multiplied by the last slowdown, whose excess decays within 0.4 s. ProcessingTimes relates each sample to the usual time of its route where routes are known to differ by 1.25 or more. Garbage is logged once per server and counted. The existing test of ParseLoadReport took "1,2,3,4" for garbage; this is a report with a slowdown now, and twelve other texts are refused.

--- a/src/entry/balancing/server_choice.cc
+++ b/src/entry/balancing/server_choice.cc
@@ -61,9 +61,11 @@
                    const KnownServers& known,
                    TimePoint now) {
   const ServerLoads& loads = known.loads;
-  const Duration expected = loads.ExpectedLatency(server, now);
+  const Duration expected =
+      loads.ExpectedLatency(server, now, request.route.name);
   const Duration max_latency = MaxExpectedLatency(
-      request.route, loads.ProcessingTime(server, now), request.time_left);
+      request.route, loads.ProcessingTime(server, now, request.route.name),
+      request.time_left);
   if (expected > max_latency || !loads.HasRoom(server, now)) {
     return {.reason = Reason::kOverload,
             .retry_after = std::max<Duration>(expected - max_latency,
@@ -119,7 +121,8 @@
              const ServerLoads& loads,
              TimePoint now) {
   const bool is_local = server.zone == request.zone;
-  return std::chrono::duration<double>(loads.ExpectedLatency(server, now))
+  return std::chrono::duration<double>(
+             loads.ExpectedLatency(server, now, request.route.name))
              .count() *
          (1 + loads.Utilization(server, now)) *
          loads.FailurePenalty(server.id, now) *
--- a/src/entry/balancing/server_loads.cc
+++ b/src/entry/balancing/server_loads.cc
@@ -1,24 +1,18 @@
 #include "entry/balancing/server_loads.h"
 
 #include <algorithm>
-#include <array>
-#include <charconv>
 #include <chrono>
 #include <cmath>
-#include <system_error>
 
 namespace gentianreach::entry {
 namespace {
 
 using Seconds = std::chrono::duration<double>;
 
-// Weights of a new sample in the exponential moving averages.
-constexpr double kLatencyWeight = 0.15;
+// Weights of a new sample in the exponential moving averages of requests and
+// failures.
 constexpr double kOtherRequestsWeight = 0.4;
-constexpr double kAverageWeight = 0.02;
 constexpr double kErrorWeight = 0.15;
-// Processing time assumed before any server has answered.
-constexpr double kInitialProcessingS = 0.1;
 // Factor by which a server that has just started is slower.
 constexpr double kColdFactor = 2;
 // Initial and longest time for which a failing server is avoided.
@@ -33,13 +27,13 @@
 // decay. Without the decay, a server that looked bad once would get no
 // requests, and so could never look better again.
 constexpr Seconds kDecayTime{1.5};
-// Time constant with which a server's processing time decays to the average,
-// and a higher average to kInitialProcessingS. Otherwise servers that once
-// looked too slow for every request would never get another one.
-constexpr Seconds kProcessingDecayTime{5};
-// Time after a sample during which the average does not decay, longer than the
-// usual time between two samples.
-constexpr Duration kAverageHoldTime = std::chrono::seconds(2);
+// Time constant with which a reported slowdown decays to the usual speed: the
+// time for which a machine is slowed down at a time.
+constexpr Seconds kSlowdownDecayTime{0.4};
+// Bounds of the slowdowns that are used. A figure beyond them is more likely
+// wrong than true, and would let the server look useless or endlessly fast.
+constexpr double kMinSlowdown = 0.25;
+constexpr double kMaxSlowdown = 100;
 // Weight of the share of failed attempts in the failure penalty.
 constexpr double kErrorPenalty = 4;
 
@@ -72,26 +66,6 @@
   return "unknown";
 }
 
-std::optional<LoadReport> ParseLoadReport(std::string_view text) {
-  std::array<std::uint32_t, 3> numbers{};
-  const char* at = text.data();
-  const char* last = text.data() + text.size();
-  for (std::size_t i = 0; i < numbers.size(); ++i) {
-    if (i > 0 && (at == last || *at++ != ',')) {
-      return std::nullopt;
-    }
-    const auto [end, ec] = std::from_chars(at, last, numbers[i]);
-    if (ec != std::errc()) {
-      return std::nullopt;
-    }
-    at = end;
-  }
-  if (at != last) {
-    return std::nullopt;
-  }
-  return LoadReport{numbers[0], numbers[1], numbers[2]};
-}
-
 const ServerLoads::State* ServerLoads::Find(const ServerId& server) const {
   const auto it = states_.find(server);
   return it == states_.end() ? nullptr : &it->second;
@@ -105,7 +79,8 @@
                         AttemptResult result,
                         std::optional<Duration> latency,
                         const std::optional<LoadReport>& report,
-                        TimePoint now) {
+                        TimePoint now,
+                        const RequestKind& kind) {
   State& state = states_[server];
   state.own_requests -= state.own_requests > 0 ? 1 : 0;
   if (report) {
@@ -116,6 +91,12 @@
     state.other_requests = before + kOtherRequestsWeight * (others - before);
     state.reported_at = now;
   }
+  double slowdown = 1;
+  if (report && report->slowdown) {
+    slowdown = std::clamp(*report->slowdown, kMinSlowdown, kMaxSlowdown);
+    state.slowdown = slowdown;
+    state.slowdown_at = now;
+  }
   if (result == AttemptResult::kCancelled) {
     return;
   }
@@ -143,85 +124,59 @@
   if (result != AttemptResult::kAnswered || !latency) {
     return;
   }
-  // Excludes the estimated queueing time from the processing time.
+  // Excludes the estimated queueing time from the processing time. Requests of
+  // all kinds wait there.
   const double waiting =
       report && report->slots > 0
           ? static_cast<double>(report->waiting) / report->slots
           : 0;
-  const double sample = Seconds(*latency).count() / (1 + waiting);
-  AddProcessingSample(state, sample, now);
+  const double sample = Seconds(*latency).count() /
+                        (1 + waiting * times_.MixRatio(kind)) / slowdown;
   Sample& pending = samples_[server];
   ++pending.requests;
-  pending.total += ToDuration(sample);
-}
-
-void ServerLoads::AddProcessingSample(State& state,
-                                      double seconds,
-                                      TimePoint now) {
-  const double before = ProcessingSeconds(&state, now);
-  state.processing_s = state.processing_s == 0
-                           ? seconds
-                           : before + kLatencyWeight * (seconds - before);
-  state.processing_at = now;
-  const double average = AverageProcessingSeconds(now);
-  // Rare samples weigh more, so that they do not hold up the average.
-  const double weight =
-      std::clamp(1 - Decay(now - average_processing_at_, kProcessingDecayTime),
-                 kAverageWeight, kLatencyWeight);
-  average_processing_s_ = average_processing_s_ == 0
-                              ? seconds
-                              : average + weight * (seconds - average);
-  average_processing_at_ = now;
+  pending.total += ToDuration(times_.Add(server, kind, sample, now));
 }
 
 void ServerLoads::OnRemoteSamples(const ServerId& server,
                                   std::uint32_t requests,
                                   Duration total,
-                                  TimePoint now) {
+                                  TimePoint now,
+                                  std::string_view service) {
   if (requests == 0) {
     return;
   }
   // The mean counts as a single sample, although it is more reliable than one
   // and less informative than `requests` separate samples.
   const double mean = Seconds(total).count() / requests;
-  AddProcessingSample(states_[server], mean, now);
-}
-
-double ServerLoads::AverageProcessingSeconds(TimePoint now) const {
-  if (average_processing_s_ == 0) {
-    return kInitialProcessingS;
-  }
-  // A lower average stays: it refuses nothing.
-  const double target = std::min(kInitialProcessingS, average_processing_s_);
-  return target +
-         (average_processing_s_ - target) *
-             Decay(std::max(now - average_processing_at_ - kAverageHoldTime,
-                            Duration(0)),
-                   kProcessingDecayTime);
-}
-
-double ServerLoads::ProcessingSeconds(const State* state, TimePoint now) const {
-  const double average = AverageProcessingSeconds(now);
-  if (state == nullptr || state->processing_s == 0) {
-    return average;
-  }
-  return average + (state->processing_s - average) *
-                       Decay(now - state->processing_at, kProcessingDecayTime);
+  times_.Add(server, {.service = service, .route = {}}, mean, now);
 }
 
 Duration ServerLoads::ProcessingTime(const routing::BackendServer& server,
-                                     TimePoint now) const {
-  const double warm = ProcessingSeconds(Find(server.id), now);
+                                     TimePoint now,
+                                     std::string_view route) const {
+  const State* state = Find(server.id);
+  const double warm =
+      times_.Get(server.id, {.service = server.service, .route = route}, now) *
+      (state == nullptr ? 1 : Slowdown(*state, now));
   return ToDuration(now < server.warm_at ? warm * kColdFactor : warm);
 }
 
 Duration ServerLoads::ExpectedLatency(const routing::BackendServer& server,
-                                      TimePoint now) const {
+                                      TimePoint now,
+                                      std::string_view route) const {
   const State* state = Find(server.id);
-  const double processing = Seconds(ProcessingTime(server, now)).count();
+  const double processing = Seconds(ProcessingTime(server, now, route)).count();
   const double requests = state == nullptr ? 0 : RequestsAtServer(*state, now);
   const double ahead = std::max(0.0, requests + 1 - server.slots);
-  return ToDuration(processing * (1 + ahead / server.slots));
+  // The requests ahead are of all routes.
+  const double ratio =
+      times_.MixRatio({.service = server.service, .route = route});
+  return ToDuration(processing * (1 + ahead / server.slots * ratio));
+}
+
+double ServerLoads::Slowdown(const State& state, TimePoint now) {
+  return 1 + (state.slowdown - 1) *
+                 Decay(now - state.slowdown_at, kSlowdownDecayTime);
 }
 
 double ServerLoads::Utilization(const routing::BackendServer& server,
@@ -244,7 +199,7 @@
 }
 
 Duration ServerLoads::AverageProcessingTime(TimePoint now) const {
-  return ToDuration(AverageProcessingSeconds(now));
+  return ToDuration(times_.Average(now));
 }
 
 bool ServerLoads::IsAvoided(const ServerId& server, TimePoint now) const {
@@ -252,6 +207,13 @@
   return state != nullptr && now < state->avoided_until;
 }
 
+bool ServerLoads::HasFreeSlot(const routing::BackendServer& server,
+                              TimePoint now) const {
+  const State* state = Find(server.id);
+  return state == nullptr ||
+         std::round(RequestsAtServer(*state, now)) < server.slots;
+}
+
 bool ServerLoads::HasRoom(const routing::BackendServer& server,
                           TimePoint now) const {
   const State* state = Find(server.id);
@@ -261,7 +223,8 @@
 
 double ServerLoads::Capacity(const routing::BackendServer& server,
                              TimePoint now) const {
-  return server.slots / ProcessingSeconds(Find(server.id), now);
+  return server.slots /
+         times_.Get(server.id, {.service = server.service, .route = {}}, now);
 }
 
 TimePoint ServerLoads::last_response(const ServerId& server) const {
--- a/src/entry/balancing/server_loads.h
+++ b/src/entry/balancing/server_loads.h
@@ -8,23 +8,14 @@
 #include <unordered_map>
 #include <utility>
 
+#include "entry/balancing/load_report.h"
+#include "entry/balancing/processing_times.h"
 #include "gentianreach/ids.h"
 #include "gentianreach/time.h"
 #include "routing/backend_server.h"
 
 namespace gentianreach::entry {
 
-// Load that a server reports with a response.
-struct LoadReport {
-  std::uint32_t running = 0;
-  std::uint32_t waiting = 0;
-  std::uint32_t slots = 0;
-};
-
-// Returns the report in "running,waiting,slots" form, or nullopt if `text` has
-// any other form.
-[[nodiscard]] std::optional<LoadReport> ParseLoadReport(std::string_view text);
-
 // How an attempt at a server ended.
 enum class AttemptResult : std::uint8_t {
   kAnswered,     // A response that is not a server error.
@@ -41,7 +32,9 @@
 // Estimates how long each server would take to answer one more request, from
 // this daemon's own requests in flight, the load that the server reported with
 // its latest responses (the requests of other daemons), and its processing
-// time.
+// time. Processing times are those at the server's usual speed, multiplied by
+// the slowdown that it last reported. Where the routes of a service take
+// different times, they depend on the route of the request.
 //
 // Each estimate rests on few samples, so all times are smoothed. A server that
 // fails is avoided for a time that doubles with every further failure.
@@ -55,16 +48,22 @@
              AttemptResult result,
              std::optional<Duration> latency,
              const std::optional<LoadReport>& report,
-             TimePoint now);
+             TimePoint now,
+             const RequestKind& kind = {});
   // Drops all state of a server that no longer exists.
-  void Forget(const ServerId& server) { states_.erase(server); }
-  // Records samples of another daemon: `requests` had a processing time of
-  // `total` together.
+  void Forget(const ServerId& server) {
+    states_.erase(server);
+    times_.Forget(server);
+  }
+  // Records samples of another daemon: `requests` to a server of `service` had
+  // a processing time of `total` together.
   void OnRemoteSamples(const ServerId& server,
                        std::uint32_t requests,
                        Duration total,
-                       TimePoint now);
-  // Processing times of one server since the last call of TakeSamples().
+                       TimePoint now,
+                       std::string_view service = {});
+  // Processing times of one server since the last call of TakeSamples(), at its
+  // usual speed, for requests of its service's mix.
   struct Sample {
     std::uint32_t requests = 0;
     Duration total{};
@@ -74,10 +73,11 @@
     return std::exchange(samples_, {});
   }
 
-  // Returns how long one more request would take at `server`, queueing
-  // included.
+  // Returns how long one more request of `route` would take at `server`,
+  // queueing included; of any route if it is empty.
   [[nodiscard]] Duration ExpectedLatency(const routing::BackendServer& server,
-                                         TimePoint now) const;
+                                         TimePoint now,
+                                         std::string_view route = {}) const;
   // Returns the estimated number of requests at the server per slot.
   [[nodiscard]] double Utilization(const routing::BackendServer& server,
                                    TimePoint now) const;
@@ -85,17 +85,24 @@
   // for a healthy server.
   [[nodiscard]] double FailurePenalty(const ServerId& server,
                                       TimePoint now) const;
-  // Returns how long the server processes a request, without queueing.
+  // Returns how long the server processes a request of `route`, or of any route
+  // if it is empty, without queueing.
   [[nodiscard]] Duration ProcessingTime(const routing::BackendServer& server,
-                                        TimePoint now) const;
+                                        TimePoint now,
+                                        std::string_view route = {}) const;
   // Returns the average processing time over all servers.
   [[nodiscard]] Duration AverageProcessingTime(TimePoint now) const;
   // Returns whether the server is avoided after failures.
   [[nodiscard]] bool IsAvoided(const ServerId& server, TimePoint now) const;
+  // Returns whether one more request would find a free slot, by the estimated
+  // number of requests there, rounded.
+  [[nodiscard]] bool HasFreeSlot(const routing::BackendServer& server,
+                                 TimePoint now) const;
   // Returns whether the server can take one more request.
   [[nodiscard]] bool HasRoom(const routing::BackendServer& server,
                              TimePoint now) const;
-  // Returns how many requests per second the server can complete.
+  // Returns how many requests per second the server can complete at its usual
+  // speed.
   [[nodiscard]] double Capacity(const routing::BackendServer& server,
                                 TimePoint now) const;
   // Returns the time of the server's last response to any request.
@@ -109,8 +116,8 @@
     // its last report.
     double other_requests = 0;
     TimePoint reported_at{};
-    double processing_s = 0;  // 0 if unknown.
-    TimePoint processing_at{};
+    double slowdown = 1;
+    TimePoint slowdown_at{};
     // Connection failures in a row.
     std::uint32_t failures = 0;
     // Smoothed share of attempts that failed, at `error_share_at`.
@@ -123,23 +130,13 @@
   // Returns the estimated number of requests of all daemons at the server.
   [[nodiscard]] static double RequestsAtServer(const State& state,
                                                TimePoint now);
-  // Returns the average processing time over all servers. Some time after the
-  // last sample it decays to that which is assumed before any, if it is higher.
-  [[nodiscard]] double AverageProcessingSeconds(TimePoint now) const;
-  // Returns the processing time of a server, or the average over all servers if
-  // `state` is null. Without new samples it decays towards the average.
-  [[nodiscard]] double ProcessingSeconds(const State* state,
-                                         TimePoint now) const;
+  // Returns the factor by which the server's machine is slowed down now.
+  [[nodiscard]] static double Slowdown(const State& state, TimePoint now);
   [[nodiscard]] const State* Find(const ServerId& server) const;
 
-  void AddProcessingSample(State& state, double seconds, TimePoint now);
-
   std::unordered_map<ServerId, State> states_;
   std::unordered_map<ServerId, Sample> samples_;
-  // Average over all servers at the time of the last sample, used for those
-  // without samples; 0 if unknown.
-  double average_processing_s_ = 0;
-  TimePoint average_processing_at_{};
+  ProcessingTimes times_;
 };
 
 }  // namespace gentianreach::entry
--- a/src/entry/entry_metrics.cc
+++ b/src/entry/entry_metrics.cc
@@ -88,6 +88,8 @@
     Description{"requests_by_outdated_config_total", "counter",
                 "Requests decided by a configuration that may have been "
                 "replaced."},
+    Description{"load_reports_unusable_total", "counter",
+                "Load reports of servers that could not be parsed."},
     Description{"limited_servers", "gauge",
                 "Servers that name a limit for their requests."},
     Description{"server_path_lost", "gauge",
--- a/src/entry/entry_request.cc
+++ b/src/entry/entry_request.cc
@@ -339,7 +339,7 @@
 void EntryRequest::OnServerStatements(const http::MessageHead& head) {
   if (const auto load =
           head.Get(std::string_view(state_->headers.server_load))) {
-    report_ = ParseLoadReport(*load);
+    report_ = state_->ReadLoadReport(server_, *load);
   }
   if (head.status == kMisdirected) {
     // Possibly another server that has got the address since.
@@ -505,7 +505,7 @@
   state_->loads.OnEnd(
       server_, result,
       path_was_lost ? std::nullopt : std::optional(now - attempt_started_),
-      report_, now);
+      report_, now, {.service = service_->name, .route = route_->name});
   if (result == AttemptResult::kAnswered ||
       result == AttemptResult::kCancelled) {
     return;
--- a/src/entry/entry_request_sending.cc
+++ b/src/entry/entry_request_sending.cc
@@ -73,12 +73,13 @@
   state_->limits.OnSent(server_, attempt_started_);
   pool_->OnStart(connection_.get());
   state_->reachability.OnSent(
-      attempt_started_ + std::max(kMinSilence, state_->loads.ExpectedLatency(
-                                                   server, attempt_started_) *
-                                                   kSilenceFactor));
+      attempt_started_ +
+      std::max(kMinSilence, state_->loads.ExpectedLatency(
+                                server, attempt_started_, route_->name) *
+                                kSilenceFactor));
   if (route_->idempotent) {
     const Duration processing_time =
-        state_->loads.ProcessingTime(server, attempt_started_);
+        state_->loads.ProcessingTime(server, attempt_started_, route_->name);
     response_timer_.Set(attempt_started_ +
                         std::max(kMinResponseTimeout,
                                  processing_time * kResponseTimeoutFactor));
--- a/src/entry/entry_state.cc
+++ b/src/entry/entry_state.cc
@@ -29,6 +29,8 @@
 // Connections to one relay, and how many of them may stay open while idle.
 constexpr std::size_t kMaxRelayConnections = 128;
 constexpr std::size_t kMaxIdleRelayConnections = 32;
+// Longest excerpt of an unusable load report in the log.
+constexpr std::size_t kMaxLoggedReport = 100;
 // Share of a server's connections that may stay open while idle.
 constexpr double kIdleShare = 0.6;
 
@@ -173,6 +175,20 @@
   }
 }
 
+std::optional<LoadReport> EntryState::ReadLoadReport(const ServerId& server,
+                                                     std::string_view text) {
+  auto report = ParseLoadReport(text);
+  if (!report) {
+    metrics.Count("load_reports_unusable_total");
+    if (garbled_reports_.insert(server).second) {
+      Log(LogLevel::kWarning, "load_report_unusable",
+          {{"server", server.value()},
+           {"report", text.substr(0, kMaxLoggedReport)}});
+    }
+  }
+  return report;
+}
+
 void EntryState::OnRestRequested(const ServerId& server, TimePoint until) {
   metrics.Count("rests_requested_total");
   limits.SetRest(server, until);
@@ -201,6 +217,7 @@
     }
     it.second.pool->CloseIdle();
     loads.Forget(it.first);
+    garbled_reports_.erase(it.first);
     limits.Forget(it.first);
     reachability.Forget(it.first);
     return true;
--- a/src/entry/entry_state.h
+++ b/src/entry/entry_state.h
@@ -12,6 +12,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <unordered_set>
 #include <utility>
 #include <vector>
 
@@ -81,6 +82,10 @@
   // Handles the limit that a response of `server` names, or that it names none.
   void UpdateLimit(const ServerId& server,
                    std::optional<std::string_view> limit);
+  // Returns the load report of a response of `server`, or nullopt if `text` is
+  // none, which is logged once per server.
+  [[nodiscard]] std::optional<LoadReport> ReadLoadReport(const ServerId& server,
+                                                         std::string_view text);
   // Handles a response of `server` that asks for a rest until `until`.
   void OnRestRequested(const ServerId& server, TimePoint until);
   // An incarnation of `server` has stated that it leaves.
@@ -168,6 +173,8 @@
   std::unordered_map<ServerId, PoolEntry> pools_;
   // By address.
   std::map<std::string, std::shared_ptr<proxy::ServerPool>> relay_pools_;
+  // Servers whose unusable load reports were logged.
+  std::unordered_set<ServerId> garbled_reports_;
 };
 
 }  // namespace gentianreach::entry
--- a/src/entry/member_link.cc
+++ b/src/entry/member_link.cc
@@ -336,9 +336,11 @@
   }
   for (const auto& it : hello.servers) {
     const std::chrono::duration<float, std::milli> total(it->total_ms);
-    state_.loads.OnRemoteSamples(ServerId(it->server), it->requests,
-                                 std::chrono::duration_cast<Duration>(total),
-                                 loop_.Now());
+    const ServerId id(it->server);
+    const routing::BackendServer* server = state_.directory.Find(id);
+    state_.loads.OnRemoteSamples(
+        id, it->requests, std::chrono::duration_cast<Duration>(total),
+        loop_.Now(), server == nullptr ? std::string_view() : server->service);
   }
 }
 
