A setting states the cost of sending a request to another zone

Cause: a server of another zone was chosen if its score was 1.5 times better, also while servers of the own zone were idle enough; that costs bytes between zones and says nothing of the time that a caller may wait.

Change: with zone_crossing_ms, a request without a key goes to the best sampled server of the own zone that has a free slot by the estimate and meets the objective, and otherwise to another zone if that is faster by more than the setting. 0, the default, keeps the factor. zone_crossings_total counts.

--- a/src/entry/balancing/load_reports_sim_test.cc
+++ b/src/entry/balancing/load_reports_sim_test.cc
@@ -1,5 +1,5 @@
-// What callers get from what servers report and from what is known of routes,
-// under loads in virtual time.
+// What callers get from what servers report and from what is known of routes
+// and zones, under loads in virtual time.
 #include <array>
 #include <chrono>
 #include <cmath>
@@ -41,6 +41,7 @@
   bool names_routes = true;
   bool slows_down = false;
   bool reports_slowdown = false;
+  Duration zone_crossing{};
   Duration run_time = std::chrono::seconds(60);
 };
 
@@ -161,7 +162,8 @@
          .key = load_.keyed ? std::optional(7U) : std::nullopt,
          .tried = tried,
          .time_left = milliseconds(2000),
-         .zone = zone},
+         .zone = zone,
+         .zone_crossing = load_.zone_crossing},
         {directory_, loads, limits_, ownership_, drain_bound_, entries_}, now);
     outcome_.Add(static_cast<std::uint64_t>(choice.reason));
     outcome_.Add(static_cast<std::uint64_t>(choice.retry_after.count()));
@@ -272,8 +274,8 @@
 }
 
 // Guards deployments that use none of the additions: their servers send three
-// figures, and their routes take about the same time. The literal figures are
-// those of the code before these additions.
+// figures, their routes take about the same time, and crossing zones has no
+// cost. The figures are those of the code before these additions.
 TEST_CASE("decisions without the additions are those of the code before") {
   const auto check = [](const Load& load, int arrived, int refused, int within,
                         int other_zone, std::uint64_t checksum) {
@@ -336,5 +338,21 @@
   }
 }
 
+// Guards against bytes between zones while the own zone serves as well, and
+// against waiting there when it does not.
+TEST_CASE("three zones with 23 servers each, a crossing costs 200 ms") {
+  for (const double share : {0.5, 0.8, 1.0}) {
+    Load load{.share = share, .zones = 3};
+    const Outcome factor = Run(load);
+    load.zone_crossing = milliseconds(200);
+    const Outcome cost = Run(load);
+    CHECK(cost.other_zone < factor.other_zone / 4);
+    CHECK(cost.Share(cost.within_600_ms) >
+          factor.Share(factor.within_600_ms) - 0.002);
+    CHECK(cost.Share(cost.within_1200_ms) > 0.98);
+    CHECK((cost.other_zone > 0) == (share == 1.0));
+  }
+}
+
 }  // namespace
 }  // namespace gentianreach::entry
--- a/src/entry/balancing/server_choice.cc
+++ b/src/entry/balancing/server_choice.cc
@@ -120,13 +120,70 @@
              const routing::BackendServer& server,
              const ServerLoads& loads,
              TimePoint now) {
-  const bool is_local = server.zone == request.zone;
+  const bool costs_factor =
+      request.zone_crossing == Duration(0) && server.zone != request.zone;
   return std::chrono::duration<double>(
              loads.ExpectedLatency(server, now, request.route.name))
              .count() *
          (1 + loads.Utilization(server, now)) *
          loads.FailurePenalty(server.id, now) *
-         (is_local ? 1 : kOtherZoneFactor) * ScoreJitter();
+         (costs_factor ? kOtherZoneFactor : 1) * ScoreJitter();
+}
+
+// Returns the server with the lowest score, or null if there is none.
+const routing::BackendServer* Best(
+    const std::vector<const routing::BackendServer*>& servers,
+    const ChoiceRequest& request,
+    const ServerLoads& loads,
+    TimePoint now) {
+  const routing::BackendServer* best = nullptr;
+  double best_score = std::numeric_limits<double>::max();
+  for (const routing::BackendServer* it : servers) {
+    const double score = Score(request, *it, loads, now);
+    if (score < best_score) {
+      best_score = score;
+      best = it;
+    }
+  }
+  return best;
+}
+
+// Returns the best server where crossing zones costs time: the best of the own
+// zone that has a free slot and meets the objective; otherwise the best of
+// another zone, if it answers sooner although the crossing costs time.
+const routing::BackendServer* BestByCrossing(
+    const std::vector<const routing::BackendServer*>& servers,
+    const ChoiceRequest& request,
+    const ServerLoads& loads,
+    TimePoint now) {
+  // A request that fails at a server takes longer, as it is sent again.
+  const auto latency = [&](const routing::BackendServer& it) {
+    return loads.ExpectedLatency(it, now, request.route.name) *
+           loads.FailurePenalty(it.id, now);
+  };
+  std::vector<const routing::BackendServer*> good;
+  std::vector<const routing::BackendServer*> local;
+  std::vector<const routing::BackendServer*> remote;
+  for (const routing::BackendServer* it : servers) {
+    if (it->zone != request.zone) {
+      remote.push_back(it);
+      continue;
+    }
+    local.push_back(it);
+    if (loads.HasFreeSlot(*it, now) &&
+        latency(*it) <= request.route.latency_objective) {
+      good.push_back(it);
+    }
+  }
+  if (!good.empty()) {
+    return Best(good, request, loads, now);
+  }
+  const auto* const near = Best(local, request, loads, now);
+  const auto* const far = Best(remote, request, loads, now);
+  if (near == nullptr || far == nullptr) {
+    return near == nullptr ? far : near;
+  }
+  return latency(*far) + request.zone_crossing < latency(*near) ? far : near;
 }
 
 // Returns the best server for a request without a key. Servers that are avoided
@@ -157,15 +214,11 @@
   if (servers.empty()) {
     return {.reason = Reason::kNoServer, .retry_after = kNotReadyRetryAfter};
   }
-  const routing::BackendServer* best = nullptr;
-  double best_score = std::numeric_limits<double>::max();
-  for (const routing::BackendServer* it : Sample(servers, request.zone)) {
-    const double score = Score(request, *it, known.loads, now);
-    if (score < best_score) {
-      best_score = score;
-      best = it;
-    }
-  }
+  const auto sample = Sample(servers, request.zone);
+  const routing::BackendServer* const best =
+      request.zone_crossing > Duration(0)
+          ? BestByCrossing(sample, request, known.loads, now)
+          : Best(sample, request, known.loads, now);
   return Admit(request, *best, known, now);
 }
 
--- a/src/entry/balancing/server_choice.h
+++ b/src/entry/balancing/server_choice.h
@@ -35,6 +35,9 @@
   Duration time_left;
   // The daemon's own availability zone.
   const ZoneName& zone;
+  // Cost of sending a request to another zone, as time that the caller may wait
+  // instead; 0: servers there are chosen if they are faster by a fixed factor.
+  Duration zone_crossing{};
 };
 
 // What a daemon knows of the servers.
@@ -63,11 +66,13 @@
 };
 
 // Returns the owner of the key for a keyed service, or the best of a random
-// sample of the service's servers otherwise; servers that may get no request
-// now by the limit that they name or the rest that they ask for are left out.
-// Refuses a request that the chosen server could not answer in time: under
-// overload, a longer queue would only delay all responses. Refuses all requests
-// while the entries are too old to tell which servers have left.
+// sample of the service's servers otherwise, by `zone_crossing` one of the own
+// zone as long as one there has a free slot and meets the latency objective;
+// servers that may get no request now by the limit that they name or the rest
+// that they ask for are left out. Refuses a request that the chosen server
+// could not answer in time: under overload, a longer queue would only delay all
+// responses. Refuses all requests while the entries are too old to tell which
+// servers have left.
 [[nodiscard]] ServerChoice ChooseServer(const ChoiceRequest& request,
                                         const KnownServers& known,
                                         TimePoint now);
--- a/src/entry/balancing/server_choice_test.cc
+++ b/src/entry/balancing/server_choice_test.cc
@@ -43,7 +43,8 @@
          .key = 7,
          .tried = tried,
          .time_left = time_left,
-         .zone = kZone},
+         .zone = kZone,
+         .zone_crossing = zone_crossing},
         {directory, loads, limits, ownership, drain_bound, entries}, now);
   }
 
@@ -72,6 +73,7 @@
   routing::Service service;
   Duration time_left = milliseconds(2000);
   std::vector<ServerId> tried;
+  Duration zone_crossing{};
   ServerDirectory directory;
   ServerLoads loads;
   ServerLimits limits{1};
@@ -248,5 +250,27 @@
   CHECK(fixture.Choose(kNow + choice.retry_after).server != nullptr);
 }
 
+TEST_CASE(
+    "with a cost, another zone serves what the own zone is too slow for") {
+  Fixture f;
+  f.zone_crossing = milliseconds(100);
+  f.directory.Put(Server("near"), kNow);
+  f.directory.Put(Server("far", "z2"), kNow);
+  const auto chosen = [&] { return f.Choose().server->id.value(); };
+  f.RecordResponse("near", milliseconds(150), "1,0,2");
+  f.RecordResponse("far", milliseconds(20), "1,0,2");
+  // By the factor of 1.5 it would be the other zone's.
+  CHECK(chosen() == "near");
+  f.loads.OnSent(ServerId("near"));
+  CHECK(chosen() == "near");
+  // No slot is free: the next request is expected to take 225 ms.
+  f.loads.OnSent(ServerId("near"));
+  CHECK(chosen() == "far");
+  f.zone_crossing = milliseconds(250);
+  CHECK(chosen() == "near");
+  f.directory.Remove(ServerId("near"), kNow);
+  CHECK(chosen() == "far");
+}
+
 }  // namespace
 }  // namespace gentianreach::entry
--- a/src/entry/entry_daemon.cc
+++ b/src/entry/entry_daemon.cc
@@ -130,6 +130,7 @@
                        link_.members() * kHeartbeatPausePerMember);
           link_.SendLeaderHeartbeats();
         }) {
+    state_->zone_crossing = ZoneCrossing(settings);
     path_monitor_.on_change = [this](ServerPath before) {
       OnServerPathChange(before);
     };
--- a/src/entry/entry_metrics.cc
+++ b/src/entry/entry_metrics.cc
@@ -90,6 +90,8 @@
                 "replaced."},
     Description{"load_reports_unusable_total", "counter",
                 "Load reports of servers that could not be parsed."},
+    Description{"zone_crossings_total", "counter",
+                "Requests sent to a server of another zone."},
     Description{"limited_servers", "gauge",
                 "Servers that name a limit for their requests."},
     Description{"server_path_lost", "gauge",
--- a/src/entry/entry_request.cc
+++ b/src/entry/entry_request.cc
@@ -228,7 +228,8 @@
                        .key = key_,
                        .tried = tried_,
                        .time_left = TimeLeft(),
-                       .zone = state_->zone},
+                       .zone = state_->zone,
+                       .zone_crossing = state_->zone_crossing},
                       state_->known_servers(), state_->loop.Now());
 }
 
--- a/src/entry/entry_request_sending.cc
+++ b/src/entry/entry_request_sending.cc
@@ -68,6 +68,9 @@
   if (server.draining) {
     state_->metrics.Count("requests_to_draining_total");
   }
+  if (server.zone != state_->zone) {
+    state_->metrics.Count("zone_crossings_total");
+  }
   RecordEntriesAge();
   state_->loads.OnSent(server_);
   state_->limits.OnSent(server_, attempt_started_);
--- a/src/entry/entry_settings.cc
+++ b/src/entry/entry_settings.cc
@@ -113,6 +113,10 @@
   return FromMilliseconds(settings.drain_ms);
 }
 
+Duration ZoneCrossing(const settings::EntryDaemonT& settings) {
+  return FromMilliseconds(settings.zone_crossing_ms);
+}
+
 std::uint64_t BodyBytes(const settings::EntryDaemonT& settings) {
   constexpr double kBytesPerMb = 1 << 20;
   constexpr double kBodyShare = 0.25;
--- a/src/entry/entry_settings.h
+++ b/src/entry/entry_settings.h
@@ -41,6 +41,10 @@
 // Returns the time within which a change of the configuration takes effect.
 [[nodiscard]] Duration ConfigApplyTime(const settings::EntryDaemonT& settings);
 
+// Returns the cost of sending a request to another zone, as time that callers
+// may wait instead.
+[[nodiscard]] Duration ZoneCrossing(const settings::EntryDaemonT& settings);
+
 // Returns the time after which a server that leaves gets no more requests.
 [[nodiscard]] Duration DrainTime(const settings::EntryDaemonT& settings);
 
--- a/src/entry/entry_settings_test.cc
+++ b/src/entry/entry_settings_test.cc
@@ -30,6 +30,7 @@
   CHECK(result.entry->stop_grace_s == 6);
   CHECK(ConfigApplyTime(*result.entry) == std::chrono::seconds(2));
   CHECK(ShortestExpiry(*result.entry) == std::chrono::seconds(1));
+  CHECK(ZoneCrossing(*result.entry) == Duration(0));
 }
 
 TEST_CASE("each error contains the number of its line") {
@@ -57,6 +58,20 @@
   CHECK(names("store_address"));
 }
 
+TEST_CASE("a cost of zone crossings is taken; a wrong one names its line") {
+  const std::string text = std::string(kValid) + "zone_crossing_ms = ";
+  const auto result = LoadEntrySettings(text + "250\n", "e.ini");
+  REQUIRE(result.entry != nullptr);
+  CHECK(ZoneCrossing(*result.entry) == std::chrono::milliseconds(250));
+  for (const char* it : {"-1", "nan", "1e9", "much"}) {
+    CAPTURE(it);
+    const auto wrong = LoadEntrySettings(text + it + "\n", "e.ini");
+    CHECK(wrong.entry == nullptr);
+    REQUIRE(wrong.errors.size() == 1);
+    CHECK(wrong.errors[0].line == 10);
+  }
+}
+
 TEST_CASE("an IP setting that is no IP address is reported with its line") {
   for (const std::string key : {"source_ip", "advertised_ip"}) {
     for (const char* it : {"nowhere", "10.0.0", "10.0.0.1:0", "[::1]", "::1%",
--- a/src/entry/entry_state.h
+++ b/src/entry/entry_state.h
@@ -125,6 +125,9 @@
   const HeaderNames headers;
   const ZoneName zone;
   const DrainBound drain_bound;
+  // Cost of sending a request to another zone, as time that callers may wait
+  // instead; see ChoiceRequest.
+  Duration zone_crossing{};
   // Null until a configuration has been received.
   std::shared_ptr<routing::HostRoutes> routes;
   // Returns until when `routes` have all changes that must have taken effect.
