--- a/src/entry/entry_request_sending.cc
+++ b/src/entry/entry_request_sending.cc
@@ -71,17 +71,21 @@
   if (state_->limits.WarmupRate(server.id, attempt_started_)) {
     state_->metrics.Count("requests_to_cold_total");
   }
+  if (server.zone != state_->zone) {
+    state_->metrics.Count("zone_crossings_total");
+  }
   RecordEntriesAge();
   state_->loads.OnSent(server_);
   state_->limits.OnSent(server_, attempt_started_);
   pool_->OnStart(connection_.get());
   state_->reachability.OnSent(
-      attempt_started_ + std::max(kMinSilence, state_->loads.ExpectedLatency(
-                                                   server, attempt_started_) *
-                                                   kSilenceFactor));
+      attempt_started_ +
+      std::max(kMinSilence, state_->loads.ExpectedLatency(
+                                server, attempt_started_, route_->name) *
+                                kSilenceFactor));
   if (route_->idempotent) {
     const Duration processing_time =
-        state_->loads.ProcessingTime(server, attempt_started_);
+        state_->loads.ProcessingTime(server, attempt_started_, route_->name);
     response_timer_.Set(attempt_started_ +
                         std::max(kMinResponseTimeout,
                                  processing_time * kResponseTimeoutFactor));
