--- a/src/entry/balancing/drain_bound.h
+++ b/src/entry/balancing/drain_bound.h
@@ -61,6 +61,10 @@
 // copy that is late makes requests fail as not run, never arrive late.
 class DrainBound {
  public:
+  // Time from the first byte of a request until it reaches the server, with one
+  // retransmission of a lost packet.
+  static constexpr Duration kTransitTime = std::chrono::milliseconds(300);
+
   explicit DrainBound(Duration drain) : age_bound_(drain - kTransitTime) {}
 
   // Returns the age from which on a copy decides no more sends.
@@ -90,9 +94,6 @@
   }
 
  private:
-  // Time from the first byte of a request until it reaches the server, with one
-  // retransmission of a lost packet.
-  static constexpr Duration kTransitTime = std::chrono::milliseconds(300);
   // How long an owner still gets requests after it may have started draining;
   // its keys have usually moved by then.
   static constexpr Duration kMaxDrainingUse = std::chrono::milliseconds(1500);
