--- a/include/gentianreach/verdict.h
+++ b/include/gentianreach/verdict.h
@@ -47,6 +47,7 @@
   kOverLimit,       // The server wants no more requests for some time.
   kCutOff,          // The daemon is too isolated to route safely.
   kOutdated,        // The known settings may lack changes that are in force.
+  kEvacuated,       // All servers are in zones that operators evacuate.
 };
 
 // The outcome of a request and its reason.
--- a/src/base/verdict.cc
+++ b/src/base/verdict.cc
@@ -82,6 +82,8 @@
       return "cut-off";
     case Reason::kOutdated:
       return "outdated";
+    case Reason::kEvacuated:
+      return "evacuated";
   }
   return "unknown";
 }
--- a/src/base/verdict_test.cc
+++ b/src/base/verdict_test.cc
@@ -14,7 +14,7 @@
 
 TEST_CASE(
     "a request that may have run never has the status of one that did not") {
-  for (int i = 0; i <= static_cast<int>(Reason::kCutOff); ++i) {
+  for (int i = 0; i <= static_cast<int>(Reason::kEvacuated); ++i) {
     const auto reason = static_cast<Reason>(i);
     const int may = Verdict::MayHaveRun(reason).HttpStatus();
     const int not_run = Verdict::NotRun(reason).HttpStatus();
--- a/src/entry/entry_settings.cc
+++ b/src/entry/entry_settings.cc
@@ -1,5 +1,6 @@
 #include "entry/entry_settings.h"
 
+#include <algorithm>
 #include <chrono>
 #include <optional>
 #include <string>
@@ -16,6 +17,9 @@
 namespace {
 
 constexpr std::string_view kSection = "entry";
+// The shortest evacuation time: as for draining servers, copies can be kept
+// current within it.
+constexpr double kMinEvacuationMs = 1800;
 
 void Check(const settings::EntryDaemonT& entry,
            settings::SectionChecker& checker) {
@@ -38,6 +42,9 @@
       checker.Report(key, "expected an IP address, not \"" + *ip + "\"");
     }
   }
+  if (entry.evacuation_ms != 0 && entry.evacuation_ms < kMinEvacuationMs) {
+    checker.Report("evacuation_ms", "expected 0 or at least 1800");
+  }
   if (!ParseLogLevel(entry.log_level).has_value()) {
     checker.Report("log_level",
                    "expected debug, info, warning or error, not \"" +
@@ -113,6 +120,16 @@
   return FromMilliseconds(settings.drain_ms);
 }
 
+Duration EvacuationTime(const settings::EntryDaemonT& settings) {
+  return FromMilliseconds(settings.evacuation_ms);
+}
+
+Duration ShortestSendBound(const settings::EntryDaemonT& settings) {
+  const Duration evacuation = EvacuationTime(settings);
+  return evacuation == Duration(0) ? DrainTime(settings)
+                                   : std::min(DrainTime(settings), evacuation);
+}
+
 std::uint64_t BodyBytes(const settings::EntryDaemonT& settings) {
   constexpr double kBytesPerMb = 1 << 20;
   constexpr double kBodyShare = 0.25;
--- a/src/entry/entry_settings.h
+++ b/src/entry/entry_settings.h
@@ -44,6 +44,16 @@
 // Returns the time after which a server that leaves gets no more requests.
 [[nodiscard]] Duration DrainTime(const settings::EntryDaemonT& settings);
 
+// Returns the time after which servers of an evacuated zone get no more
+// requests; 0 if evacuations are not read.
+[[nodiscard]] Duration EvacuationTime(const settings::EntryDaemonT& settings);
+
+// Returns the time that decides how old the copies may be that requests are
+// sent by: the shorter one of the times within which draining servers and
+// evacuations take effect.
+[[nodiscard]] Duration ShortestSendBound(
+    const settings::EntryDaemonT& settings);
+
 // Returns how long the store has to be away at least until entries of live
 // servers expire.
 [[nodiscard]] Duration ShortestExpiry(const settings::EntryDaemonT& settings);
--- a/src/entry/entry_settings_test.cc
+++ b/src/entry/entry_settings_test.cc
@@ -32,6 +32,24 @@
   CHECK(ShortestExpiry(*result.entry) == std::chrono::seconds(1));
 }
 
+// Guards against an evacuation time within which copies cannot be kept current.
+TEST_CASE("an evacuation time is off or long enough") {
+  const auto load = [](const std::string& line) {
+    return LoadEntrySettings(std::string(kValid) + line, "e.ini");
+  };
+  CHECK(EvacuationTime(*load("").entry) == Duration(0));
+  CHECK(ShortestSendBound(*load("").entry) == std::chrono::seconds(2));
+  const auto longer = load("evacuation_ms = 5000\n");
+  CHECK(EvacuationTime(*longer.entry) == std::chrono::seconds(5));
+  CHECK(ShortestSendBound(*longer.entry) == std::chrono::seconds(2));
+  CHECK(ShortestSendBound(*load("evacuation_ms = 1800\n").entry) ==
+        std::chrono::milliseconds(1800));
+  const auto shorter = load("evacuation_ms = 1799\n");
+  CHECK(shorter.entry == nullptr);
+  REQUIRE(shorter.errors.size() == 1);
+  CHECK(shorter.errors[0].line == 10);
+}
+
 TEST_CASE("each error contains the number of its line") {
   const std::string text =
       std::string(kValid) + "store_adress = 10.0.0.9:1\nlog_level = loud\n";
