Servers of evacuated zones get no requests and no probes

Cause: the choice of a server did not know of evacuations.

Change: services without keys leave an evacuated zone at once; an owner of keys gets requests until ZoneEvacuations::SendUntil(), and then its keys have no owner. A service whose servers are all in such zones is refused at once. Probes of the path leave these zones out, and all servers while the copies are too old to have an evacuation. KeyAssignment passes MoveUntil() on to the assigner, which does not use it yet.

--- a/src/entry/balancing/server_choice.cc
+++ b/src/entry/balancing/server_choice.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <iterator>
 #include <limits>
+#include <optional>
 #include <random>
 
 #include "entry/request_rules.h"
@@ -55,6 +56,33 @@
   return sample;
 }
 
+// Returns until when requests may be written to `server`.
+TimePoint SendUntil(const routing::BackendServer& server,
+                    const KnownServers& known) {
+  return std::min(known.drain_bound.SendUntil(server, known.entries),
+                  known.evacuations.SendUntil(server.zone));
+}
+
+// Returns until when servers of the service may get requests for their keys if
+// all that do not drain are in evacuated zones; nullopt if there are others or
+// none at all.
+std::optional<TimePoint> EvacuatedFrom(const ChoiceRequest& request,
+                                       const KnownServers& known) {
+  std::optional<TimePoint> latest;
+  for (const routing::BackendServer* it :
+       known.directory.OfService(request.service.name)) {
+    if (it->draining) {
+      continue;
+    }
+    if (!known.evacuations.IsEvacuated(it->zone)) {
+      return std::nullopt;
+    }
+    const TimePoint until = known.evacuations.SendUntil(it->zone);
+    latest = std::max(latest.value_or(until), until);
+  }
+  return latest;
+}
+
 // Returns `server`, or a refusal if it is full or could not respond in time.
 ServerChoice Admit(const ChoiceRequest& request,
                    const routing::BackendServer& server,
@@ -69,8 +97,7 @@
             .retry_after = std::max<Duration>(expected - max_latency,
                                               kRejectedRetryAfter)};
   }
-  return {.server = &server,
-          .send_until = known.drain_bound.SendUntil(server, known.entries)};
+  return {.server = &server, .send_until = SendUntil(server, known)};
 }
 
 // Returns the refusal of a request that no server takes before `next_send` by
@@ -81,6 +108,26 @@
       .retry_after = std::max<Duration>(next_send - now, kRejectedRetryAfter)};
 }
 
+// Returns the refusal of a request whose key has no owner that may get it.
+// `server` is the owner, or null if it is not known.
+ServerChoice RefuseWithoutOwner(const ChoiceRequest& request,
+                                const routing::BackendServer* server,
+                                const KnownServers& known,
+                                TimePoint now) {
+  const auto service_until = EvacuatedFrom(request, known);
+  const TimePoint owner_until = server != nullptr
+                                    ? known.evacuations.SendUntil(server->zone)
+                                    : service_until.value_or(TimePoint::max());
+  const bool evacuated = now >= owner_until;
+  if (evacuated && service_until) {
+    return {.reason = Reason::kEvacuated, .retry_after = kNotReadyRetryAfter};
+  }
+  // Without the store, keys do not move.
+  return {.reason = Reason::kNoOwner,
+          .retry_after = kNotReadyRetryAfter,
+          .wait = !(evacuated && known.entries.store_lost)};
+}
+
 // Returns the owner of the key of a request for a keyed service.
 ServerChoice ChooseOwner(const ChoiceRequest& request,
                          const KnownServers& known,
@@ -95,12 +142,9 @@
       known.directory.Find(range.owner.server);
   const bool is_listed =
       server != nullptr && server->incarnation == range.owner.incarnation;
-  const bool drained =
-      is_listed && now >= known.drain_bound.SendUntil(*server, known.entries);
-  if (range.moving() || !is_listed || drained) {
-    return {.reason = Reason::kNoOwner,
-            .retry_after = kNotReadyRetryAfter,
-            .wait = true};
+  const bool ended = is_listed && now >= SendUntil(*server, known);
+  if (range.moving() || !is_listed || ended) {
+    return RefuseWithoutOwner(request, server, known, now);
   }
   if (known.loads.IsAvoided(server->id, now)) {
     // The owner is overloaded or gone: more requests would only be lost.
@@ -137,8 +181,10 @@
   TimePoint next_send = TimePoint::max();
   for (const routing::BackendServer* it :
        known.directory.OfService(request.service.name)) {
-    if (it->draining || std::find(request.tried.begin(), request.tried.end(),
-                                  it->id) != request.tried.end()) {
+    if (it->draining ||
+        std::find(request.tried.begin(), request.tried.end(), it->id) !=
+            request.tried.end() ||
+        known.evacuations.IsEvacuated(it->zone)) {
       continue;
     }
     if (const TimePoint at = known.limits.NextSend(it->id, now); at > now) {
@@ -152,7 +198,9 @@
     return RefuseOverLimit(next_send, now);
   }
   if (servers.empty()) {
-    return {.reason = Reason::kNoServer, .retry_after = kNotReadyRetryAfter};
+    return {.reason = EvacuatedFrom(request, known) ? Reason::kEvacuated
+                                                    : Reason::kNoServer,
+            .retry_after = kNotReadyRetryAfter};
   }
   const routing::BackendServer* best = nullptr;
   double best_score = std::numeric_limits<double>::max();
--- a/src/entry/balancing/server_choice.h
+++ b/src/entry/balancing/server_choice.h
@@ -13,6 +13,7 @@
 #include "entry/balancing/server_directory.h"
 #include "entry/balancing/server_limits.h"
 #include "entry/balancing/server_loads.h"
+#include "entry/balancing/zone_evacuations.h"
 #include "gentianreach/ids.h"
 #include "gentianreach/time.h"
 #include "gentianreach/verdict.h"
@@ -44,8 +45,9 @@
   const ServerLimits& limits;
   const OwnershipView& ownership;
   const DrainBound& drain_bound;
-  // The status of the copy that `directory` holds.
+  // The status of the copies that `directory` and `evacuations` hold.
   EntriesStatus entries;
+  const ZoneEvacuations& evacuations;
 };
 
 // The chosen server, or the reason why there is none.
@@ -64,7 +66,9 @@
 
 // Returns the owner of the key for a keyed service, or the best of a random
 // sample of the service's servers otherwise; servers that may get no request
-// now by the limit that they name or the rest that they ask for are left out.
+// now by the limit that they name or the rest that they ask for are left out,
+// and those of evacuated zones. An owner in such a zone gets requests for a
+// while, until its keys have moved.
 // Refuses a request that the chosen server could not answer in time: under
 // overload, a longer queue would only delay all responses. Refuses all requests
 // while the entries are too old to tell which servers have left.
--- a/src/entry/balancing/server_choice_test.cc
+++ b/src/entry/balancing/server_choice_test.cc
@@ -37,14 +37,15 @@
   }
 
   ServerChoice Choose(TimePoint now = kNow) const {
-    return ChooseServer(
-        {.route = route,
-         .service = service,
-         .key = 7,
-         .tried = tried,
-         .time_left = time_left,
-         .zone = kZone},
-        {directory, loads, limits, ownership, drain_bound, entries}, now);
+    return ChooseServer({.route = route,
+                         .service = service,
+                         .key = 7,
+                         .tried = tried,
+                         .time_left = time_left,
+                         .zone = kZone},
+                        {directory, loads, limits, ownership, drain_bound,
+                         entries, evacuations},
+                        now);
   }
 
   // Makes server `id` the owner of all keys; `earlier` are the owners whose
@@ -79,6 +80,7 @@
   DrainBound drain_bound{milliseconds(2000)};
   // By default the entries are current at all times.
   EntriesStatus entries{.current_at = kNow + std::chrono::hours(1)};
+  ZoneEvacuations evacuations{milliseconds(5000)};
 
  private:
   std::uint64_t revision_ = 0;
--- a/src/entry/balancing/zone_evacuations.h
+++ b/src/entry/balancing/zone_evacuations.h
@@ -20,9 +20,13 @@
 // A server without a zone is never evacuated.
 class ZoneEvacuations {
  public:
+  // `evacuation_time` is 0 if there are no evacuations.
   explicit ZoneEvacuations(Duration evacuation_time)
       : evacuation_time_(evacuation_time) {}
 
+  // Returns whether evacuations are read.
+  [[nodiscard]] bool enabled() const { return evacuation_time_ > Duration(0); }
+
   // The store has an evacuation of `zone`. The copy before was complete up to
   // `current_at`; TimePoint{}: unknown, so the request may be old. If the zone
   // is evacuated already, the earlier time holds. Returns whether that is news.
--- a/src/entry/entry_state.cc
+++ b/src/entry/entry_state.cc
@@ -40,12 +40,14 @@
                        RetryBounds bounds,
                        DrainBound drain_bound,
                        std::string source_ip,
-                       std::uint64_t body_bytes)
+                       std::uint64_t body_bytes,
+                       Duration evacuation_time)
     : loop(loop),
       headers(std::move(headers)),
       zone(std::move(zone)),
       drain_bound(drain_bound),
       limits(std::random_device{}()),
+      evacuations(evacuation_time),
       body_memory(body_bytes),
       bounds_(bounds),
       source_ip_(std::move(source_ip)) {}
--- a/src/entry/entry_state.h
+++ b/src/entry/entry_state.h
@@ -21,6 +21,7 @@
 #include "entry/balancing/server_directory.h"
 #include "entry/balancing/server_limits.h"
 #include "entry/balancing/server_loads.h"
+#include "entry/balancing/zone_evacuations.h"
 #include "entry/body_memory.h"
 #include "entry/crash_watch.h"
 #include "entry/entry_metrics.h"
@@ -56,13 +57,15 @@
   // `zone` is the availability zone of this daemon. Connections to servers are
   // opened from `source_ip`, or from an address that the system chooses if it
   // is empty. The bodies of all requests may take `body_bytes` together.
+  // Evacuations take effect within `evacuation_time`; 0: there are none.
   EntryState(net::EventLoop& loop,
              HeaderNames headers,
              ZoneName zone,
              RetryBounds bounds,
              DrainBound drain_bound,
              std::string source_ip = {},
-             std::uint64_t body_bytes = kDefaultBodyBytes);
+             std::uint64_t body_bytes = kDefaultBodyBytes,
+             Duration evacuation_time = Duration(0));
   EntryState(const EntryState&) = delete;
   EntryState& operator=(const EntryState&) = delete;
 
@@ -90,7 +93,8 @@
   void DropRemovedServers();
   // Returns what is known of the servers.
   [[nodiscard]] KnownServers known_servers() const {
-    return {directory, loads, limits, ownership, drain_bound, entries_status()};
+    return {directory,        loads,      limits, ownership, drain_bound,
+            entries_status(), evacuations};
   }
   // Sets the metrics of each service.
   void SetServiceMetrics();
@@ -130,6 +134,7 @@
   ServerDirectory directory;
   ServerLoads loads;
   ServerLimits limits;
+  ZoneEvacuations evacuations;
   ServerReachability reachability;
   Relays relays;
   OwnershipView ownership;
--- a/src/entry/fleet_copies_sim.h
+++ b/src/entry/fleet_copies_sim.h
@@ -631,15 +631,17 @@
     static const OwnershipView ownership = Ownership();
     static const std::vector<ServerId> tried;
     static const ZoneName zone("z0");
-    return ChooseServer({.route = route,
-                         .service = keyed ? keyed_service : plain,
-                         .key = key,
-                         .tried = tried,
-                         .time_left = seconds(2),
-                         .zone = zone},
-                        {member.directory, member.loads, member.limits,
-                         ownership, drain_bound_, EntriesOf(member)},
-                        now_);
+    static const ZoneEvacuations no_evacuations{Duration(0)};
+    return ChooseServer(
+        {.route = route,
+         .service = keyed ? keyed_service : plain,
+         .key = key,
+         .tried = tried,
+         .time_left = seconds(2),
+         .zone = zone},
+        {member.directory, member.loads, member.limits, ownership, drain_bound_,
+         EntriesOf(member), no_evacuations},
+        now_);
   }
 
   [[nodiscard]] EntriesStatus EntriesOf(const Member& member) const {
--- a/src/entry/key_assignment.cc
+++ b/src/entry/key_assignment.cc
@@ -194,7 +194,10 @@
   const std::uint64_t changes = state_.directory.changes();
   const bool changed =
       std::exchange(service.directory_changes, changes) != changes;
-  if (!changed && now < service.next_refresh) {
+  const bool evacuations_changed =
+      std::exchange(service.evacuation_changes, state_.evacuations.changes()) !=
+      state_.evacuations.changes();
+  if (!changed && !evacuations_changed && now < service.next_refresh) {
     return;
   }
   service.next_refresh = now + kCapacityRefresh;
@@ -244,7 +247,8 @@
                        .incarnation = it->incarnation,
                        .address = it->address,
                        .draining = it->draining,
-                       .capacity = state_.loads.Capacity(*it, now)});
+                       .capacity = state_.loads.Capacity(*it, now),
+                       .move_until = state_.evacuations.MoveUntil(it->zone)});
   }
   return servers;
 }
--- a/src/entry/key_assignment.h
+++ b/src/entry/key_assignment.h
@@ -74,6 +74,8 @@
     std::uint64_t term = 0;
     // The change count of the directory when the assigner last received it.
     std::uint64_t directory_changes = 0;
+    // The same of the evacuations.
+    std::uint64_t evacuation_changes = 0;
     // Servers that were removed from the directory up to then are known to the
     // assigner.
     TimePoint unlisted_until{};
--- a/src/entry/server_path_monitor.cc
+++ b/src/entry/server_path_monitor.cc
@@ -72,8 +72,15 @@
 }  // namespace
 
 void ServerPathMonitor::Check() {
-  const auto probes = state_.reachability.TakeProbes(state_.directory.servers(),
-                                                     state_.loop.Now());
+  const TimePoint now = state_.loop.Now();
+  // Copies that are too old may lack an evacuation.
+  const bool evacuations_known =
+      !state_.evacuations.enabled() ||
+      now < state_.drain_bound.EntriesUntil(state_.entries_status());
+  const auto probes = state_.reachability.TakeProbes(
+      state_.directory.servers(), now, [&](const routing::BackendServer& it) {
+        return evacuations_known && !state_.evacuations.IsEvacuated(it.zone);
+      });
   for (const ServerId& it : probes) {
     Probe(*state_.directory.Find(it));
   }
--- a/src/entry/server_reachability.cc
+++ b/src/entry/server_reachability.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <chrono>
 #include <iterator>
+#include <utility>
 
 namespace gentianreach::entry {
 namespace {
@@ -60,19 +61,28 @@
 }
 
 bool ServerReachability::IsSuspicious(const Servers& servers,
-                                      TimePoint now) const {
+                                      TimePoint now,
+                                      const Filter& may_probe) const {
   if (answer_due_ && now >= *answer_due_) {
     return true;
   }
-  const auto failed = static_cast<std::size_t>(std::ranges::count_if(
-      failed_connections_,
-      [&](const auto& it) { return servers.contains(it.first); }));
-  return failed > 0 && failed >= std::min(kSuspiciousFailures, servers.size());
+  const auto failed =
+      std::ranges::count_if(failed_connections_, [&](const auto& it) {
+        const auto server = servers.find(it.first);
+        return server != servers.end() && may_probe(server->second);
+      });
+  if (failed == 0 || std::cmp_greater_equal(failed, kSuspiciousFailures)) {
+    return failed > 0;
+  }
+  return failed >= std::ranges::count_if(servers, [&](const auto& it) {
+           return may_probe(it.second);
+         });
 }
 
 template <typename Order>
 std::vector<ServerId> ServerReachability::Pick(const Servers& servers,
                                                std::size_t n,
+                                               const Filter& may_probe,
                                                Order order) const {
   struct Candidate {
     ServerId id;
@@ -80,6 +90,9 @@
   };
   std::vector<Candidate> candidates;
   for (const auto& [id, it] : servers) {
+    if (!may_probe(it)) {
+      continue;
+    }
     const auto found = records_.find(id);
     candidates.push_back(
         {id, found == records_.end() ? Record{} : found->second});
@@ -96,22 +109,23 @@
 }
 
 std::vector<ServerId> ServerReachability::TakeProbes(const Servers& servers,
-                                                     TimePoint now) {
+                                                     TimePoint now,
+                                                     const Filter& may_probe) {
   if (pending_probes_ > 0 || now < next_probes_) {
     return {};
   }
   std::vector<ServerId> probes;
   if (path_ == ServerPath::kLost) {
-    probes =
-        Pick(servers, kRecoveryProbes, [](const Record& a, const Record& b) {
-          return a.probed_at < b.probed_at;
-        });
+    probes = Pick(servers, kRecoveryProbes, may_probe,
+                  [](const Record& a, const Record& b) {
+                    return a.probed_at < b.probed_at;
+                  });
     next_probes_ = now + kRecoveryPeriod;
-  } else if (IsSuspicious(servers, now)) {
-    probes =
-        Pick(servers, kConfirmingProbes, [](const Record& a, const Record& b) {
-          return a.answered_at > b.answered_at;
-        });
+  } else if (IsSuspicious(servers, now, may_probe)) {
+    probes = Pick(servers, kConfirmingProbes, may_probe,
+                  [](const Record& a, const Record& b) {
+                    return a.answered_at > b.answered_at;
+                  });
     if (!probes.empty()) {
       path_ = ServerPath::kSuspected;
     }
--- a/src/entry/server_reachability.h
+++ b/src/entry/server_reachability.h
@@ -4,6 +4,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string_view>
@@ -50,10 +51,15 @@
   // `server` no longer exists.
   void Forget(const ServerId& server);
 
-  // Returns the servers to probe now, of those that exist. Each probe must end
-  // in a call of OnProbeEnd().
-  [[nodiscard]] std::vector<ServerId> TakeProbes(const Servers& servers,
-                                                 TimePoint now);
+  // Decides whether a server may be probed.
+  using Filter = std::function<bool(const routing::BackendServer&)>;
+  // Returns the servers to probe now, of those that exist and may be probed.
+  // The others raise no suspicion either. Each probe must end in a call of
+  // OnProbeEnd().
+  [[nodiscard]] std::vector<ServerId> TakeProbes(
+      const Servers& servers,
+      TimePoint now,
+      const Filter& may_probe = [](const auto&) { return true; });
   // The probe of `server` ended; `answered` if any response arrived.
   void OnProbeEnd(const ServerId& server, bool answered, TimePoint now);
 
@@ -72,11 +78,14 @@
     TimePoint probed_at{};
   };
 
-  [[nodiscard]] bool IsSuspicious(const Servers& servers, TimePoint now) const;
+  [[nodiscard]] bool IsSuspicious(const Servers& servers,
+                                  TimePoint now,
+                                  const Filter& may_probe) const;
   // Returns up to `n` servers, the first by `order`.
   template <typename Order>
   [[nodiscard]] std::vector<ServerId> Pick(const Servers& servers,
                                            std::size_t n,
+                                           const Filter& may_probe,
                                            Order order) const;
   void Reopen(TimePoint now);
 
--- a/src/entry/server_reachability_test.cc
+++ b/src/entry/server_reachability_test.cc
@@ -55,6 +55,33 @@
   std::size_t probe_count = 0;
 };
 
+// Guards against probes of zones that are to get no requests.
+TEST_CASE("servers that may not be probed are not, and raise no suspicion") {
+  Fixture fixture;
+  fixture.now += seconds(2);
+  const auto may_probe = [](const routing::BackendServer& it) {
+    return it.id > Fixture::Id(3);
+  };
+  fixture.FailNewConnections(1, 3);
+  CHECK(fixture.reachability.TakeProbes(fixture.servers, fixture.now, may_probe)
+            .empty());
+  fixture.FailNewConnections(4, 6);
+  const auto probes =
+      fixture.reachability.TakeProbes(fixture.servers, fixture.now, may_probe);
+  CHECK(probes.size() == 5);
+  for (const ServerId& it : probes) {
+    CHECK(it > Fixture::Id(3));
+    fixture.reachability.OnProbeEnd(it, false, fixture.now);
+  }
+  // Nor are they probed to find out that the path is open again.
+  REQUIRE(fixture.reachability.lost());
+  fixture.now += seconds(1);
+  for (const ServerId& it : fixture.reachability.TakeProbes(
+           fixture.servers, fixture.now, may_probe)) {
+    CHECK(it > Fixture::Id(3));
+  }
+}
+
 TEST_CASE("the path is lost if several servers fail and no probe is answered") {
   Fixture fixture;
   fixture.now += seconds(2);
--- a/src/keyspace/range_assigner.h
+++ b/src/keyspace/range_assigner.h
@@ -63,6 +63,8 @@
   std::string address;
   bool draining = false;
   double capacity = 1;
+  // By when the server's keys are to have moved; max(): it may own keys.
+  TimePoint move_until = TimePoint::max();
 };
 
 // Asks the caller to write the table to the store, on condition that the store
