Daemons read evacuations, pass them on and prove them current

Cause: an evacuation has to be in force at all daemons within its time, whoever leads and whichever link or store call fails.

Change: StoreCopies has an optional fourth kind, read only if it has a sink. It is stated after the tables in heartbeats and /copies; earlier builds use the first three. EntriesStatus::current_at is the earlier one of the times of the server entries and the evacuations, and DrainBound goes by the shorter one of drain_ms and evacuation_ms. The bound is not lifted for a lost store while there is no copy of the evacuations or a much older one: a test with a daemon that starts while the store refuses it showed that it would send by server entries alone. EvacuationObjects applies and logs the objects.

--- a/src/entry/entry_daemon.cc
+++ b/src/entry/entry_daemon.cc
@@ -15,9 +15,11 @@
 
 #include "base/log.h"
 #include "daemon/operator_server.h"
+#include "entry/copy_age_log.h"
 #include "entry/entry_proxy.h"
 #include "entry/entry_settings.h"
 #include "entry/entry_state.h"
+#include "entry/evacuation_objects.h"
 #include "entry/excerpt.h"
 #include "entry/key_assignment.h"
 #include "entry/leader_election.h"
@@ -88,10 +90,12 @@
             platform::PlatformHeaders(),
             ZoneName(settings.zone),
             RetryBounds{settings.retry_ratio, settings.retry_slack},
-            DrainBound(DrainTime(settings)),
+            DrainBound(ShortestSendBound(settings)),
             settings.source_ip,
-            BodyBytes(settings))),
+            BodyBytes(settings),
+            EvacuationTime(settings))),
         entries_(*state_),
+        evacuations_(*state_),
         path_monitor_(*state_),
         proxy_(state_),
         self_{settings.name, Incarnation(RandomNumber()),
@@ -119,7 +123,8 @@
                  .servers = {[this](const auto& it) { OnServerList(it); },
                              [this](const auto& it) { OnServerEvents(it); }},
                  .ownership = {[this](const auto& it) { OnTables(it); },
-                               [this](const auto& it) { OnTables(it); }}},
+                               [this](const auto& it) { OnTables(it); }},
+                 .evacuations = EvacuationSink()},
                 settings.source_ip),
         housekeeping_(loop_, [this] { RunHousekeeping(); }),
         election_timer_(loop_, [this] { RunElection(); }),
@@ -145,7 +150,7 @@
                                  copies_.IsStoreLostForConfig());
     };
     state_->entries_status = [this] {
-      return EntriesStatus{copies_.servers_current_at(), copies_.IsStoreLost(),
+      return EntriesStatus{copies_.entries_current_at(), copies_.IsStoreLost(),
                            ToString(copies_.source()),
                            copies_.health().answered_any_at()};
     };
@@ -329,6 +334,7 @@
                 state_->routes
                     ? static_cast<double>(state_->routes->config().version)
                     : 0);
+    evacuations_.SetMetrics();
     state_->SetServiceMetrics();
     return {200, "text/plain; version=0.0.4", metrics.Text()};
   }
@@ -376,8 +382,30 @@
     OnServersChanged();
   }
 
+  // Returns the receiver of evacuations; without functions if they are not
+  // read.
+  StoreWatcher::Sink EvacuationSink() {
+    if (!state_->evacuations.enabled()) {
+      return {};
+    }
+    return {[this](const auto& it) {
+              evacuations_.ApplyList(it, copies_.evacuations_current_at(),
+                                     ToString(copies_.source()));
+              OnServersChanged();
+            },
+            [this](const auto& it) {
+              evacuations_.ApplyEvents(it, copies_.evacuations_current_at(),
+                                       ToString(copies_.source()));
+              OnServersChanged();
+            }};
+  }
+
+  // Handles a change of the server entries or of the evacuations.
   void OnServersChanged() {
     state_->DropRemovedServers();
+    if (servers_known_) {
+      evacuations_.CheckZones();
+    }
     ScheduleHeartbeats();
     assignment_.Run();
     state_->held.WakeAll();
@@ -483,47 +511,7 @@
                           .heartbeat_period = link_.heartbeat_period(),
                           .members = state_->members()});
     UpdateDoubt();
-    LogCopyAges();
-  }
-
-  // Logs when copies become outdated, and when they no longer are.
-  void LogCopyAges() {
-    const TimePoint now = loop_.Now();
-    const bool config_outdated =
-        state_->routes != nullptr && now >= state_->routes_current_until();
-    if (std::exchange(config_was_outdated_, config_outdated) !=
-        config_outdated) {
-      Log(config_outdated ? LogLevel::kWarning : LogLevel::kInfo,
-          config_outdated ? "config_outdated" : "config_current",
-          {{"version", state_->routes->config().version},
-           {"store_lost", copies_.IsStoreLostForConfig()},
-           {"copy_age_ms",
-            MillisecondsBetween(copies_.config_current_at(), now)},
-           {"answer_age_ms",
-            MillisecondsBetween(copies_.health().answered_any_at(), now)}});
-    }
-    const EntriesStatus entries = state_->entries_status();
-    const bool entries_outdated =
-        servers_known_ && now >= state_->drain_bound.EntriesUntil(entries);
-    if (std::exchange(entries_were_outdated_, entries_outdated) !=
-        entries_outdated) {
-      Log(entries_outdated ? LogLevel::kWarning : LogLevel::kInfo,
-          entries_outdated ? "entries_outdated" : "entries_current",
-          {{"source", entries.source},
-           {"store_lost", entries.store_lost},
-           {"copy_age_ms", MillisecondsBetween(entries.current_at, now)}});
-    }
-    const bool lifted =
-        servers_known_ && state_->drain_bound.IsLifted(entries, now);
-    if (std::exchange(drain_bound_was_lifted_, lifted) != lifted) {
-      Log(lifted ? LogLevel::kWarning : LogLevel::kInfo,
-          lifted ? "drain_bound_lifted" : "drain_bound_in_force",
-          {{"source", entries.source},
-           {"reason", copies_.HaveMostLostStore() ? "reports" : "others"},
-           {"copy_age_ms", MillisecondsBetween(entries.current_at, now)},
-           {"answer_age_ms",
-            MillisecondsBetween(entries.store_answered_at, now)}});
-    }
+    copy_age_log_.Poll(servers_known_);
   }
 
   // Until the number of daemons is known, the state assumes a large one.
@@ -631,6 +619,7 @@
   platform::PlatformClient platform_;
   std::shared_ptr<EntryState> state_;
   ServerEntries entries_;
+  EvacuationObjects evacuations_;
   ServerPathMonitor path_monitor_;
   EntryProxy proxy_;
   const Member self_;
@@ -638,6 +627,7 @@
   MemberLink link_;
   KeyAssignment assignment_;
   StoreCopies copies_;
+  CopyAgeLog copy_age_log_{*state_, copies_};
   StatusLog status_log_{platform_, state_->send_ages};
   OperatorServer ready_server_;
   OperatorServer metrics_server_;
@@ -650,9 +640,6 @@
   Duration max_loop_delay_{};
   bool servers_known_ = false;
   bool most_lost_store_ = false;
-  bool config_was_outdated_ = false;
-  bool drain_bound_was_lifted_ = false;
-  bool entries_were_outdated_ = false;
 };
 
 EntryDaemon::EntryDaemon(const settings::EntryDaemonT& settings)
--- a/src/entry/entry_metrics.cc
+++ b/src/entry/entry_metrics.cc
@@ -88,6 +88,10 @@
     Description{"requests_by_outdated_config_total", "counter",
                 "Requests decided by a configuration that may have been "
                 "replaced."},
+    Description{"evacuated_zones", "gauge",
+                "Availability zones that operators evacuate."},
+    Description{"evacuated_zones_without_servers", "gauge",
+                "Evacuated zones in which no server is known."},
     Description{"limited_servers", "gauge",
                 "Servers that name a limit for their requests."},
     Description{"server_path_lost", "gauge",
--- a/src/entry/member_link.h
+++ b/src/entry/member_link.h
@@ -41,8 +41,8 @@
   TimePoint sent_at{};
   // Entries of live servers may be missing after an outage of the store.
   bool may_lack_entries = false;
-  // Store revisions at which the copies last changed: configuration, servers
-  // and key ownership, in this order.
+  // Store revisions at which the copies last changed: configuration, servers,
+  // key ownership and, if they are read, evacuations, in this order.
   std::vector<std::uint64_t> changed_at;
   // Digests of the copies in the same order; none from earlier versions.
   std::vector<std::uint64_t> digests;
--- a/src/entry/store_copies.cc
+++ b/src/entry/store_copies.cc
@@ -21,8 +21,8 @@
 // asked after it.
 constexpr const char* kRelayPath = "/changes";
 constexpr const char* kStatusPath = "/copies";
-constexpr std::array<const char*, 3> kRelayKinds = {"config", "servers",
-                                                    "ownership"};
+constexpr std::array<const char*, 4> kRelayKinds = {"config", "servers",
+                                                    "ownership", "evacuations"};
 constexpr Duration kRelayTimeout = milliseconds(1200);
 constexpr Duration kMirrorTimeout = milliseconds(400);
 constexpr Duration kPeerTimeout = milliseconds(300);
@@ -66,12 +66,14 @@
                  platform::ObjectKind::kOwnership,
                  platform::Freshness::kMayBeStale,
                  std::move(sinks.ownership)),
+      watchers_(ReadEvacuations(std::move(sinks.evacuations), platform)),
+      max_copy_age_(max_copy_age),
       relay_client_(std::move(source_ip)),
       chooser_(max_copy_age),
       peer_timer_(loop, [this] { PollPeers(); }) {
   health_.on_change = [this](bool lost) {
     if (!lost) {
-      for (StoreWatcher* it : Watchers()) {
+      for (StoreWatcher* it : watchers_) {
         it->OnStoreBack();
       }
       if (leads_ && health_.may_be_replaced()) {
@@ -83,12 +85,12 @@
     }
   };
   health_.on_history_gone = [this] {
-    for (StoreWatcher* it : Watchers()) {
+    for (StoreWatcher* it : watchers_) {
       it->Relist();
     }
   };
   health_.on_revision_back = [this](std::uint64_t revision) {
-    for (StoreWatcher* it : Watchers()) {
+    for (StoreWatcher* it : watchers_) {
       it->OnRevisionBack(revision);
     }
   };
@@ -99,11 +101,24 @@
                        [this](const auto&) { return HandleStatusRequest(); });
 }
 
+std::vector<StoreWatcher*> StoreCopies::ReadEvacuations(
+    StoreWatcher::Sink sink,
+    platform::PlatformClient& platform) {
+  std::vector<StoreWatcher*> watchers = {&config_, &servers_, &ownership_};
+  if (sink.on_list) {
+    evacuations_.emplace(loop_, platform, health_,
+                         platform::ObjectKind::kEvacuations,
+                         platform::Freshness::kCurrent, std::move(sink));
+    watchers.push_back(&*evacuations_);
+  }
+  return watchers;
+}
+
 boost::leaf::result<void> StoreCopies::Start(const std::string& address) {
   BOOST_LEAF_CHECK(relay_server_.Listen(address));
   const TimePoint now = loop_.Now();
   started_at_ = now;
-  for (StoreWatcher* it : Watchers()) {
+  for (StoreWatcher* it : watchers_) {
     it->Start(now);
   }
   return {};
@@ -142,9 +157,12 @@
   const WatchSource source = source_ == CopySource::kStore
                                  ? WatchSource::kStore
                                  : WatchSource::kLeader;
-  // Both copies are of use for a bounded time only.
+  // These copies are of use for a bounded time only.
   config_.SetSource(source, chooser_.EntriesWatchWait(), urgent);
   servers_.SetSource(source, chooser_.EntriesWatchWait(), urgent);
+  if (evacuations_) {
+    evacuations_->SetSource(source, chooser_.EntriesWatchWait(), urgent);
+  }
   ownership_.SetSource(leadership.leads ? WatchSource::kLeader : source,
                        watch_wait, urgent);
   if (leadership.leads && !leads_) {
@@ -167,8 +185,8 @@
     chooser_.OnNoMajorityStated();
   }
   OnSourceStatus(copy_status);
-  for (std::size_t i = 0; i < std::min(copy_status.changed_at.size(), kKinds);
-       ++i) {
+  for (std::size_t i = 0;
+       i < std::min(copy_status.changed_at.size(), watchers_.size()); ++i) {
     FetchFromLeader(i, RemoteCopyOf(copy_status, i));
   }
 }
@@ -188,7 +206,7 @@
 void StoreCopies::OnSourceStatus(const StoreCopyStatus& status) {
   source_lacks_entries_ = status.may_lack_entries;
   health_.OnAnswerToOther(status.current_at, status.may_lack_entries);
-  for (StoreWatcher* it : Watchers()) {
+  for (StoreWatcher* it : watchers_) {
     it->VoidWatches(status.watches_void_until);
   }
 }
@@ -302,8 +320,8 @@
         // The status may have been sent just now.
         .watches_void_until = time_of("watches_void_age_ms", loop_.Now())};
     OnSourceStatus(copy_status);
-    for (std::size_t i = 0; i < std::min(copy_status.changed_at.size(), kKinds);
-         ++i) {
+    for (std::size_t i = 0;
+         i < std::min(copy_status.changed_at.size(), watchers_.size()); ++i) {
       FetchChanges(i, address, RemoteCopyOf(copy_status, i),
                    loop_.Now() + kMirrorTimeout);
     }
@@ -314,8 +332,8 @@
 }
 
 void StoreCopies::OnPeerWithCopies(const std::string& address) {
-  for (std::size_t i = 0; i < kKinds; ++i) {
-    if (!Watchers()[i]->listed()) {
+  for (std::size_t i = 0; i < watchers_.size(); ++i) {
+    if (!watchers_[i]->listed()) {
       FetchChanges(i, address, {.address = address, .changed_at = 1},
                    loop_.Now() + kRelayTimeout);
     }
@@ -330,7 +348,7 @@
       .current_at = current_at(),
       .listed_at = listed_at(),
       .watches_void_until = servers_.watches_void_until()};
-  for (const StoreWatcher* it : Watchers()) {
+  for (const StoreWatcher* it : watchers_) {
     copy_status.changed_at.push_back(it->listed() ? it->changed_at() : 0);
     copy_status.digests.push_back(it->digest());
   }
@@ -345,18 +363,20 @@
 }
 
 TimePoint StoreCopies::current_at() const {
-  return std::min({config_.current_at(), servers_.current_at(),
+  return std::min({config_.current_at(), entries_current_at(),
                    OwnershipTime(ownership_.current_at())});
 }
 
 TimePoint StoreCopies::listed_at() const {
+  const TimePoint evacuations =
+      evacuations_ ? evacuations_->listed_at() : TimePoint::max();
   return std::min({config_.listed_at(), servers_.listed_at(),
-                   OwnershipTime(ownership_.listed_at())});
+                   OwnershipTime(ownership_.listed_at()), evacuations});
 }
 
 std::uint64_t StoreCopies::unreadable_objects() const {
   std::uint64_t objects = 0;
-  for (const StoreWatcher* it : Watchers()) {
+  for (const StoreWatcher* it : watchers_) {
     objects += it->unreadable_objects();
   }
   return objects;
@@ -379,9 +399,9 @@
   const std::string kind = request.Query("kind");
   const auto since =
       g_ascii_strtoull(request.Query("since").c_str(), nullptr, 10);
-  for (std::size_t i = 0; i < kKinds; ++i) {
+  for (std::size_t i = 0; i < watchers_.size(); ++i) {
     if (kind == kRelayKinds[i]) {
-      return {200, "application/gzip", Watchers()[i]->ChangesSince(since)};
+      return {200, "application/gzip", watchers_[i]->ChangesSince(since)};
     }
   }
   return {404, "application/json", R"({"error":"no such kind"})"};
@@ -437,7 +457,7 @@
                                const RemoteCopy& remote,
                                TimePoint deadline,
                                std::function<void(bool)> done) {
-  StoreWatcher* watcher = Watchers()[kind];
+  StoreWatcher* watcher = watchers_[kind];
   const CopyRelation relation = Compare(*watcher, remote);
   if (relation == CopyRelation::kContains) {
     watcher->ConfirmCurrent(remote.current_at, remote.listed_at);
--- a/src/entry/store_copies.h
+++ b/src/entry/store_copies.h
@@ -28,17 +28,20 @@
 
 namespace gentianreach::entry {
 
-// Copies of the configuration, the server entries and the ownership tables. The
-// leader watches the store. The other daemons learn from its heartbeats that
-// something has changed and fetch the changes from the leader. A daemon that
-// receives no heartbeats, whose leader cannot reach the store, or whose copies
-// are out of date reads the store itself.
+// Copies of the configuration, the server entries, the ownership tables and, if
+// they have a sink, the evacuations of zones. The leader watches the store. The
+// other daemons learn from its heartbeats that something has changed and fetch
+// the changes from the leader. A daemon that receives no heartbeats, whose
+// leader cannot reach the store, or whose copies are out of date reads the
+// store itself.
 class StoreCopies {
  public:
   struct Sinks {
     StoreWatcher::Sink config;
     StoreWatcher::Sink servers;
     StoreWatcher::Sink ownership;
+    // Without functions, evacuations are neither read nor relayed.
+    StoreWatcher::Sink evacuations = {};
   };
 
   // While the store cannot be reached for less than `shortest_expiry`, no entry
@@ -84,6 +87,15 @@
   [[nodiscard]] TimePoint servers_current_at() const {
     return servers_.current_at();
   }
+  // Returns the same for the evacuations alone; max() if they are not read.
+  [[nodiscard]] TimePoint evacuations_current_at() const {
+    return evacuations_ ? evacuations_->current_at() : TimePoint::max();
+  }
+  // Returns the same for what decides which servers may get requests: the
+  // server entries and the evacuations.
+  [[nodiscard]] TimePoint entries_current_at() const {
+    return std::min(servers_current_at(), evacuations_current_at());
+  }
   // Returns the same for the configuration alone.
   [[nodiscard]] TimePoint config_current_at() const {
     return config_.current_at();
@@ -91,7 +103,8 @@
   // Returns whether the server entries cannot be renewed because the store
   // cannot be reached, as far as this daemon can find out.
   [[nodiscard]] bool IsStoreLost() const {
-    return chooser_.IsStoreLost(ContactSince(servers_.current_at()),
+    return !AreEvacuationsBehind() &&
+           chooser_.IsStoreLost(ContactSince(servers_.current_at()),
                                 loop_.Now());
   }
   // Returns the same for the configuration.
@@ -127,14 +140,26 @@
   std::function<void(bool lost)> on_store_change;
 
  private:
-  static constexpr std::size_t kKinds = 3;
+  // Number of kinds of objects, the last of which is optional.
+  static constexpr std::size_t kKinds = 4;
 
-  [[nodiscard]] std::array<StoreWatcher*, kKinds> Watchers() {
-    return {&config_, &servers_, &ownership_};
-  }
-  [[nodiscard]] std::array<const StoreWatcher*, kKinds> Watchers() const {
-    return {&config_, &servers_, &ownership_};
+  // Returns whether there is no copy of the evacuations yet, or one that is so
+  // much older than that of the server entries that the store may have
+  // acknowledged evacuations while it served the entries alone. Nothing is then
+  // decided, even if the store is lost.
+  [[nodiscard]] bool AreEvacuationsBehind() const {
+    if (!evacuations_) {
+      return false;
+    }
+    const TimePoint current_at = evacuations_->current_at();
+    const bool known = evacuations_->listed() || current_at != TimePoint{};
+    return !known || current_at < servers_.current_at() - max_copy_age_;
   }
+  // Creates the watcher of the evacuations if `sink` has functions. Returns all
+  // watchers.
+  std::vector<StoreWatcher*> ReadEvacuations(
+      StoreWatcher::Sink sink,
+      platform::PlatformClient& platform);
   // Returns whether a call of this daemon has failed since the server entries
   // were complete, and not as one too many.
   [[nodiscard]] bool HasCallFailed() const {
@@ -222,6 +247,10 @@
   StoreWatcher config_;
   StoreWatcher servers_;
   StoreWatcher ownership_;
+  std::optional<StoreWatcher> evacuations_;
+  // Of all kinds that are read, in the order in which they are stated.
+  const std::vector<StoreWatcher*> watchers_;
+  const Duration max_copy_age_;
   OperatorServer relay_server_;
   HttpClient relay_client_;
   // Whether a fetch is in flight, by kind.
