--- a/src/entry/balancing/estimates_random_test.cc
+++ b/src/entry/balancing/estimates_random_test.cc
@@ -267,7 +267,7 @@
                             .time_left = time_left,
                             .zone = kZone},
                            {directory_, loads_, limits_, ownership_,
-                            drain_bound_, entries_},
+                            drain_bound_, entries_, evacuations_},
                            now_);
     if (choice.server == nullptr) {
       refused_in_trouble_ += now_ < trouble_end_ ? 1 : 0;
@@ -403,6 +403,7 @@
   ServerReachability reachability_;
   OwnershipView ownership_;
   DrainBound drain_bound_{milliseconds(2000)};
+  ZoneEvacuations evacuations_{Duration(0)};
   // The entries are current at all times.
   EntriesStatus entries_{.current_at = kStart + std::chrono::hours(1)};
 };
--- a/src/entry/balancing/load_reports_sim_test.cc
+++ b/src/entry/balancing/load_reports_sim_test.cc
@@ -156,15 +156,17 @@
     route.name = load_.names_routes ? "r" + std::to_string(index) : "";
     route.latency_objective = milliseconds(600);
     const std::vector<ServerId> tried;
-    const ServerChoice choice = ChooseServer(
-        {.route = route,
-         .service = service_,
-         .key = load_.keyed ? std::optional(7U) : std::nullopt,
-         .tried = tried,
-         .time_left = milliseconds(2000),
-         .zone = zone,
-         .zone_crossing = load_.zone_crossing},
-        {directory_, loads, limits_, ownership_, drain_bound_, entries_}, now);
+    const ServerChoice choice =
+        ChooseServer({.route = route,
+                      .service = service_,
+                      .key = load_.keyed ? std::optional(7U) : std::nullopt,
+                      .tried = tried,
+                      .time_left = milliseconds(2000),
+                      .zone = zone,
+                      .zone_crossing = load_.zone_crossing},
+                     {directory_, loads, limits_, ownership_, drain_bound_,
+                      entries_, evacuations_},
+                     now);
     outcome_.Add(static_cast<std::uint64_t>(choice.reason));
     outcome_.Add(static_cast<std::uint64_t>(choice.retry_after.count()));
     const bool counts = IsCounted(now);
@@ -243,6 +245,7 @@
   ServerLimits limits_{1};
   OwnershipView ownership_;
   DrainBound drain_bound_{milliseconds(2000)};
+  ZoneEvacuations evacuations_{Duration(0)};
   EntriesStatus entries_{.current_at = kStart + std::chrono::hours(1)};
   std::vector<ServerLoads> daemons_;
   // Of each server: when each slot is free, and how many requests are there.
--- a/src/entry/balancing/untried_server_test.cc
+++ b/src/entry/balancing/untried_server_test.cc
@@ -47,14 +47,16 @@
     routing::Service requested;
     requested.name = service;
     const std::vector<ServerId> tried;
-    const ServerChoice choice = ChooseServer(
-        {.route = route,
-         .service = requested,
-         .key = {},
-         .tried = tried,
-         .time_left = time_left,
-         .zone = kZone},
-        {directory_, loads_, limits_, ownership_, drain_bound_, entries_}, now);
+    const ServerChoice choice =
+        ChooseServer({.route = route,
+                      .service = requested,
+                      .key = {},
+                      .tried = tried,
+                      .time_left = time_left,
+                      .zone = kZone},
+                     {directory_, loads_, limits_, ownership_, drain_bound_,
+                      entries_, evacuations_},
+                     now);
     if (choice.server == nullptr) {
       return false;
     }
@@ -70,6 +72,7 @@
   ServerLimits limits_{1};
   OwnershipView ownership_;
   DrainBound drain_bound_{milliseconds(2000)};
+  ZoneEvacuations evacuations_{Duration(0)};
   EntriesStatus entries_{.current_at = kStart + std::chrono::hours(1)};
 };
 
--- a/src/entry/entry_state.h
+++ b/src/entry/entry_state.h
@@ -23,6 +23,7 @@
 #include "entry/balancing/server_directory.h"
 #include "entry/balancing/server_limits.h"
 #include "entry/balancing/server_loads.h"
+#include "entry/balancing/zone_evacuations.h"
 #include "entry/body_memory.h"
 #include "entry/crash_watch.h"
 #include "entry/entry_metrics.h"
@@ -58,13 +59,15 @@
   // `zone` is the availability zone of this daemon. Connections to servers are
   // opened from `source_ip`, or from an address that the system chooses if it
   // is empty. The bodies of all requests may take `body_bytes` together.
+  // Evacuations take effect within `evacuation_time`; 0: there are none.
   EntryState(net::EventLoop& loop,
              HeaderNames headers,
              ZoneName zone,
              RetryBounds bounds,
              DrainBound drain_bound,
              std::string source_ip = {},
-             std::uint64_t body_bytes = kDefaultBodyBytes);
+             std::uint64_t body_bytes = kDefaultBodyBytes,
+             Duration evacuation_time = Duration(0));
   EntryState(const EntryState&) = delete;
   EntryState& operator=(const EntryState&) = delete;
 
@@ -110,7 +113,8 @@
   void DropRemovedServers();
   // Returns what is known of the servers.
   [[nodiscard]] KnownServers known_servers() const {
-    return {directory, loads, limits, ownership, drain_bound, entries_status()};
+    return {directory,        loads,      limits, ownership, drain_bound,
+            entries_status(), evacuations};
   }
   // Sets the metrics of each service.
   void SetServiceMetrics();
@@ -154,6 +158,7 @@
   ServerLoads loads;
   ServerLimits limits;
   ColdServers cold;
+  ZoneEvacuations evacuations;
   ServerReachability reachability;
   Relays relays;
   OwnershipView ownership;
