--- a/src/entry/balancing/server_loads.cc
+++ b/src/entry/balancing/server_loads.cc
@@ -155,6 +155,19 @@
   pending.total += ToDuration(sample);
 }
 
+void ServerLoads::OnBeaten(const routing::BackendServer& server,
+                           Duration elapsed,
+                           TimePoint now) {
+  const Duration expected = ExpectedLatency(server, now);
+  if (elapsed <= expected) {
+    return;
+  }
+  // Excludes the estimated queueing time.
+  const double processing = Seconds(ProcessingTime(server, now)).count();
+  AddProcessingSample(states_[server.id],
+                      processing * (Seconds(elapsed) / Seconds(expected)), now);
+}
+
 void ServerLoads::AddProcessingSample(State& state,
                                       double seconds,
                                       TimePoint now) {
--- a/src/entry/balancing/server_loads.h
+++ b/src/entry/balancing/server_loads.h
@@ -56,6 +56,13 @@
              std::optional<Duration> latency,
              const std::optional<LoadReport>& report,
              TimePoint now);
+  // Records that an attempt at `server` had taken `elapsed` when it was
+  // cancelled, since another server had answered before: if the processing time
+  // is estimated lower, that is a sample. Otherwise the servers whose attempts
+  // are cancelled for being slow would not look slow.
+  void OnBeaten(const routing::BackendServer& server,
+                Duration elapsed,
+                TimePoint now);
   // Drops all state of a server that no longer exists.
   void Forget(const ServerId& server) { states_.erase(server); }
   // Records samples of another daemon: `requests` had a processing time of
--- a/src/policy/retry_budget.h
+++ b/src/policy/retry_budget.h
@@ -43,6 +43,8 @@
     Refill(now);
     return balance_;
   }
+  // Returns the largest number of retries that accumulate.
+  [[nodiscard]] double limit() const { return options_.limit; }
 
   [[nodiscard]] std::uint64_t requests() const { return requests_; }
   [[nodiscard]] std::uint64_t retries() const { return retries_; }
