Slow requests that may be repeated get a second attempt at another server

Cause: the caller of a slow request waited for one server although another one could have answered.

Change: with hedging_share above 0 (default 0: no timer, no histogram), an EntryRequest starts a HedgedAttempt, with its own connection and buffer, once its attempt takes longer than the quantile of its kind. The first whole response goes to the caller; the other attempt is reset, or its rest read if its head has arrived. If the first attempt fails, the second one becomes the only one by taking the place of its whole state, so that responses never mix. Both count in max_attempts, in the load of their servers, in reachability and in the crash watch. The request line has `hedged` and `won`; three metrics say how many there were, which attempt answered, and why others were not made. What servers state in responses is read in one place for both attempts (server_statements.h).

Tests: hedging_test runs a daemon and two scripted servers on loopback. entry_settings_test has the new settings.

--- a/src/entry/entry_request.cc
+++ b/src/entry/entry_request.cc
@@ -6,6 +6,7 @@
 
 #include "base/log.h"
 #include "entry/message_writer.h"
+#include "entry/server_statements.h"
 #include "http/serializer.h"
 #include "http/status.h"
 
@@ -21,12 +22,8 @@
 using http::status::kTooLarge;
 using http::status::kUnavailable;
 
-// Responses up to this size are buffered until they are complete.
-constexpr std::size_t kMaxBufferedBytes = 256 * 1024;
 // Unsent bytes for the caller above which reading from the server is paused.
 constexpr std::size_t kMaxUnsentBytes = 64 * 1024;
-// Responses to other requests that are skipped per attempt.
-constexpr int kMaxSkippedResponses = 4;
 // Failed connections after which the request is refused.
 constexpr std::uint32_t kMaxFailedConnects = 4;
 // Longest time that a request waits while its key moves to a new owner.
@@ -50,6 +47,7 @@
       started_(state_->loop.Now()),
       deadline_(TimePoint::max()),
       response_timer_(state_->loop, [this] { OnResponseTimeout(); }),
+      hedge_timer_(state_->loop, [this] { OnSlow(); }),
       hold_timer_(state_->loop, [this] {
         StopWaiting();
         RetryOrRefuse(false, Reason::kNoOwner, kNotReadyRetryAfter);
@@ -90,6 +88,7 @@
       }
       break;
     case proxy::CallerEvent::kDisconnected:
+      CancelHedge(AttemptResult::kCancelled);
       if (connection_) {
         const auto connection = std::exchange(connection_, nullptr);
         connection->Abandon();
@@ -206,6 +205,10 @@
     return;
   }
   if (choice.server == nullptr) {
+    if (choice.reason == Reason::kOverload ||
+        choice.reason == Reason::kOverLimit) {
+      state_->hedging.OnShortage(service_->name, state_->loop.Now());
+    }
     Refuse(kUnavailable, choice.reason, choice.retry_after);
     return;
   }
@@ -334,22 +337,13 @@
                       head.Get(std::string_view(state_->headers.server_limit)));
   response_timer_.Clear();
   response_head_ = head;
+  has_response_head_ = true;
 }
 
 void EntryRequest::OnServerStatements(const http::MessageHead& head) {
-  if (const auto load =
-          head.Get(std::string_view(state_->headers.server_load))) {
-    report_ = ParseLoadReport(*load);
-  }
-  if (head.status == kMisdirected) {
-    // Possibly another server that has got the address since.
-    return;
-  }
-  if (const auto until = RequestedRest(head, state_->loop.Now())) {
-    state_->OnRestRequested(server_, *until);
-  }
-  if (IsLeaving(head, state_->headers)) {
-    state_->OnLeaving(server_, incarnation_);
+  if (const auto report =
+          TakeServerStatements(*state_, server_, incarnation_, head)) {
+    report_ = report;
   }
 }
 
@@ -407,6 +401,11 @@
   const bool server_error = response_kind_ == ResponseKind::kServerError;
   EndAttempt(server_error ? AttemptResult::kServerError
                           : AttemptResult::kAnswered);
+  if (server_error && hedge_) {
+    may_have_run_ = true;
+    ContinueHedge();
+    return;
+  }
   if (server_error && !committed_ && route_->idempotent &&
       !state_->reachability.lost() && MayRetry(true)) {
     may_have_run_ = true;
@@ -457,7 +456,15 @@
     return;
   }
   const auto self = shared_from_this();
-  if (attempts_ + 1 >= route_->max_attempts) {
+  if (hedge_ && !state_->reachability.lost()) {
+    // The request is at another server already.
+    state_->reachability.OnFailure(server_, connection_->opened_at());
+    AbandonAttempt();
+    EndAttempt(AttemptResult::kBroken);
+    ContinueHedge();
+    return;
+  }
+  if (attempts_ + AttemptsUnderWay() >= route_->max_attempts) {
     return;
   }
   if (state_->reachability.lost()) {
@@ -494,6 +501,7 @@
 
 void EntryRequest::EndAttempt(AttemptResult result) {
   response_timer_.Clear();
+  hedge_timer_.Clear();
   if (!relay_.empty()) {
     EndForward(result == AttemptResult::kCancelled ? RelayResult::kCancelled
                                                    : RelayResult::kFailed);
@@ -506,6 +514,9 @@
       server_, result,
       path_was_lost ? std::nullopt : std::optional(now - attempt_started_),
       report_, now);
+  if (result == AttemptResult::kAnswered && !path_was_lost) {
+    RecordForHedging(now);
+  }
   if (result == AttemptResult::kAnswered ||
       result == AttemptResult::kCancelled) {
     return;
@@ -539,6 +550,10 @@
   if (done_) {
     return;
   }
+  if (hedge_) {
+    ContinueHedge();
+    return;
+  }
   if (MayRetry(sent)) {
     Attempt();
     return;
--- a/src/entry/entry_request.h
+++ b/src/entry/entry_request.h
@@ -10,8 +10,10 @@
 #include <string_view>
 #include <vector>
 
+#include "entry/balancing/hedge_policy.h"
 #include "entry/balancing/server_choice.h"
 #include "entry/entry_state.h"
+#include "entry/hedged_attempt.h"
 #include "entry/message_writer.h"
 #include "entry/request_rules.h"
 #include "gentianreach/verdict.h"
@@ -62,6 +64,11 @@
   [[nodiscard]] bool done() const { return done_; }
 
  private:
+  // Responses up to this size are buffered until they are complete.
+  static constexpr std::size_t kMaxBufferedBytes = 256 * 1024;
+  // Responses to other requests that are skipped per attempt.
+  static constexpr int kMaxSkippedResponses = 4;
+
   void OnHead();
   void OnBody();
   void OnBodyEnd();
@@ -90,8 +97,15 @@
   void Send(const ServerChoice& choice);
   void SendOver(std::shared_ptr<proxy::ServerConnection> connection,
                 const ServerChoice& choice);
-  // Records the age of the server entries that decide the current attempt.
-  void RecordEntriesAge();
+  // Returns when an attempt at `server` that starts at `now` is to be made
+  // elsewhere unless the server has responded.
+  [[nodiscard]] TimePoint ResponseDue(const routing::BackendServer& server,
+                                      TimePoint now) const;
+  // Returns when the path to the servers is in question if none has answered.
+  [[nodiscard]] TimePoint AnswerDue(const routing::BackendServer& server,
+                                    TimePoint now) const;
+  // Records the age of the server entries that decide an attempt at `now`.
+  void RecordEntriesAge(TimePoint now);
   // Records, once for each attempt, when its first bytes were sent if the
   // connection had to be opened.
   void RecordSendDelay();
@@ -112,6 +126,37 @@
   bool AbandonAttempt();
   void EndAttempt(AttemptResult result);
 
+  // Counts an attempt that is sent for the share of second attempts, and sets
+  // the time after which it gets one if the request may have one.
+  void AwaitSlowness();
+  // Makes a second attempt if that is allowed.
+  void OnSlow();
+  // Starts a second attempt, or returns why there is none.
+  [[nodiscard]] HedgeRefusal StartHedge();
+  // Handles an event of the second attempt. Once that has become the only one,
+  // its events are those of the current attempt.
+  void OnHedgeEvent(const proxy::ServerConnection* connection,
+                    proxy::ServerEvent event);
+  // Ends the first attempt, since the second one has answered before.
+  void EndBeatenAttempt();
+  // Makes the second attempt the current one. There must be no other.
+  void ContinueHedge();
+  // Ends the second attempt, if there is one, since the first has answered.
+  void EndBeatenHedge();
+  // Closes the second attempt, if there is one, and ends it with `result`.
+  void CancelHedge(AttemptResult result);
+  // Counts what the second attempt was in the accounts of the request.
+  void CountHedge(const HedgedAttempt& hedge);
+  // Records how long the current attempt took, or at least took.
+  void RecordForHedging(TimePoint now);
+  [[nodiscard]] RequestKind Kind() const {
+    return {service_->name, route_->name};
+  }
+  // Returns the number of attempts under way.
+  [[nodiscard]] std::uint32_t AttemptsUnderWay() const {
+    return (connection_ ? 1 : 0) + (hedge_ ? 1 : 0);
+  }
+
   // Sends the request through another daemon, or holds or refuses it.
   void Forward();
   void ForwardThrough(const Relay& relay);
@@ -191,6 +236,19 @@
   int skipped_responses_ = 0;
   net::DeadlineTimer response_timer_;
 
+  // The second attempt; only beside a current one at another server.
+  std::unique_ptr<HedgedAttempt> hedge_;
+  net::DeadlineTimer hedge_timer_;
+  // When the second attempt is to be made elsewhere if it is the only one.
+  TimePoint hedge_response_due_{};
+  // Whether a second attempt was made.
+  bool hedged_ = false;
+  // Whether a second attempt was refused; counted once for each request.
+  bool hedge_refused_ = false;
+  // Which of both the current attempt is: "first" or "second"; empty if it is
+  // neither.
+  std::string_view hedge_role_;
+
   // All attempts so far.
   std::vector<ServerId> tried_;
   std::vector<std::string> tried_relays_;
@@ -208,6 +266,8 @@
 
   // The response.
   std::string response_body_;
+  // Whether the head of the current attempt's response has arrived.
+  bool has_response_head_ = false;
   http::MessageHead response_head_;
   ResponseKind response_kind_ = ResponseKind::kUnusable;
   bool committed_ = false;
--- a/src/entry/entry_request_forwarding.cc
+++ b/src/entry/entry_request_forwarding.cc
@@ -187,16 +187,22 @@
   const auto self = shared_from_this();
   // Connections that are older than the loss may live on, so a request that was
   // sent is sent again only if no server has answered since.
-  if (connection_->written() &&
-      (origin_ == RequestOrigin::kDaemon || !route_->idempotent ||
-       state_->reachability.last_answer() >= attempt_started_ ||
-       attempts_ + 1 >= route_->max_attempts || !MayRetry(true))) {
+  const bool sent =
+      connection_->written() || (hedge_ && hedge_->connection()->written());
+  if (sent && (origin_ == RequestOrigin::kDaemon || !route_->idempotent ||
+               state_->reachability.last_answer() >= attempt_started_ ||
+               attempts_ + AttemptsUnderWay() >= route_->max_attempts ||
+               !MayRetry(true))) {
     return;
   }
   SendAnotherWay();
 }
 
 void EntryRequest::SendAnotherWay() {
+  if (hedge_) {
+    CancelHedge(hedge_->connection()->written() ? AttemptResult::kBroken
+                                                : AttemptResult::kUnreachable);
+  }
   const bool sent = AbandonAttempt();
   EndAttempt(sent ? AttemptResult::kBroken : AttemptResult::kUnreachable);
   Attempt();
--- a/src/entry/entry_request_response.cc
+++ b/src/entry/entry_request_response.cc
@@ -23,6 +23,12 @@
 }  // namespace
 
 void EntryRequest::GiveUp(Reason reason) {
+  if (hedge_) {
+    const bool unresponsive =
+        state_->loads.last_response(hedge_->server()) < hedge_->started();
+    CancelHedge(unresponsive ? AttemptResult::kBroken
+                             : AttemptResult::kCancelled);
+  }
   if (committed_) {
     // Part of the response has been sent, so no other status can follow.
     if (const auto connection = std::exchange(connection_, nullptr)) {
@@ -48,6 +54,9 @@
 }
 
 void EntryRequest::CommitResponse() {
+  // No part of another response may follow.
+  EndBeatenHedge();
+  hedge_timer_.Clear();
   std::string out =
       BeginForwardedResponse(response_head_, state_->headers, Relayed());
   http::AppendFraming(out, http::BodyFraming::kChunked, 0);
@@ -137,9 +146,16 @@
   --state_->in_flight;
   StopWaiting();
   response_timer_.Clear();
+  hedge_timer_.Clear();
+  EndBeatenHedge();
   const TimePoint now = state_->loop.Now();
   state_->metrics.Count("requests_total",
                         "outcome=\"" + std::string(outcome) + "\"");
+  const std::string_view won = outcome == "answered" ? hedge_role_ : "";
+  if (!won.empty()) {
+    state_->metrics.Count("hedges_decided_total",
+                          "won=\"" + std::string(won) + "\"");
+  }
   if (state_->log_budget.Take(now)) {
     Log(LogLevel::kInfo, "request",
         {{"request", id_},
@@ -153,6 +169,8 @@
          {"attempts", attempts_},
          {"connects_failed", failed_connects_},
          {"may_have_run", may_have_run_},
+         {"hedged", hedged_},
+         {"won", won},
          {"status", status},
          {"outcome", outcome},
          {"ms", (now - started_) / milliseconds(1)},
--- a/src/entry/entry_request_sending.cc
+++ b/src/entry/entry_request_sending.cc
@@ -63,26 +63,21 @@
   report_.reset();
   skipped_responses_ = 0;
   response_body_.clear();
+  has_response_head_ = false;
   attempt_started_ = state_->loop.Now();
   send_delay_recorded_ = false;
   if (server.draining) {
     state_->metrics.Count("requests_to_draining_total");
   }
-  RecordEntriesAge();
+  RecordEntriesAge(attempt_started_);
   state_->loads.OnSent(server_);
   state_->limits.OnSent(server_, attempt_started_);
   pool_->OnStart(connection_.get());
-  state_->reachability.OnSent(
-      attempt_started_ + std::max(kMinSilence, state_->loads.ExpectedLatency(
-                                                   server, attempt_started_) *
-                                                   kSilenceFactor));
+  state_->reachability.OnSent(AnswerDue(server, attempt_started_));
   if (route_->idempotent) {
-    const Duration processing_time =
-        state_->loads.ProcessingTime(server, attempt_started_);
-    response_timer_.Set(attempt_started_ +
-                        std::max(kMinResponseTimeout,
-                                 processing_time * kResponseTimeoutFactor));
+    response_timer_.Set(ResponseDue(server, attempt_started_));
   }
+  AwaitSlowness();
   const auto left = std::max<Duration>(TimeLeft(), milliseconds(1));
   connection_->Start(
       RequestHead(caller_->head(), state_->headers,
@@ -99,11 +94,25 @@
       choice.send_until);
 }
 
-void EntryRequest::RecordEntriesAge() {
+TimePoint EntryRequest::ResponseDue(const routing::BackendServer& server,
+                                    TimePoint now) const {
+  return now + std::max(kMinResponseTimeout,
+                        state_->loads.ProcessingTime(server, now) *
+                            kResponseTimeoutFactor);
+}
+
+TimePoint EntryRequest::AnswerDue(const routing::BackendServer& server,
+                                  TimePoint now) const {
+  return now +
+         std::max(kMinSilence,
+                  state_->loads.ExpectedLatency(server, now) * kSilenceFactor);
+}
+
+void EntryRequest::RecordEntriesAge(TimePoint now) {
   const EntriesStatus entries = state_->entries_status();
-  const Duration age = attempt_started_ - entries.current_at;
+  const Duration age = now - entries.current_at;
   state_->metrics.RecordEntriesAge(entries.source, age);
-  const bool lifted = state_->drain_bound.IsLifted(entries, attempt_started_);
+  const bool lifted = state_->drain_bound.IsLifted(entries, now);
   state_->send_ages.Record(lifted ? "lifted" : entries.source, age);
   if (lifted) {
     state_->metrics.Count("sends_without_drain_bound_total");
--- a/src/entry/entry_settings.cc
+++ b/src/entry/entry_settings.cc
@@ -1,11 +1,14 @@
 #include "entry/entry_settings.h"
 
+#include <algorithm>
 #include <chrono>
 #include <optional>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "base/log.h"
+#include "entry/entry_state.h"
 #include "net/socket_address.h"
 #include "settings/builder.h"
 #include "settings/document.h"
@@ -45,6 +48,27 @@
   }
 }
 
+// Reports a list of services that contains no name or a name twice.
+void CheckServices(const settings::EntryDaemonT& entry,
+                   settings::SectionChecker& checker) {
+  const std::string_view text = entry.hedging_services;
+  if (text.empty()) {
+    return;
+  }
+  std::vector<std::string> names = settings::SplitList(text);
+  const auto commas = static_cast<std::size_t>(std::ranges::count(text, ','));
+  std::ranges::sort(names);
+  const bool is_unique = std::ranges::adjacent_find(names) == names.end();
+  const bool has_space = std::ranges::any_of(names, [](const auto& it) {
+    return it.find_first_of(" \t") != std::string::npos;
+  });
+  if (names.size() != commas + 1 || !is_unique || has_space) {
+    checker.Report("hedging_services",
+                   "expected different names separated by commas, not \"" +
+                       entry.hedging_services + "\"");
+  }
+}
+
 Duration FromMilliseconds(double milliseconds) {
   return std::chrono::duration_cast<Duration>(
       std::chrono::duration<double, std::milli>(milliseconds));
@@ -76,6 +100,7 @@
   }
   settings::SectionChecker checker(doc, kSection, &result.errors);
   Check(*entry, checker);
+  CheckServices(*entry, checker);
   if (result.errors.empty()) {
     result.entry = std::move(entry);
   }
@@ -113,6 +138,15 @@
   return FromMilliseconds(settings.drain_ms);
 }
 
+RetryBounds RetryBoundsOf(const settings::EntryDaemonT& settings) {
+  return {
+      .ratio = settings.retry_ratio,
+      .slack = settings.retry_slack,
+      .hedging = {.share = settings.hedging_share,
+                  .quantile = settings.hedging_quantile,
+                  .services = settings::SplitList(settings.hedging_services)}};
+}
+
 std::uint64_t BodyBytes(const settings::EntryDaemonT& settings) {
   constexpr double kBytesPerMb = 1 << 20;
   constexpr double kBodyShare = 0.25;
--- a/src/entry/entry_settings.h
+++ b/src/entry/entry_settings.h
@@ -13,6 +13,8 @@
 
 namespace gentianreach::entry {
 
+struct RetryBounds;
+
 // The settings, or all errors in the order of their lines.
 struct EntrySettingsResult {
   std::unique_ptr<settings::EntryDaemonT> entry;
@@ -35,6 +37,9 @@
 [[nodiscard]] std::vector<std::string> SeedsOf(
     const settings::EntryDaemonT& settings);
 
+// Returns the limits of retries and second attempts.
+[[nodiscard]] RetryBounds RetryBoundsOf(const settings::EntryDaemonT& settings);
+
 // Returns how many bytes the bodies of all requests may take together.
 [[nodiscard]] std::uint64_t BodyBytes(const settings::EntryDaemonT& settings);
 
--- a/src/entry/entry_settings_test.cc
+++ b/src/entry/entry_settings_test.cc
@@ -7,6 +7,8 @@
 
 #include <doctest/doctest.h>
 
+#include "entry/entry_state.h"
+
 namespace gentianreach::entry {
 namespace {
 
@@ -84,6 +86,30 @@
   }
 }
 
+TEST_CASE("settings of second attempts are checked, with their lines") {
+  const auto load = [](const std::string& line) {
+    return LoadEntrySettings(std::string(kValid) + line + "\n", "e.ini");
+  };
+  for (const char* it :
+       {"hedging_share = -0.1", "hedging_share = 1.1", "hedging_share = 5%",
+        "hedging_share = nan", "hedging_quantile = 0.4", "hedging_quantile = 1",
+        "hedging_services = a,,b", "hedging_services = a,b,",
+        "hedging_services = a,a", "hedging_services = a b"}) {
+    CAPTURE(it);
+    const auto result = load(it);
+    CHECK(result.entry == nullptr);
+    REQUIRE(result.errors.size() == 1);
+    CHECK(result.errors[0].line == 10);
+  }
+  const auto result = load("hedging_share = 0.05\nhedging_services = a, b");
+  REQUIRE(result.entry != nullptr);
+  const HedgeOptions options = RetryBoundsOf(*result.entry).hedging;
+  CHECK(options.share == 0.05);
+  CHECK(options.quantile == 0.95);
+  CHECK(options.services == std::vector<std::string>{"a", "b"});
+  CHECK(RetryBoundsOf(*load("").entry).hedging.share == 0);
+}
+
 TEST_CASE("daemons are told the listening address if no other is advertised") {
   const settings::EntryDaemonT settings;
   CHECK(AdvertisedAddress(settings, "10.0.0.1:8082") == "10.0.0.1:8082");
--- a/src/entry/entry_state.cc
+++ b/src/entry/entry_state.cc
@@ -46,8 +46,9 @@
       zone(std::move(zone)),
       drain_bound(drain_bound),
       limits(std::random_device{}()),
+      hedging(bounds.hedging),
       body_memory(body_bytes),
-      bounds_(bounds),
+      bounds_(std::move(bounds)),
       source_ip_(std::move(source_ip)) {}
 
 void EntryState::SetMembers(std::uint32_t members, std::uint32_t cut_members) {
--- a/src/entry/entry_state.h
+++ b/src/entry/entry_state.h
@@ -16,6 +16,7 @@
 #include <vector>
 
 #include "entry/balancing/drain_bound.h"
+#include "entry/balancing/hedge_policy.h"
 #include "entry/balancing/ownership_view.h"
 #include "entry/balancing/server_choice.h"
 #include "entry/balancing/server_directory.h"
@@ -40,12 +41,13 @@
 
 namespace gentianreach::entry {
 
-// Limits that the operators set for retries.
+// Limits that the operators set for retries and second attempts.
 struct RetryBounds {
   // Retries per request of a service, over all daemons.
   double ratio = 0.2;
   // Retries per window that a service may always make, over all daemons.
   double slack = 50;
+  HedgeOptions hedging;
 };
 
 class EntryState {
@@ -134,6 +136,7 @@
   Relays relays;
   OwnershipView ownership;
   CrashWatch crashes;
+  HedgePolicy hedging;
   BodyMemory body_memory;
   // Requests that wait for a new owner of their key.
   proxy::HeldRequestQueue held;
