--- a/src/entry/balancing/server_loads.cc
+++ b/src/entry/balancing/server_loads.cc
@@ -137,6 +137,21 @@
   pending.total += ToDuration(times_.Add(server, kind, sample, now));
 }
 
+void ServerLoads::OnBeaten(const routing::BackendServer& server,
+                           Duration elapsed,
+                           TimePoint now,
+                           const RequestKind& kind) {
+  const Duration expected = ExpectedLatency(server, now, kind.route);
+  if (elapsed <= expected) {
+    return;
+  }
+  // Excludes the estimated queueing time.
+  times_.Add(
+      server.id, kind,
+      times_.Get(server.id, kind, now) * (Seconds(elapsed) / Seconds(expected)),
+      now);
+}
+
 void ServerLoads::OnRemoteSamples(const ServerId& server,
                                   std::uint32_t requests,
                                   Duration total,
--- a/src/entry/balancing/server_loads.h
+++ b/src/entry/balancing/server_loads.h
@@ -50,6 +50,14 @@
              const std::optional<LoadReport>& report,
              TimePoint now,
              const RequestKind& kind = {});
+  // Records that an attempt at `server` had taken `elapsed` when it was
+  // cancelled, since another server had answered before: if the processing time
+  // is estimated lower, that is a sample. Otherwise the servers whose attempts
+  // are cancelled for being slow would not look slow.
+  void OnBeaten(const routing::BackendServer& server,
+                Duration elapsed,
+                TimePoint now,
+                const RequestKind& kind = {});
   // Drops all state of a server that no longer exists.
   void Forget(const ServerId& server) {
     states_.erase(server);
--- a/src/entry/entry_daemon.cc
+++ b/src/entry/entry_daemon.cc
@@ -89,7 +89,7 @@
             loop_,
             platform::PlatformHeaders(),
             ZoneName(settings.zone),
-            RetryBounds{settings.retry_ratio, settings.retry_slack},
+            RetryBoundsOf(settings),
             DrainBound(ShortestSendBound(settings)),
             settings.source_ip,
             BodyBytes(settings),
