--- a/src/entry/request_rules_test.cc
+++ b/src/entry/request_rules_test.cc
@@ -48,6 +48,18 @@
   CHECK(Classify(MakeResponse(500, "r1", "s")) == ResponseKind::kServerError);
 }
 
+// Guards against passing on what is no response: 000 reached a caller once.
+TEST_CASE("a response without a final status is unusable") {
+  for (const int status : {0, 1, 99, 100, 101, 199, 600, 999}) {
+    CAPTURE(status);
+    CHECK(Classify(MakeResponse(status, "r1", "s")) == ResponseKind::kUnusable);
+    CHECK(ClassifyResponse(MakeResponse(status, "r1", "s", true), kNames,
+                           {.request_id = "r1", .idempotent = true}) ==
+          ResponseKind::kUnusable);
+  }
+  CHECK(Classify(MakeResponse(599, "r1", "s")) == ResponseKind::kServerError);
+}
+
 TEST_CASE("a response with a different request id is classified as such") {
   CHECK(Classify(MakeResponse(200, "r2", "s")) ==
         ResponseKind::kWrongRequestId);
--- a/src/proxy/server_connection_test.cc
+++ b/src/proxy/server_connection_test.cc
@@ -11,6 +11,7 @@
 #include "net/tcp_socket.h"
 #include "platform/platform_client.h"
 #include "platform/testing/fake_server.h"
+#include "platform/testing/raw_server.h"
 
 namespace gentianreach::proxy {
 namespace {
@@ -83,5 +84,36 @@
   CHECK(closed);
 }
 
+// Guards against taking a body that was not read for the next response.
+TEST_CASE("a connection is not used again after a 204 that states a body") {
+  struct Case {
+    const char* fields;
+    bool reusable;
+  };
+  for (const Case& it : {Case{"", true}, Case{"Content-Length: 0\r\n", true},
+                         Case{"Content-Length: 4\r\n", false},
+                         Case{"Transfer-Encoding: chunked\r\n", false}}) {
+    CAPTURE(std::string(it.fields));
+    net::EventLoop loop;
+    platform::testing::RawServer server(loop, [&](const http::MessageHead&) {
+      return "HTTP/1.1 204 No Content\r\n" + std::string(it.fields) + "\r\n";
+    });
+    const auto connection = std::make_shared<ServerConnection>(
+        loop, [](ServerConnection*) {}, ServerConnectionOptions{});
+    connection->Connect(server.address());
+    std::optional<ServerEvent> end;
+    connection->Start(
+        "GET / HTTP/1.1\r\nHost: a\r\n\r\n", false, true,
+        [&end](ServerEvent event) {
+          if (event != ServerEvent::kHead && event != ServerEvent::kDrained) {
+            end = event;
+          }
+        });
+    loop.RunUntil([&] { return end.has_value(); });
+    CHECK(end == ServerEvent::kEnd);
+    CHECK(connection->Reusable() == it.reusable);
+  }
+}
+
 }  // namespace
 }  // namespace gentianreach::proxy
