No response without a final status reaches a caller or counts as an answer

Cause: MessageParser took any three digits for a status, and nothing after it looked at the range: 000 reached callers as "HTTP/1.1 0". Transfer codings beside chunked were taken, too, and their field was dropped on the way.

The parser refuses statuses outside 100 to 599, and in responses every Transfer-Encoding but a single "chunked" in HTTP/1.1; a repeated Content-Length is stored as one number. ServerConnection fails with kMalformed, also for 101; other interim responses are dropped as before. A 204 that states a body ends its connection. ClassifyResponse and HttpClient (libsoup takes codes up to 999) check for a final status. Such a response is logged (invalid_response) and counted (invalid_responses_total), and fails the attempt; it is no loss of a connection for CrashWatch and the quarantine, since the server is up.

Not run for this commit: proxy_faults_test, entry_daemon_test, http_client_test, foreign_entry_test.

--- a/src/entry/entry_metrics.cc
+++ b/src/entry/entry_metrics.cc
@@ -33,6 +33,8 @@
     Description{"requests_total", "counter", "Requests by how they ended."},
     Description{"attempts_failed_total", "counter",
                 "Attempts at a server without an answer for the caller."},
+    Description{"invalid_responses_total", "counter",
+                "Malformed responses, also by their status, by who sent them."},
     Description{"orders_total", "counter", "Orders sent to servers by kind."},
     Description{"order_replies_total", "counter",
                 "Orders to servers by how they ended."},
--- a/src/entry/entry_request.cc
+++ b/src/entry/entry_request.cc
@@ -428,6 +428,11 @@
     RetryOrRefuse(false, Reason::kOutdated, kNotReadyRetryAfter);
     return;
   }
+  const bool malformed =
+      connection->failure() == proxy::ServerFailure::kMalformed;
+  if (malformed) {
+    state_->OnInvalidResponse("server", server_.value(), *connection);
+  }
   state_->reachability.OnFailure(server_, connection->opened_at());
   response_timer_.Clear();
   if (committed_) {
@@ -444,7 +449,10 @@
   }
   ++attempts_;
   may_have_run_ = true;
-  state_->crashes.OnLost(fingerprint_, state_->loop.Now());
+  if (!malformed) {
+    // Otherwise the server is up, so the request has not taken it down.
+    state_->crashes.OnLost(fingerprint_, state_->loop.Now());
+  }
   EndAttempt(AttemptResult::kBroken);
   RetryOrRefuse(true, Reason::kConnectionLost, {});
 }
--- a/src/entry/entry_request_forwarding.cc
+++ b/src/entry/entry_request_forwarding.cc
@@ -165,6 +165,9 @@
 
 void EntryRequest::OnRelayFailed() {
   const auto connection = std::exchange(connection_, nullptr);
+  if (connection->failure() == proxy::ServerFailure::kMalformed) {
+    state_->OnInvalidResponse("relay", relay_, *connection);
+  }
   EndForward(RelayResult::kFailed);
   if (committed_) {
     Finish(0, "broken_off");
--- a/src/entry/entry_state.cc
+++ b/src/entry/entry_state.cc
@@ -194,6 +194,20 @@
   }
 }
 
+void EntryState::OnInvalidResponse(std::string_view kind,
+                                   const std::string& sender,
+                                   const proxy::ServerConnection& connection) {
+  metrics.Count("invalid_responses_total",
+                "sender=\"" + std::string(kind) + "\"");
+  if (log_budget.Take(loop.Now())) {
+    Log(LogLevel::kWarning, "invalid_response",
+        {{"sender", kind},
+         {"name", sender},
+         {"status", connection.head().status},
+         {"version", connection.head().version}});
+  }
+}
+
 void EntryState::DropRemovedServers() {
   std::erase_if(pools_, [&](auto& it) {
     if (directory.Find(it.first) != nullptr) {
--- a/src/entry/entry_state.h
+++ b/src/entry/entry_state.h
@@ -35,6 +35,7 @@
 #include "net/event_loop.h"
 #include "policy/retry_budget.h"
 #include "proxy/proxy_state.h"
+#include "proxy/server_connection.h"
 #include "proxy/server_pool.h"
 #include "routing/host_routes.h"
 
@@ -85,6 +86,11 @@
   void OnRestRequested(const ServerId& server, TimePoint until);
   // An incarnation of `server` has stated that it leaves.
   void OnLeaving(const ServerId& server, Incarnation incarnation);
+  // Logs and counts a malformed response on `connection` of `sender`, which is
+  // a "server" or a "relay".
+  void OnInvalidResponse(std::string_view kind,
+                         const std::string& sender,
+                         const proxy::ServerConnection& connection);
   // Drops the connection pools and loads of servers that have left the
   // directory. Requests in flight keep their pool until they end.
   void DropRemovedServers();
--- a/src/entry/request_rules.cc
+++ b/src/entry/request_rules.cc
@@ -48,6 +48,9 @@
 ResponseKind ClassifyResponse(const http::MessageHead& head,
                               const HeaderNames& names,
                               const ExpectedResponse& expected) {
+  if (!http::status::IsFinal(head.status)) {
+    return ResponseKind::kUnusable;
+  }
   const auto id = head.Get(std::string_view(names.request_id));
   if (id && *id != expected.request_id) {
     return ResponseKind::kWrongRequestId;
--- a/src/entry/server_path_monitor.h
+++ b/src/entry/server_path_monitor.h
@@ -27,8 +27,8 @@
   std::function<void(ServerPath before)> on_change;
 
  private:
-  // Requests the health path of `server` on a new connection. Any response,
-  // even a refusal, is an answer.
+  // Requests the health path of `server` on a new connection. Any valid
+  // response, even a refusal, is an answer.
   void Probe(const routing::BackendServer& server);
   void OnProbeEnd(const ServerId& server, bool answered);
   void HandleChange();
--- a/src/http/message_parser.h
+++ b/src/http/message_parser.h
@@ -6,6 +6,12 @@
 // Parse() stops after the head, so that the head can be checked before the body
 // is parsed; call it again for the rest. Bytes that were not consumed must be
 // passed to the next call, followed by newly received bytes.
+//
+// Beyond what Beast's parser refuses, a response is malformed if
+//   - its status is below 100 or above 599, or
+//   - it has any Transfer-Encoding but a single "chunked" in HTTP/1.1. Codings
+//     are not undone, and the field that names them is not forwarded.
+// A Content-Length that repeats one number is stored as that number.
 #ifndef SRC_HTTP_MESSAGE_PARSER_H_
 #define SRC_HTTP_MESSAGE_PARSER_H_
 
@@ -18,6 +24,7 @@
 #include <boost/beast/http/error.hpp>
 
 #include "http/message_head.h"
+#include "http/status.h"
 
 namespace gentianreach::http {
 
@@ -61,19 +68,34 @@
   void on_response_impl(int status,  // NOLINT
                         StringView reason,
                         int version,
-                        ErrorCode&) override {
+                        ErrorCode& ec) override {
     head->status = status;
     head->reason.assign(reason.data(), reason.size());
     head->version = version;
+    if (!status::IsValid(status)) {
+      ec = boost::beast::http::error::bad_status;
+    }
   }
   void on_field_impl(FieldId id,  // NOLINT
                      StringView name,
                      StringView value,
-                     ErrorCode&) override {
+                     ErrorCode& ec) override {
     // Fields after the head are trailers, which are not forwarded.
-    if (!head_done) {
-      head->Add(id, {name.data(), name.size()}, {value.data(), value.size()});
+    if (head_done) {
+      return;
+    }
+    std::string_view text(value.data(), value.size());
+    if constexpr (!kIsRequest) {
+      if (id == FieldId::transfer_encoding &&
+          (head->version != 11 || !SameName(text, "chunked"))) {
+        ec = boost::beast::http::error::bad_transfer_encoding;
+        return;
+      }
+      if (id == FieldId::content_length) {
+        text = text.substr(0, text.find_first_not_of("0123456789"));
+      }
     }
+    head->Add(id, {name.data(), name.size()}, text);
   }
   void on_header_impl(ErrorCode&) override {  // NOLINT
     head_done = true;
--- a/src/http/status.h
+++ b/src/http/status.h
@@ -21,6 +21,17 @@
 inline constexpr int kUnavailable = 503;
 inline constexpr int kGatewayTimeout = 504;
 
+// Returns whether `status` is the code of a final response: neither interim nor
+// outside the classes that HTTP defines.
+constexpr bool IsFinal(int status) {
+  return status >= 200 && status <= 599;
+}
+
+// Returns whether `status` is the code of a final or an interim response.
+constexpr bool IsValid(int status) {
+  return status >= 100 && status <= 599;
+}
+
 // Returns whether callers take a response with `status` as a promise that the
 // request has not run and never will.
 constexpr bool PromisesNotRun(int status) {
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "base/timer.h"
+#include "http/status.h"
 #include "net/socket_address.h"
 #include "net/tcp_socket.h"
 
@@ -39,7 +40,13 @@
     response.may_have_arrived = !NeverConnected(*error);
     return response;
   }
-  response.status = static_cast<int>(soup_message_get_status(message));
+  const auto status = static_cast<int>(soup_message_get_status(message));
+  if (!http::status::IsFinal(status)) {
+    // libsoup takes all codes up to 999 for valid.
+    response.error = "invalid status " + std::to_string(status);
+    return response;
+  }
+  response.status = status;
   gsize size = 0;
   if (bytes != nullptr) {
     const auto* data = static_cast<const char*>(g_bytes_get_data(bytes, &size));
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -39,9 +39,9 @@
 };
 
 struct HttpResponse {
-  // Status code; 0 if no complete response arrived.
+  // Status code; 0 if no complete response with a final status arrived.
   int status = 0;
-  // Why no complete response arrived.
+  // Why no such response arrived.
   std::string error;
   // False if the request cannot have reached the server (no connection).
   bool may_have_arrived = true;
--- a/src/proxy/exchange_rules.cc
+++ b/src/proxy/exchange_rules.cc
@@ -67,7 +67,8 @@
 }
 
 Verdict FailureVerdict(ServerFailure failure, bool written) {
-  if (failure == ServerFailure::kTruncated) {
+  if (failure == ServerFailure::kTruncated ||
+      failure == ServerFailure::kMalformed) {
     return Verdict::MayHaveRun(Reason::kTruncated);
   }
   if (written) {
--- a/src/proxy/http_edge_check.h
+++ b/src/proxy/http_edge_check.h
@@ -13,6 +13,7 @@
 #include "http/message_parser.h"
 #include "http/request_rules.h"
 #include "http/serializer.h"
+#include "http/status.h"
 
 namespace gentianreach::proxy {
 
@@ -68,12 +69,46 @@
   return out;
 }
 
+// Returns the response as it is forwarded to a caller.
+inline std::string RewriteResponse(const Parsed& parsed) {
+  std::string out;
+  http::AppendStatusLine(out, parsed.head.status, parsed.head.reason);
+  http::AppendForwardedFields(out, parsed.head);
+  http::AppendFraming(out, parsed.head.framing, parsed.body.size());
+  if (parsed.head.framing == http::BodyFraming::kNone &&
+      parsed.head.status != http::status::kNoContent) {
+    http::AppendFraming(out, http::BodyFraming::kLength, 0);
+  }
+  http::AppendHeadEnd(out);
+  http::AppendBody(out, parsed.head.framing, parsed.body);
+  http::AppendBodyEnd(out, parsed.head.framing);
+  return out;
+}
+
+// Aborts the process if a response whose status is none is accepted, or if one
+// would be forwarded as a different one.
+inline void CheckResponseEdge(std::string_view data) {
+  const auto whole = ParseInSteps<false>(data, data.size() + 1);
+  const auto bytes = ParseInSteps<false>(data, 1);
+  GENTIANREACH_CHECK(whole.done == bytes.done);
+  if (!whole.done) {
+    return;
+  }
+  GENTIANREACH_CHECK(http::status::IsValid(whole.head.status));
+  GENTIANREACH_CHECK(whole.body == bytes.body);
+  const auto again = ParseInSteps<false>(RewriteResponse(whole), 7);
+  GENTIANREACH_CHECK(again.done);
+  GENTIANREACH_CHECK(again.head.status == whole.head.status);
+  GENTIANREACH_CHECK(again.head.reason == whole.head.reason);
+  GENTIANREACH_CHECK(again.body == whole.body);
+}
+
 }  // namespace internal
 
 // Aborts the process if an accepted request would be forwarded as a different
 // request or as more than one (request smuggling).
 inline void CheckHttpEdge(std::string_view data) {
-  internal::ParseInSteps<false>(data, data.size() + 1);
+  internal::CheckResponseEdge(data);
   const auto whole = internal::ParseInSteps<true>(data, data.size() + 1);
   const auto bytes = internal::ParseInSteps<true>(data, 1);
   // The result must not depend on how the bytes are split into packets.
--- a/src/proxy/server_connection.cc
+++ b/src/proxy/server_connection.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "gentianreach/check.h"
+#include "http/status.h"
 
 namespace gentianreach::proxy {
 namespace {
@@ -21,6 +22,16 @@
 // Maximum size of a response head.
 constexpr std::size_t kMaxHeaderBytes = 64 * 1024;
 
+constexpr int kSwitchingProtocols = 101;
+
+// Returns whether a response states a body that its status rules out. The body
+// is not read, but may follow.
+bool StatesExcludedBody(const http::MessageHead& head) {
+  return head.status == http::status::kNoContent &&
+         (head.Count(http::FieldId::transfer_encoding) != 0 ||
+          head.Get(http::FieldId::content_length).value_or("0") != "0");
+}
+
 }  // namespace
 
 ServerConnection::ServerConnection(net::EventLoop& loop,
@@ -227,7 +238,7 @@
   pending_.erase(0, result.consumed);
   if (result.status == http::ParseStatus::kMalformed ||
       result.status == http::ParseStatus::kHeaderTooLarge) {
-    Fail(ServerFailure::kTruncated);
+    Fail(ServerFailure::kMalformed);
     return false;
   }
   if (result.status == http::ParseStatus::kHead) {
@@ -251,13 +262,18 @@
 }
 
 bool ServerConnection::OnResponseHead() {
-  if (head_.status / 100 == 1 && head_.status != 101) {
+  if (head_.status == kSwitchingProtocols) {
+    // No request asks for it.
+    Fail(ServerFailure::kMalformed);
+    return false;
+  }
+  if (!http::status::IsFinal(head_.status)) {
     // An interim response; the final one follows.
     ExpectResponse();
     return true;
   }
-  if (head_.status == 101 || (head_.framing == http::BodyFraming::kUntilEnd &&
-                              !options_.accept_until_end)) {
+  if (head_.framing == http::BodyFraming::kUntilEnd &&
+      !options_.accept_until_end) {
     Fail(ServerFailure::kTruncated);
     return false;
   }
@@ -303,7 +319,7 @@
 void ServerConnection::OnResponseEnd() {
   const auto self = shared_from_this();
   reusable_ = head_.keep_alive && complete_ && out_.size() == 0 &&
-              pending_.empty() && !hung_up_;
+              pending_.empty() && !hung_up_ && !StatesExcludedBody(head_);
   phase_ = Phase::kIdle;
   pending_ = std::string();
   timer_.Set(IdleDeadline());
--- a/src/proxy/server_connection.h
+++ b/src/proxy/server_connection.h
@@ -40,7 +40,8 @@
   kRefused,    // The connection was refused: no listener at the address.
   kLost,       // Closed or broken before a response began.
   kSilent,     // The connection made no progress; see FailAsSilent().
-  kTruncated,  // Closed or broken within a response, or malformed.
+  kTruncated,  // Closed or broken within a response.
+  kMalformed,  // The response is malformed or has no valid final status.
   kTooLate,    // Not written, as the connection was established too late.
 };
 
