--- a/src/entry/entry_metrics.cc
+++ b/src/entry/entry_metrics.cc
@@ -39,6 +39,8 @@
                 "Requests with a second attempt by the attempt that answered."},
     Description{"hedges_refused_total", "counter",
                 "Slow attempts without a second one by reason."},
+    Description{"invalid_responses_total", "counter",
+                "Malformed responses, also by their status, by who sent them."},
     Description{"orders_total", "counter", "Orders sent to servers by kind."},
     Description{"order_replies_total", "counter",
                 "Orders to servers by how they ended."},
--- a/src/entry/hedged_attempt.cc
+++ b/src/entry/hedged_attempt.cc
@@ -130,9 +130,18 @@
     End(AttemptResult::kCancelled);
     return HedgeStatus::kFailed;
   }
+  const bool malformed =
+      connection->failure() == proxy::ServerFailure::kMalformed;
+  if (malformed) {
+    state_->OnInvalidResponse("server", attempt_.server.value(), *connection);
+  }
+  if (connection->failure() == proxy::ServerFailure::kRefused) {
+    state_->OnConnectionRefused(attempt_.server, attempt_.incarnation);
+  }
   state_->reachability.OnFailure(attempt_.server, connection->opened_at());
   may_have_run_ = sent_;
-  if (sent_) {
+  if (sent_ && !malformed) {
+    // After a malformed response the server is up.
     state_->crashes.OnLost(request_.fingerprint, state_->loop.Now());
   }
   End(sent_ ? AttemptResult::kBroken : AttemptResult::kUnreachable);
--- a/src/proxy/server_connection_test.cc
+++ b/src/proxy/server_connection_test.cc
@@ -5,13 +5,13 @@
 #include <optional>
 #include <string>
 #include <thread>
-#include <utility>
 
 #include <doctest/doctest.h>
 
 #include "net/tcp_socket.h"
 #include "platform/platform_client.h"
 #include "platform/testing/fake_server.h"
+#include "platform/testing/raw_server.h"
 
 namespace gentianreach::proxy {
 namespace {
@@ -86,32 +86,21 @@
 
 // Guards against new connections to servers that would have kept the old ones.
 TEST_CASE("an idle connection is kept for as long as its server announces") {
-  auto listener = net::TcpSocket::Listen("127.0.0.1:0", false);
-  REQUIRE(listener);
   net::EventLoop loop;
+  platform::testing::RawServer server(loop, [](const http::MessageHead&) {
+    return "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=30\r\n"
+           "Content-Length: 0\r\n\r\n";
+  });
   const auto connection = std::make_shared<ServerConnection>(
       loop, [](ServerConnection*) {},
       ServerConnectionOptions{.idle_timeout = milliseconds(20)});
-  connection->Connect("127.0.0.1:" + std::to_string(listener->port()));
+  connection->Connect(server.address());
   bool ended = false;
-  connection->Start("GET / HTTP/1.1\r\nHost: a.example\r\n\r\n", false, true,
+  connection->Start("GET / HTTP/1.1\r\nHost: a\r\n\r\n", false, true,
                     [&ended](ServerEvent event) {
                       ended = ended || event == ServerEvent::kEnd;
                     });
-  std::optional<net::TcpSocket> accepted;
-  bool answered = false;
-  const TimePoint give_up = loop.Now() + kTestTimeout;
-  while (!ended) {
-    REQUIRE(loop.Now() < give_up);
-    loop.RunOnce(false);
-    if (!accepted) {
-      accepted = listener->Accept();
-    } else if (!std::exchange(answered, true)) {
-      accepted->Send(
-          "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=30\r\n"
-          "Content-Length: 0\r\n\r\n");
-    }
-  }
+  loop.RunUntil([&] { return ended; });
   const TimePoint until = loop.Now() + milliseconds(100);
   while (loop.Now() < until) {
     loop.RunOnce(false);
@@ -119,5 +108,36 @@
   CHECK(connection->Reusable());
 }
 
+// Guards against taking a body that was not read for the next response.
+TEST_CASE("a connection is not used again after a 204 that states a body") {
+  struct Case {
+    const char* fields;
+    bool reusable;
+  };
+  for (const Case& it : {Case{"", true}, Case{"Content-Length: 0\r\n", true},
+                         Case{"Content-Length: 4\r\n", false},
+                         Case{"Transfer-Encoding: chunked\r\n", false}}) {
+    CAPTURE(std::string(it.fields));
+    net::EventLoop loop;
+    platform::testing::RawServer server(loop, [&](const http::MessageHead&) {
+      return "HTTP/1.1 204 No Content\r\n" + std::string(it.fields) + "\r\n";
+    });
+    const auto connection = std::make_shared<ServerConnection>(
+        loop, [](ServerConnection*) {}, ServerConnectionOptions{});
+    connection->Connect(server.address());
+    std::optional<ServerEvent> end;
+    connection->Start(
+        "GET / HTTP/1.1\r\nHost: a\r\n\r\n", false, true,
+        [&end](ServerEvent event) {
+          if (event != ServerEvent::kHead && event != ServerEvent::kDrained) {
+            end = event;
+          }
+        });
+    loop.RunUntil([&] { return end.has_value(); });
+    CHECK(end == ServerEvent::kEnd);
+    CHECK(connection->Reusable() == it.reusable);
+  }
+}
+
 }  // namespace
 }  // namespace gentianreach::proxy
