A change of all servers does not count twice in times by route

Cause: samples were related to an average of their route with a weight of 0.005, and the relation was multiplied with an average of the route with a weight of 0.02 to 0.15. Until the slower one had followed, a change of all servers was in both factors. Requests were then refused as overload.

Change: the relation is applied to the average that samples are related to, and decays to the usual time of the route.

--- a/src/entry/balancing/processing_times.cc
+++ b/src/entry/balancing/processing_times.cc
@@ -44,6 +44,7 @@
 void UsualTime::Add(double seconds, TimePoint now, double min_weight) {
   if (seconds_ == 0) {
     seconds_ = seconds;
+    level_ = seconds;
     learned_ = seconds;
   } else {
     const double average = Get(now);
@@ -51,6 +52,7 @@
     const double weight = std::clamp(1 - Decay(now - at_), min_weight,
                                      std::max(min_weight, kLatencyWeight));
     seconds_ = average + weight * (seconds - average);
+    level_ += weight * (seconds - level_);
     weight_ = std::max(kLearnedWeight, 1.0 / (samples_ + 1));
     const double difference = seconds - learned_;
     learned_ += weight_ * difference;
@@ -110,7 +112,9 @@
   };
   if (usual->samples() >= kMinSamples && usual->learned() > 0) {
     const double sample = seconds / usual->learned();
-    const double before = Relative(server, now);
+    const double usual_now = usual->level() / usual->learned();
+    const double before = usual_now + (server.relative - usual_now) *
+                                          Decay(now - server.relative_at);
     server.relative = server.relative == 0
                           ? sample
                           : before + kLatencyWeight * (sample - before);
@@ -128,8 +132,13 @@
                             TimePoint now) const {
   const auto it = servers_.find(server);
   if (const ServiceTimes* service = FindSeparated(kind.service)) {
-    const double usual = UsualOf(*service, kind.route).Get(now);
-    return it == servers_.end() ? usual : usual * Relative(it->second, now);
+    const UsualTime& usual = UsualOf(*service, kind.route);
+    const double seconds = usual.Get(now);
+    if (it == servers_.end() || it->second.relative == 0) {
+      return seconds;
+    }
+    return seconds + (usual.learned() * it->second.relative - seconds) *
+                         Decay(now - it->second.relative_at);
   }
   return it == servers_.end() ? Average(now) : Seconds(it->second, now);
 }
@@ -182,12 +191,6 @@
   return excess > 0 && excess >= kMinStandardErrors * std::sqrt(variance);
 }
 
-double ProcessingTimes::Relative(const ServerTimes& server, TimePoint now) {
-  return server.relative == 0
-             ? 1
-             : 1 + (server.relative - 1) * Decay(now - server.relative_at);
-}
-
 double ProcessingTimes::Seconds(const ServerTimes& server,
                                 TimePoint now) const {
   const double average = Average(now);
--- a/src/entry/balancing/processing_times.h
+++ b/src/entry/balancing/processing_times.h
@@ -34,8 +34,11 @@
   void Add(double seconds, TimePoint now, double min_weight);
   // Returns the average.
   [[nodiscard]] double Get(TimePoint now) const;
-  // Returns the average without the decay; 0 if there are no samples. The decay
-  // would let each request of a route with few requests look slow.
+  // Returns the average without the decay; 0 if there are no samples.
+  [[nodiscard]] double level() const { return level_; }
+  // Returns a slower average without the decay, to which samples are related; 0
+  // if there are no samples. The decay would let each request of a route with
+  // few requests look slow.
   [[nodiscard]] double learned() const { return learned_; }
   [[nodiscard]] TimePoint latest_at() const { return at_; }
   [[nodiscard]] std::uint32_t samples() const { return samples_; }
@@ -44,6 +47,7 @@
 
  private:
   double seconds_ = 0;
+  double level_ = 0;
   double learned_ = 0;
   double variance_ = 0;  // Of the samples.
   double weight_ = 1;    // Of the last sample.
@@ -89,7 +93,10 @@
   struct ServerTimes {
     double seconds = 0;
     TimePoint at{};
-    // The server's times as a multiple of the usual ones; 0 if unknown.
+    // The server's times as a multiple of what was learned of their routes; 0
+    // if unknown. Decays to the usual time as a multiple of the same: what was
+    // learned changes later than the usual time, and a change of all servers
+    // would otherwise count twice in their product.
     double relative = 0;
     TimePoint relative_at{};
   };
@@ -109,8 +116,6 @@
                                                 std::string_view route);
   // Returns whether routes of the service are known to differ.
   [[nodiscard]] static bool RoutesDiffer(const ServiceTimes& service);
-  [[nodiscard]] static double Relative(const ServerTimes& server,
-                                       TimePoint now);
   [[nodiscard]] double Seconds(const ServerTimes& server, TimePoint now) const;
 
   void AddToService(ServerTimes& server,
--- a/src/entry/balancing/server_loads_test.cc
+++ b/src/entry/balancing/server_loads_test.cc
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <string>
+#include <utility>
 
 #include <doctest/doctest.h>
 
@@ -106,6 +107,37 @@
   CHECK(loads.ExpectedLatency(a, kNow, "short") > milliseconds(450));
 }
 
+// Requests would be refused for minutes if the estimates of a route and of its
+// servers both rose when all servers became slower.
+TEST_CASE("a change of all servers is not counted twice") {
+  ServerLoads loads;
+  routing::BackendServer a = Server("a");
+  a.service = "s";
+  TimePoint now = kNow;
+  const auto respond = [&](int factor) {
+    for (const auto& [ms, route] : {std::pair(140, "short"), {410, "long"}}) {
+      now += milliseconds(250);
+      loads.OnSent(a.id);
+      loads.OnEnd(a.id, AttemptResult::kAnswered, milliseconds(ms * factor), {},
+                  now, {.service = "s", .route = route});
+    }
+  };
+  for (int i = 0; i < 200; ++i) {
+    respond(1);
+  }
+  CHECK(loads.ProcessingTime(a, now, "short") < milliseconds(150));
+  for (int i = 0; i < 40; ++i) {
+    respond(3);
+  }
+  CHECK(loads.ProcessingTime(a, now, "short") > milliseconds(380));
+  CHECK(loads.ProcessingTime(a, now, "short") < milliseconds(500));
+  for (int i = 0; i < 40; ++i) {
+    respond(1);
+  }
+  CHECK(loads.ProcessingTime(a, now, "short") > milliseconds(120));
+  CHECK(loads.ProcessingTime(a, now, "short") < milliseconds(160));
+}
+
 TEST_CASE("the expected latency grows with the requests at the server") {
   ServerLoads loads;
   RecordResponse(loads, "a", milliseconds(100));
