Signs that a server is cold outlast the removal of its entry

Cause: the record of a server was dropped with its entry. A server whose entry expires and is written again by the next incarnation then counted as not known before, hence as warm unless its entry said otherwise; what a response had stated was lost too.

Measured: the new case of entry_state_test fails in 2 checks before, passes now.

--- a/src/entry/entry_state.cc
+++ b/src/entry/entry_state.cc
@@ -222,8 +222,11 @@
     reachability.Forget(it.first);
     return true;
   });
-  for (const ServerId& it : cold.ForgetUnless(
-           [&](const ServerId& id) { return directory.Find(id) != nullptr; })) {
+  // An entry that was removed not long ago may return.
+  for (const ServerId& it : cold.ForgetUnless([&](const ServerId& id) {
+         return directory.Find(id) != nullptr ||
+                directory.removed().contains(id);
+       })) {
     limits.Forget(it);
   }
 }
--- a/src/entry/entry_state_test.cc
+++ b/src/entry/entry_state_test.cc
@@ -1,5 +1,6 @@
 #include "entry/entry_state.h"
 
+#include <chrono>
 #include <cstdio>
 #include <string>
 
@@ -59,5 +60,36 @@
         std::string::npos);
 }
 
+// The entry of a server that ends is removed, and written again by its next
+// incarnation, whose first entry may not say yet that it is cold.
+TEST_CASE("the signs of a server outlast the removal of its entry") {
+  net::EventLoop loop;
+  EntryState state(loop, {}, ZoneName("z"), {},
+                   DrainBound(std::chrono::seconds(2)));
+  constexpr Duration kWarmup = std::chrono::seconds(3);
+  routing::BackendServer server;
+  server.id = ServerId("s1");
+  server.incarnation = Incarnation(1);
+  server.states_warmup = true;
+  const auto put = [&] {
+    REQUIRE(state.directory.Put(server, loop.Now()));
+    state.OnServerEntry(server);
+  };
+  const auto remove = [&] {
+    state.directory.Remove(server.id, loop.Now());
+    state.DropRemovedServers();
+  };
+  put();
+  state.OnWarmupStated(server.id, "2000");
+  remove();
+  put();
+  CHECK(state.cold.Find(server, kWarmup).sign == ColdSign::kResponse);
+  remove();
+  server.incarnation = Incarnation(2);
+  server.states_warmup = false;
+  put();
+  CHECK(state.cold.Find(server, kWarmup).sign == ColdSign::kIncarnation);
+}
+
 }  // namespace
 }  // namespace gentianreach::entry
