A report that is read again does not make a server cold again

Cause: the time left of an entry counted from each time the entry was read. A server that could not write another entry was limited anew with each list. A response could state up to 49 days, which held if later responses stated none.

Change: the time left counts from the first reading of a report, that is, of an incarnation, number and time left. A response that states more than an hour is unusable, as other texts that are no time.

Measured: the new checks of cold_servers_test fail before in 2 cases, pass now.

--- a/src/entry/balancing/cold_servers.cc
+++ b/src/entry/balancing/cold_servers.cc
@@ -2,15 +2,20 @@
 
 #include <algorithm>
 #include <chrono>
-#include <limits>
 
 #include "entry/request_rules.h"
 
 namespace gentianreach::entry {
+namespace {
+
+// Longest time left that a response may state, in milliseconds. A longer one is
+// a mistake, which would last if later responses state none.
+constexpr std::uint32_t kMaxWarmupLeftMs = 3'600'000;
+
+}  // namespace
 
 std::optional<Duration> ParseWarmupLeft(std::string_view text) {
-  const auto left =
-      ParseNumber(text, std::numeric_limits<std::uint32_t>::max());
+  const auto left = ParseNumber(text, kMaxWarmupLeftMs);
   return left ? std::optional<Duration>(std::chrono::milliseconds(*left))
               : std::nullopt;
 }
@@ -36,11 +41,23 @@
 void ColdServers::OnEntry(const routing::BackendServer& server, TimePoint now) {
   const auto [it, added] = records_.try_emplace(server.id);
   Record& record = it->second;
-  if (added || record.incarnation != server.incarnation) {
+  const bool is_other = added || record.incarnation != server.incarnation;
+  // The time left in a report counts from when the report was first read. A
+  // server that cannot write another one would otherwise be cold again with
+  // each list that is read.
+  const Duration left = server.warm_at - server.reported_at;
+  const bool is_same_report = !is_other && server.report_number &&
+                              server.report_number == record.report_number &&
+                              left == record.left;
+  if (is_other) {
     record.started_at = added ? std::nullopt : std::optional(now);
     record.incarnation = server.incarnation;
   }
-  record.entry_until = server.warm_at;
+  record.entry_until = is_same_report
+                           ? std::min(record.entry_until, server.warm_at)
+                           : server.warm_at;
+  record.report_number = server.report_number;
+  record.left = left;
   if (server.states_warmup) {
     record.started_at.reset();
   }
--- a/src/entry/balancing/cold_servers.h
+++ b/src/entry/balancing/cold_servers.h
@@ -16,7 +16,7 @@
 namespace gentianreach::entry {
 
 // Returns the time left in `text`, a decimal number of milliseconds, or nullopt
-// if `text` is anything else.
+// if `text` is anything else or more than an hour.
 [[nodiscard]] std::optional<Duration> ParseWarmupLeft(std::string_view text);
 
 // A sign that a server is cold.
@@ -68,6 +68,9 @@
  private:
   struct Record {
     Incarnation incarnation;
+    // Of the entry that `entry_until` is from.
+    std::optional<std::uint64_t> report_number;
+    Duration left{};
     TimePoint entry_until{};
     // When the incarnation was first seen, if it has not said whether it is
     // cold and another one was known before.
--- a/src/entry/balancing/cold_servers_test.cc
+++ b/src/entry/balancing/cold_servers_test.cc
@@ -70,9 +70,39 @@
   CHECK(cold.Find(server, kWarmup).until == kNow + milliseconds(10));
 }
 
+TEST_CASE("an entry that is read again does not start the warm-up anew") {
+  ColdServers cold;
+  auto server = Server(1, seconds(3));
+  server.report_number = 5;
+  server.reported_at = kNow;
+  cold.OnEntry(server, kNow);
+  // The same report from a later list, while the server cannot write another.
+  for (int i = 1; i <= 10; ++i) {
+    const TimePoint now = kNow + seconds(i);
+    server.reported_at = now;
+    server.warm_at = now + seconds(3);
+    cold.OnEntry(server, now);
+    CHECK(cold.Find(server, kWarmup).until == kNow + seconds(3));
+  }
+  // Another report and another incarnation count in full.
+  const TimePoint now = kNow + seconds(11);
+  server.reported_at = now;
+  server.warm_at = now + seconds(3);
+  server.report_number = 6;
+  cold.OnEntry(server, now);
+  CHECK(cold.Find(server, kWarmup).until == now + seconds(3));
+  server.warm_at = now + seconds(4);
+  server.incarnation = Incarnation(2);
+  cold.OnEntry(server, now);
+  CHECK(cold.Find(server, kWarmup).until == now + seconds(4));
+}
+
 TEST_CASE("only a number of milliseconds is a time until a server is warm") {
   CHECK(ParseWarmupLeft("870") == milliseconds(870));
-  for (const char* it : {"", "-1", "nan", "1.5", "99999999999", "3 "}) {
+  CHECK(ParseWarmupLeft("3600000") == seconds(3600));
+  // A server that states 49 days once, and no time later, would stay cold.
+  for (const char* it :
+       {"", "-1", "nan", "1.5", "99999999999", "3 ", "4294967295", "3600001"}) {
     CHECK_MESSAGE(!ParseWarmupLeft(it), it);
   }
 }
