--- a/src/entry/balancing/cold_fleet_random_test.cc
+++ b/src/entry/balancing/cold_fleet_random_test.cc
@@ -63,7 +63,7 @@
       if (joins) {
         daemons_[i].counts_at = daemons_[i].learns_at + kUnknownTime;
       } else if (i >= scenario.uninformed) {
-        daemons_[i].limits.SetMembers(kDaemons, kStart);
+        daemons_[i].limits.SetMembers(kDaemons, kDaemons, kStart);
         daemons_[i].counts_at = kStart + kUnknownTime + seconds(2);
       }
     }
@@ -103,7 +103,8 @@
       it.limits.SetWarmup(kServer, kRate, end, it.learns_at);
     }
     if (now >= it.counts_at) {
-      it.limits.SetMembers(kDaemons + scenario_.joining, it.counts_at);
+      it.limits.SetMembers(kDaemons + scenario_.joining,
+                           kDaemons + scenario_.joining, it.counts_at);
       it.counts_at = TimePoint::max();
     }
   }
--- a/src/entry/balancing/estimates_random_test.cc
+++ b/src/entry/balancing/estimates_random_test.cc
@@ -81,7 +81,8 @@
 class EstimatesSim {
  public:
   explicit EstimatesSim(std::uint32_t seed) : generator_(seed) {
-    limits_.SetMembers(static_cast<std::uint32_t>(Random(1, 6)), now_);
+    const auto members = static_cast<std::uint32_t>(Random(1, 6));
+    limits_.SetMembers(members, members, now_);
     AddService("plain", false);
     AddService("keyed", true);
     trouble_end_ = kStart + milliseconds(Random(2000, 20'000));
--- a/src/entry/balancing/server_limits.cc
+++ b/src/entry/balancing/server_limits.cc
@@ -26,9 +26,12 @@
   return limit && std::isfinite(*limit) ? limit : std::nullopt;
 }
 
-void ServerLimits::SetMembers(std::uint32_t members, TimePoint now) {
-  members = std::max(1U, members);
-  if (members == members_ && members == warmup_members_) {
+void ServerLimits::SetMembers(std::uint32_t senders,
+                              std::uint32_t members,
+                              TimePoint now) {
+  senders = std::max(1U, senders);
+  members = std::max(senders, members);
+  if (senders == members_ && members == warmup_members_) {
     return;
   }
   for (Buckets* buckets : {&buckets_, &warmups_}) {
@@ -36,7 +39,7 @@
       Refill(it, now);
     }
   }
-  members_ = members;
+  members_ = senders;
   warmup_members_ = members;
 }
 
--- a/src/entry/balancing/server_limits.h
+++ b/src/entry/balancing/server_limits.h
@@ -53,9 +53,11 @@
   // same time.
   explicit ServerLimits(std::uint32_t seed) : generator_(seed) {}
 
-  // Sets the number of daemons, including this one. Until then a large number
-  // is assumed for cold servers.
-  void SetMembers(std::uint32_t members, TimePoint now);
+  // Sets the number of daemons that send requests to servers, and that of all
+  // daemons, each including this one. Cold servers are shared by all of them:
+  // one whose path to the servers returns sends before the others know. Until
+  // then a large number is assumed for cold servers.
+  void SetMembers(std::uint32_t senders, std::uint32_t members, TimePoint now);
   // `server` takes `per_second` requests per second from all daemons together.
   // Returns whether that is news.
   bool Set(const ServerId& server, double per_second, TimePoint now);
--- a/src/entry/balancing/server_limits_test.cc
+++ b/src/entry/balancing/server_limits_test.cc
@@ -23,7 +23,7 @@
   Fleet(std::uint32_t size, double limit) {
     for (std::uint32_t i = 0; i < size; ++i) {
       daemons_.emplace_back(i + 1);
-      daemons_.back().SetMembers(size, now_);
+      daemons_.back().SetMembers(size, size, now_);
       daemons_.back().Set(kServer, limit, now_);
     }
   }
@@ -94,7 +94,7 @@
 
 TEST_CASE("a server without a limit gets all requests") {
   ServerLimits limits(1);
-  limits.SetMembers(12, kStart);
+  limits.SetMembers(12, 12, kStart);
   for (int i = 0; i < 1000; ++i) {
     CHECK(limits.NextSend(kServer, kStart) <= kStart);
     limits.OnSent(kServer, kStart);
@@ -141,7 +141,7 @@
   limits.OnSent(kServer, kStart);
   limits.OnSent(kServer, kStart);
   const Duration alone = limits.NextSend(kServer, kStart) - kStart;
-  limits.SetMembers(2, kStart);
+  limits.SetMembers(2, 2, kStart);
   const Duration shared = limits.NextSend(kServer, kStart) - kStart;
   CHECK(shared > alone);
   CHECK(shared <= 2 * alone + milliseconds(1));
@@ -169,7 +169,7 @@
 
 TEST_CASE("a refusal of a cold server ends with the next token or when warm") {
   ServerLimits limits(1);
-  limits.SetMembers(2, kStart);
+  limits.SetMembers(2, 2, kStart);
   CHECK(limits.SetWarmup(kServer, 4, kStart + seconds(60), kStart));
   CHECK(limits.WarmupRate(kServer, kStart) == 4);
   const TimePoint next = limits.NextSend(kServer, kStart);
--- a/src/entry/entry_state.cc
+++ b/src/entry/entry_state.cc
@@ -58,7 +58,7 @@
 void EntryState::SetMembers(std::uint32_t members, std::uint32_t cut_members) {
   members_.Set(members, loop.Now());
   cut_members_ = cut_members;
-  limits.SetMembers(senders(), loop.Now());
+  limits.SetMembers(senders(), members_.value(), loop.Now());
 }
 
 std::uint32_t EntryState::senders() const {
@@ -239,8 +239,11 @@
     reachability.Forget(it.first);
     return true;
   });
-  for (const ServerId& it : cold.ForgetUnless(
-           [&](const ServerId& id) { return directory.Find(id) != nullptr; })) {
+  // An entry that was removed not long ago may return.
+  for (const ServerId& it : cold.ForgetUnless([&](const ServerId& id) {
+         return directory.Find(id) != nullptr ||
+                directory.removed().contains(id);
+       })) {
     limits.Forget(it);
   }
 }
