A reported slowdown counts relative to the server's usual one

Cause: samples of the processing time were divided by the slowdown reported with them. Change: a figure is compared with the average of the server's own figures, once 20 are known.

--- a/src/entry/balancing/server_loads.cc
+++ b/src/entry/balancing/server_loads.cc
@@ -30,6 +30,11 @@
 // Time constant with which a reported slowdown decays to the usual speed: the
 // time for which a machine is slowed down at a time.
 constexpr Seconds kSlowdownDecayTime{0.4};
+// A server's figures are compared with their average, since a machine that is
+// slower than others for good may report that all the time. Figures that vary
+// by a factor of three need this many to tell their average.
+constexpr std::uint32_t kMinSlowdownReports = 20;
+constexpr double kUsualSlowdownWeight = 0.02;
 // Bounds of the slowdowns that are used. A figure beyond them is more likely
 // wrong than true, and would let the server look useless or endlessly fast.
 constexpr double kMinSlowdown = 0.25;
@@ -91,12 +96,9 @@
     state.other_requests = before + kOtherRequestsWeight * (others - before);
     state.reported_at = now;
   }
-  double slowdown = 1;
-  if (report && report->slowdown) {
-    slowdown = std::clamp(*report->slowdown, kMinSlowdown, kMaxSlowdown);
-    state.slowdown = slowdown;
-    state.slowdown_at = now;
-  }
+  const double slowdown = report && report->slowdown
+                              ? RecordSlowdown(state, *report->slowdown, now)
+                              : 1;
   if (result == AttemptResult::kCancelled) {
     return;
   }
@@ -189,6 +191,20 @@
   return ToDuration(processing * (1 + ahead / server.slots * ratio));
 }
 
+double ServerLoads::RecordSlowdown(State& state,
+                                   double reported,
+                                   TimePoint now) {
+  const double figure = std::clamp(reported, kMinSlowdown, kMaxSlowdown);
+  ++state.slowdown_reports;
+  state.usual_slowdown +=
+      std::max(1.0 / state.slowdown_reports, kUsualSlowdownWeight) *
+      (figure - state.usual_slowdown);
+  const bool known = state.slowdown_reports >= kMinSlowdownReports;
+  state.slowdown = known ? figure / state.usual_slowdown : 1;
+  state.slowdown_at = now;
+  return state.slowdown;
+}
+
 double ServerLoads::Slowdown(const State& state, TimePoint now) {
   return 1 + (state.slowdown - 1) *
                  Decay(now - state.slowdown_at, kSlowdownDecayTime);
--- a/src/entry/balancing/server_loads.h
+++ b/src/entry/balancing/server_loads.h
@@ -33,8 +33,9 @@
 // this daemon's own requests in flight, the load that the server reported with
 // its latest responses (the requests of other daemons), and its processing
 // time. Processing times are those at the server's usual speed, multiplied by
-// the slowdown that it last reported. Where the routes of a service take
-// different times, they depend on the route of the request.
+// how much the slowdown that it last reported exceeds its usual one. Where the
+// routes of a service take different times, they depend on the route of the
+// request.
 //
 // Each estimate rests on few samples, so all times are smoothed. A server that
 // fails is avoided for a time that doubles with every further failure.
@@ -124,8 +125,12 @@
     // its last report.
     double other_requests = 0;
     TimePoint reported_at{};
+    // The last reported slowdown, as a multiple of the server's usual one.
     double slowdown = 1;
     TimePoint slowdown_at{};
+    // Average of the reported slowdowns, and their number.
+    double usual_slowdown = 0;
+    std::uint32_t slowdown_reports = 0;
     // Connection failures in a row.
     std::uint32_t failures = 0;
     // Smoothed share of attempts that failed, at `error_share_at`.
@@ -138,7 +143,10 @@
   // Returns the estimated number of requests of all daemons at the server.
   [[nodiscard]] static double RequestsAtServer(const State& state,
                                                TimePoint now);
-  // Returns the factor by which the server's machine is slowed down now.
+  // Records a slowdown that the server reports. Returns it as a multiple of the
+  // server's usual one, or 1 while that is not known.
+  static double RecordSlowdown(State& state, double reported, TimePoint now);
+  // Returns the factor by which the server's machine is slower than usual now.
   [[nodiscard]] static double Slowdown(const State& state, TimePoint now);
   [[nodiscard]] const State* Find(const ServerId& server) const;
 
