Load reports of other daemons can enter the estimates of servers

Cause: with 68 daemons and 38 servers a daemon hears of a server once in about 6 s, so that it cannot tell a server with a standing queue from an idle one.

Change: SharedLoads collects a daemon's reports since its last Hello, keeps those of all members on the leader, selects the busy servers once per 50 ms for all members, and finds the servers of a hash. Hello and LeaderHeartbeat have new fields at the end for them; nothing sends them yet. ServerLoads takes such a report if it knows no later one. Its queue decays with 150 ms where servers are compared, as all daemons avoid the server by it at the same time, and with 1.5 s, as always, where requests are refused.

--- a/src/entry/balancing/load_reports_sim_test.cc
+++ b/src/entry/balancing/load_reports_sim_test.cc
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <cmath>
 #include <cstdint>
+#include <numeric>
 #include <optional>
 #include <queue>
 #include <random>
@@ -13,6 +14,7 @@
 #include <doctest/doctest.h>
 
 #include "entry/balancing/server_choice.h"
+#include "entry/balancing/shared_loads.h"
 
 namespace gentianreach::entry {
 namespace {
@@ -21,10 +23,12 @@
 
 const TimePoint kStart = TimePoint(std::chrono::seconds(100));
 constexpr Duration kSamplesPeriod = milliseconds(250);
-// One in five servers is slowed down at a time, for this time.
+// One in five servers is slowed down at a time, for this time unless a load
+// says otherwise.
 constexpr Duration kSlowTime = milliseconds(400);
 constexpr std::uint32_t kSlowOneIn = 5;
-constexpr double kSlowFactor = 3;
+// Period of the Hellos of 48 to 71 members.
+constexpr Duration kHelloPeriod = milliseconds(500);
 
 struct Load {
   // Arrivals as a share of what the servers can process at their usual speed.
@@ -40,8 +44,15 @@
   std::uint32_t broken_percent = 0;
   bool names_routes = true;
   bool slows_down = false;
+  Duration slow_time = kSlowTime;
+  double slow_factor = 3;
   bool reports_slowdown = false;
   Duration zone_crossing{};
+  bool shares_loads = false;
+  // Share of the Hellos whose exchange is lost.
+  std::uint32_t lost_percent = 0;
+  // The first daemon, which leads, is lost then.
+  Duration leader_time = std::chrono::hours(1);
   Duration run_time = std::chrono::seconds(60);
 };
 
@@ -52,6 +63,11 @@
   int within_600_ms = 0;
   int within_1200_ms = 0;
   int other_zone = 0;
+  // Sums over moments: requests at the busiest server, and at the average one.
+  double busiest = 0;
+  double mean = 0;
+  // Of the busy servers that heartbeats name.
+  std::uint64_t shared_bytes = 0;
   // Of all decisions, with their estimates (FNV-1a).
   std::uint64_t checksum = 14695981039346656037ULL;
 
@@ -69,6 +85,7 @@
       : load_(load),
         random_(seed),
         daemons_(load.daemons),
+        shared_(load.daemons),
         free_at_(load.servers, std::vector<TimePoint>(load.slots, kStart)),
         here_(load.servers) {
     SeedChoices(seed);
@@ -86,6 +103,13 @@
       directory_.Put(server, kStart);
       servers_.push_back(server);
     }
+    for (std::uint32_t i = 0; load.shares_loads && i < load.daemons; ++i) {
+      daemons_[i].on_report = [this, i](const ServerId& id,
+                                        const LoadReport& it, TimePoint now) {
+        shared_[i].OnOwnReport(id, it, now);
+      };
+      hello_at_.push_back(kStart + kHelloPeriod * i / load.daemons);
+    }
     keyspace::OwnershipTable table;
     table.ranges.push_back({{0, keyspace::kKeyCount - 1},
                             {servers_[0].id, Incarnation(1), Token(1)},
@@ -115,6 +139,13 @@
       if (now >= samples_at) {
         samples_at = now + kSamplesPeriod;
         SendSamples(now);
+        AddLoads(now);
+      }
+      for (std::uint32_t i = 0; i < hello_at_.size(); ++i) {
+        if (now >= hello_at_[i]) {
+          hello_at_[i] += kHelloPeriod;
+          ShareLoads(i, now);
+        }
       }
       Arrive(now);
     }
@@ -140,11 +171,13 @@
     return load_.speeds[server % load_.speeds.size()];
   }
   [[nodiscard]] double SlowFactor(std::uint32_t server, TimePoint at) const {
-    const auto period = static_cast<std::uint64_t>((at - kStart) / kSlowTime);
+    const auto period =
+        static_cast<std::uint64_t>((at - kStart) / load_.slow_time);
     const std::uint64_t mixed =
         (period * load_.servers + server + 1) * 0x9E3779B97F4A7C15ULL;
-    return load_.slows_down && (mixed >> 40) % kSlowOneIn == 0 ? kSlowFactor
-                                                               : 1;
+    return load_.slows_down && (mixed >> 40) % kSlowOneIn == 0
+               ? load_.slow_factor
+               : 1;
   }
 
   void Arrive(TimePoint now) {
@@ -231,6 +264,39 @@
     }
   }
 
+  void AddLoads(TimePoint now) {
+    if (IsCounted(now)) {
+      outcome_.busiest += *std::ranges::max_element(here_);
+      outcome_.mean += std::accumulate(here_.begin(), here_.end(), 0.0) /
+                       static_cast<double>(here_.size());
+    }
+  }
+
+  // Exchanges a Hello of the daemon and the heartbeat that answers it.
+  void ShareLoads(std::uint32_t daemon, TimePoint now) {
+    const auto reports = shared_[daemon].TakeReports(now);
+    if (loss_random_() % 100 < load_.lost_percent ||
+        now >= kStart + load_.leader_time) {
+      return;
+    }
+    CHECK(shared_[0].OnReports(reports, now) == 0);
+    wire::LeaderHeartbeatT heartbeat;
+    flatbuffers::FlatBufferBuilder without;
+    without.Finish(wire::LeaderHeartbeat::Pack(without, &heartbeat));
+    heartbeat.busy = shared_[0].BusyServers(now);
+    flatbuffers::FlatBufferBuilder with;
+    with.Finish(wire::LeaderHeartbeat::Pack(with, &heartbeat));
+    outcome_.shared_bytes += with.GetSize() - without.GetSize();
+    for (const wire::BusyServer& it : heartbeat.busy) {
+      const auto busy = SharedLoads::Read(it, now);
+      for (const ServerId& id :
+           shared_[daemon].ServersOf(it.server(), directory_)) {
+        daemons_[daemon].OnSharedReport(*directory_.Find(id), busy->requests,
+                                        busy->slowdown, busy->at);
+      }
+    }
+  }
+
   [[nodiscard]] bool IsCounted(TimePoint sent) const {
     return sent >= kStart + load_.run_time / 3;
   }
@@ -245,6 +311,10 @@
   DrainBound drain_bound_{milliseconds(2000)};
   EntriesStatus entries_{.current_at = kStart + std::chrono::hours(1)};
   std::vector<ServerLoads> daemons_;
+  // Of each daemon, with the time of its next Hello; no times: not shared.
+  std::vector<SharedLoads> shared_;
+  std::vector<TimePoint> hello_at_;
+  std::minstd_rand loss_random_;
   // Of each server: when each slot is free, and how many requests are there.
   std::vector<std::vector<TimePoint>> free_at_;
   std::vector<std::uint32_t> here_;
@@ -263,13 +333,20 @@
           it.within_600_ms + one.within_600_ms,
           it.within_1200_ms + one.within_1200_ms,
           it.other_zone + one.other_zone,
+          it.busiest + one.busiest,
+          it.mean + one.mean,
+          it.shared_bytes + one.shared_bytes,
           one.checksum};
   }
   MESSAGE("load " << load.share << ": of " << it.arrived << " refused "
                   << it.refused << ", within 600 ms "
                   << it.Share(it.within_600_ms) << ", within 1200 ms "
                   << it.Share(it.within_1200_ms) << ", to other zones "
-                  << it.Share(it.other_zone) << ", checksum " << it.checksum);
+                  << it.Share(it.other_zone) << ", busiest / mean "
+                  << it.busiest / it.mean << ", bytes a second per member "
+                  << it.shared_bytes / last_seed / load.daemons /
+                         (load.run_time / std::chrono::seconds(1))
+                  << ", checksum " << it.checksum);
   return it;
 }
 
@@ -354,5 +431,64 @@
   }
 }
 
+// Returns 470 requests a second of 240 ms at 38 servers of 6 slots with speeds
+// of 0.5 to 1.5, from 68 daemons, which hear of a server once in 6 s each.
+Load FleetLoad() {
+  Load load{.share = 470 * 0.24 / (38 * 6),
+            .route_ms = {240},
+            .speeds = {},
+            .servers = 38,
+            .slots = 6,
+            .daemons = 68};
+  for (int i = 0; i < 38; ++i) {
+    load.speeds.push_back(0.5 + i / 37.0);
+  }
+  return load;
+}
+
+// Guards callers against servers with standing queues that most daemons have
+// not heard of lately, and against all daemons following the same figures.
+TEST_CASE("68 daemons share the loads of 38 servers") {
+  constexpr std::uint32_t kSeeds = 3;
+  constexpr std::uint64_t kMaxBytes = 2048;
+  const Load usual = FleetLoad();
+  std::vector<Load> loads(5, usual);
+  loads[1].share = 0.8;
+  loads[2].share = 0.95;
+  loads[3].share = 1.1;
+  // Servers stall for seconds.
+  loads[4].slows_down = loads[4].reports_slowdown = true;
+  loads[4].slow_time = std::chrono::seconds(5);
+  loads[4].slow_factor = 5;
+  for (Load& load : loads) {
+    const Outcome alone = Run(load, kSeeds);
+    load.shares_loads = true;
+    const Outcome shared = Run(load, kSeeds);
+    load.lost_percent = 30;
+    const Outcome lossy = Run(load, kSeeds);
+    // Where there are no standing queues, sharing changes nothing but by
+    // chance.
+    const bool queues = load.slows_down || load.share > usual.share;
+    for (const Outcome* it : {&shared, &lossy}) {
+      CHECK(it->Share(it->within_600_ms) >
+            alone.Share(alone.within_600_ms) + (queues ? 0.005 : -0.005));
+      CHECK(it->Share(it->within_1200_ms) >
+            alone.Share(alone.within_1200_ms) - 0.002);
+    }
+    CHECK(shared.shared_bytes / kSeeds / load.daemons / 60 < kMaxBytes);
+  }
+}
+
+// Guards against decisions by the last figures of a leader that was lost.
+TEST_CASE("daemons without a leader serve as many callers as without sharing") {
+  Load load = FleetLoad();
+  const Outcome alone = Run(load);
+  load.shares_loads = true;
+  load.leader_time = load.run_time / 3;
+  const Outcome lost = Run(load);
+  CHECK(lost.Share(lost.within_600_ms) >
+        alone.Share(alone.within_600_ms) - 0.01);
+}
+
 }  // namespace
 }  // namespace gentianreach::entry
--- a/src/entry/balancing/server_loads.cc
+++ b/src/entry/balancing/server_loads.cc
@@ -13,6 +13,13 @@
 // failures.
 constexpr double kOtherRequestsWeight = 0.4;
 constexpr double kErrorWeight = 0.15;
+// Time constant with which the queue of another daemon's report decays where
+// servers are compared. All daemons avoid a server by the same report, so that
+// it empties within one processing time; with kDecayTime it would stay idle.
+constexpr Seconds kSharedDecayTime{0.15};
+// Limit of the requests per slot that such a report may state. More are more
+// likely wrong than true, and would keep all daemons from the server.
+constexpr double kMaxSharedRequestsPerSlot = 8;
 // Factor by which a server that has just started is slower.
 constexpr double kColdFactor = 2;
 // Initial and longest time for which a failing server is avoided.
@@ -90,6 +97,10 @@
     const double before = RequestsAtServer(state, now) - state.own_requests;
     state.other_requests = before + kOtherRequestsWeight * (others - before);
     state.reported_at = now;
+    state.shared = false;
+    if (on_report) {
+      on_report(server, *report, now);
+    }
   }
   double slowdown = 1;
   if (report && report->slowdown) {
@@ -151,6 +162,27 @@
   times_.Add(server, {.service = service, .route = {}}, mean, now);
 }
 
+bool ServerLoads::OnSharedReport(const routing::BackendServer& server,
+                                 std::uint32_t requests,
+                                 std::optional<double> slowdown,
+                                 TimePoint at) {
+  State& state = states_[server.id];
+  if (at <= state.reported_at) {
+    return false;
+  }
+  const double total =
+      std::min<double>(requests, kMaxSharedRequestsPerSlot * server.slots);
+  const double others = std::max(0.0, total - state.own_requests);
+  state.other_requests = others;
+  state.reported_at = at;
+  state.shared = true;
+  if (slowdown && at > state.slowdown_at) {
+    state.slowdown = std::clamp(*slowdown, kMinSlowdown, kMaxSlowdown);
+    state.slowdown_at = at;
+  }
+  return true;
+}
+
 Duration ServerLoads::ProcessingTime(const routing::BackendServer& server,
                                      TimePoint now,
                                      std::string_view route) const {
@@ -187,7 +219,9 @@
 
 double ServerLoads::RequestsAtServer(const State& state, TimePoint now) {
   return state.own_requests +
-         state.other_requests * Decay(now - state.reported_at);
+         state.other_requests *
+             Decay(now - state.reported_at,
+                   state.shared ? kSharedDecayTime : kDecayTime);
 }
 
 double ServerLoads::FailurePenalty(const ServerId& server,
@@ -217,8 +251,15 @@
 bool ServerLoads::HasRoom(const routing::BackendServer& server,
                           TimePoint now) const {
   const State* state = Find(server.id);
-  return state == nullptr || RequestsAtServer(*state, now) + 1 <=
-                                 kMaxRequestsPerSlot * server.slots;
+  if (state == nullptr) {
+    return true;
+  }
+  // A report of another daemon refuses requests for as long as an own one:
+  // while all servers are full, there is none that could be overlooked.
+  const double requests =
+      state->own_requests +
+      state->other_requests * Decay(now - state->reported_at);
+  return requests + 1 <= kMaxRequestsPerSlot * server.slots;
 }
 
 double ServerLoads::Capacity(const routing::BackendServer& server,
--- a/src/entry/balancing/server_loads.h
+++ b/src/entry/balancing/server_loads.h
@@ -3,6 +3,7 @@
 #define SRC_ENTRY_BALANCING_SERVER_LOADS_H_
 
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <string_view>
 #include <unordered_map>
@@ -62,6 +63,15 @@
                        Duration total,
                        TimePoint now,
                        std::string_view service = {});
+  // Records a report that the server sent at `at` with a response to another
+  // daemon, unless a later one is known. Returns whether it is used. Its queue
+  // decays sooner than that of an own report, except for HasRoom().
+  bool OnSharedReport(const routing::BackendServer& server,
+                      std::uint32_t requests,
+                      std::optional<double> slowdown,
+                      TimePoint at);
+  // Called for each report with a response to this daemon, if set.
+  std::function<void(const ServerId&, const LoadReport&, TimePoint)> on_report;
   // Processing times of one server since the last call of TakeSamples(), at its
   // usual speed, for requests of its service's mix.
   struct Sample {
@@ -113,9 +123,11 @@
     // This daemon's requests at the server.
     std::uint32_t own_requests = 0;
     // Smoothed number of other daemons' requests at the server, at the time of
-    // its last report.
+    // its last report to any daemon that is known.
     double other_requests = 0;
     TimePoint reported_at{};
+    // Whether that was another daemon.
+    bool shared = false;
     double slowdown = 1;
     TimePoint slowdown_at{};
     // Connection failures in a row.
