Setting load_sharing: daemons share the load reports of servers

Cause: daemons knew the loads of servers by their own requests only.

Change: with load_sharing, Hellos pass on the load reports since the last one, heartbeats that answer them name the busy servers, and each daemon, the leader too, takes those into its estimates. Without the setting no field is sent.

--- a/src/entry/entry_daemon.cc
+++ b/src/entry/entry_daemon.cc
@@ -131,6 +131,9 @@
           link_.SendLeaderHeartbeats();
         }) {
     state_->zone_crossing = ZoneCrossing(settings);
+    if (settings.load_sharing) {
+      state_->EnableLoadSharing();
+    }
     path_monitor_.on_change = [this](ServerPath before) {
       OnServerPathChange(before);
     };
--- a/src/entry/entry_settings_test.cc
+++ b/src/entry/entry_settings_test.cc
@@ -72,6 +72,16 @@
   }
 }
 
+TEST_CASE(
+    "load sharing is off unless it is asked for; a wrong value is named") {
+  CHECK_FALSE(LoadEntrySettings(kValid, "e.ini").entry->load_sharing);
+  const std::string text = std::string(kValid) + "load_sharing = ";
+  CHECK(LoadEntrySettings(text + "true\n", "e.ini").entry->load_sharing);
+  const auto wrong = LoadEntrySettings(text + "maybe\n", "e.ini");
+  REQUIRE(wrong.errors.size() == 1);
+  CHECK(wrong.errors[0].line == 10);
+}
+
 TEST_CASE("an IP setting that is no IP address is reported with its line") {
   for (const std::string key : {"source_ip", "advertised_ip"}) {
     for (const char* it : {"nowhere", "10.0.0", "10.0.0.1:0", "[::1]", "::1%",
--- a/src/entry/entry_state.h
+++ b/src/entry/entry_state.h
@@ -23,6 +23,7 @@
 #include "entry/balancing/server_directory.h"
 #include "entry/balancing/server_limits.h"
 #include "entry/balancing/server_loads.h"
+#include "entry/balancing/shared_loads.h"
 #include "entry/body_memory.h"
 #include "entry/crash_watch.h"
 #include "entry/entry_metrics.h"
@@ -103,6 +104,16 @@
   // fewer while it is cold.
   [[nodiscard]] double Capacity(const routing::BackendServer& server,
                                 TimePoint now) const;
+  // Shares the load reports of servers with the other daemons from now on.
+  void EnableLoadSharing();
+  // Handles the load reports that the Hello of `member` passes on, on the
+  // leader.
+  void OnMemberLoads(const std::string& member,
+                     const std::vector<wire::ServerLoad>& reports);
+  // Handles the busy servers that a heartbeat names, which was sent at
+  // `sent_at`; also those that this daemon names as the leader.
+  void OnBusyServers(const std::vector<wire::BusyServer>& busy,
+                     TimePoint sent_at);
   // An incarnation of `server` has stated that it leaves.
   void OnLeaving(const ServerId& server, Incarnation incarnation);
   // Drops the connection pools and loads of servers that have left the
@@ -152,6 +163,8 @@
   std::function<EntriesStatus()> entries_status;
   ServerDirectory directory;
   ServerLoads loads;
+  // Set if load reports are shared.
+  std::optional<SharedLoads> shared_loads;
   ServerLimits limits;
   ColdServers cold;
   ServerReachability reachability;
--- a/src/entry/member_link.cc
+++ b/src/entry/member_link.cc
@@ -85,6 +85,9 @@
   if (timed_out > 0) {
     InvalidateSuccession();
   }
+  if (state_.shared_loads) {
+    state_.OnBusyServers(state_.shared_loads->BusyServers(now), now);
+  }
   UpdateRelays();
   auto members = static_cast<std::uint32_t>(known_members_.size()) + 1;
   if (now < member_count_settled_at_) {
@@ -136,6 +139,9 @@
     hello.leaving.push_back(std::move(leaving));
   }
   hello.sent_ms = ToMilliseconds(loop_.Now());
+  if (state_.shared_loads) {
+    hello.loads = state_.shared_loads->TakeReports(loop_.Now());
+  }
   wire::BodyUnion body;
   body.Set(std::move(hello));
   if (is_known) {
@@ -311,6 +317,7 @@
   known.servers_lost = hello.servers_lost;
   known.said_hello = true;
   known.hello_sent_ms = hello.sent_ms;
+  known.awaits_response = true;
   if (changed) {
     InvalidateSuccession();
     UpdateRelays();
@@ -321,6 +328,7 @@
   }
   QueueCrashReports(hello.name, crashed);
   AddSamples(hello);
+  state_.OnMemberLoads(hello.name, hello.loads);
   for (const auto& it : hello.leaving) {
     state_.OnLeaving(ServerId(it->server), Incarnation(it->incarnation));
   }
@@ -455,6 +463,9 @@
     }
   }
   heartbeat.crashed = ToValues(std::exchange(known.unsent_crash_reports, {}));
+  if (std::exchange(known.awaits_response, false) && state_.shared_loads) {
+    heartbeat.busy = state_.shared_loads->BusyServers(loop_.Now());
+  }
   wire::BodyUnion body;
   body.Set(std::move(heartbeat));
   Send(known.member.address, body);
@@ -511,8 +522,11 @@
     SendHello();
   }
   ReplaceUnfitLeader(heartbeat.servers_lost, now);
+  const TimePoint sent = EarliestSendTime(heartbeat, now);
+  if (!heartbeat.busy.empty()) {
+    state_.OnBusyServers(heartbeat.busy, sent);
+  }
   if (on_leader_heartbeat) {
-    const TimePoint sent = EarliestSendTime(heartbeat, now);
     on_leader_heartbeat(
         {.address = heartbeat.address,
          .mirror = heartbeat.mirror,
--- a/src/entry/member_link.h
+++ b/src/entry/member_link.h
@@ -143,6 +143,8 @@
     // Whether it has sent a Hello, and Hello.sent_ms of the last one.
     bool said_hello = false;
     std::uint64_t hello_sent_ms = 0;
+    // Whether the next heartbeat is the response to a Hello.
+    bool awaits_response = false;
     // Set by UpdateSuccession().
     std::uint32_t rank = 0;
     // Address of its mirror; empty: none.
