review: number the cases by their gravity

Cause: the case on requests that crash instances is less grave than the one that follows.

Change: review/9 becomes review/10. Nothing else changes.

--- a/review/standins-2/poison.cc
+++ b/review/standins-2/poison.cc
@@ -1,5 +1,5 @@
 // A request that crashes the instances that run it comes again while the
-// machines are stopped and started in turn. See review/9/claim.txt.
+// machines are stopped and started in turn. See review/10/claim.txt.
 //
 // Usage: poison FOLDER
 #include "scene.h"
