A reset connection no longer ends a response without a length

Callers saw part of a response as a whole one: a server answered an upload that it had not read with a 200 without a length, sent part of the body and reset the connection.

Cause: the kernel reports a reset once. The send of the rest of the upload failed and took the error (ECONNRESET) with it; the receive after it returned 0, as at an orderly end, and ServerConnection took that for the end of the response. An end of the stream by a process that had read only part of the upload was taken for it, too.

Change: the end of the stream completes such a response only if the whole request has been sent and acknowledged by the server's host. After a failed send part of the request is still unsent, so the reset cannot be mistaken any more. A server that has read the whole request has acknowledged it in the segments that bear its response, so sound responses are taken as before. One that answers early and ends its side in an orderly way cannot be told from a process that ends; its response counts as truncated (docs/PROTOCOLS.md).

--- a/src/proxy/proxy_test_support.h
+++ b/src/proxy/proxy_test_support.h
@@ -489,15 +489,17 @@
 // (the "idem" ones idempotent), and a backend server.
 class ProxyFixture {
  public:
-  ProxyFixture()
+  // `max_body` is the size of the largest request body, in bytes; by default
+  // that of the settings.
+  explicit ProxyFixture(std::uint64_t max_body = settings::RouteT().max_body)
       : server(loop), proxy(loop, router, picker, Hooks(), Options()) {
     settings::TreeT tree;
     AddService(tree, "boats", settings::ServiceKind::Keyed);
     AddService(tree, "orders", settings::ServiceKind::Plain);
-    AddRoute(tree, "/keyed", "boats", false);
-    AddRoute(tree, "/keyed-idem", "boats", true);
-    AddRoute(tree, "/plain", "orders", false);
-    AddRoute(tree, "/plain-idem", "orders", true);
+    AddRoute(tree, "/keyed", "boats", false, max_body);
+    AddRoute(tree, "/keyed-idem", "boats", true, max_body);
+    AddRoute(tree, "/plain", "orders", false, max_body);
+    AddRoute(tree, "/plain-idem", "orders", true, max_body);
     proxy.SetRoutes(std::make_shared<RouteTable>(tree));
     SetOwner(server);
     picker.Replace(ServiceName("orders"), {{ServerId("s1"), server.address()}});
@@ -560,7 +562,8 @@
   static void AddRoute(settings::TreeT& tree,
                        const std::string& prefix,
                        const std::string& service,
-                       bool idempotent) {
+                       bool idempotent,
+                       std::uint64_t max_body) {
     auto it = std::make_unique<settings::NamedRouteT>();
     it->name = prefix.substr(1);
     it->settings = std::make_unique<settings::RouteT>();
@@ -569,6 +572,7 @@
     it->settings->key_source = settings::KeySource::PathSegment;
     it->settings->key_segment = 1;
     it->settings->idempotent = idempotent;
+    it->settings->max_body = max_body;
     tree.routes.push_back(std::move(it));
   }
 };
--- a/src/proxy/server_connection.cc
+++ b/src/proxy/server_connection.cc
@@ -333,9 +333,16 @@
   }
 }
 
+bool ServerConnection::IsRequestReceived() const {
+  return complete_ && out_.size() == 0 && socket_.UnacknowledgedBytes() == 0;
+}
+
 void ServerConnection::OnEndOfStream(bool orderly) {
+  // A reset looks like an orderly end once a failed send has taken the socket's
+  // error, and so does the end of a process that has read all that had arrived.
+  // In both cases part of the request has not been received.
   if (phase_ == Phase::kBusy && orderly && response_begun_ && !skipping_ &&
-      head_.framing == http::BodyFraming::kUntilEnd) {
+      head_.framing == http::BodyFraming::kUntilEnd && IsRequestReceived()) {
     hung_up_ = true;
     OnResponseEnd();
     return;
--- a/src/proxy/server_connection.h
+++ b/src/proxy/server_connection.h
@@ -51,8 +51,9 @@
   Duration connect_timeout = std::chrono::seconds(1);
   // How long an idle connection is kept if the server announces no timeout.
   Duration idle_timeout = std::chrono::seconds(60);
-  // Whether a response without a length is complete when the connection is
-  // closed in an orderly way. Otherwise it counts as truncated.
+  // Whether a response without a length is complete when the server ends the
+  // stream in an orderly way after it has received the whole request. Otherwise
+  // it counts as truncated.
   bool accept_until_end = false;
   // Local IP address to connect from; empty: chosen by the system.
   std::string source_ip;
@@ -147,6 +148,8 @@
   void OnReceived(std::string_view data);
   // `orderly` is true for a normal close and false for a reset.
   void OnEndOfStream(bool orderly);
+  // Returns whether the server's host has acknowledged the whole request.
+  [[nodiscard]] bool IsRequestReceived() const;
   void ExpectResponse();
   // Returns when this side closes an idle connection: before the server's
   // announced idle timeout ends.
