A response head with a folded line is malformed

Callers saw, as part of the value of a field, a line that the server had sent with a blank before its name: "A: c" and then " Content-Length: 3" became the field "A: c Content-Length: 3". After the stamp of a response such a line became part of the stamp.

Cause: Beast's parser takes a line that begins with a blank or a tab for the continuation of the line before (obs-fold), and the folded value was passed on.

Change: http::MessageParser refuses a response whose head has such a line, as RFC 9112, 5.2, allows a gateway. Every reader of the parser gets it: requests, relays, second attempts, probes, orders of both daemons. Requests of callers are taken as before.

--- a/src/http/message_parser.h
+++ b/src/http/message_parser.h
@@ -10,7 +10,10 @@
 // Beyond what Beast's parser refuses, a response is malformed if
 //   - its status is below 100 or above 599, or
 //   - it has any Transfer-Encoding but a single "chunked" in HTTP/1.1. Codings
-//     are not undone, and the field that names them is not forwarded.
+//     are not undone, and the field that names them is not forwarded, or
+//   - a line of its head begins with a blank or a tab. RFC 9112, 5.2, lets a
+//     gateway refuse it. Beast's parser would append the line to the value of
+//     the field before, where it could hide a length or spoil a stamp.
 // A Content-Length that repeats one number is stored as that number.
 #ifndef SRC_HTTP_MESSAGE_PARSER_H_
 #define SRC_HTTP_MESSAGE_PARSER_H_
@@ -43,6 +46,12 @@
 
 namespace internal {
 
+// Returns whether a line of `head` but the first begins with a blank or a tab.
+inline bool HasFoldedLine(std::string_view head) {
+  return head.find("\n ") != std::string_view::npos ||
+         head.find("\n\t") != std::string_view::npos;
+}
+
 // Stores the elements that Beast's parser reports.
 template <bool kIsRequest>
 class Collector : public boost::beast::http::basic_parser<kIsRequest> {
@@ -151,6 +160,10 @@
         break;
       }
       if (!had_head && collector_.head_done) {
+        // Beast consumes the head as a whole.
+        if (!kIsRequest && internal::HasFoldedLine(data.substr(0, consumed))) {
+          return {ParseStatus::kMalformed, consumed};
+        }
         ReadFraming(head);
         return {ParseStatus::kHead, consumed};
       }
