A call gets no response that is malformed or cut off

Calls to the store, to other daemons for copies, and of the control tool took broken responses for whole ones: "HTTP/1.1 200 OK" and half a head before the end of the connection was a success without a body, a write then counted as done with the version 0, and chunked bodies without their last chunk, two lengths, malformed chunk sizes and names with blanks or control bytes were taken, too.

Cause: libsoup's client takes all of these for responses and does not say what it has read, so that HttpClient could check the status alone.

Change: HttpConnection reads responses by http::ResponseParser, as the data path does, over GIO streams; GSocketClient still resolves names, connects and does TLS. HttpClient keeps its contract: one attempt but for reads, 16 connections a server, a reset at the deadline, new connections after a call without a response. A response without a length ends with its connection only after the whole request was acknowledged. The switch of protocols and the rule for a 204 with a body are shared with ServerConnection.

Handled before, tests kept: orders to servers, whose responses ServerConnection reads.

--- a/src/http/message_head.cc
+++ b/src/http/message_head.cc
@@ -3,6 +3,8 @@
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http/rfc7230.hpp>
 
+#include "http/status.h"
+
 namespace gentianreach::http {
 namespace {
 
@@ -72,6 +74,12 @@
   return n;
 }
 
+bool StatesExcludedBody(const MessageHead& head) {
+  return head.status == status::kNoContent &&
+         (head.Count(FieldId::transfer_encoding) != 0 ||
+          head.Get(FieldId::content_length).value_or("0") != "0");
+}
+
 bool SameName(std::string_view a, std::string_view b) {
   return beast::iequals(ToBeast(a), ToBeast(b));
 }
--- a/src/http/message_head.h
+++ b/src/http/message_head.h
@@ -74,6 +74,10 @@
   std::vector<FieldSpan> spans_;
 };
 
+// Returns whether a response states a body that its status rules out. The body
+// is not read, but may follow.
+[[nodiscard]] bool StatesExcludedBody(const MessageHead& head);
+
 // Returns whether two field names are equal, ignoring case.
 [[nodiscard]] bool SameName(std::string_view a, std::string_view b);
 // Returns whether the comma-separated `list` contains `token`, ignoring case.
--- a/src/http/status.h
+++ b/src/http/status.h
@@ -4,6 +4,7 @@
 
 namespace gentianreach::http::status {
 
+inline constexpr int kSwitchingProtocols = 101;
 inline constexpr int kOk = 200;
 inline constexpr int kCreated = 201;
 inline constexpr int kNoContent = 204;
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -1,66 +1,94 @@
 #include "net/http_client.h"
 
+#include <algorithm>
 #include <chrono>
-#include <memory>
+#include <deque>
 #include <optional>
+#include <string_view>
 #include <utility>
 
 #include "base/timer.h"
-#include "http/status.h"
+#include "http/serializer.h"
 #include "net/socket_address.h"
-#include "net/tcp_socket.h"
 
 namespace gentianreach {
 namespace {
 
-constexpr int kMaxConnectionsPerServer = 16;
-constexpr guint kIdleSeconds = 30;
-// Time without a call after which the session of a server is dropped. Its
-// connections have been closed by then.
-constexpr Duration kSessionTimeout = std::chrono::seconds(2 * kIdleSeconds);
-
-bool NeverConnected(const GError& error) {
-  return error.domain == G_RESOLVER_ERROR ||
-         g_error_matches(&error, G_IO_ERROR, G_IO_ERROR_CONNECTION_REFUSED) ||
-         g_error_matches(&error, G_IO_ERROR, G_IO_ERROR_HOST_UNREACHABLE) ||
-         g_error_matches(&error, G_IO_ERROR, G_IO_ERROR_NETWORK_UNREACHABLE);
-}
+constexpr std::size_t kMaxConnectionsPerServer = 16;
+constexpr Duration kIdleTime = std::chrono::seconds(30);
+// Time without a call after which a server is forgotten. Its connections have
+// been closed by then.
+constexpr Duration kServerTime = 2 * kIdleTime;
+constexpr int kHttpPort = 80;
+constexpr int kHttpsPort = 443;
 
 bool IsRead(const HttpCall& call) {
   return (call.method == "GET" || call.method == "HEAD") && call.body.empty();
 }
 
-HttpResponse ToHttpResponse(SoupMessage* message,
-                            GBytes* bytes,
-                            const GError* error,
-                            const std::string& wanted_header) {
-  HttpResponse response;
-  if (error != nullptr) {
-    response.error = error->message;
-    response.may_have_arrived = !NeverConnected(*error);
-    return response;
-  }
-  const auto status = static_cast<int>(soup_message_get_status(message));
-  if (!http::status::IsFinal(status)) {
-    // libsoup takes all codes up to 999 for valid.
-    response.error = "invalid status " + std::to_string(status);
-    return response;
-  }
-  response.status = status;
-  gsize size = 0;
-  if (bytes != nullptr) {
-    const auto* data = static_cast<const char*>(g_bytes_get_data(bytes, &size));
-    response.body.assign(data == nullptr ? "" : data, size);
-  }
-  SoupMessageHeaders* headers = soup_message_get_response_headers(message);
-  const char* etag = soup_message_headers_get_one(headers, "ETag");
-  response.etag = etag == nullptr ? "" : etag;
-  if (!wanted_header.empty()) {
-    const char* value =
-        soup_message_headers_get_one(headers, wanted_header.c_str());
-    response.header = value == nullptr ? "" : value;
-  }
-  return response;
+bool IsHttps(GUri* uri) {
+  return std::string_view(g_uri_get_scheme(uri)) == "https";
+}
+
+int PortOf(GUri* uri) {
+  const int port = g_uri_get_port(uri);
+  return port > 0 ? port : IsHttps(uri) ? kHttpsPort : kHttpPort;
+}
+
+// Returns the parsed form of an HTTP URL, or null.
+GUriPtr ParseUrl(const std::string& url) {
+  GUriPtr uri(g_uri_parse(url.c_str(), G_URI_FLAGS_ENCODED, nullptr));
+  const std::string_view scheme = uri ? g_uri_get_scheme(uri.get()) : "";
+  const char* host = uri ? g_uri_get_host(uri.get()) : nullptr;
+  const bool is_http = scheme == "http" || scheme == "https";
+  return is_http && host != nullptr && *host != '\0' ? std::move(uri)
+                                                     : GUriPtr();
+}
+
+// Returns the value of the Host field for `uri`.
+std::string HostField(GUri* uri) {
+  const std::string host = g_uri_get_host(uri);
+  // An IPv6 address.
+  const bool has_colon = host.find(':') != std::string::npos;
+  std::string field = has_colon ? "[" + host + "]" : host;
+  if (g_uri_get_port(uri) > 0) {
+    field += ":" + std::to_string(g_uri_get_port(uri));
+  }
+  return field;
+}
+
+bool HasHeader(const HttpCall& call, std::string_view name) {
+  return std::ranges::any_of(call.headers, [&](const auto& it) {
+    return http::SameName(it.first, name);
+  });
+}
+
+std::string RequestBytes(const HttpCall& call, GUri* uri) {
+  const std::string_view path = g_uri_get_path(uri);
+  const char* query = g_uri_get_query(uri);
+  http::MessageHead line;
+  line.method = call.method;
+  line.target = path.empty() ? "/" : path;
+  if (query != nullptr) {
+    line.target += "?";
+    line.target += query;
+  }
+  std::string out;
+  http::AppendRequestLine(out, line);
+  if (!HasHeader(call, "Host")) {
+    http::AppendField(out, "Host", HostField(uri));
+  }
+  for (const auto& [name, value] : call.headers) {
+    http::AppendField(out, name, value);
+  }
+  if (!call.body.empty() && !HasHeader(call, "Content-Type")) {
+    http::AppendField(out, "Content-Type", call.content_type);
+  }
+  if (!IsRead(call)) {
+    http::AppendField(out, "Content-Length", call.body.size());
+  }
+  http::AppendHeadEnd(out);
+  return out + call.body;
 }
 
 // Ends a call that could not be sent.
@@ -71,103 +99,85 @@
   done(std::move(response));
 }
 
-// The kernel would otherwise go on sending a cancelled call, for minutes if the
-// path to the server is interrupted.
-void OnNetworkEvent(SoupMessage* /*message*/,
-                    GSocketClientEvent event,
-                    GIOStream* connection,
-                    gpointer /*data*/) {
-  if (event == G_SOCKET_CLIENT_CONNECTED &&
-      G_IS_SOCKET_CONNECTION(connection)) {
-    GSocket* socket =
-        g_socket_connection_get_socket(G_SOCKET_CONNECTION(connection));
-    net::ResetOnClose(g_socket_get_fd(socket));
-  }
-}
-
 }  // namespace
 
+struct HttpClient::Server {
+  GObjectPtr<GSocketClient> sockets;
+  std::string host;
+  std::uint16_t port = 0;
+  // Ordered by last use. Connections that have been closed are found when they
+  // are about to be used.
+  std::vector<std::shared_ptr<HttpConnection>> idle;
+  // Number of connections that carry a call.
+  std::size_t busy = 0;
+  // Calls that wait for a connection.
+  std::deque<CallPtr> waiting;
+  TimePoint expires_at;
+
+  void CloseIdle() {
+    for (const auto& it : std::exchange(idle, {})) {
+      it->Close();
+    }
+  }
+};
+
 struct HttpClient::PendingCall {
-  // Valid while `client_alive` is true.
-  HttpClient* client = nullptr;
-  std::shared_ptr<bool> client_alive;
-  GObjectPtr<SoupMessage> message;
-  GObjectPtr<GCancellable> cancellable;
-  Timer timer;
+  std::shared_ptr<Server> server;
+  std::string bytes;
   std::string wanted_header;
   bool is_read = false;
-  // Set if libsoup was about to send the call again.
-  std::optional<HttpResponse> response;
+  bool head_only = false;
+  bool new_connection = false;
+  // Null while the call waits for one.
+  std::shared_ptr<HttpConnection> connection;
+  Timer timer;
   HttpCallback done;
 };
 
-void HttpClient::OnRestarted(SoupMessage* message, gpointer data) {
-  auto* call = static_cast<PendingCall*>(data);
-  if (soup_message_get_status(message) != SOUP_STATUS_NONE) {
-    // For example 421, which libsoup retries.
-    call->response =
-        ToHttpResponse(message, nullptr, nullptr, call->wanted_header);
-  } else if (call->is_read) {
-    return;
-  } else {
-    call->response = {.error = "connection closed before the response"};
-  }
-  // libsoup checks this before it connects and before each write.
-  g_cancellable_cancel(call->cancellable.get());
-}
-
-void HttpClient::OnDone(GObject* session, GAsyncResult* result, gpointer data) {
-  const std::unique_ptr<PendingCall> call(static_cast<PendingCall*>(data));
-  GError* raw_error = nullptr;
-  const GBytesPtr bytes(soup_session_send_and_read_finish(SOUP_SESSION(session),
-                                                          result, &raw_error));
-  const GErrorPtr error(raw_error);
-  call->timer.Cancel();
-  g_signal_handlers_disconnect_by_data(call->message.get(), call.get());
-  if (!*call->client_alive) {
-    return;
-  }
-  HttpResponse response =
-      call->response ? *std::move(call->response)
-                     : ToHttpResponse(call->message.get(), bytes.get(),
-                                      error.get(), call->wanted_header);
-  if (response.status == 0 && response.may_have_arrived) {
-    std::erase_if(call->client->sessions_, [&](const auto& it) {
-      return it.second.session.get() == SOUP_SESSION(session);
-    });
-  }
-  call->done(std::move(response));
-}
-
 HttpClient::HttpClient(std::string source_ip)
     : source_ip_(std::move(source_ip)),
       source_address_(net::ParseIpAddress(source_ip_)) {}
 
 HttpClient::~HttpClient() {
-  *alive_ = false;
-  for (const auto& [server, it] : sessions_) {
-    soup_session_abort(it.session.get());
+  for (const CallPtr& it : calls_) {
+    if (it->connection) {
+      it->connection->Close();
+    }
+  }
+  for (const auto& [name, server] : servers_) {
+    server->CloseIdle();
+    server->waiting.clear();
   }
 }
 
-SoupSession* HttpClient::SessionFor(SoupMessage* message) {
+std::shared_ptr<HttpClient::Server> HttpClient::ServerFor(GUri* uri) {
   const TimePoint now = MonotonicClock().Now();
-  GUri* uri = soup_message_get_uri(message);
-  const std::string server = std::string(g_uri_get_host(uri)) + ":" +
-                             std::to_string(g_uri_get_port(uri));
-  auto known = sessions_.find(server);
-  if (known == sessions_.end()) {
-    std::erase_if(sessions_,
-                  [&](const auto& it) { return it.second.expires_at < now; });
-    auto session = GObjectPtr<SoupSession>::Adopt(soup_session_new_with_options(
-        "max-conns", kMaxConnectionsPerServer, "max-conns-per-host",
-        kMaxConnectionsPerServer, "idle-timeout", kIdleSeconds, "local-address",
-        source_address_.get(), nullptr));
-    soup_session_remove_feature_by_type(session.get(), SOUP_TYPE_AUTH_MANAGER);
-    known = sessions_.emplace(server, Session{std::move(session), {}}).first;
-  }
-  known->second.expires_at = now + kSessionTimeout;
-  return known->second.session.get();
+  std::string name = g_uri_get_scheme(uri);
+  name += "://";
+  name += g_uri_get_host(uri);
+  name += ":" + std::to_string(PortOf(uri));
+  auto it = servers_.find(name);
+  if (it == servers_.end()) {
+    std::erase_if(servers_, [&](const auto& entry) {
+      const Server& server = *entry.second;
+      return server.expires_at < now && server.busy == 0 &&
+             server.waiting.empty();
+    });
+    auto server = std::make_shared<Server>();
+    server->sockets = GObjectPtr<GSocketClient>::Adopt(g_socket_client_new());
+    g_socket_client_set_enable_proxy(server->sockets.get(), FALSE);
+    g_socket_client_set_tls(server->sockets.get(),
+                            static_cast<gboolean>(IsHttps(uri)));
+    if (source_address_) {
+      g_socket_client_set_local_address(server->sockets.get(),
+                                        source_address_.get());
+    }
+    server->host = g_uri_get_host(uri);
+    server->port = static_cast<std::uint16_t>(PortOf(uri));
+    it = servers_.emplace(std::move(name), std::move(server)).first;
+  }
+  it->second->expires_at = now + kServerTime;
+  return it->second;
 }
 
 void HttpClient::Send(HttpCall call, HttpCallback done) {
@@ -175,43 +185,134 @@
     FailUnsent(done, source_ip_ + ": not an IP address");
     return;
   }
-  SoupMessage* message =
-      soup_message_new(call.method.c_str(), call.url.c_str());
-  if (message == nullptr) {
+  const GUriPtr uri = ParseUrl(call.url);
+  if (!uri) {
     FailUnsent(done, "not a URL: " + call.url);
     return;
   }
-  soup_message_add_flags(message, SOUP_MESSAGE_NO_REDIRECT);
-  g_signal_connect(message, "network-event", G_CALLBACK(&OnNetworkEvent),
-                   nullptr);
-  auto pending = std::make_unique<PendingCall>();
-  pending->client = this;
-  pending->client_alive = alive_;
-  pending->message = GObjectPtr<SoupMessage>::Adopt(message);
-  pending->cancellable = GObjectPtr<GCancellable>::Adopt(g_cancellable_new());
+  auto pending = std::make_shared<PendingCall>();
+  pending->server = ServerFor(uri.get());
+  pending->bytes = RequestBytes(call, uri.get());
   pending->wanted_header = std::move(call.wanted_header);
+  pending->is_read = IsRead(call);
+  pending->head_only = call.method == "HEAD";
+  pending->new_connection = call.new_connection;
   pending->done = std::move(done);
-  SoupMessageHeaders* headers = soup_message_get_request_headers(message);
-  for (const auto& [name, value] : call.headers) {
-    soup_message_headers_replace(headers, name.c_str(), value.c_str());
+  pending->timer.Set(call.deadline, [this, it = std::weak_ptr(pending)] {
+    OnDeadline(it.lock());
+  });
+  calls_.insert(pending);
+  Start(pending);
+}
+
+void HttpClient::Start(const CallPtr& call) {
+  Server& server = *call->server;
+  while (!call->new_connection && !server.idle.empty()) {
+    auto connection = std::move(server.idle.back());
+    server.idle.pop_back();
+    if (connection->Reusable()) {
+      SendOn(std::move(connection), call);
+      return;
+    }
+    connection->Close();
   }
-  if (!call.body.empty()) {
-    const GBytesPtr body(g_bytes_new(call.body.data(), call.body.size()));
-    soup_message_set_request_body_from_bytes(message, call.content_type.c_str(),
-                                             body.get());
+  if (server.busy >= kMaxConnectionsPerServer) {
+    server.waiting.push_back(call);
+    return;
   }
-  if (call.new_connection) {
-    soup_message_add_flags(message, SOUP_MESSAGE_NEW_CONNECTION);
+  if (server.busy + server.idle.size() >= kMaxConnectionsPerServer) {
+    server.idle.front()->Close();
+    server.idle.erase(server.idle.begin());
   }
-  pending->is_read = IsRead(call);
-  g_signal_connect(message, "restarted", G_CALLBACK(&HttpClient::OnRestarted),
-                   pending.get());
-  GCancellable* cancellable = pending->cancellable.get();
-  pending->timer.Set(call.deadline,
-                     [cancellable] { g_cancellable_cancel(cancellable); });
-  soup_session_send_and_read_async(SessionFor(message), message,
-                                   G_PRIORITY_DEFAULT, cancellable, &OnDone,
-                                   pending.release());
+  auto connection = std::make_shared<HttpConnection>();
+  connection->Open(server.sockets.get(), server.host, server.port);
+  SendOn(std::move(connection), call);
+}
+
+void HttpClient::SendOn(std::shared_ptr<HttpConnection> connection,
+                        const CallPtr& call) {
+  ++call->server->busy;
+  call->connection = std::move(connection);
+  // Only reads are sent again.
+  std::string bytes =
+      call->is_read ? call->bytes : std::exchange(call->bytes, {});
+  call->connection->Send(std::move(bytes), call->head_only,
+                         [this, it = std::weak_ptr(call)](HttpReply reply) {
+                           // The client closes the connections of its calls
+                           // when it is destroyed.
+                           if (const CallPtr pending = it.lock()) {
+                             OnReply(pending, std::move(reply));
+                           }
+                         });
+}
+
+void HttpClient::OnReply(const CallPtr& call, HttpReply reply) {
+  Server& server = *call->server;
+  --server.busy;
+  const auto connection = std::exchange(call->connection, nullptr);
+  if (!reply.error.empty()) {
+    if (call->is_read && connection->has_answered() && !reply.begun) {
+      Start(call);
+      return;
+    }
+    EndUnanswered(call, std::move(reply.error), !reply.never_connected);
+    return;
+  }
+  if (connection->Reusable()) {
+    connection->CloseIfIdle(MonotonicClock().Now() + kIdleTime);
+    server.idle.push_back(connection);
+  } else {
+    connection->Close();
+  }
+  const auto text = [&](std::string_view name) {
+    return std::string(reply.head.Get(name).value_or(""));
+  };
+  HttpResponse response;
+  response.status = reply.head.status;
+  response.etag = text("ETag");
+  response.header =
+      call->wanted_header.empty() ? "" : text(call->wanted_header);
+  response.body = std::move(reply.body);
+  End(call, std::move(response));
+}
+
+void HttpClient::OnDeadline(const CallPtr& call) {
+  const auto connection = std::exchange(call->connection, nullptr);
+  if (!connection) {
+    std::erase(call->server->waiting, call);
+    EndUnanswered(call, "no connection was free before the deadline", false);
+    return;
+  }
+  --call->server->busy;
+  connection->Close();
+  EndUnanswered(call, "no response before the deadline", true);
+}
+
+void HttpClient::EndUnanswered(const CallPtr& call,
+                               std::string error,
+                               bool may_have_arrived) {
+  if (may_have_arrived) {
+    // The other connections may have gone silent, too.
+    call->server->CloseIdle();
+  }
+  HttpResponse response;
+  response.error = std::move(error);
+  response.may_have_arrived = may_have_arrived;
+  End(call, std::move(response));
+}
+
+void HttpClient::End(const CallPtr& call, HttpResponse response) {
+  const CallPtr keep = call;
+  keep->timer.Cancel();
+  calls_.erase(keep);
+  Server& server = *keep->server;
+  if (!server.waiting.empty() && server.busy < kMaxConnectionsPerServer) {
+    const CallPtr next = std::move(server.waiting.front());
+    server.waiting.pop_front();
+    Start(next);
+  }
+  // Last, since it may destroy the client.
+  keep->done(std::move(response));
 }
 
 HttpResponse HttpClient::SendAndWait(HttpCall call) {
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -1,25 +1,26 @@
-// HTTP client for the platform's APIs, based on libsoup.
+// HTTP client for the platform's APIs, based on GIO and Boost.Beast's parser.
 //
 // A call is sent at most once, except reads (GET and HEAD without a body): if a
-// pooled connection closes before the response, libsoup sends these again on
-// another connection until the deadline, since they change nothing and have no
-// body that could be lost. Any other call then ends without a response, and may
-// have taken effect. Redirects are not followed, and no response makes libsoup
-// send a call again.
+// pooled connection closes before the response, these are sent again on another
+// connection until the deadline, since they change nothing. Any other call then
+// ends without a response, and may have taken effect. Redirects are not
+// followed. A response counts only if it is well-formed and whole.
 #ifndef SRC_NET_HTTP_CLIENT_H_
 #define SRC_NET_HTTP_CLIENT_H_
 
+#include <gio/gio.h>
+
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
 
-#include <libsoup/soup.h>
-
 #include "base/glib_ptr.h"
 #include "gentianreach/time.h"
+#include "net/http_connection.h"
 
 namespace gentianreach {
 
@@ -48,7 +49,6 @@
   std::string etag;
   // Value of HttpCall::wanted_header; empty if the response has no such header.
   std::string header;
-  // Empty for responses after which libsoup would send the call again (421).
   std::string body;
 };
 
@@ -74,30 +74,31 @@
   [[nodiscard]] HttpResponse SendAndWait(HttpCall call);
 
  private:
-  // A pending call. Owned by its libsoup operation.
   struct PendingCall;
-  struct Session {
-    GObjectPtr<SoupSession> session;
-    TimePoint expires_at;
-  };
-
-  // Ends the call `data` unless libsoup may send it again.
-  static void OnRestarted(SoupMessage* message, gpointer data);
-  // Ends the call `data`.
-  static void OnDone(GObject* session, GAsyncResult* result, gpointer data);
+  // What is kept of one server.
+  struct Server;
+  using CallPtr = std::shared_ptr<PendingCall>;
 
-  // Returns the session for the server of `message`.
-  SoupSession* SessionFor(SoupMessage* message);
+  // Returns the server of `uri`.
+  std::shared_ptr<Server> ServerFor(GUri* uri);
+  // Sends a call on a kept connection or a new one, or queues it until one of
+  // the connections to its server is free.
+  void Start(const CallPtr& call);
+  void SendOn(std::shared_ptr<HttpConnection> connection, const CallPtr& call);
+  void OnReply(const CallPtr& call, HttpReply reply);
+  void OnDeadline(const CallPtr& call);
+  // Ends a call without a response.
+  void EndUnanswered(const CallPtr& call,
+                     std::string error,
+                     bool may_have_arrived);
+  void End(const CallPtr& call, HttpResponse response);
 
   const std::string source_ip_;
   // Null if `source_ip_` is empty or no IP address.
   const GObjectPtr<GSocketAddress> source_address_;
-  // By "host:port". Servers do not share a session, since libsoup reads from
-  // all idle connections of a session for each call.
-  std::map<std::string, Session> sessions_;
-  // Calls may outlive the client in libsoup; they check this flag to see
-  // whether the client still exists.
-  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+  // By scheme, host and port.
+  std::map<std::string, std::shared_ptr<Server>> servers_;
+  std::set<CallPtr> calls_;
 };
 
 }  // namespace gentianreach
--- a/src/net/http_client_test.cc
+++ b/src/net/http_client_test.cc
@@ -150,7 +150,7 @@
   call.deadline = MonotonicClock().Now() + std::chrono::milliseconds(200);
   const std::size_t size = call.body.size();
   CHECK(client.SendAndWait(std::move(call)).status == 0);
-  // libsoup closes the connection in a later iteration.
+  // The connection is closed in a later iteration.
   while (g_main_context_iteration(nullptr, FALSE) != FALSE) {
   }
   const auto received = server.ReadAll();
--- a/src/net/tcp_socket.cc
+++ b/src/net/tcp_socket.cc
@@ -171,12 +171,7 @@
 }
 
 std::size_t TcpSocket::UnacknowledgedBytes() const {
-  int bytes = 0;
-  if (!socket_ ||
-      ioctl(g_socket_get_fd(socket_.get()), SIOCOUTQ, &bytes) != 0) {
-    return 0;
-  }
-  return static_cast<std::size_t>(bytes);
+  return socket_ ? net::UnacknowledgedBytes(fd()) : 0;
 }
 
 PathState TcpSocket::QueryPath() {
@@ -210,6 +205,11 @@
   g_socket_shutdown(socket_.get(), FALSE, TRUE, nullptr);
 }
 
+std::size_t UnacknowledgedBytes(int fd) {
+  int bytes = 0;
+  return ioctl(fd, SIOCOUTQ, &bytes) == 0 ? static_cast<std::size_t>(bytes) : 0;
+}
+
 void ResetOnClose(int fd) {
   const linger reset{.l_onoff = 1, .l_linger = 0};
   setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
--- a/src/net/tcp_socket.h
+++ b/src/net/tcp_socket.h
@@ -126,6 +126,10 @@
   bool resets_when_process_ends_ = false;
 };
 
+// Returns the number of sent bytes that the peer's host has not acknowledged; 0
+// if the kernel does not tell.
+[[nodiscard]] std::size_t UnacknowledgedBytes(int fd);
+
 // Makes closing the socket reset its connection, so that the kernel drops data
 // that has not reached the peer.
 void ResetOnClose(int fd);
--- a/src/proxy/server_connection.cc
+++ b/src/proxy/server_connection.cc
@@ -24,16 +24,6 @@
 // Maximum size of a response head.
 constexpr std::size_t kMaxHeaderBytes = 64 * 1024;
 
-constexpr int kSwitchingProtocols = 101;
-
-// Returns whether a response states a body that its status rules out. The body
-// is not read, but may follow.
-bool StatesExcludedBody(const http::MessageHead& head) {
-  return head.status == http::status::kNoContent &&
-         (head.Count(http::FieldId::transfer_encoding) != 0 ||
-          head.Get(http::FieldId::content_length).value_or("0") != "0");
-}
-
 }  // namespace
 
 ServerConnection::ServerConnection(net::EventLoop& loop,
@@ -264,7 +254,7 @@
 }
 
 bool ServerConnection::OnResponseHead() {
-  if (head_.status == kSwitchingProtocols) {
+  if (head_.status == http::status::kSwitchingProtocols) {
     // No request asks for it.
     Fail(ServerFailure::kMalformed);
     return false;
@@ -321,7 +311,7 @@
 void ServerConnection::OnResponseEnd() {
   const auto self = shared_from_this();
   reusable_ = head_.keep_alive && complete_ && out_.size() == 0 &&
-              pending_.empty() && !hung_up_ && !StatesExcludedBody(head_);
+              pending_.empty() && !hung_up_ && !http::StatesExcludedBody(head_);
   phase_ = Phase::kIdle;
   pending_ = std::string();
   timer_.Set(IdleDeadline());
