--- a/src/peer/peer_net_test.cc
+++ b/src/peer/peer_net_test.cc
@@ -2,8 +2,12 @@
 
 #include <doctest/doctest.h>
 
+#include <cstddef>
 #include <vector>
 
+#include "net/tcp_socket.h"
+#include "peer/frame_codec.h"
+
 namespace gentianreach {
 namespace {
 
@@ -109,5 +113,42 @@
   CHECK(b.received.empty());
 }
 
+// Connects to a daemon and sends `bytes`, then closes the connection.
+void SendAndClose(const Daemon& daemon,
+                  const std::vector<std::uint8_t>& bytes,
+                  bool reset) {
+  const auto client = GObjectPtr<GSocketClient>::Adopt(g_socket_client_new());
+  const auto connection =
+      GObjectPtr<GSocketConnection>::Adopt(g_socket_client_connect_to_host(
+          client.get(), daemon.Address().c_str(), 0, nullptr, nullptr));
+  REQUIRE(connection);
+  GSocket* socket = g_socket_connection_get_socket(connection.get());
+  REQUIRE(g_socket_send(socket, reinterpret_cast<const gchar*>(bytes.data()),
+                        bytes.size(), nullptr,
+                        nullptr) == static_cast<gssize>(bytes.size()));
+  if (reset) {
+    net::ResetOnClose(g_socket_get_fd(socket));
+  }
+  g_socket_close(socket, nullptr);
+}
+
+TEST_CASE("a frame that is cut off is not delivered") {
+  const std::vector<std::uint8_t> whole =
+      EncodeFrame({"main", DaemonId("a"), 1}, MakeMessage(1));
+  for (std::size_t n = 1; n < whole.size(); ++n) {
+    for (const bool reset : {false, true}) {
+      CAPTURE(n);
+      CAPTURE(reset);
+      Daemon b("main", "b");
+      SendAndClose(b, {whole.begin(), whole.begin() + static_cast<int>(n)},
+                   reset);
+      SendAndClose(b, whole, false);
+      CHECK(RunUntil([&] { return !b.received.empty(); }));
+      CHECK(b.net.counters().invalid_frames == 0);
+      CHECK(b.received.size() == 1);
+    }
+  }
+}
+
 }  // namespace
 }  // namespace gentianreach
