A call keeps its request until it is written

Cause: found by reading: a response that arrived before the request was written freed the request, which the pending write still used. Change: the request is freed only after it was sent; End() copies no pointer that its callers hold already.

--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -302,17 +302,16 @@
 }
 
 void HttpClient::End(const CallPtr& call, HttpResponse response) {
-  const CallPtr keep = call;
-  keep->timer.Cancel();
-  calls_.erase(keep);
-  Server& server = *keep->server;
+  call->timer.Cancel();
+  calls_.erase(call);
+  Server& server = *call->server;
   if (!server.waiting.empty() && server.busy < kMaxConnectionsPerServer) {
     const CallPtr next = std::move(server.waiting.front());
     server.waiting.pop_front();
     Start(next);
   }
   // Last, since it may destroy the client.
-  keep->done(std::move(response));
+  call->done(std::move(response));
 }
 
 HttpResponse HttpClient::SendAndWait(HttpCall call) {
--- a/src/net/http_connection.cc
+++ b/src/net/http_connection.cc
@@ -198,8 +198,11 @@
   reusable_ = reply_.head.keep_alive && sent_ && unread_.empty() &&
               reply_.head.framing != http::BodyFraming::kUntilEnd &&
               !http::StatesExcludedBody(reply_.head);
-  // Frees the memory, since connections are idle most of the time.
-  request_ = std::string();
+  // Frees the memory, since connections are idle most of the time. A write that
+  // has not ended still uses the request.
+  if (sent_) {
+    request_ = std::string();
+  }
   unread_ = std::string();
   buf_ = std::vector<char>();
   const Callback done = std::exchange(done_, nullptr);
