A response to a call is bounded

Cause: HttpClient keeps a response until it is whole and reads as fast as the server sends, so that a store in trouble that sends bytes without end could fill the memory of a daemon before the call's deadline. Change: a body above 32 MB ends the call without a response. Result: endless_response_test "a call ends although its response does not" passes; http_client_test 11 of 11, broken_off_response_faults_test 15 of 15.

--- a/src/net/http_connection.cc
+++ b/src/net/http_connection.cc
@@ -14,6 +14,9 @@
 
 constexpr std::size_t kMaxHeaderBytes = 64 * 1024;
 constexpr std::size_t kReadBytes = 16 * 1024;
+// Bounds the memory that a server's response takes. A page of a list has 1 MB,
+// a copy of a large fleet's objects a few.
+constexpr std::size_t kMaxBodyBytes = 32 * 1024 * 1024;
 
 bool IsNeverConnected(const GError& error) {
   return error.domain == G_RESOLVER_ERROR ||
@@ -167,6 +170,10 @@
       continue;
     }
     has_head_ = has_head_ || is_head;
+    if (reply_.body.size() > kMaxBodyBytes) {
+      Fail("response too large");
+      return;
+    }
     if (parser_->done()) {
       Complete();
       return;
