Changes that are kept for other daemons have a limit of their size

Cause: StoreWatcher kept the last 256 changes of each kind as parsed JSON, without a limit of their size. A change is a merge patch, which replaces an array as a whole, so each version of a configuration of 1,400 routes was kept again. All daemons keep changes, as any of them may lead.

Change: changes are kept as JSON text, 4 MB of a kind at most. A daemon that lacks earlier ones gets the whole copy, as it did beyond 256 changes. The digests of the last 256 states are kept apart, so that which states a copy contains does not depend on the size of the changes. The text also needs no second encoding for each request.

The same cause elsewhere, by reading: the other kinds use this class; the settings of the older daemon keep 8 versions as text, the audit log a fixed number of entries.

--- a/src/base/json_text.cc
+++ b/src/base/json_text.cc
@@ -64,6 +64,11 @@
   return value.is_discarded() ? std::nullopt : std::optional(std::move(value));
 }
 
+std::string ToJsonText(const json& value) {
+  constexpr int kCompact = -1;
+  return value.dump(kCompact, ' ', false, json::error_handler_t::replace);
+}
+
 std::optional<std::vector<JsonPart>> SplitJson(std::string_view text) {
   text = Trim(text);
   if (!text.starts_with('{') && !text.starts_with('[')) {
--- a/src/base/json_text.h
+++ b/src/base/json_text.h
@@ -1,4 +1,5 @@
-// Reads JSON of other programs. Nothing here throws.
+// Reads JSON of other programs, and writes JSON that may contain bytes of
+// theirs. Nothing here throws.
 #ifndef SRC_BASE_JSON_TEXT_H_
 #define SRC_BASE_JSON_TEXT_H_
 
@@ -16,6 +17,10 @@
 // recursive functions could not handle the value.
 [[nodiscard]] std::optional<nlohmann::json> ParseJson(std::string_view text);
 
+// Returns `value` as compact text. Bytes in strings that are not UTF-8, which
+// nlohmann::json::dump() throws for, are written as U+FFFD.
+[[nodiscard]] std::string ToJsonText(const nlohmann::json& value);
+
 // Text of a member of an object, or of an element of an array, which has no
 // name.
 struct JsonPart {
--- a/src/base/json_text_test.cc
+++ b/src/base/json_text_test.cc
@@ -26,6 +26,16 @@
   }
 }
 
+TEST_CASE("text is written of values with bytes that are not UTF-8") {
+  CHECK(ToJsonText({{"a", {1, "\u00e4"}}}) == "{\"a\":[1,\"\u00e4\"]}");
+  for (const std::string& it :
+       {std::string("5c0\xc5") + "a7", std::string("\xe2\x82"),
+        std::string("\xed\xa0\xbd"), std::string("a\0b", 3)}) {
+    CAPTURE(it);
+    CHECK(ParseJson(ToJsonText({{it, it}})).has_value());
+  }
+}
+
 TEST_CASE("values that are nested too deeply are not parsed") {
   CHECK(ParseJson(Nested(64)).has_value());
   CHECK_FALSE(ParseJson(Nested(65)).has_value());
--- a/src/entry/store_watcher.cc
+++ b/src/entry/store_watcher.cc
@@ -10,6 +10,7 @@
 
 #include <xxhash.h>
 
+#include "base/json_text.h"
 #include "base/log.h"
 
 namespace gentianreach::entry {
@@ -34,6 +35,9 @@
 // Number of changes kept for other daemons: one or two seconds of the highest
 // rate.
 constexpr std::size_t kMaxChanges = 256;
+// Limit of their size: a change of a large object may be as large as the
+// object, up to 1 MB. A daemon that lacks earlier changes gets the whole copy.
+constexpr std::size_t kMaxChangesBytes = 4 << 20;
 
 }  // namespace
 
@@ -41,10 +45,8 @@
   if (object.deleted) {
     return 0;
   }
-  const std::string text =
-      object.name + '/' + std::to_string(object.revision) + '/' +
-      object.document.dump(-1, ' ', false,
-                           nlohmann::json::error_handler_t::replace);
+  const std::string text = object.name + '/' + std::to_string(object.revision) +
+                           '/' + ToJsonText(object.document);
   return XXH3_64bits(text.data(), text.size());
 }
 
@@ -306,7 +308,9 @@
   revision_ = revision;
   changed_at_ = revision;
   changes_.clear();
+  changes_bytes_ = 0;
   changes_from_ = revision;
+  earlier_digests_.clear();
 }
 
 void StoreWatcher::NoteUnreadable(const platform::ListReply& reply, bool list) {
@@ -343,7 +347,11 @@
       form == ChangeForm::kWhole || known == objects_.end() ? nullptr
                                                             : &known->second;
   // Also kept while another daemon leads, since this one may become the leader.
-  changes_.push_back({revision, EncodeChange(before, object), digest_});
+  KeepChange({revision, ToJsonText(EncodeChange(before, object))});
+  earlier_digests_.push_back(digest_);
+  if (earlier_digests_.size() > kMaxChanges) {
+    earlier_digests_.pop_front();
+  }
   if (known != objects_.end()) {
     digest_ -= object_digests_[object.name];
   }
@@ -357,7 +365,13 @@
   }
   changed_at_ = revision;
   learned_at_ = loop_.Now();
-  if (changes_.size() > kMaxChanges) {
+}
+
+void StoreWatcher::KeepChange(Change change) {
+  changes_bytes_ += change.entry.size();
+  changes_.push_back(std::move(change));
+  while (changes_.size() > kMaxChanges || changes_bytes_ > kMaxChangesBytes) {
+    changes_bytes_ -= changes_.front().entry.size();
     changes_from_ = changes_.front().revision;
     changes_.pop_front();
   }
--- a/src/entry/store_watcher.h
+++ b/src/entry/store_watcher.h
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <deque>
 #include <functional>
@@ -146,12 +147,11 @@
     TimePoint empty_current_at{};
   };
 
-  // A change as it is relayed to other daemons, and the revision that the copy
-  // reached with it.
+  // A change as it is relayed to other daemons, as JSON, and the revision that
+  // the copy reached with it.
   struct Change {
     std::uint64_t revision = 0;
-    nlohmann::json entry;
-    std::uint64_t digest_before = 0;
+    std::string entry;
   };
 
   void MakeNextCall();
@@ -190,6 +190,9 @@
                     std::uint64_t digest,
                     std::uint64_t revision,
                     ChangeForm form);
+  // Keeps `change` for other daemons, in place of the oldest ones if there are
+  // too many or they take too much memory.
+  void KeepChange(Change change);
   // Returns the content of another daemon's changes, or nullopt, with a log
   // line, if they are damaged.
   [[nodiscard]] std::optional<nlohmann::json> DecodeChanges(
@@ -278,8 +281,12 @@
   std::set<std::string> unreadable_;
   std::uint64_t unreadable_objects_ = 0;
   std::deque<Change> changes_;
+  // Size of the entries of `changes_`, in bytes.
+  std::size_t changes_bytes_ = 0;
   // `changes_` contains all changes after this revision.
   std::uint64_t changes_from_ = 0;
+  // The digests that the copy had before its last changes, the oldest first.
+  std::deque<std::uint64_t> earlier_digests_;
   // A relayed patch did not apply, so all objects are requested.
   bool needs_full_copy_ = false;
   // Counts the changes that did not come from this daemon's own lists and
--- a/src/entry/store_watcher_relay.cc
+++ b/src/entry/store_watcher_relay.cc
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "base/gzip.h"
+#include "base/json_text.h"
 #include "base/log.h"
 #include "base/merge_patch.h"
 #include "entry/store_watcher.h"
@@ -54,26 +55,34 @@
   response_since_ = since;
   response_at_ = at;
   response_digest_ = digest_;
-  nlohmann::json list = nlohmann::json::array();
   const bool full = since == 0 || since < changes_from_ || since > at;
+  std::string entries;
+  const auto append = [&entries](const std::string& entry) {
+    if (!entries.empty()) {
+      entries += ',';
+    }
+    entries += entry;
+  };
   if (full) {
     for (const auto& [name, it] : objects_) {
-      list.push_back(EncodeChange(nullptr, it));
+      append(ToJsonText(EncodeChange(nullptr, it)));
     }
   } else {
     for (const Change& it : changes_) {
       if (it.revision > since) {
-        list.push_back(it.entry);
+        append(it.entry);
       }
     }
   }
-  response_ = Compress(nlohmann::json{
+  std::string text = nlohmann::json{
       {"revision", at},
       {"digest", digest_},
       {"listed", listed_},
-      {"whole", full},
-      {"objects",
-       std::move(list)}}.dump());
+      {"whole", full}}.dump();
+  // The entries are JSON already.
+  text.back() = ',';
+  text += "\"objects\":[" + entries + "]}";
+  response_ = Compress(text);
   return response_;
 }
 
@@ -192,9 +201,7 @@
 
 bool StoreWatcher::Contains(std::uint64_t digest) const {
   return digest_ == digest ||
-         std::ranges::any_of(changes_, [digest](const Change& it) {
-           return it.digest_before == digest;
-         });
+         std::ranges::find(earlier_digests_, digest) != earlier_digests_.end();
 }
 
 bool StoreWatcher::IsAsStated(const nlohmann::json& changes) const {
