A daemon that starts learns which requests crash servers

Cause: CrashWatch counts losses in the memory of each daemon. The leader passes reports on once, to the members of that moment. A daemon that starts later, or to which a datagram with a report got lost, lacks those losses for good.

Change: Hellos and heartbeats carry a digest of the refused requests. What a digest says is repeated until both agree, so that a lost datagram does not matter. Single losses are reported as before.

--- a/src/entry/datagram_fields.cc
+++ b/src/entry/datagram_fields.cc
@@ -69,4 +69,26 @@
   return values;
 }
 
+std::vector<wire::RefusedRequest> ToWire(
+    const std::vector<RefusedRequest>& refused,
+    TimePoint now) {
+  std::vector<wire::RefusedRequest> values;
+  values.reserve(refused.size());
+  for (const RefusedRequest& it : refused) {
+    values.emplace_back(it.fingerprint.value, AgeOf(it.lost_at, now));
+  }
+  return values;
+}
+
+std::vector<RefusedRequest> ToRefusedRequests(
+    const std::vector<wire::RefusedRequest>& refused,
+    TimePoint now) {
+  std::vector<RefusedRequest> requests;
+  requests.reserve(refused.size());
+  for (const wire::RefusedRequest& it : refused) {
+    requests.push_back({{it.fingerprint()}, TimeOf(it.age_ms(), now)});
+  }
+  return requests;
+}
+
 }  // namespace gentianreach::entry
--- a/src/entry/datagram_fields.h
+++ b/src/entry/datagram_fields.h
@@ -35,6 +35,15 @@
 [[nodiscard]] std::vector<std::uint64_t> ToValues(
     const std::vector<Fingerprint>& fingerprints);
 
+// Convert between lists of refused requests. The sender states ages at `now`,
+// and the receiver takes them as ages at its own `now`.
+[[nodiscard]] std::vector<wire::RefusedRequest> ToWire(
+    const std::vector<RefusedRequest>& refused,
+    TimePoint now);
+[[nodiscard]] std::vector<RefusedRequest> ToRefusedRequests(
+    const std::vector<wire::RefusedRequest>& refused,
+    TimePoint now);
+
 }  // namespace gentianreach::entry
 
 #endif  // SRC_ENTRY_DATAGRAM_FIELDS_H_
--- a/src/entry/entry_state.cc
+++ b/src/entry/entry_state.cc
@@ -213,6 +213,15 @@
   }
 }
 
+void EntryState::OnRemoteRefusals(const std::vector<RefusedRequest>& requests,
+                                  std::string_view source) {
+  const std::size_t refused = crashes.OnRemoteRefusals(requests, loop.Now());
+  if (refused > 0) {
+    Log(LogLevel::kWarning, "crashing_requests_learned",
+        {{"requests", refused}, {"source", source}});
+  }
+}
+
 void EntryState::OnInvalidResponse(std::string_view kind,
                                    const std::string& sender,
                                    const proxy::ServerConnection& connection) {
--- a/src/entry/entry_state.h
+++ b/src/entry/entry_state.h
@@ -122,6 +122,10 @@
                      TimePoint sent_at);
   // An incarnation of `server` has stated that it leaves.
   void OnLeaving(const ServerId& server, Incarnation incarnation);
+  // Handles the requests that `source`, another daemon or the store, states to
+  // be refused.
+  void OnRemoteRefusals(const std::vector<RefusedRequest>& requests,
+                        std::string_view source);
   // Logs and counts a malformed response on `connection` of `sender`, which is
   // a "server" or a "relay".
   void OnInvalidResponse(std::string_view kind,
--- a/src/entry/member_link.cc
+++ b/src/entry/member_link.cc
@@ -115,6 +115,10 @@
   hello.forward_address = forward_address_;
   hello.servers_lost = state_.reachability.lost();
   hello.crashed = ToValues(crashes_.TakeLocalLosses());
+  hello.refusal_digest = crashes_.RefusalDigest(loop_.Now());
+  hello.refused =
+      ToWire(crashes_.RefusedUnknownTo(leader_refusal_digest_, loop_.Now()),
+             loop_.Now());
   for (auto& [service, keys] : state_.TakeKeys()) {
     auto sample = std::make_unique<wire::KeySampleT>();
     sample->service = service;
@@ -327,6 +331,8 @@
     crashes_.OnRemoteLoss(it, now);
   }
   QueueCrashReports(hello.name, crashed);
+  known.refusal_digest = hello.refusal_digest;
+  state_.OnRemoteRefusals(ToRefusedRequests(hello.refused, now), hello.name);
   AddSamples(hello);
   state_.OnMemberLoads(hello.name, hello.loads);
   for (const auto& it : hello.leaving) {
@@ -463,6 +469,10 @@
     }
   }
   heartbeat.crashed = ToValues(std::exchange(known.unsent_crash_reports, {}));
+  heartbeat.refusal_digest = crashes_.RefusalDigest(loop_.Now());
+  heartbeat.refused =
+      ToWire(crashes_.RefusedUnknownTo(known.refusal_digest, loop_.Now()),
+             loop_.Now());
   if (std::exchange(known.awaits_response, false) && state_.shared_loads) {
     heartbeat.busy = state_.shared_loads->BusyServers(loop_.Now());
   }
@@ -476,6 +486,8 @@
   for (const std::uint64_t it : heartbeat.crashed) {
     crashes_.OnRemoteLoss({it}, now);
   }
+  state_.OnRemoteRefusals(ToRefusedRequests(heartbeat.refused, now),
+                          heartbeat.name);
   const LeaderRecord record{
       Epoch(heartbeat.epoch),
       {heartbeat.name, Incarnation(heartbeat.incarnation), heartbeat.address}};
@@ -516,6 +528,7 @@
     }
   }
   leader_last_seen_ = now;
+  leader_refusal_digest_ = heartbeat.refusal_digest;
   election_.OnLeaderHeartbeat(record, heartbeat.rank, now);
   if (!was_followed && election_.record().IsSameTerm(record)) {
     // The leader states the age of its copies only in response.
--- a/src/entry/member_link.h
+++ b/src/entry/member_link.h
@@ -136,6 +136,8 @@
     TimePoint last_seen;
     double processor_share = 0;
     std::vector<Fingerprint> unsent_crash_reports;
+    // Hello.refusal_digest of the last one.
+    std::uint64_t refusal_digest = 0;
     // Set only on the leader.
     ZoneName zone;
     std::string forward_address;
@@ -231,6 +233,8 @@
   StoreCopyStatus mirrored_copy_status_;
   StoreCopyStatus next_mirrored_copy_status_;
   TimePoint leader_last_seen_{};
+  // LeaderHeartbeat.refusal_digest of the last one.
+  std::uint64_t leader_refusal_digest_ = 0;
 };
 
 }  // namespace gentianreach::entry
