Requests that crash servers stay refused after a restart of all daemons

After a restart of all daemons at once, a request that had crashed three servers crashed up to three more, and again after each further such restart: it counts against BUDGET from the second one on.

What must last goes through the platform's store, and this did not.

Change: the leader record has the requests that its writer refuses, with the age of the last loss. The leader writes it every 2.5 s anyway, and a daemon that starts reads it, so that no call is added. It takes them only while it has not heard of a leader, and as 3 s older, so that daemons which start one after the other do not prolong refusals.

--- a/src/entry/entry_daemon.cc
+++ b/src/entry/entry_daemon.cc
@@ -584,6 +584,11 @@
                {"content", Excerpt(reply.object->content())}});
           outcome = ElectionOutcome::kUnreadable;
         }
+        if (!link_.knows_members()) {
+          // Nobody has told this daemon yet which requests are refused.
+          state_->OnRemoteRefusals(
+              DecodeRefused(reply.object->content(), loop_.Now()), "store");
+        }
       }
       if (call->replaces_unreadable && outcome == ElectionOutcome::kOk) {
         Log(LogLevel::kWarning, "leader_record_replaced",
@@ -613,8 +618,9 @@
       assignment_.Run();
       RunElection();
     };
-    SendElectionCall(platform_, *call, loop_.Now() + kElectionTimeout,
-                     on_reply);
+    const TimePoint now = loop_.Now();
+    SendElectionCall(platform_, *call, state_->crashes.Refused(now), now,
+                     now + kElectionTimeout, on_reply);
   }
 
   const settings::EntryDaemonT settings_;
--- a/src/entry/leader_record_test.cc
+++ b/src/entry/leader_record_test.cc
@@ -1,5 +1,6 @@
 #include "entry/leader_record.h"
 
+#include <chrono>
 #include <vector>
 
 #include <doctest/doctest.h>
@@ -34,5 +35,40 @@
                             {"earlier", {{{"name", "b"}}}}}));
 }
 
+TEST_CASE("a leader record has the requests that the leader refuses") {
+  const LeaderRecord record{Epoch(7), {"c", Incarnation(3), "c:1"}};
+  const TimePoint now(std::chrono::seconds(500));
+  const Fingerprint fingerprint{0xfedcba9876543210};
+  const auto content = EncodeLeader(
+      record, {{fingerprint, now - std::chrono::seconds(20)}}, now);
+  CHECK(DecodeLeader(content) == record);
+  const TimePoint later = now + std::chrono::seconds(100);
+  const auto refused = DecodeRefused(content, later);
+  REQUIRE(refused.size() == 1);
+  CHECK(refused[0].fingerprint == fingerprint);
+  // Its age counts from when it was written, which was before it was read.
+  CHECK(refused[0].lost_at < later - std::chrono::seconds(20));
+  CHECK(refused[0].lost_at > later - std::chrono::seconds(30));
+}
+
+TEST_CASE("a leader record without refused requests is as it was before") {
+  const LeaderRecord record{Epoch(7), {"c", Incarnation(3), "c:1"}};
+  CHECK_FALSE(EncodeLeader(record).contains("refused"));
+  CHECK(DecodeRefused(EncodeLeader(record), {}).empty());
+}
+
+TEST_CASE("refused requests that cannot be decoded are left out") {
+  using nlohmann::json;
+  CHECK(DecodeRefused(nullptr, {}).empty());
+  CHECK(DecodeRefused({{"refused", 7}}, {}).empty());
+  CHECK(DecodeRefused({{"refused", {{{"fingerprint", 7}}}}}, {}).empty());
+  const json damaged = {{{"fingerprint", "xyz"}, {"age_ms", 5}},
+                        {{"fingerprint", "1f"}, {"age_ms", 5}},
+                        {{"fingerprint", "20"}}};
+  const auto refused = DecodeRefused({{"refused", damaged}}, {});
+  REQUIRE(refused.size() == 1);
+  CHECK(refused[0].fingerprint == Fingerprint{0x1f});
+}
+
 }  // namespace
 }  // namespace gentianreach::entry
