A handover that is not UTF-8 does not end the leader

Cause: a grant passes on, as a JSON string, the handover that a server gave in a header. nlohmann::json::dump() throws for bytes that are not UTF-8, and nothing between there and the event loop catches it. The next leader repeats the release and gets such bytes again if the server goes on spoiling its answers.

--- a/src/daemon/operator_api.cc
+++ b/src/daemon/operator_api.cc
@@ -6,6 +6,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "base/json_text.h"
+
 namespace gentianreach {
 namespace {
 
@@ -17,7 +19,7 @@
 constexpr std::array<double, 4> kQuantiles = {0.5, 0.9, 0.99, 0.999};
 
 OperatorResponse JsonResponse(const Json& json, guint status = SOUP_STATUS_OK) {
-  return {status, "application/json", json.dump() + "\n"};
+  return {status, "application/json", ToJsonText(json) + "\n"};
 }
 
 OperatorResponse ErrorResponse(guint status, const std::string& message) {
--- a/src/entry/store_copies.cc
+++ b/src/entry/store_copies.cc
@@ -7,6 +7,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "base/json_text.h"
 #include "base/log.h"
 #include "entry/datagram_fields.h"
 #include "http/status.h"
@@ -416,7 +417,7 @@
       {"most_lost_store", status.most_lost_store}};
   if (status.current_at == TimePoint{}) {
     json["error"] = "no copies yet";
-    return {http::status::kUnavailable, "application/json", json.dump()};
+    return {http::status::kUnavailable, "application/json", ToJsonText(json)};
   }
   json["age_ms"] = AgeOf(status.current_at, loop_.Now());
   json["listed_age_ms"] = AgeOf(status.listed_at, loop_.Now());
@@ -425,7 +426,7 @@
   json["changed_at"] = status.changed_at;
   json["digests"] = status.digests;
   json["may_lack_entries"] = MayLackEntries();
-  return {http::status::kOk, "application/json", json.dump()};
+  return {http::status::kOk, "application/json", ToJsonText(json)};
 }
 
 StoreCopies::CopyRelation StoreCopies::Compare(const StoreWatcher& watcher,
--- a/src/server/order_codec.cc
+++ b/src/server/order_codec.cc
@@ -5,6 +5,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "base/json_text.h"
+
 namespace gentianreach {
 namespace {
 
@@ -116,7 +118,7 @@
       {"until_ms", ToMillis(order.until)},
       {"service", order.service.value()},
       {"grants", std::move(grants)}};
-  return json.dump();
+  return ToJsonText(json);
 }
 
 std::optional<ServerOrder> DecodeOrder(const std::string& text) {
@@ -142,7 +144,7 @@
       {"service_ms", std::chrono::duration_cast<std::chrono::milliseconds>(
                          response.load.service_time)
                          .count()}};
-  return json.dump();
+  return ToJsonText(json);
 }
 
 std::optional<ServerResponse> DecodeResponse(const std::string& text) {
