A request to drain with an actor of another type is refused

An operator's POST /drain whose "actor" is not a string ended the older daemon, with all requests in flight.

Cause: json::value() throws if the member has another type than the default, and nothing catches the exception in the handler.

Change: 400, as for the other members.

Result: operator_api_test 2 of 2; its case "a request to drain that has members of another type is refused" threw on the former code.

--- a/src/daemon/operator_api.cc
+++ b/src/daemon/operator_api.cc
@@ -300,10 +300,11 @@
   const Json json = Json::parse(request.body, nullptr, false);
   if (!json.is_object() || !json.contains("server") ||
       !json["server"].is_string() || !json.contains("drain") ||
-      !json["drain"].is_boolean()) {
-    return ErrorResponse(
-        SOUP_STATUS_BAD_REQUEST,
-        "expected {\"server\": NAME, \"drain\": true or false}");
+      !json["drain"].is_boolean() ||
+      (json.contains("actor") && !json["actor"].is_string())) {
+    return ErrorResponse(SOUP_STATUS_BAD_REQUEST,
+                         "expected {\"server\": NAME, \"drain\": true or "
+                         "false} and optionally \"actor\": NAME");
   }
   const std::string server = json["server"];
   if (!drain(server, json["drain"], json.value("actor", "operator"))) {
--- a/src/daemon/operator_api_test.cc
+++ b/src/daemon/operator_api_test.cc
@@ -13,6 +13,16 @@
 namespace gentianreach {
 namespace {
 
+// Returns the status of a request to drain with `body`, for a daemon that knows
+// no server.
+guint DrainStatus(const std::string& body) {
+  OperatorRequest request;
+  request.body = body;
+  return HandleDrain(request, [](const std::string&, bool,
+                                 const std::string&) { return false; })
+      .status;
+}
+
 // Returns the response to a query of a daemon with `view`.
 HttpResponse Query(const OperatorView& view, const std::string& path) {
   OperatorServer server;
@@ -37,5 +47,13 @@
   }
 }
 
+TEST_CASE("a request to drain that has members of another type is refused") {
+  CHECK(DrainStatus(R"({"server":"a","drain":true})") == 404);
+  CHECK(DrainStatus(R"({"server":"a","drain":true,"actor":"ana"})") == 404);
+  CHECK(DrainStatus(R"({"server":"a","drain":true,"actor":7})") == 400);
+  CHECK(DrainStatus(R"({"server":7,"drain":true})") == 400);
+  CHECK(DrainStatus(R"({"server":"a","drain":1})") == 400);
+}
+
 }  // namespace
 }  // namespace gentianreach
