Tests of kept changes use the sample configuration; refusals of members are tested

Cause: platform_words_test failed in the whole run of the tests on: change_history_test wrote names of the platform's wire outside platform/.

Change: change_history_test takes the sample configuration with many routes, and writes versions without a wait between them. It shares ResidentBytes() and RunUntil() with other tests. member_link_test has a case in which a member alone refuses a request and the leader and all members learn it.

--- a/src/entry/change_history_test.cc
+++ b/src/entry/change_history_test.cc
@@ -2,63 +2,56 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
-#include <fstream>
-#include <functional>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include <doctest/doctest.h>
 
 #include "base/gzip.h"
 #include "entry/store_watcher.h"
+#include "platform/testing/entry_fixture.h"
 #include "platform/testing/fake_store.h"
+#include "platform/testing/resident_memory.h"
+#include "platform/testing/sample_config.h"
 
 namespace gentianreach::entry {
 namespace {
 
 using nlohmann::json;
 using platform::testing::FakeStore;
+using platform::testing::ResidentBytes;
+using platform::testing::RunUntil;
 
-// Limit for each wait of a test; much longer than needed.
-constexpr Duration kTestTimeout = std::chrono::seconds(30);
-// Routes of a large configuration, which takes about 300 KB as JSON.
+// Routes of a large configuration, of which each change takes over 180 KB.
 constexpr int kRoutes = 1400;
-// Versions that come in quick succession.
-constexpr std::uint64_t kVersions = 300;
+constexpr std::size_t kMinChangeBytes = 180'000;
+// More versions than are kept whatever their size, and more than are kept of a
+// large configuration.
+constexpr int kVersions = 300;
+constexpr int kTooManyVersions = 30;
 // The memory of the users' entry VMs, and the kinds of objects that a daemon
 // has copies of.
 constexpr std::size_t kVmBytes = 260 << 20;
 constexpr std::size_t kKinds = 4;
 constexpr std::size_t kMaxDecompressedBytes = 64 << 20;
 
-std::size_t ResidentBytes() {
-  constexpr std::size_t kPageBytes = 4096;
-  std::ifstream in("/proc/self/statm");
-  std::size_t total = 0;
-  std::size_t resident = 0;
-  in >> total >> resident;
-  return resident * kPageBytes;
-}
-
-json LargeConfig(std::uint64_t version) {
-  json rules = json::array();
+// Returns a configuration in which one route is that of the version alone.
+json LargeConfig(int version) {
+  json config = platform::testing::SampleConfig(version);
   for (int i = 0; i < kRoutes; ++i) {
-    rules.push_back(
-        {{"match", {{"pathPrefix", "/more" + std::to_string(i) + "/"}}},
-         {"action",
-          {{"service", "orders"},
-           {"kind", "safe"},
-           {"timeoutMs", 1000 + version},
-           {"maxAttempts", 2},
-           {"targetLatencyMs", 400},
-           {"priority", 1}}}});
+    platform::testing::AddReadRoute(config, "/more" + std::to_string(i) + "/");
   }
-  return {{"configVersion", "r" + std::to_string(version)},
-          {"listeners",
-           {{{"hostname", "shop.example"}, {"rules", std::move(rules)}}}}};
+  platform::testing::AddReadRoute(config,
+                                  "/only" + std::to_string(version) + "/");
+  return config;
 }
 
-platform::Object LargeObject(std::uint64_t revision) {
-  return {"main", revision, false, {{"spec", LargeConfig(revision)}}};
+platform::Object LargeObject(int version) {
+  return {"main",
+          static_cast<std::uint64_t>(version),
+          false,
+          {{"spec", LargeConfig(version)}}};
 }
 
 // A daemon's copy of the configuration.
@@ -77,9 +70,9 @@
     watcher.SetSource(source, std::chrono::milliseconds(1000));
   }
 
-  // Returns the version of the configuration as reported to the daemon.
-  [[nodiscard]] std::string version() const {
-    return content_.value("configVersion", "");
+  // Returns whether the daemon has got `version` of the configuration.
+  [[nodiscard]] bool Has(int version) const {
+    return content_ == LargeConfig(version);
   }
 
  private:
@@ -89,7 +82,7 @@
     }
   }
 
-  json content_ = json::object();
+  json content_;
   platform::PlatformClient client_;
   StoreHealth health_;
 
@@ -103,7 +96,7 @@
   Daemons() {
     store.Put("config", "main", LargeConfig(0));
     leader.watcher.Start(loop.Now());
-    WaitFor([this] { return leader.version() == "r0"; });
+    RunUntil(loop, [this] { return leader.Has(0); });
     REQUIRE(RelayChanges());
   }
 
@@ -112,17 +105,13 @@
     return follower.watcher.ApplyChanges(
         leader.watcher.ChangesSince(follower.watcher.relay_since()));
   }
-  // Writes a version of the configuration and waits until the leader has it.
-  void Put(std::uint64_t version) {
-    store.Put("config", "main", LargeConfig(version));
-    WaitFor([&] { return leader.version() == "r" + std::to_string(version); });
-  }
-  void WaitFor(const std::function<bool()>& done) {
-    const TimePoint end = loop.Now() + kTestTimeout;
-    while (!done()) {
-      REQUIRE(loop.Now() < end);
-      loop.RunOnce(true);
+  // Writes the versions from `first` to `last` of the configuration, and waits
+  // until the leader has them.
+  void Put(int first, int last) {
+    for (int i = first; i <= last; ++i) {
+      store.Put("config", "main", LargeConfig(i));
     }
+    RunUntil(loop, [&] { return leader.Has(last); });
   }
 
   net::EventLoop loop;
@@ -137,22 +126,22 @@
   net::EventLoop loop;
   FakeStore store;
   Copy copy(loop, store, WatchSource::kLeader);
+  REQUIRE(LargeConfig(2).dump().size() > kMinChangeBytes);
   copy.watcher.Put(LargeObject(2));
   const std::size_t before = ResidentBytes();
-  for (std::uint64_t i = 3; i < kVersions; ++i) {
+  for (int i = 3; i < kVersions; ++i) {
     copy.watcher.Put(LargeObject(i));
   }
   const std::size_t after = ResidentBytes();
   CHECK(after < before + (kVmBytes / kKinds));
-  CHECK(copy.version() == "r" + std::to_string(kVersions - 1));
+  CHECK(copy.Has(kVersions - 1));
 }
 
 TEST_CASE("changes that take more memory than they may are small to relay") {
   net::EventLoop loop;
   FakeStore store;
   Copy copy(loop, store, WatchSource::kLeader);
-  copy.watcher.Put(LargeObject(2));
-  for (std::uint64_t i = 3; i < kVersions; ++i) {
+  for (int i = 2; i <= kTooManyVersions; ++i) {
     copy.watcher.Put(LargeObject(i));
   }
   const std::string all =
@@ -166,23 +155,18 @@
 
 TEST_CASE("a daemon that lacks changes that are not kept gets all objects") {
   Daemons daemons;
-  for (std::uint64_t i = 1; i <= 30; ++i) {
-    daemons.Put(i);
-  }
+  daemons.Put(1, kTooManyVersions);
   CHECK(daemons.RelayChanges());
-  CHECK(daemons.follower.version() == "r30");
+  CHECK(daemons.follower.Has(kTooManyVersions));
   CHECK(daemons.follower.watcher.digest() == daemons.leader.watcher.digest());
 }
 
 TEST_CASE("the last changes of a large configuration are relayed in order") {
   Daemons daemons;
-  for (std::uint64_t i = 1; i <= 30; ++i) {
-    daemons.Put(i);
-  }
+  daemons.Put(1, kTooManyVersions);
   REQUIRE(daemons.RelayChanges());
   const std::uint64_t since = daemons.follower.watcher.relay_since();
-  daemons.Put(31);
-  daemons.Put(32);
+  daemons.Put(kTooManyVersions + 1, kTooManyVersions + 2);
   const std::string text =
       Decompress(daemons.leader.watcher.ChangesSince(since),
                  kMaxDecompressedBytes)
@@ -191,15 +175,13 @@
   REQUIRE_FALSE(relayed.is_discarded());
   CHECK(relayed["whole"] == false);
   CHECK(daemons.RelayChanges());
-  CHECK(daemons.follower.version() == "r32");
+  CHECK(daemons.follower.Has(kTooManyVersions + 2));
 }
 
 TEST_CASE("a copy contains states whose changes it does not keep") {
   Daemons daemons;
   const std::uint64_t first = daemons.leader.watcher.digest();
-  for (std::uint64_t i = 1; i <= 30; ++i) {
-    daemons.Put(i);
-  }
+  daemons.Put(1, kTooManyVersions);
   CHECK(daemons.leader.watcher.Contains(first));
 }
 
--- a/src/entry/member_link_test.cc
+++ b/src/entry/member_link_test.cc
@@ -1,5 +1,6 @@
 #include "entry/member_link.h"
 
+#include <algorithm>
 #include <charconv>
 #include <chrono>
 #include <cstdint>
@@ -67,6 +68,7 @@
     link.AnnounceServerPath();
   }
   [[nodiscard]] const Relays& relays() const { return state_.relays; }
+  [[nodiscard]] CrashWatch& crashes() { return state_.crashes; }
 
   // Answers the pending store call with `record`.
   void ReplyWithRecord(const LeaderRecord& record) {
@@ -570,6 +572,19 @@
   });
 }
 
+TEST_CASE("all daemons learn what one refuses, also from members") {
+  Fleet fleet;
+  const Fingerprint request{17};
+  // As if no datagram with its losses had arrived.
+  fleet.daemons[5]->crashes().OnRemoteRefusals({{request, fleet.loop.Now()}},
+                                               fleet.loop.Now());
+  fleet.WaitFor([&] {
+    return std::ranges::all_of(fleet.daemons, [&](const auto& it) {
+      return it->crashes().IsRefused(request, fleet.loop.Now());
+    });
+  });
+}
+
 TEST_CASE("a new leader starts with the member count of the old leader") {
   Fleet fleet;
   Daemon& next = *fleet.daemons[5];
