--- a/src/entry/change_history_test.cc
+++ b/src/entry/change_history_test.cc
@@ -137,7 +137,7 @@
   CHECK(copy.Has(kVersions - 1));
 }
 
-TEST_CASE("changes that take more memory than they may are small to relay") {
+TEST_CASE("a whole copy takes the place of changes that are not kept") {
   net::EventLoop loop;
   FakeStore store;
   Copy copy(loop, store, WatchSource::kLeader);
